--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and experiments; their figures go to docs/."""
--- /dev/null
+++ b/lycheelug/entries/__init__.py
@@ -0,0 +1,1 @@
+"""The peer package for the other entry daemons, over gRPC."""
--- /dev/null
+++ b/lycheelug/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The peer package for operators, over HTTP/1.1."""
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,18 @@
+from __future__ import annotations
+
+import pytest
+
+from lycheelug.errors import CODES, ErrorCode, Fault, Peer, Step
+
+
+@pytest.mark.parametrize("code", CODES.values(), ids=list(CODES))
+def test_code_has_status_and_sentence(code: ErrorCode) -> None:
+    assert 400 <= code.status <= 599
+    assert code.text.endswith(".")
+
+
+def test_fault_names_step_and_peer() -> None:
+    fault = Fault(
+        CODES["connect-failed"], Step.CONNECT, Peer.UPSTREAM, "refused", "w1"
+    )
+    assert str(fault) == "connect-failed at connect (upstream w1): refused"
