--- /dev/null
+++ b/lycheelug/dispatch.py
@@ -0,0 +1,215 @@
+"""Which executor of a pool gets the next request.
+
+A daemon sees only its own requests in flight, so its view of an executor's
+load is partial.  `two-choices` samples two executors with room and takes
+the one with the lower load (Mitzenmacher, "The Power of Two Choices in
+Randomized Load Balancing", 2001): close to the least loaded, without all
+daemons agreeing on the same executor at the same moment.
+
+Load is judged relative to the executor's limit, and is raised for an
+executor whose recent requests failed.  Without that, an executor that
+fails at once always looks idle and draws most of the pool's requests.
+Latency enters only through successful answers, for the same reason.
+
+Limits: no view of other daemons' requests; which executors may be used at
+all (ejected, leaving, draining) is decided before the choice.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, Protocol
+
+from lycheelug.registry import Registry
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+__all__ = ["CHOICES", "Choice", "Executor"]
+
+# Weight of the newest sample in the moving averages.
+_EWMA_WEIGHT: Final = 0.2
+# An executor whose requests all fail counts as this many times as loaded.
+_FAILURE_FACTOR: Final = 20.0
+
+
+class Executor:
+    """One executor as this daemon sees it; the daemon keeps the counts.
+
+    >>> executor = Executor("w1", "10.0.0.1:80", "r1", "arima", limit=2)
+    >>> executor.in_flight = 1
+    >>> executor.has_room, executor.load
+    (True, 1.0)
+    """
+
+    __slots__ = (
+        "address",
+        "failure_rate",
+        "in_flight",
+        "latency_s",
+        "limit",
+        "name",
+        "rack",
+        "turn",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        rack: str,
+        zone: str,
+        limit: int = 0,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.rack = rack
+        self.zone = zone
+        # Slots that this daemon may use on the executor now.
+        self.limit = limit
+        self.in_flight = 0
+        # Moving averages; 0.0 until the first sample.
+        self.latency_s = 0.0
+        self.failure_rate = 0.0
+        # Position in the round-robin order; the lowest comes next.
+        self.turn = 0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether this daemon may send one more request to it."""
+        return self.in_flight < self.limit
+
+    @property
+    def load(self) -> float:
+        """Load after one more request, relative to the limit."""
+        share = (self.in_flight + 1) / max(1, self.limit)
+        return share * (1.0 + self.failure_rate * _FAILURE_FACTOR)
+
+    def record(self, ok: bool, latency_s: float) -> None:
+        """Take in the end of one request."""
+        failed = 0.0 if ok else 1.0
+        self.failure_rate += _EWMA_WEIGHT * (failed - self.failure_rate)
+        if not ok:
+            return
+        if self.latency_s == 0.0:
+            self.latency_s = latency_s
+            return
+        self.latency_s += _EWMA_WEIGHT * (latency_s - self.latency_s)
+
+    def __repr__(self) -> str:
+        return f"Executor({self.name} {self.in_flight}/{self.limit})"
+
+
+class Choice(Protocol):
+    """Chooses an executor with room, or None where there is none."""
+
+    def __call__(
+        self,
+        candidates: Sequence[Executor],
+        rng: random.Random,
+        exclude: frozenset[str],
+    ) -> Executor | None:
+        """Return the executor for the next request."""
+
+
+CHOICES: Final[Registry[Choice]] = Registry("dispatch choice")
+
+
+def _with_room(
+    candidates: Sequence[Executor], exclude: frozenset[str]
+) -> list[Executor]:
+    """Return the candidates that may take one more request."""
+    usable: list[Executor] = []
+    for executor in candidates:
+        if not executor.has_room:
+            continue
+        if executor.name in exclude:
+            continue
+        usable.append(executor)
+    return usable
+
+
+@CHOICES.register("two-choices")
+def choose_two(
+    candidates: Sequence[Executor],
+    rng: random.Random,
+    exclude: frozenset[str],
+) -> Executor | None:
+    """Return the less loaded of two random executors.
+
+    >>> import random
+    >>> idle = Executor("w1", "", "r1", "arima", limit=2)
+    >>> busy = Executor("w2", "", "r1", "arima", limit=2)
+    >>> busy.in_flight = 1
+    >>> choose_two([idle, busy], random.Random(1), frozenset()).name
+    'w1'
+    """
+    usable = _with_room(candidates, exclude)
+    if not usable:
+        return None
+    if len(usable) == 1:
+        return usable[0]
+    first, second = rng.sample(usable, 2)
+    return first if first.load <= second.load else second
+
+
+@CHOICES.register("two-choices-latency")
+def choose_two_by_latency(
+    candidates: Sequence[Executor],
+    rng: random.Random,
+    exclude: frozenset[str],
+) -> Executor | None:
+    """Return the one of two with the lower load times latency."""
+    usable = _with_room(candidates, exclude)
+    if not usable:
+        return None
+    if len(usable) == 1:
+        return usable[0]
+    first, second = rng.sample(usable, 2)
+    if first.latency_s == 0.0 or second.latency_s == 0.0:
+        return first if first.load <= second.load else second
+    first_cost = first.load * first.latency_s
+    second_cost = second.load * second.latency_s
+    return first if first_cost <= second_cost else second
+
+
+@CHOICES.register("least-loaded")
+def choose_least_loaded(
+    candidates: Sequence[Executor],
+    rng: random.Random,
+    exclude: frozenset[str],
+) -> Executor | None:
+    """Return the least loaded executor, ties at random."""
+    usable = _with_room(candidates, exclude)
+    if not usable:
+        return None
+    least = min(executor.load for executor in usable)
+    return rng.choice([each for each in usable if each.load == least])
+
+
+@CHOICES.register("random")
+def choose_random(
+    candidates: Sequence[Executor],
+    rng: random.Random,
+    exclude: frozenset[str],
+) -> Executor | None:
+    """Baseline: return any executor with room."""
+    usable = _with_room(candidates, exclude)
+    return rng.choice(usable) if usable else None
+
+
+@CHOICES.register("round-robin")
+def choose_round_robin(
+    candidates: Sequence[Executor],
+    rng: random.Random,
+    exclude: frozenset[str],
+) -> Executor | None:
+    """Baseline: return the executor chosen longest ago."""
+    del rng
+    usable = _with_room(candidates, exclude)
+    if not usable:
+        return None
+    chosen = min(usable, key=lambda each: each.turn)
+    chosen.turn = 1 + max(each.turn for each in candidates)
+    return chosen
