--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -107,6 +107,9 @@
 NOT_READY: Final = _code(
     "not-ready", 503, "The daemon is starting or stopping."
 )
+INTERNAL_ERROR: Final = _code(
+    "internal-error", 500, "The daemon met a defect of its own."
+)
 
 # --- Admission and queueing.
 QUEUE_FULL: Final = _code("queue-full", 503, "The pool's queue is full.")
@@ -140,6 +143,9 @@
 ANSWER_TOO_LARGE: Final = _code(
     "answer-too-large", 502, "The upstream's answer is over the limit."
 )
+ANSWER_CROSSED: Final = _code(
+    "answer-crossed", 502, "The upstream answered another request."
+)
 ANSWER_TIMEOUT: Final = _code(
     "answer-timeout", 504, "The upstream did not answer in time."
 )
--- /dev/null
+++ b/lycheelug/http/__init__.py
@@ -0,0 +1,26 @@
+"""HTTP/1.1 on h11 and asyncio protocols, shared by the peer packages."""
+
+from lycheelug.http.client import ClientConnection, ExchangeFault, HttpClient
+from lycheelug.http.messages import (
+    Answer,
+    RawHeaders,
+    Request,
+    end_to_end_headers,
+    find_header,
+    json_answer,
+)
+from lycheelug.http.server import HttpServer, ServerLimits
+
+__all__ = [
+    "Answer",
+    "ClientConnection",
+    "ExchangeFault",
+    "HttpClient",
+    "HttpServer",
+    "RawHeaders",
+    "Request",
+    "ServerLimits",
+    "end_to_end_headers",
+    "find_header",
+    "json_answer",
+]
--- /dev/null
+++ b/lycheelug/http/messages.py
@@ -0,0 +1,118 @@
+"""Whole HTTP requests and answers, and what may be forwarded of them.
+
+Messages are held whole: an answer is passed on only once its last byte has
+come, so a truncated one can never look complete to the caller.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final, TypeAlias
+
+import msgspec
+
+__all__ = [
+    "Answer",
+    "RawHeaders",
+    "Request",
+    "end_to_end_headers",
+    "find_header",
+    "json_answer",
+]
+
+RawHeaders: TypeAlias = list[tuple[bytes, bytes]]
+
+# RFC 9110, section 7.6.1: meaningful for one connection only.
+HOP_BY_HOP: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+class Request:
+    """One whole request; header names are in lower case."""
+
+    __slots__ = ("body", "headers", "method", "peer_name", "target")
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: RawHeaders,
+        body: bytes = b"",
+        peer_name: str = "",
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.peer_name = peer_name
+
+
+class Answer:
+    """One whole answer; `close` says that the peer ends the connection."""
+
+    __slots__ = ("body", "close", "headers", "status")
+
+    def __init__(
+        self,
+        status: int,
+        headers: RawHeaders,
+        body: bytes = b"",
+        close: bool = False,
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.close = close
+
+
+def find_header(headers: RawHeaders, name: bytes) -> bytes | None:
+    """Return the first value of a header, or None.
+
+    >>> find_header([(b"host", b"a")], b"host")
+    b'a'
+    """
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def end_to_end_headers(headers: RawHeaders) -> RawHeaders:
+    """Return the headers that an intermediary may pass on.
+
+    >>> end_to_end_headers(
+    ...     [(b"connection", b"x-a"), (b"x-a", b"1"), (b"x-b", b"2")]
+    ... )
+    [(b'x-b', b'2')]
+    """
+    nominated: set[bytes] = set()
+    for name, value in headers:
+        if name != b"connection":
+            continue
+        for token in value.lower().split(b","):
+            nominated.add(token.strip())
+    kept: RawHeaders = []
+    for pair in headers:
+        name = pair[0]
+        if name in HOP_BY_HOP or name in nominated:
+            continue
+        kept.append(pair)
+    return kept
+
+
+def json_answer(
+    status: int, content: Any, content_type: bytes = b"application/json"
+) -> Answer:
+    """Return an answer whose body is the JSON form of a value."""
+    body = msgspec.json.encode(content)
+    return Answer(status, [(b"content-type", content_type)], body)
--- /dev/null
+++ b/lycheelug/http/server.py
@@ -0,0 +1,450 @@
+"""An HTTP/1.1 server that hands whole requests to a handler.
+
+Each connection is a protocol on the loop; one request at a time is handled
+on it.  All that a client may hold is bounded: connections, header and body
+sizes, and the time to send a request or to take an answer.  One sweep a
+second closes the connections whose time is over, so a request sets no
+timer of its own.
+
+When a client leaves while its request is handled, the handler's task is
+cancelled.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Final, cast
+
+import h11
+
+from lycheelug.errors import (
+    BAD_REQUEST,
+    BODY_TOO_LARGE,
+    HEADERS_TOO_LARGE,
+    INTERNAL_ERROR,
+    SLOW_SENDER,
+    TOO_MANY_CONNECTIONS,
+    ErrorCode,
+)
+from lycheelug.http.messages import Answer, Request
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    Handler = Callable[[Request], Awaitable[Answer]]
+    # Makes the answer to a request that the server itself refuses.
+    Refuser = Callable[[ErrorCode, str], Answer]
+
+__all__ = ["HttpServer", "ServerLimits"]
+
+SWEEP_PERIOD_S: Final = 0.5
+HEADERS_TOO_LARGE_STATUS: Final = 431
+
+
+class ServerLimits:
+    """What one client, and all together, may hold of the server."""
+
+    __slots__ = (
+        "idle_s",
+        "max_body_bytes",
+        "max_connections",
+        "max_head_bytes",
+        "receive_s",
+        "send_s",
+    )
+
+    def __init__(
+        self,
+        max_connections: int = 1024,
+        max_head_bytes: int = 16 * 1024,
+        max_body_bytes: int = 1024 * 1024,
+        receive_s: float = 10.0,
+        send_s: float = 10.0,
+        idle_s: float = 60.0,
+    ) -> None:
+        self.max_connections = max_connections
+        self.max_head_bytes = max_head_bytes
+        self.max_body_bytes = max_body_bytes
+        self.receive_s = receive_s
+        self.send_s = send_s
+        self.idle_s = idle_s
+
+
+class _Phase(Enum):
+    """What a server connection is doing."""
+
+    IDLE = auto()
+    RECEIVING = auto()
+    HANDLING = auto()
+    SENDING = auto()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One client's connection."""
+
+    __slots__ = (
+        "_body",
+        "_body_size",
+        "_h11",
+        "_head",
+        "_peer_name",
+        "_phase",
+        "_server",
+        "_task",
+        "_transport",
+        "expires_at",
+    )
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self._h11 = h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=server.limits.max_head_bytes,
+        )
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._peer_name = ""
+        self._phase = _Phase.IDLE
+        self.expires_at = 0.0
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being received, handled or answered."""
+        return self._phase is not _Phase.IDLE
+
+    # --- Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Enter the connection table, or refuse where it is full."""
+        self._transport = cast("asyncio.Transport", transport)
+        peer = transport.get_extra_info("peername")
+        self._peer_name = f"{peer[0]}:{peer[1]}" if peer else ""
+        self._set_phase(_Phase.IDLE, self._server.limits.receive_s)
+        if not self._server.enter(self):
+            self.refuse(TOO_MANY_CONNECTIONS, "")
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Leave the table and cancel the handler: its client is gone."""
+        self._server.leave(self)
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser."""
+        if self._phase is _Phase.HANDLING:
+            # A pipelined request waits in the socket's buffer after the
+            # first part of it.
+            self._h11.receive_data(data)
+            if self._transport is not None:
+                self._transport.pause_reading()
+            return
+        if self._phase is _Phase.IDLE:
+            limit = self._server.limits.receive_s
+            self._set_phase(_Phase.RECEIVING, limit)
+        self._h11.receive_data(data)
+        self._advance()
+
+    def eof_received(self) -> bool:
+        """Take the end of the client's bytes as its leaving."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Bound the time that a client takes to read its answer."""
+        self._set_phase(_Phase.SENDING, self._server.limits.send_s)
+
+    def resume_writing(self) -> None:
+        """Go on after a slow reader has caught up."""
+        if self._phase is _Phase.SENDING:
+            self._next_request()
+
+    # --- Requests.
+
+    def expire(self) -> None:
+        """End a connection whose time for the present phase is over."""
+        if self._phase is _Phase.RECEIVING and self._head is None:
+            self.refuse(SLOW_SENDER, "request head not complete")
+            return
+        if self._phase is _Phase.RECEIVING:
+            self.refuse(SLOW_SENDER, "request body not complete")
+            return
+        self.close()
+
+    def close(self) -> None:
+        """Close after what is written has gone out."""
+        if self._transport is None:
+            return
+        overdue = self._transport.is_closing()
+        if overdue or self._phase is _Phase.SENDING:
+            self._transport.abort()
+            return
+        self._transport.close()
+
+    def refuse(self, code: ErrorCode, detail: str) -> None:
+        """Answer a request that can't be handled, and close."""
+        self._server.on_refused(code)
+        answer = self._server.refuser(code, detail)
+        states = (h11.IDLE, h11.SEND_RESPONSE)
+        if self._h11.our_state in states:
+            self._write(answer, close=True)
+        if self._transport is not None:
+            self._transport.close()
+
+    def _set_phase(self, phase: _Phase, limit_s: float) -> None:
+        """Enter a phase that may last for `limit_s` seconds."""
+        self._phase = phase
+        self.expires_at = self._server.now() + limit_s
+
+    def _advance(self) -> None:
+        """Take the parser's events until a request is whole."""
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as error:
+                too_large = error.error_status_hint == HEADERS_TOO_LARGE_STATUS
+                code = HEADERS_TOO_LARGE if too_large else BAD_REQUEST
+                self.refuse(code, str(error))
+                return
+            if event is h11.NEED_DATA:
+                self._continue_if_asked()
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            if isinstance(event, h11.Request):
+                if not self._accept_head(event):
+                    return
+                continue
+            if isinstance(event, h11.Data):
+                if not self._collect(bytes(event.data)):
+                    return
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                self._start_handler()
+                return
+
+    def _accept_head(self, head: h11.Request) -> bool:
+        """Keep a request's head; refuse one that is over the limit.
+
+        The parser bounds a head that comes in parts; one that comes at
+        once is measured here.
+        """
+        size = len(head.target)
+        for name, value in head.headers:
+            size += len(name) + len(value)
+        limit = self._server.limits.max_head_bytes
+        if size > limit:
+            self.refuse(HEADERS_TOO_LARGE, f"over {limit} bytes")
+            return False
+        self._head = head
+        return True
+
+    def _continue_if_asked(self) -> None:
+        """Tell a client that waits for it to send its body."""
+        if not self._h11.they_are_waiting_for_100_continue:
+            return
+        go_on = h11.InformationalResponse(status_code=100, headers=[])
+        data = self._h11.send(go_on)
+        if data and self._transport is not None:
+            self._transport.write(data)
+
+    def _collect(self, data: bytes) -> bool:
+        """Add a part of the body; refuse one that is over the limit."""
+        self._body_size += len(data)
+        limit = self._server.limits.max_body_bytes
+        if self._body_size > limit:
+            self.refuse(BODY_TOO_LARGE, f"over {limit} bytes")
+            return False
+        self._body.append(data)
+        return True
+
+    def _start_handler(self) -> None:
+        """Hand the whole request over in a task of its own."""
+        head = self._head
+        assert head is not None
+        request = Request(
+            head.method,
+            head.target,
+            list(head.headers),
+            b"".join(self._body),
+            self._peer_name,
+        )
+        self._phase = _Phase.HANDLING
+        self.expires_at = float("inf")
+        self._task = asyncio.get_running_loop().create_task(
+            self._handle(request)
+        )
+
+    async def _handle(self, request: Request) -> None:
+        """Run the handler and write its answer."""
+        try:
+            answer = await self._server.handler(request)
+        except Exception as error:
+            # A defect: the client is told, and the connection ends.
+            self._server.on_refused(INTERNAL_ERROR)
+            answer = self._server.refuser(INTERNAL_ERROR, repr(error))
+            answer.close = True
+        self._task = None
+        if self._transport is None or self._transport.is_closing():
+            return
+        closing = answer.close or self._server.draining
+        self._write(answer, close=closing)
+        if self._h11.our_state is not h11.DONE:
+            self._transport.close()
+            return
+        if self._phase is not _Phase.SENDING:
+            self._next_request()
+
+    def _write(self, answer: Answer, *, close: bool) -> None:
+        """Write an answer whole, framed by its length."""
+        headers = list(answer.headers)
+        if close:
+            headers.append((b"connection", b"close"))
+        if not any(name == b"content-length" for name, _ in headers):
+            length = str(len(answer.body)).encode()
+            headers.append((b"content-length", length))
+        head = h11.Response(status_code=answer.status, headers=headers)
+        parts = [self._h11.send(head)]
+        if answer.body and not self._is_head_request():
+            parts.append(self._h11.send(h11.Data(data=answer.body)))
+        parts.append(self._h11.send(h11.EndOfMessage()))
+        if self._transport is not None:
+            self._transport.write(b"".join(part for part in parts if part))
+
+    def _is_head_request(self) -> bool:
+        """Whether the request asks for the head of an answer only."""
+        return self._head is not None and self._head.method == b"HEAD"
+
+    def _next_request(self) -> None:
+        """Make ready for the next request on this connection."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
+            self._h11.start_next_cycle()
+        except h11.LocalProtocolError:
+            self._transport.close()
+            return
+        self._head = None
+        self._body = []
+        self._body_size = 0
+        self._set_phase(_Phase.IDLE, self._server.limits.idle_s)
+        self._transport.resume_reading()
+        if self._h11.trailing_data[0]:
+            limit = self._server.limits.receive_s
+            self._set_phase(_Phase.RECEIVING, limit)
+            self._advance()
+
+
+class HttpServer:
+    """Listens on one address and keeps the connection table."""
+
+    __slots__ = (
+        "_connections",
+        "_loop",
+        "_server",
+        "_sweeper",
+        "draining",
+        "handler",
+        "limits",
+        "on_refused",
+        "refuser",
+    )
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        refuser: Refuser | None = None,
+        on_refused: Callable[[ErrorCode], None] | None = None,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits or ServerLimits()
+        self.refuser = refuser or _plain_refusal
+        self.on_refused = on_refused or _ignore
+        self.draining = False
+        self._connections: set[ServerConnection] = set()
+        self._server: asyncio.Server | None = None
+        self._sweeper: asyncio.TimerHandle | None = None
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    @property
+    def port(self) -> int:
+        """The port listened on; valid after `start`."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    @property
+    def connections(self) -> int:
+        """How many clients are connected."""
+        return len(self._connections)
+
+    @property
+    def busy_connections(self) -> int:
+        """How many connections have a request in progress."""
+        return sum(1 for item in self._connections if item.busy)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an address; raise OSError where that fails."""
+        self._loop = asyncio.get_running_loop()
+        self._server = await self._loop.create_server(
+            lambda: ServerConnection(self), host, port, backlog=1024
+        )
+        self._sweep()
+
+    def stop_accepting(self) -> None:
+        """Take no new connections and end those without a request."""
+        self.draining = True
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._connections):
+            if not connection.busy:
+                connection.close()
+
+    def stop(self) -> None:
+        """Close everything now."""
+        self.stop_accepting()
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        for connection in tuple(self._connections):
+            connection.close()
+
+    # --- For the connections.
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        assert self._loop is not None
+        return self._loop.time()
+
+    def enter(self, connection: ServerConnection) -> bool:
+        """Add a connection; False where the table is full."""
+        if len(self._connections) >= self.limits.max_connections:
+            return False
+        self._connections.add(connection)
+        return True
+
+    def leave(self, connection: ServerConnection) -> None:
+        """Remove a connection."""
+        self._connections.discard(connection)
+
+    def _sweep(self) -> None:
+        """Expire the connections whose time is over; runs by itself."""
+        assert self._loop is not None
+        now = self._loop.time()
+        for connection in tuple(self._connections):
+            if connection.expires_at <= now:
+                connection.expire()
+        self._sweeper = self._loop.call_later(SWEEP_PERIOD_S, self._sweep)
+
+
+def _plain_refusal(code: ErrorCode, detail: str) -> Answer:
+    """Return a refusal as plain text."""
+    text = f"{code.name}: {code.text} {detail}\n"
+    return Answer(
+        code.status, [(b"content-type", b"text/plain")], text.encode()
+    )
+
+
+def _ignore(code: ErrorCode) -> None:
+    """Count nothing."""
