Add the platform in memory

The daemon needs a platform before the HTTP binding exists, and an embedded default for one host. The memory binding keeps table, objects, host list and host pool in one process: linearizable transactions with guards, one revision per commit, deletions visible in read_since, bounded memory of nonces and deletions.

--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -188,6 +188,14 @@
     "unknown-object", 404, "The object store has no object of that name."
 )
 UNKNOWN_HOST: Final = _code("unknown-host", 404, "No host has that name.")
+HOST_NOT_DRAINED: Final = _code(
+    "host-not-drained", 409, "Only a drained host can be rebooted."
+)
+REVISION_FORGOTTEN: Final = _code(
+    "revision-forgotten",
+    410,
+    "Deletions since that revision are forgotten; read again from 0.",
+)
 
 # --- Operators, the sheet and plans.
 UNAUTHORIZED: Final = _code(
--- a/lycheelug/platform/__init__.py
+++ b/lycheelug/platform/__init__.py
@@ -16,6 +16,7 @@
     Transaction,
     Write,
 )
+from lycheelug.platform.memory import MemoryPlatform
 
 __all__ = [
     "ABSENT",
@@ -28,6 +29,7 @@
     "HostEntry",
     "HostRole",
     "HostState",
+    "MemoryPlatform",
     "Platform",
     "Row",
     "Transaction",
