--- /dev/null
+++ b/lycheelug/entries/codec.py
@@ -0,0 +1,57 @@
+"""A MessagePack codec for grpclib, over msgspec.
+
+Decoders are cached by type.  A message that is over the size limit or does
+not fit its type is refused with a gRPC status, on either side.  grpclib
+itself reads a message whole before it is decoded: the limit guards what is
+decoded and kept, and the deadline of a call bounds the rest.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+import msgspec
+from grpclib.const import Status
+from grpclib.encoding.base import CodecBase
+from grpclib.exceptions import GRPCError
+
+__all__ = ["MAX_MESSAGE_BYTES", "MessagePackCodec"]
+
+MAX_MESSAGE_BYTES: Final = 1 << 20
+
+
+class MessagePackCodec(CodecBase):
+    """Encodes and decodes msgspec structs as MessagePack."""
+
+    __content_subtype__ = "msgpack"
+
+    def __init__(self, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
+        self._max_message_bytes = max_message_bytes
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoders: dict[Any, msgspec.msgpack.Decoder[Any]] = {}
+
+    def encode(self, message: Any, message_type: Any) -> bytes:
+        """Return a message's bytes; raise GRPCError where it is too large."""
+        data = self._encoder.encode(message)
+        self._check_size(data)
+        return data
+
+    def decode(self, data: bytes, message_type: Any) -> Any:
+        """Return the message of some bytes; raise GRPCError otherwise."""
+        self._check_size(data)
+        decoder = self._decoders.get(message_type)
+        if decoder is None:
+            decoder = msgspec.msgpack.Decoder(message_type)
+            self._decoders[message_type] = decoder
+        try:
+            return decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+
+    def _check_size(self, data: bytes) -> None:
+        if len(data) <= self._max_message_bytes:
+            return
+        raise GRPCError(
+            Status.RESOURCE_EXHAUSTED,
+            f"message of {len(data)} bytes is over the limit",
+        )
--- a/lycheelug/entries/messages.py
+++ b/lycheelug/entries/messages.py
@@ -1,10 +1,27 @@
-"""Messages between entry daemons, as MessagePack over gRPC."""
+"""Messages between entry daemons, as MessagePack over gRPC.
+
+All are arrays on the wire.  A field is only ever added at the end, with a
+default, so that daemons of two versions can talk while they are replaced.
+"""
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 import msgspec
 
-__all__ = ["Digest", "PoolLoad"]
+__all__ = [
+    "ConfigAnswer",
+    "ConfigPhase",
+    "ConfigPush",
+    "Digest",
+    "DigestList",
+    "Empty",
+    "PoolLoad",
+    "ViewReply",
+    "ViewRequest",
+    "ViewRow",
+]
 
 
 class PoolLoad(msgspec.Struct, array_like=True):
@@ -23,6 +40,9 @@
     daemon's view has reached: it dispatches by no older row.
     `busy_draining` names the draining hosts on which it still has requests
     in flight.  `leaving` names hosts that it saw refuse or close.
+    `sponsored` names daemons that took their view from this one and have
+    not joined through the platform yet.  `summary` marks a copy without
+    `loads`, as sent to other zones.
     """
 
     name: str
@@ -36,3 +56,84 @@
     loads: list[PoolLoad]
     busy_draining: list[str]
     leaving: list[str]
+    sponsored: list[str] = []
+    summary: bool = False
+
+
+class DigestList(msgspec.Struct, array_like=True):
+    """One side of an anti-entropy exchange."""
+
+    digests: list[Digest]
+
+
+class Empty(msgspec.Struct, array_like=True):
+    """An answer that says no more than that the message was taken in."""
+
+
+class ViewRequest(msgspec.Struct, array_like=True):
+    """Asks a peer for the rows of a zone's view after a revision.
+
+    `newcomer` names a daemon that has not joined through the platform, and
+    which the peer is to list as sponsored; "" where there is none.
+    """
+
+    zone: str
+    revision: int
+    newcomer: str = ""
+
+
+class ViewRow(msgspec.Struct, array_like=True):
+    """A row of the platform's table as a peer knows it."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class ViewReply(msgspec.Struct, array_like=True):
+    """Rows of a peer's view, complete up to `revision`.
+
+    `zone` is the peer's own; only a peer of the zone that was asked for
+    has its host rows.  With `more`, ask again from `revision`.
+    """
+
+    zone: str
+    rows: list[ViewRow]
+    revision: int
+    more: bool = False
+
+
+class ConfigPhase(StrEnum):
+    """What a message about a configuration asks of its receiver."""
+
+    PREPARE = "prepare"
+    ACCEPT = "accept"
+    QUERY = "query"
+
+
+class ConfigPush(msgspec.Struct, array_like=True):
+    """Prepares or accepts one configuration, or asks for the highest one.
+
+    For QUERY, only `nonce` counts, and may be "".
+    """
+
+    phase: ConfigPhase
+    revision: int = 0
+    nonce: str = ""
+    submitter: str = ""
+    body: bytes = b""
+
+
+class ConfigAnswer(msgspec.Struct, array_like=True):
+    """What the receiver holds after a ConfigPush.
+
+    `held` tells that the pushed configuration, or the one with the nonce
+    asked for, is prepared or accepted here.  `accepted` is the receiver's
+    accepted configuration, sent only where it is higher than the pushed
+    one or was asked for.
+    """
+
+    name: str
+    held: bool
+    reason: str = ""
+    accepted: ConfigPush | None = None
