--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -107,6 +107,9 @@
 NOT_READY: Final = _code(
     "not-ready", 503, "The daemon is starting or stopping."
 )
+INTERNAL_ERROR: Final = _code(
+    "internal-error", 500, "The daemon met a defect of its own."
+)
 
 # --- Admission and queueing.
 QUEUE_FULL: Final = _code("queue-full", 503, "The pool's queue is full.")
@@ -140,6 +143,9 @@
 ANSWER_TOO_LARGE: Final = _code(
     "answer-too-large", 502, "The upstream's answer is over the limit."
 )
+ANSWER_CROSSED: Final = _code(
+    "answer-crossed", 502, "The upstream answered another request."
+)
 ANSWER_TIMEOUT: Final = _code(
     "answer-timeout", 504, "The upstream did not answer in time."
 )
@@ -188,6 +194,14 @@
     "unknown-object", 404, "The object store has no object of that name."
 )
 UNKNOWN_HOST: Final = _code("unknown-host", 404, "No host has that name.")
+HOST_NOT_DRAINED: Final = _code(
+    "host-not-drained", 409, "Only a drained host can be rebooted."
+)
+REVISION_FORGOTTEN: Final = _code(
+    "revision-forgotten",
+    410,
+    "Deletions since that revision are forgotten; read again from 0.",
+)
 
 # --- Operators, the sheet and plans.
 UNAUTHORIZED: Final = _code(
