Order the default queue by class, fair share and latest start

The default policy now refuses on arrival what measured run times say can't finish, holds each tenant to its share, and gives long work a bounded share and a cap. Baselines: fifo, fixed-limit, earliest-deadline.

--- a/lycheelug/admission.py
+++ b/lycheelug/admission.py
@@ -24,6 +24,11 @@
     Ticket,
 )
 from lycheelug.deadline_queue import DeadlineQueue
+from lycheelug.queue_baselines import (
+    EarliestDeadlineQueue,
+    FifoQueue,
+    FixedLimitQueue,
+)
 from lycheelug.requests import RequestClass
 
 __all__ = [
@@ -31,6 +36,9 @@
     "URGENT_START_S",
     "AdmissionQueue",
     "DeadlineQueue",
+    "EarliestDeadlineQueue",
+    "FifoQueue",
+    "FixedLimitQueue",
     "QueueSettings",
     "Refusal",
     "RequestClass",
--- a/lycheelug/admission_queue.py
+++ b/lycheelug/admission_queue.py
@@ -33,6 +33,10 @@
 URGENT_START_S: Final = 2.9
 MAX_QUEUED: Final = 4096
 LONG_SHARE: Final = 0.125
+LONG_CAP: Final = 0.5
+LONG_PATIENCE_S: Final = 30.0
+RUN_QUANTILE: Final = 0.5
+WAIT_MARGIN: Final = 1.0
 QUOTA_WINDOW_S: Final = 10.0
 
 
@@ -85,11 +89,16 @@
     """What an operator may set of an admission queue."""
 
     __slots__ = (
+        "fair",
+        "long_cap",
+        "long_patience_s",
         "long_share",
         "max_queued",
         "quota_window_s",
         "quotas",
+        "run_quantile",
         "urgent_start_s",
+        "wait_margin",
     )
 
     def __init__(
@@ -97,6 +106,11 @@
         max_queued: int = MAX_QUEUED,
         urgent_start_s: float = URGENT_START_S,
         long_share: float = LONG_SHARE,
+        long_cap: float = LONG_CAP,
+        long_patience_s: float = LONG_PATIENCE_S,
+        run_quantile: float = RUN_QUANTILE,
+        wait_margin: float = WAIT_MARGIN,
+        fair: bool = True,
         quotas: Mapping[str, float] | None = None,
         quota_window_s: float = QUOTA_WINDOW_S,
     ) -> None:
@@ -106,6 +120,18 @@
         self.urgent_start_s = urgent_start_s
         # Share of the slots that long work gets while short work waits.
         self.long_share = long_share
+        # Share of the slots that long work may hold at most.
+        self.long_cap = long_cap
+        # Where long work's share is less than one slot, it gets one after
+        # it has waited this long.
+        self.long_patience_s = long_patience_s
+        # A request is taken to need this quantile of measured run times.
+        self.run_quantile = run_quantile
+        # A request is refused on arrival where the expected wait is more
+        # than this multiple of the time that it can wait.
+        self.wait_margin = wait_margin
+        # Whether tenants over their fair share go after the others.
+        self.fair = fair
         # Share of the pool's slots that each tenant may use on average
         # while others wait; tenants that are not named have no quota.
         self.quotas = dict(quotas or {})
@@ -158,9 +184,12 @@
 
     @abstractmethod
     def on_finished(
-        self, ticket: Ticket, service_s: float, now: float
+        self, ticket: Ticket, service_s: float, now: float, ok: bool = True
     ) -> None:
-        """Note that a started request ended after `service_s` seconds."""
+        """Note that a started request ended after `service_s` seconds.
+
+        A run that failed or was cut short (`ok` false) is not measured.
+        """
 
     @abstractmethod
     def __len__(self) -> int:
--- /dev/null
+++ b/lycheelug/quotas.py
@@ -0,0 +1,104 @@
+"""How much of a pool each tenant uses, against its quota and fair share.
+
+A tenant's use is its mean number of slots over a recent time, averaged with
+exponentially fading weights.  Instead of fading every tenant's sum as time
+goes on, later use is weighed up: sums stay comparable with one another, and
+one factor per question turns them into slots.  Sums are scaled down together
+before the weight can overflow.
+
+Use is charged when a run starts, by its expected length, and put right when
+it ends, so that a tenant can't start many runs before the first is counted.
+"""
+
+from __future__ import annotations
+
+from math import exp
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["TenantUsage"]
+
+# The weight of now grows to exp(40) before all sums are scaled down.
+MAX_EXPONENT: Final = 40.0
+# Use below this many slots is forgotten.
+NEGLIGIBLE_SLOTS: Final = 0.001
+
+
+class TenantUsage:
+    """The recent use of one pool's slots by each tenant.
+
+    >>> usage = TenantUsage({"hog": 0.25}, window_s=10.0)
+    >>> usage.charge("hog", 30.0, now=0.0)
+    >>> usage.charge("shop", 1.0, now=0.0)
+    >>> usage.slots("hog", now=0.0)
+    3.0
+    >>> usage.is_quota_spent("hog", now=0.0, capacity=8)
+    True
+    >>> usage.is_over_share("shop", usage.fair_sum(0.0, 8))
+    False
+    """
+
+    __slots__ = ("_origin", "_quotas", "_sums", "_window_s")
+
+    def __init__(self, quotas: Mapping[str, float], window_s: float) -> None:
+        self._quotas = dict(quotas)
+        self._window_s = window_s
+        self._origin = 0.0
+        self._sums: dict[str, float] = {}
+
+    @property
+    def tenants(self) -> int:
+        """How many tenants have used the pool lately."""
+        return len(self._sums)
+
+    def charge(self, tenant: str, slot_s: float, now: float) -> None:
+        """Add slot-seconds to a tenant's use; negative ones put it right."""
+        weight = self._weight(now)
+        total = self._sums.get(tenant, 0.0) + slot_s * weight
+        self._sums[tenant] = max(total, 0.0)
+
+    def slots(self, tenant: str, now: float) -> float:
+        """Return a tenant's mean use in slots."""
+        total = self._sums.get(tenant, 0.0)
+        return total / (self._weight(now) * self._window_s)
+
+    def is_quota_spent(self, tenant: str, now: float, capacity: int) -> bool:
+        """Whether a tenant with a quota has used up its share."""
+        share = self._quotas.get(tenant)
+        if share is None:
+            return False
+        return self.slots(tenant, now) > share * capacity
+
+    def fair_sum(self, now: float, capacity: int) -> float:
+        """Return the sum above which a tenant is over its fair share.
+
+        All tenants that used the pool lately have equal shares.
+        """
+        share = capacity / max(1, len(self._sums))
+        return share * self._weight(now) * self._window_s
+
+    def is_over_share(self, tenant: str, fair_sum: float) -> bool:
+        """Whether a tenant uses more than `fair_sum` tells."""
+        return self._sums.get(tenant, 0.0) > fair_sum
+
+    def _weight(self, now: float) -> float:
+        """Return the weight of use at this time."""
+        exponent = (now - self._origin) / self._window_s
+        if exponent > MAX_EXPONENT:
+            self._rescale(now, exp(-exponent))
+            return 1.0
+        return exp(exponent)
+
+    def _rescale(self, now: float, factor: float) -> None:
+        """Make `now` the origin and forget negligible use."""
+        least = NEGLIGIBLE_SLOTS * self._window_s
+        kept: dict[str, float] = {}
+        for tenant, total in self._sums.items():
+            scaled = total * factor
+            if scaled < least:
+                continue
+            kept[tenant] = scaled
+        self._sums = kept
+        self._origin = now
