Add a platform that can be made to fail

Tests and stand-ins need each client of a shared table to have faults of its own: lost answers, writes that take effect late, stale reads, a lagging host list, delay and outage. RecordingPlatform keeps views of the past, FaultyPlatform stands between it and one client.

--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,306 @@
+"""A platform in memory that can be made to fail, for tests and stand-ins.
+
+`RecordingPlatform` is the platform in memory that also remembers how it
+looked some revisions ago.  `FaultyPlatform` stands between it and one
+client, so that each client of a shared table has faults of its own.  All
+faults are drawn from a seeded random source.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from typing import TYPE_CHECKING, Final, TypeVar
+
+import msgspec
+from returns.result import Failure, Success
+
+from lycheelug.errors import (
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.platform.interface import (
+    Delta,
+    HostDelta,
+    HostEntry,
+    Platform,
+    Row,
+)
+from lycheelug.platform.memory import MemoryPlatform
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from returns.result import Result
+
+    from lycheelug.errors import ErrorCode
+    from lycheelug.platform.interface import Commit, Conflict, Transaction
+
+__all__ = ["Faults", "FaultyPlatform", "RecordingPlatform"]
+
+T = TypeVar("T")
+
+# How many changes back a reader can be made to lag.
+HISTORY_KEPT: Final = 1_000
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """The faults of one client's way to the platform.
+
+    `lose_answers` is a count of calls still to lose their answer after
+    they took effect, `lose_share` the probability of it besides.
+    `late_writes` is a count of transactions whose answer is lost at once
+    and which take effect only when `apply_late` is called.  `stale_reads`
+    and `list_lag` are in revisions of the table and of the host list.
+    """
+
+    delay_ms: float = 0.0
+    down: bool = False
+    lose_answers: int = 0
+    lose_share: float = 0.0
+    late_writes: int = 0
+    stale_reads: int = 0
+    list_lag: int = 0
+    seed: int = 0
+
+
+class RecordingPlatform(MemoryPlatform):
+    """The platform in memory with views of its past."""
+
+    __slots__ = ("_host_log", "_undo_log")
+
+    def __init__(
+        self,
+        clock: Callable[[], float] | None = None,
+        reboot_s: float | None = None,
+    ) -> None:
+        if clock is None:
+            super().__init__(reboot_s=reboot_s)
+        else:
+            super().__init__(clock, reboot_s)
+        # Rows as they were before a commit, newest commit last.
+        self._undo_log: deque[tuple[int, dict[str, Row | None]]] = deque(
+            maxlen=HISTORY_KEPT
+        )
+        self._host_log: deque[tuple[int, HostEntry]] = deque(
+            maxlen=HISTORY_KEPT
+        )
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Commit | Conflict, Fault]:
+        """Apply the transaction and remember the rows before it."""
+        before: dict[str, Row | None] = {}
+        for write in transaction.writes:
+            before[write.key] = self.row(write.key)
+        revision = self.revision
+        answer = await super().transact(transaction)
+        if self.revision > revision:
+            self._undo_log.append((self.revision, before))
+        return answer
+
+    def put_host(self, entry: HostEntry) -> None:
+        """Add or replace a host and remember the change."""
+        super().put_host(entry)
+        self._host_log.append((self.host_revision, entry))
+
+    def rows_as_of(self, prefix: str, revision: int) -> list[Row]:
+        """Return the rows of a prefix as they were at a revision."""
+        rows: dict[str, Row | None] = {}
+        for row in self.rows(prefix):
+            rows[row.key] = row
+        for committed, before in reversed(self._undo_log):
+            if committed <= revision:
+                break
+            for key, earlier in before.items():
+                if key.startswith(prefix):
+                    rows[key] = earlier
+        found = [row for row in rows.values() if row is not None]
+        found.sort(key=lambda row: row.revision)
+        return found
+
+    def hosts_between(self, start: int, end: int) -> list[HostEntry]:
+        """Return the newest entries changed after start, up to end."""
+        newest: dict[str, HostEntry] = {}
+        for revision, entry in self._host_log:
+            if start < revision <= end:
+                newest[entry.name] = entry
+        return list(newest.values())
+
+
+class FaultyPlatform(Platform):
+    """One client's way to a recording platform, with its faults.
+
+    `pause` is awaited with a step's name before and after each call takes
+    effect, which lets a test hold a client between any two steps.
+    """
+
+    __slots__ = ("_inner", "_late", "_pause", "_rng", "calls", "faults")
+
+    def __init__(
+        self,
+        inner: RecordingPlatform,
+        faults: Faults | None = None,
+        pause: Callable[[str], Awaitable[None]] | None = None,
+    ) -> None:
+        self.faults = Faults() if faults is None else faults
+        self.calls: dict[str, int] = {}
+        self._inner = inner
+        self._pause = pause
+        self._rng = random.Random(self.faults.seed)
+        self._late: list[Transaction] = []
+
+    @property
+    def inner(self) -> RecordingPlatform:
+        """The platform behind the faults."""
+        return self._inner
+
+    def set_faults(self, faults: Faults) -> None:
+        """Replace all faults and seed their random source anew."""
+        self.faults = faults
+        self._rng = random.Random(faults.seed)
+
+    async def apply_late(self) -> int:
+        """Let the held transactions take effect; return their number."""
+        held = self._late
+        self._late = []
+        for transaction in held:
+            await self._inner.transact(transaction)
+        return len(held)
+
+    async def read(self, key: str) -> Result[Row | None, Fault]:
+        """Return a row as this client sees it."""
+        return await self._reading("read", self._read(key))
+
+    async def read_since(
+        self, prefix: str, revision: int
+    ) -> Result[Delta, Fault]:
+        """Return the rows of a prefix as this client sees them."""
+        return await self._reading(
+            "read_since", self._read_since(prefix, revision)
+        )
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Commit | Conflict, Fault]:
+        """Apply a transaction; the answer may be lost, the effect late."""
+        if self.faults.late_writes > 0 and not self.faults.down:
+            self.faults.late_writes -= 1
+            self._late.append(transaction)
+            return Failure(_fault(PLATFORM_UNKNOWN, "transact"))
+        return await self._writing(
+            "transact", self._inner.transact(transaction)
+        )
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, Fault]:
+        """Store an object; the answer may be lost."""
+        return await self._writing(
+            "put_object", self._inner.put_object(name, data)
+        )
+
+    async def get_object(self, name: str) -> Result[bytes, Fault]:
+        """Return an object."""
+        return await self._reading("get_object", self._inner.get_object(name))
+
+    async def delete_object(self, name: str) -> Result[None, Fault]:
+        """Delete an object; the answer may be lost."""
+        return await self._writing(
+            "delete_object", self._inner.delete_object(name)
+        )
+
+    async def hosts_since(self, revision: int) -> Result[HostDelta, Fault]:
+        """Return the hosts changed since, as far as the list's lag lets."""
+        return await self._reading("hosts_since", self._hosts_since(revision))
+
+    async def drain(self, host: str) -> Result[None, Fault]:
+        """Drain a host; the answer may be lost."""
+        return await self._writing("drain", self._inner.drain(host))
+
+    async def reboot(self, host: str, nonce: str) -> Result[None, Fault]:
+        """Reboot a host; the answer may be lost."""
+        return await self._writing("reboot", self._inner.reboot(host, nonce))
+
+    async def resume(self, host: str) -> Result[None, Fault]:
+        """End a drain; the answer may be lost."""
+        return await self._writing("resume", self._inner.resume(host))
+
+    async def _read(self, key: str) -> Result[Row | None, Fault]:
+        if self.faults.stale_reads == 0:
+            return await self._inner.read(key)
+        revision = max(0, self._inner.revision - self.faults.stale_reads)
+        for row in self._inner.rows_as_of(key, revision):
+            if row.key == key and row.value is not None:
+                return Success(row)
+        return Success(None)
+
+    async def _read_since(
+        self, prefix: str, revision: int
+    ) -> Result[Delta, Fault]:
+        if self.faults.stale_reads == 0:
+            return await self._inner.read_since(prefix, revision)
+        end = max(0, self._inner.revision - self.faults.stale_reads)
+        found: list[Row] = []
+        for row in self._inner.rows_as_of(prefix, end):
+            if row.revision > revision:
+                found.append(row)
+        return Success(Delta(found, end))
+
+    async def _hosts_since(self, revision: int) -> Result[HostDelta, Fault]:
+        if self.faults.list_lag == 0:
+            return await self._inner.hosts_since(revision)
+        end = max(0, self._inner.host_revision - self.faults.list_lag)
+        hosts = self._inner.hosts_between(revision, end)
+        return Success(HostDelta(hosts, end))
+
+    async def _reading(
+        self, name: str, call: Awaitable[Result[T, Fault]]
+    ) -> Result[T, Fault]:
+        """Make a call without effect: a lost answer is a failed call."""
+        answer = await self._writing(name, call)
+        match answer:
+            case Failure(fault) if fault.code is PLATFORM_UNKNOWN:
+                return Failure(_fault(PLATFORM_UNREACHABLE, name))
+        return answer
+
+    async def _writing(
+        self, name: str, call: Awaitable[Result[T, Fault]]
+    ) -> Result[T, Fault]:
+        """Make a call with an effect, with all faults on its way."""
+        self.calls[name] = self.calls.get(name, 0) + 1
+        await self._hold(f"{name}:before")
+        if self.faults.delay_ms > 0:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+        if self.faults.down:
+            _discard(call)
+            return Failure(_fault(PLATFORM_UNREACHABLE, name))
+        answer = await call
+        await self._hold(f"{name}:after")
+        if self._loses_answer():
+            return Failure(_fault(PLATFORM_UNKNOWN, name))
+        return answer
+
+    async def _hold(self, step: str) -> None:
+        if self._pause is not None:
+            await self._pause(step)
+
+    def _loses_answer(self) -> bool:
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return True
+        if self.faults.lose_share <= 0:
+            return False
+        return self._rng.random() < self.faults.lose_share
+
+
+def _discard(call: Awaitable[object]) -> None:
+    """Drop a coroutine that will not be awaited."""
+    if asyncio.iscoroutine(call):
+        call.close()
+
+
+def _fault(code: ErrorCode, call: str) -> Fault:
+    return Fault(code, Step.WRITE, Peer.PLATFORM, call)
