--- /dev/null
+++ b/lycheelug/settlements.py
@@ -0,0 +1,125 @@
+"""Writes that must reach the platform sooner or later, retried in order.
+
+A daemon that has finished with a claim or a job has to tell the platform,
+also where the platform is away at that moment.  The first attempt is made
+at once and survives the cancellation of the task that asked for it.  What
+fails is queued, and one task retries the queue with exponential backoff,
+so an outage costs the platform one attempt per daemon and backoff period,
+however much is queued.
+
+Limits: the queue is bounded and lost with the process.  An attempt that is
+dropped leaves its row as it was, which must be the safe state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable, Coroutine
+
+    # Makes one attempt; True where nothing is left to do.
+    Attempt = Callable[[], Coroutine[None, None, bool]]
+
+__all__ = ["SettlementQueue"]
+
+BACKOFF_FIRST_S: Final = 0.1
+BACKOFF_MAX_S: Final = 5.0
+PENDING_MAX: Final = 4_096
+
+
+class SettlementQueue:
+    """Attempts that are repeated until they succeed."""
+
+    __slots__ = (
+        "_backoff_s",
+        "_limit",
+        "_pending",
+        "_rng",
+        "_sleep",
+        "_tasks",
+        "_worker",
+        "dropped",
+    )
+
+    def __init__(
+        self,
+        rng: random.Random,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        limit: int = PENDING_MAX,
+    ) -> None:
+        self.dropped = 0
+        self._rng = rng
+        self._sleep = sleep
+        self._limit = limit
+        self._backoff_s = BACKOFF_FIRST_S
+        self._pending: deque[Attempt] = deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._worker: asyncio.Task[None] | None = None
+
+    @property
+    def pending(self) -> int:
+        """How many attempts are still to be made or under way."""
+        return len(self._pending) + len(self._tasks)
+
+    async def settle(self, attempt: Attempt) -> None:
+        """Make the first attempt; queue it where that fails."""
+        task = asyncio.get_running_loop().create_task(self._first(attempt))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await asyncio.shield(task)
+
+    def settle_later(self, attempt: Attempt) -> None:
+        """Queue an attempt; drop the oldest where the queue is full."""
+        if len(self._pending) >= self._limit:
+            self._pending.popleft()
+            self.dropped += 1
+        self._pending.append(attempt)
+        if self._worker is None or self._worker.done():
+            loop = asyncio.get_running_loop()
+            self._worker = loop.create_task(self._retry())
+
+    async def flush(self) -> None:
+        """Return when nothing is pending; the caller sets a timeout."""
+        while self.pending:
+            waiting = set(self._tasks)
+            if self._worker is not None and not self._worker.done():
+                waiting.add(self._worker)
+            if not waiting:
+                return
+            await asyncio.wait(waiting)
+
+    async def close(self) -> None:
+        """Give up what is pending."""
+        self._pending.clear()
+        tasks = set(self._tasks)
+        if self._worker is not None:
+            tasks.add(self._worker)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _first(self, attempt: Attempt) -> None:
+        if not await attempt():
+            self.settle_later(attempt)
+
+    async def _retry(self) -> None:
+        """Attempt the queue in turn until it is empty."""
+        self._backoff_s = BACKOFF_FIRST_S
+        while self._pending:
+            attempt = self._pending.popleft()
+            done = False
+            try:
+                done = await attempt()
+            finally:
+                # Kept also where this task is cancelled in the attempt.
+                if not done:
+                    self._pending.append(attempt)
+            if done:
+                self._backoff_s = BACKOFF_FIRST_S
+                continue
+            await self._sleep(self._backoff_s * self._rng.uniform(0.5, 1.5))
+            self._backoff_s = min(BACKOFF_MAX_S, self._backoff_s * 2)
