--- /dev/null
+++ b/lycheelug/pools.py
@@ -0,0 +1,177 @@
+"""The pools that a daemon serves, built from its view of the fleet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheelug.admission import QUEUES, QueueSettings
+from lycheelug.dispatch import CHOICES
+from lycheelug.scheduler import PoolScheduler
+from lycheelug.slots import SHARES, IdleReport, ShareSettings
+from lycheelug.upstreams.executors import ExecutorSet
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Sequence
+
+    from lycheelug.entries.messages import Digest, PoolLoad
+    from lycheelug.leaving import LeavingHosts
+    from lycheelug.records import HostRow, PoolRow
+    from lycheelug.settings import Settings
+
+__all__ = ["PoolTable"]
+
+
+class PoolTable:
+    """One scheduler for each pool that the view knows."""
+
+    __slots__ = (
+        "_clock",
+        "_leaving",
+        "_rng",
+        "_schedulers",
+        "_settings",
+        "_shapes",
+    )
+
+    def __init__(
+        self,
+        settings: Settings,
+        leaving: LeavingHosts,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._settings = settings
+        self._leaving = leaving
+        self._rng = rng
+        self._clock = clock
+        self._schedulers: dict[str, PoolScheduler] = {}
+        # What each scheduler was made for; another shape makes a new one.
+        self._shapes: dict[
+            str, tuple[int, int, tuple[tuple[str, float], ...]]
+        ] = {}
+
+    @property
+    def names(self) -> list[str]:
+        """The pools' names."""
+        return sorted(self._schedulers)
+
+    def get(self, pool: str) -> PoolScheduler | None:
+        """Return a pool's scheduler, or None."""
+        return self._schedulers.get(pool)
+
+    def all(self) -> list[PoolScheduler]:
+        """Return all schedulers."""
+        return list(self._schedulers.values())
+
+    def update_pool(self, row: PoolRow, hosts: Sequence[HostRow]) -> None:
+        """Take in a pool's row and the hosts that serve it."""
+        quotas = {each.name: each.share for each in self._settings.tenants}
+        quotas.update(row.quotas)
+        shape = (row.slots, row.min_available, tuple(sorted(quotas.items())))
+        scheduler = self._schedulers.get(row.name)
+        if scheduler is None:
+            scheduler = self._make(row, quotas)
+            self._schedulers[row.name] = scheduler
+            self._shapes[row.name] = shape
+        elif self._shapes[row.name] != shape:
+            self._reshape(scheduler, row, quotas)
+            self._shapes[row.name] = shape
+        scheduler.executors.update_hosts(hosts, self._clock())
+        scheduler.pump()
+
+    def drop_pool(self, name: str) -> None:
+        """Forget a removed pool once it has nothing to do."""
+        scheduler = self._schedulers.get(name)
+        if scheduler is None:
+            return
+        scheduler.executors.update_hosts([], self._clock())
+        if scheduler.queued or scheduler.executors.in_flight:
+            return
+        del self._schedulers[name]
+        del self._shapes[name]
+
+    def update_shares(
+        self,
+        me: str,
+        peers: Sequence[Digest],
+        heard_at: Callable[[str], float],
+    ) -> None:
+        """Divide the executors' slots between the live daemons."""
+        now = self._clock()
+        daemons = [me, *(peer.name for peer in peers)]
+        for scheduler in self._schedulers.values():
+            pool = scheduler.executors.pool
+            reports: list[IdleReport] = []
+            for peer in peers:
+                load = _load_of(peer, pool)
+                if load is None:
+                    continue
+                at = heard_at(peer.name)
+                reports.append(
+                    IdleReport(peer.name, load.idle, load.queued, at)
+                )
+            scheduler.executors.update_shares(me, daemons, reports, now)
+
+    def tick(self) -> None:
+        """Do what time alone asks for."""
+        now = self._clock()
+        for scheduler in self._schedulers.values():
+            scheduler.executors.refresh(now)
+            if scheduler.queued:
+                scheduler.expire()
+                scheduler.pump()
+
+    def in_flight_on(self, host: str) -> int:
+        """Return how many requests are in flight on a host, in any pool."""
+        total = 0
+        for scheduler in self._schedulers.values():
+            total += scheduler.executors.in_flight_on(host)
+        return total
+
+    def _make(self, row: PoolRow, quotas: dict[str, float]) -> PoolScheduler:
+        """Return a new pool's scheduler with the policies in force."""
+        policies = self._settings.policies
+        share = SHARES.get(policies.share)(ShareSettings(slots=row.slots))
+        executors = ExecutorSet(
+            row.name,
+            row.slots,
+            row.min_available,
+            share,
+            CHOICES.get(policies.choice),
+            self._leaving,
+            self._rng,
+        )
+        queue = QUEUES.get(policies.queue)(
+            row.name, self._queue_settings(quotas)
+        )
+        return PoolScheduler(queue, executors, self._clock)
+
+    def _queue_settings(self, quotas: dict[str, float]) -> QueueSettings:
+        """Return a pool's queue settings."""
+        return QueueSettings(
+            max_queued=self._settings.limits.max_queued, quotas=quotas
+        )
+
+    def _reshape(
+        self,
+        scheduler: PoolScheduler,
+        row: PoolRow,
+        quotas: dict[str, float],
+    ) -> None:
+        """Take in changed slots, floor and quotas of a known pool."""
+        policies = self._settings.policies
+        share = SHARES.get(policies.share)(ShareSettings(slots=row.slots))
+        scheduler.executors.reshape(row.slots, row.min_available, share)
+        queue = QUEUES.get(policies.queue)(
+            row.name, self._queue_settings(quotas)
+        )
+        scheduler.replace_queue(queue)
+
+
+def _load_of(digest: Digest, pool: str) -> PoolLoad | None:
+    """Return what a digest says of a pool."""
+    for load in digest.loads:
+        if load.pool == pool:
+            return load
+    return None
--- /dev/null
+++ b/lycheelug/scheduler.py
@@ -0,0 +1,181 @@
+"""Joins a pool's admission queue with its executors.
+
+A request that may start gets a slot of an executor at once; otherwise it
+waits in the queue.  A waiting request whose caller leaves is cancelled and
+forgotten at once.  All decisions are the queue's and the executor set's;
+this module only holds the waiting tasks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Result, Success
+
+from lycheelug.admission import Ticket
+from lycheelug.errors import DEADLINE_PASSED, NO_UPSTREAM, Fault, Peer, Step
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.admission import AdmissionQueue
+    from lycheelug.dispatch import Executor
+    from lycheelug.requests import RequestClass
+    from lycheelug.upstreams.executors import ExecutorSet
+
+__all__ = ["PoolScheduler"]
+
+
+class _Waiter:
+    """A task that waits for a slot."""
+
+    __slots__ = ("exclude", "future", "probe", "ticket")
+
+    def __init__(
+        self,
+        ticket: Ticket,
+        future: asyncio.Future[Result[Executor, Fault]],
+        exclude: frozenset[str],
+        probe: bool,
+    ) -> None:
+        self.ticket = ticket
+        self.future = future
+        self.exclude = exclude
+        self.probe = probe
+
+
+class PoolScheduler:
+    """The queue and the executors of one pool in one daemon."""
+
+    __slots__ = ("_clock", "_ids", "_waiters", "executors", "queue")
+
+    def __init__(
+        self,
+        queue: AdmissionQueue,
+        executors: ExecutorSet,
+        clock: Callable[[], float],
+    ) -> None:
+        self.queue = queue
+        self.executors = executors
+        self._clock = clock
+        self._ids = itertools.count(1)
+        self._waiters: dict[int, _Waiter] = {}
+
+    @property
+    def queued(self) -> int:
+        """How many requests wait."""
+        return len(self.queue)
+
+    def make_ticket(
+        self,
+        tenant: str,
+        request_class: RequestClass,
+        arrived_at: float,
+        deadline: float,
+    ) -> Ticket:
+        """Return a ticket that this scheduler has not issued before."""
+        return Ticket(
+            next(self._ids),
+            self.executors.pool,
+            tenant,
+            request_class,
+            arrived_at,
+            deadline,
+        )
+
+    async def acquire(
+        self, ticket: Ticket, exclude: frozenset[str], probe: bool
+    ) -> Result[Executor, Fault]:
+        """Return an executor with a slot taken, or why there is none.
+
+        A fault means that the request was not run.
+        """
+        now = self._clock()
+        capacity = self.executors.capacity
+        refusal = self.queue.offer(ticket, now, capacity)
+        if refusal is not None:
+            code = refusal.code if capacity else NO_UPSTREAM
+            return Failure(Fault(code, Step.ADMIT, Peer.SELF, refusal.detail))
+        loop = asyncio.get_running_loop()
+        waiter = _Waiter(ticket, loop.create_future(), exclude, probe)
+        self._waiters[ticket.ticket_id] = waiter
+        self.pump()
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._abandon(ticket, waiter)
+            raise
+
+    def release(
+        self, ticket: Ticket, executor: Executor, service_s: float
+    ) -> None:
+        """Give a slot back and start the next request."""
+        self.executors.release(executor)
+        self.queue.on_finished(ticket, service_s, self._clock())
+        self.pump()
+
+    def replace_queue(self, queue: AdmissionQueue) -> None:
+        """Go on with another queue, and offer it all that waits."""
+        now = self._clock()
+        old = self.queue
+        self.queue = queue
+        for ticket_id, waiter in tuple(self._waiters.items()):
+            old.cancel(ticket_id)
+            self._put_back(waiter.ticket, waiter, now)
+
+    def pump(self) -> None:
+        """Start waiting requests while executors have room."""
+        now = self._clock()
+        while len(self.queue) and self.executors.has_room():
+            ticket = self.queue.take(now)
+            if ticket is None:
+                return
+            waiter = self._waiters.pop(ticket.ticket_id)
+            if waiter.future.done():
+                # Cancelled, and its task has not run since.
+                continue
+            executor = self.executors.choose(waiter.exclude, waiter.probe, now)
+            if executor is None:
+                # Only probes have room, and this request is none.
+                self._put_back(ticket, waiter, now)
+                return
+            self.queue.on_started(ticket, now)
+            waiter.future.set_result(Success(executor))
+
+    def expire(self) -> None:
+        """Refuse the waiting requests that can't finish in time."""
+        now = self._clock()
+        none_usable = self.executors.capacity == 0
+        for ticket in self.queue.drop_expired(now):
+            waiter = self._waiters.pop(ticket.ticket_id)
+            code = NO_UPSTREAM if none_usable else DEADLINE_PASSED
+            fault = Fault(code, Step.QUEUE, Peer.SELF, "waited in the queue")
+            if not waiter.future.done():
+                waiter.future.set_result(Failure(fault))
+
+    def _put_back(self, ticket: Ticket, waiter: _Waiter, now: float) -> None:
+        """Queue a taken request again, or refuse it."""
+        refusal = self.queue.offer(ticket, now, self.executors.capacity)
+        if refusal is None:
+            self._waiters[ticket.ticket_id] = waiter
+            return
+        self._waiters.pop(ticket.ticket_id, None)
+        waiter.future.set_result(Failure(_no_upstream()))
+
+    def _abandon(self, ticket: Ticket, waiter: _Waiter) -> None:
+        """Undo an acquisition whose task was cancelled."""
+        if self._waiters.pop(ticket.ticket_id, None) is not None:
+            self.queue.cancel(ticket.ticket_id)
+            return
+        if not waiter.future.done() or waiter.future.cancelled():
+            return
+        match waiter.future.result():
+            case Success(executor):
+                self.release(ticket, executor, 0.0)
+
+
+def _no_upstream() -> Fault:
+    """Return the fault of a request that no executor takes."""
+    return Fault(NO_UPSTREAM, Step.CHOOSE, Peer.UPSTREAM)
--- /dev/null
+++ b/lycheelug/settings.py
@@ -0,0 +1,241 @@
+"""The settings of a daemon as plain classes; reading them is elsewhere.
+
+`settings_schema` lists each field with its bounds and text, and
+`settings_file` reads and checks a YAML file against that list.
+"""
+
+from __future__ import annotations
+
+__all__ = [
+    "EmbeddedHost",
+    "EmbeddedPool",
+    "LimitSettings",
+    "ListenSettings",
+    "LogSettings",
+    "PlatformSettings",
+    "PolicySettings",
+    "Settings",
+    "TenantSettings",
+    "TimingSettings",
+    "UpstreamSettings",
+]
+
+
+class ListenSettings:
+    """The addresses that a daemon listens on, each `ip:port`."""
+
+    __slots__ = ("callers", "entries", "operators")
+
+    def __init__(self) -> None:
+        # Where callers send their requests.
+        self.callers = "127.0.0.1:8080"
+        # Where the command-line tool and metrics scrapers connect.
+        self.operators = "127.0.0.1:8081"
+        # Where the other entry daemons connect.
+        self.entries = "127.0.0.1:8082"
+
+
+class PlatformSettings:
+    """How the platform's services are reached."""
+
+    __slots__ = ("address", "binding", "hosts", "poll_s", "pools")
+
+    def __init__(self) -> None:
+        # A name in the registry of platform bindings.
+        self.binding = "memory"
+        # `ip:port` of the platform; empty for the binding "memory".
+        self.address = ""
+        # Seconds between two polls of the table and of the host list.
+        self.poll_s = 2.0
+        # Pools and hosts that the binding "memory" starts with.
+        self.pools: list[EmbeddedPool] = []
+        self.hosts: list[EmbeddedHost] = []
+
+
+class EmbeddedPool:
+    """A pool that an embedded platform starts with."""
+
+    __slots__ = ("connections", "min_available", "name", "slots", "spare")
+
+    def __init__(self) -> None:
+        self.name = ""
+        # Hosts that stay in service through every planned stop.
+        self.min_available = 0
+        # Requests that one executor runs at a time.
+        self.slots = 8
+        # Connections that one executor accepts.
+        self.connections = 64
+        # Whether the pool holds the spare hosts.
+        self.spare = False
+
+
+class EmbeddedHost:
+    """A worker host that an embedded platform starts with."""
+
+    __slots__ = ("address", "name", "pool", "rack")
+
+    def __init__(self) -> None:
+        self.name = ""
+        # `ip:port` of the executor.
+        self.address = ""
+        self.pool = ""
+        self.rack = "r1"
+
+
+class TenantSettings:
+    """One tenant and its quota."""
+
+    __slots__ = ("name", "share")
+
+    def __init__(self) -> None:
+        self.name = ""
+        # The share of a pool's slots that the tenant may hold while others
+        # wait.
+        self.share = 1.0
+
+
+class LimitSettings:
+    """Bounds on what callers may hold of a daemon."""
+
+    __slots__ = (
+        "default_deadline_s",
+        "max_answer_bytes",
+        "max_body_bytes",
+        "max_connections",
+        "max_deadline_s",
+        "max_head_bytes",
+        "max_idle_s",
+        "max_queued",
+        "receive_s",
+        "send_s",
+    )
+
+    def __init__(self) -> None:
+        # Callers' connections, all together.
+        self.max_connections = 1024
+        # Bytes of a request's target and headers.
+        self.max_head_bytes = 16 * 1024
+        # Bytes of a request's body.
+        self.max_body_bytes = 1024 * 1024
+        # Bytes of an upstream's answer, which is held whole.
+        self.max_answer_bytes = 8 * 1024 * 1024
+        # Requests waiting in one pool's queue.
+        self.max_queued = 4096
+        # Seconds for a request to arrive whole.
+        self.receive_s = 10.0
+        # Seconds for a caller to take its answer.
+        self.send_s = 10.0
+        # Seconds that a connection may stay open without a request.
+        self.max_idle_s = 60.0
+        # The deadline of a request that names none, in seconds.
+        self.default_deadline_s = 30.0
+        # The longest deadline that a caller may ask for, in seconds.
+        self.max_deadline_s = 600.0
+
+
+class UpstreamSettings:
+    """How upstreams are treated."""
+
+    __slots__ = (
+        "connect_s",
+        "max_tries",
+        "request_id_required",
+        "retry_share",
+        "reuse_idle_s",
+        "unrepeatable_reuse_idle_s",
+    )
+
+    def __init__(self) -> None:
+        # Seconds to connect to an upstream.
+        self.connect_s = 1.0
+        # Tries of one request, the first included.
+        self.max_tries = 3
+        # Retries allowed, as a share of first tries.
+        self.retry_share = 0.1
+        # Idle seconds after which a connection isn't used again.
+        self.reuse_idle_s = 5.0
+        # The same for requests that may not be repeated: an upstream that
+        # closes an idle connection just then leaves them unknown.
+        self.unrepeatable_reuse_idle_s = 0.5
+        # Whether an answer must carry the X-Request-Id of its request.
+        self.request_id_required = False
+
+
+class PolicySettings:
+    """Names of the policies in force, each from its registry."""
+
+    __slots__ = ("choice", "queue", "share")
+
+    def __init__(self) -> None:
+        # Which waiting request starts next.
+        self.queue = "deadline"
+        # Which executor takes it.
+        self.choice = "two-choices"
+        # How the slots of an executor are divided between daemons.
+        self.share = "live"
+
+
+class TimingSettings:
+    """Periods and time limits of the daemon's own work, in seconds."""
+
+    __slots__ = ("claim_retention_s", "gossip_s", "grace_s", "member_gone_s")
+
+    def __init__(self) -> None:
+        # Between two exchanges of digests.
+        self.gossip_s = 1.0
+        # Without a heartbeat, until a daemon counts as gone.
+        self.member_gone_s = 5.0
+        # For requests in flight to end at a planned stop.
+        self.grace_s = 60.0
+        # How long the outcome of an idempotency key is kept.
+        self.claim_retention_s = 86_400.0
+
+
+class LogSettings:
+    """How state changes are logged, on standard error."""
+
+    __slots__ = ("format", "level")
+
+    def __init__(self) -> None:
+        # "text" or "json", one line a change.
+        self.format = "text"
+        # The least level that is written.
+        self.level = "INFO"
+
+
+class Settings:
+    """All settings of one daemon."""
+
+    __slots__ = (
+        "limits",
+        "listen",
+        "logs",
+        "name",
+        "operator_token",
+        "platform",
+        "policies",
+        "seeds",
+        "tenants",
+        "timing",
+        "upstreams",
+        "zone",
+    )
+
+    def __init__(self) -> None:
+        # The daemon's name, unique among all entry daemons.
+        self.name = ""
+        # The availability zone that the daemon stands in.
+        self.zone = ""
+        self.listen = ListenSettings()
+        # What an operator has to present; may be empty on loopback only.
+        self.operator_token = ""
+        # `ip:port` of entry daemons to ask first; others are learnt.
+        self.seeds: list[str] = []
+        self.platform = PlatformSettings()
+        # Tenants with their quotas; where none is listed, any name goes.
+        self.tenants: list[TenantSettings] = []
+        self.limits = LimitSettings()
+        self.upstreams = UpstreamSettings()
+        self.policies = PolicySettings()
+        self.timing = TimingSettings()
+        self.logs = LogSettings()
--- /dev/null
+++ b/lycheelug/upstreams/exchange.py
@@ -0,0 +1,179 @@
+"""One request on one executor, and what its end means.
+
+An answer counts only if it belongs to the request: each try carries an
+`X-Request-Id` of its own, and an answer that carries another one is
+refused.  Upstreams that don't echo the header are accepted unless the
+settings require it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Result, Success
+
+from lycheelug.errors import (
+    ANSWER_CROSSED,
+    UPSTREAM_REFUSED,
+    Peer,
+    Step,
+)
+from lycheelug.http import (
+    Answer,
+    ExchangeFault,
+    HttpClient,
+    RawHeaders,
+    Request,
+    end_to_end_headers,
+    find_header,
+)
+from lycheelug.requests import Outcome
+
+if TYPE_CHECKING:
+    from lycheelug.dispatch import Executor
+    from lycheelug.settings import UpstreamSettings
+
+__all__ = ["Upstreams", "is_closing", "is_refusal"]
+
+REQUEST_ID: Final = b"x-request-id"
+DEADLINE: Final = b"lycheelug-deadline"
+OUTCOME: Final = b"lycheelug-outcome"
+REPLACED: Final = frozenset(
+    {b"host", b"content-length", b"expect", REQUEST_ID, DEADLINE}
+)
+REFUSAL_STATUS: Final = 503
+BODY_METHODS: Final = frozenset({b"POST", b"PUT", b"PATCH"})
+
+
+class Upstreams:
+    """The daemon's connections to executors."""
+
+    __slots__ = ("_clients", "_max_answer", "_settings")
+
+    def __init__(
+        self, settings: UpstreamSettings, max_answer_bytes: int
+    ) -> None:
+        self._settings = settings
+        self._max_answer = max_answer_bytes
+        self._clients: dict[str, HttpClient] = {}
+
+    async def run(
+        self,
+        executor: Executor,
+        request: Request,
+        request_id: str,
+        timeout_s: float,
+        repeatable: bool,
+    ) -> Result[Answer, ExchangeFault]:
+        """Run a request; return its own whole answer, or what went wrong.
+
+        A refusal is a fault of which nothing counts as sent: the executor
+        states that it did not run the request.
+        """
+        client = self._client(executor.address)
+        settings = self._settings
+        reuse_s = settings.reuse_idle_s
+        if not repeatable:
+            reuse_s = settings.unrepeatable_reuse_idle_s
+        sent = _forwarded(request, executor.address, request_id, timeout_s)
+        result = await client.request(sent, timeout_s, reuse_s)
+        match result:
+            case Success(answer):
+                return self._judge(answer, executor, request_id)
+        return result
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for client in self._clients.values():
+            client.close()
+        self._clients.clear()
+
+    def keep_only(self, addresses: frozenset[str]) -> None:
+        """Drop the connections of executors that left the fleet."""
+        for address in tuple(self._clients):
+            if address in addresses:
+                continue
+            self._clients.pop(address).close()
+
+    def _client(self, address: str) -> HttpClient:
+        """Return the client of an address, made if needed."""
+        client = self._clients.get(address)
+        if client is not None:
+            return client
+        clock = asyncio.get_running_loop().time
+        client = HttpClient(
+            address, Peer.UPSTREAM, self._max_answer, clock=clock
+        )
+        self._clients[address] = client
+        return client
+
+    def _judge(
+        self, answer: Answer, executor: Executor, request_id: str
+    ) -> Result[Answer, ExchangeFault]:
+        """Check that a whole answer is the request's own."""
+        echoed = find_header(answer.headers, REQUEST_ID)
+        missing = echoed is None and self._settings.request_id_required
+        crossed = echoed is not None and echoed != request_id.encode()
+        if missing or crossed:
+            # The connection's order is lost: none of it is used again.
+            self._client(executor.address).close()
+            return Failure(
+                ExchangeFault(
+                    ANSWER_CROSSED,
+                    Step.RECEIVE,
+                    Peer.UPSTREAM,
+                    f"answer carries the id {echoed!r}",
+                    executor.name,
+                    sent=True,
+                )
+            )
+        if is_refusal(answer):
+            fault = ExchangeFault(
+                UPSTREAM_REFUSED,
+                Step.RECEIVE,
+                Peer.UPSTREAM,
+                "closing" if is_closing(answer) else "",
+                executor.name,
+                sent=False,
+            )
+            return Failure(fault)
+        return Success(answer)
+
+
+def is_refusal(answer: Answer) -> bool:
+    """Whether an executor states that it did not run the request.
+
+    >>> is_refusal(Answer(503, [(b"lycheelug-outcome", b"not-run")]))
+    True
+    >>> is_refusal(Answer(503, []))
+    False
+    """
+    if answer.status != REFUSAL_STATUS:
+        return False
+    stated = find_header(answer.headers, OUTCOME)
+    return stated == Outcome.NOT_RUN.value.encode()
+
+
+def is_closing(answer: Answer) -> bool:
+    """Whether the executor ends the connection after this answer."""
+    return answer.close
+
+
+def _forwarded(
+    request: Request, address: str, request_id: str, timeout_s: float
+) -> Request:
+    """Return the request as the executor gets it."""
+    headers: RawHeaders = [
+        (b"host", address.encode()),
+        (REQUEST_ID, request_id.encode()),
+        (DEADLINE, f"{timeout_s:.3f}".encode()),
+    ]
+    for pair in end_to_end_headers(request.headers):
+        if pair[0] in REPLACED:
+            continue
+        headers.append(pair)
+    if request.body or request.method in BODY_METHODS:
+        length = str(len(request.body)).encode()
+        headers.append((b"content-length", length))
+    return Request(request.method, request.target, headers, request.body)
--- /dev/null
+++ b/lycheelug/upstreams/executors.py
@@ -0,0 +1,240 @@
+"""The executors of one pool that a daemon may use now.
+
+Combines the fleet view (which hosts serve the pool), the slot share, signs
+of leaving and ejection.  A host that is leaving or ejected is used again
+after one request that may be repeated, a probe, has succeeded on it.
+
+The list of usable executors is rebuilt on each change and on each tick,
+not for each request.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheelug.dispatch import Executor
+from lycheelug.ejection import Ejector
+from lycheelug.leaving import LeavingSign
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable, Sequence
+
+    from lycheelug.dispatch import Choice
+    from lycheelug.leaving import LeavingHosts
+    from lycheelug.records import HostRow
+    from lycheelug.slots import IdleReport, SlotShare
+
+__all__ = ["ExecutorSet"]
+
+
+class ExecutorSet:
+    """One pool's executors in the daemon's availability zone."""
+
+    __slots__ = (
+        "_choice",
+        "_ejector",
+        "_executors",
+        "_leaving",
+        "_probes",
+        "_rng",
+        "_serving",
+        "_share",
+        "_usable",
+        "floor",
+        "pool",
+        "slots",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        slots: int,
+        floor: int,
+        share: SlotShare,
+        choice: Choice,
+        leaving: LeavingHosts,
+        rng: random.Random,
+    ) -> None:
+        self.pool = pool
+        self.slots = slots
+        self.floor = floor
+        self._share = share
+        self._choice = choice
+        self._leaving = leaving
+        self._rng = rng
+        self._ejector = Ejector()
+        # Executors that serve the pool, and those that only finish work.
+        self._executors: dict[str, Executor] = {}
+        self._serving: dict[str, Executor] = {}
+        self._usable: list[Executor] = []
+        self._probes: set[str] = set()
+
+    @property
+    def executors(self) -> list[Executor]:
+        """The executors that serve the pool."""
+        return list(self._serving.values())
+
+    @property
+    def ejected(self) -> list[str]:
+        """Names of ejected executors."""
+        return self._ejector.ejected
+
+    @property
+    def capacity(self) -> int:
+        """Slots that this daemon may use in the pool now."""
+        total = len(self._probes)
+        for executor in self._usable:
+            total += executor.limit
+        return total
+
+    @property
+    def in_flight(self) -> int:
+        """Requests in flight on the pool's executors."""
+        return sum(each.in_flight for each in self._executors.values())
+
+    @property
+    def idle(self) -> int:
+        """Slots that this daemon may use and does not."""
+        free = 0
+        for executor in self._usable:
+            free += max(0, executor.limit - executor.in_flight)
+        return free
+
+    def in_flight_on(self, host: str) -> int:
+        """Return how many requests are in flight on one host."""
+        executor = self._executors.get(host)
+        return executor.in_flight if executor else 0
+
+    def has_room(self) -> bool:
+        """Whether any executor may take a request now."""
+        if self._probes:
+            return True
+        return any(executor.has_room for executor in self._usable)
+
+    def reshape(self, slots: int, floor: int, share: SlotShare) -> None:
+        """Take in changed slots of each executor and a changed floor."""
+        self.slots = slots
+        self.floor = floor
+        self._share = share
+
+    def update_hosts(self, rows: Sequence[HostRow], now: float) -> None:
+        """Take in which hosts serve the pool."""
+        serving: dict[str, Executor] = {}
+        for row in rows:
+            known = self._executors.get(row.name)
+            if known is None or known.address != row.address:
+                known = Executor(row.name, row.address, row.rack, row.zone)
+                self._executors[row.name] = known
+            serving[row.name] = known
+        self._serving = serving
+        self._ejector.update_pool(list(serving), self.floor)
+        for name, executor in tuple(self._executors.items()):
+            if name not in serving and executor.in_flight == 0:
+                del self._executors[name]
+        self.refresh(now)
+
+    def update_shares(
+        self,
+        me: str,
+        live_daemons: Iterable[str],
+        reports: Iterable[IdleReport],
+        now: float,
+    ) -> None:
+        """Take in the slots that this daemon may use of each executor."""
+        limits = self._share.limits(
+            self.executors, me, live_daemons, reports, now
+        )
+        for name, executor in self._serving.items():
+            executor.limit = limits.get(name, 0)
+
+    def refresh(self, now: float) -> None:
+        """Rebuild the list of usable executors."""
+        usable: list[Executor] = []
+        probes: set[str] = set()
+        for name, executor in self._serving.items():
+            leaving = self._leaving.is_leaving(name, now)
+            ejected = self._ejector.is_ejected(name, now)
+            if not leaving and not ejected:
+                usable.append(executor)
+                continue
+            if leaving and not self._leaving.probe_allowed(name, now):
+                continue
+            if ejected and not self._ejector.probe_allowed(name, now):
+                continue
+            if executor.in_flight == 0:
+                probes.add(name)
+        self._usable = usable
+        self._probes = probes
+
+    def choose(
+        self, exclude: frozenset[str], probe: bool, now: float
+    ) -> Executor | None:
+        """Take a slot of an executor, or None where none has room.
+
+        `probe` allows the request to try a host that was left out.
+        """
+        if probe and self._probes:
+            name = self._probes.pop()
+            if name not in exclude:
+                executor = self._serving[name]
+                if self._leaving.is_leaving(name, now):
+                    self._leaving.start_probe(name, now)
+                if self._ejector.is_ejected(name, now):
+                    self._ejector.start_probe(name, now)
+                executor.in_flight += 1
+                return executor
+        chosen = self._choice(self._usable, self._rng, exclude)
+        if chosen is None and exclude:
+            chosen = self._choice(self._usable, self._rng, frozenset())
+        if chosen is not None:
+            chosen.in_flight += 1
+        return chosen
+
+    def release(self, executor: Executor) -> None:
+        """Give a slot back."""
+        executor.in_flight -= 1
+        if executor.in_flight > 0 or executor.name in self._serving:
+            return
+        if self._executors.get(executor.name) is executor:
+            del self._executors[executor.name]
+
+    def note_end(
+        self,
+        executor: Executor,
+        job_key: str,
+        ok: bool,
+        closing: bool,
+        latency_s: float,
+        now: float,
+    ) -> None:
+        """Take in how a request ended that reached the executor."""
+        executor.record(ok, latency_s)
+        name = executor.name
+        was_out = self._ejector.is_ejected(name, now)
+        self._ejector.record(name, executor.rack, job_key, ok, latency_s, now)
+        was_leaving = self._leaving.is_leaving(name, now)
+        if ok:
+            self._leaving.note_success(name, now, closing)
+        if closing and not self._leaving.is_leaving(name, now):
+            self._leaving.note(name, LeavingSign.CLOSING, now)
+        if (
+            closing
+            or was_leaving
+            or was_out != self._ejector.is_ejected(name, now)
+        ):
+            self.refresh(now)
+
+    def note_refused(
+        self, executor: Executor, closing: bool, now: float
+    ) -> None:
+        """Take in that an executor refused a request without running it."""
+        self._share.note_refused(executor.name, now)
+        if closing:
+            self._leaving.note(executor.name, LeavingSign.REFUSED_CLOSING, now)
+        self.refresh(now)
+
+    def note_unreachable(self, executor: Executor, now: float) -> None:
+        """Take in that an executor could not be connected."""
+        self._leaving.note(executor.name, LeavingSign.CONNECT_FAILED, now)
+        self.refresh(now)
