Bind the platform over HTTP, with a stand-in that fails

The binding tells a write that had no effect from one that may have had: no byte sent is platform-unreachable, anything later without a whole and understood answer is platform-unknown. Reads, and transactions by their nonce, are sent a second time where a connection ended without an answer; nothing else is repeated. The stand-in serves the platform in memory with faults that are switched by POST /faults.

--- a/lycheelug/platform/__init__.py
+++ b/lycheelug/platform/__init__.py
@@ -1,5 +1,6 @@
 """The peer package for the platform's services."""
 
+from lycheelug.platform.http import HttpPlatform
 from lycheelug.platform.interface import (
     ABSENT,
     BINDINGS,
@@ -29,6 +30,7 @@
     "HostEntry",
     "HostRole",
     "HostState",
+    "HttpPlatform",
     "MemoryPlatform",
     "Platform",
     "Row",
--- /dev/null
+++ b/lycheelug/platform/http.py
@@ -0,0 +1,312 @@
+"""The platform over HTTP/1.1 with JSON messages.
+
+A call that fails before a byte left had no effect and says so
+(`platform-unreachable`).  A write whose answer did not come whole, or
+could not be understood, may have taken effect (`platform-unknown`).
+
+A connection that the platform closed while it was idle is found out only
+by the next request on it.  Reads, and transactions by their nonce, are
+therefore sent once more on a new connection where the first one ended
+without an answer; nothing else is ever repeated here.
+
+Limits: no redirects, no TLS, one address.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final, TypeVar
+
+import msgspec
+from returns.result import Failure, Success
+
+from lycheelug.errors import (
+    ANSWER_TRUNCATED,
+    PLATFORM_INVALID,
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.http.client import ExchangeFault, HttpClient
+from lycheelug.http.messages import Request
+from lycheelug.platform.codec import (
+    DELTA_PATH,
+    HOSTS_PATH,
+    OBJECTS_PATH,
+    PLATFORM_CODES,
+    ROW_PATH,
+    TRANSACTIONS_PATH,
+    DeltaMessage,
+    FaultMessage,
+    HostsMessage,
+    RebootMessage,
+    RowAnswer,
+    TransactionAnswer,
+    TransactionMessage,
+    encode_path,
+)
+from lycheelug.platform.interface import BINDINGS, Platform
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from lycheelug.errors import ErrorCode
+    from lycheelug.http.messages import Answer
+    from lycheelug.platform.interface import (
+        Commit,
+        Conflict,
+        Delta,
+        HostDelta,
+        Row,
+        Transaction,
+    )
+
+__all__ = ["HttpPlatform", "open_http"]
+
+T = TypeVar("T")
+
+CALL_TIMEOUT_S: Final = 2.0
+CALLS_MAX: Final = 16
+
+
+class HttpPlatform(Platform):
+    """A client of a platform at `ip:port`.
+
+    At most `CALLS_MAX` calls run at once; further ones wait, within their
+    own timeout.
+    """
+
+    __slots__ = ("_address", "_client", "_slots", "_timeout_s")
+
+    def __init__(
+        self, address: str, timeout_s: float = CALL_TIMEOUT_S
+    ) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self._client = HttpClient(address, Peer.PLATFORM)
+        self._slots = asyncio.Semaphore(CALLS_MAX)
+
+    async def read(self, key: str) -> Result[Row | None, Fault]:
+        """Return a row, or None where the key does not exist."""
+        target = encode_path(ROW_PATH, key=key)
+        match await self._read(target):
+            case Success(answer):
+                message = self._decode(answer, RowAnswer)
+            case Failure(fault):
+                return Failure(fault)
+        if message is None:
+            return Failure(self._fault(PLATFORM_INVALID, Step.READ, key))
+        if message.row is None:
+            return Success(None)
+        return Success(message.row.to_row())
+
+    async def read_since(
+        self, prefix: str, revision: int
+    ) -> Result[Delta, Fault]:
+        """Return the rows of a prefix written after a revision."""
+        target = encode_path(DELTA_PATH, prefix=prefix, since=revision)
+        match await self._read(target):
+            case Success(answer):
+                message = self._decode(answer, DeltaMessage)
+            case Failure(fault):
+                return Failure(fault)
+        if message is None:
+            return Failure(self._fault(PLATFORM_INVALID, Step.READ, prefix))
+        return Success(message.to_delta())
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Commit | Conflict, Fault]:
+        """Apply all writes if all guards hold."""
+        body = msgspec.json.encode(TransactionMessage.of(transaction))
+        target = encode_path(TRANSACTIONS_PATH)
+        request = self._request(b"POST", target, body)
+        match await self._write(request, repeat=True):
+            case Success(answer):
+                message = self._decode(answer, TransactionAnswer)
+            case Failure(fault):
+                return Failure(fault)
+        if message is None:
+            return Failure(
+                self._fault(PLATFORM_UNKNOWN, Step.WRITE, "invalid answer")
+            )
+        return Success(message.to_answer())
+
+    async def put_object(self, name: str, data: bytes) -> Result[None, Fault]:
+        """Store an object; a second put of a name replaces the first."""
+        return await self._command(b"PUT", OBJECTS_PATH, name, body=data)
+
+    async def get_object(self, name: str) -> Result[bytes, Fault]:
+        """Return an object; `unknown-object` where there is none."""
+        match await self._read(encode_path(OBJECTS_PATH, name)):
+            case Success(answer):
+                return Success(answer.body)
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError
+
+    async def delete_object(self, name: str) -> Result[None, Fault]:
+        """Delete an object; succeeds where there is none."""
+        return await self._command(b"DELETE", OBJECTS_PATH, name)
+
+    async def hosts_since(self, revision: int) -> Result[HostDelta, Fault]:
+        """Return the hosts whose list entry changed after a revision."""
+        match await self._read(encode_path(HOSTS_PATH, since=revision)):
+            case Success(answer):
+                message = self._decode(answer, HostsMessage)
+            case Failure(fault):
+                return Failure(fault)
+        if message is None:
+            return Failure(self._fault(PLATFORM_INVALID, Step.READ, "hosts"))
+        return Success(message.to_delta())
+
+    async def drain(self, host: str) -> Result[None, Fault]:
+        """Ask that a host takes no new work (state leaving); idempotent."""
+        return await self._command(b"POST", HOSTS_PATH, host, "drain")
+
+    async def reboot(self, host: str, nonce: str) -> Result[None, Fault]:
+        """Reboot a drained host once per nonce; it comes back live."""
+        body = msgspec.json.encode(RebootMessage(nonce))
+        return await self._command(
+            b"POST", HOSTS_PATH, host, "reboot", body=body
+        )
+
+    async def resume(self, host: str) -> Result[None, Fault]:
+        """End a drain without a reboot; idempotent."""
+        return await self._command(b"POST", HOSTS_PATH, host, "resume")
+
+    async def close(self) -> None:
+        """Release connections."""
+        self._client.close()
+
+    # --- Calls.
+
+    async def _command(
+        self, method: bytes, *parts: str, body: bytes = b""
+    ) -> Result[None, Fault]:
+        """Make a write whose answer has no content."""
+        request = self._request(method, encode_path(*parts), body)
+        match await self._write(request, repeat=False):
+            case Success(_):
+                return Success(None)
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError
+
+    async def _read(self, target: bytes) -> Result[Answer, Fault]:
+        """Make a call without effect."""
+        request = self._request(b"GET", target)
+        match await self._call(request, repeat=True):
+            case Success(answer):
+                pass
+            case Failure(fault):
+                detail = f"{fault.code.name}: {fault.detail}"
+                return Failure(
+                    self._fault(PLATFORM_UNREACHABLE, Step.READ, detail)
+                )
+        if answer.status == 200:
+            return Success(answer)
+        reported = self._reported(answer, Step.READ)
+        if reported is not None:
+            return Failure(reported)
+        detail = f"status {answer.status}"
+        return Failure(self._fault(PLATFORM_UNREACHABLE, Step.READ, detail))
+
+    async def _write(
+        self, request: Request, *, repeat: bool
+    ) -> Result[Answer, Fault]:
+        """Make a call with an effect; without an answer it is unknown."""
+        match await self._call(request, repeat=repeat):
+            case Success(answer):
+                pass
+            case Failure(fault):
+                detail = f"{fault.code.name}: {fault.detail}"
+                code = PLATFORM_UNKNOWN if fault.sent else PLATFORM_UNREACHABLE
+                return Failure(self._fault(code, Step.WRITE, detail))
+        if answer.status == 200:
+            return Success(answer)
+        reported = self._reported(answer, Step.WRITE)
+        if reported is not None:
+            return Failure(reported)
+        detail = f"status {answer.status}"
+        return Failure(self._fault(PLATFORM_UNKNOWN, Step.WRITE, detail))
+
+    async def _call(
+        self, request: Request, *, repeat: bool
+    ) -> Result[Answer, ExchangeFault]:
+        """Exchange a request, a second time where `repeat` allows it."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + self._timeout_s
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self._slots.acquire()
+        except TimeoutError:
+            return Failure(self._not_sent("too many calls at once"))
+        try:
+            answer = await self._client.request(request, self._timeout_s)
+            match answer:
+                case Failure(fault) if fault.code is not ANSWER_TRUNCATED:
+                    return answer
+                case Success(_):
+                    return answer
+            remaining = deadline - loop.time()
+            if not repeat or remaining <= 0:
+                return answer
+            return await self._repeat(request, remaining)
+        finally:
+            self._slots.release()
+
+    async def _repeat(
+        self, request: Request, timeout_s: float
+    ) -> Result[Answer, ExchangeFault]:
+        """Send a request again; its first sending may have arrived."""
+        again = await self._client.request(request, timeout_s, 0.0)
+        match again:
+            case Failure(fault):
+                fault.sent = True
+        return again
+
+    def _request(
+        self, method: bytes, target: bytes, body: bytes = b""
+    ) -> Request:
+        headers = [(b"host", self._address.encode("ascii"))]
+        if method != b"GET":
+            length = str(len(body)).encode("ascii")
+            headers.append((b"content-length", length))
+        return Request(method, target, headers, body)
+
+    def _decode(self, answer: Answer, kind: type[T]) -> T | None:
+        """Return an answer's message; None where it is invalid."""
+        try:
+            return msgspec.json.decode(answer.body, type=kind)
+        except msgspec.DecodeError:
+            return None
+
+    def _reported(self, answer: Answer, step: Step) -> Fault | None:
+        """Return the fault that the platform itself reports, if any."""
+        message = self._decode(answer, FaultMessage)
+        if message is None or message.code not in PLATFORM_CODES:
+            return None
+        code = PLATFORM_CODES[message.code]
+        return self._fault(code, step, message.detail)
+
+    def _fault(self, code: ErrorCode, step: Step, detail: str) -> Fault:
+        return Fault(code, step, Peer.PLATFORM, detail, self._address)
+
+    def _not_sent(self, detail: str) -> ExchangeFault:
+        return ExchangeFault(
+            PLATFORM_UNREACHABLE,
+            Step.CONNECT,
+            Peer.PLATFORM,
+            detail,
+            self._address,
+            False,
+        )
+
+
+@BINDINGS.register("http")
+def open_http(address: str) -> Platform:
+    """Return a client of the platform at `ip:port`."""
+    return HttpPlatform(address)
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,270 @@
+"""A small stand-in for the platform, served over HTTP.
+
+It serves a platform in memory by the paths of `platform/codec.py`, and
+besides for tests and demonstrations:
+
+    POST /faults         replace the faults (see `standins/faults.py`)
+    POST /hosts          add hosts to the list, or replace their entries
+    POST /late           let the held transactions take effect
+    GET  /calls          how often each call was made
+
+A call that loses its answer is ended by closing its connection.
+
+Run it with `python -m standins.platform --port 0`; it prints the address
+that it listens on, and stops on SIGTERM or SIGINT.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING, Final, TypeVar
+
+import msgspec
+from returns.result import Failure, Success
+
+from lycheelug.errors import (
+    BAD_REQUEST,
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    UNKNOWN_ROUTE,
+)
+from lycheelug.http.messages import Answer, json_answer
+from lycheelug.http.server import HttpServer, ServerConnection, ServerLimits
+from lycheelug.platform.codec import (
+    DeltaMessage,
+    FaultMessage,
+    HostsMessage,
+    RebootMessage,
+    RowAnswer,
+    RowMessage,
+    TransactionAnswer,
+    TransactionMessage,
+    split_path,
+)
+from lycheelug.platform.memory import REBOOT_S
+from standins.faults import Faults, FaultyPlatform, RecordingPlatform
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from lycheelug.errors import ErrorCode, Fault
+    from lycheelug.http.messages import Request
+    from lycheelug.http.server import Handler
+    from lycheelug.platform.interface import Row
+
+__all__ = ["PlatformServer", "main"]
+
+T = TypeVar("T")
+
+MAX_OBJECT_BYTES: Final = 8 * 1024 * 1024
+
+
+class _DroppingServer(HttpServer):
+    """An HTTP server that can end a connection without an answer."""
+
+    __slots__ = ("_by_peer",)
+
+    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+        super().__init__(handler, limits)
+        self._by_peer: dict[str, ServerConnection] = {}
+
+    def enter(self, connection: ServerConnection) -> bool:
+        """Add a connection, and find it by its peer's address later."""
+        self._by_peer[connection._peer_name] = connection
+        return super().enter(connection)
+
+    def leave(self, connection: ServerConnection) -> None:
+        """Remove a connection."""
+        self._by_peer.pop(connection._peer_name, None)
+        super().leave(connection)
+
+    def drop(self, peer_name: str) -> None:
+        """Close the connection of a peer without an answer."""
+        connection = self._by_peer.get(peer_name)
+        if connection is not None:
+            connection.close()
+
+
+class PlatformServer:
+    """The stand-in's server; tests use it within their own process."""
+
+    __slots__ = ("_platform", "_server")
+
+    def __init__(self, platform: FaultyPlatform | None = None) -> None:
+        if platform is None:
+            inner = RecordingPlatform(reboot_s=REBOOT_S)
+            platform = FaultyPlatform(inner)
+        self._platform = platform
+        limits = ServerLimits(max_body_bytes=MAX_OBJECT_BYTES)
+        self._server = _DroppingServer(self._handle, limits)
+
+    @property
+    def platform(self) -> FaultyPlatform:
+        """The platform that is served."""
+        return self._platform
+
+    @property
+    def address(self) -> str:
+        """The address listened on; valid after `start`."""
+        return f"127.0.0.1:{self._server.port}"
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on the loopback interface."""
+        await self._server.start("127.0.0.1", port)
+
+    def stop(self) -> None:
+        """Stop listening and close all connections."""
+        self._server.stop()
+
+    async def _handle(self, request: Request) -> Answer:
+        """Answer one request, or drop its connection."""
+        parts, query = split_path(request.target)
+        route = (request.method.decode("ascii"), *parts)
+        try:
+            answer = await self._answer(route, query, request.body)
+        except (msgspec.DecodeError, KeyError, ValueError) as error:
+            return _refusal(BAD_REQUEST, repr(error))
+        if answer is None:
+            self._server.drop(request.peer_name)
+            return json_answer(500, None)
+        return answer
+
+    async def _answer(
+        self, route: tuple[str, ...], query: dict[str, str], body: bytes
+    ) -> Answer | None:
+        """Return a request's answer; None where it gets none."""
+        match route:
+            case (_, "table", *_):
+                return await self._table(route, query, body)
+            case (_, "objects", name):
+                return await self._object(route[0], name, body)
+            case ("POST", "hosts", host, command):
+                return await self._host_command(host, command, body)
+            case ("GET", "hosts"):
+                since = int(query["since"])
+                delta = await self._platform.hosts_since(since)
+                return _content(delta.map(HostsMessage.of))
+        return await self._control(route, body)
+
+    async def _table(
+        self, route: tuple[str, ...], query: dict[str, str], body: bytes
+    ) -> Answer | None:
+        match route:
+            case ("GET", "table", "row"):
+                row = await self._platform.read(query["key"])
+                return _content(row.map(_row_answer))
+            case ("GET", "table", "delta"):
+                since = int(query["since"])
+                delta = await self._platform.read_since(query["prefix"], since)
+                return _content(delta.map(DeltaMessage.of))
+            case ("POST", "table", "transactions"):
+                message = msgspec.json.decode(body, type=TransactionMessage)
+                answer = await self._platform.transact(
+                    message.to_transaction()
+                )
+                return _content(answer.map(TransactionAnswer.of))
+        return _refusal(UNKNOWN_ROUTE, "/".join(route))
+
+    async def _object(
+        self, method: str, name: str, body: bytes
+    ) -> Answer | None:
+        match method:
+            case "PUT":
+                return _content(await self._platform.put_object(name, body))
+            case "DELETE":
+                return _content(await self._platform.delete_object(name))
+        match await self._platform.get_object(name):
+            case Success(data):
+                kind = (b"content-type", b"application/octet-stream")
+                return Answer(200, [kind], data)
+            case Failure(fault):
+                return _fault_answer(fault)
+        raise AssertionError
+
+    async def _host_command(
+        self, host: str, command: str, body: bytes
+    ) -> Answer | None:
+        match command:
+            case "drain":
+                return _content(await self._platform.drain(host))
+            case "resume":
+                return _content(await self._platform.resume(host))
+            case "reboot":
+                message = msgspec.json.decode(body, type=RebootMessage)
+                answer = await self._platform.reboot(host, message.nonce)
+                return _content(answer)
+        return _refusal(UNKNOWN_ROUTE, command)
+
+    async def _control(self, route: tuple[str, ...], body: bytes) -> Answer:
+        """Answer the stand-in's own requests; no fault applies to them."""
+        match route:
+            case ("POST", "faults"):
+                faults = msgspec.json.decode(body, type=Faults)
+                self._platform.set_faults(faults)
+                return json_answer(200, faults)
+            case ("POST", "hosts"):
+                message = msgspec.json.decode(body, type=HostsMessage)
+                for host in message.hosts:
+                    self._platform.inner.put_host(host.to_entry())
+                return json_answer(200, None)
+            case ("POST", "late"):
+                return json_answer(200, await self._platform.apply_late())
+            case ("GET", "calls"):
+                return json_answer(200, self._platform.calls)
+        return _refusal(UNKNOWN_ROUTE, "/".join(route))
+
+
+def _row_answer(row: Row | None) -> RowAnswer:
+    return RowAnswer(None if row is None else RowMessage.of(row))
+
+
+def _content(result: Result[T, Fault]) -> Answer | None:
+    """Return the answer of a call; None where it must be lost."""
+    match result:
+        case Success(content):
+            return json_answer(200, content)
+        case Failure(fault):
+            return _fault_answer(fault)
+    raise AssertionError
+
+
+def _fault_answer(fault: Fault) -> Answer | None:
+    if fault.code in (PLATFORM_UNKNOWN, PLATFORM_UNREACHABLE):
+        return None
+    return _refusal(fault.code, fault.detail)
+
+
+def _refusal(code: ErrorCode, detail: str) -> Answer:
+    return json_answer(code.status, FaultMessage(code.name, detail))
+
+
+async def _serve(port: int) -> None:
+    """Serve until a signal asks to stop."""
+    server = PlatformServer()
+    await server.start(port)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    print(f"listening {server.address}", flush=True)
+    await stop.wait()
+    server.stop()
+
+
+def main(*, port: int = 0) -> None:
+    """Serve a platform in memory on 127.0.0.1 until SIGTERM.
+
+    Parameters
+    ----------
+    port
+        The port to listen on; 0 takes a free one.
+
+    """
+    asyncio.run(_serve(port))
+
+
+if __name__ == "__main__":
+    import cyclopts
+
+    cyclopts.run(main)
