Read the morning sheet and check it against the fleet

Operators need every fault of an exported sheet at once, with place and remedy, and impossible sheets refused with the reason. The parser reads what spreadsheets add; checks compare the sheet with the layout that its moves lead to.

--- /dev/null
+++ b/lycheelug/fleet.py
@@ -0,0 +1,228 @@
+"""The fleet as one daemon sees it: rows, digests and the platform's list.
+
+A FleetSnapshot is fed with rows and list entries as they arrive, and is
+what all decisions of the fleet are made from.  It does no I/O.  It may
+lag: `table_revision` is the revision up to which every row of it is
+complete, and rows may be newer than that.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+import msgspec
+from returns.result import Success
+
+from lycheelug.platform.interface import HostRole, HostState, Row
+from lycheelug.records import (
+    DEAD_ENTRY_PREFIX,
+    ENTRY_EPOCH_KEY,
+    ENTRY_PREFIX,
+    HOST_PREFIX,
+    PLAN_LEASE_PREFIX,
+    POOL_PREFIX,
+    SHEET_KEY,
+    DeadEntryRow,
+    EntryRow,
+    HostPhase,
+    HostRow,
+    PlanLeaseRow,
+    PoolRow,
+    SheetRow,
+    decode,
+)
+from lycheelug.sheet import parse_sheet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lycheelug.entries.messages import Digest
+    from lycheelug.platform.interface import HostDelta, HostEntry
+    from lycheelug.sheet import Sheet
+
+__all__ = ["FLEET_PREFIXES", "FleetSnapshot", "Versioned", "last_part"]
+
+R = TypeVar("R", bound=msgspec.Struct)
+
+# Every key that a snapshot holds has one of these prefixes.
+FLEET_PREFIXES = (
+    HOST_PREFIX,
+    POOL_PREFIX,
+    ENTRY_PREFIX,
+    ENTRY_EPOCH_KEY,
+    SHEET_KEY,
+    PLAN_LEASE_PREFIX,
+    DEAD_ENTRY_PREFIX,
+)
+
+
+class Versioned(Generic[R]):
+    """A row with the revision of its last write."""
+
+    __slots__ = ("revision", "row")
+
+    def __init__(self, row: R, revision: int) -> None:
+        self.row = row
+        self.revision = revision
+
+
+class FleetSnapshot:
+    """All that the fleet's decisions look at.
+
+    `digests` holds the latest digest of each daemon run, by run.
+    `dead_runs` holds runs of entry daemons that an operator declared dead.
+    """
+
+    __slots__ = (
+        "_newest",
+        "dead_runs",
+        "digests",
+        "entries",
+        "entry_epoch_revision",
+        "hosts",
+        "leases",
+        "list_revision",
+        "listed",
+        "pools",
+        "sheet",
+        "sheet_revision",
+        "sheet_row",
+        "table_revision",
+    )
+
+    def __init__(self) -> None:
+        self.table_revision = 0
+        self.list_revision = 0
+        self.hosts: dict[str, Versioned[HostRow]] = {}
+        self.pools: dict[str, Versioned[PoolRow]] = {}
+        self.entries: dict[str, Versioned[EntryRow]] = {}
+        self.leases: dict[str, Versioned[PlanLeaseRow]] = {}
+        self.entry_epoch_revision = 0
+        self.sheet: Sheet | None = None
+        self.sheet_row: SheetRow | None = None
+        self.sheet_revision = 0
+        self.digests: dict[str, Digest] = {}
+        self.dead_runs: set[str] = set()
+        self.listed: dict[str, HostEntry] = {}
+        # The newest revision taken in by key: rows may arrive out of order.
+        self._newest: dict[str, int] = {}
+
+    def copy(self) -> FleetSnapshot:
+        """Return a snapshot that can change apart from this one."""
+        twin = FleetSnapshot()
+        for name in self.__slots__:
+            value = getattr(self, name)
+            if isinstance(value, (dict, set)):
+                value = value.copy()
+            setattr(twin, name, value)
+        return twin
+
+    def apply_rows(self, rows: Iterable[Row], revision: int) -> None:
+        """Take in rows; the view is complete up to a revision afterwards."""
+        for row in rows:
+            self.apply_row(row)
+        self.table_revision = max(self.table_revision, revision)
+
+    def apply_row(self, row: Row) -> None:
+        """Take in one row, unless a newer one of its key is here."""
+        if row.revision <= self._newest.get(row.key, 0):
+            return
+        self._newest[row.key] = row.revision
+        if row.key.startswith(HOST_PREFIX):
+            _put(self.hosts, row, HostRow)
+        elif row.key.startswith(POOL_PREFIX):
+            _put(self.pools, row, PoolRow)
+        elif row.key.startswith(ENTRY_PREFIX):
+            _put(self.entries, row, EntryRow)
+        elif row.key.startswith(PLAN_LEASE_PREFIX):
+            _put(self.leases, row, PlanLeaseRow)
+        elif row.key.startswith(DEAD_ENTRY_PREFIX):
+            if row.value is not None:
+                self.dead_runs.add(decode(row.value, DeadEntryRow).run)
+        elif row.key == ENTRY_EPOCH_KEY:
+            self.entry_epoch_revision = row.revision
+        elif row.key == SHEET_KEY:
+            self._apply_sheet(row)
+
+    def _apply_sheet(self, row: Row) -> None:
+        self.sheet_revision = row.revision
+        self.sheet = None
+        self.sheet_row = None
+        if row.value is None:
+            return
+        self.sheet_row = decode(row.value, SheetRow)
+        match parse_sheet(self.sheet_row.text):
+            case Success(sheet):
+                self.sheet = sheet
+
+    def apply_hosts(self, delta: HostDelta) -> None:
+        """Take in changed entries of the platform's host list."""
+        if delta.revision < self.list_revision:
+            return
+        for host in delta.hosts:
+            self.listed[host.name] = host
+        self.list_revision = delta.revision
+
+    def apply_digest(self, digest: Digest) -> None:
+        """Take in a daemon's digest, unless a newer one is here."""
+        known = self.digests.get(digest.run)
+        if known is None or digest.sequence > known.sequence:
+            self.digests[digest.run] = digest
+
+    def state(self, host: str) -> HostState:
+        """Return what the platform's list says; unlisted hosts are gone."""
+        entry = self.listed.get(host)
+        return entry.state if entry is not None else HostState.GONE
+
+    def in_service(self, row: HostRow) -> bool:
+        """Tell whether a host serves its pool now, as far as is known."""
+        if row.phase is not HostPhase.SERVING:
+            return False
+        return self.state(row.name) is HostState.LIVE
+
+    def usable_workers(self) -> list[HostEntry]:
+        """Return the listed workers that the fleet can count on."""
+        usable: list[HostEntry] = []
+        for entry in self.listed.values():
+            if entry.role is not HostRole.WORKER:
+                continue
+            if entry.state is HostState.LIVE or self.resting(entry.name):
+                usable.append(entry)
+        return usable
+
+    def resting(self, host: str) -> bool:
+        """Tell whether a host is out for maintenance, and returns."""
+        versioned = self.hosts.get(host)
+        if versioned is None:
+            return False
+        row = versioned.row
+        if row.phase is HostPhase.MAINTENANCE:
+            return True
+        leaving = self.state(host) is HostState.LEAVING
+        return row.phase is HostPhase.DRAINING and not row.target and leaving
+
+    def zones(self) -> list[str]:
+        """Return the zones that have workers, sorted."""
+        zones = {row.row.zone for row in self.hosts.values()}
+        for entry in self.listed.values():
+            if entry.role is HostRole.WORKER:
+                zones.add(entry.zone)
+        return sorted(zones)
+
+
+def last_part(key: str) -> str:
+    """Return the name at the end of a row's key.
+
+    >>> last_part("host/arima/w7")
+    'w7'
+    """
+    return key.rpartition("/")[2]
+
+
+def _put(rows: dict[str, Versioned[R]], row: Row, kind: type[R]) -> None:
+    """Store or delete a row under the name at the end of its key."""
+    name = last_part(row.key)
+    if row.value is None:
+        rows.pop(name, None)
+        return
+    rows[name] = Versioned(decode(row.value, kind), row.revision)
--- /dev/null
+++ b/lycheelug/moves.py
@@ -0,0 +1,320 @@
+"""Which hosts change pool so that the fleet matches a sheet.
+
+Hosts never cross zones, so each zone is planned alone.  A pool that has
+more hosts than it wants gives up exactly its surplus, and a pool that has
+fewer takes exactly its deficit: no plan for the same sheet has fewer
+moves.  Hosts that no pool wants go to the spare pool; without one they
+stay where they are.  Which hosts are given up, and who takes them, is
+chosen so that a pool's hosts spread over racks: a pool gives from the rack
+where it has most, and takes from the rack where it has fewest.
+
+Cost: n log n in the hosts, plus pools times racks.  No host is moved for
+the spread alone.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.platform.interface import HostRole, HostState
+from lycheelug.records import HostPhase
+from lycheelug.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.fleet import FleetSnapshot
+    from lycheelug.records import HostRow
+    from lycheelug.sheet import Sheet
+
+__all__ = [
+    "MOVE_PLANNERS",
+    "Move",
+    "assigned_pool",
+    "final_layout",
+    "plan_moves",
+    "plan_placement",
+]
+
+
+class Move:
+    """One host changes pool; a source of "" means a host new to the fleet."""
+
+    __slots__ = ("host", "rack", "source", "target", "zone")
+
+    def __init__(
+        self, host: str, zone: str, rack: str, source: str, target: str
+    ) -> None:
+        self.host = host
+        self.zone = zone
+        self.rack = rack
+        self.source = source
+        self.target = target
+
+    def __repr__(self) -> str:
+        return f"Move({self.host}: {self.source or '-'} -> {self.target})"
+
+
+# Each planner returns moves, and placements of new hosts, for a sheet.
+MOVE_PLANNERS: Final[
+    Registry[Callable[[Sheet, FleetSnapshot], list[Move]]]
+] = Registry("move planner")
+
+
+class _Host:
+    """A usable worker and the pool that it is in or on its way to."""
+
+    __slots__ = ("name", "order", "pool", "rack", "row")
+
+    def __init__(
+        self, name: str, rack: str, pool: str, row: HostRow | None
+    ) -> None:
+        self.name = name
+        self.rack = rack
+        self.pool = pool
+        self.row = row
+        self.order = _release_order(row)
+
+
+def _release_order(row: HostRow | None) -> int:
+    """Rank hosts of one rack: those already out of service go first."""
+    if row is None or row.phase is HostPhase.SERVING:
+        return 1
+    return 0 if row.target else 2
+
+
+def assigned_pool(row: HostRow) -> str:
+    """Return the pool that a host is in, or on its way to."""
+    if row.phase is HostPhase.DRAINING and row.target:
+        return row.target
+    return row.pool
+
+
+class _RackQueue:
+    """Hosts by rack, given out from the rack that holds most."""
+
+    __slots__ = ("_heap", "_racks")
+
+    def __init__(self, hosts: list[_Host]) -> None:
+        self._racks: dict[str, list[_Host]] = {}
+        for host in hosts:
+            self._racks.setdefault(host.rack, []).append(host)
+        for members in self._racks.values():
+            members.sort(key=lambda host: (host.order, host.name))
+            members.reverse()
+        self._heap = [
+            (-len(members), rack) for rack, members in self._racks.items()
+        ]
+        heapq.heapify(self._heap)
+
+    def pop(self) -> _Host:
+        count, rack = heapq.heappop(self._heap)
+        host = self._racks[rack].pop()
+        if count + 1:
+            heapq.heappush(self._heap, (count + 1, rack))
+        return host
+
+
+class _ZonePlan:
+    """The planning of one zone."""
+
+    __slots__ = (
+        "_members",
+        "_sheet",
+        "_supply",
+        "_takers",
+        "_wanted",
+        "_zone",
+        "moves",
+    )
+
+    def __init__(self, sheet: Sheet, zone: str, hosts: list[_Host]) -> None:
+        self._sheet = sheet
+        self._zone = zone
+        self._members: dict[str, list[_Host]] = {}
+        for host in hosts:
+            self._members.setdefault(host.pool, []).append(host)
+        self._wanted = {pool: sheet.wanted(pool, zone) for pool in sheet.pools}
+        spare = sheet.spare
+        if spare is not None:
+            left = len(hosts) - sum(self._wanted.values())
+            self._wanted[spare.name] += max(0, left)
+        # Hosts to be placed, by rack; the best one of a rack comes last.
+        self._supply: dict[str, list[_Host]] = {}
+        self._takers: dict[str, list[tuple[int, str]]] = {}
+        self.moves: list[Move] = []
+
+    def run(self) -> None:
+        """Fill `moves`."""
+        self._undo_moves()
+        free = self._members.pop("", [])
+        free.sort(key=lambda host: host.name)
+        deficits = self._deficits()
+        needed = sum(deficits.values())
+        self._release(max(0, needed - len(free)))
+        for host in reversed(free):
+            self._supply.setdefault(host.rack, []).append(host)
+        self._hand_out(deficits)
+
+    def _count(self, pool: str) -> int:
+        return len(self._members.get(pool, ()))
+
+    def _surplus(self, pool: str) -> int:
+        return max(0, self._count(pool) - self._wanted.get(pool, 0))
+
+    def _deficits(self) -> dict[str, int]:
+        deficits: dict[str, int] = {}
+        for pool, wanted in self._wanted.items():
+            missing = wanted - self._count(pool)
+            if missing > 0:
+                deficits[pool] = missing
+        return deficits
+
+    def _undo_moves(self) -> None:
+        """Send hosts on their way to a full pool back to a short one."""
+        for pool in sorted(self._members):
+            surplus = self._surplus(pool)
+            for host in sorted(self._members[pool], key=lambda h: h.name):
+                if not surplus:
+                    break
+                if host.row is None or host.row.pool == pool:
+                    continue
+                home = host.row.pool
+                if self._count(home) >= self._wanted.get(home, 0):
+                    continue
+                self._members[pool].remove(host)
+                self._members.setdefault(home, []).append(host)
+                self._add(host, home)
+                surplus -= 1
+
+    def _release(self, needed: int) -> None:
+        """Take up to `needed` hosts from pools that have a surplus."""
+        queues: dict[str, _RackQueue] = {}
+        donors: list[tuple[int, str]] = []
+        for pool, members in self._members.items():
+            surplus = self._surplus(pool)
+            if surplus:
+                donors.append((-surplus, pool))
+                queues[pool] = _RackQueue(members)
+        heapq.heapify(donors)
+        while needed and donors:
+            surplus, pool = heapq.heappop(donors)
+            host = queues[pool].pop()
+            self._supply.setdefault(host.rack, []).append(host)
+            if surplus + 1:
+                heapq.heappush(donors, (surplus + 1, pool))
+            needed -= 1
+
+    def _hand_out(self, deficits: dict[str, int]) -> None:
+        """Give the supply to the pool that has least of what it wants."""
+        order = [(*self._urgency(pool), pool) for pool in deficits]
+        heapq.heapify(order)
+        while order:
+            pool = heapq.heappop(order)[-1]
+            host = self._take(pool)
+            if host is None:
+                return
+            self._members.setdefault(pool, []).append(host)
+            self._add(host, pool)
+            deficits[pool] -= 1
+            if deficits[pool]:
+                heapq.heappush(order, (*self._urgency(pool), pool))
+
+    def _urgency(self, pool: str) -> tuple[bool, float]:
+        """Rank a pool: the spare pool last, then by weighted fill."""
+        spec = self._sheet.pools[pool]
+        if not spec.weight:
+            return spec.spare, float("inf")
+        fill = self._count(pool) / self._wanted[pool]
+        return spec.spare, fill / spec.weight
+
+    def _take(self, pool: str) -> _Host | None:
+        """Return a host of the rack where the pool has fewest."""
+        heap = self._takers.get(pool)
+        if heap is None:
+            counts = Counter(h.rack for h in self._members.get(pool, ()))
+            heap = [(counts[rack], rack) for rack in self._supply]
+            heapq.heapify(heap)
+            self._takers[pool] = heap
+        while heap:
+            count, rack = heapq.heappop(heap)
+            if not self._supply[rack]:
+                continue
+            heapq.heappush(heap, (count + 1, rack))
+            return self._supply[rack].pop()
+        return None
+
+    def _add(self, host: _Host, target: str) -> None:
+        self.moves.append(
+            Move(host.name, self._zone, host.rack, host.pool, target)
+        )
+
+
+@MOVE_PLANNERS.register("minimal")
+def plan_placement(sheet: Sheet, fleet: FleetSnapshot) -> list[Move]:
+    """Return all moves, and the placements of hosts new to the fleet."""
+    moves: list[Move] = []
+    zones = _usable_by_zone(fleet)
+    for zone in sorted(zones):
+        plan = _ZonePlan(sheet, zone, zones[zone])
+        plan.run()
+        moves.extend(plan.moves)
+    return moves
+
+
+@MOVE_PLANNERS.register("naive")
+def plan_afresh(sheet: Sheet, fleet: FleetSnapshot) -> list[Move]:
+    """Fill pools in order of name, whatever hosts they have (baseline)."""
+    moves: list[Move] = []
+    zones = _usable_by_zone(fleet)
+    for zone in sorted(zones):
+        hosts = sorted(zones[zone], key=lambda host: host.name)
+        hosts.reverse()
+        for pool in sorted(sheet.pools):
+            for _ in range(min(sheet.wanted(pool, zone), len(hosts))):
+                host = hosts.pop()
+                if host.pool != pool:
+                    moves.append(
+                        Move(host.name, zone, host.rack, host.pool, pool)
+                    )
+        spare = sheet.spare
+        for host in hosts:
+            if spare is not None and host.pool != spare.name:
+                moves.append(
+                    Move(host.name, zone, host.rack, host.pool, spare.name)
+                )
+    return moves
+
+
+def plan_moves(sheet: Sheet, fleet: FleetSnapshot) -> list[Move]:
+    """Return the fewest moves after which the fleet matches the sheet."""
+    return [move for move in plan_placement(sheet, fleet) if move.source]
+
+
+def final_layout(sheet: Sheet, fleet: FleetSnapshot) -> dict[str, str]:
+    """Return the pool of each usable host once the sheet is matched."""
+    layout: dict[str, str] = {}
+    for hosts in _usable_by_zone(fleet).values():
+        for host in hosts:
+            if host.pool:
+                layout[host.name] = host.pool
+    for move in plan_placement(sheet, fleet):
+        layout[move.host] = move.target
+    return layout
+
+
+def _usable_by_zone(fleet: FleetSnapshot) -> dict[str, list[_Host]]:
+    zones: dict[str, list[_Host]] = {}
+    for entry in fleet.listed.values():
+        if entry.role is not HostRole.WORKER:
+            continue
+        if entry.state is not HostState.LIVE and not fleet.resting(entry.name):
+            continue
+        versioned = fleet.hosts.get(entry.name)
+        row = versioned.row if versioned is not None else None
+        pool = assigned_pool(row) if row is not None else ""
+        host = _Host(entry.name, entry.rack, pool, row)
+        zones.setdefault(entry.zone, []).append(host)
+    return zones
--- a/lycheelug/records.py
+++ b/lycheelug/records.py
@@ -14,19 +14,26 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "DEAD_ENTRY_PREFIX",
     "ENTRY_EPOCH_KEY",
     "ENTRY_PREFIX",
     "HOST_PREFIX",
+    "PLAN_LEASE_PREFIX",
     "POOL_PREFIX",
     "SHEET_KEY",
+    "DeadEntryRow",
     "EntryRow",
     "HostPhase",
     "HostRow",
+    "PlanLeaseRow",
     "PoolRow",
+    "SheetRow",
+    "dead_entry_key",
     "decode",
     "encode",
     "entry_key",
     "host_key",
+    "plan_lease_key",
     "pool_key",
 ]
 
@@ -38,6 +45,8 @@
 ENTRY_EPOCH_KEY: Final = "entry-epoch"
 CONFIG_KEY: Final = "config/current"
 SHEET_KEY: Final = "sheet/current"
+PLAN_LEASE_PREFIX: Final = "plan-lease/"
+DEAD_ENTRY_PREFIX: Final = "dead-entry/"
 
 R = TypeVar("R", bound=msgspec.Struct)
 
@@ -68,6 +77,11 @@
     target: str = ""
     maintained_at: float = 0.0
     address: str = ""
+    # When the phase was entered, in Unix seconds by its writer's clock.
+    since: float = 0.0
+    # In MAINTENANCE: the revision of the platform's host list at which the
+    # host was seen to have left.  It is back once a later one says live.
+    list_revision: int = 0
 
 
 class PoolRow(msgspec.Struct):
@@ -86,6 +100,41 @@
     wanted: dict[str, int] = {}
     quotas: dict[str, float] = {}
     out: list[str] = []
+    # Keep the budget also if one more rack fails during a planned stop.
+    survive_rack: bool = False
+    # The revision of the sheet row whose wishes this row holds.
+    sheet_revision: int = 0
+
+
+class SheetRow(msgspec.Struct):
+    """The accepted sheet, and the nonces of the latest submissions.
+
+    A submission whose answer was lost is found by its nonce, also after
+    another sheet has replaced it.
+    """
+
+    text: str
+    operator: str
+    nonce: str
+    submitted_at: float = 0.0
+    recent_nonces: list[str] = []
+
+
+class PlanLeaseRow(msgspec.Struct):
+    """Who drives a zone's plan; it only avoids that two do the same work."""
+
+    zone: str
+    driver: str
+    until: float
+
+
+class DeadEntryRow(msgspec.Struct):
+    """An operator's word that a run of an entry daemon has ended."""
+
+    name: str
+    run: str
+    operator: str
+    declared_at: float
 
 
 class EntryRow(msgspec.Struct):
@@ -116,6 +165,16 @@
     return f"{ENTRY_PREFIX}{name}"
 
 
+def plan_lease_key(zone: str) -> str:
+    """Return the key of the row that names a zone's driver."""
+    return f"{PLAN_LEASE_PREFIX}{zone}"
+
+
+def dead_entry_key(name: str) -> str:
+    """Return the key of the row that says an entry daemon is dead."""
+    return f"{DEAD_ENTRY_PREFIX}{name}"
+
+
 def encode(row: msgspec.Struct) -> bytes:
     """Return the stored form of a row."""
     return msgspec.json.encode(row)
--- /dev/null
+++ b/lycheelug/sheet.py
@@ -0,0 +1,383 @@
+"""The morning sheet: what it holds, and the parser of its CSV form.
+
+A sheet is one rectangle of cells, as spreadsheets export it.  Its first
+column names the kind of each row (`pool`, `quota` or `window`); a header
+row names the columns, which may stand in any order.  The parser reads on
+after a fault, so that one pass reports all of them.  It judges the text
+alone: `sheet_checks` compares a sheet with the fleet.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Result, Success
+
+from lycheelug.sheet_cells import (
+    Cell,
+    CellError,
+    DecimalMark,
+    parse_days,
+    parse_flag,
+    parse_integer,
+    parse_minute,
+    parse_name,
+    parse_number,
+    parse_share,
+)
+from lycheelug.sheet_faults import SheetFault, SheetFaults
+from lycheelug.sheet_rows import HOSTS_PREFIX, RowReader, SheetLine
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = [
+    "MAX_SHEET_CHARACTERS",
+    "PoolSpec",
+    "Sheet",
+    "SheetFault",
+    "SheetFaults",
+    "WindowSpec",
+    "parse_sheet",
+]
+
+MAX_SHEET_CHARACTERS: Final = 1_000_000
+MAX_HOSTS_PER_CELL: Final = 100_000
+MAX_SLOTS: Final = 1_024
+MAX_CONNECTIONS: Final = 65_536
+MAX_WEIGHT: Final = 1_000.0
+DEFAULT_SLOTS: Final = 8
+DEFAULT_CONNECTIONS: Final = 64
+DEFAULT_WEIGHT: Final = 1.0
+# Shares are decimal fractions: their sum may miss 1 by rounding.
+SHARE_TOLERANCE: Final = 1e-6
+
+
+class PoolSpec:
+    """What the sheet asks of one pool; `wanted` counts hosts by zone."""
+
+    __slots__ = (
+        "columns",
+        "connections",
+        "line",
+        "min_available",
+        "name",
+        "quotas",
+        "slots",
+        "spare",
+        "survive_rack",
+        "wanted",
+        "weight",
+    )
+
+    def __init__(self, name: str, line: int = 0) -> None:
+        self.name = name
+        self.line = line
+        self.wanted: dict[str, int] = {}
+        self.min_available = 0
+        self.survive_rack = False
+        self.weight = DEFAULT_WEIGHT
+        self.spare = False
+        self.slots = DEFAULT_SLOTS
+        self.connections = DEFAULT_CONNECTIONS
+        self.quotas: dict[str, float] = {}
+        # Column numbers by heading, for faults found after the parse.
+        self.columns: dict[str, int] = {}
+
+    @property
+    def hosts(self) -> int:
+        """Hosts wanted in all zones together."""
+        return sum(self.wanted.values())
+
+
+class WindowSpec:
+    """A maintenance window in UTC; zone "" stands for every zone.
+
+    A window whose end is not after its start runs past midnight and
+    belongs to the day on which it starts.
+    """
+
+    __slots__ = ("days", "end_minute", "line", "start_minute", "zone")
+
+    def __init__(
+        self,
+        zone: str,
+        days: tuple[int, ...],
+        start_minute: int,
+        end_minute: int,
+        line: int = 0,
+    ) -> None:
+        self.zone = zone
+        self.days = days
+        self.start_minute = start_minute
+        self.end_minute = end_minute
+        self.line = line
+
+
+class Sheet:
+    """One morning sheet: pools by name, and maintenance windows."""
+
+    __slots__ = ("pools", "windows")
+
+    def __init__(
+        self, pools: dict[str, PoolSpec], windows: list[WindowSpec]
+    ) -> None:
+        self.pools = pools
+        self.windows = windows
+
+    @property
+    def spare(self) -> PoolSpec | None:
+        """The pool that takes the hosts that no other pool wants."""
+        for pool in self.pools.values():
+            if pool.spare:
+                return pool
+        return None
+
+    def wanted(self, pool: str, zone: str) -> int:
+        """Return how many hosts a pool wants in a zone."""
+        spec = self.pools.get(pool)
+        return spec.wanted.get(zone, 0) if spec is not None else 0
+
+
+class _Quota:
+    """A quota row, applied once all pools are known."""
+
+    __slots__ = ("pool", "row", "share", "tenant")
+
+    def __init__(
+        self, row: SheetLine, pool: str, tenant: str, share: float
+    ) -> None:
+        self.row = row
+        self.pool = pool
+        self.tenant = tenant
+        self.share = share
+
+
+class _Builder:
+    """Collects a sheet and its faults row by row."""
+
+    __slots__ = ("_mark", "faults", "pools", "quotas", "windows")
+
+    def __init__(self, mark: DecimalMark) -> None:
+        self._mark = mark
+        self.faults: list[SheetFault] = []
+        self.pools: dict[str, PoolSpec] = {}
+        self.quotas: dict[tuple[str, str], _Quota] = {}
+        self.windows: list[WindowSpec] = []
+
+    def add(self, row: SheetLine) -> None:
+        """Take in one row of a known kind."""
+        if row.kind == "pool":
+            self._add_pool(row)
+        elif row.kind == "quota":
+            self._add_quota(row)
+        else:
+            self._add_window(row)
+
+    def _read(
+        self, cell: Cell, parse: Callable[[str], object]
+    ) -> object | None:
+        """Return a cell's value, or None after noting its fault."""
+        try:
+            return parse(cell.text)
+        except CellError as error:
+            self.faults.append(
+                SheetFault(
+                    cell.line,
+                    cell.column,
+                    cell.heading,
+                    cell.text,
+                    error.allowed,
+                    error.remedy,
+                )
+            )
+            return None
+
+    def _name(self, row: SheetLine, heading: str) -> str | None:
+        value = self._read(row.cell(heading), parse_name)
+        return value if isinstance(value, str) else None
+
+    def _integer(self, cell: Cell, default: int, low: int, high: int) -> int:
+        if not cell.text:
+            return default
+        value = self._read(
+            cell, lambda text: parse_integer(text, low, high, self._mark)
+        )
+        return value if isinstance(value, int) else default
+
+    def _add_pool(self, row: SheetLine) -> None:
+        name = self._name(row, "pool")
+        spec = PoolSpec(name or "", row.line)
+        spec.columns = row.columns
+        for cell in row.cells_with_prefix(HOSTS_PREFIX):
+            zone = cell.heading.removeprefix(HOSTS_PREFIX)
+            spec.wanted[zone] = self._integer(cell, 0, 0, MAX_HOSTS_PER_CELL)
+        spec.min_available = self._integer(
+            row.cell("min_available"), 0, 0, MAX_HOSTS_PER_CELL
+        )
+        spec.slots = self._integer(
+            row.cell("slots"), DEFAULT_SLOTS, 1, MAX_SLOTS
+        )
+        spec.connections = self._integer(
+            row.cell("connections"), DEFAULT_CONNECTIONS, 1, MAX_CONNECTIONS
+        )
+        spec.survive_rack = (
+            self._read(row.cell("survive_rack"), parse_flag) is True
+        )
+        spec.spare = self._read(row.cell("spare"), parse_flag) is True
+        spec.weight = self._weight(row.cell("weight"))
+        if name is None:
+            return
+        if name in self.pools:
+            first = self.pools[name].line
+            self._duplicate(row.cell("pool"), f"pool {name}", first)
+            return
+        self.pools[name] = spec
+
+    def _weight(self, cell: Cell) -> float:
+        if not cell.text:
+            return DEFAULT_WEIGHT
+        value = self._read(
+            cell,
+            lambda text: parse_number(text, 0.0, MAX_WEIGHT, self._mark),
+        )
+        return value if isinstance(value, float) else DEFAULT_WEIGHT
+
+    def _add_quota(self, row: SheetLine) -> None:
+        pool = ""
+        if row.cell("pool").text:
+            pool = self._name(row, "pool") or ""
+        tenant = self._name(row, "tenant")
+        share = self._read(
+            row.cell("share"), lambda text: parse_share(text, self._mark)
+        )
+        if tenant is None or not isinstance(share, float):
+            return
+        other = self.quotas.get((pool, tenant))
+        if other is not None:
+            what = f"quota of {tenant} in {pool or 'every pool'}"
+            self._duplicate(row.cell("tenant"), what, other.row.line)
+            return
+        self.quotas[(pool, tenant)] = _Quota(row, pool, tenant, share)
+
+    def _add_window(self, row: SheetLine) -> None:
+        zone = ""
+        if row.cell("zone").text:
+            zone = self._name(row, "zone") or ""
+        days = self._read(row.cell("days"), parse_days)
+        start = self._read(row.cell("start"), parse_minute)
+        end = self._read(row.cell("end"), parse_minute)
+        if not isinstance(days, tuple):
+            return
+        if not isinstance(start, int) or not isinstance(end, int):
+            return
+        for other in self.windows:
+            same = (other.zone, other.days) == (zone, days)
+            if same and (other.start_minute, other.end_minute) == (start, end):
+                self._duplicate(row.cell("start"), "window", other.line)
+                return
+        self.windows.append(WindowSpec(zone, days, start, end, row.line))
+
+    def _duplicate(self, cell: Cell, what: str, first: int) -> None:
+        self.faults.append(
+            SheetFault(
+                cell.line,
+                cell.column,
+                cell.heading,
+                cell.text,
+                f"one line for each; {what} stands on line {first} already",
+                "delete one of the two lines",
+            )
+        )
+
+    def finish(self) -> None:
+        """Apply quotas to pools and judge the sheet as a whole."""
+        # Quotas of one pool go before those of every pool.
+        for quota in sorted(
+            self.quotas.values(), key=lambda quota: not quota.pool
+        ):
+            self._apply(quota)
+        for pool in self.pools.values():
+            self._check_shares(pool)
+        self._check_spare()
+
+    def _apply(self, quota: _Quota) -> None:
+        if quota.pool and quota.pool not in self.pools:
+            cell = quota.row.cell("pool")
+            known = ", ".join(sorted(self.pools)) or "none"
+            self.faults.append(
+                SheetFault(
+                    cell.line,
+                    cell.column,
+                    cell.heading,
+                    cell.text,
+                    f"a pool of this sheet: {known}",
+                    "correct the name, or add a pool row",
+                )
+            )
+            return
+        for pool in self.pools.values():
+            if quota.pool == pool.name:
+                pool.quotas[quota.tenant] = quota.share
+            elif not quota.pool:
+                pool.quotas.setdefault(quota.tenant, quota.share)
+
+    def _check_shares(self, pool: PoolSpec) -> None:
+        total = sum(pool.quotas.values())
+        if total <= 1.0 + SHARE_TOLERANCE:
+            return
+        self.faults.append(
+            SheetFault(
+                pool.line,
+                pool.columns.get("pool", 0),
+                "pool",
+                pool.name,
+                f"quotas of at most 100% together; they are {total:.1%}",
+                "lower the shares of this pool's quota rows",
+            )
+        )
+
+    def _check_spare(self) -> None:
+        spares = [pool for pool in self.pools.values() if pool.spare]
+        for pool in spares[1:]:
+            self.faults.append(
+                SheetFault(
+                    pool.line,
+                    pool.columns.get("spare", 0),
+                    "spare",
+                    pool.name,
+                    f"one spare pool; {spares[0].name} is one already",
+                    "clear the spare cell of one of them",
+                )
+            )
+
+
+def parse_sheet(text: str) -> Result[Sheet, SheetFaults]:
+    r"""Return the sheet that a CSV text holds, or all of its faults.
+
+    >>> text = "kind;pool;hosts:arima\r\npool;quotes;3\r\n"
+    >>> parse_sheet(text).unwrap().wanted("quotes", "arima")
+    3
+    >>> print(parse_sheet("kind,pool\npool,*").failure())
+    ... # doctest: +ELLIPSIS
+    line 2, column 2 (pool): found '*'; allowed: a name of 1 to 63...
+    """
+    if len(text) > MAX_SHEET_CHARACTERS:
+        fault = SheetFault(
+            1,
+            1,
+            "",
+            f"{len(text)} characters",
+            f"at most {MAX_SHEET_CHARACTERS} characters",
+            "export only the sheet itself",
+        )
+        return Failure(SheetFaults([fault]))
+    reader = RowReader(text)
+    builder = _Builder(reader.decimal_mark)
+    for row in reader.rows():
+        builder.add(row)
+    builder.finish()
+    faults = [*reader.faults, *builder.faults]
+    if faults:
+        return Failure(SheetFaults(faults))
+    return Success(Sheet(builder.pools, builder.windows))
--- /dev/null
+++ b/lycheelug/sheet_checks.py
@@ -0,0 +1,180 @@
+"""Checks of a sheet against the fleet: refuses what no fleet can match.
+
+Each check is registered by name and returns faults.  The layout that a
+sheet leads to is found by planning its moves, so a budget is judged by the
+racks that the pool's hosts would really stand in.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.moves import final_layout
+from lycheelug.registry import Registry
+from lycheelug.sheet_faults import SheetFault
+from lycheelug.sheet_rows import HOSTS_PREFIX
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.fleet import FleetSnapshot
+    from lycheelug.sheet import PoolSpec, Sheet
+
+__all__ = ["SHEET_CHECKS", "check_sheet"]
+
+SHEET_CHECKS: Final[
+    Registry[Callable[[Sheet, FleetSnapshot], list[SheetFault]]]
+] = Registry("sheet check")
+
+
+def check_sheet(sheet: Sheet, fleet: FleetSnapshot) -> list[SheetFault]:
+    """Return every reason for which the fleet can't become the sheet."""
+    faults: list[SheetFault] = []
+    for name in SHEET_CHECKS:
+        faults.extend(SHEET_CHECKS.get(name)(sheet, fleet))
+    faults.sort(key=lambda fault: (fault.line, fault.column))
+    return faults
+
+
+@SHEET_CHECKS.register("zones")
+def _check_zones(sheet: Sheet, fleet: FleetSnapshot) -> list[SheetFault]:
+    """Refuse zones without hosts."""
+    known = fleet.zones()
+    allowed = "a zone with hosts: " + (", ".join(known) or "none")
+    faults: list[SheetFault] = []
+    told: set[str] = set()
+    for pool in sheet.pools.values():
+        for zone in pool.wanted:
+            if zone in known or zone in told:
+                continue
+            told.add(zone)
+            faults.append(
+                _zone_fault(pool, zone, zone, allowed, "correct the heading")
+            )
+    for window in sheet.windows:
+        if not window.zone or window.zone in known:
+            continue
+        faults.append(
+            SheetFault(
+                window.line,
+                0,
+                "zone",
+                window.zone,
+                allowed,
+                "correct the zone, or leave it empty for every zone",
+            )
+        )
+    return faults
+
+
+@SHEET_CHECKS.register("capacity")
+def _check_capacity(sheet: Sheet, fleet: FleetSnapshot) -> list[SheetFault]:
+    """Refuse to ask a zone for more hosts than it has."""
+    have = Counter(entry.zone for entry in fleet.usable_workers())
+    wanted: Counter[str] = Counter()
+    last: dict[str, PoolSpec] = {}
+    for pool in sheet.pools.values():
+        for zone, hosts in pool.wanted.items():
+            wanted[zone] += hosts
+            if hosts:
+                last[zone] = pool
+    faults: list[SheetFault] = []
+    known = fleet.zones()
+    for zone in sorted(last):
+        if zone not in known or wanted[zone] <= have[zone]:
+            continue
+        faults.append(
+            _zone_fault(
+                last[zone],
+                zone,
+                f"{wanted[zone]} hosts in all pools up to this line",
+                f"at most {have[zone]}, the hosts in {zone} that are up",
+                f"lower the column's sum by {wanted[zone] - have[zone]}",
+            )
+        )
+    return faults
+
+
+@SHEET_CHECKS.register("budgets")
+def _check_budgets(sheet: Sheet, fleet: FleetSnapshot) -> list[SheetFault]:
+    """Refuse a budget that never lets out some host of its pool."""
+    racks = _rack_counts(sheet, fleet)
+    faults: list[SheetFault] = []
+    for pool in sheet.pools.values():
+        counts = racks.get(pool.name, Counter())
+        total = max(counts.total(), pool.hosts)
+        if not total and not pool.min_available:
+            continue
+        most = total - 1
+        if pool.survive_rack:
+            most -= _rack_reserve(counts)
+        if pool.min_available <= most:
+            continue
+        kept = ", also if a rack fails" if pool.survive_rack else ""
+        faults.append(
+            SheetFault(
+                pool.line,
+                pool.columns.get("min_available", 0),
+                "min_available",
+                str(pool.min_available),
+                f"at most {max(most, 0)}, so that one of the pool's {total} "
+                f"hosts can be out for maintenance{kept}",
+                "lower the budget, or give the pool more hosts",
+            )
+        )
+    return faults
+
+
+def _rack_reserve(counts: Counter[str]) -> int:
+    """Return the hosts that one more rack may take, one being out.
+
+    The host that is out is taken as one of another rack than the largest,
+    since every host has its turn; a pool in one rack has no other.
+    """
+    if not counts:
+        return 0
+    largest = max(counts.values())
+    return largest - 1 if len(counts) == 1 else largest
+
+
+def _rack_counts(
+    sheet: Sheet, fleet: FleetSnapshot
+) -> dict[str, Counter[str]]:
+    """Return each pool's hosts by rack once the sheet is matched."""
+    counts: dict[str, Counter[str]] = {}
+    for host, pool in final_layout(sheet, fleet).items():
+        entry = fleet.listed[host]
+        rack = f"{entry.zone}/{entry.rack}"
+        counts.setdefault(pool, Counter())[rack] += 1
+    return counts
+
+
+@SHEET_CHECKS.register("removed-pools")
+def _check_removed(sheet: Sheet, fleet: FleetSnapshot) -> list[SheetFault]:
+    """Refuse to leave out a pool that still has hosts."""
+    left: Counter[str] = Counter()
+    for versioned in fleet.hosts.values():
+        row = versioned.row
+        for pool in {row.pool, row.target} - {""}:
+            if pool not in sheet.pools:
+                left[pool] += 1
+    return [
+        SheetFault(
+            0,
+            0,
+            "pool",
+            f"no row for pool {pool}, which has {left[pool]} hosts",
+            "pools without hosts may be left out",
+            "list it with 0 hosts first; leave it out once it is empty",
+        )
+        for pool in sorted(left)
+    ]
+
+
+def _zone_fault(
+    pool: PoolSpec, zone: str, found: str, allowed: str, remedy: str
+) -> SheetFault:
+    heading = HOSTS_PREFIX + zone
+    column = pool.columns.get(heading, 0)
+    return SheetFault(pool.line, column, heading, found, allowed, remedy)
--- /dev/null
+++ b/lycheelug/sheet_rows.py
@@ -0,0 +1,255 @@
+"""Rows of a sheet's CSV text, with the places of their cells.
+
+Finds the separator, skips what spreadsheets add (byte order mark, `sep=`
+line, blank lines, repeated headers), and reports rows that no kind takes.
+"""
+
+from __future__ import annotations
+
+import csv
+import io
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.sheet_cells import Cell, CellError, DecimalMark, parse_name
+from lycheelug.sheet_faults import SheetFault
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ["HOSTS_PREFIX", "RowReader", "SheetLine"]
+
+# A column `hosts:<zone>` counts the hosts that a pool wants in that zone.
+HOSTS_PREFIX: Final = "hosts:"
+_SEPARATORS: Final = (",", ";", "\t")
+_KIND: Final = "kind"
+_COLUMNS: Final = {
+    "pool": frozenset(
+        {
+            "pool",
+            "min_available",
+            "survive_rack",
+            "weight",
+            "spare",
+            "slots",
+            "connections",
+        }
+    ),
+    "quota": frozenset({"pool", "tenant", "share"}),
+    "window": frozenset({"zone", "days", "start", "end"}),
+}
+_HEADINGS: Final = frozenset().union(*_COLUMNS.values())
+
+
+class SheetLine:
+    """One row of a known kind, its cells by heading."""
+
+    __slots__ = ("_cells", "_width", "columns", "kind", "line")
+
+    def __init__(
+        self, kind: str, line: int, cells: dict[str, Cell], width: int
+    ) -> None:
+        self.kind = kind
+        self.line = line
+        self._cells = cells
+        self._width = width
+        self.columns = {name: cell.column for name, cell in cells.items()}
+
+    def cell(self, heading: str) -> Cell:
+        """Return the cell under a heading; empty where there is none."""
+        found = self._cells.get(heading)
+        return found or Cell(self.line, self._width + 1, heading, "")
+
+    def cells_with_prefix(self, prefix: str) -> list[Cell]:
+        """Return the cells whose headings start with a prefix."""
+        return [
+            cell
+            for heading, cell in self._cells.items()
+            if heading.startswith(prefix)
+        ]
+
+
+class RowReader:
+    """Reads a text's rows; `faults` is complete after the last row."""
+
+    __slots__ = ("_lines_before", "_separator", "_text", "faults")
+
+    def __init__(self, text: str) -> None:
+        text = text.removeprefix("\ufeff")
+        self._lines_before = 0
+        self._separator = _find_separator(text)
+        first, _, rest = text.partition("\n")
+        if first.strip().lower() == f"sep={self._separator}".strip():
+            text = rest
+            self._lines_before = 1
+        self._text = text
+        self.faults: list[SheetFault] = []
+
+    @property
+    def decimal_mark(self) -> DecimalMark:
+        """The decimal marks that numbers of this sheet may have."""
+        if self._separator == ",":
+            return DecimalMark.POINT
+        return DecimalMark.POINT_OR_COMMA
+
+    def rows(self) -> Iterator[SheetLine]:
+        """Yield the rows that hold data."""
+        headings: list[str] | None = None
+        for line, cells in self._cells():
+            if not any(cells):
+                continue
+            if cells[0].lower() == _KIND:
+                headings = self._read_header(line, cells)
+                continue
+            if headings is None:
+                self._add(
+                    line,
+                    1,
+                    _KIND,
+                    cells[0],
+                    "a header row whose first cell is 'kind'",
+                    "put the header row first",
+                )
+                return
+            row = self._read_row(line, cells, headings)
+            if row is not None:
+                yield row
+        if headings is None:
+            self._add(
+                1, 1, _KIND, "", "a header row", "export the whole sheet"
+            )
+
+    def _cells(self) -> Iterator[tuple[int, list[str]]]:
+        """Yield each row's first line and its stripped cells."""
+        reader = csv.reader(
+            io.StringIO(self._text, newline=""),
+            delimiter=self._separator,
+            strict=True,
+        )
+        line = self._lines_before + 1
+        try:
+            for cells in reader:
+                yield line, [cell.strip() for cell in cells]
+                line = self._lines_before + reader.line_num + 1
+        except csv.Error as error:
+            self._add(
+                line, 0, "", str(error), "CSV", "close the cell's quotes"
+            )
+
+    def _read_header(self, line: int, cells: list[str]) -> list[str]:
+        headings: list[str] = []
+        for index, cell in enumerate(cells):
+            heading = cell
+            if not cell.lower().startswith(HOSTS_PREFIX):
+                heading = cell.lower().replace(" ", "_")
+            else:
+                zone = cell[len(HOSTS_PREFIX) :].strip()
+                heading = HOSTS_PREFIX + zone
+            self._check_heading(line, index + 1, heading, headings)
+            headings.append(heading)
+        return headings
+
+    def _check_heading(
+        self, line: int, column: int, heading: str, before: list[str]
+    ) -> None:
+        if not heading or (heading == _KIND and column == 1):
+            return
+        if heading in before:
+            self._add(
+                line,
+                column,
+                heading,
+                heading,
+                "each heading once",
+                "delete or rename one of the columns",
+            )
+            return
+        if heading.startswith(HOSTS_PREFIX):
+            try:
+                parse_name(heading.removeprefix(HOSTS_PREFIX))
+            except CellError as error:
+                self._add(
+                    line,
+                    column,
+                    heading,
+                    heading,
+                    error.allowed,
+                    "name a zone, as in hosts:arima",
+                )
+            return
+        if heading in _HEADINGS:
+            return
+        allowed = ", ".join([*sorted(_HEADINGS), HOSTS_PREFIX + "<zone>"])
+        self._add(
+            line, column, heading, heading, allowed, "correct the heading"
+        )
+
+    def _read_row(
+        self, line: int, cells: list[str], headings: list[str]
+    ) -> SheetLine | None:
+        kind = cells[0].lower()
+        if kind not in _COLUMNS:
+            self._add(
+                line,
+                1,
+                _KIND,
+                cells[0],
+                ", ".join(sorted(_COLUMNS)),
+                "correct the row's kind",
+            )
+            return None
+        found: dict[str, Cell] = {}
+        for index, text in enumerate(cells[1:], start=1):
+            heading = headings[index] if index < len(headings) else ""
+            if not self._takes(kind, heading):
+                self._check_unused(line, index + 1, heading, text, kind)
+                continue
+            found[heading] = Cell(line, index + 1, heading, text)
+        return SheetLine(kind, line, found, len(cells))
+
+    @staticmethod
+    def _takes(kind: str, heading: str) -> bool:
+        if kind == "pool" and heading.startswith(HOSTS_PREFIX):
+            return True
+        return heading in _COLUMNS[kind]
+
+    def _check_unused(
+        self, line: int, column: int, heading: str, text: str, kind: str
+    ) -> None:
+        if not text:
+            return
+        known = heading in _HEADINGS or heading.startswith(HOSTS_PREFIX)
+        if heading and not known:
+            # The header row's own fault says it once.
+            return
+        self._add(
+            line,
+            column,
+            heading,
+            text,
+            f"an empty cell in a {kind} row",
+            "clear the cell, or move it under its heading",
+        )
+
+    def _add(
+        self,
+        line: int,
+        column: int,
+        heading: str,
+        found: str,
+        allowed: str,
+        remedy: str,
+    ) -> None:
+        self.faults.append(
+            SheetFault(line, column, heading, found, allowed, remedy)
+        )
+
+
+def _find_separator(text: str) -> str:
+    """Return the separator that the first line with cells uses most."""
+    for line in text.splitlines():
+        if line.lower().startswith("sep=") and line[4:] in _SEPARATORS:
+            return line[4]
+        if not line.strip(" ,;\t\r"):
+            continue
+        return max(_SEPARATORS, key=line.count)
+    return ","
