Keep the membership of entry daemons by gossip and table rows

Cause: daemons join, leave, freeze and are cut off at any time, and a drain must know whom it waits for. Conclusion: age never ends a run.

--- /dev/null
+++ b/lycheelug/entries/gossip.py
@@ -0,0 +1,166 @@
+"""The loop that exchanges digests with the other entry daemons.
+
+Once a second with one partner of the own zone, and every few seconds with
+one of another zone.  The digest is published anew before each exchange.
+Clock, random source and sleep are injected, so tests run without waiting.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Success
+
+from lycheelug.digest_exchange import DigestExchange
+from lycheelug.membership import LEFT
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from lycheelug.entries.client import EntryClients
+    from lycheelug.entries.messages import Digest
+    from lycheelug.membership import Members
+
+__all__ = ["GOSSIP_PERIOD_S", "Gossip", "GossipCounters"]
+
+GOSSIP_PERIOD_S: Final = 1.0
+# An exchange with another zone every so many rounds.
+_OUTSIDE_ROUNDS: Final = 3
+_JITTER: Final = 0.2
+_LEAVE_TIMEOUT_S: Final = 1.0
+
+
+class GossipCounters:
+    """Counts of exchanges since the start."""
+
+    __slots__ = ("answered", "completed", "digests", "failed", "rounds")
+
+    def __init__(self) -> None:
+        self.rounds = 0
+        self.completed = 0
+        self.failed = 0
+        self.answered = 0
+        self.digests = 0
+
+
+class Gossip:
+    """Exchanges digests until stopped; also answers exchanges.
+
+    `publish` is called before each exchange, and replaces the own digest
+    by `members.publish`.  `on_change` is called with the names of which
+    newer digests came.
+    """
+
+    __slots__ = (
+        "_clients",
+        "_clock",
+        "_counters",
+        "_exchange",
+        "_members",
+        "_on_change",
+        "_publish",
+        "_rng",
+        "_sleep",
+        "_task",
+    )
+
+    def __init__(
+        self,
+        members: Members,
+        clients: EntryClients,
+        publish: Callable[[], object],
+        clock: Callable[[], float],
+        rng: random.Random,
+        sleep: Callable[[float], Awaitable[object]] = asyncio.sleep,
+        on_change: Callable[[Sequence[str]], object] | None = None,
+    ) -> None:
+        self._members = members
+        self._clients = clients
+        self._publish = publish
+        self._clock = clock
+        self._rng = rng
+        self._sleep = sleep
+        self._on_change = on_change
+        self._exchange = DigestExchange(members)
+        self._counters = GossipCounters()
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def counters(self) -> GossipCounters:
+        """Counts of exchanges since the start."""
+        return self._counters
+
+    def start(self) -> None:
+        """Start the loop."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop the loop; running exchanges are cut."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._task = None
+
+    async def leave(self) -> None:
+        """Tell all members that the own run ends, and wait shortly."""
+        self._publish()
+        own = self._members.own
+        own.state = LEFT
+        calls = []
+        for line in self._members.status(self._clock()):
+            if line.name == own.name or not line.address:
+                continue
+            calls.append(self._clients.get(line.address).leave(own))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(_LEAVE_TIMEOUT_S):
+                await asyncio.gather(*calls)
+
+    def answer(self, received: Sequence[Digest]) -> list[Digest]:
+        """Take in a partner's digests; return what it lacks."""
+        self._publish()
+        self._counters.answered += 1
+        self._counters.digests += len(received)
+        news = self._exchange.answer(received, self._clock())
+        self._notify([digest.name for digest in received])
+        return news
+
+    async def round(self, number: int) -> None:
+        """Exchange with the partners of one round."""
+        now = self._clock()
+        self._counters.rounds += 1
+        self._members.forget_ended(now)
+        partners = self._members.choose_partners(self._rng, now, in_zone=True)
+        if number % _OUTSIDE_ROUNDS == 0 or not partners:
+            partners += self._members.choose_partners(
+                self._rng, now, in_zone=False
+            )
+        calls = [self._exchange_with(address) for address in partners]
+        await asyncio.gather(*calls)
+
+    async def _run(self) -> None:
+        number = 0
+        while True:
+            await self.round(number)
+            number += 1
+            spread = 1 + _JITTER * (2 * self._rng.random() - 1)
+            await self._sleep(GOSSIP_PERIOD_S * spread)
+
+    async def _exchange_with(self, address: str) -> None:
+        self._publish()
+        sent = self._exchange.request(address)
+        match await self._clients.get(address).exchange(sent):
+            case Success(received):
+                self._counters.completed += 1
+                self._counters.digests += len(received)
+                now = self._clock()
+                self._notify(self._exchange.complete(sent, received, now))
+            case Failure(_):
+                self._counters.failed += 1
+
+    def _notify(self, names: Sequence[str]) -> None:
+        if names and self._on_change is not None:
+            self._on_change(names)
--- /dev/null
+++ b/lycheelug/entries/join.py
@@ -0,0 +1,184 @@
+"""Joining, leaving and being removed, through the platform's table.
+
+A join is one transaction: it writes the daemon's row and the join epoch,
+guarded on the revisions of both.  A plan step is guarded on the join epoch,
+so it either saw the new daemon or committed before it joined.  The
+transaction's revision R is therefore a barrier: once the daemon's view has
+reached R, it holds every step that did not wait for it, and may dispatch.
+
+A lost answer is resolved by the run named in the row.  All operations can
+be repeated by anyone.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheelug.errors import (
+    ENTRY_NAME_TAKEN,
+    PLATFORM_INVALID,
+    PLATFORM_UNKNOWN,
+    ErrorCode,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.platform.interface import (
+    ABSENT,
+    Commit,
+    Guard,
+    Row,
+    Transaction,
+    Write,
+)
+from lycheelug.records import (
+    ENTRY_EPOCH_KEY,
+    EntryRow,
+    decode,
+    encode,
+    entry_key,
+)
+
+if TYPE_CHECKING:
+    import random
+
+    from lycheelug.platform.interface import Platform
+
+__all__ = ["confirm_entry", "join", "remove_entry"]
+
+_ATTEMPTS: Final = 8
+
+
+async def join(
+    platform: Platform, entry: EntryRow, rng: random.Random
+) -> Result[int, Fault]:
+    """Join; return the revision that the view must reach before serving.
+
+    The daemon must listen on `entry.address` already: a row of an earlier
+    run with the same address is then replaced, since that run can't be
+    listening any more.  A row with another address, or of a later run, is
+    a fault: an operator removes it, or gives the daemon another name.
+    """
+    fault = _fault(PLATFORM_UNKNOWN, "no attempt came through")
+    for _ in range(_ATTEMPTS):
+        match await _join_once(platform, entry, rng):
+            case Success(int(revision)):
+                return Success(revision)
+            case Success(_):
+                continue
+            case Failure(failed):
+                fault = failed
+                if fault.code is PLATFORM_UNKNOWN:
+                    continue
+                break
+    return Failure(fault)
+
+
+async def _join_once(
+    platform: Platform, entry: EntryRow, rng: random.Random
+) -> Result[int | None, Fault]:
+    """Try once; None where another write came first."""
+    key = entry_key(entry.name)
+    epoch = await platform.read(ENTRY_EPOCH_KEY)
+    present = await platform.read(key)
+    match epoch, present:
+        case Success(epoch_row), Success(entry_row):
+            pass
+        case (Failure(fault), _) | (_, Failure(fault)):
+            return Failure(fault)
+    match _entry_of(entry_row):
+        case Success(EntryRow() as found) if found.run == entry.run:
+            return Success(entry_row.revision)
+        case Success(EntryRow() as found) if not _may_replace(found, entry):
+            detail = f"held by run {found.run} at {found.address}"
+            return Failure(_fault(ENTRY_NAME_TAKEN, detail))
+        case Failure(fault):
+            return Failure(fault)
+    transaction = Transaction(
+        [
+            Guard(ENTRY_EPOCH_KEY, _revision_of(epoch_row)),
+            Guard(key, _revision_of(entry_row)),
+        ],
+        [
+            Write(ENTRY_EPOCH_KEY, entry.run.encode()),
+            Write(key, encode(entry)),
+        ],
+        f"{entry.run}-{rng.getrandbits(64):016x}",
+    )
+    return (await platform.transact(transaction)).map(_commit_revision)
+
+
+async def remove_entry(
+    platform: Platform, entry: EntryRow, rng: random.Random
+) -> Result[bool, Fault]:
+    """End a run in the table; False where another run holds the name.
+
+    Used by a daemon that leaves, for a run whose host is gone, and for one
+    that an operator declares dead.  A run that never joined is ended by a
+    row without an address.  After an unknown outcome, call it again.
+    """
+    key = entry_key(entry.name)
+    value: bytes | None = None
+    match await platform.read(key):
+        case Success(None):
+            ended = EntryRow(entry.name, entry.zone, "", entry.run)
+            guard = Guard(key, ABSENT)
+            value = encode(ended)
+        case Success(Row() as row):
+            match _entry_of(row):
+                case Success(EntryRow() as found) if found.run != entry.run:
+                    return Success(False)
+                case Failure(fault):
+                    return Failure(fault)
+            guard = Guard(key, row.revision)
+        case Failure(fault):
+            return Failure(fault)
+    nonce = f"{entry.run}-{rng.getrandbits(64):016x}"
+    transaction = Transaction([guard], [Write(key, value)], nonce)
+    committed = (await platform.transact(transaction)).map(_commit_revision)
+    return committed.map(lambda revision: revision is not None)
+
+
+async def confirm_entry(
+    platform: Platform, name: str, join_revision: int, rng: random.Random
+) -> Result[int | None, Fault]:
+    """Return a revision at which the own row still stood; None if not.
+
+    Reads may lag and transactions don't, so this asks by a transaction
+    that only has a guard.  A daemon that stood still may act again once
+    its view has reached the revision returned.
+    """
+    nonce = f"{name}-{rng.getrandbits(64):016x}"
+    guard = Guard(entry_key(name), join_revision)
+    answer = await platform.transact(Transaction([guard], [], nonce))
+    return answer.map(_commit_revision)
+
+
+def _may_replace(found: EntryRow, entry: EntryRow) -> bool:
+    if found.run > entry.run:
+        return False
+    return found.address in {"", entry.address}
+
+
+def _commit_revision(answer: object) -> int | None:
+    return answer.revision if isinstance(answer, Commit) else None
+
+
+def _revision_of(row: Row | None) -> int:
+    return ABSENT if row is None else row.revision
+
+
+def _entry_of(row: Row | None) -> Result[EntryRow | None, Fault]:
+    if row is None or row.value is None:
+        return Success(None)
+    try:
+        return Success(decode(row.value, EntryRow))
+    except msgspec.MsgspecError as error:
+        return Failure(_fault(PLATFORM_INVALID, str(error)))
+
+
+def _fault(code: ErrorCode, detail: str) -> Fault:
+    return Fault(code, Step.JOIN, Peer.PLATFORM, detail)
--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -239,6 +239,11 @@
 ENTRY_INVALID: Final = _code(
     "entry-invalid", 502, "The entry daemon's message was not understood."
 )
+ENTRY_NAME_TAKEN: Final = _code(
+    "entry-name-taken",
+    409,
+    "Another run of the daemon holds its name in the platform's table.",
+)
 
 
 class Fault:
--- /dev/null
+++ b/lycheelug/member.py
@@ -0,0 +1,191 @@
+"""One member of the set of entry daemons: its run, state and digest.
+
+Runs of one name are ordered by their text, digests of one run by their
+sequence.
+
+Pure: time and random source are arguments.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+if TYPE_CHECKING:
+    import random
+
+    from lycheelug.entries.messages import Digest
+    from lycheelug.records import EntryRow
+
+__all__ = [
+    "LEFT",
+    "EndedRuns",
+    "Member",
+    "MemberState",
+    "MemberStatus",
+    "Thresholds",
+    "is_newer",
+    "new_run",
+]
+
+# The state in the last digest of a run.
+LEFT: Final = "left"
+
+_MAX_ENDED_RUNS: Final = 4096
+
+
+def new_run(wall_time_s: float, rng: random.Random, after: str = "") -> str:
+    """Return a run's name that sorts after the earlier runs of a daemon.
+
+    `after` is the highest run known of this daemon, for a host whose clock
+    was set back.
+
+    >>> import random
+    >>> first = new_run(1000.0, random.Random(1))
+    >>> first < new_run(999.0, random.Random(2), after=first)
+    True
+    """
+    started_ms = int(wall_time_s * 1000)
+    if after:
+        started_ms = max(started_ms, int(after.partition("-")[0], 16) + 1)
+    return f"{started_ms:012x}-{rng.getrandbits(32):08x}"
+
+
+class MemberState(StrEnum):
+    """How a member stands, as far as this daemon knows.
+
+    SILENT members may be cut off and still serve; GONE ones have ended.
+    """
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    SILENT = "silent"
+    GONE = "gone"
+
+
+class Thresholds:
+    """Ages of the newest digest at which a member's state changes."""
+
+    __slots__ = ("silent_s", "suspect_s")
+
+    def __init__(
+        self, suspect_s: float = 10.0, silent_s: float = 30.0
+    ) -> None:
+        self.suspect_s = suspect_s
+        self.silent_s = silent_s
+
+
+class MemberStatus:
+    """One line of the membership shown to operators."""
+
+    __slots__ = (
+        "address",
+        "age_s",
+        "config_revision",
+        "joined",
+        "name",
+        "run",
+        "state",
+        "table_revision",
+        "zone",
+    )
+
+    def __init__(
+        self, member: Member, state: MemberState, age_s: float
+    ) -> None:
+        digest = member.digest
+        self.name = member.name
+        self.zone = member.zone
+        self.address = member.address
+        self.run = member.run
+        self.state = state
+        self.age_s = age_s
+        self.joined = member.row is not None
+        self.table_revision = digest.table_revision if digest else 0
+        self.config_revision = digest.config_revision if digest else 0
+
+
+class Member:
+    """What is known of one name; its run is "" until a run is known."""
+
+    __slots__ = (
+        "address",
+        "digest",
+        "ended_at",
+        "heard_at",
+        "name",
+        "row",
+        "run",
+        "zone",
+    )
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
+        self.zone = ""
+        self.address = ""
+        self.run = ""
+        self.digest: Digest | None = None
+        self.row: EntryRow | None = None
+        self.heard_at = now
+        self.ended_at: float | None = None
+
+    def take(self, digest: Digest, now: float) -> None:
+        """Take in a newer digest of the member's run."""
+        self.digest = _with_loads(digest, self.digest)
+        self.zone = digest.zone
+        self.address = digest.address
+        self.heard_at = now
+
+    def state(self, now: float, thresholds: Thresholds) -> MemberState:
+        """Return how the member stands at this time."""
+        if self.ended_at is not None:
+            return MemberState.GONE
+        age_s = now - self.heard_at
+        if age_s > thresholds.silent_s:
+            return MemberState.SILENT
+        if age_s > thresholds.suspect_s or self.digest is None:
+            return MemberState.SUSPECT
+        return MemberState.ALIVE
+
+
+class EndedRuns:
+    """The runs that ended; the oldest are dropped over a limit.
+
+    >>> ended = EndedRuns()
+    >>> ended.add("r1")
+    >>> "r1" in ended, "r2" in ended
+    (True, False)
+    """
+
+    __slots__ = ("_runs",)
+
+    def __init__(self) -> None:
+        self._runs: dict[str, None] = {}
+
+    def __contains__(self, run: str) -> bool:
+        return run in self._runs
+
+    def add(self, run: str) -> None:
+        """Note that a run ended; "" stands for no run."""
+        if not run:
+            return
+        self._runs[run] = None
+        if len(self._runs) > _MAX_ENDED_RUNS:
+            del self._runs[next(iter(self._runs))]
+
+
+def is_newer(digest: Digest, known: Digest | None) -> bool:
+    """Return whether a digest tells more than the one known."""
+    if known is None or digest.sequence > known.sequence:
+        return True
+    completes = known.summary and not digest.summary
+    return digest.sequence == known.sequence and completes
+
+
+def _with_loads(digest: Digest, known: Digest | None) -> Digest:
+    """Keep the older loads where a newer copy comes without them."""
+    if not digest.summary or known is None or known.summary:
+        return digest
+    return msgspec.structs.replace(digest, loads=known.loads, summary=False)
