--- a/lycheelug/member.py
+++ b/lycheelug/member.py
@@ -13,15 +13,19 @@
 
 import msgspec
 
+from lycheelug.platform.interface import HostRole, HostState
+
 if TYPE_CHECKING:
     import random
 
     from lycheelug.entries.messages import Digest
+    from lycheelug.platform.interface import HostEntry
     from lycheelug.records import EntryRow
 
 __all__ = [
     "LEFT",
     "EndedRuns",
+    "GoneHosts",
     "Member",
     "MemberState",
     "MemberStatus",
@@ -34,6 +38,7 @@
 LEFT: Final = "left"
 
 _MAX_ENDED_RUNS: Final = 4096
+_MAX_GONE_HOSTS: Final = 1024
 
 
 def new_run(wall_time_s: float, rng: random.Random, after: str = "") -> str:
@@ -77,6 +82,29 @@
         self.silent_s = silent_s
 
 
+class GoneHosts:
+    """Entry hosts that the platform's lagging list says are gone."""
+
+    __slots__ = ("_addresses",)
+
+    def __init__(self) -> None:
+        self._addresses: dict[str, str] = {}
+
+    def apply(self, host: HostEntry) -> None:
+        """Take in a line of the list; the oldest go over a limit."""
+        if host.role is not HostRole.ENTRY:
+            return
+        self._addresses.pop(host.name, None)
+        if host.state is HostState.GONE:
+            self._addresses[host.name] = host.address
+        if len(self._addresses) > _MAX_GONE_HOSTS:
+            del self._addresses[next(iter(self._addresses))]
+
+    def items(self) -> list[tuple[str, str]]:
+        """Return names and addresses."""
+        return list(self._addresses.items())
+
+
 class MemberStatus:
     """One line of the membership shown to operators."""
 
--- a/lycheelug/membership.py
+++ b/lycheelug/membership.py
@@ -28,6 +28,7 @@
 from lycheelug.member import (
     LEFT,
     EndedRuns,
+    GoneHosts,
     Member,
     MemberState,
     MemberStatus,
@@ -35,7 +36,6 @@
     is_newer,
     new_run,
 )
-from lycheelug.platform.interface import HostRole, HostState
 from lycheelug.records import EntryRow
 
 if TYPE_CHECKING:
@@ -55,7 +55,6 @@
 ]
 
 _MAX_MEMBERS: Final = 256
-_MAX_GONE_HOSTS: Final = 1024
 _FORGET_S: Final = 300.0
 # One choice in this many goes to a member that is not heard, so that two
 # sides of a partition find each other again.
@@ -91,7 +90,7 @@
         self._thresholds = thresholds or Thresholds()
         self._members: dict[str, Member] = {}
         self._ended_runs = EndedRuns()
-        self._gone_hosts: dict[str, str] = {}
+        self._gone_hosts = GoneHosts()
         self._sponsored: dict[str, None] = {}
         self._own_row_seen = False
         self._superseded = False
@@ -137,6 +136,10 @@
         )
         return self._own
 
+    def end_own(self) -> None:
+        """Take in that the platform no longer knows the own run."""
+        self._superseded = True
+
     def sponsor(self, newcomer: str) -> None:
         """List a daemon that takes its view from here and has no row yet."""
         member = self._members.get(newcomer)
@@ -198,13 +201,7 @@
 
     def apply_host(self, host: HostEntry) -> None:
         """Take in an entry host's line of the platform's lagging list."""
-        if host.role is not HostRole.ENTRY:
-            return
-        self._gone_hosts.pop(host.name, None)
-        if host.state is HostState.GONE:
-            self._gone_hosts[host.name] = host.address
-        if len(self._gone_hosts) > _MAX_GONE_HOSTS:
-            del self._gone_hosts[next(iter(self._gone_hosts))]
+        self._gone_hosts.apply(host)
 
     def removable(self, now: float) -> list[EntryRow]:
         """Return the runs to remove: host gone by the list, and silent.
@@ -235,9 +232,8 @@
         if name == self._own.name:
             return self._own
         member = self._members.get(name)
-        if member is None or member.ended_at is not None:
-            return None
-        return member.digest
+        is_known = member is not None and member.ended_at is None
+        return member.digest if member and is_known else None
 
     def alive(self, now: float) -> list[Digest]:
         """Return the newest digests of the others that are heard."""
--- /dev/null
+++ b/lycheelug/platform/watch.py
@@ -0,0 +1,181 @@
+"""Keeps a daemon's view up to date by polling the platform for deltas.
+
+One round reads each prefix of the view and the host list since the
+revisions reached, about every two seconds, with jitter so that daemons
+don't ask together.  While the platform is away the period grows to a limit
+and the view stays as it is.  A store that no longer knows the deletions
+since a revision is read anew from 0.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Success
+
+from lycheelug.errors import REVISION_FORGOTTEN
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from lycheelug.fleet_view import FleetView
+    from lycheelug.platform.interface import HostEntry, Platform, Row
+
+__all__ = ["POLL_PERIOD_S", "Watch", "WatchCounters"]
+
+POLL_PERIOD_S: Final = 2.0
+# Bounds how late a configuration is learnt after an outage.
+_MAX_PERIOD_S: Final = 4.0
+_JITTER: Final = 0.2
+_CATCH_UP_S: Final = 0.05
+
+
+class WatchCounters:
+    """Counts of polling since the start; `bytes` of keys and values."""
+
+    __slots__ = ("bytes", "failures", "reads", "rows", "stale")
+
+    def __init__(self) -> None:
+        self.reads = 0
+        self.failures = 0
+        self.stale = 0
+        self.rows = 0
+        self.bytes = 0
+
+
+class Watch:
+    """Polls until stopped, and hands on what changed.
+
+    `on_rows` is called with the table's rows that changed, and
+    `on_entry_hosts` with the entry hosts in a delta of the host list.
+    """
+
+    __slots__ = (
+        "_counters",
+        "_failed_rounds",
+        "_on_entry_hosts",
+        "_on_rows",
+        "_platform",
+        "_rng",
+        "_sleep",
+        "_task",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        view: FleetView,
+        rng: random.Random,
+        on_rows: Callable[[Sequence[Row]], object],
+        on_entry_hosts: Callable[[Sequence[HostEntry]], object],
+        sleep: Callable[[float], Awaitable[object]] = asyncio.sleep,
+    ) -> None:
+        self._platform = platform
+        self._view = view
+        self._rng = rng
+        self._on_rows = on_rows
+        self._on_entry_hosts = on_entry_hosts
+        self._sleep = sleep
+        self._counters = WatchCounters()
+        self._failed_rounds = 0
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def counters(self) -> WatchCounters:
+        """Counts of polling since the start."""
+        return self._counters
+
+    @property
+    def view(self) -> FleetView:
+        """The view that is kept up to date."""
+        return self._view
+
+    @property
+    def is_platform_away(self) -> bool:
+        """True while the last round failed."""
+        return self._failed_rounds > 0
+
+    def start(self) -> None:
+        """Start the loop."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop the loop."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self._task = None
+
+    async def poll(self) -> bool:
+        """Read everything once; return whether all reads were answered."""
+        succeeded = True
+        for prefix in self._view.prefixes:
+            succeeded &= await self._poll_prefix(prefix)
+        succeeded &= await self._poll_hosts()
+        self._failed_rounds = 0 if succeeded else self._failed_rounds + 1
+        return succeeded
+
+    async def reach(self, revision: int) -> None:
+        """Poll until the view has reached a revision; cancel to give up."""
+        while True:
+            await self.poll()
+            if self._view.revision >= revision:
+                return
+            await self._sleep(_CATCH_UP_S)
+
+    async def _run(self) -> None:
+        while True:
+            await self.poll()
+            await self._sleep(self._period_s())
+
+    def _period_s(self) -> float:
+        doublings = min(self._failed_rounds, 8)
+        period_s = min(POLL_PERIOD_S * (1 << doublings), _MAX_PERIOD_S)
+        return period_s * (1 + _JITTER * (2 * self._rng.random() - 1))
+
+    async def _poll_prefix(self, prefix: str) -> bool:
+        asked = self._view.reached(prefix)
+        self._counters.reads += 1
+        answer = await self._platform.read_since(prefix, asked)
+        match answer:
+            case Failure(fault) if fault.code is REVISION_FORGOTTEN:
+                asked = 0
+                self._counters.reads += 1
+                answer = await self._platform.read_since(prefix, asked)
+        match answer:
+            case Success(delta):
+                pass
+            case _:
+                self._counters.failures += 1
+                return False
+        self._count(delta.rows)
+        if delta.revision < self._view.reached(prefix):
+            self._counters.stale += 1
+        changed = self._view.apply(prefix, delta, complete=asked == 0)
+        if changed:
+            self._on_rows(changed)
+        return True
+
+    async def _poll_hosts(self) -> bool:
+        self._counters.reads += 1
+        asked = self._view.host_list_revision
+        match await self._platform.hosts_since(asked):
+            case Success(delta):
+                pass
+            case _:
+                self._counters.failures += 1
+                return False
+        entry_hosts = self._view.apply_hosts(delta)
+        if entry_hosts:
+            self._on_entry_hosts(entry_hosts)
+        return True
+
+    def _count(self, rows: Sequence[Row]) -> None:
+        self._counters.rows += len(rows)
+        for row in rows:
+            size = len(row.key) + len(row.value or b"")
+            self._counters.bytes += size
--- /dev/null
+++ b/tests/test_refresh.py
@@ -0,0 +1,131 @@
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import pytest
+from returns.result import Failure, Result, Success
+
+from lycheelug.entries.client import EntryClient
+from lycheelug.entries.join import join, remove_entry
+from lycheelug.entries.messages import Digest, ViewReply, ViewRequest
+from lycheelug.entries.refresh import Refresh
+from lycheelug.errors import (
+    ENTRY_UNREACHABLE,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.fleet_view import FleetView
+from lycheelug.membership import Members
+from lycheelug.pause import PauseDetector
+from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.platform.watch import Watch
+from lycheelug.records import EntryRow
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lycheelug.platform.interface import (
+        Commit,
+        Conflict,
+        Delta,
+        Row,
+        Transaction,
+    )
+
+ENTRY = EntryRow("e1", "arima", "10.0.0.1:7000", "r5")
+
+
+class CutPlatform(MemoryPlatform):
+    """A platform that can be away."""
+
+    away = False
+
+    async def read_since(
+        self, prefix: str, revision: int
+    ) -> Result[Delta, Fault]:
+        if self.away:
+            return Failure(self._fault(Step.READ))
+        return await super().read_since(prefix, revision)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Commit | Conflict, Fault]:
+        if self.away:
+            return Failure(self._fault(Step.WRITE))
+        return await super().transact(transaction)
+
+    def _fault(self, step: Step) -> Fault:
+        return Fault(PLATFORM_UNREACHABLE, step, Peer.PLATFORM)
+
+
+class PeerClient(EntryClient):
+    """A peer of a zone, with a view of its own."""
+
+    def __init__(self, zone: str, reachable: bool = True) -> None:
+        super().__init__("10.0.0.2:7000")
+        self.view = FleetView(zone)
+        self.reachable = reachable
+
+    async def fetch_view(
+        self, request: ViewRequest
+    ) -> Result[ViewReply, Fault]:
+        if not self.reachable:
+            return Failure(Fault(ENTRY_UNREACHABLE, Step.READ, Peer.ENTRY))
+        return Success(self.view.rows_since(request.zone, request.revision))
+
+
+@pytest.mark.parametrize(
+    ("name", "away", "removed", "peers", "expected"),
+    [
+        ("platform answers", False, False, [], True),
+        ("removed while paused", False, True, [], False),
+        ("platform away, peer of the zone", True, False, ["arima"], True),
+        ("platform away, peer elsewhere", True, False, ["other"], False),
+        ("platform away, first peer too", True, False, ["", "arima"], True),
+        ("all alone", True, False, [], False),
+        ("removed, told by a peer", True, True, ["arima"], False),
+    ],
+)
+def test_after_a_pause(
+    name: str, away: bool, removed: bool, peers: list[str], expected: bool
+) -> None:
+    async def run() -> bool:
+        rng = random.Random(1)
+        platform = CutPlatform()
+        view = FleetView("arima")
+        own = Digest(
+            "e1", "arima", "r5", 0, ENTRY.address, "ready", 0, 0, [], [], []
+        )
+        members = Members(own)
+
+        def on_rows(rows: Sequence[Row]) -> None:
+            for row in rows:
+                if row.key == "entry/e1":
+                    entry = ENTRY if row.value else None
+                    members.apply_row("e1", entry, 0)
+
+        watch = Watch(platform, view, rng, on_rows, lambda _: None)
+        revision = (await join(platform, ENTRY, rng)).unwrap()
+        await watch.reach(revision)
+        pauses = PauseDetector(0.0, 2.0)
+        assert not pauses.may_act(60.0)
+        if removed:
+            await remove_entry(platform, ENTRY, rng)
+        clients = [PeerClient(zone, reachable=zone != "") for zone in peers]
+        for client in clients:
+            peer_watch = Watch(
+                platform, client.view, rng, lambda _: None, lambda _: None
+            )
+            await peer_watch.poll()
+        platform.away = away
+        refresh = Refresh(platform, view, watch, members, pauses, rng, on_rows)
+        acts = await refresh.run(revision, clients)
+        assert acts is pauses.may_act(60.1)
+        assert members.is_superseded is (removed and not acts)
+        return acts
+
+    assert asyncio.run(run()) is expected
