Join the whole path: daemon, operators' interface and command-line tool

Cause: a request has to be served end to end before anything is refined. Change: the daemon joins view, membership, scheduler and servers; operators read status, hosts, pools and histograms through lycheelug; a gate holds dispatches back after a pause until the view is fresh.

--- /dev/null
+++ b/lycheelug/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool, a thin client of any entry daemon."""
--- /dev/null
+++ b/lycheelug/cli/app.py
@@ -0,0 +1,29 @@
+"""The command line: the application and its commands."""
+
+from __future__ import annotations
+
+from cyclopts import App
+
+from lycheelug import __version__
+from lycheelug.cli import config_commands, fleet_commands, metric_commands
+
+__all__ = ["app", "main"]
+
+app = App(
+    name="lycheelug",
+    version=__version__,
+    help=(
+        "Look after pools, hosts and configuration through any entry "
+        "daemon.\n\n"
+        "Exit codes: 0 done, 1 refused or faults found, 2 wrong usage or "
+        "file, 3 daemon not reached, 4 outcome unknown."
+    ),
+)
+fleet_commands.register(app)
+metric_commands.register(app)
+config_commands.register(app)
+
+
+def main() -> None:
+    """Run the tool."""
+    app()
--- /dev/null
+++ b/lycheelug/cli/config_commands.py
@@ -0,0 +1,100 @@
+"""The commands `config show`, `config submit` and `config resolve`."""
+
+from __future__ import annotations
+
+import secrets
+import sys
+from pathlib import Path
+from urllib.parse import quote
+
+from cyclopts import App
+
+from lycheelug.cli.client import ExitCode, fail, read_file
+from lycheelug.cli.options import Common, CommonOptions
+from lycheelug.cli.output import print_json
+from lycheelug.operators.messages import ConfigReply
+
+__all__ = ["register"]
+
+
+def register(app: App) -> None:
+    """Add the commands to the application."""
+    group = App(name="config", help="Show and change the configuration.")
+    group.command(cmd_config_show, name="show")
+    group.command(cmd_config_submit, name="submit")
+    group.command(cmd_config_resolve, name="resolve")
+    app.command(group)
+
+
+def cmd_config_show(common: CommonOptions = None) -> None:
+    """Show the configuration in force on the daemon."""
+    common = common or Common()
+    reply = common.client.get("/v1/config", ConfigReply)
+    _print_reply(reply, common)
+
+
+def cmd_config_submit(
+    file: Path, *, submitter: str = "operator", common: CommonOptions = None
+) -> None:
+    """Submit a configuration, a JSON file, and tell what became of it.
+
+    Parameters
+    ----------
+    file
+        The file with the new configuration.
+    submitter
+        Your name, kept with the change.
+
+    """
+    common = common or Common()
+    body = read_file(file)
+    nonce = secrets.token_hex(8)
+    target = f"/v1/config?nonce={nonce}&submitter={quote(submitter)}"
+    sys.stderr.write(f"submission {nonce}\n")
+    reply = common.client.post(target, body, ConfigReply)
+    _end(reply, common)
+
+
+def cmd_config_resolve(nonce: str, common: CommonOptions = None) -> None:
+    """Tell what became of an earlier submission.
+
+    Parameters
+    ----------
+    nonce
+        The submission's nonce, as `config submit` printed it.
+
+    """
+    common = common or Common()
+    reply = common.client.get(f"/v1/config/{quote(nonce)}", ConfigReply)
+    _end(reply, common)
+
+
+def _end(reply: ConfigReply, common: Common) -> None:
+    """Print a submission's outcome and end with its code."""
+    _print_reply(reply, common)
+    if reply.outcome == "accepted":
+        return
+    if reply.outcome == "refused":
+        fail(f"refused: {reply.reason}", ExitCode.REFUSED)
+    fail(
+        f"unknown: {reply.reason}; ask again with "
+        f"'lycheelug config resolve {reply.nonce}'",
+        ExitCode.UNKNOWN,
+    )
+
+
+def _print_reply(reply: ConfigReply, common: Common) -> None:
+    """Print a configuration."""
+    if common.as_json:
+        print_json(reply)
+        return
+    if reply.outcome:
+        sys.stdout.write(f"{reply.outcome}: ")
+    sys.stdout.write(
+        f"revision {reply.revision} by {reply.submitter or '-'}\n"
+    )
+    if reply.missing:
+        names = ", ".join(reply.missing)
+        sys.stdout.write(f"not heard from: {names}\n")
+    if not reply.outcome:
+        sys.stdout.write(bytes(reply.body).decode() + "\n")
--- /dev/null
+++ b/lycheelug/entry_service.py
@@ -0,0 +1,52 @@
+"""What a daemon does with the messages of the other entry daemons."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from lycheelug.entries.messages import ConfigAnswer
+from lycheelug.entries.service import EntryHandler
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lycheelug.daemon import Daemon
+    from lycheelug.entries.messages import (
+        ConfigPush,
+        Digest,
+        ViewReply,
+        ViewRequest,
+    )
+
+__all__ = ["DaemonEntryHandler"]
+
+
+class DaemonEntryHandler(EntryHandler):
+    """Answers the other daemons for one daemon."""
+
+    __slots__ = ("_daemon",)
+
+    def __init__(self, daemon: Daemon) -> None:
+        self._daemon = daemon
+
+    async def exchange(self, digests: Sequence[Digest]) -> list[Digest]:
+        """Take in digests; return those that the sender lacks."""
+        return self._daemon.gossip.answer(digests)
+
+    async def fetch_view(self, request: ViewRequest) -> ViewReply:
+        """Return rows of the own view after a revision."""
+        if request.newcomer:
+            self._daemon.members.sponsor(request.newcomer)
+        return self._daemon.view.rows_since(request.zone, request.revision)
+
+    async def push_config(self, push: ConfigPush) -> ConfigAnswer:
+        """Prepare or accept a configuration, or tell the highest one."""
+        del push
+        return ConfigAnswer(
+            self._daemon.settings.name, held=False, reason="not ready"
+        )
+
+    async def leave(self, digest: Digest) -> None:
+        """Take in that a daemon's run ends."""
+        self._daemon.members.on_leave(digest, time.monotonic())
--- a/lycheelug/fleet_view.py
+++ b/lycheelug/fleet_view.py
@@ -149,6 +149,11 @@
         self._executors[pool] = found
         return found
 
+    def listed_state(self, name: str) -> HostState | None:
+        """Return what the platform's list says of a host of the zone."""
+        listed = self._listed.get(name)
+        return listed.state if listed is not None else None
+
     def address(self, name: str) -> str:
         """Return a host's address, "" where it isn't known."""
         listed = self._listed.get(name)
--- /dev/null
+++ b/lycheelug/operators/fleet_routes.py
@@ -0,0 +1,124 @@
+"""Operators' resources for the daemon, its hosts and its pools."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from lycheelug.http import Answer, json_answer
+from lycheelug.operators.messages import (
+    HostView,
+    MemberView,
+    PoolView,
+    StatusView,
+)
+from lycheelug.operators.routes import Call, route
+
+if TYPE_CHECKING:
+    from lycheelug.daemon import Daemon
+    from lycheelug.records import HostRow
+
+
+@route("GET", "/v1/status")
+async def get_status(daemon: Daemon, call: Call) -> Answer:
+    """Return the daemon's state and the members that it knows."""
+    del call
+    members: list[MemberView] = []
+    for line in daemon.members.status(time.monotonic()):
+        members.append(
+            MemberView(
+                line.name,
+                line.zone,
+                line.state.value,
+                line.address,
+                line.run,
+                line.joined,
+                line.age_s,
+                line.table_revision,
+                line.config_revision,
+            )
+        )
+    queued = sum(each.queued for each in daemon.pools.all())
+    view = StatusView(
+        name=daemon.settings.name,
+        zone=daemon.settings.zone,
+        run=daemon.run_id,
+        phase=daemon.phase.value,
+        uptime_s=daemon.uptime_s,
+        platform_binding=daemon.settings.platform.binding,
+        platform_reachable=not daemon.watch.is_platform_away,
+        table_revision=daemon.view.revision,
+        host_list_revision=daemon.view.host_list_revision,
+        config_revision=daemon.config_revision,
+        requests_in_flight=daemon.callers.in_flight,
+        requests_queued=queued,
+        connections=daemon.connections,
+        members=members,
+    )
+    return json_answer(200, view)
+
+
+@route("GET", "/v1/hosts")
+async def get_hosts(daemon: Daemon, call: Call) -> Answer:
+    """Return the hosts of the daemon's zone."""
+    del call
+    rows: list[HostView] = []
+    for _, row in sorted(daemon.view.hosts.items()):
+        rows.append(_host_view(daemon, row))
+    return json_answer(200, rows)
+
+
+def _host_view(daemon: Daemon, row: HostRow) -> HostView:
+    """Return one host as the daemon uses it."""
+    now = time.monotonic()
+    listed = daemon.view.listed_state(row.name)
+    scheduler = daemon.pools.get(row.pool)
+    use = "unused"
+    limit = 0
+    if scheduler is not None:
+        for executor in scheduler.executors.executors:
+            if executor.name == row.name:
+                use = "used"
+                limit = executor.limit
+        if row.name in scheduler.executors.ejected:
+            use = "ejected"
+    if daemon.leaving.is_leaving(row.name, now):
+        use = "leaving"
+    return HostView(
+        name=row.name,
+        zone=row.zone,
+        rack=row.rack,
+        pool=row.pool,
+        phase=row.phase.value,
+        listed=listed.value if listed else "",
+        address=daemon.view.address(row.name),
+        use=use,
+        in_flight=daemon.pools.in_flight_on(row.name),
+        limit=limit,
+    )
+
+
+@route("GET", "/v1/pools")
+async def get_pools(daemon: Daemon, call: Call) -> Answer:
+    """Return the pools as the daemon uses them."""
+    del call
+    rows: list[PoolView] = []
+    for name, row in sorted(daemon.view.pools.items()):
+        scheduler = daemon.pools.get(name)
+        if scheduler is None:
+            continue
+        executors = scheduler.executors
+        rows.append(
+            PoolView(
+                name=name,
+                min_available=row.min_available,
+                spare=row.spare,
+                hosts=len(executors.executors),
+                usable_slots=executors.capacity,
+                in_flight=executors.in_flight,
+                queued=scheduler.queued,
+                ejected=executors.ejected,
+                out=row.out,
+            )
+        )
+    return json_answer(200, rows)
--- /dev/null
+++ b/lycheelug/operators/messages.py
@@ -0,0 +1,95 @@
+"""What the operators' interface answers, as JSON.
+
+Shared by the daemon and the command-line tool, so that a field has one
+name in both.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+__all__ = [
+    "ConfigReply",
+    "HostView",
+    "MemberView",
+    "PoolView",
+    "StatusView",
+]
+
+
+class MemberView(msgspec.Struct):
+    """One entry daemon as the answering one sees it."""
+
+    name: str
+    zone: str
+    state: str
+    address: str
+    run: str
+    joined: bool
+    silent_s: float
+    table_revision: int
+    config_revision: int
+
+
+class StatusView(msgspec.Struct):
+    """The answering daemon and its view."""
+
+    name: str
+    zone: str
+    run: str
+    phase: str
+    uptime_s: float
+    platform_binding: str
+    platform_reachable: bool
+    table_revision: int
+    host_list_revision: int
+    config_revision: int
+    requests_in_flight: int
+    requests_queued: int
+    connections: int
+    members: list[MemberView]
+
+
+class HostView(msgspec.Struct):
+    """One worker host of the answering daemon's availability zone."""
+
+    name: str
+    zone: str
+    rack: str
+    pool: str
+    phase: str
+    listed: str
+    address: str
+    use: str
+    in_flight: int
+    limit: int
+
+
+class PoolView(msgspec.Struct):
+    """One pool as the answering daemon uses it."""
+
+    name: str
+    min_available: int
+    spare: bool
+    hosts: int
+    usable_slots: int
+    in_flight: int
+    queued: int
+    ejected: list[str]
+    out: list[str]
+
+
+class ConfigReply(msgspec.Struct):
+    """A configuration, or what became of a submission.
+
+    `outcome` is accepted, refused or unknown; "" where nothing was
+    submitted.
+    """
+
+    outcome: str
+    revision: int
+    nonce: str
+    submitter: str
+    body: msgspec.Raw
+    reason: str = ""
+    missing: list[str] = []
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -28,6 +28,7 @@
 
     from lycheelug.callers.request_headers import CallerRequest
     from lycheelug.dispatch import Executor
+    from lycheelug.freshness import FreshnessGate
     from lycheelug.http import Answer, ExchangeFault
     from lycheelug.metrics import Metrics
     from lycheelug.retries import Budget
@@ -96,6 +97,7 @@
         "_budget",
         "_clock",
         "_free",
+        "_gate",
         "_max_tries",
         "_metrics",
         "_upstreams",
@@ -107,8 +109,10 @@
         budget: Budget,
         max_tries: int,
         metrics: Metrics,
+        gate: FreshnessGate,
         clock: Callable[[], float],
     ) -> None:
+        self._gate = gate
         self._upstreams = upstreams
         self._budget = budget
         self._free = FreeRetries()
@@ -133,6 +137,7 @@
         deadline = arrived_at + wanted.timeout_s
         self._budget.on_first_try(arrived_at)
         while True:
+            await self._gate.pass_through()
             waited_from = self._clock()
             ticket = scheduler.make_ticket(
                 wanted.tenant, wanted.request_class, waited_from, deadline
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,255 @@
+"""Starts the project's programs as processes on loopback, for a test.
+
+Every process is started with a port of 0 and tells the ports that it got;
+waiting is on what a process says, never on time alone.  `Fleet` ends all
+that it started, by process id.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import msgspec
+
+from lycheelug.errors import Peer
+from lycheelug.http import Answer, HttpClient, RawHeaders, Request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["DaemonProcess", "Fleet", "Program", "http_call", "until"]
+
+START_TIMEOUT_S: Final = 20.0
+STOP_TIMEOUT_S: Final = 20.0
+POLL_S: Final = 0.02
+ROOT: Final = Path(__file__).resolve().parent.parent
+
+
+async def until(
+    condition: Callable[[], Any], timeout_s: float = START_TIMEOUT_S
+) -> None:
+    """Wait until a condition holds; raise TimeoutError where it doesn't.
+
+    The condition may be a coroutine function.
+    """
+    async with asyncio.timeout(timeout_s):
+        while True:
+            held = condition()
+            if asyncio.iscoroutine(held):
+                held = await held
+            if held:
+                return
+            await asyncio.sleep(POLL_S)
+
+
+async def http_call(
+    address: str,
+    method: str,
+    target: str,
+    body: bytes = b"",
+    headers: RawHeaders | None = None,
+    timeout_s: float = 30.0,
+) -> Answer:
+    """Return the answer to one request on a new connection."""
+    all_headers: RawHeaders = [
+        (b"host", address.encode()),
+        (b"content-length", str(len(body)).encode()),
+        *(headers or []),
+    ]
+    client = HttpClient(address, Peer.ENTRY)
+    try:
+        result = await client.request(
+            Request(method.encode(), target.encode(), all_headers, body),
+            timeout_s,
+        )
+    finally:
+        client.close()
+    answer: Answer = result.unwrap()
+    return answer
+
+
+class Program:
+    """One process; its lines on standard output and error are kept."""
+
+    __slots__ = ("_readers", "address", "lines", "name", "process")
+
+    def __init__(self, name: str, process: asyncio.subprocess.Process) -> None:
+        self.name = name
+        self.process = process
+        self.address = ""
+        self.lines: list[str] = []
+        self._readers: list[asyncio.Task[None]] = []
+        for stream in (process.stdout, process.stderr):
+            assert stream is not None
+            self._readers.append(asyncio.create_task(self._read(stream)))
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.returncode is None
+
+    async def wait_line(self, text: str) -> str:
+        """Return the first line that contains a text."""
+        await until(
+            lambda: not self.is_running or self._find(text) is not None
+        )
+        line = self._find(text)
+        if line is None:
+            output = "\n".join(self.lines)
+            raise RuntimeError(f"{self.name} ended early:\n{output}")
+        return line
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.is_running:
+            self.process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Return the exit code."""
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await self.process.wait()
+
+    async def stop(self) -> int:
+        """End the process gracefully, or by force where that fails."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        try:
+            return await self.wait()
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            return await self.wait()
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.send_signal(signal.SIGKILL)
+        await self.wait()
+
+    def _find(self, text: str) -> str | None:
+        for line in self.lines:
+            if text in line:
+                return line
+        return None
+
+    async def _read(self, stream: asyncio.StreamReader) -> None:
+        while True:
+            line = await stream.readline()
+            if not line:
+                return
+            self.lines.append(line.decode().rstrip("\n"))
+
+
+class DaemonProcess(Program):
+    """An entry daemon with its three addresses."""
+
+    __slots__ = ("callers", "entries", "operators")
+
+    async def wait_listening(self) -> None:
+        """Wait until the daemon serves, and learn its ports."""
+        line = await self.wait_line('"event":"listening"')
+        told = msgspec.json.decode(line)
+        self.callers = f"127.0.0.1:{told['callers']}"
+        self.operators = f"127.0.0.1:{told['operators']}"
+        self.entries = f"127.0.0.1:{told['entries']}"
+
+    async def get(self, target: str) -> Any:
+        """Return an operators' resource."""
+        answer = await http_call(self.operators, "GET", target)
+        return msgspec.json.decode(answer.body)
+
+
+class Fleet:
+    """All processes of one test; an asynchronous context manager."""
+
+    __slots__ = ("_directory", "daemons", "programs")
+
+    def __init__(self, directory: Path) -> None:
+        self._directory = directory
+        self.programs: list[Program] = []
+        self.daemons: dict[str, DaemonProcess] = {}
+
+    async def __aenter__(self) -> Fleet:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for program in self.programs:
+            program.send_signal(signal.SIGCONT)
+            program.send_signal(signal.SIGKILL)
+        for program in self.programs:
+            await program.process.wait()
+
+    async def start_program(self, name: str, *words: str) -> Program:
+        """Start `python -m ...` and wait for its `listening` line."""
+        program = Program(name, await self._spawn(words))
+        self.programs.append(program)
+        line = await program.wait_line("listening ")
+        program.address = line.split()[-1]
+        return program
+
+    async def start_upstream(self, name: str, *words: str) -> Program:
+        """Start a stand-in upstream."""
+        return await self.start_program(
+            name, "standins.upstream", "--name", name, *words
+        )
+
+    async def start_platform(self, *words: str) -> Program:
+        """Start the stand-in platform."""
+        return await self.start_program(
+            "platform", "standins.platform", *words
+        )
+
+    async def start_daemon(
+        self, name: str, settings: dict[str, Any], wait: bool = True
+    ) -> DaemonProcess:
+        """Start an entry daemon with the given settings."""
+        path = self._directory / f"{name}.yaml"
+        content: dict[str, Any] = {
+            "name": name,
+            "zone": "z1",
+            "listen": {
+                "callers": "127.0.0.1:0",
+                "operators": "127.0.0.1:0",
+                "entries": "127.0.0.1:0",
+            },
+            "logs": {"format": "json"},
+        }
+        content.update(settings)
+        # JSON is YAML.
+        path.write_bytes(msgspec.json.encode(content))
+        words = ("lycheelug.main", str(path))
+        daemon = DaemonProcess(name, await self._spawn(words))
+        self.programs.append(daemon)
+        self.daemons[name] = daemon
+        if wait:
+            await daemon.wait_listening()
+        return daemon
+
+    async def run_tool(self, *words: str) -> tuple[int, str]:
+        """Run the command-line tool; return its exit code and output."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            "from lycheelug.cli.app import main; main()",
+            *words,
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        output, _ = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, output.decode()
+
+    async def _spawn(
+        self, words: tuple[str, ...]
+    ) -> asyncio.subprocess.Process:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            *words,
+            cwd=ROOT,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
