Learn deletions from a peer's whole view

Change: a peer's view is read whole, from revision 0, and rows that it does not name are deleted; the last page names every row.

--- a/lycheelug/entries/refresh.py
+++ b/lycheelug/entries/refresh.py
@@ -39,8 +39,15 @@
     on_rows: Callable[[Sequence[Row]], object],
     newcomer: str = "",
 ) -> Result[bool, Fault]:
-    """Take in a peer's view; True where it holds the own zone's hosts."""
-    revision = view.revision
+    """Take in a peer's whole view.
+
+    Return whether it holds the own zone's hosts and is no older than the
+    own view.  The view is read from revision 0, since a peer need not know
+    the deletions before its start.
+    """
+    named: set[str] = set()
+    own_revision = view.revision
+    revision = 0
     for _ in range(_MAX_PAGES):
         request = ViewRequest(view.zone, revision, newcomer)
         match await client.fetch_view(request):
@@ -48,13 +55,22 @@
                 pass
             case Failure(fault):
                 return Failure(fault)
-        changed = view.apply_reply(reply)
-        if changed:
-            on_rows(changed)
-        if not reply.more:
-            break
+        named.update(row.key for row in reply.rows)
+        _notify(on_rows, view.apply_reply(reply))
         revision = reply.revision
-    return Success(reply.zone == view.zone)
+        if reply.more:
+            continue
+        _notify(on_rows, view.apply_whole(reply.zone, named, revision))
+        is_newer = revision >= own_revision
+        return Success(reply.zone == view.zone and is_newer)
+    return Success(False)
+
+
+def _notify(
+    on_rows: Callable[[Sequence[Row]], object], rows: Sequence[Row]
+) -> None:
+    if rows:
+        on_rows(rows)
 
 
 class Refresh:
--- a/lycheelug/entries/service.py
+++ b/lycheelug/entries/service.py
@@ -60,7 +60,10 @@
 
     @abstractmethod
     async def fetch_view(self, request: ViewRequest) -> ViewReply:
-        """Return rows of the own view after a revision."""
+        """Return rows of the own view after a revision.
+
+        A daemon whose view is stale after a pause raises GRPCError.
+        """
 
     @abstractmethod
     async def push_config(self, push: ConfigPush) -> ConfigAnswer:
--- a/lycheelug/fleet_view.py
+++ b/lycheelug/fleet_view.py
@@ -8,8 +8,7 @@
 
 The view lives on while the platform is away.  Deleted rows are kept as
 rows without a value, up to a limit, so that a late answer can't bring them
-back; a peer that asks from before the oldest kept deletion may miss one,
-and corrects it at its next whole read of the platform.
+back.  A whole read, from revision 0, also tells what does not exist.
 
 Pure: no I/O, no time.
 """
@@ -188,7 +187,8 @@
             return []
         changed = self._apply_rows(delta.rows)
         if complete:
-            changed += self._delete_absent(prefix, delta)
+            named = {row.key for row in delta.rows}
+            changed += self._delete_absent(prefix, named, delta.revision)
         self._reached[prefix] = delta.revision
         return changed
 
@@ -198,12 +198,22 @@
         for row in reply.rows:
             if self._prefix_of(row.key):
                 rows.append(Row(row.key, row.value, row.revision))
-        changed = self._apply_rows(rows)
+        return self._apply_rows(rows)
+
+    def apply_whole(
+        self, zone: str, named: set[str], revision: int
+    ) -> list[Row]:
+        """Take in that a peer's whole view was read, from 0 to a revision.
+
+        `named` are the keys in its pages: others did not exist at that
+        revision.  Return the rows that changed.
+        """
+        changed: list[Row] = []
         for prefix, reached in self._reached.items():
-            is_hosts = prefix.startswith(HOST_PREFIX)
-            if is_hosts and reply.zone != self._zone:
+            if prefix.startswith(HOST_PREFIX) and zone != self._zone:
                 continue
-            self._reached[prefix] = max(reached, reply.revision)
+            changed += self._delete_absent(prefix, named, revision)
+            self._reached[prefix] = max(reached, revision)
         return changed
 
     def apply_hosts(self, delta: HostDelta) -> list[HostEntry]:
@@ -241,9 +251,12 @@
         if len(newer) <= _PAGE_ROWS:
             return ViewReply(self._zone, newer, self.revision)
         last = newer[_PAGE_ROWS - 1].revision
+        if last >= self.revision:
+            # The last page names every row, those beyond the view's own
+            # revision too: the reader takes unnamed rows for deleted.
+            return ViewReply(self._zone, newer, self.revision)
         page = [row for row in newer if row.revision <= last]
-        reached = min(last, self.revision)
-        return ViewReply(self._zone, page, reached, last < self.revision)
+        return ViewReply(self._zone, page, last, more=True)
 
     def _apply_rows(self, rows: Iterable[Row]) -> list[Row]:
         changed = []
@@ -267,14 +280,15 @@
             if host.state is HostState.GONE and name not in self._hosts:
                 del self._listed[name]
 
-    def _delete_absent(self, prefix: str, delta: Delta) -> list[Row]:
-        named = {row.key for row in delta.rows}
+    def _delete_absent(
+        self, prefix: str, named: set[str], revision: int
+    ) -> list[Row]:
         absent = []
         for key, row in self._rows.items():
             if row.value is None or key in named:
                 continue
-            if key.startswith(prefix) and row.revision <= delta.revision:
-                absent.append(Row(key, None, delta.revision))
+            if key.startswith(prefix) and row.revision <= revision:
+                absent.append(Row(key, None, revision))
         for row in absent:
             # A row of this very revision would pass for the same.
             self._rows.pop(row.key)
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -287,7 +287,7 @@
 
 @pytest.mark.parametrize(
     ("zone", "count", "expected"),
-    [("arima", 1200, 1201), ("other", 1200, 1), ("arima", 3, 4)],
+    [("arima", 1200, 1202), ("other", 1200, 1), ("arima", 3, 5)],
     ids=["pages", "host rows stay in the zone", "one page"],
 )
 def test_view_from_a_peer(zone: str, count: int, expected: int) -> None:
@@ -303,17 +303,23 @@
     pool = Row(pool_key("quotes"), encode(PoolRow("quotes")), top)
     peer.apply("pool/", Delta([pool], top))
     view = FleetView(zone)
+    lost = put(1, "deleted", host("deleted"))
+    view.apply(view.prefixes[0], Delta([lost] if zone == "arima" else [], 1))
     revision = 0
+    named: set[str] = set()
     while True:
         reply = peer.rows_since(zone, revision)
         view.apply_reply(reply)
+        named.update(row.key for row in reply.rows)
         if not reply.more:
             break
         assert reply.revision > revision
         revision = reply.revision
+    view.apply_whole(reply.zone, named, reply.revision)
+    assert "deleted" not in view.hosts
     assert view.row_count() == expected
     assert view.reached("pool/") == top
-    assert view.revision == (top if zone == "arima" else 0)
+    assert view.reached(view.prefixes[0]) == (top if zone == "arima" else 1)
 
 
 def test_reply_never_brings_back_an_older_row() -> None:
@@ -324,3 +330,13 @@
     assert view.apply_reply(ViewReply("arima", [old, foreign], 4)) == []
     assert view.reached(HOSTS) == 5
     assert len(view.executors("tooling")) == 1
+
+
+def test_last_page_names_rows_beyond_the_view_revision() -> None:
+    peer = FleetView("arima")
+    rows = [put(10 + i, f"w{i}", host(f"w{i}")) for i in range(600)]
+    peer.apply(HOSTS, Delta(rows, 700))
+    for prefix in peer.prefixes[1:]:
+        peer.apply(prefix, Delta([], 9))
+    reply = peer.rows_since("arima", 0)
+    assert (reply.revision, reply.more, len(reply.rows)) == (9, False, 600)
