Claim idempotency keys so that work runs at most once

A claim is one conditional write with a nonce; a lost answer is settled by the same write again and a read at the conflict's revision, and a claim of unknown fate is given back in the background behind a FREE row. Outcomes are recorded with the claim, large ones in the object store.

--- /dev/null
+++ b/lycheelug/claim_table.py
@@ -0,0 +1,144 @@
+"""Reads and writes of claim rows and their answers on the platform.
+
+A write is conditional and carries a nonce made of the claim's nonce, so
+that the same call again has no second effect.  A row is read back at a
+given revision or later, since a plain read may come from a lagging
+replica.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheelug.claim_records import ClaimRow, StoredAnswer, object_name
+from lycheelug.errors import (
+    CLAIM_LOST,
+    PLATFORM_INVALID,
+    UNKNOWN_OBJECT,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.platform.interface import Guard, Row, Transaction, Write
+from lycheelug.records import decode, encode
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable
+
+    from lycheelug.errors import ErrorCode
+    from lycheelug.platform.interface import (
+        Commit,
+        Conflict,
+        Delta,
+        Platform,
+    )
+
+__all__ = ["ClaimTable", "claim_fault", "decode_claim"]
+
+READ_TRIES: Final = 5
+RETRY_FIRST_S: Final = 0.02
+
+
+class ClaimTable:
+    """The claim rows as one daemon reaches them."""
+
+    __slots__ = ("_platform", "_rng", "_sleep")
+
+    def __init__(
+        self,
+        platform: Platform,
+        rng: random.Random,
+        sleep: Callable[[float], Awaitable[None]],
+    ) -> None:
+        self._platform = platform
+        self._rng = rng
+        self._sleep = sleep
+
+    async def write(
+        self, name: str, expected: int, row: ClaimRow
+    ) -> Result[Commit | Conflict, Fault]:
+        """Write a row on a condition; the same call again is idempotent."""
+        nonce = f"{row.nonce}/{row.state.value}/{expected}"
+        return await self.replace(name, expected, encode(row), nonce)
+
+    async def replace(
+        self, name: str, expected: int, value: bytes | None, nonce: str
+    ) -> Result[Commit | Conflict, Fault]:
+        """Write or delete a row on the condition of its revision."""
+        guards = [Guard(name, expected)]
+        writes = [Write(name, value)]
+        return await self._platform.transact(
+            Transaction(guards, writes, nonce)
+        )
+
+    async def read_at(
+        self, name: str, revision: int
+    ) -> Result[Row | None, Fault]:
+        """Return a row as it was at a revision or later."""
+        for attempt in range(READ_TRIES):
+            if attempt > 0:
+                await self.back_off(attempt)
+            match await self._platform.read_since(name, 0):
+                case Success(delta) if delta.revision >= revision:
+                    return Success(_find(delta, name))
+                case _:
+                    continue
+        return Failure(claim_fault(CLAIM_LOST, "no read at the revision"))
+
+    async def fetch_answer(
+        self, name: str, stored: ClaimRow
+    ) -> Result[StoredAnswer | None, Fault]:
+        """Return an answer from the object store; None if deleted."""
+        read = await self._platform.get_object(object_name(name, stored.nonce))
+        match read:
+            case Success(data):
+                pass
+            case Failure(fault) if fault.code is UNKNOWN_OBJECT:
+                return Success(None)
+            case Failure(fault):
+                return Failure(fault)
+        try:
+            answer = msgspec.msgpack.decode(data, type=StoredAnswer)
+        except msgspec.DecodeError as error:
+            return Failure(claim_fault(PLATFORM_INVALID, str(error)))
+        return Success(answer)
+
+    async def store_answer(
+        self, name: str, row: ClaimRow, data: bytes
+    ) -> bool:
+        """Put an answer into the object store; True when it is there."""
+        stored = await self._platform.put_object(
+            object_name(name, row.nonce), data
+        )
+        return isinstance(stored, Success)
+
+    async def back_off(self, attempt: int) -> None:
+        """Pause before a further attempt, counted from 1."""
+        pause_s = RETRY_FIRST_S * 2.0 ** (attempt - 1)
+        await self._sleep(pause_s * self._rng.uniform(0.5, 1.5))
+
+
+def decode_claim(row: Row) -> ClaimRow | None:
+    """Return a claim's row; None where it can't be understood."""
+    if row.value is None:
+        return None
+    try:
+        return decode(row.value, ClaimRow)
+    except msgspec.DecodeError:
+        return None
+
+
+def claim_fault(code: ErrorCode, detail: str) -> Fault:
+    """Return a fault of claiming a key."""
+    return Fault(code, Step.CLAIM, Peer.PLATFORM, detail)
+
+
+def _find(delta: Delta, name: str) -> Row | None:
+    for row in delta.rows:
+        if row.key == name and row.value is not None:
+            return row
+    return None
--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -167,6 +167,11 @@
 KEY_RUN_ENDED: Final = _code(
     "key-run-ended", 409, "The daemon run that issued this key has ended."
 )
+KEY_FORGOTTEN: Final = _code(
+    "key-forgotten",
+    409,
+    "The daemon no longer knows this issued key, nor whether it was used.",
+)
 CLAIM_LOST: Final = _code(
     "claim-lost", 503, "The claim could not be confirmed in time."
 )
--- a/lycheelug/settlements.py
+++ b/lycheelug/settlements.py
@@ -22,7 +22,7 @@
     from collections.abc import Awaitable, Callable, Coroutine
 
     # Makes one attempt; True where nothing is left to do.
-    Attempt = Callable[[], Coroutine[None, None, bool]]
+    Attempt = Callable[[], Coroutine[object, object, bool]]
 
 __all__ = ["SettlementQueue"]
 
@@ -31,13 +31,23 @@
 PENDING_MAX: Final = 4_096
 
 
+class _Settlement:
+    """One thing to settle, and the bytes that it holds meanwhile."""
+
+    __slots__ = ("attempt", "size_bytes")
+
+    def __init__(self, attempt: Attempt, size_bytes: int) -> None:
+        self.attempt = attempt
+        self.size_bytes = size_bytes
+
+
 class SettlementQueue:
     """Attempts that are repeated until they succeed."""
 
     __slots__ = (
-        "_backoff_s",
         "_limit",
         "_pending",
+        "_pending_bytes",
         "_rng",
         "_sleep",
         "_tasks",
@@ -55,32 +65,34 @@
         self._rng = rng
         self._sleep = sleep
         self._limit = limit
-        self._backoff_s = BACKOFF_FIRST_S
-        self._pending: deque[Attempt] = deque()
+        self._pending: deque[_Settlement] = deque()
+        self._pending_bytes = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._worker: asyncio.Task[None] | None = None
 
     @property
     def pending(self) -> int:
         """How many attempts are still to be made or under way."""
-        return len(self._pending) + len(self._tasks)
+        retrying = self._worker is not None and not self._worker.done()
+        return len(self._pending) + len(self._tasks) + int(retrying)
+
+    @property
+    def pending_bytes(self) -> int:
+        """The bytes held by what is pending."""
+        return self._pending_bytes
 
-    async def settle(self, attempt: Attempt) -> None:
+    async def settle(self, attempt: Attempt, size_bytes: int = 0) -> None:
         """Make the first attempt; queue it where that fails."""
-        task = asyncio.get_running_loop().create_task(self._first(attempt))
+        settlement = _Settlement(attempt, size_bytes)
+        self._pending_bytes += size_bytes
+        task = asyncio.get_running_loop().create_task(self._first(settlement))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         await asyncio.shield(task)
 
     def settle_later(self, attempt: Attempt) -> None:
-        """Queue an attempt; drop the oldest where the queue is full."""
-        if len(self._pending) >= self._limit:
-            self._pending.popleft()
-            self.dropped += 1
-        self._pending.append(attempt)
-        if self._worker is None or self._worker.done():
-            loop = asyncio.get_running_loop()
-            self._worker = loop.create_task(self._retry())
+        """Queue an attempt without making it first."""
+        self._append(_Settlement(attempt, 0))
 
     async def flush(self) -> None:
         """Return when nothing is pending; the caller sets a timeout."""
@@ -94,32 +106,41 @@
 
     async def close(self) -> None:
         """Give up what is pending."""
-        self._pending.clear()
         tasks = set(self._tasks)
         if self._worker is not None:
             tasks.add(self._worker)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        self._pending.clear()
+        self._pending_bytes = 0
 
-    async def _first(self, attempt: Attempt) -> None:
-        if not await attempt():
-            self.settle_later(attempt)
+    async def _first(self, settlement: _Settlement) -> None:
+        if await settlement.attempt():
+            self._pending_bytes -= settlement.size_bytes
+            return
+        self._append(settlement)
+
+    def _append(self, settlement: _Settlement) -> None:
+        """Queue a settlement; drop the oldest where the queue is full."""
+        if len(self._pending) >= self._limit:
+            oldest = self._pending.popleft()
+            self._pending_bytes -= oldest.size_bytes
+            self.dropped += 1
+        self._pending.append(settlement)
+        if self._worker is None or self._worker.done():
+            loop = asyncio.get_running_loop()
+            self._worker = loop.create_task(self._retry())
 
     async def _retry(self) -> None:
         """Attempt the queue in turn until it is empty."""
-        self._backoff_s = BACKOFF_FIRST_S
+        backoff_s = BACKOFF_FIRST_S
         while self._pending:
-            attempt = self._pending.popleft()
-            done = False
-            try:
-                done = await attempt()
-            finally:
-                # Kept also where this task is cancelled in the attempt.
-                if not done:
-                    self._pending.append(attempt)
-            if done:
-                self._backoff_s = BACKOFF_FIRST_S
+            settlement = self._pending.popleft()
+            if await settlement.attempt():
+                self._pending_bytes -= settlement.size_bytes
+                backoff_s = BACKOFF_FIRST_S
                 continue
-            await self._sleep(self._backoff_s * self._rng.uniform(0.5, 1.5))
-            self._backoff_s = min(BACKOFF_MAX_S, self._backoff_s * 2)
+            self._pending.append(settlement)
+            await self._sleep(backoff_s * self._rng.uniform(0.5, 1.5))
+            backoff_s = min(BACKOFF_MAX_S, backoff_s * 2)
