--- a/standins/faults.py
+++ b/standins/faults.py
@@ -174,59 +174,70 @@
 
     async def read(self, key: str) -> Result[Row | None, Fault]:
         """Return a row as this client sees it."""
-        return await self._reading("read", self._read(key))
+        return await self._reading("read", lambda: self._read(key))
 
     async def read_since(
         self, prefix: str, revision: int
     ) -> Result[Delta, Fault]:
         """Return the rows of a prefix as this client sees them."""
         return await self._reading(
-            "read_since", self._read_since(prefix, revision)
+            "read_since", lambda: self._read_since(prefix, revision)
         )
 
     async def transact(
         self, transaction: Transaction
     ) -> Result[Commit | Conflict, Fault]:
         """Apply a transaction; the answer may be lost, the effect late."""
-        if self.faults.late_writes > 0 and not self.faults.down:
-            self.faults.late_writes -= 1
-            self._late.append(transaction)
-            return Failure(_fault(PLATFORM_UNKNOWN, "transact"))
         return await self._writing(
-            "transact", self._inner.transact(transaction)
+            "transact", lambda: self._transact(transaction)
         )
 
     async def put_object(self, name: str, data: bytes) -> Result[None, Fault]:
         """Store an object; the answer may be lost."""
         return await self._writing(
-            "put_object", self._inner.put_object(name, data)
+            "put_object", lambda: self._inner.put_object(name, data)
         )
 
     async def get_object(self, name: str) -> Result[bytes, Fault]:
         """Return an object."""
-        return await self._reading("get_object", self._inner.get_object(name))
+        return await self._reading(
+            "get_object", lambda: self._inner.get_object(name)
+        )
 
     async def delete_object(self, name: str) -> Result[None, Fault]:
         """Delete an object; the answer may be lost."""
         return await self._writing(
-            "delete_object", self._inner.delete_object(name)
+            "delete_object", lambda: self._inner.delete_object(name)
         )
 
     async def hosts_since(self, revision: int) -> Result[HostDelta, Fault]:
         """Return the hosts changed since, as far as the list's lag lets."""
-        return await self._reading("hosts_since", self._hosts_since(revision))
+        return await self._reading(
+            "hosts_since", lambda: self._hosts_since(revision)
+        )
 
     async def drain(self, host: str) -> Result[None, Fault]:
         """Drain a host; the answer may be lost."""
-        return await self._writing("drain", self._inner.drain(host))
+        return await self._writing("drain", lambda: self._inner.drain(host))
 
     async def reboot(self, host: str, nonce: str) -> Result[None, Fault]:
         """Reboot a host; the answer may be lost."""
-        return await self._writing("reboot", self._inner.reboot(host, nonce))
+        return await self._writing(
+            "reboot", lambda: self._inner.reboot(host, nonce)
+        )
 
     async def resume(self, host: str) -> Result[None, Fault]:
         """End a drain; the answer may be lost."""
-        return await self._writing("resume", self._inner.resume(host))
+        return await self._writing("resume", lambda: self._inner.resume(host))
+
+    async def _transact(
+        self, transaction: Transaction
+    ) -> Result[Commit | Conflict, Fault]:
+        if self.faults.late_writes == 0:
+            return await self._inner.transact(transaction)
+        self.faults.late_writes -= 1
+        self._late.append(transaction)
+        return Failure(_fault(PLATFORM_UNKNOWN, "transact"))
 
     async def _read(self, key: str) -> Result[Row | None, Fault]:
         if self.faults.stale_reads == 0:
@@ -257,7 +268,7 @@
         return Success(HostDelta(hosts, end))
 
     async def _reading(
-        self, name: str, call: Awaitable[Result[T, Fault]]
+        self, name: str, call: Callable[[], Awaitable[Result[T, Fault]]]
     ) -> Result[T, Fault]:
         """Make a call without effect: a lost answer is a failed call."""
         answer = await self._writing(name, call)
@@ -267,7 +278,7 @@
         return answer
 
     async def _writing(
-        self, name: str, call: Awaitable[Result[T, Fault]]
+        self, name: str, call: Callable[[], Awaitable[Result[T, Fault]]]
     ) -> Result[T, Fault]:
         """Make a call with an effect, with all faults on its way."""
         self.calls[name] = self.calls.get(name, 0) + 1
@@ -275,9 +286,8 @@
         if self.faults.delay_ms > 0:
             await asyncio.sleep(self.faults.delay_ms / 1000)
         if self.faults.down:
-            _discard(call)
             return Failure(_fault(PLATFORM_UNREACHABLE, name))
-        answer = await call
+        answer = await call()
         await self._hold(f"{name}:after")
         if self._loses_answer():
             return Failure(_fault(PLATFORM_UNKNOWN, name))
@@ -296,11 +306,5 @@
         return self._rng.random() < self.faults.lose_share
 
 
-def _discard(call: Awaitable[object]) -> None:
-    """Drop a coroutine that will not be awaited."""
-    if asyncio.iscoroutine(call):
-        call.close()
-
-
 def _fault(code: ErrorCode, call: str) -> Fault:
     return Fault(code, Step.WRITE, Peer.PLATFORM, call)
