--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -207,6 +207,10 @@
     "plan-blocked", 503, "The plan waits for hosts or daemons."
 )
 
+TRACE_INVALID: Final = _code(
+    "trace-invalid", 422, "The trace has a line that can't be used."
+)
+
 # --- Configuration and membership.
 CONFIG_INVALID: Final = _code(
     "config-invalid", 422, "The configuration has faults."
--- /dev/null
+++ b/lycheelug/replay.py
@@ -0,0 +1,336 @@
+"""Feeds a trace to the decision code that a daemon runs.
+
+A virtual clock steps through the trace's events, the ends of runs, and the
+daemon's regular look at expired requests.  One queue per pool decides, with
+the same calls in the same order as a daemon's; a chooser picks the executor.
+The replay plays one daemon that sees all slots and knows at once when a host
+fails.  It has no network and no messages: it measures decisions only.
+
+A run goes on after its caller has gone, as an upstream's would.  An attempt
+that failed is tried again on another executor if the request is repeatable;
+after failures on three executors the request is set aside.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from statistics import median
+from typing import TYPE_CHECKING, Final, TypeAlias
+
+from lycheelug.admission import QUEUES, QueueSettings
+from lycheelug.limits import LIMITS
+from lycheelug.replay_executors import ReplayExecutor
+from lycheelug.replay_report import make_report
+from lycheelug.replay_requests import End, Request, Run
+from lycheelug.traces import Arrival, Cancel, HostBack, HostFailed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from lycheelug.admission import AdmissionQueue
+    from lycheelug.replay_report import ReplayReport
+    from lycheelug.traces import Event, Trace, TracePool
+
+__all__ = ["Chooser", "Replay", "ReplayOptions", "least_loaded", "replay"]
+
+SWEEP_S: Final = 0.05
+MAX_EXECUTORS_TRIED: Final = 3
+FAST_FAILURE_S: Final = 0.01
+# A replay ends this long after the trace, even if work still waits.
+MAX_DRAIN_S: Final = 900.0
+UNKNOWN_RUN_S: Final = 1.0
+
+
+def least_loaded(
+    executors: Sequence[ReplayExecutor], rng: Random, now: float
+) -> ReplayExecutor:
+    """Return the executor with the fewest runs, by chance among equals."""
+    fewest = min(executor.in_flight for executor in executors)
+    equal = [e for e in executors if e.in_flight == fewest]
+    return rng.choice(equal)
+
+
+Chooser: TypeAlias = (
+    "Callable[[Sequence[ReplayExecutor], Random, float], ReplayExecutor]"
+)
+
+
+class ReplayOptions:
+    """What a replay may vary besides the policy."""
+
+    __slots__ = ("chooser", "limit_name", "settings", "sink")
+
+    def __init__(
+        self,
+        settings: QueueSettings | None = None,
+        limit_name: str = "fixed",
+        chooser: Chooser = least_loaded,
+        sink: float = 1.0,
+    ) -> None:
+        self.settings = settings or QueueSettings()
+        self.limit_name = limit_name
+        self.chooser = chooser
+        # How executors slow down beyond their slots.
+        self.sink = sink
+
+
+class _Pool:
+    """One pool's queue and executors."""
+
+    __slots__ = ("executors", "queue")
+
+    def __init__(
+        self, queue: AdmissionQueue, executors: list[ReplayExecutor]
+    ) -> None:
+        self.queue = queue
+        self.executors = executors
+
+    def capacity(self, now: float) -> int:
+        """Return how many requests may run at a time."""
+        return sum(executor.usable(now) for executor in self.executors)
+
+
+class Replay:
+    """One run of a trace under one policy."""
+
+    __slots__ = (
+        "_executors",
+        "_hosts",
+        "_now",
+        "_options",
+        "_pools",
+        "_requests",
+        "_rng",
+        "_sweep_at",
+        "_trace",
+    )
+
+    def __init__(
+        self,
+        trace: Trace,
+        policy_name: str,
+        seed: int,
+        options: ReplayOptions | None = None,
+    ) -> None:
+        self._trace = trace
+        self._options = options or ReplayOptions()
+        self._rng = Random(seed)
+        self._now = 0.0
+        self._sweep_at = SWEEP_S
+        self._pools: dict[str, _Pool] = {}
+        self._executors: list[ReplayExecutor] = []
+        self._hosts: dict[str, ReplayExecutor] = {}
+        for pool in trace.header.pools:
+            self._add_pool(pool, policy_name)
+        self._requests = _make_requests(trace.events)
+
+    @property
+    def requests(self) -> list[Request]:
+        """All requests of the trace, in order of arrival."""
+        return list(self._requests.values())
+
+    def run(self) -> None:
+        """Replay the whole trace, and drain the queues after it."""
+        for event in self._trace.events:
+            self._run_until(event.at)
+            self._apply(event)
+        end_at = self._trace.header.duration_s + MAX_DRAIN_S
+        while self._now < end_at and self._is_busy():
+            self._run_until(self._now + SWEEP_S)
+
+    def _add_pool(self, pool: TracePool, policy_name: str) -> None:
+        """Make a pool's queue and executors."""
+        executors: list[ReplayExecutor] = []
+        make_limit = LIMITS.get(self._options.limit_name)
+        for placed in pool.executors:
+            limit = make_limit(pool.slots, pool.connections)
+            executor = ReplayExecutor(
+                len(self._executors),
+                pool.name,
+                pool.slots,
+                limit,
+                self._options.sink,
+            )
+            executors.append(executor)
+            self._executors.append(executor)
+            self._hosts[placed.host] = executor
+        make_queue = QUEUES.get(policy_name)
+        queue = make_queue(pool.name, self._options.settings)
+        self._pools[pool.name] = _Pool(queue, executors)
+
+    def _is_busy(self) -> bool:
+        """Whether any request waits or runs."""
+        if any(len(pool.queue) for pool in self._pools.values()):
+            return True
+        return any(executor.in_flight for executor in self._executors)
+
+    def _run_until(self, until: float) -> None:
+        """Handle all ends of runs and sweeps up to a time."""
+        while True:
+            first = min(self._executors, key=_next_at)
+            at = min(first.next_at, self._sweep_at)
+            if at > until:
+                break
+            self._now = at
+            if first.next_at <= self._sweep_at:
+                self._finish(first)
+                continue
+            self._sweep_at += SWEEP_S
+            for pool in self._pools.values():
+                self._drop_expired(pool)
+                self._start_waiting(pool)
+        self._now = until
+
+    def _apply(self, event: Event) -> None:
+        """Apply one event of the trace."""
+        if isinstance(event, Arrival):
+            request = self._requests[event.id]
+            self._offer(request)
+            self._start_waiting(self._pools[event.pool])
+        elif isinstance(event, Cancel):
+            self._cancel(self._requests[event.id])
+        elif isinstance(event, HostFailed):
+            self._fail_host(self._hosts[event.host])
+        elif isinstance(event, HostBack):
+            executor = self._hosts[event.host]
+            executor.recover()
+            self._start_waiting(self._pools[executor.pool])
+        else:
+            self._hosts[event.host].bad = True
+
+    def _offer(self, request: Request) -> None:
+        """Offer a request to its pool's queue."""
+        pool = self._pools[request.arrival.pool]
+        capacity = pool.capacity(self._now)
+        refusal = pool.queue.offer(request.ticket, self._now, capacity)
+        if refusal is None:
+            return
+        # Something ran before, so this is no "not run".
+        end = End.FAILED if request.failed_on else End.REFUSED
+        request.settle(end, self._now, refusal.code.name)
+
+    def _cancel(self, request: Request) -> None:
+        """Let a caller give up."""
+        if request.end is not End.WAITING:
+            return
+        request.cancelled_at = self._now
+        self._pools[request.arrival.pool].queue.cancel(request.arrival.id)
+        request.settle(End.CANCELLED, self._now)
+
+    def _drop_expired(self, pool: _Pool) -> None:
+        """Refuse what the queue gave up."""
+        for ticket in pool.queue.drop_expired(self._now):
+            request = self._requests[ticket.ticket_id]
+            end = End.FAILED if request.failed_on else End.REFUSED
+            request.settle(end, self._now, "expired")
+
+    def _start_waiting(self, pool: _Pool) -> None:
+        """Start requests while there are free slots."""
+        while len(pool.queue):
+            free = [e for e in pool.executors if e.room(self._now)]
+            if not free:
+                return
+            ticket = pool.queue.take(self._now)
+            if ticket is None:
+                return
+            self._start(pool, self._requests[ticket.ticket_id], free)
+
+    def _start(
+        self, pool: _Pool, request: Request, free: list[ReplayExecutor]
+    ) -> None:
+        """Start a request on an executor that it has not failed on."""
+        fresh = [e for e in free if e.index not in request.failed_on]
+        options = self._options
+        executor = options.chooser(fresh or free, self._rng, self._now)
+        seconds = FAST_FAILURE_S if executor.bad else request.actual_s
+        executor.start(Run(request, self._now), seconds, self._now)
+        pool.queue.on_started(request.ticket, self._now)
+        request.started_at = min(request.started_at, self._now)
+
+    def _finish(self, executor: ReplayExecutor) -> None:
+        """Handle the end of the executor's next run."""
+        run = executor.finish(self._now)
+        request = run.request
+        ok = request.arrival.runnable and not executor.bad
+        latency_s = self._now - run.started_at
+        executor.on_result(latency_s, ok, self._now)
+        pool = self._pools[executor.pool]
+        pool.queue.on_finished(request.ticket, latency_s, self._now, ok)
+        if request.end is End.WAITING:
+            self._settle_run(request, executor, ok)
+        self._start_waiting(pool)
+
+    def _settle_run(
+        self, request: Request, executor: ReplayExecutor, ok: bool
+    ) -> None:
+        """Answer the caller, or try again."""
+        if ok:
+            in_time = self._now <= request.ticket.deadline
+            end = End.IN_TIME if in_time else End.LATE
+            request.settle(end, self._now)
+            return
+        request.failed_on.add(executor.index)
+        if not request.arrival.repeatable:
+            request.settle(End.FAILED, self._now)
+        elif len(request.failed_on) >= MAX_EXECUTORS_TRIED:
+            request.settle(End.SET_ASIDE, self._now)
+        else:
+            self._offer(request)
+
+    def _fail_host(self, executor: ReplayExecutor) -> None:
+        """Break off all runs of a host."""
+        pool = self._pools[executor.pool]
+        for run in executor.fail(self._now):
+            request = run.request
+            ran_s = self._now - run.started_at
+            pool.queue.on_finished(request.ticket, ran_s, self._now, ok=False)
+            if request.end is not End.WAITING:
+                continue
+            if not request.arrival.repeatable:
+                request.settle(End.UNKNOWN, self._now)
+                continue
+            request.failed_on.add(executor.index)
+            self._offer(request)
+        self._start_waiting(pool)
+
+
+def replay(
+    trace: Trace,
+    policy_name: str,
+    seed: int,
+    options: ReplayOptions | None = None,
+) -> ReplayReport:
+    """Replay a trace under a policy of `QUEUES` and return the measures.
+
+    >>> from lycheelug.trace_generator import DEPLOYMENTS, make_trace
+    >>> trace = make_trace(DEPLOYMENTS.get("guild"), seed=1, duration_s=5.0)
+    >>> replay(trace, "deadline", seed=1).lost
+    0
+    """
+    run = Replay(trace, policy_name, seed, options)
+    run.run()
+    return make_report(trace, policy_name, seed, run.requests)
+
+
+def _next_at(executor: ReplayExecutor) -> float:
+    return executor.next_at
+
+
+def _make_requests(events: Sequence[Event]) -> dict[int, Request]:
+    """Return the requests of a trace by number.
+
+    Where a run time was not recorded, the pool's median stands in.
+    """
+    arrivals = [event for event in events if isinstance(event, Arrival)]
+    known: dict[str, list[float]] = {}
+    for arrival in arrivals:
+        if arrival.actual_s is not None:
+            known.setdefault(arrival.pool, []).append(arrival.actual_s)
+    typical = {pool: median(times) for pool, times in known.items()}
+    requests: dict[int, Request] = {}
+    for arrival in arrivals:
+        actual_s = arrival.actual_s
+        if actual_s is None:
+            actual_s = typical.get(arrival.pool, UNKNOWN_RUN_S)
+        requests[arrival.id] = Request(arrival, actual_s)
+    return requests
--- /dev/null
+++ b/lycheelug/trace_generator.py
@@ -0,0 +1,249 @@
+"""Makes traces of the two deployments from the sizes of their brief.
+
+Each pool's arrivals are a Poisson process whose rate follows the pool's
+turn: its mean, then some seconds at five times the mean, then a twentieth
+of it, then the mean again.  Run times are lognormal; declared times are off
+by a lognormal factor, and some callers always declare the same.  On top
+come waves of cancellations, requests that fail on every worker, workers
+that fail everything, and the loss of a whole rack at once.
+
+The same seed gives the same trace.  Daily patterns and the correlation
+between a caller's requests are left out.
+"""
+
+from __future__ import annotations
+
+from math import log
+from operator import attrgetter
+from random import Random
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.trace_deployments import DEPLOYMENTS
+from lycheelug.traces import (
+    FORMAT,
+    VERSION,
+    Arrival,
+    Cancel,
+    Header,
+    HostBack,
+    HostFailed,
+    Trace,
+    TraceExecutor,
+    TracePool,
+    WorkerBad,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lycheelug.trace_deployments import ClassMix, Deployment, PoolMix
+    from lycheelug.traces import Event
+
+__all__ = ["DEPLOYMENTS", "make_trace"]
+
+SURGE_FACTOR: Final = 5.0
+LULL_FACTOR: Final = 0.05
+SURGE_S: Final = 6.0
+LULL_S: Final = 20.0
+SLOTS: Final = 8
+CONNECTIONS: Final = 64
+HOSTS_PER_RACK: Final = 4
+LEAST_RUN_S: Final = 0.005
+DECLARED_SIGMA: Final = 1.5
+CONSTANT_DECLARED_SHARE: Final = 0.2
+CONSTANT_DECLARED_S: Final = 1.0
+CANCEL_WAVE_REACH_S: Final = 4.0
+CANCEL_WAVE_SPREAD_S: Final = 0.3
+CANCEL_WAVE_SHARE: Final = 0.3
+NEVER_RUNS_SHARE: Final = 0.004
+BAD_WORKER_S: Final = 15.0
+RACK_DOWN_S: Final = 20.0
+DIGITS: Final = 4
+
+
+def make_trace(
+    deployment: Deployment,
+    seed: int,
+    duration_s: float = 60.0,
+    scale: float = 1.0,
+) -> Trace:
+    """Return the trace of a seed; `scale` thins arrivals and executors.
+
+    >>> trace = make_trace(DEPLOYMENTS.get("guild"), seed=1, duration_s=5.0)
+    >>> len(trace.header.pools), len(trace.header.pools[0].executors)
+    (5, 8)
+    """
+    rng = Random(seed)
+    pools = _place_pools(deployment, scale)
+    header = Header(
+        format=FORMAT,
+        version=VERSION,
+        deployment=deployment.name,
+        duration_s=duration_s,
+        pools=pools,
+        seed=seed,
+    )
+    events: list[Event] = []
+    turn_s = duration_s / len(pools)
+    for number, mix in enumerate(deployment.pools):
+        slots = len(pools[number].executors) * SLOTS
+        surge_at = number * turn_s + rng.uniform(0.3, 0.6) * turn_s
+        weights = _tenant_weights(deployment.tenants, rng)
+        arrivals = _pool_arrivals(
+            mix, slots, duration_s, surge_at, weights, rng
+        )
+        events.extend(arrivals)
+    events.sort(key=attrgetter("at"))
+    _number(events)
+    events.extend(_cancellations(events, duration_s, rng))
+    events.extend(_failures(pools, duration_s, rng))
+    events.sort(key=attrgetter("at"))
+    return Trace(header, events)
+
+
+def _place_pools(deployment: Deployment, scale: float) -> list[TracePool]:
+    """Spread each pool's executors over the zones, four hosts to a rack.
+
+    A zone's hosts fill its racks in the order of pools, so a rack holds
+    hosts of several pools.
+    """
+    executors = max(2, round(deployment.executors * scale))
+    placed = dict.fromkeys(deployment.zones, 0)
+    pools: list[TracePool] = []
+    turn = 0
+    for mix in deployment.pools:
+        hosts: list[TraceExecutor] = []
+        for number in range(executors):
+            zone = deployment.zones[turn % len(deployment.zones)]
+            turn += 1
+            rack = f"{zone}-r{placed[zone] // HOSTS_PER_RACK}"
+            placed[zone] += 1
+            hosts.append(TraceExecutor(f"{mix.name}-{number}", zone, rack))
+        pools.append(TracePool(mix.name, hosts, SLOTS, CONNECTIONS))
+    return pools
+
+
+def _tenant_weights(tenants: int, rng: Random) -> list[float]:
+    """Return how much of the work each tenant sends: a few send most."""
+    weights = [1.0 / (rank + 2) for rank in range(tenants)]
+    rng.shuffle(weights)
+    return weights
+
+
+def _rate_factor(at: float, surge_at: float) -> float:
+    """Return the arrival rate as a multiple of the pool's mean."""
+    if at < surge_at:
+        return 1.0
+    if at < surge_at + SURGE_S:
+        return SURGE_FACTOR
+    if at < surge_at + SURGE_S + LULL_S:
+        return LULL_FACTOR
+    return 1.0
+
+
+def _pool_arrivals(
+    mix: PoolMix,
+    slots: int,
+    duration_s: float,
+    surge_at: float,
+    weights: Sequence[float],
+    rng: Random,
+) -> list[Event]:
+    """Return one pool's arrivals, by thinning a process at the peak rate."""
+    tenants = [f"team-{number + 1:02}" for number in range(len(weights))]
+    arrivals: list[Event] = []
+    for kind in mix.classes:
+        mean_rate = slots * mix.load * kind.work_share / kind.run_mean_s
+        peak_rate = mean_rate * SURGE_FACTOR
+        at = rng.expovariate(peak_rate)
+        while at < duration_s:
+            factor = _rate_factor(at, surge_at)
+            if rng.random() * SURGE_FACTOR < factor:
+                tenant = rng.choices(tenants, weights)[0]
+                arrivals.append(_arrival(mix, kind, at, tenant, rng))
+            at += rng.expovariate(peak_rate)
+    return arrivals
+
+
+def _arrival(
+    mix: PoolMix, kind: ClassMix, at: float, tenant: str, rng: Random
+) -> Arrival:
+    """Return one request; its number is given later."""
+    mu = log(kind.run_mean_s) - kind.run_sigma**2 / 2
+    actual_s = max(LEAST_RUN_S, rng.lognormvariate(mu, kind.run_sigma))
+    declared_s = actual_s * rng.lognormvariate(0.0, DECLARED_SIGMA)
+    if rng.random() < CONSTANT_DECLARED_SHARE:
+        declared_s = CONSTANT_DECLARED_S
+    deadline_s: float | None = None
+    if kind.deadline_from_s is not None and kind.deadline_to_s is not None:
+        drawn = rng.uniform(kind.deadline_from_s, kind.deadline_to_s)
+        deadline_s = round(drawn, DIGITS)
+    return Arrival(
+        at=round(at, DIGITS),
+        id=0,
+        pool=mix.name,
+        tenant=tenant,
+        request_class=kind.request_class,
+        declared_s=max(round(declared_s, DIGITS), LEAST_RUN_S),
+        actual_s=round(actual_s, DIGITS),
+        deadline_s=deadline_s,
+        repeatable=rng.random() < mix.repeatable_share,
+        runnable=rng.random() >= NEVER_RUNS_SHARE,
+    )
+
+
+def _number(events: Sequence[Event]) -> None:
+    """Give arrivals their numbers, in order of time."""
+    number = 0
+    for event in events:
+        if not isinstance(event, Arrival):
+            continue
+        number += 1
+        event.id = number
+
+
+def _cancellations(
+    events: Sequence[Event], duration_s: float, rng: Random
+) -> list[Event]:
+    """Return two waves of cancellations of what arrived just before."""
+    cancels: list[Event] = []
+    cancelled: set[int] = set()
+    for _ in range(2):
+        wave_at = rng.uniform(0.2, 0.9) * duration_s
+        for event in events:
+            if not isinstance(event, Arrival) or event.id in cancelled:
+                continue
+            if not wave_at - CANCEL_WAVE_REACH_S < event.at < wave_at:
+                continue
+            if rng.random() >= CANCEL_WAVE_SHARE:
+                continue
+            at = wave_at + rng.uniform(0.0, CANCEL_WAVE_SPREAD_S)
+            cancels.append(Cancel(round(at, DIGITS), event.id))
+            cancelled.add(event.id)
+    return cancels
+
+
+def _failures(
+    pools: Sequence[TracePool], duration_s: float, rng: Random
+) -> list[Event]:
+    """Return a bad worker in two pools and the loss of one rack."""
+    failures: list[Event] = []
+    bad_hosts: set[str] = set()
+    for pool in rng.sample(list(pools), 2):
+        host = rng.choice(pool.executors).host
+        bad_hosts.add(host)
+        at = rng.uniform(0.1, 0.6) * duration_s
+        failures.append(WorkerBad(round(at, DIGITS), host))
+        back_at = round(at + BAD_WORKER_S, DIGITS)
+        failures.append(HostBack(back_at, host))
+    racks = sorted({e.rack for pool in pools for e in pool.executors})
+    rack = rng.choice(racks)
+    at = round(rng.uniform(0.2, 0.7) * duration_s, DIGITS)
+    for pool in pools:
+        for executor in pool.executors:
+            if executor.rack != rack or executor.host in bad_hosts:
+                continue
+            failures.append(HostFailed(at, executor.host))
+            back_at = round(at + RACK_DOWN_S, DIGITS)
+            failures.append(HostBack(back_at, executor.host))
+    return failures
--- /dev/null
+++ b/lycheelug/traces.py
@@ -0,0 +1,288 @@
+"""Traces of arriving work and of failures, as lines of JSON.
+
+The first line is the header; each further line is one event, in order of
+time.  docs/TRACES.md describes the fields.  This module turns lines into
+values and back, and checks them; it opens no files.
+
+A reader takes the versions that it knows and refuses others.  Fields that it
+does not know are ignored, so a later minor addition needs no new version.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING, Final, TypeAlias
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheelug.errors import TRACE_INVALID, Fault, Peer, Step
+from lycheelug.requests import RequestClass  # noqa: TC001 (msgspec reads it)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
+
+__all__ = [
+    "FORMAT",
+    "VERSION",
+    "Arrival",
+    "Cancel",
+    "Event",
+    "Header",
+    "HostBack",
+    "HostFailed",
+    "Trace",
+    "TraceExecutor",
+    "TracePool",
+    "WorkerBad",
+    "parse_trace",
+    "render_trace",
+]
+
+FORMAT: Final = "lycheelug-trace"
+VERSION: Final = 1
+
+
+class TraceExecutor(msgspec.Struct):
+    """One executor of a pool: its host's name, zone and rack."""
+
+    host: str
+    zone: str = ""
+    rack: str = ""
+
+
+class TracePool(msgspec.Struct):
+    """One pool: executors, and the slots and connections of each."""
+
+    name: str
+    executors: list[TraceExecutor]
+    slots: int = 8
+    connections: int = 64
+
+
+class Header(msgspec.Struct, tag_field="type", tag="header"):
+    """What a trace is of; `seed` is 0 where it was recorded.
+
+    `dropped` counts events that a recorder had no room for.
+    """
+
+    format: str
+    version: int
+    deployment: str
+    duration_s: float
+    pools: list[TracePool]
+    seed: int = 0
+    dropped: int = 0
+
+
+class Arrival(
+    msgspec.Struct, tag_field="type", tag="arrival", omit_defaults=True
+):
+    """One request.
+
+    `deadline_s` counts from the arrival; None is no deadline.  `actual_s`
+    is None where a recorder never saw the run's end.  A request that is not
+    `runnable` fails on every worker.
+    """
+
+    at: float
+    id: int
+    pool: str
+    tenant: str
+    request_class: RequestClass = msgspec.field(name="class")
+    declared_s: float
+    actual_s: float | None = None
+    deadline_s: float | None = None
+    repeatable: bool = True
+    runnable: bool = True
+
+
+class Cancel(msgspec.Struct, tag_field="type", tag="cancel"):
+    """The caller gave up on a request."""
+
+    at: float
+    id: int
+
+
+class HostFailed(msgspec.Struct, tag_field="type", tag="host_failed"):
+    """A host is gone with all that runs on it."""
+
+    at: float
+    host: str
+
+
+class HostBack(msgspec.Struct, tag_field="type", tag="host_back"):
+    """A host is back, and works."""
+
+    at: float
+    host: str
+
+
+class WorkerBad(msgspec.Struct, tag_field="type", tag="worker_bad"):
+    """A worker fails everything it starts, until its host is back."""
+
+    at: float
+    host: str
+
+
+Event: TypeAlias = Arrival | Cancel | HostFailed | HostBack | WorkerBad
+_DECODER: Final = msgspec.json.Decoder(Header | Event)
+_FIELD: Final = re.compile(r"at `\$\.([^`]*)`|field `([^`]*)`")
+REMEDIES: Final = {
+    "at": "give seconds since the trace's start as a number",
+    "id": "give each arrival a whole number that no other has",
+    "pool": "use a pool that the header lists",
+    "host": "use a host that the header lists",
+    "class": "use urgent, short or long",
+    "actual_s": "give seconds above zero, or null where not known",
+    "declared_s": "give seconds above zero",
+    "deadline_s": "give seconds after the arrival, or null for none",
+    "type": "use header, arrival, cancel, host_failed, host_back or"
+    " worker_bad",
+    "version": f"this release reads version {VERSION}",
+    "format": f"the header's format must be {FORMAT}",
+}
+NO_REMEDY: Final = "see docs/TRACES.md for the fields of each line"
+
+
+class Trace:
+    """A whole trace: header and events in order of time."""
+
+    __slots__ = ("events", "header")
+
+    def __init__(self, header: Header, events: Sequence[Event]) -> None:
+        self.header = header
+        self.events = list(events)
+
+
+class _FieldError(Exception):
+    """A fault in one field of the line being read."""
+
+    def __init__(self, field: str, problem: str) -> None:
+        super().__init__(problem)
+        self.field = field
+        self.problem = problem
+
+
+class _Checker:
+    """Checks events against the header and the events before them."""
+
+    __slots__ = ("_hosts", "_ids", "_last_at", "_pools")
+
+    def __init__(self, header: Header) -> None:
+        self._pools = {pool.name for pool in header.pools}
+        self._hosts = {
+            executor.host
+            for pool in header.pools
+            for executor in pool.executors
+        }
+        self._ids: set[int] = set()
+        self._last_at = 0.0
+
+    def check(self, event: Event) -> None:
+        """Raise _FieldError where an event can't be used."""
+        if not event.at >= self._last_at:
+            raise _FieldError("at", f"{event.at} is before {self._last_at}")
+        self._last_at = event.at
+        if isinstance(event, Arrival):
+            self._check_arrival(event)
+        elif isinstance(event, Cancel):
+            if event.id not in self._ids:
+                raise _FieldError("id", f"no arrival {event.id} before it")
+        elif event.host not in self._hosts:
+            raise _FieldError("host", f"unknown host {event.host!r}")
+
+    def _check_arrival(self, event: Arrival) -> None:
+        if event.id in self._ids:
+            raise _FieldError("id", f"{event.id} arrived before")
+        self._ids.add(event.id)
+        if event.pool not in self._pools:
+            raise _FieldError("pool", f"unknown pool {event.pool!r}")
+        if event.declared_s <= 0:
+            raise _FieldError(
+                "declared_s", f"{event.declared_s} is not above 0"
+            )
+        if event.actual_s is not None and event.actual_s <= 0:
+            raise _FieldError("actual_s", f"{event.actual_s} is not above 0")
+        if event.deadline_s is not None and event.deadline_s < 0:
+            raise _FieldError("deadline_s", f"{event.deadline_s} is below 0")
+
+
+def parse_trace(lines: Iterable[bytes], source: str) -> Result[Trace, Fault]:
+    """Return the trace of some lines; `source` names them in faults.
+
+    >>> parse_trace([b'{"type": "header"}'], "x.jsonl").failure().detail
+    "x.jsonl:1: format: missing: the header's format must be lycheelug-trace"
+    """
+    header: Header | None = None
+    checker: _Checker | None = None
+    events: list[Event] = []
+    number = 0
+    for number, line in enumerate(lines, start=1):
+        if not line.strip():
+            continue
+        try:
+            entry = _decode(line)
+            if isinstance(entry, Header):
+                header = _check_header(entry, header)
+                checker = _Checker(header)
+                continue
+            if checker is None:
+                raise _FieldError("type", "an event comes before the header")
+            checker.check(entry)
+            events.append(entry)
+        except _FieldError as invalid:
+            return Failure(_fault(source, number, invalid))
+    if header is None:
+        empty = _FieldError("format", "there is no header")
+        return Failure(_fault(source, max(1, number), empty))
+    return Success(Trace(header, events))
+
+
+def render_trace(trace: Trace) -> Iterator[bytes]:
+    """Yield the lines of a trace, each with its line end."""
+    encoder = msgspec.json.Encoder()
+    yield encoder.encode(trace.header) + b"\n"
+    for event in trace.events:
+        yield encoder.encode(event) + b"\n"
+
+
+def _decode(line: bytes) -> Header | Event:
+    """Return the header or event of a line; raise _FieldError."""
+    try:
+        return _DECODER.decode(line)
+    except msgspec.ValidationError as error:
+        raise _FieldError(*_field_and_problem(str(error))) from error
+    except msgspec.DecodeError as error:
+        raise _FieldError("", f"not JSON ({error})") from error
+
+
+def _field_and_problem(message: str) -> tuple[str, str]:
+    """Split a decoder's message into the field and what is wrong."""
+    if "missing required field" in message:
+        names = re.findall(r"`([^`$]+)`", message)
+        return (names[0] if names else "", "missing")
+    found = _FIELD.search(message)
+    field = (found.group(1) or found.group(2)) if found else ""
+    return field, message.split(" - at ", maxsplit=1)[0]
+
+
+def _check_header(header: Header, earlier: Header | None) -> Header:
+    """Return a header that this release reads; raise _FieldError."""
+    if earlier is not None:
+        raise _FieldError("type", "a second header")
+    if header.format != FORMAT:
+        raise _FieldError("format", f"unknown format {header.format!r}")
+    if header.version != VERSION:
+        raise _FieldError("version", f"unknown version {header.version}")
+    return header
+
+
+def _fault(source: str, line: int, invalid: _FieldError) -> Fault:
+    """Return the fault that names file, line, field and remedy."""
+    where = f"{source}:{line}"
+    if invalid.field:
+        where = f"{where}: {invalid.field}"
+    remedy = REMEDIES.get(invalid.field, NO_REMEDY)
+    detail = f"{where}: {invalid.problem}: {remedy}"
+    return Fault(TRACE_INVALID, Step.PARSE, Peer.OPERATOR, detail)
