--- /dev/null
+++ b/bench/fast_upstream.py
@@ -0,0 +1,59 @@
+"""The fastest upstream that is still HTTP/1.1: fixed bytes, no parser.
+
+It answers each request head with a short body.  Only for benchmarks: it
+takes requests without a body, one at a time on a connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from typing import Final, cast
+
+__all__ = ["main"]
+
+ANSWER: Final = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
+    b"content-length: 12\r\n\r\nbrass bowls\n"
+)
+HEAD_END: Final = b"\r\n\r\n"
+
+
+class _Connection(asyncio.Protocol):
+    """One connection."""
+
+    def __init__(self) -> None:
+        self._seen = b""
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast("asyncio.Transport", transport)
+
+    def data_received(self, data: bytes) -> None:
+        """Answer once a head has ended."""
+        self._seen += data
+        if not self._seen.endswith(HEAD_END):
+            return
+        self._seen = b""
+        assert self._transport is not None
+        self._transport.write(ANSWER)
+
+
+async def _serve() -> None:
+    """Serve until standard input ends."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(_Connection, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    sys.stdout.write(f"listening 127.0.0.1:{port}\n")
+    sys.stdout.flush()
+    await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run as a process."""
+    asyncio.run(_serve())
+
+
+if __name__ == "__main__":
+    main()
--- a/lycheelug/callers/service.py
+++ b/lycheelug/callers/service.py
@@ -15,7 +15,7 @@
 from returns.result import Failure
 
 from lycheelug.callers.answers import forward_answer, problem_answer
-from lycheelug.callers.request_headers import CallerRequest, parse_request
+from lycheelug.callers.request_headers import parse_request
 from lycheelug.errors import (
     NOT_READY,
     UNKNOWN_POOL,
@@ -31,6 +31,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lycheelug.callers.keyed import KeyedRequests
+    from lycheelug.callers.request_headers import CallerRequest
     from lycheelug.metrics import Metrics
     from lycheelug.pools import PoolTable
     from lycheelug.runner import RequestRunner, Run
@@ -43,6 +45,7 @@
 OWN_PATH: Final = b"/.well-known/lycheelug/"
 
 HEALTH_TARGET: Final = OWN_PATH + b"ready"
+KEYS_TARGET: Final = OWN_PATH + b"keys"
 
 
 class CallerService:
@@ -52,6 +55,7 @@
         "_clock",
         "_ids",
         "_is_ready",
+        "_keyed",
         "_metrics",
         "_pools",
         "_run_id",
@@ -67,6 +71,7 @@
         run_id: str,
         pools: PoolTable,
         runner: RequestRunner,
+        keyed: KeyedRequests,
         metrics: Metrics,
         is_ready: Callable[[], bool],
         clock: Callable[[], float],
@@ -75,6 +80,7 @@
         self._run_id = run_id
         self._pools = pools
         self._runner = runner
+        self._keyed = keyed
         self._metrics = metrics
         self._is_ready = is_ready
         self._clock = clock
@@ -144,6 +150,8 @@
 
     def _own_resource(self, request: Request) -> Answer:
         """Answer for the daemon itself."""
+        if request.target == KEYS_TARGET and request.method == b"POST":
+            return json_answer(200, {"key": self._keyed.issue_key()})
         if request.target != HEALTH_TARGET:
             detail = request.target.decode("latin-1")[:80]
             return self._refuse(
--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from enum import StrEnum
 from typing import TYPE_CHECKING, Final
@@ -15,7 +16,9 @@
 import msgspec
 
 from lycheelug.callers.answers import refuse_unread
+from lycheelug.callers.keyed import KeyedRequests
 from lycheelug.callers.service import CallerService
+from lycheelug.claims import SWEEP_PERIOD_S, ClaimBook, IssuedKeys
 from lycheelug.embedded import fill_embedded
 from lycheelug.entries.client import EntryClients
 from lycheelug.entries.gossip import Gossip
@@ -48,7 +51,6 @@
 from lycheelug.upstreams.exchange import Upstreams
 
 if TYPE_CHECKING:
-    import random
     from collections.abc import Sequence
 
     from lycheelug.errors import ErrorCode
@@ -81,12 +83,15 @@
         "_operators_server",
         "_seen",
         "_started_at",
+        "_sweep_task",
         "_tick_task",
         "callers",
+        "claims",
         "clients",
         "gate",
         "gossip",
         "join_revision",
+        "keyed",
         "leaving",
         "members",
         "metrics",
@@ -128,11 +133,26 @@
             self.gate,
             time.monotonic,
         )
+        self.claims = ClaimBook(
+            self.platform,
+            settings.name,
+            self.run_id,
+            time.time,
+            rng,
+            settings.timing.claim_retention_s,
+        )
+        self.keyed = KeyedRequests(
+            self.claims,
+            IssuedKeys(settings.name, self.run_id, random.SystemRandom()),
+            self.metrics,
+            time.time,
+        )
         self.callers = CallerService(
             settings,
             self.run_id,
             self.pools,
             self.runner,
+            self.keyed,
             self.metrics,
             self._is_ready,
             time.monotonic,
@@ -163,6 +183,7 @@
         self._entry_server: EntryServer | None = None
         self._tick_task: asyncio.Task[None] | None = None
         self._join_task: asyncio.Task[None] | None = None
+        self._sweep_task: asyncio.Task[None] | None = None
         self._started_at = time.monotonic()
         # Revisions of table and host list that the pools were built from.
         self._seen = (-1, -1)
@@ -177,6 +198,11 @@
         """Callers' connections."""
         return self._callers_server.connections
 
+    @property
+    def in_flight(self) -> int:
+        """Requests in progress, with or without their caller."""
+        return max(self.callers.in_flight, self.keyed.running)
+
     @property
     def ports(self) -> tuple[int, int, int]:
         """The bound ports for callers, operators and entry daemons."""
@@ -198,6 +224,7 @@
         await fill_embedded(self.platform, self.settings)
         self._tick_task = asyncio.create_task(self._run_ticks())
         await enter_fleet(self)
+        self._sweep_task = asyncio.create_task(self._run_sweeps())
         self.watch.start()
         self.gossip.start()
         self.sync_pools()
@@ -213,24 +240,26 @@
         await self.gossip.leave()
         self._callers_server.stop_accepting()
         deadline = time.monotonic() + self.settings.timing.grace_s
-        while self._callers_server.busy_connections or self.callers.in_flight:
-            if time.monotonic() >= deadline:
+        while True:
+            if not self._is_busy() or time.monotonic() >= deadline:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
-        return self.callers.in_flight
+        await self._settle_claims(deadline)
+        return self.in_flight
 
     async def stop(self) -> None:
         """Close everything."""
         await self.gossip.stop()
         await self.watch.stop()
         await leave_fleet(self)
-        for task in (self._tick_task, self._join_task):
+        for task in (self._tick_task, self._join_task, self._sweep_task):
             if task is not None:
                 task.cancel()
         self._callers_server.stop()
         self._operators_server.stop()
         if self._entry_server is not None:
             await self._entry_server.stop()
+        await self.claims.close()
         self.clients.close()
         self.upstreams.close()
         await self.platform.close()
@@ -240,6 +269,19 @@
         """Go on trying to join while the view is a peer's."""
         self._join_task = asyncio.create_task(join_later(self))
 
+    def _is_busy(self) -> bool:
+        """Whether a request is in progress."""
+        return bool(self._callers_server.busy_connections or self.in_flight)
+
+    async def _settle_claims(self, deadline: float) -> None:
+        """Hand back and record what the platform has not taken yet."""
+        remaining_s = max(0.0, deadline - time.monotonic())
+        try:
+            async with asyncio.timeout(remaining_s):
+                await self.claims.flush()
+        except TimeoutError:
+            log_change("claims not settled", pending=self.claims.pending)
+
     # --- Changes between the parts.
 
     def publish(self) -> Digest:
@@ -357,6 +399,12 @@
             self.sync_pools()
             self.pools.tick()
 
+    async def _run_sweeps(self) -> None:
+        """Delete old claims, a part at a time."""
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            await self.claims.sweep(time.time())
+
     async def _refresh(self) -> bool:
         """Bring the view up to date after a pause of this process."""
         refresh = Refresh(
--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -172,6 +172,9 @@
     409,
     "The daemon no longer knows this issued key, nor whether it was used.",
 )
+ANSWER_NOT_KEPT: Final = _code(
+    "answer-not-kept", 410, "The request ran; its answer is not kept."
+)
 CLAIM_LOST: Final = _code(
     "claim-lost", 503, "The claim could not be confirmed in time."
 )
--- a/lycheelug/main.py
+++ b/lycheelug/main.py
@@ -94,7 +94,7 @@
     draining = asyncio.create_task(daemon.drain())
     hurry = asyncio.create_task(hurried.wait())
     await asyncio.wait({draining, hurry}, return_when=asyncio.FIRST_COMPLETED)
-    cut = daemon.callers.in_flight
+    cut = daemon.in_flight
     draining.cancel()
     hurry.cancel()
     await daemon.stop()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -11,7 +11,7 @@
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, Self
 
 import msgspec
 
@@ -171,7 +171,7 @@
         self.programs: list[Program] = []
         self.daemons: dict[str, DaemonProcess] = {}
 
-    async def __aenter__(self) -> Fleet:
+    async def __aenter__(self) -> Self:
         return self
 
     async def __aexit__(self, *_: object) -> None:
--- /dev/null
+++ b/standins/world.py
@@ -0,0 +1,181 @@
+"""A small fleet in separate processes: platform, upstreams and daemons.
+
+Tests and the demonstration use it; all faults are switched over HTTP.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from lycheelug.platform import ABSENT, Guard, HostEntry, Transaction, Write
+from lycheelug.platform.codec import HostMessage, HostsMessage
+from lycheelug.platform.http import HttpPlatform
+from lycheelug.records import HostRow, PoolRow, encode, host_key, pool_key
+from standins.processes import Fleet, http_call, until
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from lycheelug.http import Answer, RawHeaders
+    from standins.processes import DaemonProcess, Program
+
+__all__ = ["Reply", "World"]
+
+
+class Reply:
+    """An answer as a caller reads it."""
+
+    __slots__ = ("body", "headers", "outcome", "reason", "status")
+
+    def __init__(self, answer: Answer) -> None:
+        self.status = answer.status
+        self.headers = dict(answer.headers)
+        self.body = answer.body
+        self.outcome = self.headers.get(b"lycheelug-outcome", b"").decode()
+        self.reason = self.headers.get(b"lycheelug-reason", b"").decode()
+
+    @property
+    def echo(self) -> str:
+        """What the upstream says that it was asked."""
+        return str(msgspec.json.decode(self.body)["echo"])
+
+
+class World(Fleet):
+    """The processes of one test, joined over the stand-in platform."""
+
+    __slots__ = ("_platform", "settings", "upstreams")
+
+    def __init__(self, directory: Path) -> None:
+        super().__init__(directory)
+        self._platform: Program | None = None
+        self.upstreams: dict[str, Program] = {}
+        # Settings that all daemons share.
+        self.settings: dict[str, Any] = {
+            "timing": {"grace_s": 10},
+            "platform": {},
+        }
+
+    @property
+    def platform(self) -> Program:
+        """The platform's process."""
+        assert self._platform is not None
+        return self._platform
+
+    async def start_base(
+        self, pools: dict[str, int], zone: str = "z1", slots: int = 8
+    ) -> None:
+        """Start the platform, and pools with their upstreams."""
+        if self._platform is None:
+            self._platform = await self.start_platform()
+            self.settings["platform"] = {
+                "binding": "http",
+                "address": self._platform.address,
+                "poll_s": 0.2,
+            }
+        entries: list[HostEntry] = []
+        rows: list[Write] = []
+        for pool, count in pools.items():
+            rows.append(Write(pool_key(pool), encode(PoolRow(pool))))
+            for index in range(count):
+                name = f"{zone}-{pool}-{index}"
+                upstream = await self.start_upstream(
+                    name, "--slots", str(slots)
+                )
+                self.upstreams[name] = upstream
+                rack = f"{zone}-r{index % 2}"
+                entries.append(HostEntry(name, zone, rack, upstream.address))
+                row = HostRow(name, zone, rack, pool)
+                rows.append(Write(host_key(zone, name), encode(row)))
+        await self.list_hosts(entries)
+        await self.write_rows(rows)
+
+    async def list_hosts(self, entries: list[HostEntry]) -> None:
+        """Put hosts into the platform's list."""
+        message = HostsMessage([HostMessage.of(each) for each in entries], 0)
+        await http_call(
+            self.platform.address,
+            "POST",
+            "/hosts",
+            msgspec.json.encode(message),
+        )
+
+    async def write_rows(self, writes: list[Write]) -> None:
+        """Write rows that must not exist yet; pools may."""
+        platform = HttpPlatform(self.platform.address)
+        guards: list[Guard] = []
+        for write in writes:
+            if write.key.startswith("host/"):
+                guards.append(Guard(write.key, ABSENT))
+        nonce = f"seed-{writes[0].key}"
+        await platform.transact(Transaction(guards, writes, nonce))
+        await platform.close()
+
+    async def start_entry(
+        self, name: str, zone: str = "z1", **settings: Any
+    ) -> DaemonProcess:
+        """Start an entry daemon that knows the running ones as seeds."""
+        seeds: list[str] = []
+        for daemon in self.daemons.values():
+            if daemon.is_running:
+                seeds.append(daemon.entries)
+        wait = settings.pop("wait", True)
+        content = {**self.settings, "zone": zone, "seeds": seeds, **settings}
+        return await self.start_daemon(name, content, wait)
+
+    async def fault_platform(self, **faults: Any) -> None:
+        """Switch the platform's faults."""
+        await http_call(
+            self.platform.address,
+            "POST",
+            "/faults",
+            msgspec.json.encode(faults),
+        )
+
+    async def fault_upstream(self, name: str, **faults: Any) -> None:
+        """Switch an upstream's faults."""
+        await http_call(
+            self.upstreams[name].address,
+            "POST",
+            "/-/faults",
+            msgspec.json.encode(faults),
+        )
+
+    async def runs(self) -> list[dict[str, str]]:
+        """Return all that the running upstreams ran."""
+        found: list[dict[str, str]] = []
+        for upstream in self.upstreams.values():
+            if not upstream.is_running:
+                continue
+            log = await http_call(upstream.address, "GET", "/-/log")
+            found.extend(msgspec.json.decode(log.body))
+        return found
+
+    async def ask(
+        self,
+        daemon: DaemonProcess,
+        body: str,
+        pool: str = "quotes",
+        method: str = "POST",
+        headers: RawHeaders | None = None,
+    ) -> Reply:
+        """Send a caller's request through a daemon."""
+        all_headers = [
+            (b"lycheelug-pool", pool.encode()),
+            *(headers or []),
+        ]
+        answer = await http_call(
+            daemon.callers, method, "/work", body.encode(), all_headers
+        )
+        return Reply(answer)
+
+    async def wait_members(self, daemon: DaemonProcess, alive: int) -> None:
+        """Wait until a daemon hears a number of members, itself included."""
+
+        async def heard() -> bool:
+            status = await daemon.get("/v1/status")
+            states = [each["state"] for each in status["members"]]
+            return states.count("alive") == alive
+
+        await until(heard)
--- /dev/null
+++ b/tests/test_two_daemons.py
@@ -0,0 +1,62 @@
+"""Two daemons over a platform, in separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from standins.processes import until
+from standins.world import World
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def test_daemons_learn_of_each_other_and_notice_a_loss(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 2})
+            first = await world.start_entry("e1")
+            second = await world.start_entry("e2")
+            await world.wait_members(first, alive=2)
+            await world.wait_members(second, alive=2)
+            for daemon in (first, second):
+                reply = await world.ask(daemon, "bowl")
+                assert reply.echo == "bowl"
+            await second.kill()
+            await world.wait_members(first, alive=1)
+            code, text = await world.run_tool(
+                "status", "--address", first.operators
+            )
+            assert code == 0
+            assert "e2" in text
+            assert await first.stop() == 0
+
+    asyncio.run(run())
+
+
+def test_slots_are_shared_between_the_live_daemons(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 2})
+            first = await world.start_entry("e1")
+
+            async def limits() -> set[int]:
+                hosts = await first.get("/v1/hosts")
+                return {each["limit"] for each in hosts}
+
+            async def alone() -> bool:
+                return await limits() == {8}
+
+            async def halved() -> bool:
+                return await limits() == {4}
+
+            await until(alone)
+            second = await world.start_entry("e2")
+            await until(halved)
+            assert await second.stop() == 0
+            await until(alone)
+
+    asyncio.run(run())
