--- a/lycheelug/claim_records.py
+++ b/lycheelug/claim_records.py
@@ -13,12 +13,15 @@
 
 import msgspec
 
+from lycheelug.platform.interface import ABSENT
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
 __all__ = [
     "CLAIM_PREFIX",
     "AnswerHeaders",
+    "ClaimAttempt",
     "ClaimRow",
     "ClaimState",
     "Claimed",
@@ -138,6 +141,22 @@
         self._closed = how
 
 
+class ClaimAttempt:
+    """A claim on its way: what the row must be, and what may be in flight.
+
+    `uncertain` says that a copy of the write may still take effect.
+    """
+
+    __slots__ = ("detail", "expected", "name", "row", "uncertain")
+
+    def __init__(self, name: str, row: ClaimRow) -> None:
+        self.name = name
+        self.row = row
+        self.expected = ABSENT
+        self.uncertain = False
+        self.detail = "raced by other claims"
+
+
 class Replay:
     """The recorded outcome of a key's one run.
 
--- a/lycheelug/claims.py
+++ b/lycheelug/claims.py
@@ -31,20 +31,18 @@
 from returns.result import Failure, Result, Success
 
 from lycheelug.claim_records import (
+    CLAIM_PREFIX,
     AnswerHeaders,
+    ClaimAttempt,
     Claimed,
     ClaimRow,
     ClaimState,
     Replay,
     claim_key,
+    object_name,
     pack_answer,
     unpack_headers,
 )
-from lycheelug.claim_retention import (
-    RETENTION_S,
-    SWEEP_PERIOD_S,
-    ClaimSweeper,
-)
 from lycheelug.claim_table import ClaimTable, claim_fault, decode_claim
 from lycheelug.errors import (
     CLAIM_LOST,
@@ -57,6 +55,7 @@
 from lycheelug.platform.interface import ABSENT, Commit, Row
 from lycheelug.records import encode
 from lycheelug.settlements import SettlementQueue
+from lycheelug.sweeping import SWEEP_PERIOD_S, RowSweeper
 
 if TYPE_CHECKING:
     import random
@@ -73,6 +72,9 @@
     "Replay",
 ]
 
+RETENTION_S: Final = 24 * 3600.0
+# Sweeping reads one of 16**4 partitions of the rows at a time.
+PARTITION_DIGITS: Final = 4
 USE_LIMIT_S: Final = 600.0
 CLAIM_TRIES: Final = 4
 INLINE_BYTES_MAX: Final = 16 * 1024
@@ -81,22 +83,6 @@
 PENDING_BYTES_MAX: Final = 4 * 1024 * 1024
 
 
-class _ClaimAttempt:
-    """A claim on its way: what the row must be, and what may be in flight.
-
-    `uncertain` says that a copy of the write may still take effect.
-    """
-
-    __slots__ = ("detail", "expected", "name", "row", "uncertain")
-
-    def __init__(self, name: str, row: ClaimRow) -> None:
-        self.name = name
-        self.row = row
-        self.expected = ABSENT
-        self.uncertain = False
-        self.detail = "raced by other claims"
-
-
 class ClaimBook:
     """The claims of one run of a daemon.
 
@@ -137,7 +123,14 @@
         self._queue = SettlementQueue(rng, sleep)
         self._table = ClaimTable(platform, rng, sleep)
         owner = f"{daemon}.{run}"
-        self._sweeper = ClaimSweeper(platform, owner, rng, retention_s)
+        self._sweeper = RowSweeper(
+            platform,
+            owner,
+            rng,
+            CLAIM_PREFIX,
+            PARTITION_DIGITS,
+            self._old_objects,
+        )
         self._counter = 0
 
     @property
@@ -242,7 +235,7 @@
         self, name: str, row: ClaimRow
     ) -> Result[Claimed | Replay, Fault]:
         """Write the row until its fate is known, or the tries are spent."""
-        state = _ClaimAttempt(name, row)
+        state = ClaimAttempt(name, row)
         for attempt in range(CLAIM_TRIES):
             if attempt > 0:
                 await self._table.back_off(attempt)
@@ -254,7 +247,7 @@
         return Failure(claim_fault(CLAIM_LOST, state.detail))
 
     async def _attempt(
-        self, state: _ClaimAttempt
+        self, state: ClaimAttempt
     ) -> Result[Claimed | Replay, Fault] | None:
         """Write the row once; None where another attempt is worth it."""
         match await self._table.write(state.name, state.expected, state.row):
@@ -280,7 +273,7 @@
         return None
 
     async def _judge(
-        self, state: _ClaimAttempt, found: Row
+        self, state: ClaimAttempt, found: Row
     ) -> Result[Claimed | Replay, Fault] | None:
         """Tell by the row that stood in the way how the claim went."""
         stored = decode_claim(found)
@@ -295,7 +288,7 @@
             return None
         return await self._replay(state.name, stored, state.row.digest)
 
-    def _claimed(self, state: _ClaimAttempt, revision: int) -> Claimed:
+    def _claimed(self, state: ClaimAttempt, revision: int) -> Claimed:
         return Claimed(
             state.name,
             state.row,
@@ -383,6 +376,19 @@
         )
         return isinstance(written, Success)
 
+    def _old_objects(self, row: Row, now: float) -> list[str] | None:
+        """Return an old row's objects, or None for a row to keep.
+
+        A claim without an outcome may have left its answer there, too.
+        """
+        stored = decode_claim(row)
+        if stored is None or now - stored.claimed_at <= self._retention_s:
+            return None
+        unrecorded = stored.state is ClaimState.CLAIMED
+        if unrecorded or stored.in_object:
+            return [object_name(row.key, stored.nonce)]
+        return []
+
     def _may_keep(self, size_bytes: int) -> bool:
         if size_bytes > KEPT_BYTES_MAX:
             return False
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -13,7 +13,7 @@
 from returns.pipeline import is_successful
 from returns.result import Success
 
-from lycheelug import claim_retention
+from lycheelug import claims
 from lycheelug.claims import ClaimBook, Claimed, IssuedKeys, Replay
 from lycheelug.errors import (
     CLAIM_LOST,
@@ -322,7 +322,7 @@
 
 async def _sweep(world: World) -> int:
     total = 0
-    for _ in range(claim_retention.PARTITIONS):
+    for _ in range(16):
         total += await world.b.sweep(world.now)
     return total
 
@@ -333,8 +333,7 @@
 def test_claims_under_faults(
     scenario: Scenario, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(claim_retention, "PARTITION_DIGITS", 1)
-    monkeypatch.setattr(claim_retention, "PARTITIONS", 16)
+    monkeypatch.setattr(claims, "PARTITION_DIGITS", 1)
 
     async def run() -> None:
         world = World()
