Keep long jobs durable on the platform's table

A job is one row, changed only on the condition of its revision and marked as dispatched before its first byte leaves, so that neither a clock nor a lease decides who may run it. Small index rows let a daemon find waiting jobs of a pool, and the jobs of a run that ended, without reading the rest.

--- /dev/null
+++ b/lycheelug/job_table.py
@@ -0,0 +1,199 @@
+"""Reads and conditional changes of job rows on the platform.
+
+Each change is one transaction on the condition of the job row's revision,
+with the index rows that follow it.  The row names the transition that
+wrote it, so that a change whose answer was lost is recognised.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheelug.errors import (
+    PLATFORM_INVALID,
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    UNKNOWN_JOB,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.job_records import (
+    JobRequest,
+    JobRow,
+    StoredJob,
+    index_writes,
+)
+from lycheelug.platform.interface import (
+    ABSENT,
+    Commit,
+    Guard,
+    Transaction,
+    Write,
+)
+from lycheelug.records import decode, encode
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable
+
+    from lycheelug.errors import ErrorCode
+    from lycheelug.platform.interface import Platform, Row
+
+__all__ = ["JobTable", "Raced", "decode_job", "job_fault"]
+
+CHANGE_TRIES: Final = 3
+READ_TRIES: Final = 5
+RETRY_FIRST_S: Final = 0.02
+
+
+class Raced:
+    """Another change came first; `found` is the row that it left."""
+
+    __slots__ = ("found",)
+
+    def __init__(self, found: StoredJob | None) -> None:
+        self.found = found
+
+
+class JobTable:
+    """The job rows as one daemon reaches them."""
+
+    __slots__ = ("_platform", "_rng", "_sleep")
+
+    def __init__(
+        self,
+        platform: Platform,
+        rng: random.Random,
+        sleep: Callable[[float], Awaitable[None]],
+    ) -> None:
+        self._platform = platform
+        self._rng = rng
+        self._sleep = sleep
+
+    async def read_at(
+        self, name: str, revision: int
+    ) -> Result[StoredJob, Fault]:
+        """Return a job as it was at a revision or later."""
+        for attempt in range(READ_TRIES):
+            if attempt > 0:
+                await self._back_off(attempt)
+            match await self._platform.read_since(name, 0):
+                case Success(delta) if delta.revision >= revision:
+                    pass
+                case _:
+                    continue
+            for row in delta.rows:
+                if row.key == name and row.value is not None:
+                    return _stored(row)
+            return Failure(job_fault(UNKNOWN_JOB, Step.READ, ""))
+        detail = "no read at the revision"
+        return Failure(job_fault(PLATFORM_UNREACHABLE, Step.READ, detail))
+
+    async def change(
+        self, before: StoredJob | None, after: StoredJob
+    ) -> Result[StoredJob | Raced, Fault]:
+        """Write a job's next row; `after.revision` is not used.
+
+        The same call again has no second effect.  A fault other than
+        `platform-unreachable` means that the change may have happened.
+        """
+        transaction = _transaction(before, after)
+        code = PLATFORM_UNREACHABLE
+        detail = ""
+        for attempt in range(CHANGE_TRIES):
+            if attempt > 0:
+                await self._back_off(attempt)
+            match await self._platform.transact(transaction):
+                case Success(Commit() as commit):
+                    return Success(
+                        StoredJob(after.name, after.row, commit.revision)
+                    )
+                case Success(conflict):
+                    return await self._raced(after, conflict.revision)
+                case Failure(fault):
+                    detail = str(fault)
+                    if fault.code is not PLATFORM_UNREACHABLE:
+                        code = PLATFORM_UNKNOWN
+            if code is PLATFORM_UNREACHABLE:
+                break
+        return Failure(job_fault(code, Step.RECORD, detail))
+
+    async def _raced(
+        self, after: StoredJob, revision: int
+    ) -> Result[StoredJob | Raced, Fault]:
+        """Tell one's own earlier copy of a change from another's."""
+        match await self.read_at(after.name, revision):
+            case Success(found) if found.row.writer == after.row.writer:
+                return Success(found)
+            case Success(found):
+                return Success(Raced(found))
+            case Failure(fault) if fault.code is UNKNOWN_JOB:
+                return Success(Raced(None))
+            case Failure(fault):
+                # The row in the way may be one's own.
+                detail = str(fault)
+                return Failure(
+                    job_fault(PLATFORM_UNKNOWN, Step.RECORD, detail)
+                )
+        raise AssertionError
+
+    async def fetch_request(
+        self, stored: StoredJob
+    ) -> Result[JobRequest, Fault]:
+        """Return a job's request, from its object if it is large."""
+        row = stored.row
+        if row.request is not None:
+            return Success(row.request)
+        match await self._platform.get_object(row.request_object):
+            case Success(data):
+                pass
+            case Failure(fault):
+                return Failure(fault)
+        try:
+            request = msgspec.msgpack.decode(data, type=JobRequest)
+        except msgspec.DecodeError as error:
+            detail = str(error)
+            return Failure(job_fault(PLATFORM_INVALID, Step.READ, detail))
+        return Success(request)
+
+    async def _back_off(self, attempt: int) -> None:
+        pause_s = RETRY_FIRST_S * 2.0 ** (attempt - 1)
+        await self._sleep(pause_s * self._rng.uniform(0.5, 1.5))
+
+
+def decode_job(row: Row) -> JobRow | None:
+    """Return a job's row; None where it can't be understood."""
+    if row.value is None:
+        return None
+    try:
+        return decode(row.value, JobRow)
+    except msgspec.DecodeError:
+        return None
+
+
+def job_fault(code: ErrorCode, step: Step, detail: str) -> Fault:
+    """Return a fault of handling a job's row."""
+    return Fault(code, step, Peer.PLATFORM, detail)
+
+
+def _stored(row: Row) -> Result[StoredJob, Fault]:
+    decoded = decode_job(row)
+    if decoded is None:
+        detail = "job row not understood"
+        return Failure(job_fault(PLATFORM_INVALID, Step.READ, detail))
+    return Success(StoredJob(row.key, decoded, row.revision))
+
+
+def _transaction(before: StoredJob | None, after: StoredJob) -> Transaction:
+    """Return the transaction of one change of a job."""
+    revision = ABSENT if before is None else before.revision
+    earlier = None if before is None else before.row
+    writes = [Write(after.name, encode(after.row))]
+    writes += index_writes(after.name, earlier, after.row)
+    return Transaction(
+        [Guard(after.name, revision)], writes, f"{after.row.writer}/{revision}"
+    )
--- /dev/null
+++ b/lycheelug/job_views.py
@@ -0,0 +1,154 @@
+"""What one daemon knows of waiting and held jobs, from index rows.
+
+The views are fed by deltas and may lag; nothing rests on them but the
+order in which jobs are tried.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheelug.errors import REVISION_FORGOTTEN
+from lycheelug.job_queue import JobQueue
+from lycheelug.job_records import (
+    JOB_PREFIX,
+    RunningRow,
+    WaitingRow,
+    running_prefix,
+    waiting_prefix,
+)
+from lycheelug.records import decode
+
+if TYPE_CHECKING:
+    from lycheelug.errors import Fault
+    from lycheelug.platform.interface import Delta, Platform, Row
+
+__all__ = ["PoolViews", "RunView"]
+
+
+class PoolViews:
+    """The waiting jobs of the pools that a daemon serves."""
+
+    __slots__ = ("_platform", "_queues", "_revisions")
+
+    def __init__(self, platform: Platform) -> None:
+        self._platform = platform
+        self._queues: dict[str, JobQueue] = {}
+        self._revisions: dict[str, int] = {}
+
+    def queue(self, pool: str) -> JobQueue:
+        """Return a pool's waiting jobs."""
+        if pool not in self._queues:
+            self._queues[pool] = JobQueue()
+        return self._queues[pool]
+
+    def revision(self, pool: str) -> int:
+        """Return the table's revision that a pool's view has reached."""
+        return self._revisions.get(pool, 0)
+
+    def forget(self, pool: str) -> None:
+        """Read a pool's jobs anew at the next refresh."""
+        self._revisions[pool] = 0
+        self.queue(pool).clear()
+
+    async def refresh(self, pool: str) -> Result[None, Fault]:
+        """Bring a pool's view up to date as far as the platform answers."""
+        prefix = waiting_prefix(pool)
+        read = await self._platform.read_since(prefix, self.revision(pool))
+        match read:
+            case Success(delta):
+                self._apply(pool, delta)
+                return Success(None)
+            case Failure(fault) if fault.code is not REVISION_FORGOTTEN:
+                return Failure(fault)
+        self.forget(pool)
+        match await self._platform.read_since(prefix, 0):
+            case Success(delta):
+                self._apply(pool, delta)
+                return Success(None)
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError
+
+    def _apply(self, pool: str, delta: Delta) -> None:
+        """Take a delta in, unless a newer one came first."""
+        if delta.revision < self.revision(pool):
+            return
+        self._revisions[pool] = delta.revision
+        queue = self.queue(pool)
+        for row in delta.rows:
+            name = _job_name(row, waiting_prefix(pool))
+            waiting = _decode_waiting(row)
+            if waiting is None:
+                queue.remove(name)
+                continue
+            queue.add(name, waiting.tenant, waiting.submitted_at)
+
+
+class RunView:
+    """The jobs that one daemon run holds."""
+
+    __slots__ = ("_platform", "_prefix", "revision")
+
+    def __init__(self, platform: Platform, owner: str) -> None:
+        self._platform = platform
+        self._prefix = running_prefix(owner)
+        self.revision = 0
+
+    async def names(self) -> Result[list[str], Fault]:
+        """Return all jobs that the run holds."""
+        names: list[str] = []
+        match await self._platform.read_since(self._prefix, 0):
+            case Success(delta):
+                self.revision = delta.revision
+            case Failure(fault):
+                return Failure(fault)
+        for row in delta.rows:
+            if row.value is not None:
+                names.append(_job_name(row, self._prefix))
+        return Success(names)
+
+    async def newly_cancelled(self) -> Result[list[str], Fault]:
+        """Return the held jobs that were cancelled since the last call."""
+        read = await self._platform.read_since(self._prefix, self.revision)
+        match read:
+            case Success(delta):
+                pass
+            case Failure(fault) if fault.code is REVISION_FORGOTTEN:
+                self.revision = 0
+                return await self.newly_cancelled()
+            case Failure(fault):
+                return Failure(fault)
+        names: list[str] = []
+        if delta.revision < self.revision:
+            return Success(names)
+        self.revision = delta.revision
+        for row in delta.rows:
+            if _is_cancelled(row):
+                names.append(_job_name(row, self._prefix))
+        return Success(names)
+
+
+def _job_name(row: Row, prefix: str) -> str:
+    return JOB_PREFIX + row.key.removeprefix(prefix)
+
+
+def _decode_waiting(row: Row) -> WaitingRow | None:
+    if row.value is None:
+        return None
+    try:
+        return decode(row.value, WaitingRow)
+    except msgspec.DecodeError:
+        return None
+
+
+def _is_cancelled(row: Row) -> bool:
+    if row.value is None:
+        return False
+    try:
+        return decode(row.value, RunningRow).cancel_wanted
+    except msgspec.DecodeError:
+        return False
--- /dev/null
+++ b/lycheelug/jobs.py
@@ -0,0 +1,338 @@
+"""Long work: durable before it is accepted, run by whichever daemon can.
+
+A job is one row in the platform's table; its handle is random and the row
+key holds a hash of it.  Daemons take waiting jobs by a conditional write
+that raises the job's epoch, and mark a job as dispatched before its first
+byte leaves.  Nothing rests on a lease or a clock: a claim stands until its
+owner ends it, or until the owner's run is known to have ended.  Then a job
+that was not dispatched, or that may be repeated, waits again; another
+becomes UNKNOWN, stays visible and is never run a second time.
+
+Platform calls of a job that succeeds at once: one write to submit it; two
+reads and one write to take it; one write to mark it dispatched; one to
+record its end.  Requests and answers over `INLINE_BYTES_MAX` add an object
+each.
+
+Limits: each daemon holds an index of the waiting jobs of the pools it
+serves.  A submission whose answer is lost is withdrawn in the background,
+and may have run meanwhile.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from lycheelug import job_steps
+from lycheelug.claim_records import StoredAnswer, unpack_headers
+from lycheelug.errors import (
+    JOB_CONFLICT,
+    PLATFORM_UNREACHABLE,
+    UNKNOWN_JOB,
+    UNKNOWN_OBJECT,
+    Fault,
+    Step,
+)
+from lycheelug.job_holder import INLINE_BYTES_MAX, JobHolder
+from lycheelug.job_records import (
+    FINISHED_STATES,
+    HELD_STATES,
+    JOB_PREFIX,
+    JobClaim,
+    JobRequest,
+    JobRow,
+    JobState,
+    JobStatus,
+    StoredJob,
+    job_key,
+)
+from lycheelug.job_table import Raced, decode_job, job_fault
+from lycheelug.job_views import RunView
+from lycheelug.sweeping import RowSweeper
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable, Callable, Collection
+
+    from lycheelug.platform.interface import Platform, Row
+
+__all__ = [
+    "JobBook",
+    "JobClaim",
+    "JobRequest",
+    "JobState",
+    "JobStatus",
+]
+
+HANDLE_PREFIX: Final = "lj1"
+HANDLE_BITS: Final = 128
+CHANGE_ROUNDS: Final = 4
+RETENTION_S: Final = 24 * 3600.0
+# Jobs that were set aside or whose end is unknown stay visible for longer.
+FAILED_RETENTION_S: Final = 7 * 24 * 3600.0
+PARTITION_DIGITS: Final = 3
+RUN_ENDED: Final = "its daemon's run ended"
+
+
+class JobBook(JobHolder):
+    """The long jobs as one run of a daemon sees and changes them.
+
+    `clock` gives Unix seconds; `rng` should be random.SystemRandom, since
+    a handle is the only thing that its holder is known by.
+    """
+
+    __slots__ = ("_retention_s", "_sweeper")
+
+    def __init__(
+        self,
+        platform: Platform,
+        daemon: str,
+        run: str,
+        clock: Callable[[], float],
+        rng: random.Random,
+        retention_s: float = RETENTION_S,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        super().__init__(platform, daemon, run, clock, rng, sleep)
+        self._retention_s = retention_s
+        self._sweeper = RowSweeper(
+            platform,
+            self._owner,
+            rng,
+            JOB_PREFIX,
+            PARTITION_DIGITS,
+            self._old_objects,
+        )
+
+    # --- For callers.
+
+    async def submit(
+        self, tenant: str, pool: str, request: JobRequest, now: float
+    ) -> Result[str, Fault]:
+        """Store a job and return its handle once it is durable.
+
+        `platform-unreachable` means that there is no job; any other fault
+        that there may be one, which is then withdrawn in the background.
+        """
+        secret = f"{self._rng.getrandbits(HANDLE_BITS):032x}"
+        row = JobRow(tenant, pool, now, self._writer())
+        row.repeatable = request.repeatable
+        job = StoredJob(job_key(secret), row, 0)
+        try:
+            stored = await self._store_request(job, request)
+            if not isinstance(stored, Success):
+                self._forget_request(row)
+                return Failure(stored.failure())
+            changed = await self._table.change(None, job)
+        except asyncio.CancelledError:
+            self._withdraw(job)
+            raise
+        match changed:
+            case Success(StoredJob() as submitted):
+                revision = f"{submitted.revision:x}"
+                return Success(f"{HANDLE_PREFIX}.{secret}.{revision}")
+            case Failure(fault) if fault.code is PLATFORM_UNREACHABLE:
+                self._forget_request(row)
+                return Failure(fault)
+            case Failure(fault):
+                self._withdraw(job)
+                return Failure(fault)
+        return Failure(job_fault(JOB_CONFLICT, Step.RECORD, "handle in use"))
+
+    async def state(self, handle: str) -> Result[JobStatus, Fault]:
+        """Return what became of a job."""
+        match await self._find(handle):
+            case Success(job):
+                return await self._status(job)
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError
+
+    async def cancel(
+        self, handle: str, now: float
+    ) -> Result[JobStatus, Fault]:
+        """Cancel a job and return what became of it.
+
+        A dispatched job runs on until its owner has seen the wish; a fault
+        leaves open whether the cancellation took effect.
+        """
+        match await self._find(handle):
+            case Success(job):
+                pass
+            case Failure(fault):
+                return Failure(fault)
+        writer = self._writer()
+        for _ in range(CHANGE_ROUNDS):
+            row = job_steps.cancel(job.row, writer, now)
+            if row is None:
+                # Its first cancellation may have lost its answer.
+                self._forget_request(job.row)
+                return await self._status(job)
+            match await self._table.change(job, StoredJob(job.name, row, 0)):
+                case Success(StoredJob() as job):
+                    self._forget_request(job.row)
+                    return await self._status(job)
+                case Success(Raced(found=StoredJob() as job)):
+                    continue
+                case Success(_):
+                    break
+                case Failure(fault):
+                    return Failure(fault)
+        return Failure(job_fault(JOB_CONFLICT, Step.RECORD, "raced"))
+
+    # --- Upkeep.
+
+    async def recover(self, ended_runs: Collection[str], now: float) -> int:
+        """Free the jobs of daemon runs (`owner` names) known to be over.
+
+        Call it again for some time after a run's end: a claim of that run
+        may still arrive.  Returns how many jobs were freed or closed.
+        """
+        freed = 0
+        for owner in ended_runs:
+            view = RunView(self._platform, owner)
+            match await view.names():
+                case Success(names):
+                    pass
+                case _:
+                    continue
+            for name in names:
+                freed += await self._recover(name, owner, view.revision, now)
+        return freed
+
+    async def sweep(self, now: float) -> int:
+        """Delete old finished jobs of one partition; return how many."""
+        return await self._sweeper.step(now)
+
+    async def flush(self) -> None:
+        """Return when nothing is pending; the caller sets a timeout."""
+        await self._queue.flush()
+
+    async def close(self) -> None:
+        """Stop background work; what is pending stays as it is."""
+        await self._queue.close()
+
+    # --- Steps of the above.
+
+    async def _store_request(
+        self, job: StoredJob, request: JobRequest
+    ) -> Result[None, Fault]:
+        """Put a request into the job's row, or into an object."""
+        if len(request.body) <= INLINE_BYTES_MAX:
+            job.row.request = request
+            return Success(None)
+        job.row.request_object = f"{job.name}/request"
+        stored = await self._platform.put_object(
+            job.row.request_object, msgspec.msgpack.encode(request)
+        )
+        if isinstance(stored, Success):
+            return Success(None)
+        # Without its row the object is nothing: there is no job.
+        detail = str(stored.failure())
+        return Failure(job_fault(PLATFORM_UNREACHABLE, Step.RECORD, detail))
+
+    def _withdraw(self, job: StoredJob) -> None:
+        """Cancel a submission whose caller has no handle."""
+        writer = self._writer()
+        now = self._clock()
+        cancelled = job_steps.cancel(job.row, writer, now)
+        assert cancelled is not None
+
+        async def attempt() -> bool:
+            # A cancelled row where there is none stops late copies.
+            fence = StoredJob(job.name, cancelled, 0)
+            match await self._table.change(None, fence):
+                case Success(Raced(found=StoredJob() as found)):
+                    return await self._cancel_once(found, writer, now)
+                case Success(StoredJob()):
+                    self._forget_request(cancelled)
+                    return True
+            return False
+
+        self._queue.settle_later(attempt)
+
+    async def _cancel_once(
+        self, job: StoredJob, writer: str, now: float
+    ) -> bool:
+        """Cancel a job as it was read; True when nothing is left to do."""
+        row = job_steps.cancel(job.row, writer, now)
+        if row is None:
+            return True
+        match await self._table.change(job, StoredJob(job.name, row, 0)):
+            case Success(StoredJob()):
+                self._forget_request(row)
+                return True
+        return False
+
+    async def _find(self, handle: str) -> Result[StoredJob, Fault]:
+        """Return the job of a handle, at the handle's revision or later."""
+        parts = handle.split(".")
+        if len(parts) != 3 or parts[0] != HANDLE_PREFIX:
+            return Failure(job_fault(UNKNOWN_JOB, Step.READ, "not a handle"))
+        try:
+            revision = int(parts[2], 16)
+        except ValueError:
+            return Failure(job_fault(UNKNOWN_JOB, Step.READ, "not a handle"))
+        return await self._table.read_at(job_key(parts[1]), revision)
+
+    async def _status(self, job: StoredJob) -> Result[JobStatus, Fault]:
+        """Return what a caller is told of a job, with its answer."""
+        row = job.row
+        answer = row.answer
+        if row.answer_object:
+            match await self._platform.get_object(row.answer_object):
+                case Success(data):
+                    answer = _decode_answer(data)
+                case Failure(fault) if fault.code is UNKNOWN_OBJECT:
+                    pass
+                case Failure(fault):
+                    return Failure(fault)
+        if answer is None:
+            kept = row.state is not JobState.DONE
+            return Success(JobStatus(row, [], b"", kept))
+        headers = unpack_headers(answer)
+        return Success(JobStatus(row, headers, answer.body, True))
+
+    async def _recover(
+        self, name: str, owner: str, revision: int, now: float
+    ) -> int:
+        """Free one job of an ended run; return 1 where that was done."""
+        match await self._table.read_at(name, revision):
+            case Success(job):
+                row: JobRow = job.row
+            case _:
+                return 0
+        if row.owner != owner or row.state not in HELD_STATES:
+            return 0
+        sent = row.state is JobState.DISPATCHED
+        after = job_steps.give_up_claim(
+            row, self._writer(), now, RUN_ENDED, sent
+        )
+        match await self._table.change(job, StoredJob(name, after, 0)):
+            case Success(StoredJob()):
+                self._forget_request(after)
+                return 1
+        return 0
+
+    def _old_objects(self, row: Row, now: float) -> list[str] | None:
+        """Return an old job's objects, or None for a row to keep."""
+        job = decode_job(row)
+        if job is None or job.state not in FINISHED_STATES:
+            return None
+        kept_s = self._retention_s
+        if job.state in (JobState.SET_ASIDE, JobState.UNKNOWN):
+            kept_s = max(kept_s, FAILED_RETENTION_S)
+        if now - job.finished_at <= kept_s:
+            return None
+        names = (job.request_object, job.answer_object)
+        return [name for name in names if name]
+
+
+def _decode_answer(data: bytes) -> StoredAnswer | None:
+    try:
+        return msgspec.msgpack.decode(data, type=StoredAnswer)
+    except msgspec.DecodeError:
+        return None
