--- /dev/null
+++ b/lycheelug/blockers.py
@@ -0,0 +1,58 @@
+"""What a plan waits for, told by name."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["Blocker", "BlockerKind"]
+
+
+class BlockerKind(StrEnum):
+    """Kinds of things that a plan waits for."""
+
+    NO_SHEET = "no-sheet"
+    VIEW_BEHIND = "view-behind"
+    ENTRY = "entry"
+    BUDGET = "budget"
+    SHORTAGE = "shortage"
+    WINDOW = "window"
+    HOST_DRAIN = "host-drain"
+    HOST_REBOOT = "host-reboot"
+    HOST_LATE = "host-late"
+    HOST_LEAVING = "host-leaving"
+
+
+class Blocker:
+    """One thing that is waited for: what stands still, and who must act."""
+
+    __slots__ = ("detail", "kind", "subject", "waiting_for")
+
+    def __init__(
+        self,
+        kind: BlockerKind,
+        subject: str,
+        waiting_for: Sequence[str] = (),
+        detail: str = "",
+    ) -> None:
+        self.kind = kind
+        self.subject = subject
+        self.waiting_for = tuple(waiting_for)
+        self.detail = detail
+
+    def __str__(self) -> str:
+        """Return one line for people.
+
+        >>> print(Blocker(BlockerKind.ENTRY, "w7", ["e3"]))
+        w7: waiting for entry e3
+        """
+        if self.kind is BlockerKind.ENTRY:
+            names = ", ".join(self.waiting_for)
+            return f"{self.subject}: waiting for entry {names}"
+        return f"{self.subject}: {self.detail}"
+
+    def __repr__(self) -> str:
+        return f"Blocker({self.kind}, {self})"
--- /dev/null
+++ b/lycheelug/entry_acks.py
@@ -0,0 +1,68 @@
+"""Which entry daemons might still dispatch to a draining host.
+
+A daemon's view only moves forward.  Once its digest says that the view has
+reached the revision of the drain, and that nothing of its own is left on
+the host, it will not dispatch there for the old pool again: so an old
+digest is as good as a fresh one, and no clock is needed.  A run that
+joined after the drain started from a view that held it.
+
+A daemon that can't be heard is waited for until the platform's list says
+that its host is gone, or an operator declares the run dead.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheelug.platform.interface import HostState
+
+if TYPE_CHECKING:
+    from lycheelug.fleet import FleetSnapshot, Versioned
+    from lycheelug.records import EntryRow, HostRow
+
+__all__ = ["knows_all_entries", "waiting_for"]
+
+
+def knows_all_entries(fleet: FleetSnapshot, revision: int) -> bool:
+    """Tell whether the view holds every join up to a drain and the epoch.
+
+    A transaction guarded by the epoch's revision then can't miss a daemon.
+    """
+    return fleet.table_revision >= max(revision, fleet.entry_epoch_revision)
+
+
+def waiting_for(fleet: FleetSnapshot, host: Versioned[HostRow]) -> list[str]:
+    """Return the entry daemons that a draining host waits for, by name."""
+    names: list[str] = []
+    for name in sorted(fleet.entries):
+        entry = fleet.entries[name]
+        if entry.revision > host.revision:
+            continue
+        if _has_ended(fleet, name, entry):
+            continue
+        if not _has_acknowledged(fleet, entry, host):
+            names.append(name)
+    return names
+
+
+def _has_ended(
+    fleet: FleetSnapshot, name: str, entry: Versioned[EntryRow]
+) -> bool:
+    if entry.row.run in fleet.dead_runs:
+        return True
+    listed = fleet.listed.get(name)
+    if listed is None or listed.state is not HostState.GONE:
+        return False
+    # An older list tells of the host's life before this run joined.
+    return fleet.list_revision > entry.row.list_revision
+
+
+def _has_acknowledged(
+    fleet: FleetSnapshot,
+    entry: Versioned[EntryRow],
+    host: Versioned[HostRow],
+) -> bool:
+    digest = fleet.digests.get(entry.row.run)
+    if digest is None or digest.table_revision < host.revision:
+        return False
+    return host.row.name not in digest.busy_draining
--- a/lycheelug/fleet.py
+++ b/lycheelug/fleet.py
@@ -169,6 +169,10 @@
         if known is None or digest.sequence > known.sequence:
             self.digests[digest.run] = digest
 
+    def newest(self, key: str) -> int:
+        """Return the newest revision seen of a key, also if deleted."""
+        return self._newest.get(key, 0)
+
     def state(self, host: str) -> HostState:
         """Return what the platform's list says; unlisted hosts are gone."""
         entry = self.listed.get(host)
--- /dev/null
+++ b/lycheelug/plan_hosts.py
@@ -0,0 +1,187 @@
+"""How a host that is not simply serving gets one phase on.
+
+    serving -> draining -> serving (next pool)
+    serving -> draining -> maintenance -> serving (same pool)
+    serving -> draining -> deleted (gone from the platform's list)
+
+Leaving `draining` for anything but the old pool waits for every entry
+daemon that might still dispatch to the host.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.blockers import Blocker, BlockerKind
+from lycheelug.entry_acks import knows_all_entries, waiting_for
+from lycheelug.platform.interface import HostState
+from lycheelug.records import HostPhase
+from lycheelug.steps import CallKind, PlatformCall
+from lycheelug.waves import REBOOT_TIMEOUT_S, is_due, is_late, open_until
+
+if TYPE_CHECKING:
+    from lycheelug.fleet import FleetSnapshot, Versioned
+    from lycheelug.records import HostRow
+    from lycheelug.sheet import Sheet
+    from lycheelug.steps import StepBuilder
+
+__all__ = ["LATE_DRAIN_S", "HostProgress"]
+
+# A host that turns to leaving this soon after its maintenance does so by a
+# drain request that came late; the drain is ended.
+LATE_DRAIN_S: Final = 3_600.0
+# A host that went to maintenance and is gone is named for this long.
+LOST_HOST_S: Final = 86_400.0
+
+
+class HostProgress:
+    """Adds the next change of each host under way to its pool's step."""
+
+    __slots__ = ("_fleet", "_now", "_sheet", "_targets", "blockers", "calls")
+
+    def __init__(
+        self,
+        fleet: FleetSnapshot,
+        sheet: Sheet,
+        now: float,
+        targets: dict[str, str],
+    ) -> None:
+        self._fleet = fleet
+        self._sheet = sheet
+        self._now = now
+        self._targets = targets
+        self.calls: list[PlatformCall] = []
+        self.blockers: list[Blocker] = []
+
+    def needs_step(self, host: Versioned[HostRow]) -> bool:
+        """Tell whether a host is under way, or should be."""
+        if host.row.phase is not HostPhase.SERVING:
+            return True
+        return self._fleet.state(host.row.name) is not HostState.LIVE
+
+    def advance(self, host: Versioned[HostRow], builder: StepBuilder) -> None:
+        """Take a host one phase on, or note what it waits for."""
+        if host.row.phase is HostPhase.SERVING:
+            self._advance_failed(host, builder)
+        elif host.row.phase is HostPhase.MAINTENANCE:
+            self._advance_maintenance(host, builder)
+        elif host.row.target:
+            self._advance_move(host, builder)
+        else:
+            self._advance_stop(host, builder)
+
+    def _advance_failed(
+        self, host: Versioned[HostRow], builder: StepBuilder
+    ) -> None:
+        """Start to retire a host that is gone; a late drain is undone.
+
+        It is not available, so that no budget is asked.
+        """
+        row = host.row
+        if self._fleet.state(row.name) is HostState.GONE:
+            builder.drain(host, "")
+            return
+        if row.drained_at and self._now - row.drained_at < LATE_DRAIN_S:
+            self._call(CallKind.RESUME, host)
+        self._block(
+            BlockerKind.HOST_LEAVING, row, "the platform's list says leaving"
+        )
+
+    def _advance_move(
+        self, host: Versioned[HostRow], builder: StepBuilder
+    ) -> None:
+        row = host.row
+        state = self._fleet.state(row.name)
+        target = self._targets.get(row.name, row.target)
+        if state is HostState.LIVE and target == row.pool:
+            builder.give_back(host)
+        elif not self._is_released(host):
+            return
+        elif state is HostState.LIVE:
+            builder.finish(host, target)
+        elif state is HostState.GONE:
+            builder.retire(host)
+        else:
+            self._block(
+                BlockerKind.HOST_LEAVING,
+                row,
+                "the platform's list says leaving",
+            )
+
+    def _advance_stop(
+        self, host: Versioned[HostRow], builder: StepBuilder
+    ) -> None:
+        """Take on a host that drains for maintenance, or is gone."""
+        row = host.row
+        state = self._fleet.state(row.name)
+        windows = self._sheet.windows
+        closed = open_until(windows, row.zone, self._now) is None
+        stopping = is_due(row, self._now) and not closed
+        if state is HostState.LIVE and not stopping:
+            builder.give_back(host)
+        elif not self._is_released(host):
+            return
+        elif state is HostState.LIVE:
+            self._call(CallKind.DRAIN, host)
+            self._block(
+                BlockerKind.HOST_DRAIN,
+                row,
+                "waiting for the platform to drain it",
+            )
+        elif state is HostState.GONE:
+            builder.retire(host)
+        else:
+            builder.begin_maintenance(host)
+
+    def _advance_maintenance(
+        self, host: Versioned[HostRow], builder: StepBuilder
+    ) -> None:
+        row = host.row
+        state = self._fleet.state(row.name)
+        age = self._now - row.since
+        newer = self._fleet.list_revision > row.list_revision
+        if state is HostState.LIVE and newer:
+            builder.end_maintenance(host)
+            return
+        if state is HostState.LEAVING:
+            self._call(CallKind.REBOOT, host)
+        if state is HostState.GONE and age > LOST_HOST_S:
+            builder.retire(host)
+            return
+        if is_late(row, self._now):
+            self._block(
+                BlockerKind.HOST_LATE,
+                row,
+                "did not come back from its reboot within "
+                f"{REBOOT_TIMEOUT_S:g} s; its pool's budget stays spent",
+            )
+            return
+        self._block(BlockerKind.HOST_REBOOT, row, "waiting for its reboot")
+
+    def _is_released(self, host: Versioned[HostRow]) -> bool:
+        """Tell whether no entry daemon may dispatch to the host any more."""
+        if not knows_all_entries(self._fleet, host.revision):
+            self._block(
+                BlockerKind.VIEW_BEHIND,
+                host.row,
+                "waiting for this daemon's view of the entry daemons",
+            )
+            return False
+        names = waiting_for(self._fleet, host)
+        if names:
+            self.blockers.append(
+                Blocker(BlockerKind.ENTRY, host.row.name, names)
+            )
+        return not names
+
+    def _call(self, kind: CallKind, host: Versioned[HostRow]) -> None:
+        row = host.row
+        nonce = ""
+        if kind is CallKind.REBOOT:
+            nonce = f"{row.name}/{host.revision}"
+        self.calls.append(
+            PlatformCall(kind, row.name, row.zone, host.revision, nonce)
+        )
+
+    def _block(self, kind: BlockerKind, row: HostRow, detail: str) -> None:
+        self.blockers.append(Blocker(kind, row.name, (), detail))
--- a/lycheelug/records.py
+++ b/lycheelug/records.py
@@ -82,6 +82,8 @@
     # In MAINTENANCE: the revision of the platform's host list at which the
     # host was seen to have left.  It is back once a later one says live.
     list_revision: int = 0
+    # When the host last came back from being drained for maintenance.
+    drained_at: float = 0.0
 
 
 class PoolRow(msgspec.Struct):
@@ -144,6 +146,9 @@
     zone: str
     address: str
     run: str
+    # The revision of the platform's host list at which this run saw its own
+    # host listed as live: only a later list can call this run gone.
+    list_revision: int = 0
 
 
 def host_key(zone: str, name: str) -> str:
--- /dev/null
+++ b/lycheelug/waves.py
@@ -0,0 +1,127 @@
+"""Maintenance waves: which racks fall due, in which order, and when.
+
+Every host is to be maintained once in two weeks.  Hosts fall due some days
+before that, so that there are several windows left to find a slot in.  A
+wave is the due hosts of one rack; racks come in the order of their longest
+waiting host, and one rack of a zone is out at a time.
+"""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.platform.interface import HostState
+from lycheelug.records import HostPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lycheelug.fleet import FleetSnapshot
+    from lycheelug.records import HostRow
+    from lycheelug.sheet import WindowSpec
+
+__all__ = [
+    "MAINTENANCE_AHEAD_S",
+    "MAINTENANCE_INTERVAL_S",
+    "REBOOT_TIMEOUT_S",
+    "Wave",
+    "is_due",
+    "is_late",
+    "next_window_start",
+    "open_until",
+    "plan_waves",
+]
+
+_DAY_S: Final = 86_400.0
+_MINUTE_S: Final = 60.0
+_DAYS_PER_WEEK: Final = 7
+MAINTENANCE_INTERVAL_S: Final = 14 * _DAY_S
+MAINTENANCE_AHEAD_S: Final = 3 * _DAY_S
+# A host that is out for longer is named as one that did not come back.
+REBOOT_TIMEOUT_S: Final = 15 * _MINUTE_S
+
+
+class Wave:
+    """The due hosts of one rack, the longest waiting first."""
+
+    __slots__ = ("hosts", "oldest", "rack", "zone")
+
+    def __init__(self, zone: str, rack: str, hosts: list[HostRow]) -> None:
+        self.zone = zone
+        self.rack = rack
+        self.hosts = sorted(
+            hosts, key=lambda row: (row.maintained_at, row.name)
+        )
+        self.oldest = self.hosts[0].maintained_at
+
+
+def is_due(row: HostRow, now: float) -> bool:
+    """Tell whether a host's next maintenance may start."""
+    age = now - row.maintained_at
+    return age >= MAINTENANCE_INTERVAL_S - MAINTENANCE_AHEAD_S
+
+
+def is_late(row: HostRow, now: float) -> bool:
+    """Tell whether a host has been rebooting for too long."""
+    resting = row.phase is HostPhase.MAINTENANCE
+    return resting and now - row.since > REBOOT_TIMEOUT_S
+
+
+def plan_waves(fleet: FleetSnapshot, now: float) -> list[Wave]:
+    """Return the waves that are due, the most overdue first."""
+    racks: dict[tuple[str, str], list[HostRow]] = {}
+    for versioned in fleet.hosts.values():
+        row = versioned.row
+        if row.phase is not HostPhase.SERVING or not is_due(row, now):
+            continue
+        if fleet.state(row.name) is not HostState.LIVE:
+            continue
+        racks.setdefault((row.zone, row.rack), []).append(row)
+    waves = [Wave(zone, rack, hosts) for (zone, rack), hosts in racks.items()]
+    waves.sort(key=lambda wave: (wave.oldest, wave.zone, wave.rack))
+    return waves
+
+
+def open_until(
+    windows: Iterable[WindowSpec], zone: str, now: float
+) -> float | None:
+    """Return when the zone's open window ends; None if none is open."""
+    end: float | None = None
+    for window in windows:
+        if window.zone not in ("", zone):
+            continue
+        for start, stop in _spans(window, now):
+            if start <= now < stop:
+                end = stop if end is None else max(end, stop)
+    return end
+
+
+def next_window_start(
+    windows: Iterable[WindowSpec], zone: str, now: float
+) -> float | None:
+    """Return when the zone's next window opens; None if it has none."""
+    soonest: float | None = None
+    for window in windows:
+        if window.zone not in ("", zone):
+            continue
+        for start, _ in _spans(window, now):
+            if start >= now:
+                soonest = start if soonest is None else min(soonest, start)
+    return soonest
+
+
+def _spans(window: WindowSpec, now: float) -> list[tuple[float, float]]:
+    """Return a window's spans from yesterday to a week from now."""
+    midnight = now - now % _DAY_S
+    weekday = datetime.fromtimestamp(midnight, tz=UTC).weekday()
+    length = window.end_minute - window.start_minute
+    if length <= 0:
+        length += 24 * 60
+    spans: list[tuple[float, float]] = []
+    for offset in range(-1, _DAYS_PER_WEEK + 1):
+        if (weekday + offset) % _DAYS_PER_WEEK not in window.days:
+            continue
+        start = midnight + offset * _DAY_S + window.start_minute * _MINUTE_S
+        spans.append((start, start + length * _MINUTE_S))
+    return spans
