--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -194,6 +194,14 @@
     "unknown-object", 404, "The object store has no object of that name."
 )
 UNKNOWN_HOST: Final = _code("unknown-host", 404, "No host has that name.")
+HOST_NOT_DRAINED: Final = _code(
+    "host-not-drained", 409, "Only a drained host can be rebooted."
+)
+REVISION_FORGOTTEN: Final = _code(
+    "revision-forgotten",
+    410,
+    "Deletions since that revision are forgotten; read again from 0.",
+)
 
 # --- Operators, the sheet and plans.
 UNAUTHORIZED: Final = _code(
@@ -231,6 +239,11 @@
 ENTRY_INVALID: Final = _code(
     "entry-invalid", 502, "The entry daemon's message was not understood."
 )
+ENTRY_NAME_TAKEN: Final = _code(
+    "entry-name-taken",
+    409,
+    "Another run of the daemon holds its name in the platform's table.",
+)
 
 
 class Fault:
--- a/lycheelug/platform/__init__.py
+++ b/lycheelug/platform/__init__.py
@@ -1,5 +1,6 @@
 """The peer package for the platform's services."""
 
+from lycheelug.platform.http import HttpPlatform
 from lycheelug.platform.interface import (
     ABSENT,
     BINDINGS,
@@ -16,6 +17,7 @@
     Transaction,
     Write,
 )
+from lycheelug.platform.memory import MemoryPlatform
 
 __all__ = [
     "ABSENT",
@@ -28,6 +30,8 @@
     "HostEntry",
     "HostRole",
     "HostState",
+    "HttpPlatform",
+    "MemoryPlatform",
     "Platform",
     "Row",
     "Transaction",
