Plan moves, waves and steps from the rows alone

The fleet becomes the sheet by conditional transactions: pool rows adopt the sheet, hosts drain within their pool's budget, and change pool or reboot only once every entry daemon that may dispatch has acknowledged. next_steps is pure; PlanDriver sends its steps; submit_sheet accepts one of two racing sheets; explain_plan and progress tell what happens.

--- a/lycheelug/entry_acks.py
+++ b/lycheelug/entry_acks.py
@@ -48,6 +48,9 @@
 def _has_ended(
     fleet: FleetSnapshot, name: str, entry: Versioned[EntryRow]
 ) -> bool:
+    if not entry.row.address:
+        # A run that was ended in the table, or never joined.
+        return True
     if entry.row.run in fleet.dead_runs:
         return True
     listed = fleet.listed.get(name)
--- a/lycheelug/fleet.py
+++ b/lycheelug/fleet.py
@@ -15,14 +15,12 @@
 
 from lycheelug.platform.interface import HostRole, HostState, Row
 from lycheelug.records import (
-    DEAD_ENTRY_PREFIX,
     ENTRY_EPOCH_KEY,
     ENTRY_PREFIX,
     HOST_PREFIX,
     PLAN_LEASE_PREFIX,
     POOL_PREFIX,
     SHEET_KEY,
-    DeadEntryRow,
     EntryRow,
     HostPhase,
     HostRow,
@@ -52,7 +50,6 @@
     ENTRY_EPOCH_KEY,
     SHEET_KEY,
     PLAN_LEASE_PREFIX,
-    DEAD_ENTRY_PREFIX,
 )
 
 
@@ -136,9 +133,6 @@
             _put(self.entries, row, EntryRow)
         elif row.key.startswith(PLAN_LEASE_PREFIX):
             _put(self.leases, row, PlanLeaseRow)
-        elif row.key.startswith(DEAD_ENTRY_PREFIX):
-            if row.value is not None:
-                self.dead_runs.add(decode(row.value, DeadEntryRow).run)
         elif row.key == ENTRY_EPOCH_KEY:
             self.entry_epoch_revision = row.revision
         elif row.key == SHEET_KEY:
--- /dev/null
+++ b/lycheelug/plan_driver.py
@@ -0,0 +1,227 @@
+"""Drives the fleet's plan through the platform; any daemon may run one.
+
+Each call of `step` plans once from a snapshot and sends what is allowed
+now.  Nothing is kept between calls that safety needs: a driver may be
+paused anywhere and go on later, since its transactions are guarded and its
+calls to the host pool are idempotent.  A lease row for each zone only
+keeps two drivers from doing the same work.
+
+A call to the host pool can't be guarded.  The host's row is read again
+just before it; a drain that still comes late is ended by `plan_hosts`.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Success
+
+from lycheelug.plan import next_steps
+from lycheelug.platform.interface import (
+    ABSENT,
+    Commit,
+    Conflict,
+    Guard,
+    Row,
+    Transaction,
+    Write,
+)
+from lycheelug.records import (
+    PlanLeaseRow,
+    encode,
+    host_key,
+    plan_lease_key,
+)
+from lycheelug.steps import CallKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from returns.result import Result
+
+    from lycheelug.blockers import Blocker
+    from lycheelug.errors import Fault
+    from lycheelug.fleet import FleetSnapshot
+    from lycheelug.plan import Plan
+    from lycheelug.platform.interface import Platform
+    from lycheelug.steps import PlatformCall, Step
+
+__all__ = ["PLAN_LEASE_S", "PlanDriver", "Report"]
+
+PLAN_LEASE_S: Final = 30.0
+# A lease is renewed once less than this is left of it.
+PLAN_LEASE_RENEW_S: Final = 10.0
+
+
+class Report:
+    """What one call of a driver did, and what the plan waits for."""
+
+    __slots__ = (
+        "blockers",
+        "calls",
+        "committed",
+        "conflicts",
+        "faults",
+        "moves_left",
+        "revision",
+        "zones",
+    )
+
+    def __init__(self) -> None:
+        self.committed: list[Step] = []
+        self.conflicts: list[Step] = []
+        self.calls: list[PlatformCall] = []
+        # Failed steps and calls; their outcome may be unknown.
+        self.faults: list[Fault] = []
+        self.blockers: list[Blocker] = []
+        self.moves_left = 0
+        self.zones: frozenset[str] = frozenset()
+        # The table's revision after the last commit; 0 without one.
+        self.revision = 0
+
+    @property
+    def idle(self) -> bool:
+        """Nothing was sent."""
+        return not (
+            self.committed or self.conflicts or self.calls or self.faults
+        )
+
+
+class PlanDriver:
+    """Sends the plan's next steps, for the zones whose lease it holds."""
+
+    __slots__ = ("_clock", "_name", "_nonces", "_planner", "_platform")
+
+    def __init__(
+        self,
+        platform: Platform,
+        clock: Callable[[], float],
+        nonces: Callable[[], str],
+        name: str,
+        planner: Callable[
+            [FleetSnapshot, float, frozenset[str] | None], Plan
+        ] = next_steps,
+    ) -> None:
+        """`clock` gives Unix seconds; each nonce is given out once."""
+        self._platform = platform
+        self._clock = clock
+        self._nonces = nonces
+        self._name = name
+        self._planner = planner
+
+    async def step(self, view: FleetSnapshot) -> Report:
+        """Plan once from a view, and send all that is allowed now."""
+        report = Report()
+        report.zones = self._open_zones(view)
+        plan = self._planner(view, self._clock(), report.zones)
+        if plan.steps or plan.calls:
+            report.zones = await self._lease(view, plan, report)
+            plan = _restricted(plan, report.zones)
+        report.blockers = plan.blockers
+        report.moves_left = len(plan.moves)
+        for step in plan.steps:
+            if not await self._send(step, report):
+                break
+        for call in plan.calls:
+            await self._call(call, report)
+        return report
+
+    def _open_zones(self, view: FleetSnapshot) -> frozenset[str]:
+        """Return the zones that no other driver holds a lease of."""
+        zones: set[str] = set()
+        for zone in view.zones():
+            lease = view.leases.get(zone)
+            if lease is None or self._may_take(lease.row):
+                zones.add(zone)
+        return frozenset(zones)
+
+    def _may_take(self, lease: PlanLeaseRow) -> bool:
+        return lease.driver == self._name or lease.until <= self._clock()
+
+    def _is_fresh(self, lease: PlanLeaseRow) -> bool:
+        left = lease.until - self._clock()
+        return lease.driver == self._name and left > PLAN_LEASE_RENEW_S
+
+    async def _lease(
+        self, view: FleetSnapshot, plan: Plan, report: Report
+    ) -> frozenset[str]:
+        """Take or renew the leases of the plan's zones; return those held.
+
+        Zones without work need no lease and cost no write.
+        """
+        wanted = {call.zone for call in plan.calls}
+        for step in plan.steps:
+            wanted.update(step.zones)
+        held: set[str] = set()
+        for zone in sorted(wanted):
+            if await self._lease_zone(view, zone, report):
+                held.add(zone)
+        return frozenset(held)
+
+    async def _lease_zone(
+        self, view: FleetSnapshot, zone: str, report: Report
+    ) -> bool:
+        lease = view.leases.get(zone)
+        if lease is not None and self._is_fresh(lease.row):
+            return True
+        key = plan_lease_key(zone)
+        row = PlanLeaseRow(zone, self._name, self._clock() + PLAN_LEASE_S)
+        transaction = Transaction(
+            [Guard(key, lease.revision if lease is not None else ABSENT)],
+            [Write(key, encode(row))],
+            self._nonces(),
+        )
+        match await self._platform.transact(transaction):
+            case Success(Commit()):
+                return True
+            case Failure(fault):
+                report.faults.append(fault)
+        return False
+
+    async def _send(self, step: Step, report: Report) -> bool:
+        """Send a step; False where the platform does not answer.
+
+        An unknown outcome needs no record: the rows tell it later.
+        """
+        transaction = step.transaction(self._nonces())
+        match await self._platform.transact(transaction):
+            case Success(Commit() as commit):
+                report.committed.append(step)
+                report.revision = max(report.revision, commit.revision)
+                return True
+            case Success(Conflict()):
+                report.conflicts.append(step)
+                return True
+            case Failure(fault):
+                report.faults.append(fault)
+        return False
+
+    async def _call(self, call: PlatformCall, report: Report) -> None:
+        """Ask the host pool, if the host's row is still the one decided on."""
+        match await self._platform.read(host_key(call.zone, call.host)):
+            case Success(Row() as row) if row.revision == call.revision:
+                pass
+            case Failure(fault):
+                report.faults.append(fault)
+                return
+            case _:
+                return
+        match await self._request(call):
+            case Success(_):
+                report.calls.append(call)
+            case Failure(fault):
+                report.faults.append(fault)
+
+    async def _request(self, call: PlatformCall) -> Result[None, Fault]:
+        if call.kind is CallKind.DRAIN:
+            return await self._platform.drain(call.host)
+        if call.kind is CallKind.REBOOT:
+            return await self._platform.reboot(call.host, call.nonce)
+        return await self._platform.resume(call.host)
+
+
+def _restricted(plan: Plan, zones: frozenset[str]) -> Plan:
+    """Drop the steps and calls of zones whose lease was not got."""
+    plan.steps = [step for step in plan.steps if step.zones <= zones]
+    plan.calls = [call for call in plan.calls if call.zone in zones]
+    return plan
--- /dev/null
+++ b/lycheelug/plan_report.py
@@ -0,0 +1,241 @@
+"""What a sheet would do, and how far the fleet has come, as typed data.
+
+`explain_plan` takes the very steps that a driver would take, on a copy of
+the snapshot on which every daemon acknowledges at once and no host fails.
+A round is one planning of the fleet: hosts that drained in one round serve
+their next pool in the following one.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.budgets import budgets_of
+from lycheelug.moves import plan_moves
+from lycheelug.plan import next_steps
+from lycheelug.platform.interface import Row
+from lycheelug.records import HostPhase, encode
+from lycheelug.steps import ChangeKind
+from lycheelug.waves import next_window_start, open_until, plan_waves
+
+if TYPE_CHECKING:
+    from lycheelug.blockers import Blocker
+    from lycheelug.fleet import FleetSnapshot
+    from lycheelug.moves import Move
+    from lycheelug.sheet import Sheet
+    from lycheelug.steps import Change, Step
+
+__all__ = [
+    "PlanExplanation",
+    "PlannedRound",
+    "PlannedWave",
+    "PoolCount",
+    "PoolState",
+    "Progress",
+    "explain_plan",
+    "progress",
+]
+
+# What a round takes with drains that end at once: to learn of the rows, to
+# hear the acknowledgements and to write.
+ROUND_S: Final = 3.0
+MAX_ROUNDS: Final = 10_000
+
+
+class PoolCount:
+    """A pool's budget at one step."""
+
+    __slots__ = ("available", "min_available", "pool", "slack")
+
+    def __init__(
+        self, pool: str, available: int, min_available: int, slack: int
+    ) -> None:
+        self.pool = pool
+        self.available = available
+        self.min_available = min_available
+        # Available hosts over the budget and, where asked for, a rack.
+        self.slack = slack
+
+
+class PlannedRound:
+    """What one round changes, and the budgets of the pools it touches."""
+
+    __slots__ = ("budgets", "changes", "number")
+
+    def __init__(
+        self, number: int, changes: list[Change], budgets: list[PoolCount]
+    ) -> None:
+        self.number = number
+        self.changes = changes
+        self.budgets = budgets
+
+
+class PlannedWave:
+    """One rack's maintenance: its due hosts, and its zone's next window."""
+
+    __slots__ = ("hosts", "rack", "starts_at", "zone")
+
+    def __init__(
+        self, zone: str, rack: str, hosts: list[str], starts_at: float | None
+    ) -> None:
+        self.zone = zone
+        self.rack = rack
+        self.hosts = hosts
+        # Unix seconds; None if the zone has no window at all.
+        self.starts_at = starts_at
+
+
+class PlanExplanation:
+    """Exactly what a sheet would do to the fleet."""
+
+    __slots__ = ("blockers", "moves", "rounds", "waves")
+
+    def __init__(
+        self,
+        moves: list[Move],
+        rounds: list[PlannedRound],
+        waves: list[PlannedWave],
+        blockers: list[Blocker],
+    ) -> None:
+        self.moves = moves
+        self.rounds = rounds
+        self.waves = waves
+        # What the plan would wait for in the end, such as budgets.
+        self.blockers = blockers
+
+    @property
+    def expected_s(self) -> float:
+        """Expected time of the moves, drains ending at once."""
+        return len(self.rounds) * ROUND_S
+
+
+def explain_plan(
+    sheet: Sheet, fleet: FleetSnapshot, now: float = 0.0
+) -> PlanExplanation:
+    """Return what would happen if the sheet were submitted now."""
+    moves = plan_moves(sheet, fleet)
+    trial = fleet.copy()
+    trial.entries.clear()
+    trial.sheet = sheet
+    trial.sheet_revision = trial.table_revision + 1
+    trial.table_revision = trial.sheet_revision
+    rounds: list[PlannedRound] = []
+    blockers: list[Blocker] = []
+    while len(rounds) < MAX_ROUNDS:
+        plan = next_steps(trial, now, None, maintenance=False)
+        blockers = plan.blockers
+        if not plan.steps:
+            break
+        for step in plan.steps:
+            apply_step(trial, step)
+        rounds.append(_round(len(rounds) + 1, plan.steps, trial))
+    return PlanExplanation(moves, rounds, _waves(sheet, fleet, now), blockers)
+
+
+def apply_step(fleet: FleetSnapshot, step: Step) -> None:
+    """Write a step's rows into a snapshot, as if it had been committed."""
+    revision = fleet.table_revision + 1
+    for key, row in step.rows.items():
+        value = encode(row) if row is not None else None
+        fleet.apply_row(Row(key, value, revision))
+    fleet.table_revision = revision
+
+
+def _round(
+    number: int, steps: list[Step], fleet: FleetSnapshot
+) -> PlannedRound:
+    changes = [change for step in steps for change in step.changes]
+    touched: set[str] = set()
+    for change in changes:
+        if change.kind in (ChangeKind.ADOPT, ChangeKind.DROP):
+            continue
+        touched.update({change.pool, change.target} - {""})
+    budgets = budgets_of(fleet)
+    counts = [
+        PoolCount(pool, budget.available, budget.min_available, budget.slack)
+        for pool, budget in sorted(budgets.items())
+        if pool in touched
+    ]
+    return PlannedRound(number, changes, counts)
+
+
+def _waves(
+    sheet: Sheet, fleet: FleetSnapshot, now: float
+) -> list[PlannedWave]:
+    waves: list[PlannedWave] = []
+    for wave in plan_waves(fleet, now):
+        starts_at: float | None = now
+        if open_until(sheet.windows, wave.zone, now) is None:
+            starts_at = next_window_start(sheet.windows, wave.zone, now)
+        names = [row.name for row in wave.hosts]
+        waves.append(PlannedWave(wave.zone, wave.rack, names, starts_at))
+    return waves
+
+
+class PoolState:
+    """How many hosts a pool has in a zone, and how many it wants."""
+
+    __slots__ = ("has", "pool", "wanted", "zone")
+
+    def __init__(self, pool: str, zone: str, has: int, wanted: int) -> None:
+        self.pool = pool
+        self.zone = zone
+        self.has = has
+        self.wanted = wanted
+
+
+class Progress:
+    """How far the fleet has come towards the sheet in force."""
+
+    __slots__ = (
+        "blockers",
+        "moves_left",
+        "on_the_way",
+        "operator",
+        "pools",
+        "sheet_revision",
+    )
+
+    def __init__(self, fleet: FleetSnapshot) -> None:
+        self.sheet_revision = fleet.sheet_revision
+        row = fleet.sheet_row
+        self.operator = row.operator if row is not None else ""
+        self.moves_left = 0
+        # Hosts that neither serve nor are gone, by name.
+        self.on_the_way: list[str] = []
+        self.pools: list[PoolState] = []
+        self.blockers: list[Blocker] = []
+
+    @property
+    def matched(self) -> bool:
+        """The fleet is as the sheet asks, maintenance aside."""
+        if not self.sheet_revision or self.moves_left:
+            return False
+        return all(pool.has >= pool.wanted for pool in self.pools)
+
+
+def progress(fleet: FleetSnapshot, now: float) -> Progress:
+    """Return what is done, what is left, and who is waited for."""
+    result = Progress(fleet)
+    plan = next_steps(fleet, now)
+    result.blockers = plan.blockers
+    result.moves_left = len(plan.moves)
+    has: dict[tuple[str, str], int] = {}
+    for name in sorted(fleet.hosts):
+        row = fleet.hosts[name].row
+        if row.phase is not HostPhase.SERVING:
+            result.on_the_way.append(name)
+            if row.target:
+                result.moves_left += 1
+                continue
+        elif not fleet.in_service(row):
+            continue
+        has[row.pool, row.zone] = has.get((row.pool, row.zone), 0) + 1
+    if fleet.sheet is None:
+        return result
+    for pool in sorted(fleet.sheet.pools):
+        for zone in fleet.zones():
+            count = has.get((pool, zone), 0)
+            wanted = fleet.sheet.wanted(pool, zone)
+            result.pools.append(PoolState(pool, zone, count, wanted))
+    return result
--- a/lycheelug/records.py
+++ b/lycheelug/records.py
@@ -14,21 +14,18 @@
 
 __all__ = [
     "CONFIG_KEY",
-    "DEAD_ENTRY_PREFIX",
     "ENTRY_EPOCH_KEY",
     "ENTRY_PREFIX",
     "HOST_PREFIX",
     "PLAN_LEASE_PREFIX",
     "POOL_PREFIX",
     "SHEET_KEY",
-    "DeadEntryRow",
     "EntryRow",
     "HostPhase",
     "HostRow",
     "PlanLeaseRow",
     "PoolRow",
     "SheetRow",
-    "dead_entry_key",
     "decode",
     "encode",
     "entry_key",
@@ -46,7 +43,6 @@
 CONFIG_KEY: Final = "config/current"
 SHEET_KEY: Final = "sheet/current"
 PLAN_LEASE_PREFIX: Final = "plan-lease/"
-DEAD_ENTRY_PREFIX: Final = "dead-entry/"
 
 R = TypeVar("R", bound=msgspec.Struct)
 
@@ -130,15 +126,6 @@
     until: float
 
 
-class DeadEntryRow(msgspec.Struct):
-    """An operator's word that a run of an entry daemon has ended."""
-
-    name: str
-    run: str
-    operator: str
-    declared_at: float
-
-
 class EntryRow(msgspec.Struct):
     """One run of an entry daemon that has joined."""
 
@@ -175,11 +162,6 @@
     return f"{PLAN_LEASE_PREFIX}{zone}"
 
 
-def dead_entry_key(name: str) -> str:
-    """Return the key of the row that says an entry daemon is dead."""
-    return f"{DEAD_ENTRY_PREFIX}{name}"
-
-
 def encode(row: msgspec.Struct) -> bytes:
     """Return the stored form of a row."""
     return msgspec.json.encode(row)
