--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -167,6 +167,14 @@
 KEY_RUN_ENDED: Final = _code(
     "key-run-ended", 409, "The daemon run that issued this key has ended."
 )
+KEY_FORGOTTEN: Final = _code(
+    "key-forgotten",
+    409,
+    "The daemon no longer knows this issued key, nor whether it was used.",
+)
+ANSWER_NOT_KEPT: Final = _code(
+    "answer-not-kept", 410, "The request ran; its answer is not kept."
+)
 CLAIM_LOST: Final = _code(
     "claim-lost", 503, "The claim could not be confirmed in time."
 )
@@ -221,6 +229,10 @@
     "plan-blocked", 503, "The plan waits for hosts or daemons."
 )
 
+TRACE_INVALID: Final = _code(
+    "trace-invalid", 422, "The trace has a line that can't be used."
+)
+
 # --- Configuration and membership.
 CONFIG_INVALID: Final = _code(
     "config-invalid", 422, "The configuration has faults."
