Test the plan under interleavings, faults and missing safeguards

Two drivers with skewed clocks, entry daemons that lag, lost, late and repeated writes and calls, failures and joins run against MemoryPlatform; after each event one pool a host, budgets, epochs and requests in flight are checked, and in the end the plan is done or names its blocker.

A host's return to its old pool is now guarded by the sheet's row: a driver with an old sheet undid moves of the new one.

--- a/lycheelug/steps.py
+++ b/lycheelug/steps.py
@@ -159,7 +159,12 @@
 
     def give_back(self, host: Versioned[HostRow]) -> None:
         """Let a draining host serve its old pool on."""
-        drained_at = host.row.drained_at if host.row.target else self._now
+        drained_at = host.row.drained_at
+        if host.row.target:
+            # Which pool is short is the sheet's matter.
+            self.step.guards[SHEET_KEY] = self._fleet.sheet_revision
+        else:
+            drained_at = self._now
         row = self._next(
             host, HostPhase.SERVING, target="", drained_at=drained_at
         )
--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,483 @@
+"""A fleet under faults: two drivers, entry daemons, a faulty platform.
+
+Events change the world one at a time; after each of them `check` compares
+the platform's rows, the daemons' views and the requests in flight with
+what must always hold.  A driver's view is refreshed by its own events, so
+a driver that plans from an old view is one that was paused in between.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING, Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from lycheelug.entries.messages import Digest
+from lycheelug.errors import (
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.fleet import FLEET_PREFIXES, FleetSnapshot
+from lycheelug.plan import next_steps
+from lycheelug.plan_driver import PlanDriver
+from lycheelug.plan_submit import submit_sheet
+from lycheelug.platform.interface import (
+    ABSENT,
+    Commit,
+    Conflict,
+    Guard,
+    HostEntry,
+    HostRole,
+    HostState,
+    Platform,
+    Row,
+    Transaction,
+    Write,
+)
+from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.records import (
+    ENTRY_EPOCH_KEY,
+    HOST_PREFIX,
+    POOL_PREFIX,
+    SHEET_KEY,
+    EntryRow,
+    HostPhase,
+    HostRow,
+    PoolRow,
+    decode,
+    encode,
+    entry_key,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from lycheelug.plan import Plan
+
+T = TypeVar("T")
+Planner = "Callable[[FleetSnapshot, float, frozenset[str] | None], Plan]"
+
+ZONES = ("a", "b")
+RACKS_PER_ZONE = 3
+HOSTS_PER_RACK = 2
+MAX_ENTRIES = 8
+HEADER = (
+    "kind,pool,min_available,survive_rack,spare,hosts:a,hosts:b,days,start,end"
+)
+WINDOW = "window,,,,,,,daily,00:00,24:00"
+SHEETS = [
+    ["pool,p,3,,,3,3", "pool,q,1,,,1,1", "pool,s,0,,yes,0,0", WINDOW],
+    ["pool,p,1,,,1,1", "pool,q,2,,,3,2", "pool,s,0,,yes,0,0", WINDOW],
+    ["pool,p,2,yes,,4,2", "pool,q,1,,,1,2", "pool,s,1,,yes,1,1", WINDOW],
+    ["pool,p,1,,,2,2", "pool,q,2,yes,,2,3", "pool,s,0,,yes,0,0"],
+    ["pool,p,3,,,2,2", "pool,q,1,,,1,1", "pool,s,0,,yes,0,0", WINDOW],
+]
+
+
+def run(work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine that never really waits."""
+    try:
+        work.send(None)
+    except StopIteration as end:
+        result: T = end.value
+        return result
+    raise AssertionError("the coroutine waits")
+
+
+class FaultyPlatform(Platform):
+    """Loses, repeats and delays requests of one driver, by a script.
+
+    Script entries: 0 works; 1 takes effect, loses its answer; 2 takes no
+    effect, loses its answer; 3 comes late; 4 comes twice; 5 unreachable.
+    """
+
+    def __init__(self, world: World, seen: FleetSnapshot) -> None:
+        self._world = world
+        self._seen = seen
+        self.script: list[int] = []
+
+    def _next(self) -> int:
+        return self.script.pop(0) if self.script else 0
+
+    async def read(self, key: str) -> Result[Row | None, Fault]:
+        return await self._world.platform.read(key)
+
+    async def transact(
+        self, transaction: Transaction
+    ) -> Result[Commit | Conflict, Fault]:
+        fault = self._next()
+        listed = dict(self._seen.listed)
+
+        def apply(nonce: str = "") -> Commit | Conflict:
+            sent = Transaction(
+                transaction.guards,
+                transaction.writes,
+                transaction.nonce + nonce,
+            )
+            return self._world.apply(sent, listed)
+
+        if fault == 5:
+            return Failure(lost(PLATFORM_UNREACHABLE))
+        if fault == 3:
+            self._world.late.append(lambda: apply("-late"))
+        if fault in (2, 3):
+            return Failure(lost(PLATFORM_UNKNOWN))
+        answer = apply()
+        if fault == 4:
+            apply("-again")
+        return (
+            Failure(lost(PLATFORM_UNKNOWN)) if fault == 1 else Success(answer)
+        )
+
+    async def _call(
+        self, work: Callable[[], Coroutine[Any, Any, Result[None, Fault]]]
+    ) -> Result[None, Fault]:
+        fault = self._next()
+        if fault == 3:
+            self._world.late.append(lambda: run(work()))
+        if fault in (2, 3, 5):
+            return Failure(lost(PLATFORM_UNKNOWN))
+        answer = await work()
+        if fault == 4:
+            await work()
+        return Failure(lost(PLATFORM_UNKNOWN)) if fault == 1 else answer
+
+    async def drain(self, host: str) -> Result[None, Fault]:
+        return await self._call(lambda: self._world.platform.drain(host))
+
+    async def resume(self, host: str) -> Result[None, Fault]:
+        return await self._call(lambda: self._world.platform.resume(host))
+
+    async def reboot(self, host: str, nonce: str) -> Result[None, Fault]:
+        def work() -> Coroutine[Any, Any, Result[None, Fault]]:
+            return self._world.reboot(host, nonce)
+
+        return await self._call(work)
+
+    async def read_since(self, prefix: str, revision: int) -> Any:
+        raise NotImplementedError
+
+    async def put_object(self, name: str, data: bytes) -> Any:
+        raise NotImplementedError
+
+    async def get_object(self, name: str) -> Any:
+        raise NotImplementedError
+
+    async def delete_object(self, name: str) -> Any:
+        raise NotImplementedError
+
+    async def hosts_since(self, revision: int) -> Any:
+        raise NotImplementedError
+
+
+def lost(code: Any) -> Fault:
+    return Fault(code, Step.WRITE, Peer.PLATFORM)
+
+
+class Entry:
+    """An entry daemon: its view of host rows, and requests in flight."""
+
+    def __init__(self, name: str, run_name: str) -> None:
+        self.name = name
+        self.run = run_name
+        self.revision = 0
+        self.sequence = 0
+        self.view: dict[str, HostRow] = {}
+        self.in_flight: dict[str, str] = {}
+
+    def dispatches_to(self, host: str) -> str:
+        row = self.view.get(host)
+        if row is None or row.phase is not HostPhase.SERVING:
+            return ""
+        return row.pool
+
+
+class World:
+    """The platform, its clients and the invariants between them."""
+
+    def __init__(self, planner: Any = next_steps) -> None:
+        self.now = 1_764_547_200.0
+        self.platform = MemoryPlatform(lambda: self.now)
+        self.late: list[Callable[[], object]] = []
+        self.entries: list[Entry] = []
+        self.rebooted: list[str] = []
+        self._nonce = 0
+        self._epochs: dict[str, int] = {}
+        for zone in ZONES:
+            for index in range(RACKS_PER_ZONE * HOSTS_PER_RACK):
+                rack = f"r{index // HOSTS_PER_RACK}"
+                entry = HostEntry(f"{zone}{index}", zone, rack, "")
+                self.platform.put_host(entry)
+        self.views = [FleetSnapshot(), FleetSnapshot()]
+        self.sources = [FaultyPlatform(self, view) for view in self.views]
+        # The second driver's clock is ahead: it takes all leases as lapsed.
+        clocks = (lambda: self.now, lambda: self.now + 100.0)
+        self.drivers = [
+            PlanDriver(source, clock, self.nonce, f"d{index}", planner)
+            for index, (source, clock) in enumerate(
+                zip(self.sources, clocks, strict=True)
+            )
+        ]
+        self.join()
+        self.join()
+
+    def nonce(self) -> str:
+        self._nonce += 1
+        return f"n{self._nonce}"
+
+    # --- Rows as they truly are.
+
+    def hosts(self) -> dict[str, HostRow]:
+        rows = self.platform.rows(HOST_PREFIX)
+        found = [decode(row.value, HostRow) for row in rows if row.value]
+        return {row.name: row for row in found}
+
+    def pools(self) -> dict[str, PoolRow]:
+        rows = self.platform.rows(POOL_PREFIX)
+        found = [decode(row.value, PoolRow) for row in rows if row.value]
+        return {row.name: row for row in found}
+
+    def apply(
+        self, transaction: Transaction, listed: dict[str, HostEntry]
+    ) -> Commit | Conflict:
+        """Apply a transaction, and check what it did to rows and budgets."""
+        before = self.hosts()
+        answer = run(self.platform.transact(transaction)).unwrap()
+        after = self.hosts()
+        drained: Counter[str] = Counter()
+        for name, row in after.items():
+            was = before.get(name)
+            if was is not None and was.epoch == row.epoch:
+                assert encode(was) == encode(row), "changed without an epoch"
+                continue
+            assert row.epoch > self._epochs.get(name, 0), "epoch went back"
+            self._epochs[name] = row.epoch
+            live = listed.get(name)
+            if row.phase is not HostPhase.DRAINING or live is None:
+                continue
+            if live.state is HostState.LIVE:
+                drained[row.pool] += 1
+        self._check_budgets(drained, after, listed)
+        return answer
+
+    def _check_budgets(
+        self,
+        drained: Counter[str],
+        hosts: dict[str, HostRow],
+        listed: dict[str, HostEntry],
+    ) -> None:
+        pools = self.pools()
+        out: dict[str, list[str]] = {name: [] for name in pools}
+        for row in hosts.values():
+            if row.phase is not HostPhase.SERVING:
+                out[row.pool].append(row.name)
+        for name, pool in pools.items():
+            assert pool.out == sorted(out[name]), "pool row names other hosts"
+            if not drained[name]:
+                continue
+            racks: Counter[str] = Counter()
+            for row in hosts.values():
+                if row.pool != name or row.phase is not HostPhase.SERVING:
+                    continue
+                if listed[row.name].state is HostState.LIVE:
+                    racks[row.zone + row.rack] += 1
+            reserve = (
+                max(racks.values(), default=0) if pool.survive_rack else 0
+            )
+            left = racks.total() - reserve
+            assert left >= pool.min_available, "budget overspent"
+
+    async def reboot(self, host: str, nonce: str) -> Result[None, Fault]:
+        for entry in self.entries:
+            assert host not in entry.in_flight, "reboot cut a request"
+        self.rebooted.append(host)
+        return await self.platform.reboot(host, nonce)
+
+    # --- Events.
+
+    def refresh(self, driver: int) -> None:
+        """Bring a driver's view up to date."""
+        view = self.views[driver]
+        for prefix in FLEET_PREFIXES:
+            self.refresh_rows(driver, prefix)
+        view.table_revision = self.platform.revision
+        hosts = self.platform.hosts_since(view.list_revision)
+        view.apply_hosts(run(hosts).unwrap())
+
+    def refresh_rows(self, driver: int, prefix: str, stride: int = 1) -> None:
+        """Bring some rows of a view up to date, and leave others behind."""
+        for row in self.platform.rows(prefix)[::stride]:
+            self.views[driver].apply_row(row)
+
+    def step(self, driver: int, script: list[int]) -> None:
+        self.sources[driver].script = list(script)
+        report = run(self.drivers[driver].step(self.views[driver]))
+        assert report.revision <= self.platform.revision
+
+    def deliver(self, index: int) -> None:
+        if self.late:
+            self.late.pop(index % len(self.late))()
+
+    def join(self) -> None:
+        if len(self.entries) >= MAX_ENTRIES:
+            return
+        name = f"e{len(self.entries)}"
+        entry = Entry(name, f"run-{name}")
+        host = HostEntry(name, "a", "", "1:1", HostRole.ENTRY)
+        self.platform.put_host(host)
+        epoch = self.platform.row(ENTRY_EPOCH_KEY)
+        row = EntryRow(name, "a", "1:1", entry.run)
+        transaction = Transaction(
+            [Guard(ENTRY_EPOCH_KEY, epoch.revision if epoch else ABSENT)],
+            [
+                Write(ENTRY_EPOCH_KEY, b"x"),
+                Write(entry_key(name), encode(row)),
+            ],
+            f"join-{name}",
+        )
+        run(self.platform.transact(transaction)).unwrap()
+        self.entries.append(entry)
+        self.sync(entry)
+
+    def sync(self, entry: Entry) -> None:
+        entry.view = self.hosts()
+        entry.revision = self.platform.revision
+
+    def say(self, entry: Entry) -> None:
+        entry.sequence += 1
+        busy = sorted(entry.in_flight)
+        digest = Digest(
+            entry.name, "a", entry.run, entry.sequence, "", "ready",
+            entry.revision, 0, [], busy, [],
+        )  # fmt: skip
+        for view in self.views:
+            view.apply_digest(digest)
+
+    def dispatch(self, entry: Entry, index: int) -> None:
+        names = sorted(entry.view)
+        if names:
+            host = names[index % len(names)]
+            pool = entry.dispatches_to(host)
+            if pool:
+                entry.in_flight[host] = pool
+
+    def set_state(self, index: int, state: HostState) -> None:
+        names = [f"{z}{i}" for z in ZONES for i in range(6)]
+        host = names[index % len(names)]
+        for entry in self.entries:
+            # Whoever lost its host has lost its request, too.
+            entry.in_flight.pop(host, None)
+        self.platform.set_host_state(host, state)
+
+    def finish_reboots(self) -> None:
+        for name, row in self.hosts().items():
+            if row.phase is HostPhase.MAINTENANCE:
+                self.platform.finish_reboot(name)
+
+    def submit(self, driver: int, index: int) -> None:
+        self.sources[driver].script = []
+        row = self.platform.row(SHEET_KEY)
+        rows = SHEETS[index % len(SHEETS)]
+        run(
+            submit_sheet(
+                self.sources[driver],
+                "\n".join([HEADER, *rows]),
+                f"o{driver}",
+                self.nonce(),
+                row.revision if row else ABSENT,
+                self.views[driver],
+            )
+        )
+
+    def event(self, kind: int, first: int, second: int) -> None:
+        """Do one of the events, chosen by three numbers."""
+        driver = first % 2
+        entry = self.entries[first % len(self.entries)]
+        script = [second % 6, second // 6 % 6, second // 36 % 6]
+        actions: list[Callable[[], object]] = [
+            *[lambda: self.refresh(driver)] * 2,
+            *[lambda: self.round(driver, [])] * 3,
+            *[lambda: self.round(driver, script)] * 2,
+            *[lambda: self.step(driver, script)] * 3,
+            lambda: self.sync(entry),
+            lambda: self.say(entry),
+            *[lambda: self.hear_all_but(entry)] * 3,
+            *[lambda: self.dispatch(entry, second)] * 2,
+            entry.in_flight.clear,
+            *[lambda: self.submit(driver, second)] * 2,
+            lambda: self.deliver(second),
+            lambda: self.set_state(first, HostState.GONE),
+            lambda: self.set_state(first, HostState.LIVE),
+            self.finish_reboots,
+            lambda: self.pass_days(second % 5),
+            *[lambda: self.refresh_rows(driver, HOST_PREFIX, 2)] * 2,
+            lambda: self.refresh_rows(driver, POOL_PREFIX),
+            self.join,
+        ]
+        actions[kind]()
+        self.check()
+
+    def round(self, driver: int, script: list[int]) -> None:
+        self.refresh(driver)
+        self.step(driver, script)
+
+    def hear_all_but(self, silent: Entry) -> None:
+        for entry in self.entries:
+            if entry is not silent:
+                self.sync(entry)
+                self.say(entry)
+
+    def settle(self) -> None:
+        """Begin with a fleet that matches the first sheet."""
+        self.refresh(0)
+        self.submit(0, 0)
+        for _ in range(3):
+            self.round(0, [])
+        self.refresh(1)
+
+    def pass_days(self, days: int) -> None:
+        self.now += 86_400.0 * days
+
+    EVENTS = 28
+
+    def check(self) -> None:
+        """Check that no daemon can use a host that is another pool's."""
+        hosts = self.hosts()
+        for entry in self.entries:
+            for name, row in hosts.items():
+                if row.phase is HostPhase.DRAINING:
+                    continue
+                believed = entry.dispatches_to(name)
+                used = entry.in_flight.get(name, "")
+                if row.phase is HostPhase.MAINTENANCE:
+                    assert not believed, "may dispatch to a rebooting host"
+                    assert not used, "in flight on a rebooting host"
+                assert believed in ("", row.pool), "may dispatch for old pool"
+                assert used in ("", row.pool), "in flight for the old pool"
+
+    # --- The end: faults stop, and the plan has to end or say why not.
+
+    def heal(self, frozen: bool) -> Plan:
+        """End all faults and drive on; return the last plan."""
+        while self.late:
+            self.deliver(0)
+            self.check()
+        for index in range(12):
+            self.set_state(index, HostState.LIVE)
+        for _ in range(60):
+            self.finish_reboots()
+            for entry in self.entries[1 if frozen else 0 :]:
+                entry.in_flight.clear()
+                self.sync(entry)
+                self.say(entry)
+            self.now += 31.0
+            for driver in range(2):
+                self.refresh(driver)
+                self.step(driver, [])
+                self.check()
+        self.refresh(0)
+        return next_steps(self.views[0], self.now)
