--- a/lycheelug/fleet.py
+++ b/lycheelug/fleet.py
@@ -15,14 +15,12 @@
 
 from lycheelug.platform.interface import HostRole, HostState, Row
 from lycheelug.records import (
-    DEAD_ENTRY_PREFIX,
     ENTRY_EPOCH_KEY,
     ENTRY_PREFIX,
     HOST_PREFIX,
     PLAN_LEASE_PREFIX,
     POOL_PREFIX,
     SHEET_KEY,
-    DeadEntryRow,
     EntryRow,
     HostPhase,
     HostRow,
@@ -52,7 +50,6 @@
     ENTRY_EPOCH_KEY,
     SHEET_KEY,
     PLAN_LEASE_PREFIX,
-    DEAD_ENTRY_PREFIX,
 )
 
 
@@ -136,9 +133,6 @@
             _put(self.entries, row, EntryRow)
         elif row.key.startswith(PLAN_LEASE_PREFIX):
             _put(self.leases, row, PlanLeaseRow)
-        elif row.key.startswith(DEAD_ENTRY_PREFIX):
-            if row.value is not None:
-                self.dead_runs.add(decode(row.value, DeadEntryRow).run)
         elif row.key == ENTRY_EPOCH_KEY:
             self.entry_epoch_revision = row.revision
         elif row.key == SHEET_KEY:
@@ -169,6 +163,10 @@
         if known is None or digest.sequence > known.sequence:
             self.digests[digest.run] = digest
 
+    def newest(self, key: str) -> int:
+        """Return the newest revision seen of a key, also if deleted."""
+        return self._newest.get(key, 0)
+
     def state(self, host: str) -> HostState:
         """Return what the platform's list says; unlisted hosts are gone."""
         entry = self.listed.get(host)
--- a/lycheelug/records.py
+++ b/lycheelug/records.py
@@ -14,21 +14,18 @@
 
 __all__ = [
     "CONFIG_KEY",
-    "DEAD_ENTRY_PREFIX",
     "ENTRY_EPOCH_KEY",
     "ENTRY_PREFIX",
     "HOST_PREFIX",
     "PLAN_LEASE_PREFIX",
     "POOL_PREFIX",
     "SHEET_KEY",
-    "DeadEntryRow",
     "EntryRow",
     "HostPhase",
     "HostRow",
     "PlanLeaseRow",
     "PoolRow",
     "SheetRow",
-    "dead_entry_key",
     "decode",
     "encode",
     "entry_key",
@@ -46,7 +43,6 @@
 CONFIG_KEY: Final = "config/current"
 SHEET_KEY: Final = "sheet/current"
 PLAN_LEASE_PREFIX: Final = "plan-lease/"
-DEAD_ENTRY_PREFIX: Final = "dead-entry/"
 
 R = TypeVar("R", bound=msgspec.Struct)
 
@@ -82,6 +78,8 @@
     # In MAINTENANCE: the revision of the platform's host list at which the
     # host was seen to have left.  It is back once a later one says live.
     list_revision: int = 0
+    # When the host last came back from being drained for maintenance.
+    drained_at: float = 0.0
 
 
 class PoolRow(msgspec.Struct):
@@ -128,15 +126,6 @@
     until: float
 
 
-class DeadEntryRow(msgspec.Struct):
-    """An operator's word that a run of an entry daemon has ended."""
-
-    name: str
-    run: str
-    operator: str
-    declared_at: float
-
-
 class EntryRow(msgspec.Struct):
     """One run of an entry daemon that has joined."""
 
@@ -144,6 +133,9 @@
     zone: str
     address: str
     run: str
+    # The revision of the platform's host list at which this run saw its own
+    # host listed as live: only a later list can call this run gone.
+    list_revision: int = 0
 
 
 def host_key(zone: str, name: str) -> str:
@@ -170,11 +162,6 @@
     return f"{PLAN_LEASE_PREFIX}{zone}"
 
 
-def dead_entry_key(name: str) -> str:
-    """Return the key of the row that says an entry daemon is dead."""
-    return f"{DEAD_ENTRY_PREFIX}{name}"
-
-
 def encode(row: msgspec.Struct) -> bytes:
     """Return the stored form of a row."""
     return msgspec.json.encode(row)
