--- a/lycheelug/ejection.py
+++ b/lycheelug/ejection.py
@@ -1,10 +1,16 @@
 """Which workers are ejected because they fail what they are given.
 
-Each host keeps a window of its recent outcomes.  It is ejected when enough
-independent jobs failed on it lately and failures prevail among its
-outcomes.  A job that failed on another host as well says more about the
-job than about the host, and does not count.  Speed plays no part: a fast
-failure and a slow one weigh the same.
+For each host a cumulative sum (CUSUM; Page, "Continuous Inspection
+Schemes", 1954) adds up the evidence that it fails nearly everything rather
+than as often as the others do: a failure adds log(bad / usual), a success
+log((1 - bad) / (1 - usual)), never below zero.  `usual` is the median of
+the other hosts' failure rates.  So three failures in a row eject a host of
+a sound pool, more are needed where failures are common, and where most
+hosts fail alike, the cause is not the host and ejection would not help.
+
+A job that fails on a second host says more about the job than about the
+hosts: its failures are taken back and count no further.  Speed plays no
+part: a fast failure and a slow one weigh the same.
 
 An ejected host is tried again half-open: after a backoff, one probe at a
 time; some successes in a row readmit it, a failure doubles the backoff.
@@ -21,81 +27,40 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict
+from statistics import median_low
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.host_ejectors import (
+    EJECTORS,
+    ConsecutiveEjector,
+    EjectionSettings,
+    HostEjector,
+    NoEjector,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ["EjectionSettings", "Ejector"]
-
-_WINDOW_S: Final = 30.0
-_WINDOW_OUTCOMES: Final = 20
-_MIN_JOBS: Final = 3
-_MIN_RATIO: Final = 0.6
-_BACKOFF_S: Final = 5.0
-_BACKOFF_MAX_S: Final = 120.0
-_PROBE_TIMEOUT_S: Final = 30.0
-_PROBE_SUCCESSES: Final = 2
-_MAX_EJECTED: Final = 0.5
+__all__ = [
+    "DEFAULT_EJECTOR",
+    "EJECTORS",
+    "ConsecutiveEjector",
+    "EjectionSettings",
+    "Ejector",
+    "HostEjector",
+    "NoEjector",
+]
+
+DEFAULT_EJECTOR: Final = "cusum"
 # Failing jobs remembered to tell a failing job from a failing host.
 _MAX_FAILED_JOBS: Final = 4096
-
-
-class EjectionSettings:
-    """Thresholds and times of ejection."""
-
-    __slots__ = (
-        "backoff_max_s",
-        "backoff_s",
-        "max_ejected",
-        "min_jobs",
-        "min_ratio",
-        "probe_successes",
-        "probe_timeout_s",
-        "window_outcomes",
-        "window_s",
-    )
-
-    def __init__(
-        self,
-        window_s: float = _WINDOW_S,
-        window_outcomes: int = _WINDOW_OUTCOMES,
-        min_jobs: int = _MIN_JOBS,
-        min_ratio: float = _MIN_RATIO,
-        backoff_s: float = _BACKOFF_S,
-        backoff_max_s: float = _BACKOFF_MAX_S,
-        probe_timeout_s: float = _PROBE_TIMEOUT_S,
-        probe_successes: int = _PROBE_SUCCESSES,
-        max_ejected: float = _MAX_EJECTED,
-    ) -> None:
-        # Outcomes older than this, or beyond this many, are dropped.
-        self.window_s = window_s
-        self.window_outcomes = window_outcomes
-        # Independent jobs that must have failed.
-        self.min_jobs = min_jobs
-        # Part of the window's outcomes that must be failures.
-        self.min_ratio = min_ratio
-        # Time to the first probe, doubled by each failed one.
-        self.backoff_s = backoff_s
-        self.backoff_max_s = backoff_max_s
-        # After this a probe without outcome no longer blocks the next.
-        self.probe_timeout_s = probe_timeout_s
-        # Successful probes in a row that readmit a host.
-        self.probe_successes = probe_successes
-        # Largest part of the pool that is ever ejected.
-        self.max_ejected = max_ejected
-
-
-class _Sample:
-    """The end of one job on a host."""
-
-    __slots__ = ("at", "job_key", "ok")
-
-    def __init__(self, at: float, job_key: str, ok: bool) -> None:
-        self.at = at
-        self.job_key = job_key
-        self.ok = ok
+# Failure rate of a host that fails nearly everything.
+_BAD_RATE: Final = 0.9
+# Failure rates below this are taken for this.
+_LEAST_RATE: Final = 0.02
+# Weight of the newest outcome in a host's failure rate.
+_RATE_WEIGHT: Final = 0.1
 
 
 class _Host:
@@ -104,30 +69,43 @@
     __slots__ = (
         "backoff_s",
         "ejected_at",
+        "evidence",
+        "failed_jobs",
+        "last_at",
         "probe_at",
-        "rack",
+        "rate",
         "retry_at",
-        "samples",
         "successes",
     )
 
-    def __init__(self, rack: str, outcomes: int) -> None:
-        self.rack = rack
-        self.samples: deque[_Sample] = deque(maxlen=outcomes)
+    def __init__(self) -> None:
+        # The cumulative sum, and the jobs that have added to it.
+        self.evidence = 0.0
+        self.failed_jobs: set[str] = set()
+        # Moving average of failures.
+        self.rate = 0.0
+        self.last_at = -math.inf
         self.ejected_at: float | None = None
         self.backoff_s = 0.0
         self.retry_at = 0.0
         self.probe_at = -math.inf
         self.successes = 0
 
+    def clear_evidence(self) -> None:
+        """Start the sum again."""
+        self.evidence = 0.0
+        self.failed_jobs.clear()
+
 
-class Ejector:
+@EJECTORS.register(DEFAULT_EJECTOR)
+class Ejector(HostEjector):
     """Ejects failing hosts of one pool, never below its floor.
 
-    >>> ejector = Ejector(EjectionSettings(min_jobs=2))
+    >>> ejector = Ejector()
     >>> ejector.update_pool(["w1", "w2", "w3"], floor=2)
-    >>> ejector.record("w1", "r1", "job1", False, 0.001, now=1.0)
-    >>> ejector.record("w1", "r1", "job2", False, 0.001, now=1.1)
+    >>> for number in range(3):
+    ...     job = f"job{number}"
+    ...     ejector.record("w1", "r1", job, False, 0.001, now=1.0)
     >>> ejector.is_ejected("w1", now=1.2)
     True
     >>> ejector.probe_allowed("w1", now=1.2)
@@ -136,36 +114,34 @@
     True
     """
 
-    __slots__ = ("_failed_on", "_floor", "_hosts", "_pool", "_settings")
+    __slots__ = ("_failed_on", "_floor", "_hosts", "_settings")
 
     def __init__(self, settings: EjectionSettings | None = None) -> None:
         self._settings = settings or EjectionSettings()
         self._hosts: dict[str, _Host] = {}
-        self._pool: frozenset[str] = frozenset()
         self._floor = 0
-        # Hosts on which each recent failing job failed, oldest job first.
-        self._failed_on: OrderedDict[str, set[str]] = OrderedDict()
+        # What each recent failing job added to the evidence against which
+        # hosts, oldest job first.
+        self._failed_on: OrderedDict[str, dict[str, float]] = OrderedDict()
 
     @property
     def ejected(self) -> list[str]:
         """Names of the hosts that are ejected."""
-        return sorted(
-            name
-            for name in self._pool
-            if name in self._hosts and self._hosts[name].ejected_at is not None
-        )
+        names: list[str] = []
+        for name, state in self._hosts.items():
+            if state.ejected_at is not None:
+                names.append(name)
+        return sorted(names)
 
     def update_pool(self, hosts: Iterable[str], floor: int) -> None:
-        """Take in the pool's hosts that take work, and its floor.
-
-        Hosts that drain, leave or are gone must not be among them, so
-        that the floor is kept by hosts that can work.
-        """
-        self._pool = frozenset(hosts)
+        """Take in the pool, readmitting hosts where the floor asks it."""
+        names = set(hosts)
         self._floor = floor
         for name in list(self._hosts):
-            if name not in self._pool:
+            if name not in names:
                 del self._hosts[name]
+        for name in names:
+            self._hosts.setdefault(name, _Host())
         self._keep_floor()
 
     def record(
@@ -177,24 +153,22 @@
         latency_s: float,
         now: float,
     ) -> None:
-        """Take in the end of a job on a host.
-
-        A refusal for want of slots, and a fault of the caller's, are no
-        failures of the host and are not recorded.
-        """
-        del latency_s
-        if host not in self._pool:
-            return
+        """Take in the end of a job on a host."""
+        del rack, latency_s
         state = self._hosts.get(host)
         if state is None:
-            state = _Host(rack, self._settings.window_outcomes)
-            self._hosts[host] = state
-        self._note_job(job_key, host, ok)
+            return
         if state.ejected_at is not None:
             self._end_probe(state, ok, now)
             return
-        state.samples.append(_Sample(now, job_key, ok))
-        if not ok and self._fails_all(host, state, now):
+        if now - state.last_at > self._settings.window_s:
+            state.clear_evidence()
+        state.last_at = now
+        if ok:
+            self._add_success(host, state, job_key)
+        else:
+            self._add_failure(host, state, job_key)
+        if self._is_bad(state) and self._can_spare():
             self._eject(state, now)
 
     def is_ejected(self, host: str, now: float) -> bool:
@@ -218,59 +192,89 @@
         if state is not None:
             state.probe_at = now
 
-    def _note_job(self, job_key: str, host: str, ok: bool) -> None:
-        """Remember on which hosts a job failed."""
-        if ok:
-            # It can run, so its earlier failures were the hosts'.
-            self._failed_on.pop(job_key, None)
-            return
-        self._failed_on.setdefault(job_key, set()).add(host)
+    def _add_success(self, host: str, state: _Host, job_key: str) -> None:
+        """Lower the evidence against a host."""
+        # The job can run, so its earlier failures were the hosts'.
+        self._failed_on.pop(job_key, None)
+        usual = self._usual_rate(host)
+        state.rate -= _RATE_WEIGHT * state.rate
+        state.evidence += math.log((1.0 - _BAD_RATE) / (1.0 - usual))
+        if state.evidence <= 0.0:
+            state.clear_evidence()
+
+    def _add_failure(self, host: str, state: _Host, job_key: str) -> None:
+        """Raise the evidence against a host, or take it back."""
+        added = self._failed_on.setdefault(job_key, {})
         self._failed_on.move_to_end(job_key)
         if len(self._failed_on) > _MAX_FAILED_JOBS:
             self._failed_on.popitem(last=False)
-
-    def _fails_all(self, host: str, state: _Host, now: float) -> bool:
-        """Whether failures of independent jobs prevail on the host."""
-        failed_jobs: set[str] = set()
-        failures = 0
-        successes = 0
-        for sample in state.samples:
-            if now - sample.at > self._settings.window_s:
+        if self._take_back(added, host, job_key):
+            added[host] = 0.0
+            return
+        state.rate += _RATE_WEIGHT * (1.0 - state.rate)
+        if host in added:
+            # One job is evidence once, however often it fails here.
+            return
+        step = max(0.0, math.log(_BAD_RATE / self._usual_rate(host)))
+        added[host] = step
+        state.evidence += step
+        state.failed_jobs.add(job_key)
+
+    def _take_back(
+        self, added: dict[str, float], host: str, job_key: str
+    ) -> bool:
+        """Take back a job's failures if it failed on another sound host."""
+        elsewhere = False
+        for other, step in added.items():
+            state = self._hosts.get(other)
+            if other == host or state is None:
                 continue
-            if sample.ok:
-                successes += 1
+            if state.ejected_at is not None:
                 continue
-            if self._failed_elsewhere(sample.job_key, host):
+            elsewhere = True
+            state.evidence = max(0.0, state.evidence - step)
+            state.failed_jobs.discard(job_key)
+            added[other] = 0.0
+        return elsewhere
+
+    def _usual_rate(self, host: str) -> float:
+        """Return the median failure rate of the other hosts in service."""
+        rates: list[float] = []
+        for name, state in self._hosts.items():
+            if name == host or state.ejected_at is not None:
                 continue
-            failures += 1
-            failed_jobs.add(sample.job_key)
-        if len(failed_jobs) < self._settings.min_jobs:
+            rates.append(state.rate)
+        if not rates:
+            return _LEAST_RATE
+        return min(_BAD_RATE, max(_LEAST_RATE, median_low(rates)))
+
+    def _is_bad(self, state: _Host) -> bool:
+        """Whether the evidence suffices, from several jobs."""
+        if len(state.failed_jobs) < self._settings.min_jobs:
             return False
-        ratio = failures / (failures + successes)
-        return ratio >= self._settings.min_ratio
+        return state.evidence >= self._settings.threshold
 
-    def _failed_elsewhere(self, job_key: str, host: str) -> bool:
-        """Whether the job failed on a host that is not ejected, too."""
-        for other in self._failed_on.get(job_key, ()):
-            if other == host:
-                continue
-            state = self._hosts.get(other)
-            if state is not None and state.ejected_at is None:
-                return True
-        return False
+    def _can_spare(self) -> bool:
+        """Whether the pool can do with one host less."""
+        return self._serving() - 1 >= self._least_serving()
 
     def _eject(self, state: _Host, now: float) -> None:
-        """Eject a host if the pool can spare it."""
-        if self._serving() - 1 < self._least_serving():
-            return
+        """Eject a host."""
         state.ejected_at = now
         state.backoff_s = self._settings.backoff_s
         state.retry_at = now + state.backoff_s
+        state.probe_at = -math.inf
         state.successes = 0
-        state.samples.clear()
+        state.clear_evidence()
+
+    def _readmit(self, state: _Host) -> None:
+        """Let a host serve again, with a clean record."""
+        state.ejected_at = None
+        state.rate = 0.0
+        state.clear_evidence()
 
     def _end_probe(self, state: _Host, ok: bool, now: float) -> None:
-        """Take in the outcome of a probe, or of a job sent before."""
+        """Take in the outcome of a probe; that of an older job is void."""
         if state.probe_at == -math.inf:
             return
         state.probe_at = -math.inf
@@ -283,26 +287,24 @@
             return
         state.successes += 1
         if state.successes >= self._settings.probe_successes:
-            state.ejected_at = None
+            self._readmit(state)
 
     def _serving(self) -> int:
         """Return the number of the pool's hosts that are not ejected."""
-        return len(self._pool) - len(self.ejected)
+        return len(self._hosts) - len(self.ejected)
 
     def _least_serving(self) -> int:
         """Return how many hosts must stay in service."""
-        kept = len(self._pool) - math.floor(
-            len(self._pool) * self._settings.max_ejected
-        )
-        return min(len(self._pool), max(1, self._floor, kept))
+        count = len(self._hosts)
+        kept = count - math.floor(count * self._settings.max_ejected)
+        return min(count, max(1, self._floor, kept))
 
     def _keep_floor(self) -> None:
         """Readmit hosts until the floor holds, longest ejected first."""
         least = self._least_serving()
         while self._serving() < least:
-            names = self.ejected
-            longest = min(names, key=self._ejected_at)
-            self._hosts[longest].ejected_at = None
+            longest = min(self.ejected, key=self._ejected_at)
+            self._readmit(self._hosts[longest])
 
     def _ejected_at(self, name: str) -> float:
         """Return when a host was ejected."""
