Drive the sheet from any daemon, and show the main job with make run

Change: a plan loop in each daemon, operators' resources and commands for the sheet, and a demonstration with platform, upstreams and two daemons. The service now sends keyed requests through the claims.

--- a/lycheelug/callers/service.py
+++ b/lycheelug/callers/service.py
@@ -31,7 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheelug.callers.keyed import KeyedRequests
+    from lycheelug.callers.keyed import KeyedRequests, StartGuard
     from lycheelug.callers.request_headers import CallerRequest
     from lycheelug.metrics import Metrics
     from lycheelug.pools import PoolTable
@@ -118,8 +118,16 @@
             assert fault is not None
             return self._refuse(fault)
         request_id = f"{self._run_id}-{next(self._ids)}"
-        run = await self._runner.run(scheduler, wanted, request_id, arrived_at)
-        return self._answer_run(run)
+
+        async def work(may_start: StartGuard | None = None) -> Answer:
+            run = await self._runner.run(
+                scheduler, wanted, request_id, arrived_at, may_start
+            )
+            return self._answer_run(run)
+
+        if wanted.key and not wanted.repeatable:
+            return await self._keyed.handle(wanted, work)
+        return await work()
 
     def _inadmissible(
         self, wanted: CallerRequest, scheduler: PoolScheduler | None
--- a/lycheelug/cli/app.py
+++ b/lycheelug/cli/app.py
@@ -5,7 +5,12 @@
 from cyclopts import App
 
 from lycheelug import __version__
-from lycheelug.cli import config_commands, fleet_commands, metric_commands
+from lycheelug.cli import (
+    config_commands,
+    fleet_commands,
+    metric_commands,
+    sheet_commands,
+)
 
 __all__ = ["app", "main"]
 
@@ -22,6 +27,7 @@
 fleet_commands.register(app)
 metric_commands.register(app)
 config_commands.register(app)
+sheet_commands.register(app)
 
 
 def main() -> None:
--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -35,6 +35,7 @@
 from lycheelug.membership import Members
 from lycheelug.metrics import Metrics
 from lycheelug.operators.server import OperatorService
+from lycheelug.plan_loop import PlanLoop
 from lycheelug.platform import BINDINGS, HostState
 from lycheelug.platform.watch import Watch
 from lycheelug.pools import PoolTable
@@ -96,6 +97,7 @@
         "members",
         "metrics",
         "phase",
+        "plan",
         "platform",
         "pools",
         "rng",
@@ -175,6 +177,15 @@
             rng,
             self.on_rows,
             self._on_entry_hosts,
+            period_s=settings.platform.poll_s,
+        )
+        self.plan = PlanLoop(
+            self.platform,
+            settings.name,
+            self.run_id,
+            rng,
+            self.members.known_digests,
+            self._drives_plan,
         )
         self._callers_server = self._make_callers_server()
         self._operators_server = HttpServer(
@@ -227,6 +238,7 @@
         self._sweep_task = asyncio.create_task(self._run_sweeps())
         self.watch.start()
         self.gossip.start()
+        self.plan.start()
         self.sync_pools()
         self._set_phase(Phase.READY)
         callers, operators, entries = self.ports
@@ -249,6 +261,7 @@
 
     async def stop(self) -> None:
         """Close everything."""
+        await self.plan.stop()
         await self.gossip.stop()
         await self.watch.stop()
         await leave_fleet(self)
@@ -420,6 +433,16 @@
 
     # --- Construction.
 
+    def _drives_plan(self) -> bool:
+        """Whether this daemon's name is the first of those it hears."""
+        if self.phase is not Phase.READY or self.gate.pauses.is_stale:
+            return False
+        for digest in self.members.alive(time.monotonic()):
+            ready = digest.state == Phase.READY
+            if ready and digest.name < self.settings.name:
+                return False
+        return True
+
     def _is_ready(self) -> bool:
         """Whether callers' requests are served."""
         return self.phase in {Phase.READY, Phase.DRAINING}
--- a/lycheelug/operators/routes.py
+++ b/lycheelug/operators/routes.py
@@ -41,6 +41,11 @@
         """The body sent."""
         return self.request.body
 
+    @property
+    def text(self) -> str:
+        """The body as text; bytes that are not UTF-8 are marked."""
+        return self.request.body.decode("utf-8", "replace")
+
     def query(self, name: str, default: str = "") -> str:
         """Return a query parameter's last value."""
         return self._query.get(name, [default])[-1]
--- a/lycheelug/operators/server.py
+++ b/lycheelug/operators/server.py
@@ -5,51 +5,24 @@
 import hmac
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
 from lycheelug.errors import UNAUTHORIZED, UNKNOWN_ROUTE, Fault, Peer, Step
-from lycheelug.http import Answer, Request, find_header, json_answer
+from lycheelug.http import Answer, Request, find_header
+from lycheelug.operators.faults import fault_answer
 from lycheelug.operators.routes import Call, find_route
 
 # Imported for the routes that they register.
 from lycheelug.operators import (  # noqa: F401  isort: skip
     fleet_routes,
     metric_routes,
+    sheet_routes,
 )
 
 if TYPE_CHECKING:
     from lycheelug.daemon import Daemon
 
-__all__ = ["FaultReply", "OperatorService", "fault_answer"]
+__all__ = ["OperatorService"]
 
 BEARER: Final = b"Bearer "
-PROBLEM_TYPE: Final = b"application/problem+json"
-
-
-class FaultReply(msgspec.Struct):
-    """A fault as operators get it."""
-
-    code: str
-    title: str
-    status: int
-    detail: str
-    step: str
-    peer: str
-    lines: list[str] = []
-
-
-def fault_answer(fault: Fault, lines: list[str] | None = None) -> Answer:
-    """Return a fault as an answer; `lines` list more than one."""
-    reply = FaultReply(
-        fault.code.name,
-        fault.code.text,
-        fault.code.status,
-        fault.detail,
-        fault.step.value,
-        f"{fault.peer} {fault.peer_name}".strip(),
-        lines or [],
-    )
-    return json_answer(fault.code.status, reply, PROBLEM_TYPE)
 
 
 class OperatorService:
--- /dev/null
+++ b/lycheelug/operators/sheet_routes.py
@@ -0,0 +1,151 @@
+"""Operators' resources for the morning sheet and the plan."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from returns.result import Failure
+
+from lycheelug.entries.join import remove_entry
+from lycheelug.errors import (
+    BAD_REQUEST,
+    ENTRY_UNREACHABLE,
+    PLATFORM_UNKNOWN,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.http import Answer, json_answer
+from lycheelug.logs import log_change
+from lycheelug.operators.faults import fault_answer
+from lycheelug.operators.routes import Call, route
+from lycheelug.operators.sheet_messages import (
+    SheetReply,
+    fault_views,
+    plan_view,
+    progress_view,
+)
+from lycheelug.plan_report import explain_plan, progress
+from lycheelug.plan_submit import submit_sheet
+from lycheelug.sheet import parse_sheet
+from lycheelug.sheet_checks import check_sheet
+
+if TYPE_CHECKING:
+    from lycheelug.daemon import Daemon
+    from lycheelug.fleet import FleetSnapshot
+    from lycheelug.plan_submit import SheetRefused
+    from lycheelug.sheet import Sheet
+
+
+@route("POST", "/v1/sheet/check")
+async def post_check(daemon: Daemon, call: Call) -> Answer:
+    """Return all faults of a sheet, in itself and against the fleet."""
+    checked = await _checked(daemon, call)
+    if isinstance(checked, Answer):
+        return checked
+    fleet, _ = checked
+    return json_answer(200, SheetReply("clean", revision=fleet.sheet_revision))
+
+
+@route("POST", "/v1/sheet/plan")
+async def post_plan(daemon: Daemon, call: Call) -> Answer:
+    """Return what a sheet would do."""
+    checked = await _checked(daemon, call)
+    if isinstance(checked, Answer):
+        return checked
+    fleet, sheet = checked
+    return json_answer(200, plan_view(explain_plan(sheet, fleet, time.time())))
+
+
+@route("POST", "/v1/sheet")
+async def post_sheet(daemon: Daemon, call: Call) -> Answer:
+    """Submit a sheet: `nonce`, `operator` and `based_on` say whose."""
+    fleet = await daemon.plan.snapshot()
+    if isinstance(fleet, Fault):
+        return fault_answer(fleet)
+    based_on = call.query("based_on", "0")
+    nonce = call.query("nonce")
+    if not based_on.isdecimal() or not nonce:
+        detail = "based_on must be a revision, and nonce must be given"
+        return fault_answer(
+            Fault(BAD_REQUEST, Step.PARSE, Peer.OPERATOR, detail)
+        )
+    operator = call.query("operator", "operator")
+    submitted = await submit_sheet(
+        daemon.platform,
+        call.text,
+        operator,
+        nonce,
+        int(based_on),
+        fleet,
+        time.time(),
+    )
+    if isinstance(submitted, Failure):
+        return _refusal(submitted.failure())
+    accepted = submitted.unwrap()
+    log_change("sheet accepted", revision=accepted.revision, by=operator)
+    return json_answer(200, SheetReply("accepted", accepted.revision))
+
+
+@route("GET", "/v1/sheet/progress")
+async def get_progress(daemon: Daemon, call: Call) -> Answer:
+    """Return how far the fleet has come."""
+    del call
+    fleet = await daemon.plan.snapshot()
+    if isinstance(fleet, Fault):
+        return fault_answer(fleet)
+    return json_answer(200, progress_view(progress(fleet, time.time())))
+
+
+@route("POST", "/v1/entries/dead/*")
+async def post_dead(daemon: Daemon, call: Call) -> Answer:
+    """Declare an entry daemon's present run dead, by its name."""
+    for entry in daemon.view.entries():
+        if entry.name != call.tail:
+            continue
+        removed = await remove_entry(daemon.platform, entry, daemon.rng)
+        if isinstance(removed, Failure):
+            return fault_answer(removed.failure())
+        operator = call.query("operator", "operator")
+        log_change("declared dead", entry=entry.name, by=operator)
+        return json_answer(200, {"entry": entry.name, "run": entry.run})
+    fault = Fault(ENTRY_UNREACHABLE, Step.READ, Peer.ENTRY, "not joined")
+    fault.peer_name = call.tail
+    return fault_answer(fault)
+
+
+async def _checked(
+    daemon: Daemon, call: Call
+) -> Answer | tuple[FleetSnapshot, Sheet]:
+    """Return the fleet and a faultless sheet, or the answer instead."""
+    parsed = parse_sheet(call.text)
+    if isinstance(parsed, Failure):
+        views = fault_views(parsed.failure())
+        return json_answer(200, SheetReply("faults", faults=views))
+    fleet = await daemon.plan.snapshot()
+    if isinstance(fleet, Fault):
+        return fault_answer(fleet)
+    sheet = parsed.unwrap()
+    faults = check_sheet(sheet, fleet)
+    if faults:
+        reply = SheetReply("faults", faults=fault_views(faults))
+        return json_answer(200, reply)
+    return fleet, sheet
+
+
+def _refusal(refused: SheetRefused) -> Answer:
+    """Return why a sheet was not accepted, or is not known to be."""
+    fault = refused.fault
+    unknown = fault.code is PLATFORM_UNKNOWN
+    return json_answer(
+        200,
+        SheetReply(
+            "unknown" if unknown else "refused",
+            refused.revision,
+            fault.code.name,
+            f"{fault.code.text} {fault.detail}".strip(),
+            fault_views(refused.sheet_faults),
+            list(refused.changes),
+        ),
+    )
--- /dev/null
+++ b/lycheelug/plan_loop.py
@@ -0,0 +1,166 @@
+"""Drives the fleet's plan from one daemon, and answers for it.
+
+Every daemon can drive.  To avoid double work, the one with the first name
+among those that it hears does; another takes over as soon as it is not
+heard.  Safety doesn't rest on that: every step is a guarded transaction.
+
+The snapshot of the whole fleet is read as deltas, only while it is needed:
+by the driving daemon once a period, by others when an operator asks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from lycheelug.errors import REVISION_FORGOTTEN
+from lycheelug.fleet import FLEET_PREFIXES, FleetSnapshot
+from lycheelug.logs import log_change
+from lycheelug.plan_driver import PlanDriver
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from lycheelug.entries.messages import Digest
+    from lycheelug.errors import Fault
+    from lycheelug.plan_driver import Report
+    from lycheelug.platform import Platform
+
+__all__ = ["PlanLoop"]
+
+BUSY_PERIOD_S: Final = 0.5
+IDLE_PERIOD_S: Final = 2.0
+DROP_SNAPSHOT_S: Final = 60.0
+
+
+class PlanLoop:
+    """The plan's driver within one daemon."""
+
+    __slots__ = (
+        "_digests",
+        "_driver",
+        "_is_first",
+        "_last_blockers",
+        "_platform",
+        "_prefix_revisions",
+        "_rng",
+        "_snapshot",
+        "_task",
+        "_used_at",
+        "steps_committed",
+    )
+
+    def __init__(
+        self,
+        platform: Platform,
+        name: str,
+        run: str,
+        rng: random.Random,
+        digests: Callable[[], list[Digest]],
+        is_first: Callable[[], bool],
+    ) -> None:
+        self._platform = platform
+        self._rng = rng
+        self._digests = digests
+        self._is_first = is_first
+        self._driver = PlanDriver(
+            platform,
+            time.time,
+            lambda: f"{run}-plan-{rng.getrandbits(64):016x}",
+            name,
+        )
+        self._snapshot = FleetSnapshot()
+        self._prefix_revisions: dict[str, int] = {}
+        self._used_at = 0.0
+        self._last_blockers: tuple[str, ...] = ()
+        self._task: asyncio.Task[None] | None = None
+        self.steps_committed = 0
+
+    @property
+    def last_blockers(self) -> tuple[str, ...]:
+        """What the plan waited for when it was last driven here."""
+        return self._last_blockers
+
+    def start(self) -> None:
+        """Start driving whenever it is this daemon's turn."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stop; what was sent stands, and another daemon goes on."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+
+    async def snapshot(self) -> FleetSnapshot | Fault:
+        """Return the fleet as the platform has it now."""
+        for prefix in FLEET_PREFIXES:
+            fault = await self._read(prefix)
+            if fault is not None:
+                return fault
+        snapshot = self._snapshot
+        listed = await self._platform.hosts_since(snapshot.list_revision)
+        if isinstance(listed, Failure):
+            failed: Fault = listed.failure()
+            return failed
+        snapshot.apply_hosts(listed.unwrap())
+        # Complete up to the lowest of the revisions read.
+        reached = min(self._prefix_revisions.values())
+        snapshot.apply_rows((), reached)
+        snapshot.digests.clear()
+        for digest in self._digests():
+            snapshot.apply_digest(digest)
+        self._used_at = time.monotonic()
+        return snapshot
+
+    async def _read(self, prefix: str) -> Fault | None:
+        """Bring one prefix of the snapshot up to date."""
+        since = self._prefix_revisions.get(prefix, 0)
+        result = await self._platform.read_since(prefix, since)
+        if isinstance(result, Failure):
+            fault: Fault = result.failure()
+            if fault.code is REVISION_FORGOTTEN:
+                self._forget()
+            return fault
+        delta = result.unwrap()
+        for row in delta.rows:
+            self._snapshot.apply_row(row)
+        self._prefix_revisions[prefix] = max(since, delta.revision)
+        return None
+
+    def _forget(self) -> None:
+        """Drop the snapshot; the next use reads everything."""
+        self._snapshot = FleetSnapshot()
+        self._prefix_revisions.clear()
+
+    async def _run(self) -> None:
+        """Drive while it is this daemon's turn."""
+        while True:
+            period_s = IDLE_PERIOD_S
+            if self._is_first():
+                snapshot = await self.snapshot()
+                if isinstance(snapshot, FleetSnapshot):
+                    report = await self._driver.step(snapshot)
+                    self._note(report)
+                    if not report.idle or report.moves_left:
+                        period_s = BUSY_PERIOD_S
+            elif time.monotonic() - self._used_at > DROP_SNAPSHOT_S:
+                self._forget()
+            spread = 0.9 + 0.2 * self._rng.random()
+            await asyncio.sleep(period_s * spread)
+
+    def _note(self, report: Report) -> None:
+        """Count steps, and log a change in what the plan waits for."""
+        self.steps_committed += len(report.committed)
+        for step in report.committed:
+            changes = "; ".join(str(change) for change in step.changes[:5])
+            log_change("plan step", changes=len(step.changes), first=changes)
+        blockers = tuple(str(each) for each in report.blockers)
+        if blockers == self._last_blockers:
+            return
+        self._last_blockers = blockers
+        log_change("plan waits", count=len(blockers), first=blockers[:3])
--- a/lycheelug/platform/watch.py
+++ b/lycheelug/platform/watch.py
@@ -57,6 +57,7 @@
         "_failed_rounds",
         "_on_entry_hosts",
         "_on_rows",
+        "_period",
         "_platform",
         "_rng",
         "_sleep",
@@ -72,7 +73,9 @@
         on_rows: Callable[[Sequence[Row]], object],
         on_entry_hosts: Callable[[Sequence[HostEntry]], object],
         sleep: Callable[[float], Awaitable[object]] = asyncio.sleep,
+        period_s: float = POLL_PERIOD_S,
     ) -> None:
+        self._period = period_s
         self._platform = platform
         self._view = view
         self._rng = rng
--- a/lycheelug/settings_schema.py
+++ b/lycheelug/settings_schema.py
@@ -273,7 +273,7 @@
     [
         Field("binding", Choice(["memory", "http"]), "How it is reached."),
         Field("address", Address(), "Its address, for the binding http."),
-        Field("poll_s", Number(0.05, 60), "Seconds between two polls."),
+        Field("poll_s", Number(0.05, 4), "Seconds between two polls."),
         Field("pools", GroupList(POOL), "Pools, for the binding memory."),
         Field("hosts", GroupList(HOST), "Hosts, for the binding memory."),
     ],
--- a/lycheelug/startup.py
+++ b/lycheelug/startup.py
@@ -59,7 +59,13 @@
 
 
 async def _join_platform(daemon: Daemon) -> bool:
-    """Join through the table, and catch up with it."""
+    """Join through the table, and catch up with it.
+
+    The host list is read first: a join tells which state of it the run
+    has seen.
+    """
+    if not await daemon.watch.poll():
+        return False
     joined = await join(daemon.platform, _entry(daemon), daemon.rng)
     match joined:
         case Success(revision):
@@ -102,4 +108,10 @@
 def _entry(daemon: Daemon) -> EntryRow:
     """Return the daemon's row."""
     own = daemon.members.own
-    return EntryRow(own.name, own.zone, own.address, own.run)
+    return EntryRow(
+        own.name,
+        own.zone,
+        own.address,
+        own.run,
+        daemon.view.host_list_revision,
+    )
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,132 @@
+"""Shows the main job with real processes, within a minute.
+
+Starts the stand-in platform, six upstreams and two entry daemons, applies
+a morning sheet, sends requests of three tenants, moves a host by a second
+sheet under load, prints answers and histograms, and stops everything
+gracefully.  Run it with `make run`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import sys
+import tempfile
+from pathlib import Path
+from typing import Final
+
+from lycheelug.platform import HostEntry
+from standins.world import Reply, World
+
+__all__ = ["main"]
+
+MORNING: Final = """\
+kind,pool,min_available,spare,hosts:z1,tenant,share
+pool,quotes,1,,3,,
+pool,tooling,1,,2,,
+pool,misc,0,yes,1,,
+quota,quotes,,,,arima,50%
+"""
+MIDDAY: Final = MORNING.replace("quotes,1,,3", "quotes,1,,2").replace(
+    "tooling,1,,2", "tooling,1,,3"
+)
+REQUESTS: Final = 300
+IN_PARALLEL: Final = 12
+HOSTS: Final = 6
+TENANTS: Final = ("chaguanas", "san-fernando", "arima")
+
+
+def say(text: str) -> None:
+    """Print a heading or a line at once."""
+    sys.stdout.write(text + "\n")
+    sys.stdout.flush()
+
+
+async def show(world: World, *words: str) -> None:
+    """Run the command-line tool on the first daemon and print the result."""
+    daemon = world.daemons["e1"]
+    say(f"\n$ lycheelug {' '.join(words)}")
+    code, text = await world.run_tool(*words, "--address", daemon.operators)
+    say(text.rstrip())
+    if code != 0:
+        raise RuntimeError(f"lycheelug {words} ended with code {code}")
+
+
+async def send_requests(world: World, batch: str) -> collections.Counter[str]:
+    """Send a batch through both daemons; return how it ended."""
+    outcomes: collections.Counter[str] = collections.Counter()
+    daemons = list(world.daemons.values())
+    limit = asyncio.Semaphore(IN_PARALLEL)
+
+    async def send(number: int) -> None:
+        async with limit:
+            reply: Reply = await world.ask(
+                daemons[(number + len(batch)) % len(daemons)],
+                f"{batch} {number}",
+                pool=("quotes", "tooling")[number % 2],
+                headers=[
+                    (
+                        b"lycheelug-tenant",
+                        TENANTS[number % len(TENANTS)].encode(),
+                    ),
+                    (b"idempotency-key", f"{batch}-{number}".encode()),
+                ],
+            )
+            own = reply.status == 200 and reply.echo == f"{batch} {number}"
+            outcomes["own whole answer" if own else reply.outcome] += 1
+
+    await asyncio.gather(*(send(number) for number in range(REQUESTS)))
+    return outcomes
+
+
+async def show_main_job(directory: Path) -> None:
+    """Run the whole demonstration."""
+    async with World(directory) as world:
+        await world.start_base({})
+        entries: list[HostEntry] = []
+        for index in range(HOSTS):
+            name = f"w{index}"
+            upstream = await world.start_upstream(name, "--delay-ms", "5")
+            world.upstreams[name] = upstream
+            rack = f"r{index % 2}"
+            entries.append(HostEntry(name, "z1", rack, upstream.address))
+        await world.list_hosts(entries)
+        await world.start_entry("e1")
+        await world.start_entry("e2")
+        say("platform, 6 upstreams and 2 entry daemons run as processes")
+        morning = directory / "morning.csv"
+        morning.write_text(MORNING, encoding="utf-8")
+        await show(world, "sheet", "check", str(morning))
+        await show(world, "sheet", "apply", str(morning))
+        await world.wait_members(world.daemons["e1"], alive=2)
+        for daemon in world.daemons.values():
+            await world.wait_pools(daemon, 3)
+        await show(world, "status")
+        outcomes = await send_requests(world, "morning")
+        say(f"\n{REQUESTS} requests ended as: {dict(outcomes)}")
+        midday = directory / "midday.csv"
+        midday.write_text(MIDDAY, encoding="utf-8")
+        await show(world, "sheet", "plan", str(midday))
+        sending = asyncio.create_task(send_requests(world, "midday"))
+        await show(world, "sheet", "apply", str(midday))
+        say(f"\nmeanwhile, {REQUESTS} more: {dict(await sending)}")
+        outcomes = await send_requests(world, "morning")
+        say(f"\nthe first {REQUESTS} sent again: {dict(outcomes)}")
+        await show(world, "hosts")
+        await show(world, "pools")
+        await show(world, "histograms")
+        runs = await world.runs()
+        keys = collections.Counter(run["key"] for run in runs)
+        say(f"\n{len(keys)} keys ran, none more than {max(keys.values())}x")
+        for daemon in world.daemons.values():
+            say(f"{daemon.name} stopped with code {await daemon.stop()}")
+
+
+def main() -> None:
+    """Run the demonstration in a directory of its own."""
+    with tempfile.TemporaryDirectory() as directory:
+        asyncio.run(show_main_job(Path(directory)))
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/world.py
+++ b/standins/world.py
@@ -89,7 +89,8 @@
                 row = HostRow(name, zone, rack, pool)
                 rows.append(Write(host_key(zone, name), encode(row)))
         await self.list_hosts(entries)
-        await self.write_rows(rows)
+        if rows:
+            await self.write_rows(rows)
 
     async def list_hosts(self, entries: list[HostEntry]) -> None:
         """Put hosts into the platform's list."""
@@ -170,6 +171,14 @@
         )
         return Reply(answer)
 
+    async def wait_pools(self, daemon: DaemonProcess, count: int) -> None:
+        """Wait until a daemon serves a number of pools."""
+
+        async def served() -> bool:
+            return len(await daemon.get("/v1/pools")) == count
+
+        await until(served)
+
     async def wait_members(self, daemon: DaemonProcess, alive: int) -> None:
         """Wait until a daemon hears a number of members, itself included."""
 
