--- a/lycheelug/job_holder.py
+++ b/lycheelug/job_holder.py
@@ -58,12 +58,6 @@
 PENDING_BYTES_MAX: Final = 4 * 1024 * 1024
 
 
-def _never(host: str) -> bool:
-    """Hold no host for one that fails other jobs as well."""
-    del host
-    return False
-
-
 class JobHolder:
     """Takes jobs for one run of a daemon, and reports how they ended."""
 
@@ -207,7 +201,7 @@
         rack: str,
         reason: str,
         may_have_run: bool,
-        is_suspect: Callable[[str], bool] = _never,
+        is_suspect: Callable[[str], bool] = lambda host: False,
     ) -> None:
         """Record a failed run; the job waits again unless it is at fault.
 
