--- a/lycheelug/platform/memory.py
+++ b/lycheelug/platform/memory.py
@@ -91,6 +91,7 @@
         self._clock = clock
         self._reboot_s = reboot_s
         self._revision = 0
+        # In the order of their last writes, so that a delta is a tail.
         self._rows: dict[str, Row] = {}
         # All keys of _rows in order, so that a prefix is one slice.
         self._keys: list[str] = []
@@ -139,16 +140,26 @@
         """Return the rows of a prefix written after a revision."""
         if 0 < revision < self._forgotten_below(prefix):
             return Failure(_fault(REVISION_FORGOTTEN, Step.READ, prefix))
+        if revision > 0:
+            return Success(Delta(self._newer(prefix, revision), self.revision))
         found: list[Row] = []
         for row in self.rows(prefix):
-            if row.revision <= revision:
-                continue
-            if row.value is None and revision == 0:
-                continue
-            found.append(row)
+            if row.value is not None:
+                found.append(row)
         found.sort(key=lambda row: row.revision)
         return Success(Delta(found, self._revision))
 
+    def _newer(self, prefix: str, revision: int) -> list[Row]:
+        """Return the rows of a prefix written after a revision, in order."""
+        found: list[Row] = []
+        for row in reversed(self._rows.values()):
+            if row.revision <= revision:
+                break
+            if row.key.startswith(prefix):
+                found.append(row)
+        found.reverse()
+        return found
+
     def rows(self, prefix: str) -> list[Row]:
         """Return all rows of a prefix, deleted ones included, by key."""
         found: list[Row] = []
@@ -191,7 +202,7 @@
 
     def _apply(self, write: Write) -> None:
         """Store one write at the table's revision."""
-        row = self._rows.get(write.key)
+        row = self._rows.pop(write.key, None)
         if row is None:
             if write.value is None:
                 return
