--- a/bench/store_costs.py
+++ b/bench/store_costs.py
@@ -10,13 +10,15 @@
 import asyncio
 import random
 import time
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from lycheelug.claims import ClaimBook, Claimed
 from lycheelug.jobs import JobBook, JobRequest
-from lycheelug.platform import Row
 from standins.faults import FaultyPlatform, RecordingPlatform
 
+if TYPE_CHECKING:
+    from lycheelug.platform import Row
+
 COUNT: Final = 2_000
 DIGEST: Final = "d" * 64
 RUN: Final = "5f0c3a9d2b7e4411"
