--- a/lycheelug/platform/http.py
+++ b/lycheelug/platform/http.py
@@ -245,7 +245,8 @@
         except TimeoutError:
             return Failure(self._not_sent("too many calls at once"))
         try:
-            answer = await self._client.request(request, self._timeout_s)
+            remaining = max(0.0, deadline - loop.time())
+            answer = await self._client.request(request, remaining)
             match answer:
                 case Failure(fault) if fault.code is not ANSWER_TRUNCATED:
                     return answer
