--- a/lycheelug/admission_queue.py
+++ b/lycheelug/admission_queue.py
@@ -35,8 +35,11 @@
 LONG_SHARE: Final = 0.125
 LONG_CAP: Final = 0.5
 LONG_PATIENCE_S: Final = 30.0
-RUN_QUANTILE: Final = 0.5
-WAIT_MARGIN: Final = 1.0
+RUN_QUANTILE: Final = 0.75
+OVERLOAD_QUANTILE: Final = 0.95
+OVERLOAD_S: Final = 1.0
+SHED_MARGIN_S: Final = 0.0
+URGENT_GUARD_S: Final = 0.75
 QUOTA_WINDOW_S: Final = 10.0
 
 
@@ -94,11 +97,14 @@
         "long_patience_s",
         "long_share",
         "max_queued",
+        "overload_quantile",
+        "overload_s",
         "quota_window_s",
         "quotas",
         "run_quantile",
+        "shed_margin_s",
+        "urgent_guard_s",
         "urgent_start_s",
-        "wait_margin",
     )
 
     def __init__(
@@ -109,7 +115,10 @@
         long_cap: float = LONG_CAP,
         long_patience_s: float = LONG_PATIENCE_S,
         run_quantile: float = RUN_QUANTILE,
-        wait_margin: float = WAIT_MARGIN,
+        overload_quantile: float = OVERLOAD_QUANTILE,
+        overload_s: float = OVERLOAD_S,
+        shed_margin_s: float = SHED_MARGIN_S,
+        urgent_guard_s: float = URGENT_GUARD_S,
         fair: bool = True,
         quotas: Mapping[str, float] | None = None,
         quota_window_s: float = QUOTA_WINDOW_S,
@@ -127,10 +136,17 @@
         self.long_patience_s = long_patience_s
         # A request is taken to need this quantile of measured run times.
         self.run_quantile = run_quantile
-        # A request is refused on arrival where the expected wait is more
-        # than this multiple of the time that it can wait.
-        self.wait_margin = wait_margin
-        # Whether tenants over their fair share go after the others.
+        # The quantile that is taken instead while work is refused for want
+        # of slots, and how long that goes on after the last refusal.
+        self.overload_quantile = overload_quantile
+        self.overload_s = overload_s
+        # Waiting work is refused where its expected start is later than
+        # it may be by more than this.
+        self.shed_margin_s = shed_margin_s
+        # Short work goes before urgent work only while all urgent work
+        # has this much time to spare; math.inf keeps it behind.
+        self.urgent_guard_s = urgent_guard_s
+        # Whether tenants over their fair share are refused first.
         self.fair = fair
         # Share of the pool's slots that each tenant may use on average
         # while others wait; tenants that are not named have no quota.
--- a/lycheelug/deadline_queue.py
+++ b/lycheelug/deadline_queue.py
@@ -1,27 +1,24 @@
-"""The default queue policy: deadlines, classes, tenants and early refusal.
-
-* Urgent work goes before short work, and short before long.  Within a class
-  the request with the earliest latest start goes first; the latest start is
-  the deadline less a quantile of measured run times, and for urgent work not
-  after its start limit.
-* Tenants that used more than their fair share of the slots lately go after
-  all others of the class.  A tenant over its quota is refused while others
-  wait.
-* A request is refused on arrival where the expected work before it takes
-  longer than it can wait.
-* Long work has a share of the slots that short work does not take, and a
-  cap that leaves slots free for the next surge, because a started run is
-  never stopped.
-
-`take` looks at one request per waiting tenant; everything else costs
-O(log n) in the waiting requests.  The expected wait leaves out the rest of
-the runs in flight, and work of other tenants that fairness puts behind.  Long
-work past its deadline is dropped when it is the oldest of its tenant.
+"""The default queue policy: earliest latest start, with early refusal.
+
+* Urgent and short work go by latest start: the deadline less a quantile of
+  measured run times, and for urgent work not after its start limit.  Short
+  work goes before urgent work only while all urgent work has time to spare.
+* Where more work waits than can start in time, by its expected run times,
+  some is refused at once: short before urgent work, and that of tenants over
+  their fair share of the slots before others', newest first.
+* A tenant over its quota is refused while others wait.
+* Long work has a share of the slots that other work does not take, and a cap
+  that leaves slots free for the next surge, because a started run is never
+  stopped.
+
+`offer`, `take` and `cancel` cost O(log n) in the waiting requests, and a walk
+over the steps of latest start or the tenants with long work.  Refusing what
+became too much costs O(n log n) in what waits, once a call.  The expected
+wait leaves out what is left of the runs in flight.
 """
 
 from __future__ import annotations
 
-from math import inf
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.admission_queue import (
@@ -32,14 +29,15 @@
     Ticket,
 )
 from lycheelug.errors import QUEUE_FULL, QUOTA_SPENT, TOO_LATE
-from lycheelug.queued_work import QueuedWork
+from lycheelug.long_queue import LongQueue
+from lycheelug.queued_work import QueuedWork, Waiting, first_overload
 from lycheelug.quotas import TenantUsage
 from lycheelug.requests import RequestClass
 from lycheelug.run_times import RunTimes
 from lycheelug.ticket_heap import TicketHeap
 
 if TYPE_CHECKING:
-    from lycheelug.run_times import Estimate
+    from collections.abc import Sequence
 
 __all__ = ["DeadlineQueue"]
 
@@ -48,107 +46,96 @@
 LONG: Final = RequestClass.LONG
 # The share of the queue's room that a class may fill.
 ROOM: Final = {URGENT: 1.0, SHORT: 0.9, LONG: 0.5}
-# Long work is ordered as if it had to start within this time.
-LONG_AGING_S: Final = 60.0
+# What a refused request is taken to relieve at least.
+LEAST_WORK_S: Final = 0.001
 
 
-class _Waiting:
-    """A waiting ticket with what was expected of it on arrival."""
+class _DatedQueue:
+    """The waiting tickets of a class with deadlines, by latest start."""
 
-    __slots__ = ("expected_s", "latest", "order", "step", "ticket")
-
-    def __init__(
-        self, ticket: Ticket, latest: float, expected_s: float, step: int
-    ) -> None:
-        self.ticket = ticket
-        self.latest = latest
-        self.expected_s = expected_s
-        self.step = step
-        # Long work without a near deadline goes by age.
-        self.order = latest
-        if ticket.request_class is LONG:
-            self.order = min(latest, ticket.enqueued_at + LONG_AGING_S)
-
-
-class _ClassQueue:
-    """The waiting tickets of one class, by tenant."""
-
-    __slots__ = ("by_tenant", "count", "work")
+    __slots__ = ("heap", "waiting", "work")
 
     def __init__(self) -> None:
-        self.by_tenant: dict[str, TicketHeap] = {}
+        self.heap = TicketHeap()
         self.work = QueuedWork()
-        self.count = 0
+        self.waiting: dict[int, Waiting] = {}
 
-    def push(self, waiting: _Waiting) -> None:
-        """Add a ticket whose work is already counted."""
-        tenant = waiting.ticket.tenant
-        heap = self.by_tenant.get(tenant)
-        if heap is None:
-            heap = self.by_tenant[tenant] = TicketHeap()
-        heap.push(waiting.order, waiting.ticket)
-        self.count += 1
-
-    def remove(self, waiting: _Waiting) -> None:
-        """Remove a ticket and its work."""
-        tenant = waiting.ticket.tenant
-        heap = self.by_tenant[tenant]
-        heap.remove(waiting.ticket.ticket_id)
-        if not len(heap):
-            del self.by_tenant[tenant]
-        self.work.remove(waiting.step, waiting.expected_s)
-        self.count -= 1
+    def push(self, waiting: Waiting) -> None:
+        """Add a ticket."""
+        self.heap.push(waiting.latest, waiting.ticket)
+        self.work.add(waiting)
+        self.waiting[waiting.ticket.ticket_id] = waiting
+
+    def remove(self, ticket_id: int) -> bool:
+        """Remove a ticket by its id; False where it is not in."""
+        waiting = self.waiting.pop(ticket_id, None)
+        if waiting is None:
+            return False
+        self.heap.remove(ticket_id)
+        self.work.remove(waiting)
+        return True
+
+    def pop_expired(self, now: float) -> list[Ticket]:
+        """Remove and return the tickets whose latest start has passed."""
+        expired: list[Ticket] = []
+        while (latest := self.heap.peek_key()) is not None and latest < now:
+            ticket = self.heap.peek()
+            if ticket is None:
+                break
+            self.remove(ticket.ticket_id)
+            expired.append(ticket)
+        return expired
 
 
 @QUEUES.register("deadline")
 class DeadlineQueue(AdmissionQueue):
-    """Serves by class, fair share and latest start; refuses early."""
+    """Serves by latest start; refuses what measured run times rule out."""
 
     __slots__ = (
         "_capacity",
         "_charged",
-        "_classes",
         "_expired",
+        "_long",
         "_long_since",
-        "_pool",
+        "_overloaded_until",
+        "_queued_by_tenant",
         "_run_times",
         "_running_long",
         "_settings",
+        "_short",
+        "_urgent",
         "_usage",
-        "_waiting",
     )
 
     def __init__(self, pool: str, settings: QueueSettings) -> None:
-        self._pool = pool
         self._settings = settings
-        self._run_times = RunTimes(settings.run_quantile)
+        self._run_times = RunTimes(
+            settings.run_quantile, settings.overload_quantile
+        )
         self._usage = TenantUsage(settings.quotas, settings.quota_window_s)
-        self._classes = {
-            URGENT: _ClassQueue(),
-            SHORT: _ClassQueue(),
-            LONG: _ClassQueue(),
-        }
-        self._waiting: dict[int, _Waiting] = {}
+        self._urgent = _DatedQueue()
+        self._short = _DatedQueue()
+        self._long = LongQueue()
+        self._queued_by_tenant: dict[str, int] = {}
         # Found expired by `take`, and not yet dropped.
         self._expired: dict[int, Ticket] = {}
         # Slot-seconds charged to the tenant of each started ticket.
         self._charged: dict[int, float] = {}
         self._running_long = 0
         # Since when long work waits with none running.
-        self._long_since = inf
+        self._long_since = 0.0
         self._capacity = 1
+        # Until when an overload is taken to last.
+        self._overloaded_until = 0.0
 
     @property
     def queued_by_tenant(self) -> dict[str, int]:
         """Return how many requests wait for each tenant with any."""
-        counts: dict[str, int] = {}
-        for queue in self._classes.values():
-            for tenant, heap in queue.by_tenant.items():
-                counts[tenant] = counts.get(tenant, 0) + len(heap)
-        return counts
+        return dict(self._queued_by_tenant)
 
     def __len__(self) -> int:
-        return len(self._waiting) + len(self._expired)
+        dated = len(self._urgent.waiting) + len(self._short.waiting)
+        return dated + len(self._long) + len(self._expired)
 
     def offer(
         self, ticket: Ticket, now: float, capacity: int
@@ -157,49 +144,66 @@
         self._capacity = max(1, capacity)
         kind = ticket.request_class
         estimate = self._run_times.estimate(kind, ticket.tenant)
-        latest = self._latest_start(ticket, estimate)
-        refusal = self._refusal(ticket, latest, now)
+        latest = ticket.deadline - estimate.quantile_s
+        if now < self._overloaded_until:
+            latest = ticket.deadline - estimate.high_s
+        if kind is URGENT:
+            limit = ticket.enqueued_at + self._settings.urgent_start_s
+            latest = min(latest, limit)
+        waiting = Waiting(ticket, latest, estimate.mean_s, now)
+        refusal = self._refusal(waiting, now)
         if refusal is not None:
             return refusal
-        queue = self._classes[kind]
-        if kind is LONG and not queue.count:
-            self._long_since = now
-        step = queue.work.add(now, latest, estimate.mean_s)
-        waiting = _Waiting(ticket, latest, estimate.mean_s, step)
-        queue.push(waiting)
-        self._waiting[ticket.ticket_id] = waiting
+        if kind is LONG:
+            if not len(self._long):
+                self._long_since = now
+            self._long.push(ticket)
+        else:
+            self._dated(kind).push(waiting)
+        self._count(ticket.tenant, 1)
         return None
 
     def take(self, now: float) -> Ticket | None:
         """Remove and return the request to start in a free slot, if any."""
+        ticket: Ticket | None = None
         if self._is_long_due(now):
-            ticket = self._take_from(LONG, now)
-            if ticket is not None:
-                return ticket
-        for kind in (URGENT, SHORT):
-            ticket = self._take_from(kind, now)
-            if ticket is not None:
-                return ticket
-        cap = self._settings.long_cap * self._capacity
-        if self._running_long < cap:
-            return self._take_from(LONG, now)
-        return None
+            ticket = self._take_long(now)
+        if ticket is None:
+            ticket = self._take_dated(now)
+        if ticket is None:
+            cap = self._settings.long_cap * self._capacity
+            if self._running_long < cap:
+                ticket = self._take_long(now)
+        if ticket is not None:
+            self._count(ticket.tenant, -1)
+        return ticket
 
     def drop_expired(self, now: float) -> list[Ticket]:
         """Remove and return the requests that can't finish in time."""
-        for kind in (URGENT, SHORT, LONG):
-            for heap in list(self._classes[kind].by_tenant.values()):
-                self._set_expired_aside(heap, now)
-        expired = list(self._expired.values())
+        self._set_expired_aside(now)
+        for ticket in self._long.pop_expired(now):
+            self._expired[ticket.ticket_id] = ticket
+        dropped = list(self._expired.values())
         self._expired.clear()
-        return expired
+        shed = self._shed([self._urgent], now)
+        shed.extend(self._shed([self._short, self._urgent], now))
+        if shed:
+            self._overloaded_until = now + self._settings.overload_s
+        dropped.extend(shed)
+        for ticket in dropped:
+            self._count(ticket.tenant, -1)
+        return dropped
 
     def cancel(self, ticket_id: int) -> bool:
         """Remove a waiting request; False where it does not wait."""
-        waiting = self._waiting.pop(ticket_id, None)
-        if waiting is None:
-            return self._expired.pop(ticket_id, None) is not None
-        self._classes[waiting.ticket.request_class].remove(waiting)
+        tenant = self._tenant_of(ticket_id)
+        if tenant is None:
+            return False
+        self._expired.pop(ticket_id, None)
+        self._urgent.remove(ticket_id)
+        self._short.remove(ticket_id)
+        self._long.remove(ticket_id)
+        self._count(tenant, -1)
         return True
 
     def on_started(self, ticket: Ticket, now: float) -> None:
@@ -224,54 +228,121 @@
         if ok:
             self._run_times.record(kind, ticket.tenant, service_s)
 
-    def _latest_start(self, ticket: Ticket, estimate: Estimate) -> float:
-        """Return the time after which a start is of no use."""
-        latest = ticket.deadline - estimate.quantile_s
-        if ticket.request_class is not URGENT:
-            return latest
-        return min(latest, ticket.enqueued_at + self._settings.urgent_start_s)
-
-    def _refusal(
-        self, ticket: Ticket, latest: float, now: float
-    ) -> Refusal | None:
+    def _dated(self, kind: RequestClass) -> _DatedQueue:
+        return self._urgent if kind is URGENT else self._short
+
+    def _tenant_of(self, ticket_id: int) -> str | None:
+        """Return the tenant of a waiting ticket, or None."""
+        expired = self._expired.get(ticket_id)
+        if expired is not None:
+            return expired.tenant
+        for queue in (self._urgent, self._short):
+            waiting = queue.waiting.get(ticket_id)
+            if waiting is not None:
+                return waiting.ticket.tenant
+        return self._long.tenant_of(ticket_id)
+
+    def _count(self, tenant: str, change: int) -> None:
+        """Keep the count of a tenant's waiting requests."""
+        count = self._queued_by_tenant.get(tenant, 0) + change
+        if count:
+            self._queued_by_tenant[tenant] = count
+        else:
+            del self._queued_by_tenant[tenant]
+
+    def _refusal(self, waiting: Waiting, now: float) -> Refusal | None:
         """Say why a request is not queued, if so."""
-        kind = ticket.request_class
-        if latest < now:
+        ticket = waiting.ticket
+        if waiting.latest < now or ticket.deadline <= now:
             return Refusal(TOO_LATE, "a run takes longer than the deadline")
-        room = self._settings.max_queued * ROOM[kind]
-        if len(self) >= room:
-            return Refusal(QUEUE_FULL, f"{len(self)} requests wait")
+        kind = ticket.request_class
+        count = len(self)
+        if count >= self._settings.max_queued * ROOM[kind]:
+            return Refusal(QUEUE_FULL, f"{count} requests wait")
         if self._is_quota_spent(ticket.tenant, now):
             return Refusal(QUOTA_SPENT, f"the share of {ticket.tenant}")
-        wait_s = self._expected_wait_s(kind, latest)
-        if wait_s > self._settings.wait_margin * (latest - now):
-            return Refusal(TOO_LATE, f"{wait_s:.1f} s of work go before")
+        if kind is not LONG and self._is_too_much(waiting, now):
+            self._overloaded_until = now + self._settings.overload_s
+            return Refusal(TOO_LATE, "the work before it takes too long")
         return None
 
     def _is_quota_spent(self, tenant: str, now: float) -> bool:
         """Whether a tenant is over its quota while others wait."""
         if not self._usage.is_quota_spent(tenant, now, self._capacity):
             return False
-        own = 0
-        for queue in self._classes.values():
-            heap = queue.by_tenant.get(tenant)
-            own += 0 if heap is None else len(heap)
-        return own < len(self._waiting)
-
-    def _expected_wait_s(self, kind: RequestClass, latest: float) -> float:
-        """Return how long the work that goes before will take."""
-        if kind is LONG:
-            return 0.0
-        before_s = self._classes[kind].work.before(latest)
-        if kind is SHORT:
-            before_s += self._classes[URGENT].work.total_s
-        slots = max(1, self._capacity - self._running_long)
-        return before_s / slots
+        return self._queued_by_tenant.get(tenant, 0) < len(self)
+
+    def _slots(self) -> int:
+        """Return the slots that urgent and short work can use."""
+        return max(1, self._capacity - self._running_long)
+
+    def _fair_sum(self, now: float) -> float:
+        return self._usage.fair_sum(now, self._capacity)
+
+    def _is_too_much(self, waiting: Waiting, now: float) -> bool:
+        """Whether work can't start in time if a request is added.
+
+        A tenant within its fair share is let in; what others have waiting
+        is refused for it.
+        """
+        queues = [self._urgent]
+        if waiting.ticket.request_class is SHORT:
+            queues.append(self._short)
+        total_s = sum(queue.work.total_s for queue in queues)
+        if total_s <= self._slots() * (waiting.latest - now):
+            return False
+        overload = first_overload(
+            [queue.work for queue in queues],
+            now,
+            self._slots(),
+            self._settings.shed_margin_s,
+            since=waiting.latest,
+        )
+        if overload is None:
+            return False
+        if not self._settings.fair:
+            return True
+        tenant = waiting.ticket.tenant
+        return self._usage.is_over_share(tenant, self._fair_sum(now))
+
+    def _shed(self, queues: Sequence[_DatedQueue], now: float) -> list[Ticket]:
+        """Remove from the first queue what makes all of them too much."""
+        dropped: list[Ticket] = []
+        works = [queue.work for queue in queues]
+        margin_s = self._settings.shed_margin_s
+        queue = queues[0]
+        while queue.waiting:
+            overload = first_overload(works, now, self._slots(), margin_s)
+            if overload is None:
+                break
+            victims = queue.work.up_to(overload.step)
+            if not victims:
+                break
+            self._sort_victims(victims, now)
+            excess_s = overload.excess_s
+            while victims and excess_s > 0:
+                victim = victims.pop()
+                queue.remove(victim.ticket.ticket_id)
+                dropped.append(victim.ticket)
+                excess_s -= max(victim.expected_s, LEAST_WORK_S)
+        return dropped
+
+    def _sort_victims(self, victims: list[Waiting], now: float) -> None:
+        """Sort so that what is refused first comes last."""
+        fair_sum = self._fair_sum(now)
+        fair = self._settings.fair
+        usage = self._usage
+
+        def rank(victim: Waiting) -> tuple[bool, float]:
+            tenant = victim.ticket.tenant
+            is_over = fair and usage.is_over_share(tenant, fair_sum)
+            return is_over, victim.ticket.enqueued_at
+
+        victims.sort(key=rank)
 
     def _is_long_due(self, now: float) -> bool:
         """Whether long work has less than its share of the slots."""
-        queue = self._classes[LONG]
-        if not queue.count:
+        if not len(self._long):
             return False
         guaranteed = int(self._settings.long_share * self._capacity)
         if guaranteed:
@@ -280,38 +351,37 @@
             return False
         return now - self._long_since >= self._settings.long_patience_s
 
-    def _take_from(self, kind: RequestClass, now: float) -> Ticket | None:
-        """Remove and return the first request of a class."""
-        queue = self._classes[kind]
-        if not queue.count:
-            return None
-        fair_sum = inf
-        if self._settings.fair:
-            fair_sum = self._usage.fair_sum(now, self._capacity)
-        best: Ticket | None = None
-        best_rank = (True, inf, inf)
-        for tenant, heap in list(queue.by_tenant.items()):
-            self._set_expired_aside(heap, now)
-            ticket = heap.peek()
-            if ticket is None:
-                continue
-            is_over = self._usage.is_over_share(tenant, fair_sum)
-            order = self._waiting[ticket.ticket_id].order
-            rank = (is_over, order, ticket.enqueued_at)
-            if best is None or rank < best_rank:
-                best = ticket
-                best_rank = rank
-        if best is None:
+    def _take_long(self, now: float) -> Ticket | None:
+        """Remove and return the long request to start."""
+        if not len(self._long):
             return None
-        queue.remove(self._waiting.pop(best.ticket_id))
-        return best
-
-    def _set_expired_aside(self, heap: TicketHeap, now: float) -> None:
-        """Move a tenant's expired tickets to those to be dropped."""
-        while (ticket := heap.peek()) is not None:
-            waiting = self._waiting[ticket.ticket_id]
-            if waiting.latest >= now:
-                return
-            del self._waiting[ticket.ticket_id]
-            self._classes[ticket.request_class].remove(waiting)
-            self._expired[ticket.ticket_id] = ticket
+        return self._long.pop(self._usage, self._fair_sum(now), now)
+
+    def _take_dated(self, now: float) -> Ticket | None:
+        """Remove and return the urgent or short request to start."""
+        self._set_expired_aside(now)
+        urgent = self._urgent.heap.peek_key()
+        short = self._short.heap.peek_key()
+        if urgent is None:
+            queue = self._short
+        elif short is None or urgent <= short or self._is_urgent_tight(now):
+            queue = self._urgent
+        else:
+            queue = self._short
+        ticket = queue.heap.peek()
+        if ticket is not None:
+            queue.remove(ticket.ticket_id)
+        return ticket
+
+    def _is_urgent_tight(self, now: float) -> bool:
+        """Whether urgent work has no time to let short work go first."""
+        guard_s = self._settings.urgent_guard_s
+        work = self._urgent.work
+        overload = first_overload([work], now, self._slots(), -guard_s)
+        return overload is not None
+
+    def _set_expired_aside(self, now: float) -> None:
+        """Move expired urgent and short tickets to those to be dropped."""
+        for queue in (self._urgent, self._short):
+            for ticket in queue.pop_expired(now):
+                self._expired[ticket.ticket_id] = ticket
--- a/lycheelug/replay.py
+++ b/lycheelug/replay.py
@@ -22,7 +22,13 @@
 from lycheelug.replay_executors import ReplayExecutor
 from lycheelug.replay_report import make_report
 from lycheelug.replay_requests import End, Request, Run
-from lycheelug.traces import Arrival, Cancel, HostBack, HostFailed
+from lycheelug.traces import (
+    Arrival,
+    Cancel,
+    HostBack,
+    HostFailed,
+    WorkerSlowed,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -58,20 +64,17 @@
 class ReplayOptions:
     """What a replay may vary besides the policy."""
 
-    __slots__ = ("chooser", "limit_name", "settings", "sink")
+    __slots__ = ("chooser", "limit_name", "settings")
 
     def __init__(
         self,
         settings: QueueSettings | None = None,
         limit_name: str = "fixed",
         chooser: Chooser = least_loaded,
-        sink: float = 1.0,
     ) -> None:
         self.settings = settings or QueueSettings()
         self.limit_name = limit_name
         self.chooser = chooser
-        # How executors slow down beyond their slots.
-        self.sink = sink
 
 
 class _Pool:
@@ -149,7 +152,7 @@
                 pool.name,
                 pool.slots,
                 limit,
-                self._options.sink,
+                pool.sink,
             )
             executors.append(executor)
             self._executors.append(executor)
@@ -195,6 +198,8 @@
             executor = self._hosts[event.host]
             executor.recover()
             self._start_waiting(self._pools[executor.pool])
+        elif isinstance(event, WorkerSlowed):
+            self._hosts[event.host].set_slots(event.slots, self._now)
         else:
             self._hosts[event.host].bad = True
 
@@ -222,7 +227,7 @@
         for ticket in pool.queue.drop_expired(self._now):
             request = self._requests[ticket.ticket_id]
             end = End.FAILED if request.failed_on else End.REFUSED
-            request.settle(end, self._now, "expired")
+            request.settle(end, self._now, "too-late-waiting")
 
     def _start_waiting(self, pool: _Pool) -> None:
         """Start requests while there are free slots."""
--- a/lycheelug/run_times.py
+++ b/lycheelug/run_times.py
@@ -33,14 +33,18 @@
 class Estimate:
     """What a run is expected to take."""
 
-    __slots__ = ("mean_s", "quantile_s")
+    __slots__ = ("high_s", "mean_s", "quantile_s")
 
-    def __init__(self, quantile_s: float, mean_s: float) -> None:
+    def __init__(
+        self, quantile_s: float, high_s: float, mean_s: float
+    ) -> None:
         self.quantile_s = quantile_s
+        # A higher quantile, for times of overload.
+        self.high_s = high_s
         self.mean_s = mean_s
 
 
-UNKNOWN: Final = Estimate(0.0, 0.0)
+UNKNOWN: Final = Estimate(0.0, 0.0, 0.0)
 
 
 class RunTimeHistogram:
@@ -99,10 +103,12 @@
             seen += count
         return _bound(BUCKETS)
 
-    def refreshed(self, q: float) -> Estimate:
+    def refreshed(self, q: float, high_q: float) -> Estimate:
         """Return the estimate, worked out anew every few samples."""
         if self._fresh >= REFRESH_SAMPLES or self.estimate is UNKNOWN:
-            self.estimate = Estimate(self.quantile(q), self.mean_s)
+            self.estimate = Estimate(
+                self.quantile(q), self.quantile(high_q), self.mean_s
+            )
             self._fresh = 0
         return self.estimate
 
@@ -119,7 +125,7 @@
     """Run times of a pool by class and tenant.
 
     >>> from lycheelug.requests import RequestClass
-    >>> times = RunTimes(quantile=0.5)
+    >>> times = RunTimes(quantile=0.5, high_quantile=0.9)
     >>> times.estimate(RequestClass.SHORT, "shop").mean_s
     0.0
     >>> for _ in range(20):
@@ -128,10 +134,11 @@
     2.0
     """
 
-    __slots__ = ("_by_class", "_by_tenant", "_quantile")
+    __slots__ = ("_by_class", "_by_tenant", "_high_quantile", "_quantile")
 
-    def __init__(self, quantile: float) -> None:
+    def __init__(self, quantile: float, high_quantile: float) -> None:
         self._quantile = quantile
+        self._high_quantile = high_quantile
         self._by_class: dict[RequestClass, RunTimeHistogram] = {}
         self._by_tenant: dict[tuple[RequestClass, str], RunTimeHistogram] = {}
 
@@ -153,10 +160,10 @@
         """Return the best known estimate; zeros where none is known."""
         of_tenant = self._by_tenant.get((request_class, tenant))
         if of_tenant is not None and of_tenant.count >= MIN_SAMPLES:
-            return of_tenant.refreshed(self._quantile)
+            return of_tenant.refreshed(self._quantile, self._high_quantile)
         of_class = self._by_class.get(request_class)
         if of_class is not None and of_class.count >= MIN_SAMPLES:
-            return of_class.refreshed(self._quantile)
+            return of_class.refreshed(self._quantile, self._high_quantile)
         return UNKNOWN
 
 
--- a/lycheelug/traces.py
+++ b/lycheelug/traces.py
@@ -35,6 +35,7 @@
     "TraceExecutor",
     "TracePool",
     "WorkerBad",
+    "WorkerSlowed",
     "parse_trace",
     "render_trace",
 ]
@@ -52,12 +53,17 @@
 
 
 class TracePool(msgspec.Struct):
-    """One pool: executors, and the slots and connections of each."""
+    """One pool: executors, and the slots and connections of each.
+
+    An executor with more runs than slots slows them all down to the power
+    `sink` of slots by runs: with 1 its work per second stays the same.
+    """
 
     name: str
     executors: list[TraceExecutor]
     slots: int = 8
     connections: int = 64
+    sink: float = 1.0
 
 
 class Header(msgspec.Struct, tag_field="type", tag="header"):
@@ -125,7 +131,17 @@
     host: str
 
 
-Event: TypeAlias = Arrival | Cancel | HostFailed | HostBack | WorkerBad
+class WorkerSlowed(msgspec.Struct, tag_field="type", tag="worker_slowed"):
+    """A worker runs this many requests at full speed from now on."""
+
+    at: float
+    host: str
+    slots: int
+
+
+Event: TypeAlias = (
+    Arrival | Cancel | HostFailed | HostBack | WorkerBad | WorkerSlowed
+)
 _DECODER: Final = msgspec.json.Decoder(Header | Event)
 _FIELD: Final = re.compile(r"at `\$\.([^`]*)`|field `([^`]*)`")
 REMEDIES: Final = {
@@ -137,8 +153,9 @@
     "actual_s": "give seconds above zero, or null where not known",
     "declared_s": "give seconds above zero",
     "deadline_s": "give seconds after the arrival, or null for none",
-    "type": "use header, arrival, cancel, host_failed, host_back or"
-    " worker_bad",
+    "slots": "give a whole number of at least 1",
+    "type": "use header, arrival, cancel, host_failed, host_back,"
+    " worker_bad or worker_slowed",
     "version": f"this release reads version {VERSION}",
     "format": f"the header's format must be {FORMAT}",
 }
@@ -191,6 +208,8 @@
                 raise _FieldError("id", f"no arrival {event.id} before it")
         elif event.host not in self._hosts:
             raise _FieldError("host", f"unknown host {event.host!r}")
+        elif isinstance(event, WorkerSlowed) and event.slots < 1:
+            raise _FieldError("slots", f"{event.slots} is not above 0")
 
     def _check_arrival(self, event: Arrival) -> None:
         if event.id in self._ids:
