--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -107,6 +107,9 @@
 NOT_READY: Final = _code(
     "not-ready", 503, "The daemon is starting or stopping."
 )
+INTERNAL_ERROR: Final = _code(
+    "internal-error", 500, "The daemon met a defect of its own."
+)
 
 # --- Admission and queueing.
 QUEUE_FULL: Final = _code("queue-full", 503, "The pool's queue is full.")
@@ -140,6 +143,9 @@
 ANSWER_TOO_LARGE: Final = _code(
     "answer-too-large", 502, "The upstream's answer is over the limit."
 )
+ANSWER_CROSSED: Final = _code(
+    "answer-crossed", 502, "The upstream answered another request."
+)
 ANSWER_TIMEOUT: Final = _code(
     "answer-timeout", 504, "The upstream did not answer in time."
 )
@@ -161,6 +167,14 @@
 KEY_RUN_ENDED: Final = _code(
     "key-run-ended", 409, "The daemon run that issued this key has ended."
 )
+KEY_FORGOTTEN: Final = _code(
+    "key-forgotten",
+    409,
+    "The daemon no longer knows this issued key, nor whether it was used.",
+)
+ANSWER_NOT_KEPT: Final = _code(
+    "answer-not-kept", 410, "The request ran; its answer is not kept."
+)
 CLAIM_LOST: Final = _code(
     "claim-lost", 503, "The claim could not be confirmed in time."
 )
@@ -188,6 +202,14 @@
     "unknown-object", 404, "The object store has no object of that name."
 )
 UNKNOWN_HOST: Final = _code("unknown-host", 404, "No host has that name.")
+HOST_NOT_DRAINED: Final = _code(
+    "host-not-drained", 409, "Only a drained host can be rebooted."
+)
+REVISION_FORGOTTEN: Final = _code(
+    "revision-forgotten",
+    410,
+    "Deletions since that revision are forgotten; read again from 0.",
+)
 
 # --- Operators, the sheet and plans.
 UNAUTHORIZED: Final = _code(
@@ -229,6 +251,11 @@
 ENTRY_INVALID: Final = _code(
     "entry-invalid", 502, "The entry daemon's message was not understood."
 )
+ENTRY_NAME_TAKEN: Final = _code(
+    "entry-name-taken",
+    409,
+    "Another run of the daemon holds its name in the platform's table.",
+)
 
 
 class Fault:
