--- a/bench/request_replay.py
+++ b/bench/request_replay.py
@@ -132,7 +132,7 @@
         share: str = "borrow-probe",
         choice: str = "two-choices",
         ejector: str = "cusum",
-        budget: str = "share",
+        budget: str = "answered",
         retrying: bool = False,
         floor: int = 4,
         faults: Sequence[Fault] = (),
@@ -544,7 +544,6 @@
         serving = len(daemon.views) - len(daemon.ejector.ejected)
         self._stats.min_serving = min(self._stats.min_serving, serving)
         if ok:
-            daemon.budget.on_success(now)
             daemon.jobs.forget(request.key)
             self._stats.answered += 1
             self._stats.latencies_s.append(now - request.arrival.at)
--- a/lycheelug/dispatch.py
+++ b/lycheelug/dispatch.py
@@ -174,6 +174,41 @@
     return first if first_cost <= second_cost else second
 
 
+@CHOICES.register("two-choices-plain")
+def choose_two_plain(
+    candidates: Sequence[Executor],
+    rng: random.Random,
+    exclude: frozenset[str],
+) -> Executor | None:
+    """Baseline: two choices by requests in flight alone."""
+    usable = _with_room(candidates, exclude)
+    if not usable:
+        return None
+    if len(usable) == 1:
+        return usable[0]
+    first, second = rng.sample(usable, 2)
+    return first if first.in_flight <= second.in_flight else second
+
+
+@CHOICES.register("least-cost")
+def choose_least_cost(
+    candidates: Sequence[Executor],
+    rng: random.Random,
+    exclude: frozenset[str],
+) -> Executor | None:
+    """Return the executor with the least load times latency."""
+    usable = _with_room(candidates, exclude)
+    if not usable:
+        return None
+    costs = [each.load * max(each.latency_s, 1e-3) for each in usable]
+    least = min(costs)
+    best: list[Executor] = []
+    for executor, cost in zip(usable, costs, strict=True):
+        if cost == least:
+            best.append(executor)
+    return rng.choice(best)
+
+
 @CHOICES.register("least-loaded")
 def choose_least_loaded(
     candidates: Sequence[Executor],
--- a/lycheelug/retries.py
+++ b/lycheelug/retries.py
@@ -4,8 +4,10 @@
 idempotent), where the deadline leaves time for one more run, and where the
 retry budget has a token.  The budget is a token bucket filled by first
 tries: each adds `ratio` tokens and each retry takes one, so a daemon's
-retries never exceed that share of its first tries, whatever fails.  Tokens
-decay with time: calm hours save up no burst for the next outage.
+retries never exceed that share of its first tries, whatever fails.  A
+first try that fails takes back what it added, so in a full outage only
+what was saved before is spent.  Tokens are capped and decay with time:
+calm hours save up no burst for the next outage.
 
 Limits: the budget is per daemon; nothing is counted across daemons, which
 the share does not need.  A daemon with next to no traffic has no tokens,
@@ -23,20 +25,23 @@
 
 __all__ = [
     "BUDGETS",
+    "DEFAULT_BUDGET",
     "Budget",
+    "FirstTriesBudget",
     "FreeRetries",
     "Retry",
     "RetryBudget",
     "Stop",
     "StopReason",
-    "SuccessBudget",
     "should_retry",
 ]
 
+DEFAULT_BUDGET: Final = "answered"
 _DEFAULT_RATIO: Final = 0.1
 _DEFAULT_CAP_TOKENS: Final = 20.0
-_DEFAULT_DECAY_S: Final = 10.0
+_DEFAULT_DECAY_S: Final = 30.0
 _MAX_ATTEMPTS: Final = 4
+_ROUNDING_TOKENS: Final = 1e-9
 # Expected run times are multiplied by this before comparing with the time
 # left, so that a retry which can only just fit is not started.
 _SLACK_FACTOR: Final = 1.2
@@ -52,8 +57,8 @@
         """Count a request's first try."""
 
     @abstractmethod
-    def on_success(self, now: float) -> None:
-        """Count a request that was answered."""
+    def on_first_failure(self, now: float) -> None:
+        """Count a first try that failed; called by `should_retry`."""
 
     @abstractmethod
     def try_spend(self, now: float) -> bool:
@@ -63,11 +68,11 @@
 BUDGETS: Final[Registry[type[Budget]]] = Registry("retry budget")
 
 
-@BUDGETS.register("share")
-class RetryBudget(Budget):
-    """Retries as a share of first tries.
+@BUDGETS.register("first-tries")
+class FirstTriesBudget(Budget):
+    """Retries as a share of first tries, failed ones included.
 
-    >>> budget = RetryBudget(ratio=0.5)
+    >>> budget = FirstTriesBudget(ratio=0.5)
     >>> budget.try_spend(now=0.0)
     False
     >>> budget.on_first_try(now=0.0)
@@ -100,14 +105,14 @@
         self._decay(now)
         self._tokens = min(self._cap, self._tokens + self._ratio)
 
-    def on_success(self, now: float) -> None:
-        """Successes earn nothing here."""
+    def on_first_failure(self, now: float) -> None:
+        """Leave the tokens as they are."""
 
     def try_spend(self, now: float) -> bool:
         """Take one token."""
         self._decay(now)
         # Ten additions of 0.1 make 0.9999999999999999.
-        if self._tokens < 1.0 - 1e-9:
+        if self._tokens < 1.0 - _ROUNDING_TOKENS:
             return False
         self._tokens = max(0.0, self._tokens - 1.0)
         return True
@@ -122,22 +127,24 @@
             self._tokens *= math.exp(-elapsed / self._decay_s)
 
 
-@BUDGETS.register("success-share")
-class SuccessBudget(RetryBudget):
-    """Retries as a share of answered requests.
+@BUDGETS.register(DEFAULT_BUDGET)
+class RetryBudget(FirstTriesBudget):
+    """Retries as a share of the first tries that have not failed.
 
-    Earns by successes instead of first tries, so it stops retrying
-    altogether in a full outage, and is slower to resume after one.
+    >>> budget = RetryBudget(ratio=0.5)
+    >>> for _ in range(2):
+    ...     budget.on_first_try(now=0.0)
+    >>> budget.on_first_failure(now=0.0)
+    >>> budget.try_spend(now=0.0)
+    False
     """
 
     __slots__ = ()
 
-    def on_first_try(self, now: float) -> None:
-        """First tries earn nothing here."""
-
-    def on_success(self, now: float) -> None:
-        """Add the ratio's part of a token."""
-        super().on_first_try(now)
+    def on_first_failure(self, now: float) -> None:
+        """Take back what the failed first try added."""
+        self._decay(now)
+        self._tokens = max(0.0, self._tokens - self._ratio)
 
 
 @BUDGETS.register("free")
@@ -149,7 +156,7 @@
     def on_first_try(self, now: float) -> None:
         """Count nothing."""
 
-    def on_success(self, now: float) -> None:
+    def on_first_failure(self, now: float) -> None:
         """Count nothing."""
 
     def try_spend(self, now: float) -> bool:
@@ -197,7 +204,9 @@
 ) -> Retry | Stop:
     """Decide on a request that failed `attempts` times.
 
-    A token is spent only where everything else allows the retry.
+    To be called for every failure, also where `safe` is false, since the
+    budget counts failed first tries.  A token is spent only where
+    everything else allows the retry.
 
     >>> should_retry(FreeRetries(), True, 0.0, 2.9, 0.1, attempts=1)
     Retry()
@@ -206,6 +215,8 @@
     >>> should_retry(FreeRetries(), True, 2.8, 2.9, 0.1, attempts=1)
     Stop(deadline)
     """
+    if attempts == 1:
+        budget.on_first_failure(now)
     if not safe:
         return Stop(StopReason.UNSAFE)
     if attempts >= _MAX_ATTEMPTS:
