Test that no daemon touches a job that another holds

Planted faults showed that the tests missed a late report on a job that another daemon had taken up meanwhile, and found a freed claim of another only by a time limit. One row of the table is extended and one added; each of the planted faults now fails a test.

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -211,6 +211,21 @@
     (await world.b.dispatch(claim)).unwrap()
 
 
+async def uncertain_claim_leaves_others_alone(world: World) -> None:
+    handle = await world.submit()
+    world.scheduler = Scheduler()
+    world.a = world.book("a")
+    taking = asyncio.ensure_future(world.a.claim_next(POOL))
+    await world.scheduler.run_to("transact:before")
+    world.fail("a", Faults(late_writes=FOREVER))
+    world.scheduler.free()
+    assert (await taking).failure().code is CLAIM_LOST
+    claim = await world.take(world.b)
+    await world.heal()
+    assert (await world.state(handle)).state is JobState.CLAIMED
+    (await world.b.dispatch(claim)).unwrap()
+
+
 async def cancel_before_dispatch_is_not_run(world: World) -> None:
     waiting = await world.submit()
     status = (await world.b.cancel(waiting, 1.0)).unwrap()
@@ -312,9 +327,13 @@
         assert (await world.state(handle)).state is expected
         assert world.platform.object_names == []
         if expected is JobState.WAITING:
-            claim = await world.take(world.b)
-            assert claim.epoch == 2
-            await world.b.report_done(claim, 200, [], b"")
+            taken = await world.take(world.b)
+            assert taken.epoch == 2
+            await world.a.hand_back(claim)
+            await world.heal()
+            assert (await world.state(handle)).state is JobState.CLAIMED
+            (await world.b.dispatch(taken)).unwrap()
+            await world.b.report_done(taken, 200, [], b"")
 
 
 async def stop_hands_jobs_back(world: World) -> None:
@@ -385,6 +404,7 @@
     one_daemon_takes_a_job,
     stale_views_take_nothing_twice,
     lost_claim_goes_back,
+    uncertain_claim_leaves_others_alone,
     cancel_before_dispatch_is_not_run,
     cancel_after_dispatch_reaches_the_owner,
     answer_beats_a_cancellation,
