Write only the pool rows that a sheet changes; follow host addresses

A pool row is written again only where the sheet's wishes differ from it, and a serving host's row takes the address of a newer host list.

--- a/lycheelug/fleet.py
+++ b/lycheelug/fleet.py
@@ -130,6 +130,9 @@
         elif row.key.startswith(POOL_PREFIX):
             _put(self.pools, row, PoolRow)
         elif row.key.startswith(ENTRY_PREFIX):
+            ended = self.entries.get(last_part(row.key))
+            if ended is not None:
+                self.digests.pop(ended.row.run, None)
             _put(self.entries, row, EntryRow)
         elif row.key.startswith(PLAN_LEASE_PREFIX):
             _put(self.leases, row, PlanLeaseRow)
@@ -188,6 +191,17 @@
                 usable.append(entry)
         return usable
 
+    def address(self, row: HostRow) -> str:
+        """Return a host's newest known address.
+
+        The list goes before the row once it is newer than the row's.
+        """
+        entry = self.listed.get(row.name)
+        if entry is None or not entry.address:
+            return row.address
+        newer = self.list_revision > row.list_revision
+        return entry.address if newer else row.address
+
     def resting(self, host: str) -> bool:
         """Tell whether a host is out for maintenance, and returns."""
         versioned = self.hosts.get(host)
--- a/lycheelug/plan.py
+++ b/lycheelug/plan.py
@@ -19,7 +19,7 @@
 from lycheelug.budgets import budgets_of, rack_of
 from lycheelug.moves import plan_placement
 from lycheelug.plan_hosts import HostProgress
-from lycheelug.plan_pools import adoption_step, is_adopted, shortages
+from lycheelug.plan_pools import adoption_step, pools_to_adopt, shortages
 from lycheelug.platform.interface import ABSENT, HostState
 from lycheelug.records import (
     SHEET_KEY,
@@ -75,6 +75,7 @@
         "_fleet",
         "_now",
         "_sheet",
+        "_to_adopt",
         "_zones",
         "plan",
     )
@@ -92,10 +93,11 @@
         self._zones = zones
         self._budgets: dict[str, PoolBudget] = budgets_of(fleet)
         self._builders: dict[str, StepBuilder] = {}
+        self._to_adopt = pools_to_adopt(fleet, sheet)
         self.plan = Plan()
 
     def run(self, maintenance: bool) -> Plan:
-        adoption = adoption_step(self._fleet, self._sheet)
+        adoption = adoption_step(self._fleet, self._sheet, self._to_adopt)
         if adoption.changes:
             self.plan.steps.append(adoption)
         placement = plan_placement(self._sheet, self._fleet)
@@ -139,7 +141,7 @@
                 continue
             if not progress.needs_step(host):
                 continue
-            if not is_adopted(self._fleet, self._sheet, host.row.pool):
+            if host.row.pool in self._to_adopt:
                 # The adoption writes the pool's row now.
                 continue
             builder = self._builder(host.row.pool)
@@ -184,6 +186,7 @@
             maintained_at=self._now - age,
             address=self._fleet.listed[move.host].address,
             since=self._now,
+            list_revision=self._fleet.list_revision,
         )
 
     def _move(self) -> None:
@@ -222,7 +225,7 @@
             return False
         if versioned.revision > self._fleet.table_revision:
             return False
-        return is_adopted(self._fleet, self._sheet, pool)
+        return pool not in self._to_adopt
 
     def _drain(self, host: Versioned[HostRow], target: str) -> bool:
         """Drain a host if its pool's budget allows it.
--- a/lycheelug/plan_hosts.py
+++ b/lycheelug/plan_hosts.py
@@ -2,6 +2,7 @@
 
     serving -> draining -> serving (next pool)
     serving -> draining -> maintenance -> serving (same pool)
+    serving -> serving (new address)
     serving -> draining -> deleted (gone from the platform's list)
 
 Leaving `draining` for anything but the old pool waits for every entry
@@ -57,12 +58,14 @@
         """Tell whether a host is under way, or should be."""
         if host.row.phase is not HostPhase.SERVING:
             return True
-        return self._fleet.state(host.row.name) is not HostState.LIVE
+        if self._fleet.state(host.row.name) is not HostState.LIVE:
+            return True
+        return self._fleet.address(host.row) != host.row.address
 
     def advance(self, host: Versioned[HostRow], builder: StepBuilder) -> None:
         """Take a host one phase on, or note what it waits for."""
         if host.row.phase is HostPhase.SERVING:
-            self._advance_failed(host, builder)
+            self._advance_serving(host, builder)
         elif host.row.phase is HostPhase.MAINTENANCE:
             self._advance_maintenance(host, builder)
         elif host.row.target:
@@ -70,15 +73,19 @@
         else:
             self._advance_stop(host, builder)
 
-    def _advance_failed(
+    def _advance_serving(
         self, host: Versioned[HostRow], builder: StepBuilder
     ) -> None:
-        """Start to retire a host that is gone; a late drain is undone.
+        """Start to retire a host that is gone; undo a late drain.
 
-        It is not available, so that no budget is asked.
+        Such a host is not available, so that no budget is asked.
         """
         row = host.row
-        if self._fleet.state(row.name) is HostState.GONE:
+        state = self._fleet.state(row.name)
+        if state is HostState.LIVE:
+            builder.readdress(host)
+            return
+        if state is HostState.GONE:
             builder.drain(host, "")
             return
         if row.drained_at and self._now - row.drained_at < LATE_DRAIN_S:
--- a/lycheelug/plan_pools.py
+++ b/lycheelug/plan_pools.py
@@ -24,40 +24,60 @@
     from lycheelug.moves import Move
     from lycheelug.sheet import Sheet
 
-__all__ = ["adoption_step", "is_adopted", "shortages"]
+__all__ = ["adoption_step", "pools_to_adopt", "shortages"]
 
 
-def is_adopted(fleet: FleetSnapshot, sheet: Sheet, pool: str) -> bool:
-    """Tell whether a pool's row holds what the accepted sheet says."""
-    versioned = fleet.pools.get(pool)
-    if versioned is None:
-        return False
-    if pool not in sheet.pools:
-        return True
-    return versioned.row.sheet_revision >= fleet.sheet_revision
+def pools_to_adopt(fleet: FleetSnapshot, sheet: Sheet) -> dict[str, PoolRow]:
+    """Return the pool rows to write, by name, so that they say the same.
 
+    Rows that hold the sheet's wishes already are not written again.
+    """
+    rows: dict[str, PoolRow] = {}
+    used = _used_pools(fleet)
+    for name in sorted(used | set(sheet.pools)):
+        versioned = fleet.pools.get(name)
+        spec = sheet.pools.get(name)
+        if versioned is not None and spec is None:
+            continue
+        row = versioned.row if versioned is not None else PoolRow(name)
+        wishes = _adopted(row, spec or PoolSpec(name), fleet.sheet_revision)
+        if versioned is None or _differ(row, wishes):
+            rows[name] = wishes
+    return rows
 
-def adoption_step(fleet: FleetSnapshot, sheet: Sheet) -> Step:
-    """Return the step that writes, creates and drops pool rows."""
-    step = Step([], {SHEET_KEY: fleet.sheet_revision}, {}, set())
+
+def _used_pools(fleet: FleetSnapshot) -> set[str]:
+    """Return the pools that hosts belong to or are sent to."""
     used: set[str] = set()
     for host in fleet.hosts.values():
         used.update((host.row.pool, assigned_pool(host.row)))
-    for name in sorted(used | set(sheet.pools)):
-        if is_adopted(fleet, sheet, name):
-            continue
+    return used
+
+
+def _differ(row: PoolRow, wishes: PoolRow) -> bool:
+    wishes_then = msgspec.structs.replace(
+        wishes, sheet_revision=row.sheet_revision
+    )
+    return row != wishes_then
+
+
+def adoption_step(
+    fleet: FleetSnapshot, sheet: Sheet, rows: dict[str, PoolRow]
+) -> Step:
+    """Return the step that writes, creates and drops pool rows."""
+    step = Step([], {SHEET_KEY: fleet.sheet_revision}, {}, set())
+    for name, row in rows.items():
         versioned = fleet.pools.get(name)
-        row = versioned.row if versioned is not None else PoolRow(name)
-        spec = sheet.pools.get(name) or PoolSpec(name)
         key = pool_key(name)
         step.guards[key] = versioned.revision if versioned else ABSENT
-        step.rows[key] = _adopted(row, spec, fleet.sheet_revision)
+        step.rows[key] = row
         step.changes.append(Change(ChangeKind.ADOPT, name))
     if fleet.table_revision < fleet.sheet_revision:
         return step
     # No host is sent to a pool that the accepted sheet left out, so a view
     # that is complete up to the sheet's row shows all of the pool's hosts.
-    for name in sorted(set(fleet.pools) - set(sheet.pools) - used):
+    dropped = set(fleet.pools) - set(sheet.pools) - _used_pools(fleet)
+    for name in sorted(dropped):
         key = pool_key(name)
         step.guards[key] = fleet.pools[name].revision
         step.rows[key] = None
--- a/lycheelug/records.py
+++ b/lycheelug/records.py
@@ -75,8 +75,9 @@
     address: str = ""
     # When the phase was entered, in Unix seconds by its writer's clock.
     since: float = 0.0
-    # In MAINTENANCE: the revision of the platform's host list at which the
-    # host was seen to have left.  It is back once a later one says live.
+    # The revision of the platform's host list that the row was written
+    # from.  In MAINTENANCE the host had left by then, and is back once a
+    # later list says live; the address is that of a list as new as this.
     list_revision: int = 0
     # When the host last came back from being drained for maintenance.
     drained_at: float = 0.0
--- a/lycheelug/steps.py
+++ b/lycheelug/steps.py
@@ -52,6 +52,7 @@
     BEGIN_MAINTENANCE = "begin-maintenance"
     END_MAINTENANCE = "end-maintenance"
     RETIRE = "retire"
+    READDRESS = "readdress"
 
 
 class Change:
@@ -188,11 +189,22 @@
             HostPhase.SERVING,
             maintained_at=self._now,
             drained_at=self._now,
-            list_revision=0,
+            address=self._fleet.address(host.row),
+            list_revision=self._fleet.list_revision,
         )
         self._release(row.name)
         self._put(host, row, ChangeKind.END_MAINTENANCE, row.pool)
 
+    def readdress(self, host: Versioned[HostRow]) -> None:
+        """Record the new address of a serving host."""
+        row = self._next(
+            host,
+            HostPhase.SERVING,
+            address=self._fleet.address(host.row),
+            list_revision=self._fleet.list_revision,
+        )
+        self._put(host, row, ChangeKind.READDRESS, row.pool)
+
     def retire(self, host: Versioned[HostRow]) -> None:
         """Delete the row of a drained host that is gone."""
         self._guard_entries()
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -75,6 +75,7 @@
     ["pool,p,2,yes,,4,2", "pool,q,1,,,1,2", "pool,s,1,,yes,1,1", WINDOW],
     ["pool,p,1,,,2,2", "pool,q,2,yes,,2,3", "pool,s,0,,yes,0,0"],
     ["pool,p,3,,,2,2", "pool,q,1,,,1,1", "pool,s,0,,yes,0,0", WINDOW],
+    ["pool,p,3,,,3,3", "pool,q,1,,,1,1", "pool,s,1,,yes,0,0", WINDOW],
     ["pool,p,6,,,3,3", "pool,q,1,,,4,1", "pool,s,0,,yes,0,0"],
 ]
 # The sheets before the last, which asks for more than there is.
