--- a/lycheelug/moves.py
+++ b/lycheelug/moves.py
@@ -8,6 +8,11 @@
 chosen so that a pool's hosts spread over racks: a pool gives from the rack
 where it has most, and takes from the rack where it has fewest.
 
+A pool that has too many hosts in one zone and too few in another may have
+to wait for the latter before its budget lets out the former.  Such a pool
+is short of slack; it is served first, from pools that are not, so that
+moves don't wait for each other in long chains.
+
 Cost: n log n in the hosts, plus pools times racks.  No host is moved for
 the spread alone.
 """
@@ -121,6 +126,8 @@
     """The planning of one zone."""
 
     __slots__ = (
+        "_is_short",
+        "_lacks",
         "_members",
         "_sheet",
         "_supply",
@@ -130,8 +137,15 @@
         "moves",
     )
 
-    def __init__(self, sheet: Sheet, zone: str, hosts: list[_Host]) -> None:
+    def __init__(
+        self,
+        sheet: Sheet,
+        zone: str,
+        hosts: list[_Host],
+        lacks: dict[str, int],
+    ) -> None:
         self._sheet = sheet
+        self._lacks = lacks
         self._zone = zone
         self._members: dict[str, list[_Host]] = {}
         for host in hosts:
@@ -143,7 +157,8 @@
             self._wanted[spare.name] += max(0, left)
         # Hosts to be placed, by rack; the best one of a rack comes last.
         self._supply: dict[str, list[_Host]] = {}
-        self._takers: dict[str, list[tuple[int, str]]] = {}
+        self._takers: dict[str, list[tuple[int, int, str]]] = {}
+        self._is_short = sum(self._wanted.values()) > len(hosts)
         self.moves: list[Move] = []
 
     def run(self) -> None:
@@ -154,8 +169,11 @@
         deficits = self._deficits()
         needed = sum(deficits.values())
         self._release(max(0, needed - len(free)))
-        for host in reversed(free):
+        for host in free:
             self._supply.setdefault(host.rack, []).append(host)
+        for hosts in self._supply.values():
+            hosts.sort(key=lambda h: (self._lack(h.pool), h.name))
+            hosts.reverse()
         self._hand_out(deficits)
 
     def _count(self, pool: str) -> int:
@@ -222,28 +240,46 @@
             if deficits[pool]:
                 heapq.heappush(order, (*self._urgency(pool), pool))
 
-    def _urgency(self, pool: str) -> tuple[bool, float]:
-        """Rank a pool: the spare pool last, then by weighted fill."""
+    def _lack(self, pool: str) -> int:
+        return self._lacks.get(pool, 0)
+
+    def _urgency(self, pool: str) -> tuple[bool, int, float]:
+        """Rank a pool: the spare pool last, then by weighted fill.
+
+        Where every pool gets all it wants, the order only decides which
+        hosts it gets, and those short of slack choose first.
+        """
         spec = self._sheet.pools[pool]
+        lack = 0 if self._is_short else -self._lack(pool)
         if not spec.weight:
-            return spec.spare, float("inf")
+            return spec.spare, lack, float("inf")
         fill = self._count(pool) / self._wanted[pool]
-        return spec.spare, fill / spec.weight
+        return spec.spare, lack, fill / spec.weight
 
     def _take(self, pool: str) -> _Host | None:
-        """Return a host of the rack where the pool has fewest."""
+        """Return a host of the rack where the pool has fewest.
+
+        Of several such racks, one whose host can leave its pool soonest.
+        The keys only grow as hosts are taken, so that a stale one is put
+        right when it comes up.
+        """
         heap = self._takers.get(pool)
         if heap is None:
             counts = Counter(h.rack for h in self._members.get(pool, ()))
-            heap = [(counts[rack], rack) for rack in self._supply]
+            heap = [(counts[rack], 0, rack) for rack in self._supply]
             heapq.heapify(heap)
             self._takers[pool] = heap
         while heap:
-            count, rack = heapq.heappop(heap)
-            if not self._supply[rack]:
+            count, lack, rack = heapq.heappop(heap)
+            hosts = self._supply[rack]
+            if not hosts:
                 continue
-            heapq.heappush(heap, (count + 1, rack))
-            return self._supply[rack].pop()
+            newest = self._lack(hosts[-1].pool)
+            if newest > lack:
+                heapq.heappush(heap, (count, newest, rack))
+                continue
+            heapq.heappush(heap, (count + 1, 0, rack))
+            return hosts.pop()
         return None
 
     def _add(self, host: _Host, target: str) -> None:
@@ -257,8 +293,9 @@
     """Return all moves, and the placements of hosts new to the fleet."""
     moves: list[Move] = []
     zones = _usable_by_zone(fleet)
+    lacks = _lacks(sheet, zones)
     for zone in sorted(zones):
-        plan = _ZonePlan(sheet, zone, zones[zone])
+        plan = _ZonePlan(sheet, zone, zones[zone], lacks)
         plan.run()
         moves.extend(plan.moves)
     return moves
@@ -288,6 +325,28 @@
     return moves
 
 
+def _lacks(sheet: Sheet, zones: dict[str, list[_Host]]) -> dict[str, int]:
+    """Return how many hosts of each pool can leave only after others came.
+
+    That is its surplus in all zones less what its budget can spare now.
+    """
+    serving: Counter[str] = Counter()
+    leaving: Counter[str] = Counter()
+    for zone, hosts in zones.items():
+        counts = Counter(host.pool for host in hosts)
+        for pool, count in counts.items():
+            wanted = sheet.wanted(pool, zone)
+            leaving[pool] += max(0, count - wanted)
+        for host in hosts:
+            if host.row is not None and host.row.phase is HostPhase.SERVING:
+                serving[host.pool] += 1
+    lacks: dict[str, int] = {}
+    for pool, spec in sheet.pools.items():
+        slack = max(0, serving[pool] - spec.min_available)
+        lacks[pool] = max(0, leaving[pool] - slack)
+    return lacks
+
+
 def plan_moves(sheet: Sheet, fleet: FleetSnapshot) -> list[Move]:
     """Return the fewest moves after which the fleet matches the sheet."""
     return [move for move in plan_placement(sheet, fleet) if move.source]
