--- a/lycheelug/admission_queue.py
+++ b/lycheelug/admission_queue.py
@@ -204,9 +204,14 @@
     ) -> None:
         """Note that a started request ended after `service_s` seconds.
 
-        A run that failed or was cut short (`ok` false) is not measured.
+        A run that failed, was cut short (`ok` false) or never began
+        (`service_s` 0) is not measured.
         """
 
+    @abstractmethod
+    def reconfigure(self, settings: QueueSettings) -> None:
+        """Go on with other settings; what waits and was measured stays."""
+
     @abstractmethod
     def __len__(self) -> int:
         """Return how many requests wait."""
--- a/lycheelug/deadline_queue.py
+++ b/lycheelug/deadline_queue.py
@@ -225,9 +225,17 @@
             self._long_since = now
         charged_s = self._charged.pop(ticket.ticket_id, 0.0)
         self._usage.charge(ticket.tenant, service_s - charged_s, now)
-        if ok:
+        if ok and service_s > 0.0:
             self._run_times.record(kind, ticket.tenant, service_s)
 
+    def reconfigure(self, settings: QueueSettings) -> None:
+        """Go on with other settings; what waits and was measured stays."""
+        self._settings = settings
+        self._usage.reconfigure(settings.quotas)
+        self._run_times.reconfigure(
+            settings.run_quantile, settings.overload_quantile
+        )
+
     def _dated(self, kind: RequestClass) -> _DatedQueue:
         return self._urgent if kind is URGENT else self._short
 
--- a/lycheelug/queue_baselines.py
+++ b/lycheelug/queue_baselines.py
@@ -96,6 +96,10 @@
     ) -> None:
         """Measure nothing: run times do not matter here."""
 
+    def reconfigure(self, settings: QueueSettings) -> None:
+        """Go on with other settings."""
+        self._settings = settings
+
     def _order(self, ticket: Ticket) -> float:
         """Return the key by which tickets are served."""
         return 0.0
--- a/lycheelug/quotas.py
+++ b/lycheelug/quotas.py
@@ -53,6 +53,10 @@
         """How many tenants have used the pool lately."""
         return len(self._sums)
 
+    def reconfigure(self, quotas: Mapping[str, float]) -> None:
+        """Take other quotas; the use so far stays."""
+        self._quotas = dict(quotas)
+
     def charge(self, tenant: str, slot_s: float, now: float) -> None:
         """Add slot-seconds to a tenant's use; negative ones put it right."""
         weight = self._weight(now)
--- a/lycheelug/replay.py
+++ b/lycheelug/replay.py
@@ -20,7 +20,7 @@
 from lycheelug.admission import QUEUES, QueueSettings
 from lycheelug.limits import LIMITS
 from lycheelug.replay_executors import ReplayExecutor
-from lycheelug.replay_report import make_report
+from lycheelug.replay_report import make_bounds, make_report
 from lycheelug.replay_requests import End, Request, Run
 from lycheelug.traces import (
     Arrival,
@@ -34,7 +34,7 @@
     from collections.abc import Callable, Sequence
 
     from lycheelug.admission import AdmissionQueue
-    from lycheelug.replay_report import ReplayReport
+    from lycheelug.replay_report import Bounds, ReplayReport
     from lycheelug.traces import Event, Trace, TracePool
 
 __all__ = ["Chooser", "Replay", "ReplayOptions", "least_loaded", "replay"]
@@ -64,17 +64,20 @@
 class ReplayOptions:
     """What a replay may vary besides the policy."""
 
-    __slots__ = ("chooser", "limit_name", "settings")
+    __slots__ = ("bounds", "chooser", "limit_name", "settings")
 
     def __init__(
         self,
         settings: QueueSettings | None = None,
         limit_name: str = "fixed",
         chooser: Chooser = least_loaded,
+        bounds: Bounds | None = None,
     ) -> None:
         self.settings = settings or QueueSettings()
         self.limit_name = limit_name
         self.chooser = chooser
+        # The trace's bounds, where they are known already.
+        self.bounds = bounds
 
 
 class _Pool:
@@ -132,6 +135,11 @@
         """All requests of the trace, in order of arrival."""
         return list(self._requests.values())
 
+    @property
+    def bounds(self) -> Bounds | None:
+        """The trace's bounds, where the options gave them."""
+        return self._options.bounds
+
     def run(self) -> None:
         """Replay the whole trace, and drain the queues after it."""
         for event in self._trace.events:
@@ -218,7 +226,6 @@
         """Let a caller give up."""
         if request.end is not End.WAITING:
             return
-        request.cancelled_at = self._now
         self._pools[request.arrival.pool].queue.cancel(request.arrival.id)
         request.settle(End.CANCELLED, self._now)
 
@@ -314,7 +321,9 @@
     """
     run = Replay(trace, policy_name, seed, options)
     run.run()
-    return make_report(trace, policy_name, seed, run.requests)
+    requests = run.requests
+    bounds = run.bounds or make_bounds(trace, requests)
+    return make_report(trace, policy_name, seed, requests, bounds)
 
 
 def _next_at(executor: ReplayExecutor) -> float:
@@ -338,4 +347,7 @@
         if actual_s is None:
             actual_s = typical.get(arrival.pool, UNKNOWN_RUN_S)
         requests[arrival.id] = Request(arrival, actual_s)
+    for event in events:
+        if isinstance(event, Cancel):
+            requests[event.id].cancelled_at = event.at
     return requests
--- a/lycheelug/replay_bound.py
+++ b/lycheelug/replay_bound.py
@@ -15,14 +15,22 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from math import inf
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.traces import HostBack, HostFailed, WorkerBad
+from lycheelug.traces import (
+    Arrival,
+    Cancel,
+    HostBack,
+    HostFailed,
+    WorkerBad,
+    WorkerSlowed,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lycheelug.traces import Trace
+    from lycheelug.traces import Event, Trace
 
 __all__ = ["BoundedRequest", "CapacityCurve", "missed_at_least"]
 
@@ -43,12 +51,30 @@
         self.run_s = run_s
 
 
+class _BadSpan:
+    """When a worker fails all that it starts."""
+
+    __slots__ = ("end", "host", "start")
+
+    def __init__(self, host: str, start: float) -> None:
+        self.host = host
+        self.start = start
+        self.end = inf
+
+
 class CapacityCurve:
-    """The slots of a pool's working hosts over a trace."""
+    """The slots of a pool's working hosts over a trace.
 
-    __slots__ = ("_areas", "_slots", "_times")
+    For starts alone, a time in which a worker fails all that it starts has
+    no limit, and neither has one in which a host fails: a run that breaks
+    off has started, and needs no more slot time.
+    """
 
-    def __init__(self, trace: Trace, pool_name: str) -> None:
+    __slots__ = ("_areas", "_bad", "_broken", "_slots", "_times")
+
+    def __init__(
+        self, trace: Trace, pool_name: str, starts_only: bool = False
+    ) -> None:
         hosts: dict[str, int] = {}
         for pool in trace.header.pools:
             if pool.name == pool_name:
@@ -57,19 +83,45 @@
         self._times = [0.0]
         self._slots = [sum(hosts.values())]
         self._areas = [0.0]
+        # Times at which runs broke off, and spans with a bad worker.
+        self._broken: list[float] = []
+        self._bad: list[_BadSpan] = []
         for event in trace.events:
-            if isinstance(event, HostFailed | WorkerBad):
-                up.discard(event.host)
-            elif isinstance(event, HostBack) and event.host in hosts:
+            if isinstance(event, Arrival | Cancel):
+                continue
+            if event.host not in hosts:
+                continue
+            if isinstance(event, WorkerSlowed):
+                hosts[event.host] = event.slots
+            elif isinstance(event, HostBack):
                 up.add(event.host)
             else:
-                continue
+                up.discard(event.host)
+            if starts_only:
+                self._note_failure(event)
             self._step(event.at, sum(hosts[host] for host in up))
 
     def between(self, start: float, end: float) -> float:
         """Return the slot-seconds between two times."""
+        for at in self._broken:
+            if start <= at <= end:
+                return inf
+        for span in self._bad:
+            if span.start <= end and start <= span.end:
+                return inf
         return self._area(end) - self._area(start)
 
+    def _note_failure(self, event: Event) -> None:
+        """Note an event that lets runs end early."""
+        if isinstance(event, HostFailed):
+            self._broken.append(event.at)
+        elif isinstance(event, WorkerBad):
+            self._bad.append(_BadSpan(event.host, event.at))
+        elif isinstance(event, HostBack):
+            for span in self._bad:
+                if span.host == event.host:
+                    span.end = min(span.end, event.at)
+
     def _step(self, at: float, slots: int) -> None:
         """Add a change of the number of slots."""
         area = self._area(at)
--- a/lycheelug/replay_report.py
+++ b/lycheelug/replay_report.py
@@ -29,10 +29,12 @@
     from lycheelug.traces import Trace
 
 __all__ = [
+    "Bounds",
     "ClassReport",
     "Expectation",
     "ReplayReport",
     "ReportRow",
+    "make_bounds",
     "make_report",
     "shortfalls",
 ]
@@ -102,6 +104,11 @@
         """Urgent starts missed beyond what no schedule could do."""
         return self.urgent_missed - self.urgent_missed_bound
 
+    @property
+    def late_share(self) -> float:
+        """Late answers as a share of the requests with a deadline."""
+        return self.late / max(1, self.deadline_eligible)
+
     def rows(self) -> list[ReportRow]:
         """Return the measures as lines of a table."""
         rows: list[ReportRow] = []
@@ -121,7 +128,7 @@
 class Expectation(msgspec.Struct, omit_defaults=True):
     """A stated outcome: bounds of one measure, and the promise behind it.
 
-    `measure` is a field of `ReplayReport`, or `urgent_excess`.
+    `measure` is a field or property of `ReplayReport`.
     """
 
     measure: str
@@ -150,15 +157,38 @@
     return found
 
 
+class Bounds:
+    """What no schedule could have served of a trace."""
+
+    __slots__ = ("deadline_missed", "urgent_missed")
+
+    def __init__(self, urgent_missed: int, deadline_missed: int) -> None:
+        self.urgent_missed = urgent_missed
+        self.deadline_missed = deadline_missed
+
+
+def make_bounds(trace: Trace, requests: Sequence[Request]) -> Bounds:
+    """Work out the bounds, which are the same for all policies."""
+    urgent = _to_start(requests)
+    dated = _to_answer(requests)
+    return Bounds(
+        urgent_missed=_bound(trace, urgent, _start_limit, starts_only=True),
+        deadline_missed=_bound(trace, dated, _latest_start),
+    )
+
+
 def make_report(
-    trace: Trace, policy: str, seed: int, requests: Sequence[Request]
+    trace: Trace,
+    policy: str,
+    seed: int,
+    requests: Sequence[Request],
+    bounds: Bounds,
 ) -> ReplayReport:
     """Work out the measures of a replay's requests."""
     urgent = [r for r in requests if _kind(r) is RequestClass.URGENT]
-    dated = [r for r in requests if _kind(r) is not RequestClass.LONG]
     long = [r for r in requests if _kind(r) is RequestClass.LONG]
-    to_start = [r for r in urgent if _waits_until(r, _start_limit(r))]
-    to_answer = [r for r in dated if _waits_until(r, r.ticket.deadline)]
+    to_start = _to_start(requests)
+    to_answer = _to_answer(requests)
     refused = [r for r in requests if r.end is End.REFUSED]
     urgent_waits = _waits(urgent)
     long_waits = _waits(long)
@@ -181,13 +211,13 @@
         wasted_slot_s=_slot_s(requests, End.LATE),
         urgent_eligible=len(to_start),
         urgent_missed=sum(not _started_in_time(r) for r in to_start),
-        urgent_missed_bound=_bound(trace, to_start, _start_limit),
+        urgent_missed_bound=bounds.urgent_missed,
         urgent_wait_p50_s=_quantile(urgent_waits, 0.5),
         urgent_wait_p99_s=_quantile(urgent_waits, 0.99),
         urgent_wait_max_s=_quantile(urgent_waits, 1.0),
         deadline_eligible=len(to_answer),
         deadline_missed=sum(r.end is not End.IN_TIME for r in to_answer),
-        deadline_missed_bound=_bound(trace, to_answer, _latest_start),
+        deadline_missed_bound=bounds.deadline_missed,
         refusal_delay_p50_s=_quantile(delays, 0.5),
         refusal_delay_p99_s=_quantile(delays, 0.99),
         long_wait_p50_s=_quantile(long_waits, 0.5),
@@ -216,6 +246,28 @@
     return request.arrival.runnable and request.cancelled_at > limit
 
 
+def _to_start(requests: Sequence[Request]) -> list[Request]:
+    """Return the urgent requests that should start in time."""
+    found: list[Request] = []
+    for request in requests:
+        if _kind(request) is not RequestClass.URGENT:
+            continue
+        if _waits_until(request, _start_limit(request)):
+            found.append(request)
+    return found
+
+
+def _to_answer(requests: Sequence[Request]) -> list[Request]:
+    """Return the urgent and short requests that should end in time."""
+    found: list[Request] = []
+    for request in requests:
+        if _kind(request) is RequestClass.LONG:
+            continue
+        if _waits_until(request, request.ticket.deadline):
+            found.append(request)
+    return found
+
+
 def _started_in_time(request: Request) -> bool:
     return request.started_at <= _start_limit(request) + EPSILON_S
 
@@ -224,6 +276,7 @@
     trace: Trace,
     requests: Sequence[Request],
     latest_start: Callable[[Request], float],
+    starts_only: bool = False,
 ) -> int:
     """Return how many requests no schedule could have served."""
     missed = 0
@@ -233,7 +286,8 @@
             for r in requests
             if r.arrival.pool == pool.name
         ]
-        missed += missed_at_least(bounded, CapacityCurve(trace, pool.name))
+        curve = CapacityCurve(trace, pool.name, starts_only)
+        missed += missed_at_least(bounded, curve)
     return missed
 
 
--- a/lycheelug/replay_requests.py
+++ b/lycheelug/replay_requests.py
@@ -62,6 +62,7 @@
         self.reason = ""
         # When its first attempt started.
         self.started_at = inf
+        # When its caller gives up, whether or not it waits then.
         self.cancelled_at = inf
         # Executors on which an attempt failed.
         self.failed_on: set[int] = set()
--- a/lycheelug/run_times.py
+++ b/lycheelug/run_times.py
@@ -142,6 +142,11 @@
         self._by_class: dict[RequestClass, RunTimeHistogram] = {}
         self._by_tenant: dict[tuple[RequestClass, str], RunTimeHistogram] = {}
 
+    def reconfigure(self, quantile: float, high_quantile: float) -> None:
+        """Estimate by other quantiles from the next samples on."""
+        self._quantile = quantile
+        self._high_quantile = high_quantile
+
     def record(
         self, request_class: RequestClass, tenant: str, seconds: float
     ) -> None:
