Accept configurations once, with one growing revision

Cause: an accepted change must be in force everywhere in seconds and never revert, with lost answers, restarts, cuts and racing submitters. Change: changes are prepared on all daemons that may serve, accepted by one guarded transaction that also records the nonce, and handed on before they come into force; an undecided nonce is closed when asked about. Conclusion: two faults were found while testing: a nonce submitted with two bodies could bring the wrong body into force (checksums now tell), and two submissions of one nonce shared the platform's transaction nonce (test_two_submissions_of_a_nonce_never_share_a_transaction failed first).

--- a/lycheelug/entries/messages.py
+++ b/lycheelug/entries/messages.py
@@ -114,7 +114,8 @@
 class ConfigPush(msgspec.Struct, array_like=True):
     """Prepares or accepts one configuration, or asks for the highest one.
 
-    For QUERY, only `nonce` counts, and may be "".
+    The body is left out where the receiver holds it already; the checksum
+    then tells which body is meant.  QUERY carries nothing else.
     """
 
     phase: ConfigPhase
@@ -122,15 +123,15 @@
     nonce: str = ""
     submitter: str = ""
     body: bytes = b""
+    checksum: str = ""
 
 
 class ConfigAnswer(msgspec.Struct, array_like=True):
     """What the receiver holds after a ConfigPush.
 
-    `held` tells that the pushed configuration, or the one with the nonce
-    asked for, is prepared or accepted here.  `accepted` is the receiver's
-    accepted configuration, sent only where it is higher than the pushed
-    one or was asked for.
+    `held` tells that the pushed configuration is prepared or accepted
+    here.  `accepted` is the configuration in force here, sent where it was
+    asked for or came before the pushed one.
     """
 
     name: str
