--- a/lycheelug/limits.py
+++ b/lycheelug/limits.py
@@ -1,74 +1,34 @@
-"""Limits of how many requests run at once on one executor."""
+"""Limits of how many requests run at once on one executor.
 
-from __future__ import annotations
-
-from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING, Final
-
-from lycheelug.registry import Registry
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-__all__ = ["LIMITS", "FixedLimit", "Limit", "NoLimit"]
-
-
-class Limit(ABC):
-    """How many requests may run at once on an executor.
-
-    A daemon asks before each start, and reports each start and end.
-    """
-
-    __slots__ = ()
-
-    @abstractmethod
-    def limit(self, now: float) -> int:
-        """Return how many may run at once; at least one."""
-
-    @abstractmethod
-    def on_start(self, now: float) -> None:
-        """Note a start."""
-
-    @abstractmethod
-    def on_finish(self, latency_s: float, ok: bool, now: float) -> None:
-        """Note an end, with the time since its start."""
+An executor whose requests slow one another down does most useful work at
+some number of requests at once, which its configured slots tell only while
+nothing else uses the worker.  An adaptive limit finds that number from the
+latencies that the daemon measures itself.
 
+Importing this module fills the `LIMITS` registry.
 
-# Limits by the name that settings give; each makes the limit of an executor
-# from its slots and connections.
-LIMITS: Final[Registry[Callable[[int, int], Limit]]] = Registry("limit")
+>>> sorted(LIMITS)
+['aimd', 'fixed', 'gradient', 'none', 'probe', 'vegas']
+>>> limit = LIMITS.get("probe")(8, 64)
+>>> limit.on_start(now=0.0)
+>>> limit.on_finish(latency_s=0.2, ok=True, now=0.2)
+>>> limit.limit(now=0.2)
+8
+"""
 
+from __future__ import annotations
 
-@LIMITS.register("none")
-class NoLimit(Limit):
-    """As many as there are connections."""
-
-    __slots__ = ("_connections",)
-
-    def __init__(self, slots: int, connections: int) -> None:
-        self._connections = connections
-
-    def limit(self, now: float) -> int:
-        """Return how many may run at once."""
-        return self._connections
-
-    def on_start(self, now: float) -> None:
-        """Note a start."""
-
-    def on_finish(self, latency_s: float, ok: bool, now: float) -> None:
-        """Note an end."""
-
-
-@LIMITS.register("fixed")
-class FixedLimit(NoLimit):
-    """As many as the executor's configured slots."""
-
-    __slots__ = ("_slots",)
-
-    def __init__(self, slots: int, connections: int) -> None:
-        super().__init__(slots, connections)
-        self._slots = slots
-
-    def limit(self, now: float) -> int:
-        """Return how many may run at once."""
-        return self._slots
+from lycheelug.limit_interface import LIMITS, FixedLimit, Limit, NoLimit
+from lycheelug.probe_limit import ProbeLimit
+from lycheelug.round_limits import AimdLimit, GradientLimit, VegasLimit
+
+__all__ = [
+    "LIMITS",
+    "AimdLimit",
+    "FixedLimit",
+    "GradientLimit",
+    "Limit",
+    "NoLimit",
+    "ProbeLimit",
+    "VegasLimit",
+]
