Refuse answers without an id from executors that echo ids

Cause: an executor that sent bytes nobody had asked for on a new connection had them taken for the caller's answer (row 'unasked' of tests/test_proof_answers.py: a caller was told 'answered' with an empty body). A second answer on a kept connection of an executor that does not echo X-Request-Id can't be told from the next request's at all.

Change: once an executor has echoed the id, an answer without it counts as crossed. Connections of executors that never echoed are used once, unless upstreams.reuse_without_request_id is set. upstreams.connect_s is honoured now.

--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -331,7 +331,14 @@
     been idle; 0 asks for a new one.
     """
 
-    __slots__ = ("_address", "_clock", "_idle", "_max_answer", "_peer")
+    __slots__ = (
+        "_address",
+        "_clock",
+        "_connect_s",
+        "_idle",
+        "_max_answer",
+        "_peer",
+    )
 
     def __init__(
         self,
@@ -339,7 +346,9 @@
         peer: Peer,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         clock: Callable[[], float] | None = None,
+        connect_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
+        self._connect_s = connect_s
         self._address = address
         self._peer = peer
         self._max_answer = max_answer_bytes
@@ -370,7 +379,7 @@
             opened = await open_connection(
                 self._address,
                 self._peer,
-                min(timeout_s, CONNECT_TIMEOUT_S),
+                min(timeout_s, self._connect_s),
                 self._max_answer,
             )
             match opened:
--- a/lycheelug/settings.py
+++ b/lycheelug/settings.py
@@ -142,6 +142,7 @@
         "request_id_required",
         "retry_share",
         "reuse_idle_s",
+        "reuse_without_request_id",
         "unrepeatable_reuse_idle_s",
     )
 
@@ -159,18 +160,22 @@
         self.unrepeatable_reuse_idle_s = 0.5
         # Whether an answer must carry the X-Request-Id of its request.
         self.request_id_required = False
+        # Whether connections of upstreams that don't echo it are reused.
+        self.reuse_without_request_id = False
 
 
 class PolicySettings:
     """Names of the policies in force, each from its registry."""
 
-    __slots__ = ("choice", "queue", "share")
+    __slots__ = ("choice", "queue", "retries", "share")
 
     def __init__(self) -> None:
         # Which waiting request starts next.
         self.queue = "deadline"
         # Which executor takes it.
         self.choice = "two-choices"
+        # What retries are paid from.
+        self.retries = "answered"
         # How the slots of an executor are divided between daemons.
         self.share = "live"
 
@@ -183,8 +188,8 @@
     def __init__(self) -> None:
         # Between two exchanges of digests.
         self.gossip_s = 1.0
-        # Without a heartbeat, until a daemon counts as gone.
-        self.member_gone_s = 5.0
+        # Without a heartbeat, until a daemon no longer counts as alive.
+        self.member_gone_s = 10.0
         # For requests in flight to end at a planned stop.
         self.grace_s = 60.0
         # How long the outcome of an idempotency key is kept.
--- a/lycheelug/settings_schema.py
+++ b/lycheelug/settings_schema.py
@@ -312,6 +312,11 @@
             Flag(),
             "Whether an answer must carry its request's X-Request-Id.",
         ),
+        Field(
+            "reuse_without_request_id",
+            Flag(),
+            "Whether connections of upstreams without it are reused.",
+        ),
     ],
 )
 
@@ -320,6 +325,7 @@
     [
         Field("queue", Name(), "Which waiting request starts next."),
         Field("choice", Name(), "Which executor takes it."),
+        Field("retries", Name(), "What retries are paid from."),
         Field("share", Name(), "How daemons divide an executor's slots."),
     ],
 )
@@ -328,7 +334,7 @@
     TimingSettings,
     [
         Field("gossip_s", Number(0.05, 60), "Seconds between exchanges."),
-        Field("member_gone_s", SECONDS, "Silence until a daemon is gone."),
+        Field("member_gone_s", SECONDS, "Silence until not alive."),
         Field("grace_s", SECONDS, "Seconds for a planned stop."),
         Field(
             "claim_retention_s",
--- a/lycheelug/upstreams/exchange.py
+++ b/lycheelug/upstreams/exchange.py
@@ -2,8 +2,13 @@
 
 An answer counts only if it belongs to the request: each try carries an
 `X-Request-Id` of its own, and an answer that carries another one is
-refused.  Upstreams that don't echo the header are accepted unless the
-settings require it.
+refused.  Once an executor has echoed the header, an answer without it is
+refused as well.
+
+Upstreams that never echo it are accepted unless the settings require it;
+then a second answer on a kept connection can't be told from the next
+request's, so their connections are used once, unless the settings allow
+more.
 """
 
 from __future__ import annotations
@@ -49,7 +54,7 @@
 class Upstreams:
     """The daemon's connections to executors."""
 
-    __slots__ = ("_clients", "_max_answer", "_settings")
+    __slots__ = ("_clients", "_echoing", "_max_answer", "_settings")
 
     def __init__(
         self, settings: UpstreamSettings, max_answer_bytes: int
@@ -57,6 +62,8 @@
         self._settings = settings
         self._max_answer = max_answer_bytes
         self._clients: dict[str, HttpClient] = {}
+        # The addresses that have echoed a request's id.
+        self._echoing: set[str] = set()
 
     async def run(
         self,
@@ -76,6 +83,9 @@
         reuse_s = settings.reuse_idle_s
         if not repeatable:
             reuse_s = settings.unrepeatable_reuse_idle_s
+        proven = executor.address in self._echoing
+        if not proven and not settings.reuse_without_request_id:
+            reuse_s = -1.0
         sent = _forwarded(request, executor.address, request_id, timeout_s)
         result = await client.request(sent, timeout_s, reuse_s)
         match result:
@@ -95,6 +105,7 @@
             if address in addresses:
                 continue
             self._clients.pop(address).close()
+            self._echoing.discard(address)
 
     def _client(self, address: str) -> HttpClient:
         """Return the client of an address, made if needed."""
@@ -103,7 +114,11 @@
             return client
         clock = asyncio.get_running_loop().time
         client = HttpClient(
-            address, Peer.UPSTREAM, self._max_answer, clock=clock
+            address,
+            Peer.UPSTREAM,
+            self._max_answer,
+            clock,
+            self._settings.connect_s,
         )
         self._clients[address] = client
         return client
@@ -113,8 +128,12 @@
     ) -> Result[Answer, ExchangeFault]:
         """Check that a whole answer is the request's own."""
         echoed = find_header(answer.headers, REQUEST_ID)
-        missing = echoed is None and self._settings.request_id_required
+        proven = executor.address in self._echoing
+        required = proven or self._settings.request_id_required
+        missing = echoed is None and required
         crossed = echoed is not None and echoed != request_id.encode()
+        if echoed is not None and not crossed:
+            self._echoing.add(executor.address)
         if missing or crossed:
             # The connection's order is lost: none of it is used again.
             self._client(executor.address).close()
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -147,6 +147,11 @@
 
     __slots__ = ("callers", "entries", "operators")
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the process runs and has told its addresses."""
+        return self.is_running and hasattr(self, "callers")
+
     async def wait_listening(self) -> None:
         """Wait until the daemon serves, and learn its ports."""
         line = await self.wait_line('"event":"listening"')
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -165,7 +165,10 @@
         if faults.mode in {"refuse", "refuse-closing"} or (
             self._in_flight >= self._slots
         ):
-            extra = [(b"lycheelug-outcome", b"not-run")]
+            extra = [
+                (b"lycheelug-outcome", b"not-run"),
+                (b"x-request-id", headers.get(b"x-request-id", b"")),
+            ]
             if faults.mode == "refuse-closing":
                 extra.append((b"connection", b"close"))
             await self._send(connection, writer, 503, b"{}", extra)
--- a/standins/world.py
+++ b/standins/world.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -164,6 +165,22 @@
             msgspec.json.encode(faults),
         )
 
+    async def fault_upstreams(self, **faults: Any) -> None:
+        """Switch the faults of all upstreams."""
+        for name in self.upstreams:
+            await self.fault_upstream(name, **faults)
+
+    async def run_counts(self) -> Counter[str]:
+        """Return how often the upstreams ran each request's body."""
+        return Counter(each["body"] for each in await self.runs())
+
+    async def rows(self, prefix: str) -> list[str]:
+        """Return the keys of a prefix in the platform's table."""
+        platform = HttpPlatform(self.platform.address)
+        delta = (await platform.read_since(prefix, 0)).unwrap()
+        await platform.close()
+        return [row.key for row in delta.rows if row.value is not None]
+
     async def runs(self) -> list[dict[str, str]]:
         """Return all that the running upstreams ran."""
         found: list[dict[str, str]] = []
@@ -200,6 +217,15 @@
 
         await until(served)
 
+    async def wait_limits(self, daemon: DaemonProcess, slots: int) -> None:
+        """Wait until a daemon may use so many slots of every executor."""
+
+        async def shared() -> bool:
+            hosts = await daemon.get("/v1/hosts")
+            return {each["limit"] for each in hosts} == {slots}
+
+        await until(shared)
+
     async def wait_members(self, daemon: DaemonProcess, alive: int) -> None:
         """Wait until a daemon hears a number of members, itself included."""
 
