Refuse what comes after SIGTERM as not run; tell peers at once

Change: requests that begin after SIGTERM get 503, not run; draining is told to all peers at once and leaving at the end; shares are renewed each second. A request held back by a stale view ends at its deadline.

--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -43,7 +43,7 @@
 from lycheelug.platform.watch import Watch
 from lycheelug.pools import PoolTable
 from lycheelug.records import ENTRY_PREFIX, EntryRow, decode
-from lycheelug.retries import RetryBudget
+from lycheelug.retries import BUDGETS
 from lycheelug.runner import RequestRunner
 from lycheelug.settings_schema import split_address
 from lycheelug.startup import (
@@ -65,8 +65,14 @@
 __all__ = ["Daemon", "Phase"]
 
 TICK_S: Final = 0.1
+SHARES_PERIOD_S: Final = 1.0
 DRAIN_POLL_S: Final = 0.02
+# Between the first refusal and the end of listening: the balancer and
+# callers with open connections are told meanwhile.
+DRAIN_NOTICE_S: Final = 0.25
 JOBS_SETTLE_S: Final = 2.0
+# A member counts as silent after so many times the time to be suspected.
+SILENT_FACTOR: Final = 3.0
 
 
 class Phase(StrEnum):
@@ -136,7 +142,9 @@
         )
         self.runner = RequestRunner(
             self.upstreams,
-            RetryBudget(ratio=settings.upstreams.retry_share),
+            BUDGETS.get(settings.policies.retries)(
+                ratio=settings.upstreams.retry_share
+            ),
             settings.upstreams.max_tries,
             self.metrics,
             self.gate,
@@ -198,6 +206,7 @@
             time.monotonic,
             rng,
             on_change=self._on_digests,
+            period_s=settings.timing.gossip_s,
         )
         self.watch = Watch(
             self.platform,
@@ -277,10 +286,18 @@
         )
 
     async def drain(self) -> int:
-        """Finish all requests in flight; return how many were cut."""
+        """Finish all requests in flight; return how many were cut.
+
+        What comes from now on is refused as not run.  The peers divide the
+        slots anew at once, but go on waiting for this run with the drains
+        of hosts until it has ended.
+        """
         self.job_runner.stop_claiming()
         self._set_phase(Phase.DRAINING)
-        await self.gossip.leave()
+        self._callers_server.refuse_new()
+        await asyncio.gather(
+            self.gossip.tell_all(), asyncio.sleep(DRAIN_NOTICE_S)
+        )
         self._callers_server.stop_accepting()
         deadline = time.monotonic() + self.settings.timing.grace_s
         while True:
@@ -294,6 +311,7 @@
         """Close everything."""
         await self.job_runner.stop()
         await self.plan.stop()
+        await self.gossip.leave()
         await self.gossip.stop()
         await self.watch.stop()
         await leave_fleet(self)
@@ -377,7 +395,7 @@
         for name in self.pools.names:
             if name not in self.view.pools:
                 self.pools.drop_pool(name)
-        self._update_shares()
+        self.update_shares()
 
     def _executor_rows(self, pool: str) -> list[HostRow]:
         """Return a pool's hosts with the addresses to connect to."""
@@ -400,7 +418,7 @@
             elif state is not None:
                 self.leaving.note(name, LeavingSign.LISTED, now, revision)
 
-    def _update_shares(self) -> None:
+    def update_shares(self) -> None:
         """Divide slots between the live daemons of the zone."""
         now = time.monotonic()
         peers: list[Digest] = []
@@ -437,15 +455,22 @@
                 self.leaving.note(
                     host, LeavingSign.TOLD, now, teller=digest.name
                 )
-        self._update_shares()
+        self.update_shares()
 
     async def _run_ticks(self) -> None:
         """Do what time alone asks for."""
+        shares_at = 0.0
         while True:
             await asyncio.sleep(TICK_S)
             self.gate.tick()
+            if not self.watch.is_platform_away:
+                self.leaving.note_list_heard(time.monotonic())
             self.sync_pools()
             self.pools.tick()
+            if time.monotonic() >= shares_at:
+                # A member that fell silent tells nobody.
+                shares_at = time.monotonic() + SHARES_PERIOD_S
+                self.update_shares()
 
     async def _run_sweeps(self) -> None:
         """Delete old claims, a part at a time."""
@@ -511,7 +536,8 @@
 
     def _thresholds(self) -> Thresholds:
         """Return when a silent daemon counts as gone."""
-        return Thresholds()
+        gone_s = self.settings.timing.member_gone_s
+        return Thresholds(gone_s, SILENT_FACTOR * gone_s)
 
     def _make_callers_server(self) -> HttpServer:
         """Return the server for callers, not listening yet."""
--- a/lycheelug/entry_service.py
+++ b/lycheelug/entry_service.py
@@ -50,3 +50,4 @@
     async def leave(self, digest: Digest) -> None:
         """Take in that a daemon's run ends."""
         self._daemon.members.on_leave(digest, time.monotonic())
+        self._daemon.update_shares()
--- a/lycheelug/freshness.py
+++ b/lycheelug/freshness.py
@@ -50,12 +50,17 @@
         if self.pauses.tick(self._clock()):
             self._close()
 
-    async def pass_through(self) -> None:
-        """Return once the view may be relied on."""
+    async def pass_through(self, timeout_s: float) -> bool:
+        """Wait until the view may be relied on; False where it may not."""
         if self.pauses.may_act(self._clock()):
-            return
+            return True
         self._close()
-        await self._fresh.wait()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._fresh.wait()
+        except TimeoutError:
+            return False
+        return True
 
     def _close(self) -> None:
         """Refresh the view, unless a refresh is running."""
--- a/lycheelug/http/server.py
+++ b/lycheelug/http/server.py
@@ -23,6 +23,7 @@
     BODY_TOO_LARGE,
     HEADERS_TOO_LARGE,
     INTERNAL_ERROR,
+    NOT_READY,
     SLOW_SENDER,
     TOO_MANY_CONNECTIONS,
     ErrorCode,
@@ -94,6 +95,7 @@
         "_h11",
         "_head",
         "_headers",
+        "_late",
         "_peer_name",
         "_phase",
         "_server",
@@ -116,6 +118,8 @@
         self._body_size = 0
         self._peer_name = ""
         self._phase = _Phase.IDLE
+        # Whether the request began after the server started to drain.
+        self._late = False
         self.expires_at = 0.0
 
     @property
@@ -150,6 +154,7 @@
                 self._transport.pause_reading()
             return
         if self._phase is _Phase.IDLE:
+            self._late = self._server.draining
             limit = self._server.limits.receive_s
             self._set_phase(_Phase.RECEIVING, limit)
         self._h11.receive_data(data)
@@ -273,6 +278,9 @@
         """Hand the whole request over in a task of its own."""
         head = self._head
         assert head is not None
+        if self._late:
+            self.refuse(NOT_READY, "the daemon stops")
+            return
         request = Request(
             head.method,
             head.target,
@@ -402,6 +410,10 @@
         )
         self._sweep()
 
+    def refuse_new(self) -> None:
+        """Refuse the requests that begin from now on."""
+        self.draining = True
+
     def stop_accepting(self) -> None:
         """Take no new connections and end those without a request."""
         self.draining = True
--- a/lycheelug/platform/watch.py
+++ b/lycheelug/platform/watch.py
@@ -137,7 +137,7 @@
 
     def _period_s(self) -> float:
         doublings = min(self._failed_rounds, 8)
-        period_s = min(POLL_PERIOD_S * (1 << doublings), _MAX_PERIOD_S)
+        period_s = min(self._period * (1 << doublings), _MAX_PERIOD_S)
         return period_s * (1 + _JITTER * (2 * self._rng.random() - 1))
 
     async def _poll_prefix(self, prefix: str) -> bool:
--- a/lycheelug/policies.py
+++ b/lycheelug/policies.py
@@ -6,6 +6,7 @@
 
 from lycheelug.admission import QUEUES
 from lycheelug.dispatch import CHOICES
+from lycheelug.retries import BUDGETS
 from lycheelug.slots import SHARES
 
 if TYPE_CHECKING:
@@ -17,4 +18,5 @@
     "queue": QUEUES,
     "choice": CHOICES,
     "share": SHARES,
+    "retries": BUDGETS,
 }
--- a/lycheelug/retries.py
+++ b/lycheelug/retries.py
@@ -19,10 +19,13 @@
 import math
 from abc import ABC, abstractmethod
 from enum import StrEnum
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from lycheelug.registry import Registry
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 __all__ = [
     "BUDGETS",
     "DEFAULT_BUDGET",
@@ -65,7 +68,8 @@
         """Take the token of one retry; False where there is none."""
 
 
-BUDGETS: Final[Registry[type[Budget]]] = Registry("retry budget")
+# Each is made from the share of first tries that it may grant.
+BUDGETS: Final[Registry[Callable[..., Budget]]] = Registry("retry budget")
 
 
 @BUDGETS.register("first-tries")
@@ -153,6 +157,9 @@
 
     __slots__ = ()
 
+    def __init__(self, ratio: float = 0.0) -> None:
+        del ratio
+
     def on_first_try(self, now: float) -> None:
         """Count nothing."""
 
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -142,7 +142,12 @@
         deadline = arrived_at + wanted.timeout_s
         self._budget.on_first_try(arrived_at)
         while True:
-            await self._gate.pass_through()
+            left_s = deadline - self._clock()
+            if not await self._gate.pass_through(left_s):
+                detail = "the view is being refreshed"
+                return tries.end(
+                    Fault(DEADLINE_PASSED, Step.ADMIT, Peer.SELF, detail)
+                )
             waited_from = self._clock()
             ticket = scheduler.make_ticket(
                 wanted.tenant, wanted.request_class, waited_from, deadline
--- /dev/null
+++ b/tests/test_proof_shutdown.py
@@ -0,0 +1,167 @@
+"""Planned stops under load, in separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+
+from returns.primitives.exceptions import UnwrapFailedError
+
+from standins.callers import Callers
+from standins.processes import http_call, until
+from standins.world import World
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from standins.processes import DaemonProcess
+
+DELAY_MS = 150
+WORKERS = 12
+
+
+def running(world: World) -> list[DaemonProcess]:
+    return [each for each in world.daemons.values() if each.is_serving]
+
+
+async def member_state(daemon: DaemonProcess, name: str) -> str:
+    status = await daemon.get("/v1/status")
+    for member in status["members"]:
+        if member["name"] == name:
+            return str(member["state"])
+    return ""
+
+
+def test_rolling_replacement_costs_no_caller_an_answer(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 3})
+            for name in ("e1", "e2", "e3"):
+                await world.start_entry(name)
+            for daemon in running(world):
+                await world.wait_members(daemon, alive=3)
+            await world.fault_upstreams(delay_ms=DELAY_MS)
+            callers = Callers(lambda: running(world), deadline_s=20.0)
+            stop = asyncio.Event()
+            load = asyncio.create_task(callers.load(WORKERS, stop))
+            for name in ("e1", "e2", "e3"):
+                await until(lambda: len(callers.told) % 50 > 25)
+                await world.start_entry(f"{name}b")
+                assert await world.daemons[name].stop() == 0
+            stop.set()
+            await load
+            callers.close()
+            missed = [each for each in callers.told if not each.is_served]
+            assert missed == []
+            counts = await world.run_counts()
+            assert max(counts.values()) == 1
+            assert len(counts) == len(callers.told)
+
+    asyncio.run(run())
+
+
+def test_stop_finishes_what_runs_takes_nothing_more_and_tells_peers(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            world.settings["timing"]["gossip_s"] = 30
+            await world.start_base({"quotes": 2})
+            first = await world.start_entry("e1")
+            second = await world.start_entry("e2")
+            await world.wait_limits(second, 4)
+            await world.fault_upstreams(delay_ms=1500)
+            callers = Callers(lambda: [first], deadline_s=20.0)
+            flying = [asyncio.create_task(callers.ask()) for _ in range(8)]
+
+            async def all_run() -> bool:
+                return len(await world.runs()) == 8
+
+            await until(all_run)
+            await world.fault_platform(down=True)
+            first.send_signal(signal.SIGTERM)
+            # Peers know at once, by no other way than the daemon's word,
+            # and go on waiting for what it has in flight.
+            await world.wait_limits(second, 8)
+            assert await member_state(second, "e1") == "alive"
+            late = await http_or_none(first)
+            assert late in {None, 503}
+            told = await asyncio.gather(*flying)
+            assert [each.is_served for each in told] == [True] * 8
+            assert await first.wait() == 0
+            await until(lambda: is_gone(second, "e1"))
+            assert len(await world.runs()) == 8
+            callers.close()
+
+    asyncio.run(run())
+
+
+async def is_gone(daemon: DaemonProcess, name: str) -> bool:
+    return await member_state(daemon, name) in {"", "gone"}
+
+
+async def http_or_none(daemon: DaemonProcess) -> int | None:
+    """Return the status of a new request, or None where it is refused."""
+    headers = [(b"lycheelug-pool", b"quotes")]
+    try:
+        answer = await http_call(
+            daemon.callers, "POST", "/work", b"late", headers
+        )
+    except UnwrapFailedError:
+        return None
+    assert (b"lycheelug-outcome", b"not-run") in answer.headers
+    return answer.status
+
+
+def test_open_connection_is_told_not_run_after_sigterm(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 1})
+            daemon = await world.start_entry("e1")
+            host, _, port = daemon.callers.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            daemon.send_signal(signal.SIGTERM)
+            await daemon.wait_line('"draining"')
+            writer.write(
+                b"POST /work HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n"
+                b"lycheelug-pool: quotes\r\n\r\nx"
+            )
+            answer = await reader.read()
+            assert answer.startswith(b"HTTP/1.1 503 ")
+            assert b"lycheelug-outcome: not-run" in answer
+            writer.close()
+            assert await daemon.wait() == 0
+            assert await world.runs() == []
+
+    asyncio.run(run())
+
+
+def test_second_signal_hurries_and_tells_what_it_cut(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 1})
+            daemon = await world.start_entry("e1")
+            await world.fault_upstreams(mode="hang")
+            callers = Callers(lambda: [daemon], deadline_s=60.0)
+            flying = [asyncio.create_task(callers.ask()) for _ in range(3)]
+
+            async def all_run() -> bool:
+                return len(await world.runs()) == 3
+
+            await until(all_run)
+            daemon.send_signal(signal.SIGTERM)
+            await daemon.wait_line('"draining"')
+            daemon.send_signal(signal.SIGTERM)
+            assert await daemon.wait() == 1
+            assert '"requests_cut":3' in await daemon.wait_line("ended")
+            told = await asyncio.gather(*flying)
+            # None of them may be taken for an answer, or for not run.
+            assert {each.outcome for each in told} <= {"unknown", "no-answer"}
+            callers.close()
+
+    asyncio.run(run())
