Prove leaving, ejection and retry budget in separate processes

A failing host need not be ejected to be harmless: two-choices gives the third failing host of a rack next to nothing, so the proof asks for what callers get, and that no sound host goes.

--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -3,7 +3,8 @@
 Runs as `python -m standins.upstream --port 0 [--name w1] [--slots 8]` and
 prints `listening 127.0.0.1:PORT`.  It answers any request with JSON that
 repeats the request's body, so that a test can tell whose answer it is.
-`GET /-/log` returns the runs, `POST /-/faults` switches faults:
+`GET /-/log` returns the runs, `GET /-/seen` the number of requests that
+came, refused ones included, and `POST /-/faults` switches faults:
 
     {"delay_ms": 50, "mode": "late"}
 
@@ -58,12 +59,15 @@
         "name",
         "peak",
         "runs",
+        "seen",
     )
 
     def __init__(self, name: str = "w", slots: int = 8) -> None:
         self.name = name
         self.faults = Faults()
         self.runs: list[RunRecord] = []
+        # Requests that came, refused ones included.
+        self.seen = 0
         # The most requests that ran at a time.
         self.peak = 0
         self._slots = slots
@@ -150,6 +154,8 @@
             return b"{}"
         if head.target == b"/-/clear":
             self.runs = []
+        if head.target == b"/-/seen":
+            return msgspec.json.encode(self.seen)
         return msgspec.json.encode(self.runs)
 
     async def _run(
@@ -161,6 +167,7 @@
     ) -> bool:
         """Run a request, with the faults in force."""
         faults = self.faults
+        self.seen += 1
         headers = dict(head.headers)
         if faults.mode in {"refuse", "refuse-closing"} or (
             self._in_flight >= self._slots
--- a/standins/world.py
+++ b/standins/world.py
@@ -181,6 +181,19 @@
         await platform.close()
         return [row.key for row in delta.rows if row.value is not None]
 
+    async def seen(self, name: str) -> int:
+        """Return how many requests came to an upstream."""
+        upstream = self.upstreams[name]
+        if not upstream.is_running:
+            return 0
+        answer = await http_call(upstream.address, "GET", "/-/seen")
+        return int(msgspec.json.decode(answer.body))
+
+    async def restart_upstream(self, name: str) -> None:
+        """Start a killed upstream again at its address."""
+        port = self.upstreams[name].address.rpartition(":")[2]
+        self.upstreams[name] = await self.start_upstream(name, "--port", port)
+
     async def runs(self) -> list[dict[str, str]]:
         """Return all that the running upstreams ran."""
         found: list[dict[str, str]] = []
--- /dev/null
+++ b/tests/test_proof_upstreams.py
@@ -0,0 +1,205 @@
+"""Leaving and failing upstreams, and retries, in separate processes."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from lycheelug.platform import HostEntry, HostState
+from standins.callers import Callers
+from standins.processes import DaemonProcess, until
+from standins.world import World
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+REPEATABLE = [(b"lycheelug-repeatable", b"yes")]
+# The stated target: no new work so long after the first sign.
+LEAVING_S = 3.0
+WATCHED_S = 1.0
+RETURN_S = 60.0
+# Of the newest callers, so many must be served past a failing rack.
+NEWEST = 100
+SERVED_SHARE = 0.95
+LISTED, REFUSING, CLOSING, DEAD = (f"z1-quotes-{n}" for n in range(4))
+
+
+@asynccontextmanager
+async def load_on(daemon: DaemonProcess) -> AsyncIterator[Callers]:
+    """Load a daemon with requests that may be repeated."""
+    callers = Callers(lambda: [daemon], deadline_s=5.0, headers=REPEATABLE)
+    stop = asyncio.Event()
+    task = asyncio.create_task(callers.load(6, stop))
+    try:
+        yield callers
+    finally:
+        stop.set()
+        await task
+        callers.close()
+
+
+async def counts(world: World, names: list[str]) -> list[int]:
+    return [await world.seen(name) for name in names]
+
+
+async def list_host(world: World, name: str, state: HostState) -> None:
+    address = world.upstreams[name].address
+    await world.list_hosts(
+        [HostEntry(name, "z1", "z1-r0", address, state=state)]
+    )
+
+
+async def check_quiet(world: World, names: list[str]) -> None:
+    """Check under load that hosts get no request for a while."""
+    before = await counts(world, names)
+    await asyncio.sleep(WATCHED_S)
+    assert await counts(world, names) == before
+
+
+async def check_return(world: World, names: list[str]) -> None:
+    """Check under load that hosts get work again."""
+    before = await counts(world, names)
+
+    async def all_work() -> bool:
+        now = await counts(world, names)
+        grown = [new > old + 5 for new, old in zip(now, before, strict=True)]
+        return all(grown)
+
+    await until(all_work, timeout_s=RETURN_S)
+
+
+def test_leaving_host_gets_no_new_work_and_comes_back(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 7})
+            # The period that is in force where nobody sets another.
+            del world.settings["platform"]["poll_s"]
+            first = await world.start_entry("e1")
+            second = await world.start_entry("e2")
+            await world.wait_limits(first, 4)
+            signs = [REFUSING, CLOSING]
+            async with load_on(first):
+                await check_return(world, list(world.upstreams))
+                await list_host(world, LISTED, HostState.LEAVING)
+                await asyncio.sleep(LEAVING_S)
+                await check_quiet(world, [LISTED])
+                await world.fault_platform(down=True)
+                await world.fault_upstream(REFUSING, mode="refuse-closing")
+                await world.fault_upstream(CLOSING, mode="close")
+                await world.upstreams[DEAD].kill()
+                await asyncio.sleep(LEAVING_S)
+                await check_quiet(world, [LISTED, *signs])
+            # The second daemon has met none of the signs itself.
+            async with load_on(second):
+                await check_quiet(world, [LISTED, *signs])
+            hosts = {
+                each["name"]: each for each in await second.get("/v1/hosts")
+            }
+            assert hosts[DEAD]["use"] == "leaving"
+            await world.fault_platform()
+            for name in signs:
+                await world.fault_upstream(name)
+            await world.restart_upstream(DEAD)
+            await list_host(world, LISTED, HostState.LIVE)
+            async with load_on(first):
+                await check_return(world, [LISTED, DEAD, *signs])
+
+    asyncio.run(run())
+
+
+async def ejected(daemon: DaemonProcess) -> list[str]:
+    pools = await daemon.get("/v1/pools")
+    return list(pools[0]["ejected"])
+
+
+def served_share(callers: Callers) -> float:
+    """Return how many of the newest callers got a good answer."""
+    newest = callers.told[-NEWEST:]
+    good = 0
+    for each in newest:
+        if each.reply is not None and each.reply.status < 500:
+            good += 1
+    return good / NEWEST
+
+
+def test_failing_hosts_are_ejected_never_below_the_floor(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 6})
+            daemon = await world.start_entry("e1")
+            await world.fault_upstreams(delay_ms=20)
+            rack = [f"z1-quotes-{n}" for n in (0, 2, 4)]
+            floor = math.ceil(len(world.upstreams) / 2)
+            most = 0
+
+            async def is_ejected_within(names: list[str]) -> bool:
+                nonlocal most
+                found = await ejected(daemon)
+                most = max(most, len(found))
+                return set(found) <= set(names)
+
+            async with load_on(daemon) as callers:
+                await check_return(world, list(world.upstreams))
+                # They fail at once, much faster than the others answer.
+                for name in rack:
+                    await world.fault_upstream(name, mode="fail")
+                callers.told.clear()
+                await until(lambda: served_share(callers) >= SERVED_SHARE)
+                assert await is_ejected_within(rack)
+                assert most >= 1
+                # Then all fail: nobody more may go.
+                await world.fault_upstreams(mode="fail")
+                callers.told.clear()
+                await until(lambda: len(callers.told) > 200)
+                await is_ejected_within([])
+                assert most <= len(world.upstreams) - floor
+                await world.fault_upstreams()
+                await until(lambda: is_ejected_within([]), timeout_s=RETURN_S)
+                await check_return(world, rack)
+
+    asyncio.run(run())
+
+
+FIRST_TRIES = 200
+
+
+async def outage(world: World, daemon: DaemonProcess) -> int:
+    """Return the extra requests of a full outage for FIRST_TRIES."""
+    callers = Callers(lambda: [daemon], headers=REPEATABLE)
+    await world.fault_upstreams()
+    for _ in range(10):
+        await callers.wave(10)
+    await world.fault_upstreams(mode="drop")
+    before = sum(await counts(world, list(world.upstreams)))
+    for _ in range(FIRST_TRIES // 10):
+        told = await callers.wave(10)
+        assert {each.outcome for each in told} == {"unknown"}
+    callers.close()
+    return sum(await counts(world, list(world.upstreams))) - (
+        before + FIRST_TRIES
+    )
+
+
+def test_retries_in_a_full_outage_stay_within_a_tenth(
+    tmp_path: Path,
+) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 4})
+            budgeted = await world.start_entry("e1")
+            extra = await outage(world, budgeted)
+            await budgeted.kill()
+            free = await world.start_entry("e2", policies={"retries": "free"})
+            baseline = await outage(world, free)
+            print(f"extra requests: budget {extra}, free {baseline}")
+            assert extra <= FIRST_TRIES // 10
+            assert baseline >= FIRST_TRIES
+
+    asyncio.run(run())
