Let the failure rates of executors fade with time

Cause: an executor that had failed was weighed up to 21 times heavier by two-choices until it succeeded again, and with little load got no work to do so: hosts that worked again and were not ejected stayed idle.

Change: a failure rate halves every 2 s and is forgotten below 0.02.

--- a/lycheelug/upstreams/executors.py
+++ b/lycheelug/upstreams/executors.py
@@ -4,13 +4,16 @@
 of leaving and ejection.  A host that is leaving or ejected is used again
 after one request that may be repeated, a probe, has succeeded on it.
 
+An executor that failed is chosen less often; that fades with time, since a
+host that gets no work can't show that it works again.
+
 The list of usable executors is rebuilt on each change and on each tick,
 not for each request.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from lycheelug.dispatch import Executor
 from lycheelug.ejection import Ejector
@@ -27,6 +30,10 @@
 
 __all__ = ["ExecutorSet"]
 
+# A failure rate halves in so many seconds, and is forgotten below a bound.
+FADE_HALF_S: Final = 2.0
+FADED_RATE: Final = 0.02
+
 
 class ExecutorSet:
     """One pool's executors in the daemon's availability zone."""
@@ -35,6 +42,7 @@
         "_choice",
         "_ejector",
         "_executors",
+        "_faded_at",
         "_leaving",
         "_probes",
         "_rng",
@@ -69,6 +77,7 @@
         self._serving: dict[str, Executor] = {}
         self._usable: list[Executor] = []
         self._probes: set[str] = set()
+        self._faded_at = 0.0
 
     @property
     def executors(self) -> list[Executor]:
@@ -150,6 +159,7 @@
 
     def refresh(self, now: float) -> None:
         """Rebuild the list of usable executors."""
+        self._fade_failures(now)
         usable: list[Executor] = []
         probes: set[str] = set()
         for name, executor in self._serving.items():
@@ -167,6 +177,15 @@
         self._usable = usable
         self._probes = probes
 
+    def _fade_failures(self, now: float) -> None:
+        """Let the failure rates fade by the time since the last call."""
+        factor = 0.5 ** (max(0.0, now - self._faded_at) / FADE_HALF_S)
+        self._faded_at = now
+        for executor in self._serving.values():
+            executor.failure_rate *= factor
+            if executor.failure_rate < FADED_RATE:
+                executor.failure_rate = 0.0
+
     def choose(
         self, exclude: frozenset[str], probe: bool, now: float
     ) -> Executor | None:
--- a/tests/test_proof_upstreams.py
+++ b/tests/test_proof_upstreams.py
@@ -4,10 +4,16 @@
 
 import asyncio
 import math
+import random
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from lycheelug.dispatch import CHOICES
+from lycheelug.leaving import LeavingHosts
 from lycheelug.platform import HostEntry, HostState
+from lycheelug.records import HostRow
+from lycheelug.slots import SHARES, ShareSettings
+from lycheelug.upstreams.executors import ExecutorSet
 from standins.callers import Callers
 from standins.processes import DaemonProcess, until
 from standins.world import World
@@ -203,3 +209,33 @@
             assert baseline >= FIRST_TRIES
 
     asyncio.run(run())
+
+
+def test_failed_executor_is_chosen_again_after_a_while() -> None:
+    share = SHARES.get("live")(ShareSettings(slots=8))
+    hosts = LeavingHosts()
+    rng = random.Random(1)
+    executors = ExecutorSet(
+        "quotes", 8, 0, share, CHOICES.get("two-choices"), hosts, rng
+    )
+    rows = [HostRow(f"w{n}", "z1", "r1", "quotes") for n in range(2)]
+    executors.update_hosts(rows, 0.0)
+    executors.update_shares("e1", ["e1"], [], 0.0)
+    failed = executors.executors[0]
+    for _ in range(2):
+        failed.in_flight += 1
+        executors.note_end(failed, "job", False, False, 0.01, 0.0)
+        executors.release(failed)
+
+    def chosen(now: float) -> set[str]:
+        executors.refresh(now)
+        found = set()
+        for _ in range(20):
+            executor = executors.choose(frozenset(), True, now)
+            assert executor is not None
+            found.add(executor.name)
+            executors.release(executor)
+        return found
+
+    assert chosen(0.1) == {"w1"}
+    assert chosen(30.0) == {"w0", "w1"}
