--- a/lycheelug/cli/app.py
+++ b/lycheelug/cli/app.py
@@ -8,6 +8,7 @@
 from lycheelug.cli import (
     config_commands,
     fleet_commands,
+    job_commands,
     metric_commands,
     sheet_commands,
 )
@@ -25,6 +26,7 @@
     ),
 )
 fleet_commands.register(app)
+job_commands.register(app)
 metric_commands.register(app)
 config_commands.register(app)
 sheet_commands.register(app)
--- a/lycheelug/operators/messages.py
+++ b/lycheelug/operators/messages.py
@@ -11,8 +11,10 @@
 __all__ = [
     "ConfigReply",
     "HostView",
+    "JobFailureView",
     "MemberView",
     "PoolView",
+    "SetAsideView",
     "StatusView",
 ]
 
@@ -93,3 +95,27 @@
     body: msgspec.Raw
     reason: str = ""
     missing: list[str] = []
+
+
+class JobFailureView(msgspec.Struct):
+    """One failed run of a long job; `at` is in Unix seconds."""
+
+    host: str
+    rack: str
+    reason: str
+    at: float
+
+
+class SetAsideView(msgspec.Struct):
+    """A long job that failed on several independent workers.
+
+    `name` is the digest of its handle, which only its caller holds.
+    """
+
+    name: str
+    tenant: str
+    pool: str
+    submitted_at: float
+    set_aside_at: float
+    detail: str
+    failures: list[JobFailureView]
--- a/lycheelug/operators/server.py
+++ b/lycheelug/operators/server.py
@@ -13,6 +13,7 @@
 # Imported for the routes that they register.
 from lycheelug.operators import (  # noqa: F401  isort: skip
     fleet_routes,
+    job_routes,
     metric_routes,
     sheet_routes,
 )
--- a/standins/world.py
+++ b/standins/world.py
@@ -98,7 +98,7 @@
                 self.upstreams[name] = upstream
                 rack = f"{zone}-r{index % 2}"
                 entries.append(HostEntry(name, zone, rack, upstream.address))
-                row = HostRow(name, zone, rack, pool)
+                row = HostRow(name, zone, rack, pool, address=upstream.address)
                 rows.append(Write(host_key(zone, name), encode(row)))
         await self.list_hosts(entries)
         if rows:
