Bring configurations into force, and split the daemon into its parts

Change: core (shared state), fleet_sync (changes of the fleet) and request_path (callers to answers) stand beside a daemon that only owns and orders them; tenants, queue bound, deadlines and tries can be changed while daemons run; operators submit, show and resolve configurations.

--- a/lycheelug/callers/service.py
+++ b/lycheelug/callers/service.py
@@ -64,7 +64,6 @@
         "_run_id",
         "_runner",
         "_settings",
-        "_tenants",
         "in_flight",
     )
 
@@ -90,7 +89,6 @@
         self._is_ready = is_ready
         self._clock = clock
         self._ids = itertools.count(1)
-        self._tenants = frozenset(each.name for each in settings.tenants)
         # Requests being served now.
         self.in_flight = 0
 
@@ -148,7 +146,7 @@
             return Fault(NOT_READY, Step.ADMIT, Peer.SELF)
         if scheduler is None:
             return Fault(UNKNOWN_POOL, Step.ADMIT, Peer.CALLER, wanted.pool)
-        if self._tenants and wanted.tenant not in self._tenants:
+        if not self._settings.allows_tenant(wanted.tenant):
             detail = wanted.tenant
             return Fault(UNKNOWN_TENANT, Step.ADMIT, Peer.CALLER, detail)
         return None
--- a/lycheelug/cli/config_commands.py
+++ b/lycheelug/cli/config_commands.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 import sys
 from pathlib import Path
 from urllib.parse import quote
@@ -34,7 +33,11 @@
 
 
 def cmd_config_submit(
-    file: Path, *, submitter: str = "operator", common: CommonOptions = None
+    file: Path,
+    *,
+    based_on: int | None = None,
+    excuse: str = "",
+    common: CommonOptions = None,
 ) -> None:
     """Submit a configuration, a JSON file, and tell what became of it.
 
@@ -42,16 +45,21 @@
     ----------
     file
         The file with the new configuration.
-    submitter
-        Your name, kept with the change.
+    based_on
+        Refuse the change if another one came after this revision.
+    excuse
+        Names of entry daemons that need not hold it, parted by commas.
 
     """
     common = common or Common()
     body = read_file(file)
-    nonce = secrets.token_hex(8)
-    target = f"/v1/config?nonce={nonce}&submitter={quote(submitter)}"
+    client = common.client
+    nonce = client.post("/v1/config/nonce", b"", dict[str, str])["nonce"]
     sys.stderr.write(f"submission {nonce}\n")
-    reply = common.client.post(target, body, ConfigReply)
+    target = f"/v1/config?nonce={nonce}&excused={quote(excuse)}"
+    if based_on is not None:
+        target += f"&based_on={based_on}"
+    reply = client.post(target, body, ConfigReply)
     _end(reply, common)
 
 
@@ -95,6 +103,6 @@
     )
     if reply.missing:
         names = ", ".join(reply.missing)
-        sys.stdout.write(f"not heard from: {names}\n")
+        sys.stdout.write(f"missing or refusing: {names}\n")
     if not reply.outcome:
         sys.stdout.write(bytes(reply.body).decode() + "\n")
--- a/lycheelug/entries/gossip.py
+++ b/lycheelug/entries/gossip.py
@@ -61,6 +61,7 @@
         "_exchange",
         "_members",
         "_on_change",
+        "_period_s",
         "_publish",
         "_rng",
         "_sleep",
@@ -76,7 +77,9 @@
         rng: random.Random,
         sleep: Callable[[float], Awaitable[object]] = asyncio.sleep,
         on_change: Callable[[Sequence[str]], object] | None = None,
+        period_s: float = GOSSIP_PERIOD_S,
     ) -> None:
+        self._period_s = period_s
         self._members = members
         self._clients = clients
         self._publish = publish
@@ -147,7 +150,7 @@
             await self.round(number)
             number += 1
             spread = 1 + _JITTER * (2 * self._rng.random() - 1)
-            await self._sleep(GOSSIP_PERIOD_S * spread)
+            await self._sleep(self._period_s * spread)
 
     async def _exchange_with(self, address: str) -> None:
         self._publish()
--- a/lycheelug/entry_service.py
+++ b/lycheelug/entry_service.py
@@ -5,7 +5,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from lycheelug.entries.messages import ConfigAnswer
 from lycheelug.entries.service import EntryHandler
 
 if TYPE_CHECKING:
@@ -13,6 +12,7 @@
 
     from lycheelug.daemon import Daemon
     from lycheelug.entries.messages import (
+        ConfigAnswer,
         ConfigPush,
         Digest,
         ViewReply,
@@ -37,16 +37,15 @@
     async def fetch_view(self, request: ViewRequest) -> ViewReply:
         """Return rows of the own view after a revision."""
         if request.newcomer:
-            self._daemon.members.sponsor(request.newcomer)
-        return self._daemon.view.rows_since(request.zone, request.revision)
+            self._daemon.core.members.sponsor(request.newcomer)
+        return self._daemon.core.view.rows_since(
+            request.zone, request.revision
+        )
 
     async def push_config(self, push: ConfigPush) -> ConfigAnswer:
         """Prepare or accept a configuration, or tell the highest one."""
-        del push
-        return ConfigAnswer(
-            self._daemon.settings.name, held=False, reason="not ready"
-        )
+        return self._daemon.config.answer(push)
 
     async def leave(self, digest: Digest) -> None:
         """Take in that a daemon's run ends."""
-        self._daemon.members.on_leave(digest, time.monotonic())
+        self._daemon.core.members.on_leave(digest, time.monotonic())
--- /dev/null
+++ b/lycheelug/fleet_sync.py
@@ -0,0 +1,156 @@
+"""Passes changes of the fleet to the parts of a daemon that use them.
+
+The table's rows, the host list and the other daemons' digests come in;
+pools, slot shares, signs of leaving and the own digest follow from them,
+in one step of the event loop each, so that the digest never shows a view
+by which the pools do not dispatch yet.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from lycheelug.core import Phase
+from lycheelug.entries.messages import Digest, PoolLoad
+from lycheelug.leaving import LeavingSign
+from lycheelug.platform import HostState
+from lycheelug.records import ENTRY_PREFIX, EntryRow, decode
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lycheelug.config_exchange import ConfigExchange
+    from lycheelug.core import Core
+    from lycheelug.platform import HostEntry, Row
+    from lycheelug.records import HostRow
+
+__all__ = ["FleetSync"]
+
+
+class FleetSync:
+    """Keeps a daemon's pools and digest at its view."""
+
+    __slots__ = ("_config", "_core", "_seen")
+
+    def __init__(self, core: Core, config: ConfigExchange) -> None:
+        self._core = core
+        self._config = config
+        # Revisions of table and host list that the pools were built from.
+        self._seen = (-1, -1)
+
+    def publish(self) -> Digest:
+        """Renew the own digest: view, load and what was seen to leave."""
+        core = self._core
+        self.sync_pools()
+        loads: list[PoolLoad] = []
+        for scheduler in core.pools.all():
+            executors = scheduler.executors
+            loads.append(
+                PoolLoad(
+                    executors.pool,
+                    scheduler.queued,
+                    executors.in_flight,
+                    executors.idle,
+                )
+            )
+        busy: list[str] = []
+        for host in core.view.draining_hosts():
+            if core.pools.in_flight_on(host.name):
+                busy.append(host.name)
+        return core.members.publish(
+            core.phase.value,
+            core.view.revision,
+            self._config.accepted.revision,
+            loads,
+            busy,
+            core.leaving.to_tell(time.monotonic()),
+        )
+
+    def sync_pools(self) -> None:
+        """Bring the pools up to the view."""
+        core = self._core
+        seen = (core.view.revision, core.view.host_list_revision)
+        if seen == self._seen:
+            return
+        if seen[1] != self._seen[1]:
+            self._note_listed()
+        self._seen = seen
+        for name, row in core.view.pools.items():
+            core.pools.update_pool(row, self._executor_rows(name))
+        for name in core.pools.names:
+            if name not in core.view.pools:
+                core.pools.drop_pool(name)
+        self.update_shares()
+
+    def rebuild_pools(self) -> None:
+        """Bring changed settings to the pools."""
+        self._seen = (-1, self._seen[1])
+        self.sync_pools()
+
+    def update_shares(self) -> None:
+        """Divide slots between the live daemons of the zone."""
+        core = self._core
+        now = time.monotonic()
+        peers: list[Digest] = []
+        for digest in core.members.alive(now):
+            same_zone = digest.zone == core.settings.zone
+            if same_zone and digest.state == Phase.READY:
+                peers.append(digest)
+        core.pools.update_shares(core.settings.name, peers)
+
+    def on_rows(self, rows: Sequence[Row]) -> None:
+        """Take in changed rows of the table."""
+        now = time.monotonic()
+        for row in rows:
+            if not row.key.startswith(ENTRY_PREFIX):
+                continue
+            name = row.key.removeprefix(ENTRY_PREFIX)
+            entry = decode(row.value, EntryRow) if row.value else None
+            self._core.members.apply_row(name, entry, now)
+        self._config.on_rows(rows)
+        self.sync_pools()
+
+    def on_entry_hosts(self, hosts: Sequence[HostEntry]) -> None:
+        """Take in entry hosts of the platform's list."""
+        for host in hosts:
+            self._core.members.apply_host(host)
+
+    def on_digests(self, names: Sequence[str]) -> None:
+        """Take in newer digests of other daemons."""
+        now = time.monotonic()
+        for name in names:
+            digest = self._core.members.digest(name)
+            if digest is None:
+                continue
+            for host in digest.leaving:
+                self._core.leaving.note(
+                    host, LeavingSign.TOLD, now, teller=digest.name
+                )
+        self._config.on_digests(names)
+        self.update_shares()
+
+    def _executor_rows(self, pool: str) -> list[HostRow]:
+        """Return a pool's hosts with the addresses to connect to."""
+        view = self._core.view
+        rows: list[HostRow] = []
+        for row in view.executors(pool):
+            address = view.address(row.name)
+            if not address:
+                continue
+            rows.append(msgspec.structs.replace(row, address=address))
+        return rows
+
+    def _note_listed(self) -> None:
+        """Take in what the platform's list says of the zone's hosts."""
+        core = self._core
+        now = time.monotonic()
+        revision = core.view.host_list_revision
+        for name in core.view.hosts:
+            state = core.view.listed_state(name)
+            if state is HostState.LIVE:
+                core.leaving.note_live(name, revision, now)
+            elif state is not None:
+                core.leaving.note(name, LeavingSign.LISTED, now, revision)
--- a/lycheelug/operators/fleet_routes.py
+++ b/lycheelug/operators/fleet_routes.py
@@ -24,7 +24,7 @@
     """Return the daemon's state and the members that it knows."""
     del call
     members: list[MemberView] = []
-    for line in daemon.members.status(time.monotonic()):
+    for line in daemon.core.members.status(time.monotonic()):
         members.append(
             MemberView(
                 line.name,
@@ -38,19 +38,19 @@
                 line.config_revision,
             )
         )
-    queued = sum(each.queued for each in daemon.pools.all())
+    queued = sum(each.queued for each in daemon.core.pools.all())
     view = StatusView(
-        name=daemon.settings.name,
-        zone=daemon.settings.zone,
-        run=daemon.run_id,
-        phase=daemon.phase.value,
-        uptime_s=daemon.uptime_s,
-        platform_binding=daemon.settings.platform.binding,
+        name=daemon.core.settings.name,
+        zone=daemon.core.settings.zone,
+        run=daemon.core.run_id,
+        phase=daemon.core.phase.value,
+        uptime_s=daemon.core.uptime_s,
+        platform_binding=daemon.core.settings.platform.binding,
         platform_reachable=not daemon.watch.is_platform_away,
-        table_revision=daemon.view.revision,
-        host_list_revision=daemon.view.host_list_revision,
-        config_revision=daemon.config_revision,
-        requests_in_flight=daemon.callers.in_flight,
+        table_revision=daemon.core.view.revision,
+        host_list_revision=daemon.core.view.host_list_revision,
+        config_revision=daemon.config.accepted.revision,
+        requests_in_flight=daemon.requests.in_flight,
         requests_queued=queued,
         connections=daemon.connections,
         members=members,
@@ -63,7 +63,7 @@
     """Return the hosts of the daemon's zone."""
     del call
     rows: list[HostView] = []
-    for _, row in sorted(daemon.view.hosts.items()):
+    for _, row in sorted(daemon.core.view.hosts.items()):
         rows.append(_host_view(daemon, row))
     return json_answer(200, rows)
 
@@ -71,8 +71,8 @@
 def _host_view(daemon: Daemon, row: HostRow) -> HostView:
     """Return one host as the daemon uses it."""
     now = time.monotonic()
-    listed = daemon.view.listed_state(row.name)
-    scheduler = daemon.pools.get(row.pool)
+    listed = daemon.core.view.listed_state(row.name)
+    scheduler = daemon.core.pools.get(row.pool)
     use = "unused"
     limit = 0
     if scheduler is not None:
@@ -82,7 +82,7 @@
                 limit = executor.limit
         if row.name in scheduler.executors.ejected:
             use = "ejected"
-    if daemon.leaving.is_leaving(row.name, now):
+    if daemon.core.leaving.is_leaving(row.name, now):
         use = "leaving"
     return HostView(
         name=row.name,
@@ -91,9 +91,9 @@
         pool=row.pool,
         phase=row.phase.value,
         listed=listed.value if listed else "",
-        address=daemon.view.address(row.name),
+        address=daemon.core.view.address(row.name),
         use=use,
-        in_flight=daemon.pools.in_flight_on(row.name),
+        in_flight=daemon.core.pools.in_flight_on(row.name),
         limit=limit,
     )
 
@@ -103,8 +103,8 @@
     """Return the pools as the daemon uses them."""
     del call
     rows: list[PoolView] = []
-    for name, row in sorted(daemon.view.pools.items()):
-        scheduler = daemon.pools.get(name)
+    for name, row in sorted(daemon.core.view.pools.items()):
+        scheduler = daemon.core.pools.get(name)
         if scheduler is None:
             continue
         executors = scheduler.executors
--- a/lycheelug/operators/server.py
+++ b/lycheelug/operators/server.py
@@ -12,6 +12,7 @@
 
 # Imported for the routes that they register.
 from lycheelug.operators import (  # noqa: F401  isort: skip
+    config_routes,
     fleet_routes,
     metric_routes,
     sheet_routes,
--- a/lycheelug/operators/sheet_routes.py
+++ b/lycheelug/operators/sheet_routes.py
@@ -73,7 +73,7 @@
         )
     operator = call.query("operator", "operator")
     submitted = await submit_sheet(
-        daemon.platform,
+        daemon.core.platform,
         call.text,
         operator,
         nonce,
@@ -101,10 +101,12 @@
 @route("POST", "/v1/entries/dead/*")
 async def post_dead(daemon: Daemon, call: Call) -> Answer:
     """Declare an entry daemon's present run dead, by its name."""
-    for entry in daemon.view.entries():
+    for entry in daemon.core.view.entries():
         if entry.name != call.tail:
             continue
-        removed = await remove_entry(daemon.platform, entry, daemon.rng)
+        removed = await remove_entry(
+            daemon.core.platform, entry, daemon.core.rng
+        )
         if isinstance(removed, Failure):
             return fault_answer(removed.failure())
         operator = call.query("operator", "operator")
--- a/lycheelug/pools.py
+++ b/lycheelug/pools.py
@@ -22,6 +22,30 @@
 __all__ = ["PoolTable"]
 
 
+class _Shape:
+    """What a scheduler was made for."""
+
+    __slots__ = ("floor", "max_queued", "quotas", "slots")
+
+    def __init__(
+        self,
+        slots: int,
+        floor: int,
+        max_queued: int,
+        quotas: dict[str, float],
+    ) -> None:
+        self.slots = slots
+        self.floor = floor
+        self.max_queued = max_queued
+        self.quotas = quotas
+
+    def is_like(self, other: _Shape) -> bool:
+        """Whether nothing differs that a scheduler was made for."""
+        same_sizes = self.slots == other.slots and self.floor == other.floor
+        same_queue = self.max_queued == other.max_queued
+        return same_sizes and same_queue and self.quotas == other.quotas
+
+
 class PoolTable:
     """One scheduler for each pool that the view knows."""
 
@@ -47,9 +71,7 @@
         self._clock = clock
         self._schedulers: dict[str, PoolScheduler] = {}
         # What each scheduler was made for; another shape makes a new one.
-        self._shapes: dict[
-            str, tuple[int, int, tuple[tuple[str, float], ...]]
-        ] = {}
+        self._shapes: dict[str, _Shape] = {}
 
     @property
     def names(self) -> list[str]:
@@ -68,13 +90,14 @@
         """Take in a pool's row and the hosts that serve it."""
         quotas = {each.name: each.share for each in self._settings.tenants}
         quotas.update(row.quotas)
-        shape = (row.slots, row.min_available, tuple(sorted(quotas.items())))
+        max_queued = self._settings.limits.max_queued
+        shape = _Shape(row.slots, row.min_available, max_queued, quotas)
         scheduler = self._schedulers.get(row.name)
         if scheduler is None:
             scheduler = self._make(row, quotas)
             self._schedulers[row.name] = scheduler
             self._shapes[row.name] = shape
-        elif self._shapes[row.name] != shape:
+        elif not self._shapes[row.name].is_like(shape):
             self._reshape(scheduler, row, quotas)
             self._shapes[row.name] = shape
         scheduler.executors.update_hosts(hosts, self._clock())
@@ -91,12 +114,7 @@
         del self._schedulers[name]
         del self._shapes[name]
 
-    def update_shares(
-        self,
-        me: str,
-        peers: Sequence[Digest],
-        heard_at: Callable[[str], float],
-    ) -> None:
+    def update_shares(self, me: str, peers: Sequence[Digest]) -> None:
         """Divide the executors' slots between the live daemons."""
         now = self._clock()
         daemons = [me, *(peer.name for peer in peers)]
@@ -107,9 +125,8 @@
                 load = _load_of(peer, pool)
                 if load is None:
                     continue
-                at = heard_at(peer.name)
                 reports.append(
-                    IdleReport(peer.name, load.idle, load.queued, at)
+                    IdleReport(peer.name, load.idle, load.queued, now)
                 )
             scheduler.executors.update_shares(me, daemons, reports, now)
 
--- /dev/null
+++ b/lycheelug/request_path.py
@@ -0,0 +1,161 @@
+"""The request path of a daemon: its parts, joined, and their upkeep."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from typing import TYPE_CHECKING
+
+from lycheelug.callers.keyed import KeyedRequests
+from lycheelug.callers.long_work import LongWork
+from lycheelug.callers.service import CallerService
+from lycheelug.claims import SWEEP_PERIOD_S, ClaimBook, IssuedKeys
+from lycheelug.job_runner import JobRunner
+from lycheelug.jobs import JobBook
+from lycheelug.logs import log_change
+from lycheelug.retries import RetryBudget
+from lycheelug.runner import RequestRunner
+from lycheelug.upstreams.exchange import Upstreams
+
+if TYPE_CHECKING:
+    from lycheelug.core import Core
+    from lycheelug.freshness import FreshnessGate
+
+__all__ = ["RequestPath"]
+
+
+class RequestPath:
+    """From a caller's whole request to its answer, and the long jobs."""
+
+    __slots__ = (
+        "_core",
+        "_gate",
+        "_sweep_task",
+        "callers",
+        "claims",
+        "job_runner",
+        "jobs",
+        "keyed",
+        "upstreams",
+    )
+
+    def __init__(self, core: Core, gate: FreshnessGate) -> None:
+        self._core = core
+        self._gate = gate
+        self._sweep_task: asyncio.Task[None] | None = None
+        settings = core.settings
+        self.upstreams = Upstreams(
+            settings.upstreams, settings.limits.max_answer_bytes
+        )
+        runner = RequestRunner(
+            self.upstreams,
+            RetryBudget(ratio=settings.upstreams.retry_share),
+            settings.upstreams,
+            core.metrics,
+            gate,
+            time.monotonic,
+        )
+        self.claims = self._make_claims()
+        self.keyed = KeyedRequests(
+            self.claims,
+            IssuedKeys(settings.name, core.run_id, random.SystemRandom()),
+            core.metrics,
+            time.time,
+        )
+        self.jobs = self._make_jobs()
+        long_work = LongWork(self.jobs, core.metrics, time.time)
+        self.job_runner = self._make_job_runner(runner)
+        long_work.on_submitted = self.job_runner.look_soon
+        self.callers = CallerService(
+            settings,
+            core.run_id,
+            core.pools,
+            runner,
+            self.keyed,
+            long_work,
+            core.metrics,
+            lambda: core.is_serving,
+            time.monotonic,
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Requests and jobs in progress, with or without their caller."""
+        asked = max(self.callers.in_flight, self.keyed.running)
+        return asked + self.job_runner.running
+
+    def start(self) -> None:
+        """Start the long jobs and the upkeep."""
+        self.job_runner.start()
+        self._sweep_task = asyncio.create_task(self._run_sweeps())
+
+    async def settle(self, timeout_s: float) -> None:
+        """Hand back and record what the platform has not taken yet."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.claims.flush()
+                await self.jobs.flush()
+        except TimeoutError:
+            pending = self.claims.pending + self.jobs.pending
+            log_change("not settled", pending=pending)
+
+    async def stop(self, settle_s: float) -> None:
+        """Cut what is in progress, and settle what can be."""
+        if self._sweep_task is not None:
+            self._sweep_task.cancel()
+        await self.job_runner.stop()
+        await self.settle(settle_s)
+        await self.claims.close()
+        await self.jobs.close()
+        self.upstreams.close()
+
+    def _may_claim_jobs(self) -> bool:
+        """Whether this run has joined, and serves by a fresh view."""
+        joined = self._core.join_revision > 0 and self._core.is_serving
+        return joined and not self._gate.pauses.is_stale
+
+    def _make_claims(self) -> ClaimBook:
+        """Return the claims of this run."""
+        core = self._core
+        return ClaimBook(
+            core.platform,
+            core.settings.name,
+            core.run_id,
+            time.time,
+            core.rng,
+            core.settings.timing.claim_retention_s,
+        )
+
+    def _make_jobs(self) -> JobBook:
+        """Return the jobs of this run; handles are secrets."""
+        core = self._core
+        return JobBook(
+            core.platform,
+            core.settings.name,
+            core.run_id,
+            time.time,
+            random.SystemRandom(),
+        )
+
+    def _make_job_runner(self, runner: RequestRunner) -> JobRunner:
+        """Return what runs this daemon's share of the jobs."""
+        core = self._core
+        return JobRunner(
+            core.platform,
+            self.jobs,
+            core.pools,
+            runner,
+            core.metrics,
+            self._may_claim_jobs,
+            core.is_first_name,
+            time.monotonic,
+            time.time,
+        )
+
+    async def _run_sweeps(self) -> None:
+        """Delete old claims and jobs, a part at a time."""
+        while True:
+            await asyncio.sleep(SWEEP_PERIOD_S)
+            await self.claims.sweep(time.time())
+            await self.jobs.sweep(time.time())
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -36,6 +36,7 @@
     from lycheelug.metrics import Metrics
     from lycheelug.retries import Budget
     from lycheelug.scheduler import PoolScheduler
+    from lycheelug.settings import UpstreamSettings
     from lycheelug.upstreams.exchange import Upstreams
 
     StartGuard = Callable[[], Awaitable[bool]]
@@ -103,8 +104,8 @@
         "_clock",
         "_free",
         "_gate",
-        "_max_tries",
         "_metrics",
+        "_settings",
         "_upstreams",
     )
 
@@ -112,7 +113,7 @@
         self,
         upstreams: Upstreams,
         budget: Budget,
-        max_tries: int,
+        settings: UpstreamSettings,
         metrics: Metrics,
         gate: FreshnessGate,
         clock: Callable[[], float],
@@ -121,7 +122,7 @@
         self._upstreams = upstreams
         self._budget = budget
         self._free = FreeRetries()
-        self._max_tries = max_tries
+        self._settings = settings
         self._metrics = metrics
         self._clock = clock
 
@@ -231,7 +232,7 @@
         deadline: float,
     ) -> bool:
         """Whether the request is tried again after a fault."""
-        if tries.count >= self._max_tries:
+        if tries.count >= self._settings.max_tries:
             return False
         # A failed connect or a leaving host's refusal loads no executor,
         # and the host gets no further work: no token is needed.
--- /dev/null
+++ b/lycheelug/runtime_config.py
@@ -0,0 +1,101 @@
+"""What may be configured while the daemons run, and how it is applied.
+
+The body of a configuration is a JSON object.  A field that is left out
+keeps the value of the daemon's settings file.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Annotated, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+if TYPE_CHECKING:
+    from lycheelug.settings import Settings
+
+__all__ = ["RuntimeConfig", "RuntimeSettings", "validate_body"]
+
+Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+Count = Annotated[int, Meta(ge=1, le=100_000)]
+Share = Annotated[float, Meta(gt=0, le=1)]
+Tries = Annotated[int, Meta(ge=1, le=10)]
+Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")]
+
+
+class RuntimeConfig(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of a configuration."""
+
+    # Share of a pool's slots by tenant; replaces the settings' tenants.
+    tenants: dict[Name, Share] | None = None
+    max_queued: Count | None = None
+    default_deadline_s: Seconds | None = None
+    max_deadline_s: Seconds | None = None
+    max_tries: Tries | None = None
+
+
+def validate_body(body: bytes) -> str:
+    """Return why a body is not allowed, or "".
+
+    >>> validate_body(b'{"max_tries": 2}')
+    ''
+    >>> validate_body(b'{"max_tries": 0}')
+    'Expected `int` >= 1 - at `$.max_tries`'
+    """
+    try:
+        config = msgspec.json.decode(body, type=RuntimeConfig)
+    except msgspec.MsgspecError as error:
+        return str(error)
+    shortest = config.default_deadline_s
+    longest = config.max_deadline_s
+    if shortest is None or longest is None or shortest <= longest:
+        return ""
+    return "default_deadline_s is over max_deadline_s"
+
+
+class RuntimeSettings:
+    """Applies configurations to a daemon's settings."""
+
+    __slots__ = ("_base", "_settings", "_tenants")
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        # The settings file's own values, for fields left out.
+        self._base = RuntimeConfig(
+            None,
+            settings.limits.max_queued,
+            settings.limits.default_deadline_s,
+            settings.limits.max_deadline_s,
+            settings.upstreams.max_tries,
+        )
+        self._tenants = {each.name: each.share for each in settings.tenants}
+
+    def apply(self, body: bytes) -> None:
+        """Bring a validated body into force."""
+        config = self._base
+        if body:
+            config = msgspec.json.decode(body, type=RuntimeConfig)
+        limits = self._settings.limits
+        limits.max_queued = _or(config.max_queued, self._base.max_queued)
+        limits.default_deadline_s = _or(
+            config.default_deadline_s, self._base.default_deadline_s
+        )
+        limits.max_deadline_s = _or(
+            config.max_deadline_s, self._base.max_deadline_s
+        )
+        self._settings.upstreams.max_tries = _or(
+            config.max_tries, self._base.max_tries
+        )
+        shares = self._tenants if config.tenants is None else config.tenants
+        self._settings.set_tenants(shares)
+
+
+N = TypeVar("N", int, float)
+
+
+def _or(value: N | None, base: N | None) -> N:
+    """Return a value, or the base where it was left out."""
+    if value is not None:
+        return value
+    assert base is not None
+    return base
--- a/lycheelug/settings.py
+++ b/lycheelug/settings.py
@@ -6,6 +6,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 __all__ = [
     "EmbeddedHost",
     "EmbeddedPool",
@@ -178,13 +183,19 @@
 class TimingSettings:
     """Periods and time limits of the daemon's own work, in seconds."""
 
-    __slots__ = ("claim_retention_s", "gossip_s", "grace_s", "member_gone_s")
+    __slots__ = (
+        "claim_retention_s",
+        "gossip_s",
+        "grace_s",
+        "member_suspect_s",
+    )
 
     def __init__(self) -> None:
         # Between two exchanges of digests.
         self.gossip_s = 1.0
-        # Without a heartbeat, until a daemon counts as gone.
-        self.member_gone_s = 5.0
+        # Without a heartbeat, until a daemon counts as suspect: it gets no
+        # share of the slots any more.
+        self.member_suspect_s = 10.0
         # For requests in flight to end at a planned stop.
         self.grace_s = 60.0
         # How long the outcome of an idempotency key is kept.
@@ -207,6 +218,7 @@
     """All settings of one daemon."""
 
     __slots__ = (
+        "_tenant_names",
         "limits",
         "listen",
         "logs",
@@ -234,8 +246,24 @@
         self.platform = PlatformSettings()
         # Tenants with their quotas; where none is listed, any name goes.
         self.tenants: list[TenantSettings] = []
+        self._tenant_names: frozenset[str] = frozenset()
         self.limits = LimitSettings()
         self.upstreams = UpstreamSettings()
         self.policies = PolicySettings()
         self.timing = TimingSettings()
         self.logs = LogSettings()
+
+    def set_tenants(self, shares: Mapping[str, float]) -> None:
+        """Replace the tenants by these, with their shares."""
+        tenants: list[TenantSettings] = []
+        for name, share in sorted(shares.items()):
+            tenant = TenantSettings()
+            tenant.name = name
+            tenant.share = share
+            tenants.append(tenant)
+        self.tenants = tenants
+        self._tenant_names = frozenset(shares)
+
+    def allows_tenant(self, name: str) -> bool:
+        """Whether requests of a tenant are taken: listed, or none is."""
+        return not self._tenant_names or name in self._tenant_names
--- a/lycheelug/settings_file.py
+++ b/lycheelug/settings_file.py
@@ -189,6 +189,7 @@
     if reader.faults:
         reader.faults.sort(key=lambda fault: fault.line)
         return Failure(reader.faults)
+    settings.set_tenants({each.name: each.share for each in settings.tenants})
     return Success(settings)
 
 
--- a/lycheelug/settings_schema.py
+++ b/lycheelug/settings_schema.py
@@ -328,7 +328,11 @@
     TimingSettings,
     [
         Field("gossip_s", Number(0.05, 60), "Seconds between exchanges."),
-        Field("member_gone_s", SECONDS, "Silence until a daemon is gone."),
+        Field(
+            "member_suspect_s",
+            SECONDS,
+            "Silence until a daemon is suspect, and its slots shared out.",
+        ),
         Field("grace_s", SECONDS, "Seconds for a planned stop."),
         Field(
             "claim_retention_s",
--- a/lycheelug/startup.py
+++ b/lycheelug/startup.py
@@ -45,9 +45,11 @@
     """Remove the daemon's row, if the platform can be reached in time."""
     try:
         async with asyncio.timeout(LEAVE_TIMEOUT_S):
-            await remove_entry(daemon.platform, _entry(daemon), daemon.rng)
+            await remove_entry(
+                daemon.core.platform, _entry(daemon), daemon.core.rng
+            )
     except TimeoutError:
-        log_change("row not removed", name=daemon.settings.name)
+        log_change("row not removed", name=daemon.core.settings.name)
 
 
 async def join_later(daemon: Daemon) -> None:
@@ -66,7 +68,7 @@
     """
     if not await daemon.watch.poll():
         return False
-    joined = await join(daemon.platform, _entry(daemon), daemon.rng)
+    joined = await join(daemon.core.platform, _entry(daemon), daemon.core.rng)
     match joined:
         case Success(revision):
             pass
@@ -79,7 +81,7 @@
             await daemon.watch.reach(revision)
     except TimeoutError:
         return False
-    daemon.join_revision = revision
+    daemon.core.join_revision = revision
     log_change("joined", revision=revision)
     return True
 
@@ -88,7 +90,10 @@
     """Copy the view of another daemon of the zone."""
     for client in peer_clients(daemon):
         fetched = await fetch_view(
-            client, daemon.view, daemon.on_rows, daemon.settings.name
+            client,
+            daemon.core.view,
+            daemon.sync.on_rows,
+            daemon.core.settings.name,
         )
         if fetched == Success(True):
             log_change("view from peer", peer=client.address)
@@ -98,20 +103,20 @@
 
 def peer_clients(daemon: Daemon) -> list[EntryClient]:
     """Return clients of the daemons to ask, known ones before seeds."""
-    addresses = list(daemon.members.addresses().values())
-    for seed in daemon.settings.seeds:
+    addresses = list(daemon.core.members.addresses().values())
+    for seed in daemon.core.settings.seeds:
         if seed not in addresses:
             addresses.append(seed)
-    return [daemon.clients.get(address) for address in addresses]
+    return [daemon.core.clients.get(address) for address in addresses]
 
 
 def _entry(daemon: Daemon) -> EntryRow:
     """Return the daemon's row."""
-    own = daemon.members.own
+    own = daemon.core.members.own
     return EntryRow(
         own.name,
         own.zone,
         own.address,
         own.run,
-        daemon.view.host_list_revision,
+        daemon.core.view.host_list_revision,
     )
