Wait only for the entry daemons of a host's own zone

A daemon's view holds the hosts of its own zone, so daemons of other zones can't dispatch to a drained host; waiting for them let a cut-off zone hold up moves and reboots everywhere.

--- a/lycheelug/entry_acks.py
+++ b/lycheelug/entry_acks.py
@@ -6,6 +6,10 @@
 digest is as good as a fresh one, and no clock is needed.  A run that
 joined after the drain started from a view that held it.
 
+A daemon's view holds the hosts of its own availability zone only (see
+`fleet_view`), so it can't dispatch to those of another: a zone that is cut
+off holds up its own hosts and no others.
+
 A daemon that can't be heard is waited for until the platform's list says
 that its host is gone, or an operator declares the run dead.
 """
@@ -36,6 +40,8 @@
     names: list[str] = []
     for name in sorted(fleet.entries):
         entry = fleet.entries[name]
+        if entry.row.zone != host.row.zone:
+            continue
         if entry.revision > host.revision:
             continue
         if _has_ended(fleet, name, entry):
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -84,6 +84,11 @@
     if dead:
         fleet.dead_runs.add("run")
     assert waiting_for(fleet, fleet.hosts["w"]) == (["e3"] if waits else [])
+    # Daemons of another zone don't know the host at all.
+    elsewhere = EntryRow("e3", "b", address, "run", list_revision=seen)
+    fleet.apply_row(Row(entry_key("e3"), encode(elsewhere), joined + 20))
+    fleet.apply_row(Row(host_key("a", "w"), encode(host), joined + 30))
+    assert waiting_for(fleet, fleet.hosts["w"]) == []
 
 
 def text_of(index: int) -> str:
