--- a/lycheelug/capacity.py
+++ b/lycheelug/capacity.py
@@ -2,10 +2,10 @@
 
 A policy says what each pool wants (`capacity_policies`).  The plan fits
 this to the fleet and decides which hosts to move.  A move costs; it is
-planned only where the late work that it is expected to avoid, less what
-the giving pool will miss, is worth more over the planning horizon.  The
-expectation is taken over minutes of demand, so a surge of some seconds
-moves nothing by itself.
+planned only where the late work and idle time that it is expected to
+save, less what the giving pool will miss, is worth more over the planning
+horizon.  The expectation is taken over minutes of demand, so a surge of
+some seconds moves nothing by itself.
 
 The plan depends on its arguments alone: any daemon may compute it again.
 
@@ -16,19 +16,22 @@
 
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.capacity_policies import (
+from lycheelug.capacity_costs import (
     CALO_WEIGHTS,
-    CAPACITY,
     GUILD_WEIGHTS,
-    CapacityPolicy,
     CapacityWeights,
+    CostCurve,
+)
+from lycheelug.capacity_policies import (
+    CAPACITY,
+    CapacityPolicy,
     PoolState,
     Wanted,
 )
 from lycheelug.demand_history import DemandHistory
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
 __all__ = [
     "CALO_WEIGHTS",
@@ -45,7 +48,7 @@
     "plan_capacity",
 ]
 
-_DEFAULT_POLICY: Final = "pooled-quantile"
+_DEFAULT_POLICY: Final = "queue-replay"
 _HORIZON_S: Final = 600.0
 _MOVE_S: Final = 30.0
 
@@ -126,16 +129,25 @@
     """
     settings = settings or CapacitySettings()
     wanted = CAPACITY.get(settings.policy)(history, current, weights, now)
+    curves: dict[str, CostCurve] = {}
+    for pool in current:
+        samples = wanted.expected[pool.name]
+        curves[pool.name] = CostCurve(samples, history.step_s)
     targets = {pool.name: pool.hosts for pool in current}
     moves: list[Move] = []
+    # Pools whose next move would not pay.
+    settled: set[str] = set()
     while True:
-        move = _next_move(history, current, wanted, targets)
+        open_pools = [each for each in current if each.name not in settled]
+        move = _next_move(open_pools, wanted, curves, targets)
         if move is None:
             break
-        if settings.moves_must_pay and not _pays(
-            history, move, targets, weights, settings
-        ):
-            break
+        gain = _gain(open_pools, wanted, curves, move, targets, weights)
+        cost = weights.moves + weights.roll_out * settings.move_s
+        if settings.moves_must_pay and gain * settings.horizon_s <= cost:
+            spare_gains = _is_spare(current, move.target)
+            settled.add(move.source if spare_gains else move.target)
+            continue
         targets[move.source] -= 1
         targets[move.target] += 1
         moves.append(move)
@@ -143,35 +155,45 @@
 
 
 def _next_move(
-    history: DemandHistory,
     pools: Sequence[PoolState],
     wanted: Wanted,
+    curves: Mapping[str, CostCurve],
     targets: dict[str, int],
 ) -> Move | None:
     """Return the most urgent move towards what is wanted, if any."""
-    target = _neediest(history, pools, wanted, targets)
+    target = _neediest(pools, wanted, curves, targets)
     if target is None:
         return _return_to_spare(pools, wanted, targets)
     source = _richest(pools, wanted, targets, target)
     return None if source is None else Move(source, target)
 
 
+def _least(pool: PoolState, wanted: Wanted) -> int:
+    """Return the hosts below which a pool wants more."""
+    hosts = wanted.hosts[pool.name]
+    if pool.spare:
+        hosts += wanted.reserve
+    return max(hosts, pool.floor)
+
+
 def _neediest(
-    history: DemandHistory,
     pools: Sequence[PoolState],
     wanted: Wanted,
+    curves: Mapping[str, CostCurve],
     targets: dict[str, int],
 ) -> str | None:
     """Return the pool below its want where a host would help most."""
     best: str | None = None
-    best_late = -1.0
+    most_saved_s = -1.0
     for pool in pools:
-        if targets[pool.name] >= max(wanted.hosts[pool.name], pool.floor):
+        hosts = targets[pool.name]
+        if hosts >= _least(pool, wanted):
             continue
-        late = _short(history, pool.name, targets[pool.name])
-        if late > best_late:
+        curve = curves[pool.name]
+        saved_s = curve.late_s(hosts) - curve.late_s(hosts + 1)
+        if saved_s > most_saved_s:
             best = pool.name
-            best_late = late
+            most_saved_s = saved_s
     return best
 
 
@@ -185,9 +207,9 @@
     best: str | None = None
     best_rank = (False, 0)
     for pool in pools:
-        if pool.name == taker or targets[pool.name] <= pool.floor:
+        if pool.name == taker:
             continue
-        over = targets[pool.name] - wanted.hosts[pool.name]
+        over = targets[pool.name] - max(wanted.hosts[pool.name], pool.floor)
         if over <= 0:
             continue
         rank = (pool.spare, over)
@@ -204,35 +226,48 @@
     spare = next((pool.name for pool in pools if pool.spare), None)
     if spare is None:
         return None
-    source = _richest(
-        [pool for pool in pools if not pool.spare], wanted, targets, spare
-    )
+    owners = [pool for pool in pools if not pool.spare]
+    source = _richest(owners, wanted, targets, spare)
     return None if source is None else Move(source, spare)
 
 
-def _pays(
-    history: DemandHistory,
+def _gain(
+    pools: Sequence[PoolState],
+    wanted: Wanted,
+    curves: Mapping[str, CostCurve],
     move: Move,
-    targets: dict[str, int],
+    targets: Mapping[str, int],
     weights: CapacityWeights,
-    settings: CapacitySettings,
-) -> bool:
-    """Whether a move is worth more than it costs over the horizon."""
-    avoided = _short(history, move.target, targets[move.target])
-    caused = _short(history, move.source, targets[move.source] - 1)
-    useful_s = settings.horizon_s - settings.move_s
-    gain = (avoided * useful_s - caused * settings.horizon_s) * weights.late
-    # A host that is idle in both pools costs the same in both, but one in
-    # the spare pool is held for all.
-    freed = (1.0 - caused) - (1.0 - avoided)
-    gain += freed * useful_s * weights.buffer
-    return gain > weights.moves + weights.roll_out * settings.move_s
-
-
-def _short(history: DemandHistory, pool: str, hosts: int) -> float:
-    """Return the part of recent time in which demand exceeded `hosts`."""
-    recent = history.recent(pool, history.window_s)
-    if not recent:
-        return 0.0
-    above = sum(1 for demand in recent if demand > hosts)
-    return above / len(recent)
+) -> float:
+    """Return what a move saves in each second of the expected demand."""
+    gain = 0.0
+    for pool in pools:
+        change = 0
+        if pool.name == move.source:
+            change = -1
+        elif pool.name == move.target:
+            change = 1
+        if change == 0:
+            continue
+        curve = curves[pool.name]
+        if curve.span_s == 0.0:
+            continue
+        hosts = targets[pool.name]
+        before = curve.cost(hosts, _held(pool, wanted, hosts), weights)
+        hosts += change
+        after = curve.cost(hosts, _held(pool, wanted, hosts), weights)
+        gain += (before - after) / curve.span_s
+    return gain
+
+
+def _held(pool: PoolState, wanted: Wanted, hosts: int) -> int:
+    """Return how many of a pool's hosts count as buffer when idle.
+
+    Hosts of the spare pool beyond the reserve are free for long work.
+    """
+    return min(hosts, _least(pool, wanted)) if pool.spare else hosts
+
+
+def _is_spare(pools: Sequence[PoolState], name: str) -> bool:
+    """Whether the pool of that name is the spare pool."""
+    return any(pool.spare and pool.name == name for pool in pools)
--- /dev/null
+++ b/lycheelug/capacity_costs.py
@@ -0,0 +1,148 @@
+"""What idle hosts and late work cost, as users weigh them.
+
+With `late` the cost of a second's work done late and `buffer` that of a
+host idle for a second, the number of hosts with the least expected cost is
+the quantile late / (late + buffer) of demand, if no work can wait (the
+newsvendor rule).  Callers do wait a little: a cost curve replays demand
+through a queue, for each number of hosts.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = [
+    "CALO_WEIGHTS",
+    "GUILD_WEIGHTS",
+    "CapacityWeights",
+    "CostCurve",
+    "late_work",
+]
+
+# How long short work may wait for a slot.
+_PATIENCE_S: Final = 2.9
+
+
+class CapacityWeights:
+    """What a user weighs, in units of one host idle for one second."""
+
+    __slots__ = ("buffer", "late", "moves", "roll_out")
+
+    def __init__(
+        self,
+        buffer: float = 1.0,
+        late: float = 300.0,
+        moves: float = 60.0,
+        roll_out: float = 1.0,
+    ) -> None:
+        # A host held idle for a second.
+        self.buffer = buffer
+        # A second's work of one host done late.
+        self.late = late
+        # One host shifted between pools.
+        self.moves = moves
+        # A second that one move is under way.
+        self.roll_out = roll_out
+
+    @property
+    def fractile(self) -> float:
+        """The quantile of demand with the least expected cost.
+
+        >>> CapacityWeights(buffer=1.0, late=9.0).fractile
+        0.9
+        """
+        return self.late / (self.late + self.buffer)
+
+
+GUILD_WEIGHTS: Final = CapacityWeights(buffer=3.0, roll_out=1.0)
+CALO_WEIGHTS: Final = CapacityWeights(buffer=1.0, roll_out=3.0)
+
+
+def late_work(
+    samples: Sequence[float], hosts: float, step_s: float, patience_s: float
+) -> float:
+    """Return the work, in host-seconds, that `hosts` can't start in time.
+
+    Demand is a fluid that queues first come first served; what would wait
+    longer than the patience is late and leaves the queue.
+
+    >>> late_work([4.0, 0.0, 0.0], hosts=2, step_s=1.0, patience_s=1.0)
+    0.0
+    >>> late_work([6.0, 0.0, 0.0], hosts=2, step_s=1.0, patience_s=1.0)
+    2.0
+    """
+    backlog = 0.0
+    late = 0.0
+    # What has arrived may wait for the hosts' work of the patience.
+    room = hosts * (step_s + patience_s)
+    served = hosts * step_s
+    for demand in samples:
+        backlog += demand * step_s
+        if backlog > room:
+            late += backlog - room
+            backlog = room
+        backlog = max(0.0, backlog - served)
+    return late
+
+
+class CostCurve:
+    """The cost of each number of hosts over some demand.
+
+    >>> curve = CostCurve([0.0, 8.0, 0.0, 0.0], step_s=1.0)
+    >>> round(curve.late_s(2), 3), curve.late_s(3)
+    (0.2, 0.0)
+    >>> curve.cheapest(CapacityWeights(buffer=1.0, late=100.0))
+    3
+    """
+
+    __slots__ = ("_late_s", "_samples", "_step_s", "_work_s")
+
+    def __init__(self, samples: Sequence[float], step_s: float) -> None:
+        self._samples = samples
+        self._step_s = step_s
+        self._work_s = sum(samples) * step_s
+        self._late_s: dict[int, float] = {}
+
+    @property
+    def span_s(self) -> float:
+        """Time that the demand covers."""
+        return len(self._samples) * self._step_s
+
+    def late_s(self, hosts: int) -> float:
+        """Return the late work of a number of hosts."""
+        late = self._late_s.get(hosts)
+        if late is None:
+            late = late_work(self._samples, hosts, self._step_s, _PATIENCE_S)
+            self._late_s[hosts] = late
+        return late
+
+    def cost(self, hosts: int, held: int, weights: CapacityWeights) -> float:
+        """Return the cost of `hosts`, of which `held` count when idle."""
+        late_s = self.late_s(hosts)
+        idle_s = held * self.span_s - (self._work_s - late_s)
+        return weights.late * late_s + weights.buffer * max(0.0, idle_s)
+
+    def cheapest(self, weights: CapacityWeights) -> int:
+        """Return the number of hosts with the least cost.
+
+        Late work falls with more hosts, each host saving less than the one
+        before, and idle time rises: the cost has one valley.
+        """
+        if not self._samples:
+            return 0
+        best = 0
+        best_cost = math.inf
+        # Fewer hosts than the mean demand are late with most of it.
+        least = math.floor(self._work_s / self.span_s)
+        for hosts in range(least, math.ceil(max(self._samples)) + 1):
+            cost = self.cost(hosts, hosts, weights)
+            if cost > best_cost:
+                break
+            if cost < best_cost:
+                best = hosts
+                best_cost = cost
+        return best
--- a/lycheelug/capacity_policies.py
+++ b/lycheelug/capacity_policies.py
@@ -1,11 +1,8 @@
 """How many hosts each pool wants, by several policies.
 
-All policies weigh an idle host against late work.  With `late` the cost of
-a second's work done late and `buffer` that of a host idle for a second, the
-number of hosts with the least expected cost is the quantile
-late / (late + buffer) of demand (the newsvendor rule).  They differ in what
-they take for the distribution of demand, and in whether pools share what
-they hold for surges.
+All policies weigh an idle host against late work.  They differ in what
+they take for the distribution of demand, in whether they reckon with the
+patience of callers, and in whether pools share what they hold for surges.
 
 Limits: demand is in hosts' worth of work; the size of executors is the
 caller's matter.
@@ -17,6 +14,7 @@
 from statistics import NormalDist, fmean, pstdev
 from typing import TYPE_CHECKING, Final, Protocol
 
+from lycheelug.capacity_costs import CapacityWeights, CostCurve
 from lycheelug.demand_history import DemandHistory, quantile
 from lycheelug.registry import Registry
 
@@ -24,11 +22,8 @@
     from collections.abc import Mapping, Sequence
 
 __all__ = [
-    "CALO_WEIGHTS",
     "CAPACITY",
-    "GUILD_WEIGHTS",
     "CapacityPolicy",
-    "CapacityWeights",
     "PoolState",
     "Wanted",
 ]
@@ -39,46 +34,15 @@
 # pooled.
 _OWN_PART: Final = 0.85
 # A slot of the day with fewer samples says nothing.
-_MIN_SLOT_SAMPLES: Final = 300.0
+_MIN_SLOT_SAMPLES: Final = 100.0
+# What the reactive baseline looks back on.
+_REACTIVE_S: Final = 5.0
+# Bound on what a day profile may scale demand by.
+_MAX_GROWTH: Final = 3.0
 # Look ahead of the forecast: the time that a move takes to come about.
 _LEAD_S: Final = 60.0
 
 
-class CapacityWeights:
-    """What a user weighs, in units of one host idle for one second."""
-
-    __slots__ = ("buffer", "late", "moves", "roll_out")
-
-    def __init__(
-        self,
-        buffer: float = 1.0,
-        late: float = 30.0,
-        moves: float = 60.0,
-        roll_out: float = 1.0,
-    ) -> None:
-        # A host held idle for a second.
-        self.buffer = buffer
-        # A second's work of one host done late.
-        self.late = late
-        # One host shifted between pools.
-        self.moves = moves
-        # A second that one move is under way.
-        self.roll_out = roll_out
-
-    @property
-    def fractile(self) -> float:
-        """The quantile of demand with the least expected cost.
-
-        >>> CapacityWeights(buffer=1.0, late=9.0).fractile
-        0.9
-        """
-        return self.late / (self.late + self.buffer)
-
-
-GUILD_WEIGHTS: Final = CapacityWeights(buffer=3.0, roll_out=1.0)
-CALO_WEIGHTS: Final = CapacityWeights(buffer=1.0, roll_out=3.0)
-
-
 class PoolState:
     """One pool now: its hosts, the least it keeps, whether it is spare."""
 
@@ -96,13 +60,21 @@
 class Wanted:
     """Hosts that each pool wants, and idle hosts that all share.
 
-    `reserve` hosts are held in the spare pool beyond its own want.
+    `reserve` hosts are held in the spare pool beyond its own want;
+    `expected` is the demand of each pool that the policy reckons with, as
+    samples in order of time.
     """
 
-    __slots__ = ("hosts", "reserve")
+    __slots__ = ("expected", "hosts", "reserve")
 
-    def __init__(self, hosts: Mapping[str, int], reserve: int = 0) -> None:
+    def __init__(
+        self,
+        hosts: Mapping[str, int],
+        expected: Mapping[str, Sequence[float]],
+        reserve: int = 0,
+    ) -> None:
         self.hosts = dict(hosts)
+        self.expected = expected
         self.reserve = reserve
 
 
@@ -122,6 +94,16 @@
 CAPACITY: Final[Registry[CapacityPolicy]] = Registry("capacity policy")
 
 
+def _recent(
+    history: DemandHistory, pools: Sequence[PoolState]
+) -> dict[str, list[float]]:
+    """Return the recent samples of all pools."""
+    samples: dict[str, list[float]] = {}
+    for pool in pools:
+        samples[pool.name] = history.recent(pool.name, history.window_s)
+    return samples
+
+
 @CAPACITY.register("hold")
 def hold(
     history: DemandHistory,
@@ -130,8 +112,26 @@
     now: float,
 ) -> Wanted:
     """Baseline: leave every host where it is."""
-    del history, weights, now
-    return Wanted({pool.name: pool.hosts for pool in pools})
+    del weights, now
+    return Wanted(
+        {pool.name: pool.hosts for pool in pools}, _recent(history, pools)
+    )
+
+
+@CAPACITY.register("reactive")
+def reactive(
+    history: DemandHistory,
+    pools: Sequence[PoolState],
+    weights: CapacityWeights,
+    now: float,
+) -> Wanted:
+    """Baseline: follow the demand of the last seconds."""
+    del weights, now
+    hosts: dict[str, int] = {}
+    for pool in pools:
+        last = history.recent(pool.name, _REACTIVE_S)
+        hosts[pool.name] = math.ceil(max(last, default=0.0))
+    return Wanted(hosts, _recent(history, pools))
 
 
 @CAPACITY.register("static-peak")
@@ -143,11 +143,11 @@
 ) -> Wanted:
     """Baseline: each pool holds its highest recent demand."""
     del weights, now
+    expected = _recent(history, pools)
     hosts: dict[str, int] = {}
-    for pool in pools:
-        recent = history.recent(pool.name, history.window_s)
-        hosts[pool.name] = math.ceil(max(recent, default=0.0))
-    return Wanted(hosts)
+    for name, samples in expected.items():
+        hosts[name] = math.ceil(max(samples, default=0.0))
+    return Wanted(hosts, expected)
 
 
 @CAPACITY.register("mean-sigma")
@@ -160,16 +160,15 @@
     """Each pool holds the quantile as if demand were normal."""
     del now
     sigmas = NormalDist().inv_cdf(weights.fractile)
+    expected = _recent(history, pools)
     hosts: dict[str, int] = {}
-    for pool in pools:
-        recent = history.recent(pool.name, history.window_s)
-        if not recent:
-            hosts[pool.name] = 0
+    for name, samples in expected.items():
+        if not samples:
+            hosts[name] = 0
             continue
-        hosts[pool.name] = math.ceil(
-            max(0.0, fmean(recent) + sigmas * pstdev(recent))
-        )
-    return Wanted(hosts)
+        bound = fmean(samples) + sigmas * pstdev(samples)
+        hosts[name] = math.ceil(max(0.0, bound))
+    return Wanted(hosts, expected)
 
 
 @CAPACITY.register("quantile")
@@ -181,11 +180,12 @@
 ) -> Wanted:
     """Each pool holds the quantile of its own recent demand."""
     del now
+    expected = _recent(history, pools)
     hosts: dict[str, int] = {}
-    for pool in pools:
-        recent = sorted(history.recent(pool.name, history.window_s))
-        hosts[pool.name] = math.ceil(quantile(recent, weights.fractile))
-    return Wanted(hosts)
+    for name, samples in expected.items():
+        held = quantile(sorted(samples), weights.fractile)
+        hosts[name] = math.ceil(held)
+    return Wanted(hosts, expected)
 
 
 @CAPACITY.register("pooled-quantile")
@@ -202,22 +202,40 @@
     this by at the same time.
     """
     del now
+    expected = _recent(history, pools)
     hosts: dict[str, int] = {}
     excess: list[float] = []
-    for pool in pools:
-        samples = history.recent(pool.name, history.window_s)
+    for name, samples in expected.items():
         own = quantile(sorted(samples), weights.fractile * _OWN_PART)
-        sustained = quantile(
-            sorted(history.recent(pool.name, _SUSTAINED_S)), 0.5
-        )
-        held = math.ceil(max(own, sustained))
-        hosts[pool.name] = held
+        last = sorted(history.recent(name, _SUSTAINED_S))
+        held = math.ceil(max(own, quantile(last, 0.5)))
+        hosts[name] = held
         if len(samples) > len(excess):
             excess = [0.0] * (len(samples) - len(excess)) + excess
         for back, demand in enumerate(reversed(samples), start=1):
             excess[-back] += max(0.0, demand - held)
     reserve = math.ceil(quantile(sorted(excess), weights.fractile))
-    return Wanted(hosts, reserve)
+    return Wanted(hosts, expected, reserve)
+
+
+@CAPACITY.register("queue-replay")
+def queue_replay(
+    history: DemandHistory,
+    pools: Sequence[PoolState],
+    weights: CapacityWeights,
+    now: float,
+) -> Wanted:
+    """Each pool holds what had cost least over the recent demand.
+
+    The recent samples are replayed through a queue for each number of
+    hosts, so that what callers' patience absorbs needs no hosts.
+    """
+    del now
+    expected = _recent(history, pools)
+    hosts: dict[str, int] = {}
+    for name, samples in expected.items():
+        hosts[name] = CostCurve(samples, history.step_s).cheapest(weights)
+    return Wanted(hosts, expected)
 
 
 @CAPACITY.register("time-of-day")
@@ -227,17 +245,29 @@
     weights: CapacityWeights,
     now: float,
 ) -> Wanted:
-    """Each pool holds the quantile usual at the time a move takes effect.
+    """As `queue-replay`, on demand scaled to the time of day ahead.
 
-    Falls back to the recent quantile where that hour is not known yet.
+    The scale is the day profile's mean at the time when a move takes
+    effect, over its mean during the recent samples.
     """
-    recent = own_quantile(history, pools, weights, now)
+    expected: dict[str, list[float]] = {}
     hosts: dict[str, int] = {}
     for pool in pools:
-        at = now + _LEAD_S
-        if history.slot_samples(pool.name, at) < _MIN_SLOT_SAMPLES:
-            hosts[pool.name] = recent.hosts[pool.name]
-            continue
-        usual = history.slot_quantile(pool.name, at, weights.fractile)
-        hosts[pool.name] = math.ceil(usual)
-    return Wanted(hosts)
+        name = pool.name
+        samples = history.recent(name, history.window_s)
+        growth = _growth(history, name, now)
+        expected[name] = [demand * growth for demand in samples]
+        curve = CostCurve(expected[name], history.step_s)
+        hosts[name] = curve.cheapest(weights)
+    return Wanted(hosts, expected)
+
+
+def _growth(history: DemandHistory, pool: str, now: float) -> float:
+    """Return how demand usually changes from the recent past to soon."""
+    if history.slot_samples(pool, now + _LEAD_S) < _MIN_SLOT_SAMPLES:
+        return 1.0
+    past = history.usual_mean(pool, now - history.window_s, now)
+    ahead = history.usual_mean(pool, now, now + 2 * _LEAD_S)
+    if past <= 0.0:
+        return 1.0
+    return min(_MAX_GROWTH, max(1.0 / _MAX_GROWTH, ahead / past))
--- a/lycheelug/demand_history.py
+++ b/lycheelug/demand_history.py
@@ -1,11 +1,11 @@
 """What demand each pool has seen, in hosts' worth of work.
 
 Two views are kept for each pool, both of bounded size: the samples of the
-last minutes, and a histogram of demand for each slot of the day, in which
-older days fade.  The first is for what happens now, the second for what
-usually happens at this hour.
+last minutes, and the mean demand of each slot of the day, in which older
+days fade.  The first is for what happens now, the second for what usually
+happens at this hour.
 
-Limits: demand above the histogram's last bin counts as that bin.
+Limits: no days of the week.
 """
 
 from __future__ import annotations
@@ -21,10 +21,9 @@
 
 _DAY_S: Final = 86400.0
 _SLOTS_A_DAY: Final = 48
-_BINS: Final = 48
-_RECENT_SAMPLES: Final = 600
-# A slot's histogram is halved when it holds this many samples, so that the
-# last days weigh most.
+_RECENT_SAMPLES: Final = 1800
+# A slot is halved when it holds this many samples, so that the last days
+# weigh most.
 _FADE_SAMPLES: Final = 8000.0
 
 
@@ -45,14 +44,15 @@
 class _PoolDemand:
     """The samples and day profile of one pool."""
 
-    __slots__ = ("_next", "_recent", "_size", "_totals", "profile")
+    __slots__ = ("_next", "_recent", "_size", "sums", "totals")
 
     def __init__(self, size: int) -> None:
         self._size = size
         self._recent: array[float] = array("f")
         self._next = 0
-        self.profile: array[float] = array("f", [0.0]) * (_SLOTS_A_DAY * _BINS)
-        self._totals: array[float] = array("f", [0.0]) * _SLOTS_A_DAY
+        # Samples, and the sum of their demand, by slot of the day.
+        self.totals: array[float] = array("f", [0.0]) * _SLOTS_A_DAY
+        self.sums: array[float] = array("f", [0.0]) * _SLOTS_A_DAY
 
     def record(self, demand: float, slot: int) -> None:
         """Add a sample to both views."""
@@ -61,10 +61,9 @@
         else:
             self._recent[self._next] = demand
             self._next = (self._next + 1) % self._size
-        bin_index = min(_BINS - 1, max(0, math.ceil(demand)))
-        self.profile[slot * _BINS + bin_index] += 1.0
-        self._totals[slot] += 1.0
-        if self._totals[slot] >= _FADE_SAMPLES:
+        self.totals[slot] += 1.0
+        self.sums[slot] += demand
+        if self.totals[slot] >= _FADE_SAMPLES:
             self._fade(slot)
 
     def recent(self, count: int) -> list[float]:
@@ -72,15 +71,10 @@
         ordered = self._recent[self._next :] + self._recent[: self._next]
         return list(ordered[-count:]) if count > 0 else []
 
-    def bins(self, slot: int) -> Sequence[float]:
-        """Return a slot's histogram."""
-        return self.profile[slot * _BINS : (slot + 1) * _BINS]
-
     def _fade(self, slot: int) -> None:
-        """Halve a slot's histogram."""
-        for index in range(slot * _BINS, (slot + 1) * _BINS):
-            self.profile[index] /= 2.0
-        self._totals[slot] /= 2.0
+        """Halve what a slot holds."""
+        self.totals[slot] /= 2.0
+        self.sums[slot] /= 2.0
 
 
 class DemandHistory:
@@ -91,8 +85,8 @@
     ...     history.record("quotes", now=float(second), demand=2.5)
     >>> history.recent("quotes", 3.0)
     [2.5, 2.5, 2.5]
-    >>> history.slot_quantile("quotes", at=0.0, part=0.9)
-    3.0
+    >>> history.usual_mean("quotes", start=0.0, end=60.0)
+    2.5
     """
 
     __slots__ = ("_day_s", "_pools", "_recent_samples", "_step_s")
@@ -133,26 +127,28 @@
             return []
         return state.recent(round(window_s / self._step_s))
 
-    def slot_quantile(self, pool: str, at: float, part: float) -> float:
-        """Return a quantile of the demand usual at that time of day."""
+    def slot_samples(self, pool: str, at: float) -> float:
+        """Return how many samples the slot's mean rests on."""
         state = self._pools.get(pool)
         if state is None:
             return 0.0
-        bins = state.bins(self._slot(at))
-        needed = part * sum(bins)
-        reached = 0.0
-        for index, count in enumerate(bins):
-            reached += count
-            if count > 0.0 and reached >= needed:
-                return float(index)
-        return 0.0
+        return state.totals[self._slot(at)]
 
-    def slot_samples(self, pool: str, at: float) -> float:
-        """Return how many samples the slot's quantiles rest on."""
+    def usual_mean(self, pool: str, start: float, end: float) -> float:
+        """Return the mean demand usual between two times of the day."""
         state = self._pools.get(pool)
-        if state is None:
+        if state is None or end <= start:
             return 0.0
-        return sum(state.bins(self._slot(at)))
+        slot_s = self._day_s / _SLOTS_A_DAY
+        steps = max(1, math.ceil((end - start) / slot_s))
+        count = 0.0
+        total = 0.0
+        for step in range(steps):
+            at = start + (step + 0.5) * (end - start) / steps
+            slot = self._slot(at)
+            count += state.totals[slot]
+            total += state.sums[slot]
+        return total / count if count > 0.0 else 0.0
 
     def _slot(self, at: float) -> int:
         """Return the slot of the day of a time."""
