--- a/lycheelug/admission_queue.py
+++ b/lycheelug/admission_queue.py
@@ -33,6 +33,13 @@
 URGENT_START_S: Final = 2.9
 MAX_QUEUED: Final = 4096
 LONG_SHARE: Final = 0.125
+LONG_CAP: Final = 0.5
+LONG_PATIENCE_S: Final = 30.0
+RUN_QUANTILE: Final = 0.75
+OVERLOAD_QUANTILE: Final = 0.95
+OVERLOAD_S: Final = 1.0
+SHED_MARGIN_S: Final = 0.0
+URGENT_GUARD_S: Final = 0.75
 QUOTA_WINDOW_S: Final = 10.0
 
 
@@ -85,10 +92,18 @@
     """What an operator may set of an admission queue."""
 
     __slots__ = (
+        "fair",
+        "long_cap",
+        "long_patience_s",
         "long_share",
         "max_queued",
+        "overload_quantile",
+        "overload_s",
         "quota_window_s",
         "quotas",
+        "run_quantile",
+        "shed_margin_s",
+        "urgent_guard_s",
         "urgent_start_s",
     )
 
@@ -97,6 +112,14 @@
         max_queued: int = MAX_QUEUED,
         urgent_start_s: float = URGENT_START_S,
         long_share: float = LONG_SHARE,
+        long_cap: float = LONG_CAP,
+        long_patience_s: float = LONG_PATIENCE_S,
+        run_quantile: float = RUN_QUANTILE,
+        overload_quantile: float = OVERLOAD_QUANTILE,
+        overload_s: float = OVERLOAD_S,
+        shed_margin_s: float = SHED_MARGIN_S,
+        urgent_guard_s: float = URGENT_GUARD_S,
+        fair: bool = True,
         quotas: Mapping[str, float] | None = None,
         quota_window_s: float = QUOTA_WINDOW_S,
     ) -> None:
@@ -106,6 +129,25 @@
         self.urgent_start_s = urgent_start_s
         # Share of the slots that long work gets while short work waits.
         self.long_share = long_share
+        # Share of the slots that long work may hold at most.
+        self.long_cap = long_cap
+        # Where long work's share is less than one slot, it gets one after
+        # it has waited this long.
+        self.long_patience_s = long_patience_s
+        # A request is taken to need this quantile of measured run times.
+        self.run_quantile = run_quantile
+        # The quantile that is taken instead while work is refused for want
+        # of slots, and how long that goes on after the last refusal.
+        self.overload_quantile = overload_quantile
+        self.overload_s = overload_s
+        # Waiting work is refused where its expected start is later than
+        # it may be by more than this.
+        self.shed_margin_s = shed_margin_s
+        # Short work goes before urgent work only while all urgent work
+        # has this much time to spare; math.inf keeps it behind.
+        self.urgent_guard_s = urgent_guard_s
+        # Whether tenants over their fair share are refused first.
+        self.fair = fair
         # Share of the pool's slots that each tenant may use on average
         # while others wait; tenants that are not named have no quota.
         self.quotas = dict(quotas or {})
@@ -158,9 +200,17 @@
 
     @abstractmethod
     def on_finished(
-        self, ticket: Ticket, service_s: float, now: float
+        self, ticket: Ticket, service_s: float, now: float, ok: bool = True
     ) -> None:
-        """Note that a started request ended after `service_s` seconds."""
+        """Note that a started request ended after `service_s` seconds.
+
+        A run that failed, was cut short (`ok` false) or never began
+        (`service_s` 0) is not measured.
+        """
+
+    @abstractmethod
+    def reconfigure(self, settings: QueueSettings) -> None:
+        """Go on with other settings; what waits and was measured stays."""
 
     @abstractmethod
     def __len__(self) -> int:
--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -167,10 +167,19 @@
 KEY_RUN_ENDED: Final = _code(
     "key-run-ended", 409, "The daemon run that issued this key has ended."
 )
+KEY_FORGOTTEN: Final = _code(
+    "key-forgotten",
+    409,
+    "The daemon no longer knows this issued key, nor whether it was used.",
+)
+ANSWER_NOT_KEPT: Final = _code(
+    "answer-not-kept", 410, "The request ran; its answer is not kept."
+)
 CLAIM_LOST: Final = _code(
     "claim-lost", 503, "The claim could not be confirmed in time."
 )
 UNKNOWN_JOB: Final = _code("unknown-job", 404, "No job has this handle.")
+JOB_NOT_DONE: Final = _code("job-not-done", 409, "The job has no answer.")
 JOB_SET_ASIDE: Final = _code(
     "job-set-aside", 500, "The job failed on several independent workers."
 )
@@ -221,6 +230,10 @@
     "plan-blocked", 503, "The plan waits for hosts or daemons."
 )
 
+TRACE_INVALID: Final = _code(
+    "trace-invalid", 422, "The trace has a line that can't be used."
+)
+
 # --- Configuration and membership.
 CONFIG_INVALID: Final = _code(
     "config-invalid", 422, "The configuration has faults."
@@ -239,6 +252,11 @@
 ENTRY_INVALID: Final = _code(
     "entry-invalid", 502, "The entry daemon's message was not understood."
 )
+ENTRY_NAME_TAKEN: Final = _code(
+    "entry-name-taken",
+    409,
+    "Another run of the daemon holds its name in the platform's table.",
+)
 
 
 class Fault:
