--- a/lycheelug/config_exchange.py
+++ b/lycheelug/config_exchange.py
@@ -117,7 +117,7 @@
             if digest is None:
                 continue
             if digest.config_revision > self._state.accepted.revision:
-                self._start(name, self._query(name))
+                self._start(name, self._learn(name))
 
     async def catch_up(self) -> list[str]:
         """Ask all members; return those that did not answer.
@@ -197,19 +197,32 @@
         push = ConfigPush(ConfigPhase.QUERY)
         return await self._call(name, push) is not None
 
+    async def _learn(self, name: str) -> None:
+        """Ask one member, and hand on what it has in force.
+
+        Word by digest comes first where the submitter could not tell all.
+        """
+        answer = await self._send(name, ConfigPush(ConfigPhase.QUERY))
+        if answer is None or answer.accepted is None:
+            return
+        if answer.accepted.revision > self._state.accepted.revision:
+            await self.hand_on(_pushed(answer.accepted))
+
     async def _call(self, name: str, push: ConfigPush) -> ConfigAnswer | None:
+        answer = await self._send(name, push)
+        if answer is not None and answer.accepted is not None:
+            self._apply(_pushed(answer.accepted))
+        return answer
+
+    async def _send(self, name: str, push: ConfigPush) -> ConfigAnswer | None:
         address = self._members.addresses().get(name, "")
         if not address:
             return None
         answer: ConfigAnswer
         match await self._clients.get(address).push_config(push):
             case Success(ConfigAnswer() as answer):
-                pass
-            case _:
-                return None
-        if answer.accepted is not None:
-            self._apply(_pushed(answer.accepted))
-        return answer
+                return answer
+        return None
 
     def _accept_push(self, push: ConfigPush) -> None:
         if push.body:
--- a/lycheelug/entries/gossip.py
+++ b/lycheelug/entries/gossip.py
@@ -1,7 +1,8 @@
 """The loop that exchanges digests with the other entry daemons.
 
-Once a second with one partner of the own zone, and every few seconds with
-one of another zone.  The digest is published anew before each exchange.
+Once a second with one partner of the own zone, unless one of them has just
+asked, and every few seconds with one of another zone.  The digest is
+published anew before each exchange.
 Clock, random source and sleep are injected, so tests run without waiting.
 """
 
@@ -55,6 +56,7 @@
     """
 
     __slots__ = (
+        "_asked_at",
         "_clients",
         "_clock",
         "_counters",
@@ -86,6 +88,7 @@
         self._on_change = on_change
         self._exchange = DigestExchange(members)
         self._counters = GossipCounters()
+        self._asked_at = float("-inf")
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -124,7 +127,10 @@
         self._publish()
         self._counters.answered += 1
         self._counters.digests += len(received)
-        news = self._exchange.answer(received, self._clock())
+        now = self._clock()
+        if received and received[0].zone == self._members.own.zone:
+            self._asked_at = now
+        news = self._exchange.answer(received, now)
         self._notify([digest.name for digest in received])
         return news
 
@@ -133,8 +139,13 @@
         now = self._clock()
         self._counters.rounds += 1
         self._members.forget_ended(now)
-        partners = self._members.choose_partners(self._rng, now, in_zone=True)
-        if number % _OUTSIDE_ROUNDS == 0 or not partners:
+        partners: list[str] = []
+        is_fresh = now - self._asked_at < GOSSIP_PERIOD_S / 2
+        if not is_fresh:
+            partners = self._members.choose_partners(
+                self._rng, now, in_zone=True
+            )
+        if number % _OUTSIDE_ROUNDS == 0 or not (partners or is_fresh):
             partners += self._members.choose_partners(
                 self._rng, now, in_zone=False
             )
--- a/tests/test_config_exchange.py
+++ b/tests/test_config_exchange.py
@@ -10,7 +10,11 @@
 from lycheelug.config_exchange import ConfigExchange
 from lycheelug.config_outcome import Accepted, Outcome, Refused
 from lycheelug.config_submitter import ConfigSubmitter
-from lycheelug.configuration import ConfigState, read_config_row
+from lycheelug.configuration import (
+    ConfigState,
+    Configuration,
+    read_config_row,
+)
 from lycheelug.entries.client import EntryClient, EntryClients
 from lycheelug.entries.messages import ConfigAnswer, ConfigPush, Digest
 from lycheelug.errors import (
@@ -312,3 +316,17 @@
         assert fleet.in_force() == [1, 1, 0]
 
     asyncio.run(run())
+
+
+def test_word_by_digest_is_handed_on() -> None:
+    async def run() -> None:
+        fleet = Fleet()
+        first, _, third = fleet.network.exchanges.values()
+        first.state.accept(Configuration(1, "n1", "e1", b"{}"))
+        ahead = Digest("e1", "z", "r", 2, "e1", "", 0, 1, [], [], [])
+        third.members.merge([ahead], 0)
+        third.on_digests(["e1"])
+        await settle(third)
+        assert fleet.in_force() == [1, 1, 1]
+
+    asyncio.run(run())
