--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -9,18 +9,9 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, Any, TypeVar
-
-from returns.result import Failure, Result, Success
+from typing import TYPE_CHECKING, Any
 
 from lycheelug.entries.messages import Digest
-from lycheelug.errors import (
-    PLATFORM_UNKNOWN,
-    PLATFORM_UNREACHABLE,
-    Fault,
-    Peer,
-    Step,
-)
 from lycheelug.fleet import FLEET_PREFIXES, FleetSnapshot
 from lycheelug.plan import next_steps
 from lycheelug.plan_driver import PlanDriver
@@ -33,8 +24,6 @@
     HostEntry,
     HostRole,
     HostState,
-    Platform,
-    Row,
     Transaction,
     Write,
 )
@@ -52,14 +41,18 @@
     encode,
     entry_key,
 )
+from tests.faulty_platform import FaultyPlatform, run
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable
 
+    from returns.result import Result
+
+    from lycheelug.errors import (
+        Fault,
+    )
     from lycheelug.plan import Plan
 
-T = TypeVar("T")
-Planner = "Callable[[FleetSnapshot, float, frozenset[str] | None], Plan]"
 
 ZONES = ("a", "b")
 RACKS_PER_ZONE = 3
@@ -82,106 +75,6 @@
 POSSIBLE_SHEETS = len(SHEETS) - 1
 
 
-def run(work: Coroutine[Any, Any, T]) -> T:
-    """Run a coroutine that never really waits."""
-    try:
-        work.send(None)
-    except StopIteration as end:
-        result: T = end.value
-        return result
-    raise AssertionError("the coroutine waits")
-
-
-class FaultyPlatform(Platform):
-    """Loses, repeats and delays requests of one driver, by a script.
-
-    Script entries: 0 works; 1 takes effect, loses its answer; 2 takes no
-    effect, loses its answer; 3 comes late; 4 comes twice; 5 unreachable.
-    """
-
-    def __init__(self, world: World, seen: FleetSnapshot) -> None:
-        self._world = world
-        self._seen = seen
-        self.script: list[int] = []
-
-    def _next(self) -> int:
-        return self.script.pop(0) if self.script else 0
-
-    async def read(self, key: str) -> Result[Row | None, Fault]:
-        return await self._world.platform.read(key)
-
-    async def transact(
-        self, transaction: Transaction
-    ) -> Result[Commit | Conflict, Fault]:
-        fault = self._next()
-        listed = dict(self._seen.listed)
-
-        def apply(nonce: str = "") -> Commit | Conflict:
-            sent = Transaction(
-                transaction.guards,
-                transaction.writes,
-                transaction.nonce + nonce,
-            )
-            return self._world.apply(sent, listed)
-
-        if fault == 5:
-            return Failure(lost(PLATFORM_UNREACHABLE))
-        if fault == 3:
-            self._world.late.append(lambda: apply("-late"))
-        if fault in (2, 3):
-            return Failure(lost(PLATFORM_UNKNOWN))
-        answer = apply()
-        if fault == 4:
-            apply("-again")
-        return (
-            Failure(lost(PLATFORM_UNKNOWN)) if fault == 1 else Success(answer)
-        )
-
-    async def _call(
-        self, work: Callable[[], Coroutine[Any, Any, Result[None, Fault]]]
-    ) -> Result[None, Fault]:
-        fault = self._next()
-        if fault == 3:
-            self._world.late.append(lambda: run(work()))
-        if fault in (2, 3, 5):
-            return Failure(lost(PLATFORM_UNKNOWN))
-        answer = await work()
-        if fault == 4:
-            await work()
-        return Failure(lost(PLATFORM_UNKNOWN)) if fault == 1 else answer
-
-    async def drain(self, host: str) -> Result[None, Fault]:
-        return await self._call(lambda: self._world.platform.drain(host))
-
-    async def resume(self, host: str) -> Result[None, Fault]:
-        return await self._call(lambda: self._world.platform.resume(host))
-
-    async def reboot(self, host: str, nonce: str) -> Result[None, Fault]:
-        def work() -> Coroutine[Any, Any, Result[None, Fault]]:
-            return self._world.reboot(host, nonce)
-
-        return await self._call(work)
-
-    async def read_since(self, prefix: str, revision: int) -> Any:
-        raise NotImplementedError
-
-    async def put_object(self, name: str, data: bytes) -> Any:
-        raise NotImplementedError
-
-    async def get_object(self, name: str) -> Any:
-        raise NotImplementedError
-
-    async def delete_object(self, name: str) -> Any:
-        raise NotImplementedError
-
-    async def hosts_since(self, revision: int) -> Any:
-        raise NotImplementedError
-
-
-def lost(code: Any) -> Fault:
-    return Fault(code, Step.WRITE, Peer.PLATFORM)
-
-
 class Entry:
     """An entry daemon: its view of host rows, and requests in flight."""
 
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -29,7 +29,8 @@
 from lycheelug.sheet import parse_sheet
 from lycheelug.steps import ChangeKind
 from lycheelug.waves import REBOOT_TIMEOUT_S
-from tests.fleet_world import HEADER, SHEETS, World, run
+from tests.faulty_platform import run
+from tests.fleet_world import HEADER, SHEETS, World
 
 DRAINED_AT = 10
 
--- a/tests/test_plan_driver.py
+++ b/tests/test_plan_driver.py
@@ -25,8 +25,6 @@
 
     from lycheelug.fleet import FleetSnapshot
 
-Planner = "Callable[[FleetSnapshot, float, frozenset[str] | None], Plan]"
-
 EVENTS = st.lists(
     st.tuples(
         st.integers(0, World.EVENTS - 1),
