--- a/lycheelug/callers/service.py
+++ b/lycheelug/callers/service.py
@@ -36,6 +36,7 @@
     from lycheelug.callers.request_headers import CallerRequest
     from lycheelug.metrics import Metrics
     from lycheelug.pools import PoolTable
+    from lycheelug.recording import Recording
     from lycheelug.runner import RequestRunner, Run, StartGuard
     from lycheelug.scheduler import PoolScheduler
     from lycheelug.settings import Settings
@@ -61,6 +62,7 @@
         "_long",
         "_metrics",
         "_pools",
+        "_recording",
         "_run_id",
         "_runner",
         "_settings",
@@ -75,6 +77,7 @@
         runner: RequestRunner,
         keyed: KeyedRequests,
         long_work: LongWork,
+        recording: Recording,
         metrics: Metrics,
         is_ready: Callable[[], bool],
         clock: Callable[[], float],
@@ -85,6 +88,7 @@
         self._runner = runner
         self._keyed = keyed
         self._long = long_work
+        self._recording = recording
         self._metrics = metrics
         self._is_ready = is_ready
         self._clock = clock
@@ -123,9 +127,15 @@
         request_id = f"{self._run_id}-{next(self._ids)}"
 
         async def work(may_start: StartGuard | None = None) -> Answer:
-            run = await self._runner.run(
-                scheduler, wanted, request_id, arrived_at, may_start
-            )
+            number = self._recording.on_arrival(wanted, arrived_at)
+            try:
+                run = await self._runner.run(
+                    scheduler, wanted, request_id, arrived_at, may_start
+                )
+            except asyncio.CancelledError:
+                self._recording.on_cancel(number)
+                raise
+            self._recording.on_end(number, run)
             return self._answer_run(run)
 
         async def submit(may_start: StartGuard | None = None) -> Answer:
--- a/lycheelug/cli/app.py
+++ b/lycheelug/cli/app.py
@@ -10,6 +10,7 @@
     fleet_commands,
     metric_commands,
     sheet_commands,
+    trace_commands,
 )
 
 __all__ = ["app", "main"]
@@ -28,6 +29,7 @@
 metric_commands.register(app)
 config_commands.register(app)
 sheet_commands.register(app)
+trace_commands.register(app)
 
 
 def main() -> None:
--- a/lycheelug/member.py
+++ b/lycheelug/member.py
@@ -100,6 +100,9 @@
         if len(self._addresses) > _MAX_GONE_HOSTS:
             del self._addresses[next(iter(self._addresses))]
 
+    def __contains__(self, name: object) -> bool:
+        return name in self._addresses
+
     def items(self) -> list[tuple[str, str]]:
         """Return names and addresses."""
         return list(self._addresses.items())
--- a/lycheelug/membership.py
+++ b/lycheelug/membership.py
@@ -199,6 +199,10 @@
             member.zone = row.zone
             member.address = row.address
 
+    def is_host_gone(self, name: str) -> bool:
+        """Whether the platform's list calls an entry host gone."""
+        return name in self._gone_hosts
+
     def apply_host(self, host: HostEntry) -> None:
         """Take in an entry host's line of the platform's lagging list."""
         self._gone_hosts.apply(host)
--- a/lycheelug/operators/server.py
+++ b/lycheelug/operators/server.py
@@ -16,6 +16,7 @@
     fleet_routes,
     metric_routes,
     sheet_routes,
+    trace_routes,
 )
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/lycheelug/operators/trace_routes.py
@@ -0,0 +1,55 @@
+"""Operators' resources that record a trace from the running daemon."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lycheelug.errors import UNKNOWN_ROUTE, Fault, Peer, Step
+from lycheelug.http import Answer, json_answer
+from lycheelug.operators.faults import fault_answer
+from lycheelug.operators.routes import Call, route
+
+if TYPE_CHECKING:
+    from lycheelug.daemon import Daemon
+    from lycheelug.traces import TracePool
+
+
+@route("POST", "/v1/trace/start")
+async def post_start(daemon: Daemon, call: Call) -> Answer:
+    """Start recording; an earlier recording is dropped."""
+    del call
+    core = daemon.core
+    daemon.requests.recording.start(core.settings.name, _pools(daemon))
+    return json_answer(200, {"recording": True})
+
+
+@route("POST", "/v1/trace/stop")
+async def post_stop(daemon: Daemon, call: Call) -> Answer:
+    """Stop recording and return the trace."""
+    del call
+    trace = daemon.requests.recording.stop()
+    if trace is None:
+        detail = "nothing is being recorded"
+        return fault_answer(
+            Fault(UNKNOWN_ROUTE, Step.READ, Peer.OPERATOR, detail)
+        )
+    from lycheelug.traces import render_trace  # noqa: PLC0415
+
+    body = b"".join(render_trace(trace))
+    return Answer(200, [(b"content-type", b"application/jsonl")], body)
+
+
+def _pools(daemon: Daemon) -> list[TracePool]:
+    """Return the pools as a trace names them."""
+    from lycheelug.traces import TraceExecutor, TracePool  # noqa: PLC0415
+
+    pools: list[TracePool] = []
+    for name, row in sorted(daemon.core.view.pools.items()):
+        executors: list[TraceExecutor] = []
+        for host in daemon.core.view.executors(name):
+            executors.append(TraceExecutor(host.name, host.zone, host.rack))
+        if executors:
+            pools.append(
+                TracePool(name, executors, row.slots, row.connections)
+            )
+    return pools
--- a/lycheelug/request_path.py
+++ b/lycheelug/request_path.py
@@ -14,6 +14,7 @@
 from lycheelug.job_runner import JobRunner
 from lycheelug.jobs import JobBook
 from lycheelug.logs import log_change
+from lycheelug.recording import Recording
 from lycheelug.retries import RetryBudget
 from lycheelug.runner import RequestRunner
 from lycheelug.upstreams.exchange import Upstreams
@@ -37,6 +38,7 @@
         "job_runner",
         "jobs",
         "keyed",
+        "recording",
         "upstreams",
     )
 
@@ -45,6 +47,7 @@
         self._gate = gate
         self._sweep_task: asyncio.Task[None] | None = None
         settings = core.settings
+        self.recording = Recording()
         self.upstreams = Upstreams(
             settings.upstreams, settings.limits.max_answer_bytes
         )
@@ -74,6 +77,7 @@
             runner,
             self.keyed,
             long_work,
+            self.recording,
             core.metrics,
             lambda: core.is_serving,
             time.monotonic,
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -51,7 +51,14 @@
 class Run:
     """The end of a request: an answer, or a fault with its outcome."""
 
-    __slots__ = ("answer", "fault", "outcome", "worker", "worker_rack")
+    __slots__ = (
+        "answer",
+        "fault",
+        "outcome",
+        "service_s",
+        "worker",
+        "worker_rack",
+    )
 
     def __init__(
         self,
@@ -60,7 +67,10 @@
         fault: Fault | None = None,
         worker: str = "",
         worker_rack: str = "",
+        service_s: float = 0.0,
     ) -> None:
+        # Run time of the last try, in seconds.
+        self.service_s = service_s
         self.outcome = outcome
         self.answer = answer
         self.fault = fault
@@ -195,6 +205,7 @@
                     None,
                     executor.name,
                     executor.rack,
+                    service_s,
                 )
             fault = result.failure()
             self._note_fault(scheduler, executor, fault, request_id, service_s)
--- a/lycheelug/startup.py
+++ b/lycheelug/startup.py
@@ -68,6 +68,9 @@
     """
     if not await daemon.watch.poll():
         return False
+    if daemon.core.members.is_host_gone(daemon.core.settings.name):
+        # The list still shows the host's former life.
+        return False
     joined = await join(daemon.core.platform, _entry(daemon), daemon.core.rng)
     match joined:
         case Success(revision):
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,101 @@
+"""The command-line tool: files, wrong usage, no daemon, traces."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+
+from standins.processes import Fleet
+from standins.world import World
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+async def run_tool(directory: Path, *words: str) -> tuple[int, str]:
+    return await Fleet(directory).run_tool(*words)
+
+
+@pytest.mark.parametrize(
+    ("words", "code", "text"),
+    [
+        pytest.param(
+            ["status", "--address", "127.0.0.1:1"],
+            3,
+            "daemon at 127.0.0.1:1: connect-failed",
+            id="no-daemon",
+        ),
+        pytest.param(
+            ["status", "--address", "here"], 2, "allowed:", id="address"
+        ),
+        pytest.param(
+            ["sheet", "check", "/nowhere.csv"],
+            2,
+            "/nowhere.csv: No such file",
+            id="no-file",
+        ),
+        pytest.param(["hosts", "--output", "xml"], 2, "xml", id="output"),
+        pytest.param(["nonsense"], 2, "nonsense", id="command"),
+        pytest.param(["--help"], 0, "Exit codes", id="help"),
+    ],
+)
+def test_one_clear_line_and_an_exit_code(
+    tmp_path: Path, words: list[str], code: int, text: str
+) -> None:
+    found, output = asyncio.run(run_tool(tmp_path, *words))
+    assert found == code
+    assert text in output
+    assert "Traceback" not in output
+
+
+def test_made_trace_is_replayed_with_two_policies(tmp_path: Path) -> None:
+    file = tmp_path / "guild.jsonl"
+    words = ["trace", "make", str(file), "--seconds", "5"]
+    code, _ = asyncio.run(run_tool(tmp_path, *words))
+    assert code == 0
+    words = ["replay", str(file), "--policy", "deadline", "fifo"]
+    code, text = asyncio.run(run_tool(tmp_path, *words, "--output", "json"))
+    assert code == 0, text
+    reports = json.loads(text)
+    assert [each["policy"] for each in reports] == ["deadline", "fifo"]
+    assert all(each["lost"] == 0 for each in reports)
+
+
+def test_bad_trace_names_file_line_and_field(tmp_path: Path) -> None:
+    file = tmp_path / "bad.jsonl"
+    file.write_text('{"type": "header"}\n')
+    code, text = asyncio.run(run_tool(tmp_path, "replay", str(file)))
+    assert code == 2
+    assert f"{file}:1: format" in text
+
+
+def test_recorded_trace_holds_what_callers_asked(tmp_path: Path) -> None:
+    async def run() -> None:
+        file = tmp_path / "recorded.jsonl"
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 1})
+            daemon = await world.start_entry("e1")
+            recording = asyncio.create_task(
+                world.run_tool(
+                    "trace",
+                    "record",
+                    str(file),
+                    "--seconds",
+                    "3",
+                    "--address",
+                    daemon.operators,
+                )
+            )
+            while not recording.done():
+                await world.ask(daemon, "bowl")
+            code, text = await recording
+            assert code == 0, text
+        lines = [json.loads(line) for line in file.open()]
+        assert lines[0]["pools"][0]["name"] == "quotes"
+        kinds = {line["type"] for line in lines[1:]}
+        assert kinds == {"arrival"}
+
+    asyncio.run(run())
