Let urgent starts come first; count starts on working hosts only

A start on a worker that fails everything no longer counts as a start, in the measure and in its bound, which had let such workers take any work: with no other worker up, it called starts possible that were not.

--- a/lycheelug/admission_queue.py
+++ b/lycheelug/admission_queue.py
@@ -39,7 +39,8 @@
 OVERLOAD_QUANTILE: Final = 0.95
 OVERLOAD_S: Final = 1.0
 SHED_MARGIN_S: Final = 0.0
-URGENT_GUARD_S: Final = 0.75
+URGENT_MARGIN_S: Final = 0.5
+URGENT_GUARD_S: Final = 1.5
 QUOTA_WINDOW_S: Final = 10.0
 
 
@@ -104,6 +105,7 @@
         "run_quantile",
         "shed_margin_s",
         "urgent_guard_s",
+        "urgent_margin_s",
         "urgent_start_s",
     )
 
@@ -118,6 +120,7 @@
         overload_quantile: float = OVERLOAD_QUANTILE,
         overload_s: float = OVERLOAD_S,
         shed_margin_s: float = SHED_MARGIN_S,
+        urgent_margin_s: float = URGENT_MARGIN_S,
         urgent_guard_s: float = URGENT_GUARD_S,
         fair: bool = True,
         quotas: Mapping[str, float] | None = None,
@@ -140,9 +143,10 @@
         # of slots, and how long that goes on after the last refusal.
         self.overload_quantile = overload_quantile
         self.overload_s = overload_s
-        # Waiting work is refused where its expected start is later than
-        # it may be by more than this.
+        # Short work is refused where the expected start of waiting work is
+        # later than it may be by more than this, and urgent work likewise.
         self.shed_margin_s = shed_margin_s
+        self.urgent_margin_s = urgent_margin_s
         # Short work goes before urgent work only while all urgent work
         # has this much time to spare; math.inf keeps it behind.
         self.urgent_guard_s = urgent_guard_s
--- a/lycheelug/deadline_queue.py
+++ b/lycheelug/deadline_queue.py
@@ -185,8 +185,11 @@
             self._expired[ticket.ticket_id] = ticket
         dropped = list(self._expired.values())
         self._expired.clear()
-        shed = self._shed([self._urgent], now)
-        shed.extend(self._shed([self._short, self._urgent], now))
+        settings = self._settings
+        queues = [self._urgent]
+        shed = self._shed(queues, settings.urgent_margin_s, now)
+        queues = [self._short, self._urgent]
+        shed.extend(self._shed(queues, settings.shed_margin_s, now))
         if shed:
             self._overloaded_until = now + self._settings.overload_s
         dropped.extend(shed)
@@ -293,31 +296,32 @@
         A tenant within its fair share is let in; what others have waiting
         is refused for it.
         """
+        settings = self._settings
         queues = [self._urgent]
+        margin_s = settings.urgent_margin_s
         if waiting.ticket.request_class is SHORT:
             queues.append(self._short)
+            margin_s = settings.shed_margin_s
         total_s = sum(queue.work.total_s for queue in queues)
         if total_s <= self._slots() * (waiting.latest - now):
             return False
+        works = [queue.work for queue in queues]
         overload = first_overload(
-            [queue.work for queue in queues],
-            now,
-            self._slots(),
-            self._settings.shed_margin_s,
-            since=waiting.latest,
+            works, now, self._slots(), margin_s, since=waiting.latest
         )
         if overload is None:
             return False
-        if not self._settings.fair:
+        if not settings.fair:
             return True
         tenant = waiting.ticket.tenant
         return self._usage.is_over_share(tenant, self._fair_sum(now))
 
-    def _shed(self, queues: Sequence[_DatedQueue], now: float) -> list[Ticket]:
+    def _shed(
+        self, queues: Sequence[_DatedQueue], margin_s: float, now: float
+    ) -> list[Ticket]:
         """Remove from the first queue what makes all of them too much."""
         dropped: list[Ticket] = []
         works = [queue.work for queue in queues]
-        margin_s = self._settings.shed_margin_s
         queue = queues[0]
         while queue.waiting:
             overload = first_overload(works, now, self._slots(), margin_s)
--- a/lycheelug/probe_limit.py
+++ b/lycheelug/probe_limit.py
@@ -28,7 +28,7 @@
 MAX_INTERVAL: Final = 32
 # A round's mean latency that changed by this factor calls for a trial.
 MAX_CHANGE: Final = 1.8
-GAIN: Final = 1.05
+GAIN: Final = 1.1
 LEAST_S: Final = 1e-6
 
 
--- a/lycheelug/replay.py
+++ b/lycheelug/replay.py
@@ -20,7 +20,7 @@
 from lycheelug.admission import QUEUES, QueueSettings
 from lycheelug.limits import LIMITS
 from lycheelug.replay_executors import ReplayExecutor
-from lycheelug.replay_report import make_bounds, make_report
+from lycheelug.replay_report import make_report
 from lycheelug.replay_requests import End, Request, Run
 from lycheelug.traces import (
     Arrival,
@@ -34,7 +34,7 @@
     from collections.abc import Callable, Sequence
 
     from lycheelug.admission import AdmissionQueue
-    from lycheelug.replay_report import Bounds, ReplayReport
+    from lycheelug.replay_report import ReplayReport
     from lycheelug.traces import Event, Trace, TracePool
 
 __all__ = ["Chooser", "Replay", "ReplayOptions", "least_loaded", "replay"]
@@ -64,20 +64,17 @@
 class ReplayOptions:
     """What a replay may vary besides the policy."""
 
-    __slots__ = ("bounds", "chooser", "limit_name", "settings")
+    __slots__ = ("chooser", "limit_name", "settings")
 
     def __init__(
         self,
         settings: QueueSettings | None = None,
         limit_name: str = "fixed",
         chooser: Chooser = least_loaded,
-        bounds: Bounds | None = None,
     ) -> None:
         self.settings = settings or QueueSettings()
         self.limit_name = limit_name
         self.chooser = chooser
-        # The trace's bounds, where they are known already.
-        self.bounds = bounds
 
 
 class _Pool:
@@ -135,11 +132,6 @@
         """All requests of the trace, in order of arrival."""
         return list(self._requests.values())
 
-    @property
-    def bounds(self) -> Bounds | None:
-        """The trace's bounds, where the options gave them."""
-        return self._options.bounds
-
     def run(self) -> None:
         """Replay the whole trace, and drain the queues after it."""
         for event in self._trace.events:
@@ -257,7 +249,8 @@
         seconds = FAST_FAILURE_S if executor.bad else request.actual_s
         executor.start(Run(request, self._now), seconds, self._now)
         pool.queue.on_started(request.ticket, self._now)
-        request.started_at = min(request.started_at, self._now)
+        if not executor.bad:
+            request.started_at = min(request.started_at, self._now)
 
     def _finish(self, executor: ReplayExecutor) -> None:
         """Handle the end of the executor's next run."""
@@ -265,7 +258,7 @@
         request = run.request
         ok = request.arrival.runnable and not executor.bad
         latency_s = self._now - run.started_at
-        executor.on_result(latency_s, ok, self._now)
+        executor.on_result(run, ok, self._now)
         pool = self._pools[executor.pool]
         pool.queue.on_finished(request.ticket, latency_s, self._now, ok)
         if request.end is End.WAITING:
@@ -321,9 +314,7 @@
     """
     run = Replay(trace, policy_name, seed, options)
     run.run()
-    requests = run.requests
-    bounds = run.bounds or make_bounds(trace, requests)
-    return make_report(trace, policy_name, seed, requests, bounds)
+    return make_report(trace, policy_name, seed, run.requests)
 
 
 def _next_at(executor: ReplayExecutor) -> float:
--- a/lycheelug/replay_bound.py
+++ b/lycheelug/replay_bound.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from itertools import accumulate
 from math import inf
 from typing import TYPE_CHECKING, Final
 
@@ -23,14 +24,13 @@
     Cancel,
     HostBack,
     HostFailed,
-    WorkerBad,
     WorkerSlowed,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lycheelug.traces import Event, Trace
+    from lycheelug.traces import Trace
 
 __all__ = ["BoundedRequest", "CapacityCurve", "missed_at_least"]
 
@@ -51,26 +51,15 @@
         self.run_s = run_s
 
 
-class _BadSpan:
-    """When a worker fails all that it starts."""
-
-    __slots__ = ("end", "host", "start")
-
-    def __init__(self, host: str, start: float) -> None:
-        self.host = host
-        self.start = start
-        self.end = inf
-
-
 class CapacityCurve:
     """The slots of a pool's working hosts over a trace.
 
-    For starts alone, a time in which a worker fails all that it starts has
-    no limit, and neither has one in which a host fails: a run that breaks
-    off has started, and needs no more slot time.
+    For starts alone, a span in which a host fails has no limit: a run that
+    breaks off has started, and needs no more slot time.  A worker that fails
+    all that it starts has no slots, as starts on it do not count.
     """
 
-    __slots__ = ("_areas", "_bad", "_broken", "_slots", "_times")
+    __slots__ = ("_areas", "_broken", "_slots", "_times")
 
     def __init__(
         self, trace: Trace, pool_name: str, starts_only: bool = False
@@ -83,9 +72,8 @@
         self._times = [0.0]
         self._slots = [sum(hosts.values())]
         self._areas = [0.0]
-        # Times at which runs broke off, and spans with a bad worker.
+        # Times at which runs broke off.
         self._broken: list[float] = []
-        self._bad: list[_BadSpan] = []
         for event in trace.events:
             if isinstance(event, Arrival | Cancel):
                 continue
@@ -97,8 +85,8 @@
                 up.add(event.host)
             else:
                 up.discard(event.host)
-            if starts_only:
-                self._note_failure(event)
+            if starts_only and isinstance(event, HostFailed):
+                self._broken.append(event.at)
             self._step(event.at, sum(hosts[host] for host in up))
 
     def between(self, start: float, end: float) -> float:
@@ -106,22 +94,8 @@
         for at in self._broken:
             if start <= at <= end:
                 return inf
-        for span in self._bad:
-            if span.start <= end and start <= span.end:
-                return inf
         return self._area(end) - self._area(start)
 
-    def _note_failure(self, event: Event) -> None:
-        """Note an event that lets runs end early."""
-        if isinstance(event, HostFailed):
-            self._broken.append(event.at)
-        elif isinstance(event, WorkerBad):
-            self._bad.append(_BadSpan(event.host, event.at))
-        elif isinstance(event, HostBack):
-            for span in self._bad:
-                if span.host == event.host:
-                    span.end = min(span.end, event.at)
-
     def _step(self, at: float, slots: int) -> None:
         """Add a change of the number of slots."""
         area = self._area(at)
@@ -146,6 +120,8 @@
         return hopeless
     possible.sort(key=lambda r: r.arrived_at)
     arrivals = [r.arrived_at for r in possible]
+    # Run seconds of all requests up to each, to pass over quiet windows.
+    totals = [0.0, *accumulate(r.run_s for r in possible)]
     last = max(r.latest_start for r in possible)
     steps = int(last / GRID_S) + 2
     reach = int(LONGEST_WINDOW_S / GRID_S)
@@ -156,18 +132,16 @@
         for start in range(max(0, end - reach), end):
             low = bisect_left(arrivals, start * GRID_S)
             high = bisect_left(arrivals, end * GRID_S)
-            missed = _missed_in(
-                possible[low:high], start * GRID_S, end * GRID_S, capacity
-            )
+            room_s = capacity.between(start * GRID_S, end * GRID_S)
+            if totals[high] - totals[low] <= room_s:
+                continue
+            missed = _missed_in(possible[low:high], end * GRID_S, room_s)
             best[end] = max(best[end], best[start] + missed)
     return hopeless + best[steps]
 
 
 def _missed_in(
-    requests: Sequence[BoundedRequest],
-    start: float,
-    end: float,
-    capacity: CapacityCurve,
+    requests: Sequence[BoundedRequest], end: float, room_s: float
 ) -> int:
     """Return how many of a window's requests its slots can't hold."""
     needs: list[float] = []
@@ -175,14 +149,13 @@
         if request.latest_start > end:
             continue
         needs.append(min(request.run_s, end - request.latest_start))
-    left_s = capacity.between(start, end)
-    if sum(needs) <= left_s:
+    if sum(needs) <= room_s:
         return 0
     needs.sort()
     held = 0
     for need in needs:
-        left_s -= need
-        if left_s < 0:
+        room_s -= need
+        if room_s < 0:
             break
         held += 1
     return len(needs) - held
--- a/lycheelug/replay_executors.py
+++ b/lycheelug/replay_executors.py
@@ -108,12 +108,18 @@
         self._plan(now)
         return run
 
-    def on_result(self, latency_s: float, ok: bool, now: float) -> None:
-        """Note how a run ended; eject after failures in a row."""
-        self._limit.on_finish(latency_s, ok, now)
+    def on_result(self, run: Run, ok: bool, now: float) -> None:
+        """Note how a run ended; eject after failures in a row.
+
+        A request that fails here again tells nothing more of the executor:
+        it may be one that fails everywhere.
+        """
+        self._limit.on_finish(now - run.started_at, ok, now)
         if ok:
             self._failures = 0
             return
+        if self.index in run.request.failed_on:
+            return
         self._failures += 1
         if self._failures >= EJECT_FAILURES:
             self._retry_at = now + EJECT_S
--- a/lycheelug/replay_report.py
+++ b/lycheelug/replay_report.py
@@ -2,7 +2,9 @@
 
 A request is eligible for a measure where its caller waited long enough to
 be served and the request can run at all.  Missed requests are compared with
-`replay_bound`: what no schedule could have served.
+`replay_bound`: what no schedule could have served.  A start on a worker that
+fails everything is no start; a request that ended by such failures is
+counted as failed, not as missed.
 """
 
 from __future__ import annotations
@@ -29,12 +31,11 @@
     from lycheelug.traces import Trace
 
 __all__ = [
-    "Bounds",
     "ClassReport",
     "Expectation",
     "ReplayReport",
     "ReportRow",
-    "make_bounds",
+    "deadline_bound",
     "make_report",
     "shortfalls",
 ]
@@ -157,24 +158,9 @@
     return found
 
 
-class Bounds:
-    """What no schedule could have served of a trace."""
-
-    __slots__ = ("deadline_missed", "urgent_missed")
-
-    def __init__(self, urgent_missed: int, deadline_missed: int) -> None:
-        self.urgent_missed = urgent_missed
-        self.deadline_missed = deadline_missed
-
-
-def make_bounds(trace: Trace, requests: Sequence[Request]) -> Bounds:
-    """Work out the bounds, which are the same for all policies."""
-    urgent = _to_start(requests)
-    dated = _to_answer(requests)
-    return Bounds(
-        urgent_missed=_bound(trace, urgent, _start_limit, starts_only=True),
-        deadline_missed=_bound(trace, dated, _latest_start),
-    )
+def deadline_bound(trace: Trace, requests: Sequence[Request]) -> int:
+    """Return how many deadlines every schedule misses, as for any policy."""
+    return _bound(trace, _to_answer(requests), _latest_start)
 
 
 def make_report(
@@ -182,9 +168,14 @@
     policy: str,
     seed: int,
     requests: Sequence[Request],
-    bounds: Bounds,
+    deadlines_bound: int | None = None,
 ) -> ReplayReport:
-    """Work out the measures of a replay's requests."""
+    """Work out the measures of a replay's requests.
+
+    `deadlines_bound` is the trace's `deadline_bound` where it is known.
+    """
+    if deadlines_bound is None:
+        deadlines_bound = deadline_bound(trace, requests)
     urgent = [r for r in requests if _kind(r) is RequestClass.URGENT]
     long = [r for r in requests if _kind(r) is RequestClass.LONG]
     to_start = _to_start(requests)
@@ -210,14 +201,16 @@
         useful_slot_s=_slot_s(requests, End.IN_TIME),
         wasted_slot_s=_slot_s(requests, End.LATE),
         urgent_eligible=len(to_start),
-        urgent_missed=sum(not _started_in_time(r) for r in to_start),
-        urgent_missed_bound=bounds.urgent_missed,
+        urgent_missed=sum(_is_start_missed(r) for r in to_start),
+        urgent_missed_bound=_bound(
+            trace, to_start, _start_limit, starts_only=True
+        ),
         urgent_wait_p50_s=_quantile(urgent_waits, 0.5),
         urgent_wait_p99_s=_quantile(urgent_waits, 0.99),
         urgent_wait_max_s=_quantile(urgent_waits, 1.0),
         deadline_eligible=len(to_answer),
         deadline_missed=sum(r.end is not End.IN_TIME for r in to_answer),
-        deadline_missed_bound=bounds.deadline_missed,
+        deadline_missed_bound=deadlines_bound,
         refusal_delay_p50_s=_quantile(delays, 0.5),
         refusal_delay_p99_s=_quantile(delays, 0.99),
         long_wait_p50_s=_quantile(long_waits, 0.5),
@@ -252,6 +245,8 @@
     for request in requests:
         if _kind(request) is not RequestClass.URGENT:
             continue
+        if request.is_failed_by_worker:
+            continue
         if _waits_until(request, _start_limit(request)):
             found.append(request)
     return found
@@ -268,8 +263,9 @@
     return found
 
 
-def _started_in_time(request: Request) -> bool:
-    return request.started_at <= _start_limit(request) + EPSILON_S
+def _is_start_missed(request: Request) -> bool:
+    """Whether a request that should start in time did not."""
+    return request.started_at > _start_limit(request) + EPSILON_S
 
 
 def _bound(
--- a/lycheelug/replay_requests.py
+++ b/lycheelug/replay_requests.py
@@ -60,7 +60,7 @@
         self.ended_at = inf
         # The name of the error code of a refusal.
         self.reason = ""
-        # When its first attempt started.
+        # When its first attempt on a worker that is not bad started.
         self.started_at = inf
         # When its caller gives up, whether or not it waits then.
         self.cancelled_at = inf
@@ -72,6 +72,13 @@
         """How long it waited for its first start; inf if it had none."""
         return self.started_at - self.arrival.at
 
+    @property
+    def is_failed_by_worker(self) -> bool:
+        """Whether it ended by failures of bad workers."""
+        if not self.arrival.runnable:
+            return False
+        return self.end in (End.FAILED, End.SET_ASIDE) and not self.reason
+
     @property
     def latest_start(self) -> float:
         """The latest start from which it can end in time."""
