--- a/lycheelug/settings_schema.py
+++ b/lycheelug/settings_schema.py
@@ -273,7 +273,7 @@
     [
         Field("binding", Choice(["memory", "http"]), "How it is reached."),
         Field("address", Address(), "Its address, for the binding http."),
-        Field("poll_s", Number(0.05, 60), "Seconds between two polls."),
+        Field("poll_s", Number(0.05, 4), "Seconds between two polls."),
         Field("pools", GroupList(POOL), "Pools, for the binding memory."),
         Field("hosts", GroupList(HOST), "Hosts, for the binding memory."),
     ],
@@ -328,7 +328,11 @@
     TimingSettings,
     [
         Field("gossip_s", Number(0.05, 60), "Seconds between exchanges."),
-        Field("member_gone_s", SECONDS, "Silence until a daemon is gone."),
+        Field(
+            "member_suspect_s",
+            SECONDS,
+            "Silence until a daemon is suspect, and its slots shared out.",
+        ),
         Field("grace_s", SECONDS, "Seconds for a planned stop."),
         Field(
             "claim_retention_s",
