--- /dev/null
+++ b/bench/experiments_capacity.py
@@ -0,0 +1,181 @@
+"""Compares capacity policies, and draws their trade-off.
+
+Settings were tuned on TUNING_SEED; the page shows JUDGING_SEEDS only.
+"""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import matplotlib as mpl
+from matplotlib.figure import Figure
+
+from bench.demand_replay import CapacityReplay, make_demand
+from bench.experiment_registry import EXPERIMENTS, Page, markdown_table
+from lycheelug.capacity import (
+    CALO_WEIGHTS,
+    CAPACITY,
+    GUILD_WEIGHTS,
+    CapacitySettings,
+    CapacityWeights,
+)
+
+if TYPE_CHECKING:
+    from bench.demand_replay import Costs, Demand
+
+__all__ = ["JUDGING_SEEDS", "TUNING_SEED", "capacity_page"]
+
+TUNING_SEED: Final = 11
+JUDGING_SEEDS: Final = (201, 202)
+PLOT: Final = "docs/design/capacity.png"
+ROOT: Final = Path(__file__).resolve().parent.parent
+# Hosts at the start of each replay: four pools and the spare pool.
+HOSTS: Final = {"a": 6, "b": 6, "c": 6, "d": 6, "spare": 16}
+WEIGHTS: Final = {"Guild": GUILD_WEIGHTS, "Calò": CALO_WEIGHTS}
+LATE_WEIGHTS: Final = (10.0, 30.0, 100.0, 300.0, 1000.0)
+CURVES: Final = ("mean-sigma", "quantile", "pooled-quantile", "queue-replay")
+POINTS: Final = ("hold", "static-peak")
+
+
+def _costs(
+    policy: str,
+    weights: CapacityWeights,
+    demand: Demand,
+    moves_must_pay: bool = True,
+) -> Costs:
+    """Replay one policy over one demand."""
+    settings = CapacitySettings(policy, moves_must_pay=moves_must_pay)
+    return CapacityReplay(settings, weights, HOSTS).run(demand)
+
+
+def _row(weights: CapacityWeights, runs: list[Costs]) -> list[str]:
+    """Return the measures of a row, as means over the seeds."""
+    count = len(runs)
+    return [
+        f"{sum(run.weighed(weights) for run in runs) / count:,.0f}",
+        f"{sum(run.idle_s for run in runs) / count:,.0f}",
+        f"{100.0 * sum(run.late_part for run in runs) / count:.2f} %",
+        f"{sum(run.moves for run in runs) / count:,.1f}",
+        f"{sum(run.mean_roll_out_s for run in runs) / count:,.0f}",
+    ]
+
+
+MEASURES: Final = (
+    "weighed cost",
+    "idle host-seconds",
+    "late work",
+    "moves",
+    "s to roll out a move",
+)
+
+
+def _policies_table(demands: dict[str, list[Demand]]) -> str:
+    """Compare all policies for both users."""
+    rows: list[list[str]] = []
+    for kind, series in demands.items():
+        for user, weights in WEIGHTS.items():
+            for policy in CAPACITY:
+                runs = [_costs(policy, weights, each) for each in series]
+                rows.append([kind, user, policy, *_row(weights, runs)])
+    return markdown_table(["demand", "weights", "policy", *MEASURES], rows)
+
+
+def _hysteresis_table(demands: dict[str, list[Demand]]) -> str:
+    """Compare with and without the test that moves must pay."""
+    rows: list[list[str]] = []
+    for kind, series in demands.items():
+        for policy in ("reactive", "mean-sigma", "queue-replay"):
+            for pays in (False, True):
+                runs: list[Costs] = []
+                for each in series:
+                    runs.append(_costs(policy, GUILD_WEIGHTS, each, pays))
+                rows.append(
+                    [
+                        kind,
+                        policy,
+                        "yes" if pays else "no",
+                        *_row(GUILD_WEIGHTS, runs),
+                    ]
+                )
+    return markdown_table(
+        ["demand", "policy", "moves must pay", *MEASURES], rows
+    )
+
+
+def _trade_off(demand: Demand) -> str:
+    """Draw idle time against late work, and return the table."""
+    rows: list[list[str]] = []
+    mpl.use("Agg")
+    figure = Figure(figsize=(7.0, 4.5))
+    axes = figure.add_subplot()
+    for policy in (*CURVES, *POINTS):
+        idle: list[float] = []
+        late: list[float] = []
+        for weight in LATE_WEIGHTS:
+            weights = CapacityWeights(late=weight)
+            costs = _costs(policy, weights, demand)
+            idle.append(costs.idle_s / 3600.0)
+            late.append(100.0 * costs.late_part)
+            rows.append(
+                [
+                    policy,
+                    f"{weight:,.0f}",
+                    f"{costs.idle_s:,.0f}",
+                    f"{100.0 * costs.late_part:.2f} %",
+                    str(costs.moves),
+                ]
+            )
+            if policy == "hold":
+                break
+        axes.plot(idle, late, marker="o", label=policy)
+    axes.set_xlabel("idle host-hours held in one day of 2 h")
+    axes.set_ylabel("late work, % of all work")
+    axes.set_title("Buffer cost against late work, by the weight of late work")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(ROOT / PLOT, dpi=110, metadata={"Software": None})
+    return markdown_table(
+        [
+            "policy",
+            "weight of late",
+            "idle host-seconds",
+            "late work",
+            "moves",
+        ],
+        rows,
+    )
+
+
+@EXPERIMENTS.register("capacity")
+def capacity_page() -> Page:
+    """Return the page of the capacity comparisons; draws the plot."""
+    demands: dict[str, list[Demand]] = {
+        "surges of 4 s, level day": [],
+        "surges of 4 s, day with a peak": [],
+    }
+    for seed in JUDGING_SEEDS:
+        for daily, series in zip((False, True), demands.values(), strict=True):
+            series.append(make_demand(seed, daily))
+    parts = [
+        "# Capacity policies: measured",
+        "Written by `python -m bench.experiments capacity`; do not edit.",
+        f"Judging seeds {JUDGING_SEEDS}, tuning seed {TUNING_SEED}; means"
+        f" over the seeds. Hosts at the start: {HOSTS}. Each pool's demand"
+        " has a mean of 2 hosts (1 in the spare pool), surges to five times"
+        " that for 2 to 6 s, falls to a twentieth for 16 s, and goes on at"
+        " the mean for 10 s and longer. A day lasts 2 h; the first one is"
+        " only learned from. A host takes 10 s to move where it is idle,"
+        " else 40 s; four move at once. Idle host-seconds count in all"
+        " pools but the spare one, and there up to the reserve. The cost"
+        " is weighed as each user sets it, in idle host-seconds.",
+        "## Policies",
+        _policies_table(demands),
+        "## Moves that must pay (weights of the Guild)",
+        _hysteresis_table(demands),
+        "## Trade-off",
+        "First judging seed, level day, buffer weight 1.",
+        "![trade-off](design/capacity.png)",
+        _trade_off(next(iter(demands.values()))[0]),
+    ]
+    return Page("docs/EXPERIMENTS-CAPACITY.md", "\n\n".join(parts) + "\n")
--- a/bench/pool_replay.py
+++ b/bench/pool_replay.py
@@ -15,11 +15,11 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.dispatch import CHOICES, Executor
-from lycheelug.ejection import EJECTORS
+from lycheelug.dispatch import CHOICES, DEFAULT_CHOICE, Executor
+from lycheelug.ejection import DEFAULT_EJECTOR, EJECTORS
 from lycheelug.job_failures import JobFailure, JobFailures
-from lycheelug.retries import BUDGETS, Retry, should_retry
-from lycheelug.slots import SHARES, IdleReport, ShareSettings
+from lycheelug.retries import BUDGETS, DEFAULT_BUDGET, Retry, should_retry
+from lycheelug.slots import DEFAULT_SHARE, SHARES, IdleReport, ShareSettings
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -129,10 +129,10 @@
         daemons: int = 4,
         workers: int = 8,
         slots: int = 8,
-        share: str = "borrow-probe",
-        choice: str = "two-choices",
-        ejector: str = "cusum",
-        budget: str = "answered",
+        share: str = DEFAULT_SHARE,
+        choice: str = DEFAULT_CHOICE,
+        ejector: str = DEFAULT_EJECTOR,
+        budget: str = DEFAULT_BUDGET,
         retrying: bool = False,
         floor: int = 4,
         faults: Sequence[Fault] = (),
@@ -558,8 +558,14 @@
         daemon.jobs.record(
             request.key, JobFailure(view.name, view.rack, "failed", now)
         )
+        racks: set[str] = set()
+        for each in daemon.views.values():
+            if not daemon.ejector.is_ejected(each.name, now):
+                racks.add(each.rack)
         verdict = daemon.jobs.verdict(
-            request.key, lambda host: daemon.ejector.is_ejected(host, now)
+            request.key,
+            lambda host: daemon.ejector.is_ejected(host, now),
+            len(racks),
         )
         if verdict is not None:
             self._stats.set_aside += 1
--- a/lycheelug/dispatch.py
+++ b/lycheelug/dispatch.py
@@ -1,10 +1,10 @@
 """Which executor of a pool gets the next request.
 
-A daemon sees only its own requests in flight, so its view of an executor's
-load is partial.  `two-choices` samples two executors with room and takes
-the one with the lower load (Mitzenmacher, "The Power of Two Choices in
-Randomized Load Balancing", 2001): close to the least loaded, without all
-daemons agreeing on the same executor at the same moment.
+The default, `least-cost`, takes the executor with the least load times
+latency.  `two-choices` samples two executors with room and takes the one
+with the lower load (Mitzenmacher, "The Power of Two Choices in Randomized
+Load Balancing", 2001), which guards against many choosers that act on the
+same stale counts; a daemon's own counts are its own and never stale.
 
 Load is judged relative to the executor's limit, and is raised for an
 executor whose recent requests failed.  Without that, an executor that
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+from statistics import fmean
 from typing import TYPE_CHECKING, Final, Protocol
 
 from lycheelug.registry import Registry
@@ -25,8 +26,9 @@
     import random
     from collections.abc import Sequence
 
-__all__ = ["CHOICES", "Choice", "Executor"]
+__all__ = ["CHOICES", "DEFAULT_CHOICE", "Choice", "Executor"]
 
+DEFAULT_CHOICE: Final = "least-cost"
 # Weight of the newest sample in the moving averages.
 _EWMA_WEIGHT: Final = 0.2
 # An executor whose requests all fail counts as this many times as loaded.
@@ -205,17 +207,29 @@
     return first if first.in_flight <= second.in_flight else second
 
 
-@CHOICES.register("least-cost")
+@CHOICES.register(DEFAULT_CHOICE)
 def choose_least_cost(
     candidates: Sequence[Executor],
     rng: random.Random,
     exclude: frozenset[str],
 ) -> Executor | None:
-    """Return the executor with the least load times latency."""
+    """Return the executor with the least load times latency.
+
+    >>> import random
+    >>> fast = Executor("w1", "", "r1", "arima", limit=2)
+    >>> slow = Executor("w2", "", "r1", "arima", limit=2)
+    >>> fast.record(ok=True, latency_s=0.1)
+    >>> slow.record(ok=True, latency_s=0.5)
+    >>> choose_least_cost([fast, slow], random.Random(1), frozenset()).name
+    'w1'
+    """
     usable = _with_room(candidates, exclude)
     if not usable:
         return None
-    costs = [each.load * max(each.latency_s, 1e-3) for each in usable]
+    usual_s = _usual_latency_s(usable)
+    costs: list[float] = []
+    for executor in usable:
+        costs.append(executor.load * (executor.latency_s or usual_s))
     least = min(costs)
     best: list[Executor] = []
     for executor, cost in zip(usable, costs, strict=True):
@@ -224,6 +238,15 @@
     return rng.choice(best)
 
 
+def _usual_latency_s(executors: Sequence[Executor]) -> float:
+    """Return what to reckon with where an executor has not answered yet.
+
+    Without it a new executor would look free of cost, and be flooded.
+    """
+    known = [each.latency_s for each in executors if each.latency_s > 0.0]
+    return fmean(known) if known else 1.0
+
+
 @CHOICES.register("least-loaded")
 def choose_least_loaded(
     candidates: Sequence[Executor],
