--- a/lycheelug/capacity.py
+++ b/lycheelug/capacity.py
@@ -48,7 +48,7 @@
     "plan_capacity",
 ]
 
-_DEFAULT_POLICY: Final = "queue-replay"
+_DEFAULT_POLICY: Final = "time-of-day"
 _HORIZON_S: Final = 600.0
 _MOVE_S: Final = 30.0
 
--- a/lycheelug/capacity_costs.py
+++ b/lycheelug/capacity_costs.py
@@ -75,17 +75,18 @@
     >>> late_work([6.0, 0.0, 0.0], hosts=2, step_s=1.0, patience_s=1.0)
     2.0
     """
+    served = hosts * step_s
+    # What is left after a step waits for the hosts' work of the patience.
+    room = hosts * patience_s
     backlog = 0.0
     late = 0.0
-    # What has arrived may wait for the hosts' work of the patience.
-    room = hosts * (step_s + patience_s)
-    served = hosts * step_s
     for demand in samples:
-        backlog += demand * step_s
-        if backlog > room:
+        backlog += demand * step_s - served
+        if backlog < 0.0:
+            backlog = 0.0
+        elif backlog > room:
             late += backlog - room
             backlog = room
-        backlog = max(0.0, backlog - served)
     return late
 
 
--- a/lycheelug/capacity_policies.py
+++ b/lycheelug/capacity_policies.py
@@ -39,8 +39,10 @@
 _REACTIVE_S: Final = 5.0
 # Bound on what a day profile may scale demand by.
 _MAX_GROWTH: Final = 3.0
-# Look ahead of the forecast: the time that a move takes to come about.
-_LEAD_S: Final = 60.0
+# Look ahead of the forecast.
+_AHEAD_S: Final = 300.0
+# Change of demand below which the forecast keeps the recent demand.
+_LEAST_GROWTH: Final = 0.2
 
 
 class PoolState:
@@ -263,11 +265,18 @@
 
 
 def _growth(history: DemandHistory, pool: str, now: float) -> float:
-    """Return how demand usually changes from the recent past to soon."""
-    if history.slot_samples(pool, now + _LEAD_S) < _MIN_SLOT_SAMPLES:
+    """Return how demand usually changes from the recent past to soon.
+
+    Bursts make the profile of a few days noisy: a small change counts as
+    none.
+    """
+    if history.slot_samples(pool, now + _AHEAD_S) < _MIN_SLOT_SAMPLES:
         return 1.0
     past = history.usual_mean(pool, now - history.window_s, now)
-    ahead = history.usual_mean(pool, now, now + 2 * _LEAD_S)
+    ahead = history.usual_mean(pool, now, now + _AHEAD_S)
     if past <= 0.0:
         return 1.0
-    return min(_MAX_GROWTH, max(1.0 / _MAX_GROWTH, ahead / past))
+    growth = ahead / past
+    if abs(growth - 1.0) < _LEAST_GROWTH:
+        return 1.0
+    return min(_MAX_GROWTH, max(1.0 / _MAX_GROWTH, growth))
