Send small messages between daemons at once

Cause: the listening socket did not name its protocol, and asyncio then leaves TCP_NODELAY off on accepted connections; answers waited for a delayed acknowledgement of about 40 ms. Change: the socket names IPPROTO_TCP (test_connections_send_small_messages_at_once failed first).

--- a/lycheelug/entries/service.py
+++ b/lycheelug/entries/service.py
@@ -145,7 +145,10 @@
 
     async def start(self) -> None:
         """Bind and listen; raise OSError where the address is taken."""
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # asyncio sets TCP_NODELAY only where a socket names its protocol.
+        listener = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             listener.bind((self._host, self._port))
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
@@ -152,6 +153,21 @@
     assert asyncio.run(run()) == expected
 
 
+def test_connections_send_small_messages_at_once() -> None:
+    """asyncio sets TCP_NODELAY only where a socket names its protocol."""
+
+    async def run() -> None:
+        server = EntryServer("127.0.0.1", 0, EchoHandler())
+        await server.start()
+        assert server._server is not None
+        assert server._server._server is not None
+        for listener in server._server._server.sockets:  # type: ignore[attr-defined]
+            assert listener.proto == socket.IPPROTO_TCP
+        await server.stop()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"\xc1", b"\x91\x91\x01", b"\x00" * 65], ids=repr
 )
