--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -48,7 +48,11 @@
 __all__ = ["Daemon"]
 
 TICK_S: Final = 0.1
+SHARES_PERIOD_S: Final = 1.0
 DRAIN_POLL_S: Final = 0.02
+# Between the first refusal and the end of listening: the balancer and
+# callers with open connections are told meanwhile.
+DRAIN_NOTICE_S: Final = 0.25
 STOP_SETTLE_S: Final = 2.0
 
 
@@ -155,10 +159,18 @@
         self._join_task = asyncio.create_task(join_later(self))
 
     async def drain(self) -> int:
-        """Finish all requests in flight; return how many were cut."""
+        """Finish all requests in flight; return how many were cut.
+
+        What comes from now on is refused as not run.  The peers divide the
+        slots anew at once, but go on waiting for this run with the drains
+        of hosts until it has ended.
+        """
         self.requests.job_runner.stop_claiming()
         self.core.enter_phase(Phase.DRAINING)
-        await self.gossip.leave()
+        self._callers_server.refuse_new()
+        await asyncio.gather(
+            self.gossip.tell_all(), asyncio.sleep(DRAIN_NOTICE_S)
+        )
         self._callers_server.stop_accepting()
         deadline = time.monotonic() + self.core.settings.timing.grace_s
         while True:
@@ -171,6 +183,7 @@
     async def stop(self) -> None:
         """Close everything."""
         await self.plan.stop()
+        await self.gossip.leave()
         await self.gossip.stop()
         await self.config.stop()
         await self.watch.stop()
@@ -193,11 +206,19 @@
 
     async def _run_ticks(self) -> None:
         """Do what time alone asks for."""
+        shares_at = 0.0
         while True:
             await asyncio.sleep(TICK_S)
+            now = time.monotonic()
             self.gate.tick()
+            if not self.watch.is_platform_away:
+                self.core.leaving.note_list_heard(now)
             self.sync.sync_pools()
             self.core.pools.tick()
+            if now >= shares_at:
+                # A member that fell silent tells nobody.
+                shares_at = now + SHARES_PERIOD_S
+                self.sync.update_shares()
 
     async def _refresh(self) -> bool:
         """Bring the view up to date after a pause of this process."""
--- a/lycheelug/entries/gossip.py
+++ b/lycheelug/entries/gossip.py
@@ -125,6 +125,15 @@
             async with asyncio.timeout(_LEAVE_TIMEOUT_S):
                 await asyncio.gather(*calls)
 
+    async def tell_all(self) -> None:
+        """Exchange with all members at once, after an own change."""
+        calls = []
+        for line in self._members.status(self._clock()):
+            if line.name == self._members.own.name or not line.address:
+                continue
+            calls.append(self._exchange_with(line.address))
+        await asyncio.gather(*calls)
+
     def answer(self, received: Sequence[Digest]) -> list[Digest]:
         """Take in a partner's digests; return what it lacks."""
         self._publish()
--- a/lycheelug/settings.py
+++ b/lycheelug/settings.py
@@ -147,6 +147,7 @@
         "request_id_required",
         "retry_share",
         "reuse_idle_s",
+        "reuse_without_request_id",
         "unrepeatable_reuse_idle_s",
     )
 
@@ -164,18 +165,22 @@
         self.unrepeatable_reuse_idle_s = 0.5
         # Whether an answer must carry the X-Request-Id of its request.
         self.request_id_required = False
+        # Whether connections of upstreams that don't echo it are reused.
+        self.reuse_without_request_id = False
 
 
 class PolicySettings:
     """Names of the policies in force, each from its registry."""
 
-    __slots__ = ("choice", "queue", "share")
+    __slots__ = ("choice", "queue", "retries", "share")
 
     def __init__(self) -> None:
         # Which waiting request starts next.
         self.queue = "deadline"
         # Which executor takes it.
         self.choice = "two-choices"
+        # What retries are paid from.
+        self.retries = "answered"
         # How the slots of an executor are divided between daemons.
         self.share = "live"
 
