Take nothing from an empty peer, and pass over hosts that are gone

Cause: two daemons that start while the platform is away took each other's empty view (test_after_a_pause, empty peer, failed first); a crashed daemon's row kept changes pending after the platform's list said that its host is gone; a configuration read at the start could come into force after the daemon was ready. Change: a view at revision 0 counts for nothing; a silent daemon whose host is gone need not hold a change, and a reaper removes its row; catching up waits for what is being handed on.

--- a/lycheelug/config_exchange.py
+++ b/lycheelug/config_exchange.py
@@ -122,10 +122,12 @@
     async def catch_up(self) -> list[str]:
         """Ask all members; return those that did not answer.
 
-        A daemon that restarts does so before it reports itself ready.
+        A daemon that restarts does so before it reports itself ready.  On
+        return, what it read from the platform is in force, too.
         """
         names = self._members.not_gone()
         answers = await asyncio.gather(*map(self._query, names))
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
         silent = []
         for name, answered in zip(names, answers, strict=True):
             if not answered:
--- a/lycheelug/config_submitter.py
+++ b/lycheelug/config_submitter.py
@@ -157,7 +157,7 @@
             return submission.refusal()
         holders: set[str] = set()
         while True:
-            submission.require(self._exchange.members.not_gone())
+            submission.require(self._holders())
             await self._prepare_round(submission, holders)
             if submission.overtaken() or submission.is_prepared:
                 return None
@@ -169,6 +169,17 @@
                 return submission.refuse_pending()
             await self._sleep(_RETRY_S)
 
+    def _holders(self) -> list[str]:
+        """Return the daemons that must hold a change.
+
+        Those whose host the platform's list says is gone, and that are
+        silent, need not, also before their rows are removed.
+        """
+        members = self._exchange.members
+        removable = members.removable(self._clock())
+        gone = {entry.name for entry in removable}
+        return [name for name in members.not_gone() if name not in gone]
+
     async def _prepare_round(
         self, submission: Submission, holders: set[str]
     ) -> None:
--- a/lycheelug/entries/refresh.py
+++ b/lycheelug/entries/refresh.py
@@ -61,7 +61,8 @@
         if reply.more:
             continue
         _notify(on_rows, view.apply_whole(reply.zone, named, revision))
-        is_newer = revision >= own_revision
+        # A peer that is starting itself has nothing to tell.
+        is_newer = 0 < revision >= own_revision
         return Success(reply.zone == view.zone and is_newer)
     return Success(False)
 
--- a/tests/test_config_exchange.py
+++ b/tests/test_config_exchange.py
@@ -26,6 +26,7 @@
     Step,
 )
 from lycheelug.membership import Members
+from lycheelug.platform.interface import HostEntry, HostRole, HostState
 from lycheelug.platform.memory import MemoryPlatform
 from lycheelug.records import CONFIG_KEY
 
@@ -39,6 +40,7 @@
         Transaction,
     )
 
+GONE = HostState.GONE
 NAMES = ("e1", "e2", "e3")
 
 
@@ -184,6 +186,14 @@
             "config-refused e2,e3",
             [0, 0, 0],
         ),
+        (
+            "e3 gone by the platform's list",
+            [],
+            ["e3"],
+            [],
+            "accepted 1 e3",
+            [1, 1, 0],
+        ),
         ("platform away", ["away"], [], [], "config-refused ", [0, 0, 0]),
         ("never answered", ["late"] * 99, [], [], "config-unknown", [0] * 3),
     ],
@@ -201,6 +211,10 @@
         fleet.network.cut = set(cut)
         if name.startswith("refused by"):
             fleet.reasons[name[-2:]] = "unknown setting"
+        if name.startswith("e3 gone"):
+            fleet.now = 60.0
+            gone = HostEntry("e3", "z", "", "e3", HostRole.ENTRY, GONE)
+            fleet.network.exchanges["e1"].members.apply_host(gone)
         submitter = fleet.submitter("e1")
         outcome = await submitter.submit("n1", b"{}", excused=excused)
         assert told(outcome) == expected
--- a/tests/test_join.py
+++ b/tests/test_join.py
@@ -8,6 +8,8 @@
 from returns.result import Failure, Result, Success
 
 from lycheelug.entries.join import confirm_entry, join, remove_entry
+from lycheelug.entries.messages import Digest
+from lycheelug.entries.reaper import Reaper
 from lycheelug.errors import (
     PLATFORM_UNKNOWN,
     PLATFORM_UNREACHABLE,
@@ -15,9 +17,13 @@
     Peer,
     Step,
 )
+from lycheelug.membership import Members
 from lycheelug.platform.interface import (
     Commit,
     Conflict,
+    HostEntry,
+    HostRole,
+    HostState,
     Row,
     Transaction,
     Write,
@@ -163,3 +169,36 @@
         assert row.value == encode(entry(address=""))
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("state", "now", "faults", "removed"),
+    [
+        (HostState.GONE, 60.0, [], ["e1"]),
+        (HostState.GONE, 60.0, ["away"], []),
+        (HostState.GONE, 1.0, [], []),
+        (HostState.LIVE, 60.0, [], []),
+    ],
+    ids=["gone and silent", "platform away", "still heard", "only silent"],
+)
+def test_reaper_removes_rows_of_hosts_that_are_gone(
+    state: HostState, now: float, faults: list[str], removed: list[str]
+) -> None:
+    async def run() -> None:
+        rng = random.Random(1)
+        platform = FaultyPlatform(["", *faults])
+        await join(platform, entry(), rng)
+        own = Digest("e2", "arima", "r1", 0, "", "", 0, 0, [], [], [])
+        members = Members(own)
+        members.apply_row("e1", entry(), 0.0)
+        members.apply_host(
+            HostEntry(
+                "e1", "arima", "", entry().address, HostRole.ENTRY, state
+            )
+        )
+        reaper = Reaper(platform, members, lambda: now, rng)
+        assert await reaper.run_once() == removed
+        row = platform.row(entry_key("e1"))
+        assert (row is None) is (removed == ["e1"])
+
+    asyncio.run(run())
--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -86,6 +86,7 @@
         ("platform away, peer of the zone", True, False, ["arima"], True),
         ("platform away, peer elsewhere", True, False, ["other"], False),
         ("platform away, first peer too", True, False, ["", "arima"], True),
+        ("platform away, empty peer", True, False, ["empty"], False),
         ("all alone", True, False, [], False),
         ("removed, told by a peer", True, True, ["arima"], False),
     ],
@@ -116,7 +117,12 @@
         if removed:
             await remove_entry(platform, ENTRY, rng)
         clients = [PeerClient(zone, reachable=zone != "") for zone in peers]
+        if peers == ["empty"]:
+            clients = [PeerClient("arima")]
+            view = FleetView("arima")
         for client in clients:
+            if peers == ["empty"]:
+                continue
             peer_watch = Watch(
                 platform, client.view, rng, lambda _: None, lambda _: None
             )
