--- a/lycheelug/errors_page.py
+++ b/lycheelug/errors_page.py
@@ -16,8 +16,8 @@
 HEAD: Final = """\
 # Errors by code
 
-The code stands in `Lycheelug-Reason`, in the problem's `code`, in counters and in
-log lines. Whether the request was run is told by `Lycheelug-Outcome`, not by the
+The code stands in `Lycheelug-Reason`, in the problem's `code`, in counters
+and in log lines. Whether the request was run is told by the outcome, not by the
 code. This page is written by `python -m lycheelug.errors_page`.
 
 | code | status | meaning |
