Find the median failure rate without the statistics module

The module pulls in decimal and fractions. A success on a host without evidence against it no longer sorts the other hosts' rates: the sum is zero and stays there.

--- a/lycheelug/ejection.py
+++ b/lycheelug/ejection.py
@@ -28,7 +28,6 @@
 
 import math
 from collections import OrderedDict
-from statistics import median_low
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.host_ejectors import (
@@ -196,8 +195,12 @@
         """Lower the evidence against a host."""
         # The job can run, so its earlier failures were the hosts'.
         self._failed_on.pop(job_key, None)
-        usual = self._usual_rate(host)
         state.rate -= _RATE_WEIGHT * state.rate
+        if state.evidence <= 0.0:
+            # Nothing to lower, and no need to know what is usual.
+            state.clear_evidence()
+            return
+        usual = self._usual_rate(host)
         state.evidence += math.log((1.0 - _BAD_RATE) / (1.0 - usual))
         if state.evidence <= 0.0:
             state.clear_evidence()
@@ -246,7 +249,9 @@
             rates.append(state.rate)
         if not rates:
             return _LEAST_RATE
-        return min(_BAD_RATE, max(_LEAST_RATE, median_low(rates)))
+        rates.sort()
+        median = rates[(len(rates) - 1) // 2]
+        return min(_BAD_RATE, max(_LEAST_RATE, median))
 
     def _is_bad(self, state: _Host) -> bool:
         """Whether the evidence suffices, from several jobs."""
