Measure private memory and control traffic of idle daemons

/proc/PID/io leaves out send and recv, so the traffic showed as 0. All daemons but one now run with counted sockets, and fleets of three and nine are measured.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -1,8 +1,9 @@
 """Memory, processor share and control traffic of an idle daemon.
 
-Run with `python -m bench.idle`: three daemons over the stand-in platform,
-with the pools and hosts of one user of today, no callers.  Bytes are what
-the daemon's sockets carried, as its own counters and the kernel's tell.
+Run with `python -m bench.idle`: fleets of daemons over the stand-in
+platform, with the pools and hosts of one user of today, no callers.  Memory
+and processor time are those of the first daemon; the others count the bytes
+that their sockets carry (see `counted_daemon`).
 """
 
 from __future__ import annotations
@@ -11,20 +12,25 @@
 import sys
 import tempfile
 from pathlib import Path
+from statistics import fmean
 from typing import Any, Final
 
-from bench.process_usage import cpu_seconds, resident_bytes, socket_bytes
+from bench.counted_daemon import carried_bytes
+from bench.process_usage import Memory, cpu_seconds, memory_bytes
 from lycheelug.platform import HostEntry, Write
 from lycheelug.records import HostRow, PoolRow, encode, host_key, pool_key
 from standins.world import World
 
-__all__ = ["main"]
+__all__ = ["IdleFigures", "fill_platform", "main", "measure_idle"]
 
-DAEMONS: Final = 3
+DAEMONS: Final = (3, 9)
+# The daemon that runs as it is, without counting.
+PLAIN: Final = "e0"
 POOLS: Final = 5
 HOSTS_PER_POOL: Final = 8
 SETTLE_S: Final = 8.0
 MEASURE_S: Final = 30.0
+POLL_S: Final = 2.0
 MEBIBYTE: Final = 1 << 20
 TARGET_MIB: Final = 32.0
 TARGET_CPU: Final = 0.012
@@ -50,41 +56,100 @@
         await world.write_rows(rows[start : start + 500])
 
 
+class _CountedWorld(World):
+    """A world whose daemons count their bytes, but for the first."""
+
+    __slots__ = ()
+
+    async def _spawn(
+        self, words: tuple[str, ...]
+    ) -> asyncio.subprocess.Process:
+        if words[0] == "lycheelug.main" and Path(words[1]).stem != PLAIN:
+            words = ("bench.counted_daemon", *words[1:])
+        return await super()._spawn(words)
+
+
+class IdleFigures:
+    """What was measured of idle daemons."""
+
+    __slots__ = ("cpu_share", "memory", "received", "sent")
+
+    def __init__(
+        self,
+        memory: Memory,
+        cpu_share: float,
+        sent: list[float],
+        received: list[float],
+    ) -> None:
+        self.memory = memory
+        self.cpu_share = cpu_share
+        # Bytes a second of each counted daemon.
+        self.sent = sent
+        self.received = received
+
+
 async def measure_idle(
-    directory: Path, pools: int, hosts: int, **settings: Any
-) -> list[float]:
-    """Return MiB, processor share and bytes a second of one daemon."""
-    async with World(directory) as world:
+    directory: Path, daemons: int, pools: int, hosts: int, **settings: Any
+) -> IdleFigures:
+    """Return the figures of idle daemons."""
+    async with _CountedWorld(directory) as world:
         await world.start_base({})
-        world.settings["platform"]["poll_s"] = 2.0
+        world.settings["platform"]["poll_s"] = POLL_S
         await fill_platform(world, pools, hosts)
-        for number in range(DAEMONS):
+        for number in range(daemons):
             await world.start_entry(f"e{number}", **settings)
-        first = world.daemons["e1"]
-        await world.wait_members(first, alive=DAEMONS)
+        plain = world.daemons[PLAIN]
+        await world.wait_members(plain, alive=daemons)
         await asyncio.sleep(SETTLE_S)
-        pid = first.process.pid
+        counted: list[Path] = []
+        for name in world.daemons:
+            if name != PLAIN:
+                counted.append(directory / f"{name}.yaml")
+        pid = plain.process.pid
         cpu_s = cpu_seconds(pid)
-        sent = socket_bytes(pid)
+        before = [carried_bytes(path) for path in counted]
         await asyncio.sleep(MEASURE_S)
         cpu_share = (cpu_seconds(pid) - cpu_s) / MEASURE_S
-        rate = (socket_bytes(pid) - sent) / MEASURE_S
-        return [resident_bytes(pid) / MEBIBYTE, cpu_share, rate]
+        sent: list[float] = []
+        received: list[float] = []
+        for path, old in zip(counted, before, strict=True):
+            new = carried_bytes(path)
+            sent.append((new[0] - old[0]) / MEASURE_S)
+            received.append((new[1] - old[1]) / MEASURE_S)
+        return IdleFigures(memory_bytes(pid), cpu_share, sent, received)
 
 
-def main() -> None:
-    """Measure and print."""
-    with tempfile.TemporaryDirectory() as directory:
-        mib, cpu, rate = asyncio.run(
-            measure_idle(Path(directory), POOLS, HOSTS_PER_POOL)
-        )
+def _print(daemons: int, figures: IdleFigures) -> None:
+    """Print the figures of one fleet."""
+    sums = [
+        sum(pair) for pair in zip(figures.sent, figures.received, strict=True)
+    ]
+    resident = figures.memory.resident / MEBIBYTE
+    private = figures.memory.private / MEBIBYTE
     sys.stdout.write(
-        f"idle daemon, {DAEMONS - 1} peers, {POOLS} pools, "
+        f"{daemons} idle daemons, {POOLS} pools, "
         f"{POOLS * HOSTS_PER_POOL} hosts\n"
-        f"resident memory   {mib:8.1f} MiB   (target {TARGET_MIB:g})\n"
-        f"processor share   {cpu:8.2%}       (target {TARGET_CPU:.1%})\n"
-        f"control traffic   {rate:8.0f} B/s   (target {TARGET_BYTES})\n"
+        f"resident memory   {resident:8.1f} MiB  (target {TARGET_MIB:g})\n"
+        f"private of it     {private:8.1f} MiB\n"
+        f"processor share   {figures.cpu_share:8.2%}      "
+        f"(target {TARGET_CPU:.1%})\n"
+        f"bytes sent        {fmean(figures.sent):8.0f} B/s\n"
+        f"bytes received    {fmean(figures.received):8.0f} B/s\n"
+        f"both, mean        {fmean(sums):8.0f} B/s  "
+        f"(target under {TARGET_BYTES})\n"
+        f"both, most        {max(sums):8.0f} B/s\n"
     )
+    sys.stdout.flush()
+
+
+def main() -> None:
+    """Measure fleets of several sizes and print."""
+    for daemons in DAEMONS:
+        with tempfile.TemporaryDirectory() as directory:
+            figures = asyncio.run(
+                measure_idle(Path(directory), daemons, POOLS, HOSTS_PER_POOL)
+            )
+        _print(daemons, figures)
 
 
 if __name__ == "__main__":
--- a/bench/process_usage.py
+++ b/bench/process_usage.py
@@ -6,15 +6,29 @@
 from pathlib import Path
 from typing import Final
 
-__all__ = ["cpu_seconds", "resident_bytes", "socket_bytes"]
+__all__ = ["Memory", "cpu_seconds", "memory_bytes"]
 
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES: Final = os.sysconf("SC_PAGE_SIZE")
+KIBIBYTE: Final = 1024
 # Fields of /proc/PID/stat after the command's closing parenthesis.
 USER_FIELD: Final = 11
 SYSTEM_FIELD: Final = 12
 
 
+class Memory:
+    """The resident memory of a process in bytes.
+
+    What is not private are pages of files (the interpreter, libraries)
+    that other processes may map too.
+    """
+
+    __slots__ = ("private", "resident")
+
+    def __init__(self, resident: int, private: int) -> None:
+        self.resident = resident
+        self.private = private
+
+
 def cpu_seconds(pid: int) -> float:
     """Return the processor time that a process has used."""
     text = Path(f"/proc/{pid}/stat").read_text(encoding="ascii")
@@ -23,22 +37,13 @@
     return ticks / TICKS_PER_S
 
 
-def resident_bytes(pid: int) -> int:
-    """Return the resident memory of a process."""
-    text = Path(f"/proc/{pid}/statm").read_text(encoding="ascii")
-    return int(text.split()[1]) * PAGE_BYTES
-
-
-def socket_bytes(pid: int) -> int:
-    """Return the bytes that a process has read and written so far.
-
-    Counts all its reads and writes; an idle daemon has no files open but
-    its log, which is silent while nothing changes.
-    """
-    text = Path(f"/proc/{pid}/io").read_text(encoding="ascii")
-    total = 0
-    for line in text.splitlines():
-        name, _, value = line.partition(": ")
-        if name in {"rchar", "wchar"}:
-            total += int(value)
-    return total
+def memory_bytes(pid: int) -> Memory:
+    """Return the resident memory of a process, all and private."""
+    path = Path(f"/proc/{pid}/smaps_rollup")
+    sizes: dict[str, int] = {}
+    for line in path.read_text(encoding="ascii").splitlines():
+        name, _, value = line.partition(":")
+        if value.endswith(" kB"):
+            sizes[name] = int(value.split()[0]) * KIBIBYTE
+    private = sizes["Private_Clean"] + sizes["Private_Dirty"]
+    return Memory(sizes["Rss"], private)
