--- a/lycheelug/capacity.py
+++ b/lycheelug/capacity.py
@@ -242,30 +242,38 @@
     """Return what a move saves in each second of the expected demand."""
     gain = 0.0
     for pool in pools:
-        change = 0
-        if pool.name == move.source:
-            change = -1
-        elif pool.name == move.target:
-            change = 1
-        if change == 0:
-            continue
         curve = curves[pool.name]
         if curve.span_s == 0.0:
             continue
         hosts = targets[pool.name]
-        before = curve.cost(hosts, _held(pool, wanted, hosts), weights)
-        hosts += change
-        after = curve.cost(hosts, _held(pool, wanted, hosts), weights)
-        gain += (before - after) / curve.span_s
+        if pool.name == move.source:
+            late_s = curve.late_s(hosts) - curve.late_s(hosts - 1)
+            after = hosts - 1
+        elif pool.name == move.target:
+            late_s = curve.recurring_late_s(hosts)
+            late_s -= curve.recurring_late_s(hosts + 1)
+            after = hosts + 1
+        else:
+            continue
+        idle_s = _held_idle_s(pool, wanted, curve, hosts)
+        idle_s -= _held_idle_s(pool, wanted, curve, after)
+        saved = weights.late * late_s + weights.buffer * idle_s
+        gain += saved / curve.span_s
     return gain
 
 
-def _held(pool: PoolState, wanted: Wanted, hosts: int) -> int:
-    """Return how many of a pool's hosts count as buffer when idle.
+def _held_idle_s(
+    pool: PoolState, wanted: Wanted, curve: CostCurve, hosts: int
+) -> float:
+    """Return the idle time of hosts that count as buffer.
 
     Hosts of the spare pool beyond the reserve are free for long work.
     """
-    return min(hosts, _least(pool, wanted)) if pool.spare else hosts
+    idle_s = curve.idle_s(hosts)
+    if not pool.spare:
+        return idle_s
+    free = max(0, hosts - _least(pool, wanted))
+    return max(0.0, idle_s - free * curve.span_s)
 
 
 def _is_spare(pools: Sequence[PoolState], name: str) -> bool:
--- a/lycheelug/capacity_costs.py
+++ b/lycheelug/capacity_costs.py
@@ -25,6 +25,7 @@
 
 # How long short work may wait for a slot.
 _PATIENCE_S: Final = 2.9
+_EPISODE_S: Final = 60.0
 
 
 class CapacityWeights:
@@ -75,28 +76,51 @@
     >>> late_work([6.0, 0.0, 0.0], hosts=2, step_s=1.0, patience_s=1.0)
     2.0
     """
+    late, _ = _late_work(samples, hosts, step_s, patience_s)
+    return late
+
+
+def _late_work(
+    samples: Sequence[float], hosts: float, step_s: float, patience_s: float
+) -> tuple[float, float]:
+    """Return all late work, and that of the worst episode.
+
+    An episode is what is late within a minute from the first late work.
+    """
     served = hosts * step_s
     # What is left after a step waits for the hosts' work of the patience.
     room = hosts * patience_s
+    steps = round(_EPISODE_S / step_s)
     backlog = 0.0
     late = 0.0
-    for demand in samples:
+    worst = 0.0
+    episode = 0.0
+    episode_ends = 0
+    for index, demand in enumerate(samples):
         backlog += demand * step_s - served
         if backlog < 0.0:
             backlog = 0.0
         elif backlog > room:
+            if index >= episode_ends:
+                episode = 0.0
+                episode_ends = index + steps
             late += backlog - room
+            episode += backlog - room
+            worst = max(worst, episode)
             backlog = room
-    return late
+    return late, worst
 
 
 class CostCurve:
     """The cost of each number of hosts over some demand.
 
-    >>> curve = CostCurve([0.0, 8.0, 0.0, 0.0], step_s=1.0)
+    >>> surge = [0.0, 8.0] + [0.0] * 98
+    >>> curve = CostCurve(surge * 3, step_s=1.0)
     >>> round(curve.late_s(2), 3), curve.late_s(3)
-    (0.2, 0.0)
-    >>> curve.cheapest(CapacityWeights(buffer=1.0, late=100.0))
+    (0.6, 0.0)
+    >>> round(curve.recurring_late_s(2), 3)
+    0.4
+    >>> curve.cheapest(CapacityWeights(buffer=1.0, late=1000.0))
     3
     """
 
@@ -106,7 +130,7 @@
         self._samples = samples
         self._step_s = step_s
         self._work_s = sum(samples) * step_s
-        self._late_s: dict[int, float] = {}
+        self._late_s: dict[int, tuple[float, float]] = {}
 
     @property
     def span_s(self) -> float:
@@ -115,18 +139,35 @@
 
     def late_s(self, hosts: int) -> float:
         """Return the late work of a number of hosts."""
+        late, _ = self._late(hosts)
+        return late
+
+    def recurring_late_s(self, hosts: int) -> float:
+        """Return the late work less that of the worst minute.
+
+        What a single surge would need does not count as needed again.
+        """
+        late, worst = self._late(hosts)
+        return late - worst
+
+    def idle_s(self, hosts: int) -> float:
+        """Return the idle time of a number of hosts."""
+        served_s = self._work_s - self.late_s(hosts)
+        return max(0.0, hosts * self.span_s - served_s)
+
+    def cost(self, hosts: int, weights: CapacityWeights) -> float:
+        """Return the cost of a number of hosts."""
+        late_cost = weights.late * self.late_s(hosts)
+        return late_cost + weights.buffer * self.idle_s(hosts)
+
+    def _late(self, hosts: int) -> tuple[float, float]:
+        """Return all late work, and that of the worst episode."""
         late = self._late_s.get(hosts)
         if late is None:
-            late = late_work(self._samples, hosts, self._step_s, _PATIENCE_S)
+            late = _late_work(self._samples, hosts, self._step_s, _PATIENCE_S)
             self._late_s[hosts] = late
         return late
 
-    def cost(self, hosts: int, held: int, weights: CapacityWeights) -> float:
-        """Return the cost of `hosts`, of which `held` count when idle."""
-        late_s = self.late_s(hosts)
-        idle_s = held * self.span_s - (self._work_s - late_s)
-        return weights.late * late_s + weights.buffer * max(0.0, idle_s)
-
     def cheapest(self, weights: CapacityWeights) -> int:
         """Return the number of hosts with the least cost.
 
@@ -140,7 +181,7 @@
         # Fewer hosts than the mean demand are late with most of it.
         least = math.floor(self._work_s / self.span_s)
         for hosts in range(least, math.ceil(max(self._samples)) + 1):
-            cost = self.cost(hosts, hosts, weights)
+            cost = self.cost(hosts, weights)
             if cost > best_cost:
                 break
             if cost < best_cost:
--- a/lycheelug/capacity_policies.py
+++ b/lycheelug/capacity_policies.py
@@ -41,6 +41,10 @@
 _MAX_GROWTH: Final = 3.0
 # Look ahead of the forecast.
 _AHEAD_S: Final = 300.0
+# Largest difference of today from the days before, in the logarithm of
+# demand, at which the forecast is trusted.
+_LEVEL_TOLERANCE: Final = 0.25
+_TREND_TOLERANCE: Final = 0.25
 # Change of demand below which the forecast keeps the recent demand.
 _LEAST_GROWTH: Final = 0.2
 
@@ -267,16 +271,41 @@
 def _growth(history: DemandHistory, pool: str, now: float) -> float:
     """Return how demand usually changes from the recent past to soon.
 
-    Bursts make the profile of a few days noisy: a small change counts as
-    none.
+    The profile is trusted only while today is like the days before.
+    Bursts make it noisy: a small change counts as none.
     """
     if history.slot_samples(pool, now + _AHEAD_S) < _MIN_SLOT_SAMPLES:
         return 1.0
+    if not _is_usual(history, pool, now):
+        return 1.0
     past = history.usual_mean(pool, now - history.window_s, now)
     ahead = history.usual_mean(pool, now, now + _AHEAD_S)
-    if past <= 0.0:
-        return 1.0
     growth = ahead / past
     if abs(growth - 1.0) < _LEAST_GROWTH:
         return 1.0
     return min(_MAX_GROWTH, max(1.0 / _MAX_GROWTH, growth))
+
+
+def _is_usual(history: DemandHistory, pool: str, now: float) -> bool:
+    """Whether recent demand had the level and the trend of this hour."""
+    samples = history.recent(pool, history.window_s)
+    half = len(samples) // 2
+    if half == 0:
+        return False
+    middle = now - half * history.step_s
+    start = now - len(samples) * history.step_s
+    actual_first = fmean(samples[:half])
+    actual_last = fmean(samples[half:])
+    usual_first = history.usual_mean(pool, start, middle)
+    usual_last = history.usual_mean(pool, middle, now)
+    if min(actual_first, actual_last, usual_first, usual_last) <= 0.0:
+        return False
+    for actual, usual in (
+        (actual_first, usual_first),
+        (actual_last, usual_last),
+    ):
+        if abs(math.log(actual / usual)) > _LEVEL_TOLERANCE:
+            return False
+    actual_trend = math.log(actual_last / actual_first)
+    usual_trend = math.log(usual_last / usual_first)
+    return abs(actual_trend - usual_trend) <= _TREND_TOLERANCE
--- a/lycheelug/demand_history.py
+++ b/lycheelug/demand_history.py
@@ -1,9 +1,9 @@
 """What demand each pool has seen, in hosts' worth of work.
 
 Two views are kept for each pool, both of bounded size: the samples of the
-last minutes, and the mean demand of each slot of the day, in which older
-days fade.  The first is for what happens now, the second for what usually
-happens at this hour.
+last minutes, and the mean demand of each slot of the day on the days
+before, of which older ones fade.  The first is for what happens now, the
+second for what usually happens at this hour.
 
 Limits: no days of the week.
 """
@@ -22,9 +22,6 @@
 _DAY_S: Final = 86400.0
 _SLOTS_A_DAY: Final = 48
 _RECENT_SAMPLES: Final = 1800
-# A slot is halved when it holds this many samples, so that the last days
-# weigh most.
-_FADE_SAMPLES: Final = 8000.0
 
 
 def quantile(ordered: Sequence[float], part: float) -> float:
@@ -44,37 +41,59 @@
 class _PoolDemand:
     """The samples and day profile of one pool."""
 
-    __slots__ = ("_next", "_recent", "_size", "sums", "totals")
+    __slots__ = (
+        "_day",
+        "_next",
+        "_recent",
+        "_size",
+        "_today_sums",
+        "_today_totals",
+        "sums",
+        "totals",
+    )
 
     def __init__(self, size: int) -> None:
         self._size = size
         self._recent: array[float] = array("f")
         self._next = 0
-        # Samples, and the sum of their demand, by slot of the day.
+        # Samples, and the sum of their demand, by slot of the day, of the
+        # days before.
         self.totals: array[float] = array("f", [0.0]) * _SLOTS_A_DAY
         self.sums: array[float] = array("f", [0.0]) * _SLOTS_A_DAY
+        # The same of today.
+        self._day = 0
+        self._today_totals: array[float] = array("f", [0.0]) * _SLOTS_A_DAY
+        self._today_sums: array[float] = array("f", [0.0]) * _SLOTS_A_DAY
 
-    def record(self, demand: float, slot: int) -> None:
+    def record(self, demand: float, day: int, slot: int) -> None:
         """Add a sample to both views."""
         if len(self._recent) < self._size:
             self._recent.append(demand)
         else:
             self._recent[self._next] = demand
             self._next = (self._next + 1) % self._size
-        self.totals[slot] += 1.0
-        self.sums[slot] += demand
-        if self.totals[slot] >= _FADE_SAMPLES:
-            self._fade(slot)
+        if day != self._day:
+            self._close_day()
+            self._day = day
+        self._today_totals[slot] += 1.0
+        self._today_sums[slot] += demand
 
     def recent(self, count: int) -> list[float]:
         """Return the newest samples, oldest first."""
         ordered = self._recent[self._next :] + self._recent[: self._next]
         return list(ordered[-count:]) if count > 0 else []
 
-    def _fade(self, slot: int) -> None:
-        """Halve what a slot holds."""
-        self.totals[slot] /= 2.0
-        self.sums[slot] /= 2.0
+    def _close_day(self) -> None:
+        """Add today to the days before, which count half from now on."""
+        for slot in range(_SLOTS_A_DAY):
+            if self._today_totals[slot] == 0.0:
+                continue
+            self.totals[slot] /= 2.0
+            self.sums[slot] /= 2.0
+            self.totals[slot] += self._today_totals[slot]
+            self.sums[slot] += self._today_sums[slot]
+            self._today_totals[slot] = 0.0
+            self._today_sums[slot] = 0.0
 
 
 class DemandHistory:
@@ -85,6 +104,7 @@
     ...     history.record("quotes", now=float(second), demand=2.5)
     >>> history.recent("quotes", 3.0)
     [2.5, 2.5, 2.5]
+    >>> history.record("quotes", now=86400.0, demand=1.0)
     >>> history.usual_mean("quotes", start=0.0, end=60.0)
     2.5
     """
@@ -118,7 +138,7 @@
         if state is None:
             state = _PoolDemand(self._recent_samples)
             self._pools[pool] = state
-        state.record(demand, self._slot(now))
+        state.record(demand, int(now // self._day_s), self._slot(now))
 
     def recent(self, pool: str, window_s: float) -> list[float]:
         """Return the samples of the last `window_s`, oldest first."""
--- a/lycheelug/leaving.py
+++ b/lycheelug/leaving.py
@@ -178,6 +178,11 @@
         self._hosts: dict[str, _Host] = {}
         self._list_heard_at = -math.inf
 
+    @property
+    def known(self) -> list[str]:
+        """Hosts of which anything is remembered."""
+        return sorted(self._hosts)
+
     def note(
         self,
         host: str,
@@ -274,8 +279,10 @@
                 return False
         if state.sign is not None:
             return now >= state.retry_at
-        first = min((told.first for told in state.told.values()), default=now)
-        return now >= first + self._settings.hold_told_s
+        for told in state.told.values():
+            if now < told.first + self._settings.hold_told_s:
+                return False
+        return True
 
     def start_probe(self, host: str, now: float) -> None:
         """Take in that the allowed probe starts."""
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import pytest
+
+from lycheelug.dispatch import CHOICES, Executor
+
+NONE: frozenset[str] = frozenset()
+
+
+def make(name: str, in_flight: int = 0, limit: int = 4) -> Executor:
+    executor = Executor(name, "10.0.0.1:80", "r1", "z1", limit)
+    executor.in_flight = in_flight
+    return executor
+
+
+@pytest.mark.parametrize("choice", list(CHOICES))
+@pytest.mark.parametrize(
+    ("executors", "exclude", "allowed"),
+    [
+        ([], NONE, {None}),
+        ([make("full", 4)], NONE, {None}),
+        ([make("no-share", 0, limit=0)], NONE, {None}),
+        ([make("over", 5)], NONE, {None}),
+        ([make("tried"), make("other", 3)], {"tried"}, {"other"}),
+        ([make("full", 4), make("free", 3)], NONE, {"free"}),
+        ([make("a"), make("b")], {"a", "b"}, {None}),
+    ],
+    ids=[
+        "empty",
+        "full",
+        "no-share",
+        "over-limit",
+        "excluded",
+        "one-free",
+        "all-excluded",
+    ],
+)
+def test_choice_takes_only_executors_with_room(
+    choice: str,
+    executors: list[Executor],
+    exclude: frozenset[str],
+    allowed: set[str | None],
+) -> None:
+    rng = random.Random(1)
+    for _ in range(20):
+        chosen = CHOICES.get(choice)(executors, rng, frozenset(exclude))
+        assert (chosen.name if chosen else None) in allowed
+
+
+def spread(choice: str, executors: list[Executor], count: int) -> Counter[str]:
+    """Choose many times; a chosen executor's request ends at once."""
+    rng = random.Random(2)
+    chosen: Counter[str] = Counter()
+    for _ in range(count):
+        executor = CHOICES.get(choice)(executors, rng, NONE)
+        assert executor is not None
+        chosen[executor.name] += 1
+    return chosen
+
+
+@pytest.mark.parametrize(
+    ("choice", "most"),
+    [
+        ("least-cost", 0),
+        ("least-loaded", 0),
+        ("two-choices", 0),
+        ("two-choices-latency", 0),
+        ("two-choices-plain", 60),
+        ("random", 60),
+        ("round-robin", 60),
+    ],
+)
+def test_fast_failures_attract_no_load(choice: str, most: int) -> None:
+    bad = make("bad")
+    for _ in range(5):
+        bad.record(ok=False, latency_s=0.001)
+    sound = [make("good1", 1), make("good2", 1)]
+    for executor in sound:
+        executor.record(ok=True, latency_s=0.2)
+    chosen = spread(choice, [bad, *sound], 60)
+    assert chosen["bad"] <= most
+    assert most == 0 or chosen["bad"] > 0
+
+
+@pytest.mark.parametrize("choice", ["least-cost", "two-choices-latency"])
+def test_slow_executor_gets_less(choice: str) -> None:
+    slow = make("slow")
+    fast = make("fast", 1)
+    slow.record(ok=True, latency_s=1.0)
+    fast.record(ok=True, latency_s=0.1)
+    assert spread(choice, [slow, fast], 20)["slow"] == 0
+
+
+def test_new_executor_is_not_flooded() -> None:
+    new = make("new", 2)
+    known = make("known", 1)
+    known.record(ok=True, latency_s=0.2)
+    assert spread("least-cost", [new, known], 20)["new"] == 0
+
+
+def test_executor_that_recovers_gets_work_again() -> None:
+    executor = make("w1")
+    for _ in range(5):
+        executor.record(ok=False, latency_s=0.001)
+    before = executor.load
+    for _ in range(30):
+        executor.record(ok=True, latency_s=0.2)
+    assert executor.load < before / 5
+
+
+def test_round_robin_gives_a_newcomer_its_turn_only() -> None:
+    executors = [make("a"), make("b")]
+    spread("round-robin", executors, 10)
+    chosen = spread("round-robin", [*executors, make("new")], 9)
+    assert chosen == {"a": 3, "b": 3, "new": 3}
