--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -36,6 +36,7 @@
     from lycheelug.metrics import Metrics
     from lycheelug.retries import Budget
     from lycheelug.scheduler import PoolScheduler
+    from lycheelug.settings import UpstreamSettings
     from lycheelug.upstreams.exchange import Upstreams
 
     StartGuard = Callable[[], Awaitable[bool]]
@@ -50,7 +51,14 @@
 class Run:
     """The end of a request: an answer, or a fault with its outcome."""
 
-    __slots__ = ("answer", "fault", "outcome", "worker", "worker_rack")
+    __slots__ = (
+        "answer",
+        "fault",
+        "outcome",
+        "service_s",
+        "worker",
+        "worker_rack",
+    )
 
     def __init__(
         self,
@@ -59,7 +67,10 @@
         fault: Fault | None = None,
         worker: str = "",
         worker_rack: str = "",
+        service_s: float = 0.0,
     ) -> None:
+        # Run time of the last try, in seconds.
+        self.service_s = service_s
         self.outcome = outcome
         self.answer = answer
         self.fault = fault
@@ -103,8 +114,8 @@
         "_clock",
         "_free",
         "_gate",
-        "_max_tries",
         "_metrics",
+        "_settings",
         "_upstreams",
     )
 
@@ -112,7 +123,7 @@
         self,
         upstreams: Upstreams,
         budget: Budget,
-        max_tries: int,
+        settings: UpstreamSettings,
         metrics: Metrics,
         gate: FreshnessGate,
         clock: Callable[[], float],
@@ -121,7 +132,7 @@
         self._upstreams = upstreams
         self._budget = budget
         self._free = FreeRetries()
-        self._max_tries = max_tries
+        self._settings = settings
         self._metrics = metrics
         self._clock = clock
 
@@ -142,7 +153,12 @@
         deadline = arrived_at + wanted.timeout_s
         self._budget.on_first_try(arrived_at)
         while True:
-            await self._gate.pass_through()
+            left_s = deadline - self._clock()
+            if not await self._gate.pass_through(left_s):
+                detail = "the view is being refreshed"
+                return tries.end(
+                    Fault(DEADLINE_PASSED, Step.ADMIT, Peer.SELF, detail)
+                )
             waited_from = self._clock()
             ticket = scheduler.make_ticket(
                 wanted.tenant, wanted.request_class, waited_from, deadline
@@ -194,6 +210,7 @@
                     None,
                     executor.name,
                     executor.rack,
+                    service_s,
                 )
             fault = result.failure()
             self._note_fault(scheduler, executor, fault, request_id, service_s)
@@ -231,7 +248,7 @@
         deadline: float,
     ) -> bool:
         """Whether the request is tried again after a fault."""
-        if tries.count >= self._max_tries:
+        if tries.count >= self._settings.max_tries:
             return False
         # A failed connect or a leaving host's refusal loads no executor,
         # and the host gets no further work: no token is needed.
--- a/lycheelug/settings.py
+++ b/lycheelug/settings.py
@@ -6,6 +6,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
 __all__ = [
     "EmbeddedHost",
     "EmbeddedPool",
@@ -142,6 +147,7 @@
         "request_id_required",
         "retry_share",
         "reuse_idle_s",
+        "reuse_without_request_id",
         "unrepeatable_reuse_idle_s",
     )
 
@@ -159,18 +165,22 @@
         self.unrepeatable_reuse_idle_s = 0.5
         # Whether an answer must carry the X-Request-Id of its request.
         self.request_id_required = False
+        # Whether connections of upstreams that don't echo it are reused.
+        self.reuse_without_request_id = False
 
 
 class PolicySettings:
     """Names of the policies in force, each from its registry."""
 
-    __slots__ = ("choice", "queue", "share")
+    __slots__ = ("choice", "queue", "retries", "share")
 
     def __init__(self) -> None:
         # Which waiting request starts next.
         self.queue = "deadline"
         # Which executor takes it.
         self.choice = "two-choices"
+        # What retries are paid from.
+        self.retries = "answered"
         # How the slots of an executor are divided between daemons.
         self.share = "live"
 
@@ -178,13 +188,19 @@
 class TimingSettings:
     """Periods and time limits of the daemon's own work, in seconds."""
 
-    __slots__ = ("claim_retention_s", "gossip_s", "grace_s", "member_gone_s")
+    __slots__ = (
+        "claim_retention_s",
+        "gossip_s",
+        "grace_s",
+        "member_suspect_s",
+    )
 
     def __init__(self) -> None:
         # Between two exchanges of digests.
         self.gossip_s = 1.0
-        # Without a heartbeat, until a daemon counts as gone.
-        self.member_gone_s = 5.0
+        # Without a heartbeat, until a daemon counts as suspect: it gets no
+        # share of the slots any more.
+        self.member_suspect_s = 10.0
         # For requests in flight to end at a planned stop.
         self.grace_s = 60.0
         # How long the outcome of an idempotency key is kept.
@@ -207,6 +223,7 @@
     """All settings of one daemon."""
 
     __slots__ = (
+        "_tenant_names",
         "limits",
         "listen",
         "logs",
@@ -234,8 +251,24 @@
         self.platform = PlatformSettings()
         # Tenants with their quotas; where none is listed, any name goes.
         self.tenants: list[TenantSettings] = []
+        self._tenant_names: frozenset[str] = frozenset()
         self.limits = LimitSettings()
         self.upstreams = UpstreamSettings()
         self.policies = PolicySettings()
         self.timing = TimingSettings()
         self.logs = LogSettings()
+
+    def set_tenants(self, shares: Mapping[str, float]) -> None:
+        """Replace the tenants by these, with their shares."""
+        tenants: list[TenantSettings] = []
+        for name, share in sorted(shares.items()):
+            tenant = TenantSettings()
+            tenant.name = name
+            tenant.share = share
+            tenants.append(tenant)
+        self.tenants = tenants
+        self._tenant_names = frozenset(shares)
+
+    def allows_tenant(self, name: str) -> bool:
+        """Whether requests of a tenant are taken: listed, or none is."""
+        return not self._tenant_names or name in self._tenant_names
--- a/tests/test_config_exchange.py
+++ b/tests/test_config_exchange.py
@@ -10,7 +10,11 @@
 from lycheelug.config_exchange import ConfigExchange
 from lycheelug.config_outcome import Accepted, Outcome, Refused
 from lycheelug.config_submitter import ConfigSubmitter
-from lycheelug.configuration import ConfigState, read_config_row
+from lycheelug.configuration import (
+    ConfigState,
+    Configuration,
+    read_config_row,
+)
 from lycheelug.entries.client import EntryClient, EntryClients
 from lycheelug.entries.messages import ConfigAnswer, ConfigPush, Digest
 from lycheelug.errors import (
@@ -22,6 +26,7 @@
     Step,
 )
 from lycheelug.membership import Members
+from lycheelug.platform.interface import HostEntry, HostRole, HostState
 from lycheelug.platform.memory import MemoryPlatform
 from lycheelug.records import CONFIG_KEY
 
@@ -35,6 +40,7 @@
         Transaction,
     )
 
+GONE = HostState.GONE
 NAMES = ("e1", "e2", "e3")
 
 
@@ -180,6 +186,14 @@
             "config-refused e2,e3",
             [0, 0, 0],
         ),
+        (
+            "e3 gone by the platform's list",
+            [],
+            ["e3"],
+            [],
+            "accepted 1 e3",
+            [1, 1, 0],
+        ),
         ("platform away", ["away"], [], [], "config-refused ", [0, 0, 0]),
         ("never answered", ["late"] * 99, [], [], "config-unknown", [0] * 3),
     ],
@@ -197,6 +211,10 @@
         fleet.network.cut = set(cut)
         if name.startswith("refused by"):
             fleet.reasons[name[-2:]] = "unknown setting"
+        if name.startswith("e3 gone"):
+            fleet.now = 60.0
+            gone = HostEntry("e3", "z", "", "e3", HostRole.ENTRY, GONE)
+            fleet.network.exchanges["e1"].members.apply_host(gone)
         submitter = fleet.submitter("e1")
         outcome = await submitter.submit("n1", b"{}", excused=excused)
         assert told(outcome) == expected
@@ -312,3 +330,17 @@
         assert fleet.in_force() == [1, 1, 0]
 
     asyncio.run(run())
+
+
+def test_word_by_digest_is_handed_on() -> None:
+    async def run() -> None:
+        fleet = Fleet()
+        first, _, third = fleet.network.exchanges.values()
+        first.state.accept(Configuration(1, "n1", "e1", b"{}"))
+        ahead = Digest("e1", "z", "r", 2, "e1", "", 0, 1, [], [], [])
+        third.members.merge([ahead], 0)
+        third.on_digests(["e1"])
+        await settle(third)
+        assert fleet.in_force() == [1, 1, 1]
+
+    asyncio.run(run())
