--- a/lycheelug/entry_service.py
+++ b/lycheelug/entry_service.py
@@ -49,3 +49,4 @@
     async def leave(self, digest: Digest) -> None:
         """Take in that a daemon's run ends."""
         self._daemon.core.members.on_leave(digest, time.monotonic())
+        self._daemon.sync.update_shares()
--- a/lycheelug/request_path.py
+++ b/lycheelug/request_path.py
@@ -15,7 +15,7 @@
 from lycheelug.jobs import JobBook
 from lycheelug.logs import log_change
 from lycheelug.recording import Recording
-from lycheelug.retries import RetryBudget
+from lycheelug.retries import BUDGETS
 from lycheelug.runner import RequestRunner
 from lycheelug.upstreams.exchange import Upstreams
 
@@ -53,7 +53,9 @@
         )
         runner = RequestRunner(
             self.upstreams,
-            RetryBudget(ratio=settings.upstreams.retry_share),
+            BUDGETS.get(settings.policies.retries)(
+                ratio=settings.upstreams.retry_share
+            ),
             settings.upstreams,
             core.metrics,
             gate,
