--- a/lycheelug/callers/service.py
+++ b/lycheelug/callers/service.py
@@ -36,6 +36,7 @@
     from lycheelug.callers.request_headers import CallerRequest
     from lycheelug.metrics import Metrics
     from lycheelug.pools import PoolTable
+    from lycheelug.recording import Recording
     from lycheelug.runner import RequestRunner, Run, StartGuard
     from lycheelug.scheduler import PoolScheduler
     from lycheelug.settings import Settings
@@ -61,10 +62,10 @@
         "_long",
         "_metrics",
         "_pools",
+        "_recording",
         "_run_id",
         "_runner",
         "_settings",
-        "_tenants",
         "in_flight",
     )
 
@@ -76,6 +77,7 @@
         runner: RequestRunner,
         keyed: KeyedRequests,
         long_work: LongWork,
+        recording: Recording,
         metrics: Metrics,
         is_ready: Callable[[], bool],
         clock: Callable[[], float],
@@ -86,11 +88,11 @@
         self._runner = runner
         self._keyed = keyed
         self._long = long_work
+        self._recording = recording
         self._metrics = metrics
         self._is_ready = is_ready
         self._clock = clock
         self._ids = itertools.count(1)
-        self._tenants = frozenset(each.name for each in settings.tenants)
         # Requests being served now.
         self.in_flight = 0
 
@@ -114,7 +116,7 @@
         parsed = parse_request(
             request, limits.default_deadline_s, limits.max_deadline_s
         )
-        if isinstance(parsed, Failure):
+        if type(parsed) is Failure:
             return self._refuse(parsed.failure())
         wanted = parsed.unwrap()
         scheduler = self._pools.get(wanted.pool)
@@ -125,9 +127,15 @@
         request_id = f"{self._run_id}-{next(self._ids)}"
 
         async def work(may_start: StartGuard | None = None) -> Answer:
-            run = await self._runner.run(
-                scheduler, wanted, request_id, arrived_at, may_start
-            )
+            number = self._recording.on_arrival(wanted, arrived_at)
+            try:
+                run = await self._runner.run(
+                    scheduler, wanted, request_id, arrived_at, may_start
+                )
+            except asyncio.CancelledError:
+                self._recording.on_cancel(number)
+                raise
+            self._recording.on_end(number, run)
             return self._answer_run(run)
 
         async def submit(may_start: StartGuard | None = None) -> Answer:
@@ -148,7 +156,7 @@
             return Fault(NOT_READY, Step.ADMIT, Peer.SELF)
         if scheduler is None:
             return Fault(UNKNOWN_POOL, Step.ADMIT, Peer.CALLER, wanted.pool)
-        if self._tenants and wanted.tenant not in self._tenants:
+        if not self._settings.allows_tenant(wanted.tenant):
             detail = wanted.tenant
             return Fault(UNKNOWN_TENANT, Step.ADMIT, Peer.CALLER, detail)
         return None
--- a/lycheelug/cli/app.py
+++ b/lycheelug/cli/app.py
@@ -11,6 +11,7 @@
     job_commands,
     metric_commands,
     sheet_commands,
+    trace_commands,
 )
 
 __all__ = ["app", "main"]
@@ -30,6 +31,7 @@
 metric_commands.register(app)
 config_commands.register(app)
 sheet_commands.register(app)
+trace_commands.register(app)
 
 
 def main() -> None:
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -36,6 +36,7 @@
     from lycheelug.metrics import Metrics
     from lycheelug.retries import Budget
     from lycheelug.scheduler import PoolScheduler
+    from lycheelug.settings import UpstreamSettings
     from lycheelug.upstreams.exchange import Upstreams
 
     StartGuard = Callable[[], Awaitable[bool]]
@@ -50,7 +51,14 @@
 class Run:
     """The end of a request: an answer, or a fault with its outcome."""
 
-    __slots__ = ("answer", "fault", "outcome", "worker", "worker_rack")
+    __slots__ = (
+        "answer",
+        "fault",
+        "outcome",
+        "service_s",
+        "worker",
+        "worker_rack",
+    )
 
     def __init__(
         self,
@@ -59,7 +67,10 @@
         fault: Fault | None = None,
         worker: str = "",
         worker_rack: str = "",
+        service_s: float = 0.0,
     ) -> None:
+        # Run time of the last try, in seconds.
+        self.service_s = service_s
         self.outcome = outcome
         self.answer = answer
         self.fault = fault
@@ -103,8 +114,8 @@
         "_clock",
         "_free",
         "_gate",
-        "_max_tries",
         "_metrics",
+        "_settings",
         "_upstreams",
     )
 
@@ -112,7 +123,7 @@
         self,
         upstreams: Upstreams,
         budget: Budget,
-        max_tries: int,
+        settings: UpstreamSettings,
         metrics: Metrics,
         gate: FreshnessGate,
         clock: Callable[[], float],
@@ -121,7 +132,7 @@
         self._upstreams = upstreams
         self._budget = budget
         self._free = FreeRetries()
-        self._max_tries = max_tries
+        self._settings = settings
         self._metrics = metrics
         self._clock = clock
 
@@ -155,7 +166,7 @@
             acquired = await scheduler.acquire(
                 ticket, tries.exclude, wanted.repeatable
             )
-            if isinstance(acquired, Failure):
+            if type(acquired) is Failure:
                 return tries.end(acquired.failure())
             executor = acquired.unwrap()
             started_at = self._clock()
@@ -181,7 +192,7 @@
                 ended_at = self._clock()
                 service_s = ended_at - started_at
                 scheduler.release(ticket, executor, service_s)
-            if isinstance(result, Success):
+            if type(result) is Success:
                 answer = result.unwrap()
                 self._note_answer(
                     scheduler, executor, answer, request_id, service_s
@@ -199,6 +210,7 @@
                     None,
                     executor.name,
                     executor.rack,
+                    service_s,
                 )
             fault = result.failure()
             self._note_fault(scheduler, executor, fault, request_id, service_s)
@@ -236,7 +248,7 @@
         deadline: float,
     ) -> bool:
         """Whether the request is tried again after a fault."""
-        if tries.count >= self._max_tries:
+        if tries.count >= self._settings.max_tries:
             return False
         # A failed connect or a leaving host's refusal loads no executor,
         # and the host gets no further work: no token is needed.
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -29,7 +29,8 @@
 from lycheelug.sheet import parse_sheet
 from lycheelug.steps import ChangeKind
 from lycheelug.waves import REBOOT_TIMEOUT_S
-from tests.fleet_world import HEADER, SHEETS, World, run
+from tests.faulty_platform import run
+from tests.fleet_world import HEADER, SHEETS, World
 
 DRAINED_AT = 10
 
@@ -84,6 +85,11 @@
     if dead:
         fleet.dead_runs.add("run")
     assert waiting_for(fleet, fleet.hosts["w"]) == (["e3"] if waits else [])
+    # Daemons of another zone don't know the host at all.
+    elsewhere = EntryRow("e3", "b", address, "run", list_revision=seen)
+    fleet.apply_row(Row(entry_key("e3"), encode(elsewhere), joined + 20))
+    fleet.apply_row(Row(host_key("a", "w"), encode(host), joined + 30))
+    assert waiting_for(fleet, fleet.hosts["w"]) == []
 
 
 def text_of(index: int) -> str:
