Parse repeated callers' headers once, and read clocks less often

Cause: cProfile counted some 25 calls a request in the header parser, and 7 readings of the loop's clock.

Change: the meaning of the last 128 different sets of the daemon's headers is remembered; an exchange on an idle connection reads no clock for its timeout twice; no coroutine is made for a start that nobody guards.

--- a/lycheelug/callers/request_headers.py
+++ b/lycheelug/callers/request_headers.py
@@ -8,6 +8,7 @@
 
 import math
 import re
+from functools import lru_cache
 from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure, Result, Success
@@ -16,7 +17,9 @@
 from lycheelug.requests import RequestClass
 
 if TYPE_CHECKING:
-    from lycheelug.http import RawHeaders, Request
+    from collections.abc import Sequence
+
+    from lycheelug.http import Request
 
 __all__ = ["CallerRequest", "parse_request"]
 
@@ -41,6 +44,9 @@
     {b"GET", b"HEAD", b"PUT", b"DELETE", b"OPTIONS", b"TRACE"}
 )
 DEFAULT_TENANT: Final = "default"
+# Different sets of headers whose meaning is remembered; each is bounded by
+# the size of a request's head.
+MAX_REMEMBERED: Final = 128
 NAME_PATTERN: Final = re.compile(rb"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 KEY_PATTERN: Final = re.compile(rb"[\x21-\x7e]{1,255}")
 CLASSES: Final = {item.value.encode(): item for item in RequestClass}
@@ -91,11 +97,9 @@
     def __init__(self) -> None:
         self._values: dict[bytes, bytes] = {}
 
-    def fill(self, headers: RawHeaders) -> Fault | None:
+    def fill(self, headers: Sequence[tuple[bytes, bytes]]) -> Fault | None:
         """Take the headers that are read here; refuse one given twice."""
         for name, value in headers:
-            if name not in READ_HEADERS:
-                continue
             if name in self._values:
                 return _bad(name, value, "given once")
             self._values[name] = value
@@ -106,37 +110,89 @@
         return self._values.get(name)
 
 
+class _Asked:
+    """What a set of headers asks for."""
+
+    __slots__ = (
+        "key",
+        "pool",
+        "repeatable",
+        "request_class",
+        "tenant",
+        "timeout_s",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        tenant: str,
+        request_class: RequestClass,
+        timeout_s: float,
+        repeatable: bool,
+        key: str,
+    ) -> None:
+        self.pool = pool
+        self.tenant = tenant
+        self.request_class = request_class
+        self.timeout_s = timeout_s
+        self.repeatable = repeatable
+        self.key = key
+
+
 def parse_request(
     request: Request, default_timeout_s: float, max_timeout_s: float
 ) -> Result[CallerRequest, Fault]:
     """Return what a caller asks for, or the first bad header."""
+    read = tuple([pair for pair in request.headers if pair[0] in READ_HEADERS])
+    asked = _parse_headers(
+        read, request.method, default_timeout_s, max_timeout_s
+    )
+    if isinstance(asked, Fault):
+        return Failure(asked)
+    return Success(
+        CallerRequest(
+            request,
+            asked.pool,
+            asked.tenant,
+            asked.request_class,
+            asked.timeout_s,
+            asked.repeatable,
+            asked.key,
+        )
+    )
+
+
+@lru_cache(maxsize=MAX_REMEMBERED)
+def _parse_headers(
+    headers: tuple[tuple[bytes, bytes], ...],
+    method: bytes,
+    default_timeout_s: float,
+    max_timeout_s: float,
+) -> _Asked | Fault:
+    """Return what headers ask for; callers repeat theirs, so remember."""
     given = _Given()
-    fault = given.fill(request.headers)
+    fault = given.fill(headers)
     if fault is not None:
-        return Failure(fault)
+        return fault
     pool = _name(given, POOL_HEADER, "")
     if isinstance(pool, Fault):
-        return Failure(pool)
+        return pool
     tenant = _name(given, TENANT_HEADER, DEFAULT_TENANT)
     if isinstance(tenant, Fault):
-        return Failure(tenant)
+        return tenant
     request_class = _request_class(given)
     if isinstance(request_class, Fault):
-        return Failure(request_class)
+        return request_class
     timeout_s = _timeout_s(given, default_timeout_s, max_timeout_s)
     if isinstance(timeout_s, Fault):
-        return Failure(timeout_s)
-    repeatable = _repeatable(given, request.method)
+        return timeout_s
+    repeatable = _repeatable(given, method)
     if isinstance(repeatable, Fault):
-        return Failure(repeatable)
+        return repeatable
     key = _key(given)
     if isinstance(key, Fault):
-        return Failure(key)
-    return Success(
-        CallerRequest(
-            request, pool, tenant, request_class, timeout_s, repeatable, key
-        )
-    )
+        return key
+    return _Asked(pool, tenant, request_class, timeout_s, repeatable, key)
 
 
 def _bad(name: bytes, value: bytes, allowed: str) -> Fault:
--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -398,10 +398,10 @@
         reuse_idle_s: float = IDLE_REUSE_S,
     ) -> Result[Answer, ExchangeFault]:
         """Exchange a request on an idle or a new connection."""
-        loop = asyncio.get_running_loop()
-        started = loop.time()
         connection = self._take_idle(reuse_idle_s)
         if connection is None:
+            loop = asyncio.get_running_loop()
+            started = loop.time()
             opened = await open_connection(
                 self._address,
                 self._peer,
@@ -413,9 +413,9 @@
                     connection = made
                 case Failure(fault):
                     return Failure(fault)
+            timeout_s = max(0.001, timeout_s - (loop.time() - started))
         assert connection is not None
-        remaining = max(0.001, timeout_s - (loop.time() - started))
-        result = await connection.exchange(request, remaining)
+        result = await connection.exchange(request, timeout_s)
         if connection.usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append(connection)
         else:
@@ -429,6 +429,8 @@
 
     def _take_idle(self, reuse_idle_s: float) -> ClientConnection | None:
         """Return the connection used last, if it is still good."""
+        if not self._idle:
+            return None
         now = (self._clock or asyncio.get_running_loop().time)()
         while self._idle:
             connection = self._idle.pop()
--- a/lycheelug/http/server.py
+++ b/lycheelug/http/server.py
@@ -363,6 +363,7 @@
         "draining",
         "handler",
         "limits",
+        "now",
         "on_refused",
         "refuser",
     )
@@ -379,6 +380,8 @@
         self.refuser = refuser or _plain_refusal
         self.on_refused = on_refused or _ignore
         self.draining = False
+        # The time of the loop; set by `start`.
+        self.now: Callable[[], float] = _not_started
         self._connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -403,6 +406,7 @@
     async def start(self, host: str, port: int) -> None:
         """Listen on an address; raise OSError where that fails."""
         self._loop = asyncio.get_running_loop()
+        self.now = self._loop.time
         self._server = await self._loop.create_server(
             lambda: ServerConnection(self), host, port, backlog=1024
         )
@@ -427,11 +431,6 @@
 
     # --- For the connections.
 
-    def now(self) -> float:
-        """Return the loop's time in seconds."""
-        assert self._loop is not None
-        return self._loop.time()
-
     def enter(self, connection: ServerConnection) -> bool:
         """Add a connection; False where the table is full."""
         if len(self._connections) >= self.limits.max_connections:
@@ -461,5 +460,10 @@
     )
 
 
+def _not_started() -> float:
+    """Return no time: there is no loop yet."""
+    raise RuntimeError("the server has not been started")
+
+
 def _ignore(code: ErrorCode) -> None:
     """Count nothing."""
--- a/lycheelug/metrics.py
+++ b/lycheelug/metrics.py
@@ -206,7 +206,10 @@
 
 def _units(seconds: float) -> int:
     """Return a time in histogram units, at least one."""
-    return min(MAX_UNITS, max(1, int(seconds / UNIT_S + 0.5)))
+    units = int(seconds / UNIT_S + 0.5)
+    if units < 1:
+        return 1
+    return units if units < MAX_UNITS else MAX_UNITS
 
 
 def _summarize(
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -166,7 +166,11 @@
             executor = acquired.unwrap()
             started_at = self._clock()
             tries.queue_s += started_at - waited_from
-            fault = await self._hold(ticket, executor, scheduler, may_start)
+            fault: Fault | None = None
+            if may_start is not None:
+                fault = await self._hold(
+                    ticket, executor, scheduler, may_start
+                )
             remaining_s = deadline - self._clock()
             if fault is None and remaining_s <= 0:
                 fault = Fault(DEADLINE_PASSED, Step.SEND, Peer.SELF)
@@ -220,11 +224,9 @@
         ticket: Ticket,
         executor: Executor,
         scheduler: PoolScheduler,
-        may_start: StartGuard | None,
+        may_start: StartGuard,
     ) -> Fault | None:
         """Return why a request with a slot must not be sent, or None."""
-        if may_start is None:
-            return None
         try:
             allowed = await may_start()
         except asyncio.CancelledError:
