--- a/bench/fast_upstream.py
+++ b/bench/fast_upstream.py
@@ -1,6 +1,7 @@
 """The fastest upstream that is still HTTP/1.1: fixed bytes, no parser.
 
-It answers each request head with a short body.  Only for benchmarks: it
+It answers each request head with a short body, and repeats the request's
+id where there is one.  Only for benchmarks: it
 takes requests without a body, one at a time on a connection.
 """
 
@@ -12,10 +13,12 @@
 
 __all__ = ["main"]
 
-ANSWER: Final = (
-    b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\n"
-    b"content-length: 12\r\n\r\nbrass bowls\n"
+ANSWER_START: Final = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 12\r\n"
 )
+ANSWER_END: Final = b"\r\nbrass bowls\n"
+REQUEST_ID: Final = b"x-request-id: "
+LINE_END: Final = b"\r\n"
 HEAD_END: Final = b"\r\n\r\n"
 
 
@@ -35,9 +38,15 @@
         self._seen += data
         if not self._seen.endswith(HEAD_END):
             return
+        head = self._seen
         self._seen = b""
+        echoed = b""
+        start = head.lower().find(REQUEST_ID)
+        if start >= 0:
+            end = head.index(LINE_END, start)
+            echoed = head[start:end] + LINE_END
         assert self._transport is not None
-        self._transport.write(ANSWER)
+        self._transport.write(ANSWER_START + echoed + ANSWER_END)
 
 
 async def _serve() -> None:
--- a/lycheelug/request_path.py
+++ b/lycheelug/request_path.py
@@ -14,7 +14,8 @@
 from lycheelug.job_runner import JobRunner
 from lycheelug.jobs import JobBook
 from lycheelug.logs import log_change
-from lycheelug.retries import RetryBudget
+from lycheelug.recording import Recording
+from lycheelug.retries import BUDGETS
 from lycheelug.runner import RequestRunner
 from lycheelug.upstreams.exchange import Upstreams
 
@@ -37,6 +38,7 @@
         "job_runner",
         "jobs",
         "keyed",
+        "recording",
         "upstreams",
     )
 
@@ -45,12 +47,15 @@
         self._gate = gate
         self._sweep_task: asyncio.Task[None] | None = None
         settings = core.settings
+        self.recording = Recording()
         self.upstreams = Upstreams(
             settings.upstreams, settings.limits.max_answer_bytes
         )
         runner = RequestRunner(
             self.upstreams,
-            RetryBudget(ratio=settings.upstreams.retry_share),
+            BUDGETS.get(settings.policies.retries)(
+                ratio=settings.upstreams.retry_share
+            ),
             settings.upstreams,
             core.metrics,
             gate,
@@ -74,6 +79,7 @@
             runner,
             self.keyed,
             long_work,
+            self.recording,
             core.metrics,
             lambda: core.is_serving,
             time.monotonic,
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -51,7 +51,14 @@
 class Run:
     """The end of a request: an answer, or a fault with its outcome."""
 
-    __slots__ = ("answer", "fault", "outcome", "worker", "worker_rack")
+    __slots__ = (
+        "answer",
+        "fault",
+        "outcome",
+        "service_s",
+        "worker",
+        "worker_rack",
+    )
 
     def __init__(
         self,
@@ -60,7 +67,10 @@
         fault: Fault | None = None,
         worker: str = "",
         worker_rack: str = "",
+        service_s: float = 0.0,
     ) -> None:
+        # Run time of the last try, in seconds.
+        self.service_s = service_s
         self.outcome = outcome
         self.answer = answer
         self.fault = fault
@@ -143,7 +153,12 @@
         deadline = arrived_at + wanted.timeout_s
         self._budget.on_first_try(arrived_at)
         while True:
-            await self._gate.pass_through()
+            left_s = deadline - self._clock()
+            if not await self._gate.pass_through(left_s):
+                detail = "the view is being refreshed"
+                return tries.end(
+                    Fault(DEADLINE_PASSED, Step.ADMIT, Peer.SELF, detail)
+                )
             waited_from = self._clock()
             ticket = scheduler.make_ticket(
                 wanted.tenant, wanted.request_class, waited_from, deadline
@@ -151,7 +166,7 @@
             acquired = await scheduler.acquire(
                 ticket, tries.exclude, wanted.repeatable
             )
-            if isinstance(acquired, Failure):
+            if type(acquired) is Failure:
                 return tries.end(acquired.failure())
             executor = acquired.unwrap()
             started_at = self._clock()
@@ -177,7 +192,7 @@
                 ended_at = self._clock()
                 service_s = ended_at - started_at
                 scheduler.release(ticket, executor, service_s)
-            if isinstance(result, Success):
+            if type(result) is Success:
                 answer = result.unwrap()
                 self._note_answer(
                     scheduler, executor, answer, request_id, service_s
@@ -195,6 +210,7 @@
                     None,
                     executor.name,
                     executor.rack,
+                    service_s,
                 )
             fault = result.failure()
             self._note_fault(scheduler, executor, fault, request_id, service_s)
--- a/lycheelug/upstreams/exchange.py
+++ b/lycheelug/upstreams/exchange.py
@@ -2,8 +2,13 @@
 
 An answer counts only if it belongs to the request: each try carries an
 `X-Request-Id` of its own, and an answer that carries another one is
-refused.  Upstreams that don't echo the header are accepted unless the
-settings require it.
+refused.  Once an executor has echoed the header, an answer without it is
+refused as well.
+
+Upstreams that never echo it are accepted unless the settings require it;
+then a second answer on a kept connection can't be told from the next
+request's, so their connections are used once, unless the settings allow
+more.
 """
 
 from __future__ import annotations
@@ -11,7 +16,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from lycheelug.errors import (
     ANSWER_CROSSED,
@@ -20,6 +25,7 @@
     Step,
 )
 from lycheelug.http import (
+    HOP_BY_HOP,
     Answer,
     ExchangeFault,
     HttpClient,
@@ -42,6 +48,8 @@
 REPLACED: Final = frozenset(
     {b"host", b"content-length", b"expect", REQUEST_ID, DEADLINE}
 )
+# Not passed on as the caller sent it.
+DROPPED: Final = HOP_BY_HOP | REPLACED
 REFUSAL_STATUS: Final = 503
 BODY_METHODS: Final = frozenset({b"POST", b"PUT", b"PATCH"})
 
@@ -49,7 +57,7 @@
 class Upstreams:
     """The daemon's connections to executors."""
 
-    __slots__ = ("_clients", "_max_answer", "_settings")
+    __slots__ = ("_clients", "_echoing", "_max_answer", "_settings")
 
     def __init__(
         self, settings: UpstreamSettings, max_answer_bytes: int
@@ -57,6 +65,8 @@
         self._settings = settings
         self._max_answer = max_answer_bytes
         self._clients: dict[str, HttpClient] = {}
+        # The addresses that have echoed a request's id.
+        self._echoing: set[str] = set()
 
     async def run(
         self,
@@ -76,12 +86,15 @@
         reuse_s = settings.reuse_idle_s
         if not repeatable:
             reuse_s = settings.unrepeatable_reuse_idle_s
-        sent = _forwarded(request, executor.address, request_id, timeout_s)
+        proven = executor.address in self._echoing
+        if not proven and not settings.reuse_without_request_id:
+            reuse_s = -1.0
+        own_id = request_id.encode()
+        sent = _forwarded(request, executor.address, own_id, timeout_s)
         result = await client.request(sent, timeout_s, reuse_s)
-        match result:
-            case Success(answer):
-                return self._judge(answer, executor, request_id)
-        return result
+        if type(result) is Failure:
+            return result
+        return self._judge(result, executor, own_id)
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -95,6 +108,7 @@
             if address in addresses:
                 continue
             self._clients.pop(address).close()
+            self._echoing.discard(address)
 
     def _client(self, address: str) -> HttpClient:
         """Return the client of an address, made if needed."""
@@ -103,18 +117,30 @@
             return client
         clock = asyncio.get_running_loop().time
         client = HttpClient(
-            address, Peer.UPSTREAM, self._max_answer, clock=clock
+            address,
+            Peer.UPSTREAM,
+            self._max_answer,
+            clock,
+            self._settings.connect_s,
         )
         self._clients[address] = client
         return client
 
     def _judge(
-        self, answer: Answer, executor: Executor, request_id: str
+        self,
+        result: Result[Answer, ExchangeFault],
+        executor: Executor,
+        request_id: bytes,
     ) -> Result[Answer, ExchangeFault]:
         """Check that a whole answer is the request's own."""
+        answer = result.unwrap()
         echoed = find_header(answer.headers, REQUEST_ID)
-        missing = echoed is None and self._settings.request_id_required
-        crossed = echoed is not None and echoed != request_id.encode()
+        proven = executor.address in self._echoing
+        required = proven or self._settings.request_id_required
+        missing = echoed is None and required
+        crossed = echoed is not None and echoed != request_id
+        if echoed is not None and not crossed:
+            self._echoing.add(executor.address)
         if missing or crossed:
             # The connection's order is lost: none of it is used again.
             self._client(executor.address).close()
@@ -138,7 +164,7 @@
                 sent=False,
             )
             return Failure(fault)
-        return Success(answer)
+        return result
 
 
 def is_refusal(answer: Answer) -> bool:
@@ -161,19 +187,15 @@
 
 
 def _forwarded(
-    request: Request, address: str, request_id: str, timeout_s: float
+    request: Request, address: str, request_id: bytes, timeout_s: float
 ) -> Request:
     """Return the request as the executor gets it."""
     headers: RawHeaders = [
         (b"host", address.encode()),
-        (REQUEST_ID, request_id.encode()),
-        (DEADLINE, f"{timeout_s:.3f}".encode()),
+        (REQUEST_ID, request_id),
+        (DEADLINE, b"%.3f" % timeout_s),
     ]
-    for pair in end_to_end_headers(request.headers):
-        if pair[0] in REPLACED:
-            continue
-        headers.append(pair)
+    headers.extend(end_to_end_headers(request.headers, DROPPED))
     if request.body or request.method in BODY_METHODS:
-        length = str(len(request.body)).encode()
-        headers.append((b"content-length", length))
+        headers.append((b"content-length", b"%d" % len(request.body)))
     return Request(request.method, request.target, headers, request.body)
