Stop a run that others have ended, reap rows of gone hosts, wait for unjoined daemons

Cause: a daemon declared dead, or replaced under its name, went on serving while no plan waited for it; rows of crashed daemons stayed; the driver did not wait for daemons that serve by a peer's view without having joined. Change: such a run dispatches nothing more and ends with code 1; the driving daemon removes rows of hosts that are gone; drains wait for sponsored daemons too; a paused daemon hands its view to nobody. Conclusion: test_run_that_others_ended_stops_by_itself, which waits for the exit that did not come before.

--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -18,6 +18,7 @@
 from lycheelug.core import Core, Phase
 from lycheelug.embedded import fill_embedded
 from lycheelug.entries.gossip import Gossip
+from lycheelug.entries.reaper import Reaper
 from lycheelug.entries.refresh import Refresh
 from lycheelug.entries.service import EntryServer
 from lycheelug.entry_service import DaemonEntryHandler
@@ -54,6 +55,7 @@
 # callers with open connections are told meanwhile.
 DRAIN_NOTICE_S: Final = 0.25
 STOP_SETTLE_S: Final = 2.0
+REAP_PERIOD_S: Final = 5.0
 
 
 class Daemon:
@@ -64,6 +66,7 @@
         "_entry_server",
         "_join_task",
         "_operators_server",
+        "_reap_task",
         "_runtime",
         "_tick_task",
         "config",
@@ -73,6 +76,7 @@
         "gossip",
         "plan",
         "requests",
+        "superseded",
         "sync",
         "watch",
     )
@@ -107,9 +111,12 @@
         self._operators_server = HttpServer(
             OperatorService(self, settings.operator_token).handle
         )
+        # Set once this run was ended by others, and has to stop.
+        self.superseded = asyncio.Event()
         self._entry_server: EntryServer | None = None
         self._tick_task: asyncio.Task[None] | None = None
         self._join_task: asyncio.Task[None] | None = None
+        self._reap_task: asyncio.Task[None] | None = None
 
     @property
     def connections(self) -> int:
@@ -147,6 +154,7 @@
         self.gossip.start()
         self.plan.start()
         self.requests.start()
+        self._reap_task = asyncio.create_task(self._run_reaper())
         self.sync.sync_pools()
         self.core.enter_phase(Phase.READY)
         callers, operators, entries = self.ports
@@ -189,7 +197,7 @@
         await self.watch.stop()
         await self.requests.stop(STOP_SETTLE_S)
         await leave_fleet(self)
-        for task in (self._tick_task, self._join_task):
+        for task in (self._tick_task, self._join_task, self._reap_task):
             if task is not None:
                 task.cancel()
         self._callers_server.stop()
@@ -211,6 +219,7 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             self.gate.tick()
+            self._stop_if_superseded()
             if not self.watch.is_platform_away:
                 self.core.leaving.note_list_heard(now)
             self.sync.sync_pools()
@@ -220,6 +229,33 @@
                 shares_at = now + SHARES_PERIOD_S
                 self.sync.update_shares()
 
+    def _stop_if_superseded(self) -> None:
+        """Ask to be stopped once others have ended this run.
+
+        No plan waits for this daemon any more, so it dispatches nothing
+        further from here on.
+        """
+        if not self.core.members.is_superseded or self.superseded.is_set():
+            return
+        log_change("superseded", run=self.core.run_id)
+        self.core.pools.stop_dispatch()
+        self.superseded.set()
+
+    async def _run_reaper(self) -> None:
+        """Remove the rows of daemons whose hosts are gone."""
+        reaper = Reaper(
+            self.core.platform,
+            self.core.members,
+            time.monotonic,
+            self.core.rng,
+        )
+        while True:
+            await asyncio.sleep(REAP_PERIOD_S)
+            if not self._drives_plan():
+                continue
+            for name in await reaper.run_once():
+                log_change("removed", entry=name)
+
     async def _refresh(self) -> bool:
         """Bring the view up to date after a pause of this process."""
         core = self.core
--- a/lycheelug/entry_acks.py
+++ b/lycheelug/entry_acks.py
@@ -48,7 +48,32 @@
             continue
         if not _has_acknowledged(fleet, entry, host):
             names.append(name)
-    return names
+    for name in _unjoined(fleet, host.row.zone):
+        if not _newcomer_has_acknowledged(fleet, name, host):
+            names.append(name)
+    return sorted(names)
+
+
+def _unjoined(fleet: FleetSnapshot, zone: str) -> set[str]:
+    """Return the daemons of a zone that serve by a peer's view, unjoined."""
+    names: set[str] = set()
+    for digest in fleet.digests.values():
+        if digest.zone == zone:
+            names.update(digest.sponsored)
+    return names - set(fleet.entries)
+
+
+def _newcomer_has_acknowledged(
+    fleet: FleetSnapshot, name: str, host: Versioned[HostRow]
+) -> bool:
+    """Tell whether an unjoined daemon's own digest shows the drain."""
+    for digest in fleet.digests.values():
+        if digest.name != name:
+            continue
+        reached = digest.table_revision >= host.revision
+        if reached and host.row.name not in digest.busy_draining:
+            return True
+    return False
 
 
 def _has_ended(
--- a/lycheelug/entry_service.py
+++ b/lycheelug/entry_service.py
@@ -5,6 +5,9 @@
 import time
 from typing import TYPE_CHECKING
 
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
+
 from lycheelug.entries.service import EntryHandler
 
 if TYPE_CHECKING:
@@ -36,6 +39,8 @@
 
     async def fetch_view(self, request: ViewRequest) -> ViewReply:
         """Return rows of the own view after a revision."""
+        if self._daemon.gate.pauses.is_stale:
+            raise GRPCError(Status.UNAVAILABLE, "paused, view not fresh")
         if request.newcomer:
             self._daemon.core.members.sponsor(request.newcomer)
         return self._daemon.core.view.rows_since(
--- a/lycheelug/freshness.py
+++ b/lycheelug/freshness.py
@@ -75,6 +75,7 @@
         while self.pauses.is_stale:
             if await self._refresh():
                 break
+            # A run that others have ended never gets fresh: it stops.
             await asyncio.sleep(RETRY_S)
         self._fresh.set()
         log_change("resumed")
--- a/lycheelug/main.py
+++ b/lycheelug/main.py
@@ -1,7 +1,8 @@
 """The daemon's command: `lycheelugd SETTINGS.yaml [--check]`.
 
-Exit codes: 0 after a graceful stop or a clean check, 1 where an address
-can't be listened on or requests were cut, 2 for bad settings or usage.
+Exit codes: 0 after a graceful stop or a clean check; 1 where an address
+can't be listened on, requests were cut, or others ended this run; 2 for
+bad settings or usage.
 """
 
 from __future__ import annotations
@@ -93,7 +94,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
     starting = asyncio.create_task(daemon.start())
-    told = asyncio.create_task(stopping.wait())
+    told = asyncio.create_task(_first_of(stopping, daemon.superseded))
     await asyncio.wait({starting, told}, return_when=asyncio.FIRST_COMPLETED)
     if starting.done() and starting.exception() is not None:
         sys.stderr.write(f"lycheelugd: {starting.exception()}\n")
@@ -104,6 +105,14 @@
     return await _stop(daemon, hurried)
 
 
+async def _first_of(*events: asyncio.Event) -> None:
+    """Return once one of some events is set."""
+    waits = [asyncio.create_task(event.wait()) for event in events]
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+
+
 async def _stop(daemon: Daemon, hurried: asyncio.Event) -> int:
     """Drain and stop; return the exit code."""
     draining = asyncio.create_task(daemon.drain())
@@ -114,7 +123,8 @@
     hurry.cancel()
     await daemon.stop()
     log_change("ended", requests_cut=cut)
-    return EXIT_FAILED if cut else EXIT_DONE
+    failed = cut or daemon.superseded.is_set()
+    return EXIT_FAILED if failed else EXIT_DONE
 
 
 if __name__ == "__main__":
--- a/lycheelug/operators/sheet_routes.py
+++ b/lycheelug/operators/sheet_routes.py
@@ -28,6 +28,7 @@
 )
 from lycheelug.plan_report import explain_plan, progress
 from lycheelug.plan_submit import submit_sheet
+from lycheelug.records import EntryRow
 from lycheelug.sheet import parse_sheet
 from lycheelug.sheet_checks import check_sheet
 
@@ -101,20 +102,29 @@
 @route("POST", "/v1/entries/dead/*")
 async def post_dead(daemon: Daemon, call: Call) -> Answer:
     """Declare an entry daemon's present run dead, by its name."""
+    entry = _find_entry(daemon, call.tail)
+    if entry is None:
+        fault = Fault(ENTRY_UNREACHABLE, Step.READ, Peer.ENTRY, "not known")
+        fault.peer_name = call.tail
+        return fault_answer(fault)
+    core = daemon.core
+    removed = await remove_entry(core.platform, entry, core.rng)
+    if isinstance(removed, Failure):
+        return fault_answer(removed.failure())
+    operator = call.query("operator", "operator")
+    log_change("declared dead", entry=entry.name, by=operator)
+    return json_answer(200, {"entry": entry.name, "run": entry.run})
+
+
+def _find_entry(daemon: Daemon, name: str) -> EntryRow | None:
+    """Return a daemon's run: joined, or known by its digest only."""
     for entry in daemon.core.view.entries():
-        if entry.name != call.tail:
-            continue
-        removed = await remove_entry(
-            daemon.core.platform, entry, daemon.core.rng
-        )
-        if isinstance(removed, Failure):
-            return fault_answer(removed.failure())
-        operator = call.query("operator", "operator")
-        log_change("declared dead", entry=entry.name, by=operator)
-        return json_answer(200, {"entry": entry.name, "run": entry.run})
-    fault = Fault(ENTRY_UNREACHABLE, Step.READ, Peer.ENTRY, "not joined")
-    fault.peer_name = call.tail
-    return fault_answer(fault)
+        if entry.name == name:
+            return entry
+    for line in daemon.core.members.status(time.monotonic()):
+        if line.name == name:
+            return EntryRow(name, line.zone, line.address, line.run)
+    return None
 
 
 async def _checked(
--- a/lycheelug/pools.py
+++ b/lycheelug/pools.py
@@ -51,6 +51,7 @@
 
     __slots__ = (
         "_clock",
+        "_is_stopped",
         "_leaving",
         "_rng",
         "_schedulers",
@@ -69,6 +70,7 @@
         self._leaving = leaving
         self._rng = rng
         self._clock = clock
+        self._is_stopped = False
         self._schedulers: dict[str, PoolScheduler] = {}
         # What each scheduler was made for; another shape makes a new one.
         self._shapes: dict[str, _Shape] = {}
@@ -88,6 +90,8 @@
 
     def update_pool(self, row: PoolRow, hosts: Sequence[HostRow]) -> None:
         """Take in a pool's row and the hosts that serve it."""
+        if self._is_stopped:
+            return
         quotas = {each.name: each.share for each in self._settings.tenants}
         quotas.update(row.quotas)
         max_queued = self._settings.limits.max_queued
@@ -130,6 +134,12 @@
                 )
             scheduler.executors.update_shares(me, daemons, reports, now)
 
+    def stop_dispatch(self) -> None:
+        """Dispatch nothing more; what waits is refused when it expires."""
+        self._is_stopped = True
+        for scheduler in self._schedulers.values():
+            scheduler.executors.update_hosts([], self._clock())
+
     def tick(self) -> None:
         """Do what time alone asks for."""
         now = self._clock()
--- a/tests/test_two_daemons.py
+++ b/tests/test_two_daemons.py
@@ -60,3 +60,15 @@
             await until(alone)
 
     asyncio.run(run())
+
+
+def test_run_that_others_ended_stops_by_itself(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 1})
+            first = await world.start_entry("e1")
+            await world.remove_entry("e1")
+            assert await first.wait() == 1
+            assert any("superseded" in line for line in first.lines)
+
+    asyncio.run(run())
