Look for jobs by one read for all pools; plan a fleet at rest seldom

Change: one delta over all waiting jobs tells which pools to look at (0.5 reads a second); a fleet where nothing changed and no host is on its way is planned every 20 s.

--- a/lycheelug/job_runner.py
+++ b/lycheelug/job_runner.py
@@ -1,5 +1,6 @@
 """Runs long jobs from one daemon: takes them up, sends them, reports.
 
+One read for all pools tells which have new jobs; only those are looked at.
 Each pool has a small number of jobs in progress at a time, so that long
 work takes its turn and leaves slots for short work; within the pool's
 queue it is scheduled as class long.  A job is marked as dispatched in the
@@ -12,12 +13,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure, Success
 
 from lycheelug.callers.request_headers import CallerRequest
+from lycheelug.errors import REVISION_FORGOTTEN
 from lycheelug.http import Request
+from lycheelug.job_records import WAITING_PREFIX
 from lycheelug.job_recovery import find_ended_owners
 from lycheelug.logs import log_change
 from lycheelug.requests import Outcome, RequestClass
@@ -35,7 +39,7 @@
 __all__ = ["JobRunner"]
 
 BUSY_PERIOD_S: Final = 0.5
-IDLE_PERIOD_S: Final = 5.0
+NEWS_PERIOD_S: Final = 2.0
 RECOVER_PERIOD_S: Final = 3.0
 # One job in progress for each so many slots of a pool, and at least one.
 SLOTS_PER_JOB: Final = 8
@@ -52,7 +56,9 @@
         "_is_first",
         "_may_claim",
         "_metrics",
+        "_news_revision",
         "_next_look",
+        "_next_news",
         "_platform",
         "_pools",
         "_runner",
@@ -86,6 +92,8 @@
         self._unix_clock = unix_clock
         self._wake = asyncio.Event()
         self._stopping = False
+        self._news_revision = 0
+        self._next_news = 0.0
         # When each pool is looked at next, and its jobs in progress.
         self._next_look: dict[str, float] = {}
         self._workers: dict[str, dict[str, asyncio.Task[None]]] = {}
@@ -129,6 +137,7 @@
         while True:
             self._wake.clear()
             if not self._stopping and self._may_claim():
+                await self._hear_news()
                 for scheduler in self._pools.all():
                     await self._look(scheduler)
                 await self._cancel_unwanted()
@@ -138,19 +147,42 @@
             except TimeoutError:
                 continue
 
+    async def _hear_news(self) -> None:
+        """Find the pools with new jobs, by one read for all of them."""
+        now = self._clock()
+        if now < self._next_news:
+            return
+        self._next_news = now + NEWS_PERIOD_S
+        since = self._news_revision
+        result = await self._platform.read_since(WAITING_PREFIX, since)
+        if isinstance(result, Failure):
+            # Deletions that the store forgot are no news: start anew.
+            if result.failure().code is REVISION_FORGOTTEN:
+                self._news_revision = 0
+            return
+        delta = result.unwrap()
+        self._news_revision = max(since, delta.revision)
+        for row in delta.rows:
+            if row.value is not None:
+                self._next_look[row.key.split("/")[1]] = 0.0
+
     async def _look(self, scheduler: PoolScheduler) -> None:
         """Take as many of a pool's jobs as it has room for."""
         executors = scheduler.executors
         pool = executors.pool
         now = self._clock()
-        if executors.capacity == 0 or now < self._next_look.get(pool, 0.0):
+        due = now >= self._next_look.get(pool, math.inf)
+        if executors.capacity == 0 or not due:
             return
+        # News that comes meanwhile sets it anew.
+        self._next_look[pool] = math.inf
         workers = self._workers.setdefault(pool, {})
         most = max(1, executors.capacity // SLOTS_PER_JOB)
-        period_s = IDLE_PERIOD_S
+        period_s = math.inf
         while len(workers) < most and not self._stopping:
             claimed = await self._book.claim_next(pool)
             if isinstance(claimed, Failure):
+                period_s = BUSY_PERIOD_S
                 break
             claim: JobClaim | None = claimed.unwrap()
             if claim is None:
@@ -160,7 +192,8 @@
             period_s = BUSY_PERIOD_S
         if workers or self._book.waiting(pool):
             period_s = BUSY_PERIOD_S
-        self._next_look[pool] = now + period_s
+        next_look = min(self._next_look[pool], now + period_s)
+        self._next_look[pool] = next_look
 
     async def _cancel_unwanted(self) -> None:
         """Cut the running jobs whose callers cancelled them."""
--- a/lycheelug/plan_loop.py
+++ b/lycheelug/plan_loop.py
@@ -20,6 +20,7 @@
 from lycheelug.fleet import FLEET_PREFIXES, FleetSnapshot
 from lycheelug.logs import log_change
 from lycheelug.plan_driver import PlanDriver
+from lycheelug.records import HostPhase
 
 if TYPE_CHECKING:
     import random
@@ -34,6 +35,7 @@
 
 BUSY_PERIOD_S: Final = 0.5
 IDLE_PERIOD_S: Final = 2.0
+REST_PERIOD_S: Final = 20.0
 DROP_SNAPSHOT_S: Final = 60.0
 
 
@@ -43,8 +45,11 @@
     __slots__ = (
         "_digests",
         "_driver",
+        "_has_news",
+        "_is_at_rest",
         "_is_first",
         "_last_blockers",
+        "_plan_at",
         "_platform",
         "_prefix_revisions",
         "_rng",
@@ -76,6 +81,10 @@
         self._snapshot = FleetSnapshot()
         self._prefix_revisions: dict[str, int] = {}
         self._used_at = 0.0
+        # Whether the last planning found nothing to do or to wait for.
+        self._is_at_rest = False
+        self._has_news = False
+        self._plan_at = 0.0
         self._last_blockers: tuple[str, ...] = ()
         self._task: asyncio.Task[None] | None = None
         self.steps_committed = 0
@@ -107,7 +116,9 @@
         if isinstance(listed, Failure):
             failed: Fault = listed.failure()
             return failed
-        snapshot.apply_hosts(listed.unwrap())
+        changed_hosts = listed.unwrap()
+        self._has_news = self._has_news or bool(changed_hosts.hosts)
+        snapshot.apply_hosts(changed_hosts)
         # Complete up to the lowest of the revisions read.
         reached = min(self._prefix_revisions.values())
         snapshot.apply_rows((), reached)
@@ -127,6 +138,7 @@
                 self._forget()
             return fault
         delta = result.unwrap()
+        self._has_news = self._has_news or bool(delta.rows)
         for row in delta.rows:
             self._snapshot.apply_row(row)
         self._prefix_revisions[prefix] = max(since, delta.revision)
@@ -142,17 +154,33 @@
         while True:
             period_s = IDLE_PERIOD_S
             if self._is_first():
-                snapshot = await self.snapshot()
-                if isinstance(snapshot, FleetSnapshot):
-                    report = await self._driver.step(snapshot)
-                    self._note(report)
-                    if not report.idle or report.moves_left:
-                        period_s = BUSY_PERIOD_S
+                if await self._drive():
+                    period_s = BUSY_PERIOD_S
             elif time.monotonic() - self._used_at > DROP_SNAPSHOT_S:
                 self._forget()
             spread = 0.9 + 0.2 * self._rng.random()
             await asyncio.sleep(period_s * spread)
 
+    async def _drive(self) -> bool:
+        """Plan once, unless nothing can have changed; tell if it is busy.
+
+        Planning costs far more than reading the deltas, so a fleet at rest
+        is planned anew only now and then, for the windows' sake.
+        """
+        snapshot = await self.snapshot()
+        if not isinstance(snapshot, FleetSnapshot):
+            return False
+        now = time.monotonic()
+        if self._is_at_rest and not self._has_news and now < self._plan_at:
+            return False
+        self._has_news = False
+        self._plan_at = now + REST_PERIOD_S
+        report = await self._driver.step(snapshot)
+        self._note(report)
+        waiting = report.moves_left or _has_host_on_its_way(snapshot)
+        self._is_at_rest = report.idle and not waiting
+        return not self._is_at_rest
+
     def _note(self, report: Report) -> None:
         """Count steps, and log a change in what the plan waits for."""
         self.steps_committed += len(report.committed)
@@ -164,3 +192,11 @@
             return
         self._last_blockers = blockers
         log_change("plan waits", count=len(blockers), first=blockers[:3])
+
+
+def _has_host_on_its_way(snapshot: FleetSnapshot) -> bool:
+    """Whether a host drains or is maintained: acknowledgements count."""
+    for host in snapshot.hosts.values():
+        if host.row.phase is not HostPhase.SERVING:
+            return True
+    return False
