Compare relays within short rounds

Cause: medians of five rounds of 3 s differed from run to run by more than what was compared (rate 0.57 to 0.65 of the bare relay), as the machine's other work came and went.

Change: 20 rounds of 1 s, and the median of the ratios within a round.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,7 +1,8 @@
 """Requests a second through the daemon, against bare relays, in one run.
 
-Run with `python -m bench.relay`; each rate is the median of rounds that
-take turns, so that a slow spell of the machine hits all alike.
+Run with `python -m bench.relay`.  The targets take turns in short rounds,
+and ratios are medians of the ratios within a round, so that a slow spell of
+the machine hits all alike.
 """
 
 from __future__ import annotations
@@ -22,8 +23,8 @@
 
 __all__ = ["main"]
 
-ROUNDS: Final = 5
-SECONDS: Final = 3.0
+ROUNDS: Final = 20
+SECONDS: Final = 1.0
 CONNECTIONS: Final = 16
 UPSTREAMS: Final = 4
 REQUEST: Final = (
@@ -89,31 +90,40 @@
     return statistics.median(each.quantile_ms(percent) for each in rounds)
 
 
+def _compared(daemon: list[LoadResult], relay: list[LoadResult]) -> str:
+    """Return the medians of the ratios within a round."""
+    rates: list[float] = []
+    p50s: list[float] = []
+    cpus: list[float] = []
+    for ours, bare in zip(daemon, relay, strict=True):
+        rates.append(ours.per_second / bare.per_second)
+        p50s.append(ours.quantile_ms(50) / bare.quantile_ms(50))
+        cpus.append(ours.cpu_us / bare.cpu_us)
+    return (
+        f"{statistics.median(rates):.2f} of the rate (target >= 0.60), "
+        f"p50 {statistics.median(p50s):.2f} times (target <= 1.60), "
+        f"CPU {statistics.median(cpus):.2f} times"
+    )
+
+
 def main() -> None:
     """Measure and print a table."""
     results = asyncio.run(_measure())
-    rates: dict[str, float] = {}
-    cpu: dict[str, float] = {}
     lines = [
         "target                    req/s    p50 ms   p99 ms   errors  "
         "CPU us/req"
     ]
     for name, rounds in results.items():
-        rates[name] = statistics.median(each.per_second for each in rounds)
-        cpu[name] = statistics.median(each.cpu_us for each in rounds)
+        rate = statistics.median(each.per_second for each in rounds)
+        cpu_us = statistics.median(each.cpu_us for each in rounds)
         errors = sum(each.errors for each in rounds)
         lines.append(
-            f"{name:22} {rates[name]:8.0f} {_median(rounds, 50):9.2f} "
-            f"{_median(rounds, 99):8.2f} {errors:8d} {cpu[name]:11.0f}"
-        )
-    for name in list(rates)[:-1]:
-        rate = rates["daemon"] / rates[name]
-        p50 = _median(results["daemon"], 50) / _median(results[name], 50)
-        lines.append(
-            f"daemon / {name}: {rate:.2f} of the rate (target >= 0.60), "
-            f"p50 {p50:.2f} times (target <= 1.60), "
-            f"CPU {cpu['daemon'] / cpu[name]:.2f} times"
+            f"{name:22} {rate:8.0f} {_median(rounds, 50):9.2f} "
+            f"{_median(rounds, 99):8.2f} {errors:8d} {cpu_us:11.0f}"
         )
+    daemon = results.pop("daemon")
+    for name, rounds in results.items():
+        lines.append(f"daemon / {name}: {_compared(daemon, rounds)}")
     sys.stdout.write("\n".join(lines) + "\n")
 
 
