--- a/lycheelug/operators/server.py
+++ b/lycheelug/operators/server.py
@@ -14,6 +14,7 @@
 from lycheelug.operators import (  # noqa: F401  isort: skip
     config_routes,
     fleet_routes,
+    job_routes,
     metric_routes,
     sheet_routes,
     trace_routes,
--- a/standins/world.py
+++ b/standins/world.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -97,7 +98,7 @@
                 self.upstreams[name] = upstream
                 rack = f"{zone}-r{index % 2}"
                 entries.append(HostEntry(name, zone, rack, upstream.address))
-                row = HostRow(name, zone, rack, pool)
+                row = HostRow(name, zone, rack, pool, address=upstream.address)
                 rows.append(Write(host_key(zone, name), encode(row)))
         await self.list_hosts(entries)
         if rows:
@@ -164,6 +165,35 @@
             msgspec.json.encode(faults),
         )
 
+    async def fault_upstreams(self, **faults: Any) -> None:
+        """Switch the faults of all upstreams."""
+        for name in self.upstreams:
+            await self.fault_upstream(name, **faults)
+
+    async def run_counts(self) -> Counter[str]:
+        """Return how often the upstreams ran each request's body."""
+        return Counter(each["body"] for each in await self.runs())
+
+    async def rows(self, prefix: str) -> list[str]:
+        """Return the keys of a prefix in the platform's table."""
+        platform = HttpPlatform(self.platform.address)
+        delta = (await platform.read_since(prefix, 0)).unwrap()
+        await platform.close()
+        return [row.key for row in delta.rows if row.value is not None]
+
+    async def seen(self, name: str) -> int:
+        """Return how many requests came to an upstream."""
+        upstream = self.upstreams[name]
+        if not upstream.is_running:
+            return 0
+        answer = await http_call(upstream.address, "GET", "/-/seen")
+        return int(msgspec.json.decode(answer.body))
+
+    async def restart_upstream(self, name: str) -> None:
+        """Start a killed upstream again at its address."""
+        port = self.upstreams[name].address.rpartition(":")[2]
+        self.upstreams[name] = await self.start_upstream(name, "--port", port)
+
     async def runs(self) -> list[dict[str, str]]:
         """Return all that the running upstreams ran."""
         found: list[dict[str, str]] = []
@@ -200,6 +230,15 @@
 
         await until(served)
 
+    async def wait_limits(self, daemon: DaemonProcess, slots: int) -> None:
+        """Wait until a daemon may use so many slots of every executor."""
+
+        async def shared() -> bool:
+            hosts = await daemon.get("/v1/hosts")
+            return {each["limit"] for each in hosts} == {slots}
+
+        await until(shared)
+
     async def wait_members(self, daemon: DaemonProcess, alive: int) -> None:
         """Wait until a daemon hears a number of members, itself included."""
 
