--- a/bench/experiments_capacity.py
+++ b/bench/experiments_capacity.py
@@ -37,6 +37,13 @@
 LATE_WEIGHTS: Final = (10.0, 30.0, 300.0, 1000.0)
 CURVES: Final = ("mean-sigma", "quantile", "pooled-quantile", "queue-replay")
 POINTS: Final = ("hold", "static-peak")
+HYSTERESIS: Final = (
+    "reactive",
+    "static-peak",
+    "mean-sigma",
+    "quantile",
+    "queue-replay",
+)
 
 
 @cache
@@ -91,7 +98,7 @@
     for kind, series in demands.items():
         if kind is DayShape.MOVED:
             continue
-        for policy in ("reactive", "mean-sigma", "queue-replay"):
+        for policy in HYSTERESIS:
             for pays in (False, True):
                 runs: list[Costs] = []
                 for each in series:
