Split the runner's loop; measure answered runs only; keep queues on reshape

Change: one method a step; release tells whether the run was answered; a queue takes new settings in place.

--- a/lycheelug/pools.py
+++ b/lycheelug/pools.py
@@ -190,10 +190,7 @@
         policies = self._settings.policies
         share = SHARES.get(policies.share)(ShareSettings(slots=row.slots))
         scheduler.executors.reshape(row.slots, row.min_available, share)
-        queue = QUEUES.get(policies.queue)(
-            row.name, self._queue_settings(quotas)
-        )
-        scheduler.replace_queue(queue)
+        scheduler.queue.reconfigure(self._queue_settings(quotas))
 
 
 def _load_of(digest: Digest, pool: str) -> PoolLoad | None:
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -80,18 +80,37 @@
 
 
 class _Tries:
-    """What is known of a request's tries so far."""
+    """One request, and what is known of its tries so far."""
 
     __slots__ = (
+        "arrived_at",
         "count",
+        "deadline",
         "exclude",
         "may_have_run",
+        "may_start",
         "queue_s",
+        "request_id",
+        "scheduler",
+        "wanted",
         "worker",
         "worker_rack",
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        scheduler: PoolScheduler,
+        wanted: CallerRequest,
+        request_id: str,
+        arrived_at: float,
+        may_start: StartGuard | None,
+    ) -> None:
+        self.scheduler = scheduler
+        self.wanted = wanted
+        self.request_id = request_id
+        self.arrived_at = arrived_at
+        self.deadline = arrived_at + wanted.timeout_s
+        self.may_start = may_start
         self.count = 0
         self.exclude: frozenset[str] = frozenset()
         self.may_have_run = False
@@ -149,105 +168,120 @@
         `may_start` is asked, with a slot in hand, before the first byte of
         each try; where it says no, the request is not sent.
         """
-        tries = _Tries()
-        deadline = arrived_at + wanted.timeout_s
+        tries = _Tries(scheduler, wanted, request_id, arrived_at, may_start)
         self._budget.on_first_try(arrived_at)
         while True:
-            left_s = deadline - self._clock()
-            if not await self._gate.pass_through(left_s):
-                detail = "the view is being refreshed"
-                return tries.end(
-                    Fault(DEADLINE_PASSED, Step.ADMIT, Peer.SELF, detail)
-                )
-            waited_from = self._clock()
-            ticket = scheduler.make_ticket(
-                wanted.tenant, wanted.request_class, waited_from, deadline
-            )
-            acquired = await scheduler.acquire(
-                ticket, tries.exclude, wanted.repeatable
+            run = await self._try_once(tries)
+            if run is not None:
+                return run
+
+    async def _try_once(self, tries: _Tries) -> Run | None:
+        """Try a request; None where it is to be tried again."""
+        wanted = tries.wanted
+        left_s = tries.deadline - self._clock()
+        if not await self._gate.pass_through(left_s):
+            detail = "the view is being refreshed"
+            return tries.end(
+                Fault(DEADLINE_PASSED, Step.ADMIT, Peer.SELF, detail)
             )
-            if type(acquired) is Failure:
-                return tries.end(acquired.failure())
-            executor = acquired.unwrap()
-            started_at = self._clock()
-            tries.queue_s += started_at - waited_from
-            fault: Fault | None = None
-            if may_start is not None:
-                fault = await self._hold(
-                    ticket, executor, scheduler, may_start
-                )
-            remaining_s = deadline - self._clock()
-            if fault is None and remaining_s <= 0:
-                fault = Fault(DEADLINE_PASSED, Step.SEND, Peer.SELF)
-            if fault is not None:
-                scheduler.release(ticket, executor, 0.0)
-                return tries.end(fault)
-            tries.worker = executor.name
-            tries.worker_rack = executor.rack
-            try:
-                result = await self._upstreams.run(
-                    executor,
-                    wanted.request,
-                    f"{request_id}.{tries.count}",
-                    remaining_s,
-                    wanted.repeatable,
-                )
-            finally:
-                ended_at = self._clock()
-                service_s = ended_at - started_at
-                scheduler.release(ticket, executor, service_s)
-            if type(result) is Success:
-                answer = result.unwrap()
-                self._note_answer(
-                    scheduler, executor, answer, request_id, service_s
-                )
-                self._metrics.record(
-                    wanted.tenant,
-                    wanted.request_class.value,
-                    tries.queue_s,
-                    service_s,
-                    ended_at - arrived_at,
-                )
-                return Run(
-                    Outcome.ANSWERED,
-                    answer,
-                    None,
-                    executor.name,
-                    executor.rack,
-                    service_s,
-                )
-            fault = result.failure()
-            self._note_fault(scheduler, executor, fault, request_id, service_s)
-            tries.count += 1
-            tries.may_have_run = tries.may_have_run or fault.sent
-            tries.exclude |= {executor.name}
-            if not self._retries(wanted, tries, fault, executor, deadline):
-                return tries.end(fault)
+        waited_from = self._clock()
+        ticket = tries.scheduler.make_ticket(
+            wanted.tenant, wanted.request_class, waited_from, tries.deadline
+        )
+        acquired = await tries.scheduler.acquire(
+            ticket, tries.exclude, wanted.repeatable
+        )
+        if type(acquired) is Failure:
+            return tries.end(acquired.failure())
+        executor = acquired.unwrap()
+        tries.queue_s += self._clock() - waited_from
+        fault = await self._hold(tries, ticket, executor)
+        if fault is not None:
+            tries.scheduler.release(ticket, executor, 0.0, ok=False)
+            return tries.end(fault)
+        return await self._send(tries, ticket, executor)
 
     async def _hold(
-        self,
-        ticket: Ticket,
-        executor: Executor,
-        scheduler: PoolScheduler,
-        may_start: StartGuard,
+        self, tries: _Tries, ticket: Ticket, executor: Executor
     ) -> Fault | None:
         """Return why a request with a slot must not be sent, or None."""
+        if tries.may_start is not None:
+            try:
+                allowed = await tries.may_start()
+            except asyncio.CancelledError:
+                tries.scheduler.release(ticket, executor, 0.0, ok=False)
+                raise
+            if not allowed:
+                return Fault(CLAIM_LOST, Step.CLAIM, Peer.PLATFORM)
+        if self._clock() >= tries.deadline:
+            return Fault(DEADLINE_PASSED, Step.SEND, Peer.SELF)
+        return None
+
+    async def _send(
+        self, tries: _Tries, ticket: Ticket, executor: Executor
+    ) -> Run | None:
+        """Send a request that holds a slot, and judge its end."""
+        wanted = tries.wanted
+        tries.worker = executor.name
+        tries.worker_rack = executor.rack
+        started_at = self._clock()
+        answered = False
         try:
-            allowed = await may_start()
-        except asyncio.CancelledError:
-            scheduler.release(ticket, executor, 0.0)
-            raise
-        if allowed:
+            result = await self._upstreams.run(
+                executor,
+                wanted.request,
+                f"{tries.request_id}.{tries.count}",
+                tries.deadline - started_at,
+                wanted.repeatable,
+            )
+            answered = type(result) is Success
+        finally:
+            service_s = self._clock() - started_at
+            tries.scheduler.release(ticket, executor, service_s, answered)
+        if answered:
+            return self._end_answered(
+                tries, executor, result.unwrap(), service_s
+            )
+        fault = result.failure()
+        self._note_fault(tries, executor, fault, service_s)
+        tries.count += 1
+        tries.may_have_run = tries.may_have_run or fault.sent
+        tries.exclude |= {executor.name}
+        if self._retries(tries, fault, executor):
             return None
-        return Fault(CLAIM_LOST, Step.CLAIM, Peer.PLATFORM)
+        return tries.end(fault)
 
-    def _retries(
+    def _end_answered(
         self,
-        wanted: CallerRequest,
         tries: _Tries,
-        fault: ExchangeFault,
         executor: Executor,
-        deadline: float,
+        answer: Answer,
+        service_s: float,
+    ) -> Run:
+        """Count an answer, and return the request's end."""
+        now = self._clock()
+        ok = answer.status < SERVER_ERROR_STATUS
+        tries.scheduler.executors.note_end(
+            executor, tries.request_id, ok, answer.close, service_s, now
+        )
+        self._metrics.record(
+            tries.wanted.tenant,
+            tries.wanted.request_class.value,
+            tries.queue_s,
+            service_s,
+            now - tries.arrived_at,
+        )
+        return Run(
+            Outcome.ANSWERED,
+            answer,
+            None,
+            executor.name,
+            executor.rack,
+            service_s,
+        )
+
+    def _retries(
+        self, tries: _Tries, fault: ExchangeFault, executor: Executor
     ) -> bool:
         """Whether the request is tried again after a fault."""
         if tries.count >= self._settings.max_tries:
@@ -258,12 +292,12 @@
             fault.code is UPSTREAM_REFUSED and fault.detail == "closing"
         )
         free = fault.code is CONNECT_FAILED or refused_leaving
-        safe = wanted.repeatable or not tries.may_have_run
+        safe = tries.wanted.repeatable or not tries.may_have_run
         decision = should_retry(
             self._free if free else self._budget,
             safe,
             self._clock(),
-            deadline,
+            tries.deadline,
             executor.latency_s or UNKNOWN_RUN_S,
             tries.count,
         )
@@ -273,32 +307,16 @@
         self._metrics.count("retries")
         return True
 
-    def _note_answer(
-        self,
-        scheduler: PoolScheduler,
-        executor: Executor,
-        answer: Answer,
-        job_key: str,
-        service_s: float,
-    ) -> None:
-        """Tell the executor set of an answer."""
-        ok = answer.status < SERVER_ERROR_STATUS
-        now = self._clock()
-        scheduler.executors.note_end(
-            executor, job_key, ok, answer.close, service_s, now
-        )
-
     def _note_fault(
         self,
-        scheduler: PoolScheduler,
+        tries: _Tries,
         executor: Executor,
         fault: ExchangeFault,
-        job_key: str,
         service_s: float,
     ) -> None:
         """Tell the executor set of a fault."""
         now = self._clock()
-        executors = scheduler.executors
+        executors = tries.scheduler.executors
         self._metrics.count(f"upstream.{fault.code.name}")
         if fault.code is CONNECT_FAILED:
             executors.note_unreachable(executor, now)
@@ -307,4 +325,6 @@
             closing = fault.detail == "closing"
             executors.note_refused(executor, closing, now)
             return
-        executors.note_end(executor, job_key, False, False, service_s, now)
+        executors.note_end(
+            executor, tries.request_id, False, False, service_s, now
+        )
--- a/lycheelug/scheduler.py
+++ b/lycheelug/scheduler.py
@@ -137,22 +137,20 @@
         return Failure(_no_upstream())
 
     def release(
-        self, ticket: Ticket, executor: Executor, service_s: float
+        self,
+        ticket: Ticket,
+        executor: Executor,
+        service_s: float,
+        ok: bool,
     ) -> None:
-        """Give a slot back and start the next request."""
+        """Give a slot back and start the next request.
+
+        Only a run that was answered (`ok`) is measured.
+        """
         self.executors.release(executor)
-        self.queue.on_finished(ticket, service_s, self._clock())
+        self.queue.on_finished(ticket, service_s, self._clock(), ok)
         self.pump()
 
-    def replace_queue(self, queue: AdmissionQueue) -> None:
-        """Go on with another queue, and offer it all that waits."""
-        now = self._clock()
-        old = self.queue
-        self.queue = queue
-        for ticket_id, waiter in tuple(self._waiters.items()):
-            old.cancel(ticket_id)
-            self._put_back(waiter.ticket, waiter, now)
-
     def pump(self) -> None:
         """Start waiting requests while executors have room."""
         now = self._clock()
@@ -201,7 +199,7 @@
             return
         match waiter.future.result():
             case Success(executor):
-                self.release(ticket, executor, 0.0)
+                self.release(ticket, executor, 0.0, ok=False)
 
 
 def _no_upstream() -> Fault:
