--- a/lycheelug/dispatch.py
+++ b/lycheelug/dispatch.py
@@ -17,7 +17,6 @@
 
 from __future__ import annotations
 
-from statistics import fmean
 from typing import TYPE_CHECKING, Final, Protocol
 
 from lycheelug.registry import Registry
@@ -240,7 +239,7 @@
     Without it a new executor would look free of cost, and be flooded.
     """
     known = [each.latency_s for each in executors if each.latency_s > 0.0]
-    return fmean(known) if known else 1.0
+    return sum(known) / len(known) if known else 1.0
 
 
 @CHOICES.register("least-loaded")
