Rebuild executor lists when they are used; count racks for set-aside jobs

Change: a pool's usable executors are rebuilt before a request where they are older than 0.1 s, and with each digest, not ten times a second.

--- a/lycheelug/fleet_sync.py
+++ b/lycheelug/fleet_sync.py
@@ -44,10 +44,12 @@
     def publish(self) -> Digest:
         """Renew the own digest: view, load and what was seen to leave."""
         core = self._core
+        now = time.monotonic()
         self.sync_pools()
         loads: list[PoolLoad] = []
         for scheduler in core.pools.all():
             executors = scheduler.executors
+            executors.freshen(now)
             loads.append(
                 PoolLoad(
                     executors.pool,
@@ -66,7 +68,7 @@
             self._config.accepted.revision,
             loads,
             busy,
-            core.leaving.to_tell(time.monotonic()),
+            core.leaving.to_tell(now),
         )
 
     def sync_pools(self) -> None:
--- a/lycheelug/job_holder.py
+++ b/lycheelug/job_holder.py
@@ -201,10 +201,12 @@
         rack: str,
         reason: str,
         may_have_run: bool,
+        racks_in_pool: int = 2,
         is_suspect: Callable[[str], bool] = lambda host: False,
     ) -> None:
         """Record a failed run; the job waits again unless it is at fault.
 
+        `racks_in_pool` counts the racks that the job could be tried in;
         `may_have_run` is False where it is certain that no byte left;
         `is_suspect` tells of a host whether it fails other jobs as well.
         """
@@ -213,7 +215,7 @@
         await self._end(
             claim,
             lambda row: job_steps.fail(
-                row, failure, may_have_run, is_suspect, writer
+                row, failure, may_have_run, is_suspect, racks_in_pool, writer
             ),
         )
 
--- a/lycheelug/job_runner.py
+++ b/lycheelug/job_runner.py
@@ -171,6 +171,7 @@
         executors = scheduler.executors
         pool = executors.pool
         now = self._clock()
+        executors.freshen(now)
         due = now >= self._next_look.get(pool, math.inf)
         if executors.capacity == 0 or not due:
             return
@@ -228,14 +229,16 @@
             run = await self._runner.run(
                 scheduler, wanted, _short_id(claim), self._clock(), may_start
             )
-            await self._report(claim, run)
+            await self._report(scheduler, claim, run)
         except asyncio.CancelledError:
             await self._report_cut(claim, sent)
         finally:
             self._workers[pool].pop(claim.name, None)
             self.look_soon(pool)
 
-    async def _report(self, claim: JobClaim, run: Run) -> None:
+    async def _report(
+        self, scheduler: PoolScheduler, claim: JobClaim, run: Run
+    ) -> None:
         """Report how a job ended."""
         answer = run.answer
         if answer is not None:
@@ -259,6 +262,7 @@
             run.worker_rack,
             reason,
             may_have_run=True,
+            racks_in_pool=scheduler.executors.usable_racks,
             is_suspect=self._is_suspect,
         )
 
--- a/lycheelug/job_steps.py
+++ b/lycheelug/job_steps.py
@@ -80,6 +80,7 @@
     failure: JobFailure,
     may_have_run: bool,
     is_suspect: Callable[[str], bool],
+    racks_in_pool: int,
     writer: str,
 ) -> JobRow:
     """Return the row of a job that failed on a worker.
@@ -93,7 +94,7 @@
         detail = f"failed while it ran: {failure.reason}"
         return finish(failed, JobState.UNKNOWN, writer, now, detail)
     failed.dispatched = row.dispatched or may_have_run
-    verdict = judge_job(failed.job_failures(), is_suspect)
+    verdict = judge_job(failed.job_failures(), is_suspect, racks_in_pool)
     if verdict is not None:
         detail = "; ".join(verdict.reasons)
         return end(failed, JobState.SET_ASIDE, writer, now, detail)
--- a/lycheelug/pools.py
+++ b/lycheelug/pools.py
@@ -144,10 +144,11 @@
         """Do what time alone asks for."""
         now = self._clock()
         for scheduler in self._schedulers.values():
-            scheduler.executors.refresh(now)
-            if scheduler.queued:
-                scheduler.expire()
-                scheduler.pump()
+            if not scheduler.queued:
+                continue
+            scheduler.executors.freshen(now)
+            scheduler.expire()
+            scheduler.pump()
 
     def in_flight_on(self, host: str) -> int:
         """Return how many requests are in flight on a host, in any pool."""
--- a/lycheelug/scheduler.py
+++ b/lycheelug/scheduler.py
@@ -93,6 +93,7 @@
         A fault means that the request was not run.
         """
         now = self._clock()
+        self.executors.freshen(now)
         capacity = self.executors.capacity
         refusal = self.queue.offer(ticket, now, capacity)
         if refusal is not None:
--- a/lycheelug/upstreams/executors.py
+++ b/lycheelug/upstreams/executors.py
@@ -7,8 +7,8 @@
 An executor that failed is chosen less often; that fades with time, since a
 host that gets no work can't show that it works again.
 
-The list of usable executors is rebuilt on each change and on each tick,
-not for each request.
+The list of usable executors is rebuilt on each change, and before a
+request where it is older than `REFRESH_S`.
 """
 
 from __future__ import annotations
@@ -31,6 +31,8 @@
 __all__ = ["ExecutorSet"]
 
 # A failure rate halves in so many seconds, and is forgotten below a bound.
+# Age at which the list of usable executors is rebuilt before a request.
+REFRESH_S: Final = 0.1
 FADE_HALF_S: Final = 2.0
 FADED_RATE: Final = 0.02
 
@@ -45,6 +47,7 @@
         "_faded_at",
         "_leaving",
         "_probes",
+        "_refreshed_at",
         "_rng",
         "_serving",
         "_share",
@@ -81,6 +84,7 @@
         self._usable_slots = 0
         self._probes: set[str] = set()
         self._faded_at = 0.0
+        self._refreshed_at = -REFRESH_S
 
     @property
     def executors(self) -> list[Executor]:
@@ -97,6 +101,11 @@
         """Slots that this daemon may use in the pool now."""
         return self._usable_slots + len(self._probes)
 
+    @property
+    def usable_racks(self) -> int:
+        """How many racks the usable executors stand in."""
+        return len({each.rack for each in self._usable})
+
     @property
     def in_flight(self) -> int:
         """Requests in flight on the pool's executors."""
@@ -161,8 +170,14 @@
             executor.limit = limits.get(name, 0)
         self._count_slots()
 
+    def freshen(self, now: float) -> None:
+        """Rebuild the list of usable executors, if it is due."""
+        if now - self._refreshed_at >= REFRESH_S:
+            self.refresh(now)
+
     def refresh(self, now: float) -> None:
         """Rebuild the list of usable executors."""
+        self._refreshed_at = now
         self._fade_failures(now)
         usable: list[Executor] = []
         probes: set[str] = set()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -87,7 +87,7 @@
         assert names == {"w1", "w2"}
         assert world.scheduler.queued == 2
         # Who comes while others wait does not overtake them.
-        world.scheduler.release(tickets[0], first, 0.01)
+        world.scheduler.release(tickets[0], first, 0.01, ok=True)
         late = world.ask(world.ticket())
         await rest()
         assert tasks[2].result().unwrap() is first
