--- a/lycheelug/fleet_sync.py
+++ b/lycheelug/fleet_sync.py
@@ -92,6 +92,9 @@
 
     def update_shares(self) -> None:
         """Divide slots between the live daemons of the zone."""
+        # The plan reads the own digest also where there is no peer, to
+        # which an exchange would publish it.
+        self.publish()
         core = self._core
         now = time.monotonic()
         peers: list[Digest] = []
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -239,9 +239,10 @@
     return json_answer(code.status, FaultMessage(code.name, detail))
 
 
-async def _serve(port: int) -> None:
+async def _serve(port: int, reboot_s: float) -> None:
     """Serve until a signal asks to stop."""
-    server = PlatformServer()
+    inner = RecordingPlatform(reboot_s=reboot_s)
+    server = PlatformServer(FaultyPlatform(inner))
     await server.start(port)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -252,16 +253,18 @@
     server.stop()
 
 
-def main(*, port: int = 0) -> None:
+def main(*, port: int = 0, reboot_s: float = REBOOT_S) -> None:
     """Serve a platform in memory on 127.0.0.1 until SIGTERM.
 
     Parameters
     ----------
     port
         The port to listen on; 0 takes a free one.
+    reboot_s
+        How long a rebooting host is gone.
 
     """
-    asyncio.run(_serve(port))
+    asyncio.run(_serve(port, reboot_s))
 
 
 if __name__ == "__main__":
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -37,6 +37,8 @@
     request_id: str
     key: str
     body: str
+    # The pool that the request was dispatched for.
+    pool: str = ""
 
 
 class Faults(msgspec.Struct):
@@ -182,7 +184,9 @@
             return connection.our_state is h11.DONE
         request_id = headers.get(b"x-request-id", b"").decode()
         key = headers.get(b"idempotency-key", b"").decode()
-        self.runs.append(RunRecord(request_id, key, body.decode("latin-1")))
+        pool = headers.get(b"lycheelug-pool", b"").decode()
+        text = body.decode("latin-1")
+        self.runs.append(RunRecord(request_id, key, text, pool))
         self._in_flight += 1
         self.peak = max(self.peak, self._in_flight)
         try:
--- a/standins/world.py
+++ b/standins/world.py
@@ -57,11 +57,13 @@
 class World(Fleet):
     """The processes of one test, joined over the stand-in platform."""
 
-    __slots__ = ("_platform", "settings", "upstreams")
+    __slots__ = ("_platform", "platform_words", "settings", "upstreams")
 
     def __init__(self, directory: Path) -> None:
         super().__init__(directory)
         self._platform: Program | None = None
+        # The platform's arguments, such as "--reboot-s", "1".
+        self.platform_words: tuple[str, ...] = ()
         self.upstreams: dict[str, Program] = {}
         # Settings that all daemons share.
         self.settings: dict[str, Any] = {
@@ -80,7 +82,8 @@
     ) -> None:
         """Start the platform, and pools with their upstreams."""
         if self._platform is None:
-            self._platform = await self.start_platform()
+            words = self.platform_words
+            self._platform = await self.start_platform(*words)
             self.settings["platform"] = {
                 "binding": "http",
                 "address": self._platform.address,
