--- a/lycheelug/core.py
+++ b/lycheelug/core.py
@@ -82,7 +82,7 @@
     @property
     def is_serving(self) -> bool:
         """Whether callers' requests are served."""
-        return self.phase in {Phase.READY, Phase.DRAINING}
+        return self.phase is Phase.READY or self.phase is Phase.DRAINING
 
     @property
     def uptime_s(self) -> float:
--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -48,7 +48,9 @@
 
 __all__ = ["Daemon"]
 
-TICK_S: Final = 0.1
+# Period of what time alone asks for: while requests wait, and else.
+BUSY_TICK_S: Final = 0.1
+IDLE_TICK_S: Final = 0.4
 SHARES_PERIOD_S: Final = 1.0
 DRAIN_POLL_S: Final = 0.02
 # Between the first refusal and the end of listening: the balancer and
@@ -216,7 +218,8 @@
         """Do what time alone asks for."""
         shares_at = 0.0
         while True:
-            await asyncio.sleep(TICK_S)
+            waiting = self.core.pools.has_waiting()
+            await asyncio.sleep(BUSY_TICK_S if waiting else IDLE_TICK_S)
             now = time.monotonic()
             self.gate.tick()
             self._stop_if_superseded()
--- a/lycheelug/http/server.py
+++ b/lycheelug/http/server.py
@@ -45,7 +45,7 @@
 
 __all__ = ["HttpServer", "ServerLimits"]
 
-SWEEP_PERIOD_S: Final = 0.5
+SWEEP_PERIOD_S: Final = 1.0
 HEADERS_TOO_LARGE_STATUS: Final = 431
 # Events are immutable, so one may be sent again and again.
 END_OF_MESSAGE: Final = h11.EndOfMessage()
--- a/lycheelug/job_runner.py
+++ b/lycheelug/job_runner.py
@@ -142,11 +142,17 @@
                     await self._look(scheduler)
                 await self._cancel_unwanted()
             try:
-                async with asyncio.timeout(BUSY_PERIOD_S):
+                async with asyncio.timeout(self._period_s()):
                     await self._wake.wait()
             except TimeoutError:
                 continue
 
+    def _period_s(self) -> float:
+        """Return how long to wait before the next look."""
+        next_look = min(self._next_look.values(), default=math.inf)
+        is_busy = self.running > 0 or next_look < math.inf
+        return BUSY_PERIOD_S if is_busy else NEWS_PERIOD_S
+
     async def _hear_news(self) -> None:
         """Find the pools with new jobs, by one read for all of them."""
         now = self._clock()
--- a/lycheelug/pools.py
+++ b/lycheelug/pools.py
@@ -140,6 +140,10 @@
         for scheduler in self._schedulers.values():
             scheduler.executors.update_hosts([], self._clock())
 
+    def has_waiting(self) -> bool:
+        """Whether a request waits in any pool."""
+        return any(each.queued for each in self._schedulers.values())
+
     def tick(self) -> None:
         """Do what time alone asks for."""
         now = self._clock()
