--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -113,7 +113,7 @@
         try:
             while await self._serve_one(connection, reader, writer):
                 connection.start_next_cycle()
-        except (OSError, h11.ProtocolError, asyncio.IncompleteReadError):
+        except (OSError, h11.ProtocolError, asyncio.CancelledError):
             pass
         finally:
             self._writers.discard(writer)
