Drop connections of executors that left; state a request's fields once

Cause: Upstreams.keep_only was called by nobody, so idle connections and the list of echoing executors grew as hosts came and went; the fields of a caller's request stood in two classes.

--- a/lycheelug/callers/request_headers.py
+++ b/lycheelug/callers/request_headers.py
@@ -53,8 +53,8 @@
 YES_NO: Final = {b"yes": True, b"no": False}
 
 
-class CallerRequest:
-    """A caller's request and what it asks of the daemon.
+class _Asked:
+    """What a set of headers asks for.
 
     `timeout_s` is the time until the deadline, as asked on arrival.  `key`
     is the idempotency key, or "" where there is none.
@@ -64,7 +64,6 @@
         "key",
         "pool",
         "repeatable",
-        "request",
         "request_class",
         "tenant",
         "timeout_s",
@@ -72,7 +71,6 @@
 
     def __init__(
         self,
-        request: Request,
         pool: str,
         tenant: str,
         request_class: RequestClass,
@@ -80,7 +78,6 @@
         repeatable: bool,
         key: str,
     ) -> None:
-        self.request = request
         self.pool = pool
         self.tenant = tenant
         self.request_class = request_class
@@ -89,6 +86,27 @@
         self.key = key
 
 
+class CallerRequest(_Asked):
+    """A caller's request and what it asks of the daemon."""
+
+    __slots__ = ("request",)
+
+    def __init__(
+        self,
+        request: Request,
+        pool: str,
+        tenant: str,
+        request_class: RequestClass,
+        timeout_s: float,
+        repeatable: bool,
+        key: str,
+    ) -> None:
+        super().__init__(
+            pool, tenant, request_class, timeout_s, repeatable, key
+        )
+        self.request = request
+
+
 class _Given:
     """The header values given, each at most once."""
 
@@ -110,35 +128,6 @@
         return self._values.get(name)
 
 
-class _Asked:
-    """What a set of headers asks for."""
-
-    __slots__ = (
-        "key",
-        "pool",
-        "repeatable",
-        "request_class",
-        "tenant",
-        "timeout_s",
-    )
-
-    def __init__(
-        self,
-        pool: str,
-        tenant: str,
-        request_class: RequestClass,
-        timeout_s: float,
-        repeatable: bool,
-        key: str,
-    ) -> None:
-        self.pool = pool
-        self.tenant = tenant
-        self.request_class = request_class
-        self.timeout_s = timeout_s
-        self.repeatable = repeatable
-        self.key = key
-
-
 def parse_request(
     request: Request, default_timeout_s: float, max_timeout_s: float
 ) -> Result[CallerRequest, Fault]:
--- a/lycheelug/pools.py
+++ b/lycheelug/pools.py
@@ -140,6 +140,14 @@
         for scheduler in self._schedulers.values():
             scheduler.executors.update_hosts([], self._clock())
 
+    def addresses(self) -> frozenset[str]:
+        """Return the addresses of all executors that are in use."""
+        found: set[str] = set()
+        for scheduler in self._schedulers.values():
+            for executor in scheduler.executors.executors:
+                found.add(executor.address)
+        return frozenset(found)
+
     def has_waiting(self) -> bool:
         """Whether a request waits in any pool."""
         return any(each.queued for each in self._schedulers.values())
--- a/lycheelug/request_path.py
+++ b/lycheelug/request_path.py
@@ -160,8 +160,9 @@
         )
 
     async def _run_sweeps(self) -> None:
-        """Delete old claims and jobs, a part at a time."""
+        """Delete old claims and jobs, a part at a time; drop connections."""
         while True:
             await asyncio.sleep(SWEEP_PERIOD_S)
             await self.claims.sweep(time.time())
             await self.jobs.sweep(time.time())
+            self.upstreams.keep_only(self._core.pools.addresses())
