Declare a daemon dead from the command line; mend wordings found by reading

Change: lycheelug entries dead NAME; the unknown name is told. Found: tests/test_cli.py's new case failed first on the missing name.

--- a/lycheelug/cli/config_commands.py
+++ b/lycheelug/cli/config_commands.py
@@ -98,9 +98,8 @@
         return
     if reply.outcome:
         sys.stdout.write(f"{reply.outcome}: ")
-    sys.stdout.write(
-        f"revision {reply.revision} by {reply.submitter or '-'}\n"
-    )
+    by = f" by {reply.submitter}" if reply.submitter else ""
+    sys.stdout.write(f"revision {reply.revision}{by}\n")
     if reply.missing:
         names = ", ".join(reply.missing)
         sys.stdout.write(f"missing or refusing: {names}\n")
--- a/lycheelug/cli/fleet_commands.py
+++ b/lycheelug/cli/fleet_commands.py
@@ -1,18 +1,17 @@
-"""The commands `status`, `hosts` and `pools`."""
+"""The commands `status`, `hosts`, `pools` and `entries dead`."""
 
 from __future__ import annotations
 
 import sys
-from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from cyclopts import App
 
 from lycheelug.cli.client import ExitCode, fail
 from lycheelug.cli.options import Common, CommonOptions
 from lycheelug.cli.output import print_json, print_rows
 from lycheelug.operators.messages import HostView, PoolView, StatusView
 
-if TYPE_CHECKING:
-    from cyclopts import App
-
 __all__ = ["register"]
 
 MEMBER_COLUMNS = (
@@ -54,6 +53,9 @@
     app.command(cmd_status, name="status")
     app.command(cmd_hosts, name="hosts")
     app.command(cmd_pools, name="pools")
+    group = App(name="entries", help="Look after the entry daemons.")
+    group.command(cmd_entries_dead, name="dead")
+    app.command(group)
 
 
 def cmd_status(common: CommonOptions = None) -> None:
@@ -96,6 +98,28 @@
     print_rows(rows, HOST_COLUMNS, common.output)
 
 
+def cmd_entries_dead(
+    name: str, *, operator: str = "operator", common: CommonOptions = None
+) -> None:
+    """Declare an entry daemon's present run dead; only if it can't run.
+
+    Parameters
+    ----------
+    name
+        The daemon's name.
+    operator
+        Your name, for the log.
+
+    """
+    common = common or Common()
+    target = f"/v1/entries/dead/{quote(name)}?operator={quote(operator)}"
+    ended = common.client.post(target, b"", dict[str, str])
+    if common.as_json:
+        print_json(ended)
+        return
+    sys.stdout.write(f"{ended['entry']}: run {ended['run']} is ended\n")
+
+
 def cmd_pools(common: CommonOptions = None) -> None:
     """Show the pools as the daemon uses them."""
     common = common or Common()
--- a/lycheelug/cli/sheet_commands.py
+++ b/lycheelug/cli/sheet_commands.py
@@ -145,7 +145,8 @@
             f"allowed: {fault.allowed}; {fault.remedy}\n"
         )
     count = len(reply.faults)
-    fail(f"{file}: {count} faults; nothing was changed", ExitCode.REFUSED)
+    noun = "fault" if count == 1 else "faults"
+    fail(f"{file}: {count} {noun}; nothing was changed", ExitCode.REFUSED)
 
 
 def _end_unless_accepted(file: Path, reply: SheetReply, nonce: str) -> None:
--- a/lycheelug/operators/sheet_routes.py
+++ b/lycheelug/operators/sheet_routes.py
@@ -104,7 +104,8 @@
     """Declare an entry daemon's present run dead, by its name."""
     entry = _find_entry(daemon, call.tail)
     if entry is None:
-        fault = Fault(ENTRY_UNREACHABLE, Step.READ, Peer.ENTRY, "not known")
+        detail = f"no entry daemon named {call.tail!r} is known"
+        fault = Fault(ENTRY_UNREACHABLE, Step.READ, Peer.ENTRY, detail)
         fault.peer_name = call.tail
         return fault_answer(fault)
     core = daemon.core
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -99,3 +99,20 @@
         assert kinds == {"arrival"}
 
     asyncio.run(run())
+
+
+def test_declared_dead_daemon_is_named(tmp_path: Path) -> None:
+    async def run() -> None:
+        async with World(tmp_path) as world:
+            await world.start_base({"quotes": 1})
+            first = await world.start_entry("e1")
+            second = await world.start_entry("e2")
+            await world.wait_members(first, alive=2)
+            words = ["--address", first.operators]
+            code, text = await world.run_tool("entries", "dead", "e9", *words)
+            assert (code, "e9" in text) == (1, True), text
+            code, text = await world.run_tool("entries", "dead", "e2", *words)
+            assert (code, "e2: run" in text) == (0, True), text
+            assert await second.wait() == 1
+
+    asyncio.run(run())
