--- a/lycheelug/cli/client.py
+++ b/lycheelug/cli/client.py
@@ -87,10 +87,6 @@
         """Post a body and return the reply."""
         return self._decoded(self.call("POST", target, body), kind)
 
-    def get_text(self, target: str) -> str:
-        """Return a resource as text."""
-        return self.call("GET", target, b"").body.decode()
-
     def call(self, method: str, target: str, body: bytes) -> Answer:
         """Return a successful answer; end the tool on any other."""
         answer = asyncio.run(self._request(method, target, body))
--- a/lycheelug/errors.py
+++ b/lycheelug/errors.py
@@ -101,9 +101,6 @@
 UNKNOWN_TENANT: Final = _code(
     "unknown-tenant", 403, "No tenant of that name is configured."
 )
-CALLER_GONE: Final = _code(
-    "caller-gone", 499, "The caller left before its answer came."
-)
 NOT_READY: Final = _code(
     "not-ready", 503, "The daemon is starting or stopping."
 )
@@ -123,9 +120,6 @@
 NO_UPSTREAM: Final = _code(
     "no-upstream", 503, "No upstream of the pool takes work now."
 )
-RETRIES_SPENT: Final = _code(
-    "retries-spent", 503, "The retry budget is spent."
-)
 
 # --- Upstreams.
 CONNECT_FAILED: Final = _code(
@@ -180,9 +174,6 @@
 )
 UNKNOWN_JOB: Final = _code("unknown-job", 404, "No job has this handle.")
 JOB_NOT_DONE: Final = _code("job-not-done", 409, "The job has no answer.")
-JOB_SET_ASIDE: Final = _code(
-    "job-set-aside", 500, "The job failed on several independent workers."
-)
 JOB_CONFLICT: Final = _code(
     "job-conflict", 409, "Another daemon changed the job first."
 )
@@ -226,9 +217,6 @@
 SHEET_RACED: Final = _code(
     "sheet-raced", 409, "Another operator's change came first."
 )
-PLAN_BLOCKED: Final = _code(
-    "plan-blocked", 503, "The plan waits for hosts or daemons."
-)
 
 TRACE_INVALID: Final = _code(
     "trace-invalid", 422, "The trace has a line that can't be used."
--- a/lycheelug/metrics.py
+++ b/lycheelug/metrics.py
@@ -121,11 +121,10 @@
     0.01
     """
 
-    __slots__ = ("_counters", "_gauges", "_series")
+    __slots__ = ("_counters", "_series")
 
     def __init__(self) -> None:
         self._counters: dict[str, int] = {}
-        self._gauges: dict[str, float] = {}
         self._series: dict[tuple[str, str], _Series] = {}
 
     @property
@@ -137,10 +136,6 @@
         """Add to a counter."""
         self._counters[name] = self._counters.get(name, 0) + amount
 
-    def set_gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        self._gauges[name] = value
-
     def record(
         self,
         tenant: str,
@@ -174,10 +169,6 @@
             metric = f"{PREFIX}_{_metric_name(name)}_total"
             lines.append(f"# TYPE {metric} counter")
             lines.append(f"{metric} {value}")
-        for name, gauge in sorted(self._gauges.items()):
-            metric = f"{PREFIX}_{_metric_name(name)}"
-            lines.append(f"# TYPE {metric} gauge")
-            lines.append(f"{metric} {gauge:g}")
         metric = f"{PREFIX}_request_seconds"
         lines.append(f"# TYPE {metric} summary")
         for row in self.summaries():
--- a/lycheelug/upstreams/exchange.py
+++ b/lycheelug/upstreams/exchange.py
@@ -40,7 +40,7 @@
     from lycheelug.dispatch import Executor
     from lycheelug.settings import UpstreamSettings
 
-__all__ = ["Upstreams", "is_closing", "is_refusal"]
+__all__ = ["Upstreams", "is_refusal"]
 
 REQUEST_ID: Final = b"x-request-id"
 DEADLINE: Final = b"lycheelug-deadline"
@@ -159,7 +159,7 @@
                 UPSTREAM_REFUSED,
                 Step.RECEIVE,
                 Peer.UPSTREAM,
-                "closing" if is_closing(answer) else "",
+                "closing" if answer.close else "",
                 executor.name,
                 sent=False,
             )
@@ -181,11 +181,6 @@
     return stated == Outcome.NOT_RUN.value.encode()
 
 
-def is_closing(answer: Answer) -> bool:
-    """Whether the executor ends the connection after this answer."""
-    return answer.close
-
-
 def _forwarded(
     request: Request, address: str, request_id: bytes, timeout_s: float
 ) -> Request:
