Renew the own digest where the plan reads it, not with the slot shares

Cause: the mend for a daemon without peers published the own digest from update_shares, which runs on each digest change, each second and within sync_pools, which publish calls in turn: work done twice, and a cycle.

--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -106,7 +106,7 @@
             settings.name,
             core.run_id,
             rng,
-            core.members.known_digests,
+            self.sync.fresh_digests,
             self._drives_plan,
         )
         self._callers_server = self._make_callers_server()
--- a/lycheelug/fleet_sync.py
+++ b/lycheelug/fleet_sync.py
@@ -71,6 +71,15 @@
             core.leaving.to_tell(now),
         )
 
+    def fresh_digests(self) -> list[Digest]:
+        """Return all digests known, the own one renewed.
+
+        Without a peer no exchange renews it, and a plan would wait for
+        this daemon itself.
+        """
+        self.publish()
+        return self._core.members.known_digests()
+
     def sync_pools(self) -> None:
         """Bring the pools up to the view."""
         core = self._core
@@ -94,9 +103,6 @@
 
     def update_shares(self) -> None:
         """Divide slots between the live daemons of the zone."""
-        # The plan reads the own digest also where there is no peer, to
-        # which an exchange would publish it.
-        self.publish()
         core = self._core
         now = time.monotonic()
         peers: list[Digest] = []
