Move the product's table, object and host interfaces to lycheelug/store

Cause: the users' platform gets the name lycheelug/platform for its small adapter; what stood there is the product's own interface with its bindings. Change: a move and renamed imports, nothing else.

--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -44,15 +44,15 @@
 from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
 from lycheelug.fleet_view import FleetView
 from lycheelug.membership import Members, new_run
-from lycheelug.platform.memory import MemoryPlatform
-from lycheelug.platform.watch import Watch
+from lycheelug.store.memory import MemoryPlatform
+from lycheelug.store.watch import Watch
 from lycheelug.records import CONFIG_KEY, EntryRow
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from lycheelug.configuration import Configuration
-    from lycheelug.platform.interface import (
+    from lycheelug.store.interface import (
         Commit,
         Conflict,
         Delta,
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,7 +20,7 @@
 from lycheelug.moves import MOVE_PLANNERS, Move, final_layout
 from lycheelug.plan import next_steps
 from lycheelug.plan_report import apply_step, explain_plan
-from lycheelug.platform.interface import HostDelta, HostEntry, Row
+from lycheelug.store.interface import HostDelta, HostEntry, Row
 from lycheelug.records import (
     SHEET_KEY,
     SheetRow,
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -17,7 +17,7 @@
 
 from bench.counted_daemon import carried_bytes
 from bench.process_usage import Memory, cpu_seconds, memory_bytes
-from lycheelug.platform import HostEntry, Write
+from lycheelug.store import HostEntry, Write
 from lycheelug.records import HostRow, PoolRow, encode, host_key, pool_key
 from standins.world import World
 
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.platform import HostEntry, HostState
+from lycheelug.store import HostEntry, HostState
 from lycheelug.registry import Registry
 from standins.callers import Callers
 from standins.world import World
--- a/bench/store_costs.py
+++ b/bench/store_costs.py
@@ -17,7 +17,7 @@
 from standins.faults import FaultyPlatform, RecordingPlatform
 
 if TYPE_CHECKING:
-    from lycheelug.platform import Row
+    from lycheelug.store import Row
 
 COUNT: Final = 2_000
 DIGEST: Final = "d" * 64
--- a/lycheelug/claim_records.py
+++ b/lycheelug/claim_records.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from lycheelug.platform.interface import ABSENT
+from lycheelug.store.interface import ABSENT
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/lycheelug/claim_table.py
+++ b/lycheelug/claim_table.py
@@ -22,7 +22,7 @@
     Peer,
     Step,
 )
-from lycheelug.platform.interface import Guard, Row, Transaction, Write
+from lycheelug.store.interface import Guard, Row, Transaction, Write
 from lycheelug.records import decode, encode
 
 if TYPE_CHECKING:
@@ -30,7 +30,7 @@
     from collections.abc import Awaitable, Callable
 
     from lycheelug.errors import ErrorCode
-    from lycheelug.platform.interface import (
+    from lycheelug.store.interface import (
         Commit,
         Conflict,
         Delta,
--- a/lycheelug/claims.py
+++ b/lycheelug/claims.py
@@ -52,7 +52,7 @@
     Fault,
 )
 from lycheelug.issued_keys import IssuedClaim, IssuedKeys
-from lycheelug.platform.interface import ABSENT, Commit, Row
+from lycheelug.store.interface import ABSENT, Commit, Row
 from lycheelug.records import encode
 from lycheelug.settlements import SettlementQueue
 from lycheelug.sweeping import SWEEP_PERIOD_S, RowSweeper
@@ -61,7 +61,7 @@
     import random
     from collections.abc import Awaitable, Callable
 
-    from lycheelug.platform.interface import Platform
+    from lycheelug.store.interface import Platform
 
 __all__ = [
     "SWEEP_PERIOD_S",
--- a/lycheelug/config_exchange.py
+++ b/lycheelug/config_exchange.py
@@ -29,7 +29,7 @@
     from lycheelug.configuration import ConfigState
     from lycheelug.entries.client import EntryClients
     from lycheelug.membership import Members
-    from lycheelug.platform.interface import Row
+    from lycheelug.store.interface import Row
 
 __all__ = ["ConfigExchange"]
 
--- a/lycheelug/config_submission.py
+++ b/lycheelug/config_submission.py
@@ -34,7 +34,7 @@
     PLATFORM_INVALID,
     PLATFORM_UNKNOWN,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     ABSENT,
     Commit,
     Conflict,
--- a/lycheelug/config_submitter.py
+++ b/lycheelug/config_submitter.py
@@ -28,7 +28,7 @@
     from lycheelug.config_exchange import ConfigExchange
     from lycheelug.config_outcome import Outcome
     from lycheelug.errors import Fault
-    from lycheelug.platform.interface import Platform, Row
+    from lycheelug.store.interface import Platform, Row
 
 __all__ = ["PENDING_LIMIT_S", "ConfigSubmitter"]
 
--- a/lycheelug/core.py
+++ b/lycheelug/core.py
@@ -14,7 +14,7 @@
 from lycheelug.member import Thresholds, new_run
 from lycheelug.membership import Members
 from lycheelug.metrics import Metrics
-from lycheelug.platform import BINDINGS
+from lycheelug.store import BINDINGS
 from lycheelug.pools import PoolTable
 
 if TYPE_CHECKING:
--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -28,7 +28,7 @@
 from lycheelug.logs import log_change
 from lycheelug.operators.server import OperatorService
 from lycheelug.plan_loop import PlanLoop
-from lycheelug.platform.watch import Watch
+from lycheelug.store.watch import Watch
 from lycheelug.request_path import RequestPath
 from lycheelug.runtime_config import RuntimeSettings, validate_body
 from lycheelug.settings_schema import split_address
--- a/lycheelug/embedded.py
+++ b/lycheelug/embedded.py
@@ -4,18 +4,18 @@
 
 from typing import TYPE_CHECKING
 
-from lycheelug.platform import (
+from lycheelug.store import (
     ABSENT,
     Guard,
     HostEntry,
     Transaction,
     Write,
 )
-from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.store.memory import MemoryPlatform
 from lycheelug.records import HostRow, PoolRow, encode, host_key, pool_key
 
 if TYPE_CHECKING:
-    from lycheelug.platform import Platform
+    from lycheelug.store import Platform
     from lycheelug.settings import Settings
 
 __all__ = ["fill_embedded"]
--- a/lycheelug/entries/join.py
+++ b/lycheelug/entries/join.py
@@ -26,7 +26,7 @@
     Peer,
     Step,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     ABSENT,
     Commit,
     Guard,
@@ -45,7 +45,7 @@
 if TYPE_CHECKING:
     import random
 
-    from lycheelug.platform.interface import Platform
+    from lycheelug.store.interface import Platform
 
 __all__ = ["confirm_entry", "join", "remove_entry"]
 
--- a/lycheelug/entries/reaper.py
+++ b/lycheelug/entries/reaper.py
@@ -18,7 +18,7 @@
     from collections.abc import Callable
 
     from lycheelug.membership import Members
-    from lycheelug.platform.interface import Platform
+    from lycheelug.store.interface import Platform
 
 __all__ = ["Reaper"]
 
--- a/lycheelug/entries/refresh.py
+++ b/lycheelug/entries/refresh.py
@@ -25,8 +25,8 @@
     from lycheelug.fleet_view import FleetView
     from lycheelug.membership import Members
     from lycheelug.pause import PauseDetector
-    from lycheelug.platform.interface import Platform, Row
-    from lycheelug.platform.watch import Watch
+    from lycheelug.store.interface import Platform, Row
+    from lycheelug.store.watch import Watch
 
 __all__ = ["Refresh", "fetch_view"]
 
--- a/lycheelug/entry_acks.py
+++ b/lycheelug/entry_acks.py
@@ -18,7 +18,7 @@
 
 from typing import TYPE_CHECKING
 
-from lycheelug.platform.interface import HostState
+from lycheelug.store.interface import HostState
 
 if TYPE_CHECKING:
     from lycheelug.fleet import FleetSnapshot, Versioned
--- a/lycheelug/fleet.py
+++ b/lycheelug/fleet.py
@@ -13,7 +13,7 @@
 import msgspec
 from returns.result import Success
 
-from lycheelug.platform.interface import HostRole, HostState, Row
+from lycheelug.store.interface import HostRole, HostState, Row
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     ENTRY_PREFIX,
@@ -35,7 +35,7 @@
     from collections.abc import Iterable
 
     from lycheelug.entries.messages import Digest
-    from lycheelug.platform.interface import HostDelta, HostEntry
+    from lycheelug.store.interface import HostDelta, HostEntry
     from lycheelug.sheet import Sheet
 
 __all__ = ["FLEET_PREFIXES", "FleetSnapshot", "Versioned", "last_part"]
--- a/lycheelug/fleet_sync.py
+++ b/lycheelug/fleet_sync.py
@@ -16,7 +16,7 @@
 from lycheelug.core import Phase
 from lycheelug.entries.messages import Digest, PoolLoad
 from lycheelug.leaving import LeavingSign
-from lycheelug.platform import HostState
+from lycheelug.store import HostState
 from lycheelug.records import ENTRY_PREFIX, EntryRow, decode
 
 if TYPE_CHECKING:
@@ -24,7 +24,7 @@
 
     from lycheelug.config_exchange import ConfigExchange
     from lycheelug.core import Core
-    from lycheelug.platform import HostEntry, Row
+    from lycheelug.store import HostEntry, Row
     from lycheelug.records import HostRow
 
 __all__ = ["FleetSync"]
--- a/lycheelug/fleet_view.py
+++ b/lycheelug/fleet_view.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from lycheelug.entries.messages import ViewReply, ViewRow
-from lycheelug.platform.interface import HostRole, HostState, Row
+from lycheelug.store.interface import HostRole, HostState, Row
 from lycheelug.records import (
     CONFIG_KEY,
     ENTRY_PREFIX,
@@ -36,7 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from lycheelug.platform.interface import Delta, HostDelta, HostEntry
+    from lycheelug.store.interface import Delta, HostDelta, HostEntry
 
 __all__ = ["FleetView"]
 
--- a/lycheelug/job_holder.py
+++ b/lycheelug/job_holder.py
@@ -43,7 +43,7 @@
     from collections.abc import Awaitable, Callable
 
     from lycheelug.claim_records import AnswerHeaders
-    from lycheelug.platform.interface import Platform
+    from lycheelug.store.interface import Platform
 
     # Makes a held job's next row from its present one.
     NextRow = Callable[[JobRow], JobRow]
--- a/lycheelug/job_records.py
+++ b/lycheelug/job_records.py
@@ -15,7 +15,7 @@
 
 from lycheelug.claim_records import StoredAnswer  # noqa: TC001  # read at run time
 from lycheelug.job_failures import JobFailure
-from lycheelug.platform.interface import Write
+from lycheelug.store.interface import Write
 from lycheelug.records import encode
 from lycheelug.requests import Outcome
 
--- a/lycheelug/job_recovery.py
+++ b/lycheelug/job_recovery.py
@@ -17,7 +17,7 @@
 from lycheelug.records import ENTRY_PREFIX, EntryRow, decode
 
 if TYPE_CHECKING:
-    from lycheelug.platform import Platform
+    from lycheelug.store import Platform
 
 __all__ = ["find_ended_owners"]
 
--- a/lycheelug/job_runner.py
+++ b/lycheelug/job_runner.py
@@ -31,7 +31,7 @@
 
     from lycheelug.jobs import JobBook, JobClaim
     from lycheelug.metrics import Metrics
-    from lycheelug.platform import Platform
+    from lycheelug.store import Platform
     from lycheelug.pools import PoolTable
     from lycheelug.runner import RequestRunner, Run
     from lycheelug.scheduler import PoolScheduler
--- a/lycheelug/job_table.py
+++ b/lycheelug/job_table.py
@@ -27,7 +27,7 @@
     StoredJob,
     index_writes,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     ABSENT,
     Commit,
     Guard,
@@ -41,7 +41,7 @@
     from collections.abc import Awaitable, Callable
 
     from lycheelug.errors import ErrorCode
-    from lycheelug.platform.interface import Platform, Row
+    from lycheelug.store.interface import Platform, Row
 
 __all__ = ["JobTable", "Raced", "decode_job", "job_fault"]
 
--- a/lycheelug/job_views.py
+++ b/lycheelug/job_views.py
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
-    from lycheelug.platform.interface import Delta, Platform, Row
+    from lycheelug.store.interface import Delta, Platform, Row
 
 __all__ = ["PoolViews", "RunView"]
 
--- a/lycheelug/jobs.py
+++ b/lycheelug/jobs.py
@@ -57,7 +57,7 @@
     import random
     from collections.abc import Awaitable, Callable, Collection
 
-    from lycheelug.platform.interface import Platform, Row
+    from lycheelug.store.interface import Platform, Row
 
 __all__ = [
     "JobBook",
--- a/lycheelug/member.py
+++ b/lycheelug/member.py
@@ -13,13 +13,13 @@
 
 import msgspec
 
-from lycheelug.platform.interface import HostRole, HostState
+from lycheelug.store.interface import HostRole, HostState
 
 if TYPE_CHECKING:
     import random
 
     from lycheelug.entries.messages import Digest
-    from lycheelug.platform.interface import HostEntry
+    from lycheelug.store.interface import HostEntry
     from lycheelug.records import EntryRow
 
 __all__ = [
--- a/lycheelug/membership.py
+++ b/lycheelug/membership.py
@@ -43,7 +43,7 @@
     from collections.abc import Sequence
 
     from lycheelug.entries.messages import PoolLoad
-    from lycheelug.platform.interface import HostEntry
+    from lycheelug.store.interface import HostEntry
 
 __all__ = [
     "LEFT",
--- a/lycheelug/moves.py
+++ b/lycheelug/moves.py
@@ -23,7 +23,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.platform.interface import HostRole, HostState
+from lycheelug.store.interface import HostRole, HostState
 from lycheelug.records import HostPhase
 from lycheelug.registry import Registry
 
--- a/lycheelug/operators/job_routes.py
+++ b/lycheelug/operators/job_routes.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     from lycheelug.daemon import Daemon
-    from lycheelug.platform import Row
+    from lycheelug.store import Row
 
 # Job names are hexadecimal digests: one part for each first digit.
 PARTS: Final = "0123456789abcdef"
--- a/lycheelug/plan.py
+++ b/lycheelug/plan.py
@@ -20,7 +20,7 @@
 from lycheelug.moves import plan_placement
 from lycheelug.plan_hosts import HostProgress
 from lycheelug.plan_pools import adoption_step, pools_to_adopt, shortages
-from lycheelug.platform.interface import ABSENT, HostState
+from lycheelug.store.interface import ABSENT, HostState
 from lycheelug.records import (
     SHEET_KEY,
     HostPhase,
--- a/lycheelug/plan_driver.py
+++ b/lycheelug/plan_driver.py
@@ -17,7 +17,7 @@
 from returns.result import Failure, Success
 
 from lycheelug.plan import next_steps
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     ABSENT,
     Commit,
     Conflict,
@@ -43,7 +43,7 @@
     from lycheelug.errors import Fault
     from lycheelug.fleet import FleetSnapshot
     from lycheelug.plan import Plan
-    from lycheelug.platform.interface import Platform
+    from lycheelug.store.interface import Platform
     from lycheelug.steps import PlatformCall, Step
 
 __all__ = ["PLAN_LEASE_S", "PlanDriver", "Report"]
--- a/lycheelug/plan_loop.py
+++ b/lycheelug/plan_loop.py
@@ -29,7 +29,7 @@
     from lycheelug.entries.messages import Digest
     from lycheelug.errors import Fault
     from lycheelug.plan_driver import Report
-    from lycheelug.platform import Platform
+    from lycheelug.store import Platform
 
 __all__ = ["PlanLoop"]
 
--- a/lycheelug/plan_pools.py
+++ b/lycheelug/plan_pools.py
@@ -14,7 +14,7 @@
 
 from lycheelug.blockers import Blocker, BlockerKind
 from lycheelug.moves import assigned_pool
-from lycheelug.platform.interface import ABSENT
+from lycheelug.store.interface import ABSENT
 from lycheelug.records import SHEET_KEY, PoolRow, pool_key
 from lycheelug.sheet import PoolSpec
 from lycheelug.steps import Change, ChangeKind, Step
--- a/lycheelug/plan_submit.py
+++ b/lycheelug/plan_submit.py
@@ -23,7 +23,7 @@
     Peer,
     Step,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     Commit,
     Conflict,
     Guard,
@@ -38,7 +38,7 @@
     from collections.abc import Iterable
 
     from lycheelug.fleet import FleetSnapshot
-    from lycheelug.platform.interface import Platform, Row
+    from lycheelug.store.interface import Platform, Row
     from lycheelug.sheet_faults import SheetFault
 
 __all__ = ["SheetAccepted", "SheetRefused", "sheet_changes", "submit_sheet"]
--- a/lycheelug/steps.py
+++ b/lycheelug/steps.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from lycheelug.platform.interface import ABSENT, Guard, Transaction, Write
+from lycheelug.store.interface import ABSENT, Guard, Transaction, Write
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     SHEET_KEY,
--- a/lycheelug/platform/__init__.py
+++ b/lycheelug/store/__init__.py
@@ -1,7 +1,7 @@
 """The peer package for the platform's services."""
 
-from lycheelug.platform.http import HttpPlatform
-from lycheelug.platform.interface import (
+from lycheelug.store.http import HttpPlatform
+from lycheelug.store.interface import (
     ABSENT,
     BINDINGS,
     Commit,
@@ -17,7 +17,7 @@
     Transaction,
     Write,
 )
-from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.store.memory import MemoryPlatform
 
 __all__ = [
     "ABSENT",
--- a/lycheelug/platform/codec.py
+++ b/lycheelug/store/codec.py
@@ -17,7 +17,7 @@
     UNKNOWN_HOST,
     UNKNOWN_OBJECT,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     Commit,
     Conflict,
     Delta,
--- a/lycheelug/platform/http.py
+++ b/lycheelug/store/http.py
@@ -31,7 +31,7 @@
 )
 from lycheelug.http.client import ExchangeFault, HttpClient
 from lycheelug.http.messages import Request
-from lycheelug.platform.codec import (
+from lycheelug.store.codec import (
     DELTA_PATH,
     HOSTS_PATH,
     OBJECTS_PATH,
@@ -47,14 +47,14 @@
     TransactionMessage,
     encode_path,
 )
-from lycheelug.platform.interface import BINDINGS, Platform
+from lycheelug.store.interface import BINDINGS, Platform
 
 if TYPE_CHECKING:
     from returns.result import Result
 
     from lycheelug.errors import ErrorCode
     from lycheelug.http.messages import Answer
-    from lycheelug.platform.interface import (
+    from lycheelug.store.interface import (
         Commit,
         Conflict,
         Delta,
--- a/lycheelug/platform/memory.py
+++ b/lycheelug/store/memory.py
@@ -29,7 +29,7 @@
     Peer,
     Step,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     ABSENT,
     BINDINGS,
     Commit,
@@ -48,7 +48,7 @@
     from returns.result import Result
 
     from lycheelug.errors import ErrorCode
-    from lycheelug.platform.interface import Guard, Transaction, Write
+    from lycheelug.store.interface import Guard, Transaction, Write
 
 __all__ = ["MemoryPlatform", "open_memory"]
 
--- a/lycheelug/platform/watch.py
+++ b/lycheelug/store/watch.py
@@ -21,7 +21,7 @@
     from collections.abc import Awaitable, Callable, Sequence
 
     from lycheelug.fleet_view import FleetView
-    from lycheelug.platform.interface import HostEntry, Platform, Row
+    from lycheelug.store.interface import HostEntry, Platform, Row
 
 __all__ = ["POLL_PERIOD_S", "Watch", "WatchCounters"]
 
--- a/lycheelug/sweeping.py
+++ b/lycheelug/sweeping.py
@@ -14,13 +14,13 @@
 
 from returns.result import Success
 
-from lycheelug.platform.interface import Commit, Guard, Transaction, Write
+from lycheelug.store.interface import Commit, Guard, Transaction, Write
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from lycheelug.platform.interface import Platform, Row
+    from lycheelug.store.interface import Platform, Row
 
     # Returns the names of an old row's objects; None for a row to keep.
     Judge = Callable[[Row, float], list[str] | None]
--- a/lycheelug/waves.py
+++ b/lycheelug/waves.py
@@ -11,7 +11,7 @@
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.platform.interface import HostState
+from lycheelug.store.interface import HostState
 from lycheelug.records import HostPhase
 
 if TYPE_CHECKING:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Final
 
-from lycheelug.platform import HostEntry
+from lycheelug.store import HostEntry
 from standins.world import Reply, World
 
 __all__ = ["main"]
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -23,14 +23,14 @@
     Peer,
     Step,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     Delta,
     HostDelta,
     HostEntry,
     Platform,
     Row,
 )
-from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.store.memory import MemoryPlatform
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -38,7 +38,7 @@
     from returns.result import Result
 
     from lycheelug.errors import ErrorCode
-    from lycheelug.platform.interface import Commit, Conflict, Transaction
+    from lycheelug.store.interface import Commit, Conflict, Transaction
 
 __all__ = ["Faults", "FaultyPlatform", "RecordingPlatform"]
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -31,7 +31,7 @@
 )
 from lycheelug.http.messages import Answer, json_answer
 from lycheelug.http.server import HttpServer, ServerConnection, ServerLimits
-from lycheelug.platform.codec import (
+from lycheelug.store.codec import (
     DeltaMessage,
     FaultMessage,
     HostsMessage,
@@ -42,7 +42,7 @@
     TransactionMessage,
     split_path,
 )
-from lycheelug.platform.memory import REBOOT_S
+from lycheelug.store.memory import REBOOT_S
 from standins.faults import Faults, FaultyPlatform, RecordingPlatform
 
 if TYPE_CHECKING:
@@ -51,7 +51,7 @@
     from lycheelug.errors import ErrorCode, Fault
     from lycheelug.http.messages import Request
     from lycheelug.http.server import Handler
-    from lycheelug.platform.interface import Row
+    from lycheelug.store.interface import Row
 
 __all__ = ["PlatformServer", "main"]
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from lycheelug.entries.join import remove_entry
-from lycheelug.platform import ABSENT, Guard, HostEntry, Transaction, Write
-from lycheelug.platform.codec import HostMessage, HostsMessage
-from lycheelug.platform.http import HttpPlatform
+from lycheelug.store import ABSENT, Guard, HostEntry, Transaction, Write
+from lycheelug.store.codec import HostMessage, HostsMessage
+from lycheelug.store.http import HttpPlatform
 from lycheelug.records import (
     EntryRow,
     HostRow,
--- a/tests/faulty_platform.py
+++ b/tests/faulty_platform.py
@@ -13,7 +13,7 @@
     Peer,
     Step,
 )
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     Commit,
     Conflict,
     Platform,
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -16,7 +16,7 @@
 from lycheelug.plan import next_steps
 from lycheelug.plan_driver import PlanDriver
 from lycheelug.plan_submit import submit_sheet
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     ABSENT,
     Commit,
     Conflict,
@@ -27,7 +27,7 @@
     Transaction,
     Write,
 )
-from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.store.memory import MemoryPlatform
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     HOST_PREFIX,
--- a/tests/test_config_exchange.py
+++ b/tests/test_config_exchange.py
@@ -26,14 +26,14 @@
     Step,
 )
 from lycheelug.membership import Members
-from lycheelug.platform.interface import HostEntry, HostRole, HostState
-from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.store.interface import HostEntry, HostRole, HostState
+from lycheelug.store.memory import MemoryPlatform
 from lycheelug.records import CONFIG_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lycheelug.platform.interface import (
+    from lycheelug.store.interface import (
         Commit,
         Conflict,
         Row,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -31,14 +31,14 @@
 from lycheelug.entries.messages import ConfigPhase, ConfigPush, Digest
 from lycheelug.errors import PLATFORM_UNKNOWN, Fault, Peer, Step
 from lycheelug.membership import Members
-from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.store.memory import MemoryPlatform
 from lycheelug.records import CONFIG_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
     from lycheelug.config_outcome import Outcome
-    from lycheelug.platform.interface import Row, Transaction
+    from lycheelug.store.interface import Row, Transaction
 
 T = TypeVar("T")
 
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -10,8 +10,8 @@
 from lycheelug.entries.messages import ViewReply, ViewRow
 from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
 from lycheelug.fleet_view import FleetView
-from lycheelug.platform import memory
-from lycheelug.platform.interface import (
+from lycheelug.store import memory
+from lycheelug.store.interface import (
     Delta,
     HostDelta,
     HostEntry,
@@ -21,8 +21,8 @@
     Transaction,
     Write,
 )
-from lycheelug.platform.memory import MemoryPlatform
-from lycheelug.platform.watch import Watch
+from lycheelug.store.memory import MemoryPlatform
+from lycheelug.store.watch import Watch
 from lycheelug.records import (
     EntryRow,
     HostPhase,
--- a/tests/test_join.py
+++ b/tests/test_join.py
@@ -18,7 +18,7 @@
     Step,
 )
 from lycheelug.membership import Members
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     Commit,
     Conflict,
     HostEntry,
@@ -28,7 +28,7 @@
     Transaction,
     Write,
 )
-from lycheelug.platform.memory import MemoryPlatform
+from lycheelug.store.memory import MemoryPlatform
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     EntryRow,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from lycheelug.digest_exchange import DigestExchange
 from lycheelug.entries.messages import Digest, PoolLoad
 from lycheelug.membership import LEFT, Members, MemberState
-from lycheelug.platform.interface import HostEntry, HostRole, HostState
+from lycheelug.store.interface import HostEntry, HostRole, HostState
 from lycheelug.records import EntryRow
 
 if TYPE_CHECKING:
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -10,7 +10,7 @@
 from lycheelug.plan_driver import PlanDriver
 from lycheelug.plan_report import explain_plan, progress
 from lycheelug.plan_submit import SheetAccepted, submit_sheet
-from lycheelug.platform.interface import (
+from lycheelug.store.interface import (
     HostDelta,
     HostEntry,
     HostRole,
--- a/tests/test_plan_driver.py
+++ b/tests/test_plan_driver.py
@@ -10,7 +10,7 @@
 from lycheelug.blockers import BlockerKind
 from lycheelug.plan import Plan, next_steps
 from lycheelug.plan_report import progress
-from lycheelug.platform.interface import HostEntry, HostState
+from lycheelug.store.interface import HostEntry, HostState
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     HOST_PREFIX,
--- a/tests/test_platform_contract.py
+++ b/tests/test_platform_contract.py
@@ -21,7 +21,7 @@
     ErrorCode,
     Fault,
 )
-from lycheelug.platform import (
+from lycheelug.store import (
     ABSENT,
     BINDINGS,
     Commit,
--- a/tests/test_proof_fleet.py
+++ b/tests/test_proof_fleet.py
@@ -17,8 +17,8 @@
 import pytest
 from returns.result import Failure
 
-from lycheelug.platform import HostState
-from lycheelug.platform.http import HttpPlatform
+from lycheelug.store import HostState
+from lycheelug.store.http import HttpPlatform
 from lycheelug.records import HostPhase, HostRow, PoolRow, decode
 from standins.callers import Callers
 from standins.processes import http_call, until
--- a/tests/test_proof_upstreams.py
+++ b/tests/test_proof_upstreams.py
@@ -10,7 +10,7 @@
 
 from lycheelug.dispatch import CHOICES
 from lycheelug.leaving import LeavingHosts
-from lycheelug.platform import HostEntry, HostState
+from lycheelug.store import HostEntry, HostState
 from lycheelug.records import HostRow
 from lycheelug.slots import SHARES, ShareSettings
 from lycheelug.upstreams.executors import ExecutorSet
--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -21,14 +21,14 @@
 from lycheelug.fleet_view import FleetView
 from lycheelug.membership import Members
 from lycheelug.pause import PauseDetector
-from lycheelug.platform.memory import MemoryPlatform
-from lycheelug.platform.watch import Watch
+from lycheelug.store.memory import MemoryPlatform
+from lycheelug.store.watch import Watch
 from lycheelug.records import EntryRow
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from lycheelug.platform.interface import (
+    from lycheelug.store.interface import (
         Commit,
         Conflict,
         Delta,
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lycheelug.fleet import FleetSnapshot
-from lycheelug.platform.interface import HostDelta, HostEntry, HostState, Row
+from lycheelug.store.interface import HostDelta, HostEntry, HostState, Row
 from lycheelug.records import HostRow, encode, host_key
 from lycheelug.sheet import WindowSpec
 from lycheelug.waves import (
