--- a/bench/config_in_force.py
+++ b/bench/config_in_force.py
@@ -44,9 +44,9 @@
 from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
 from lycheelug.fleet_view import FleetView
 from lycheelug.membership import Members, new_run
+from lycheelug.records import CONFIG_KEY, EntryRow
 from lycheelug.store.memory import MemoryPlatform
 from lycheelug.store.watch import Watch
-from lycheelug.records import CONFIG_KEY, EntryRow
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,7 +20,6 @@
 from lycheelug.moves import MOVE_PLANNERS, Move, final_layout
 from lycheelug.plan import next_steps
 from lycheelug.plan_report import apply_step, explain_plan
-from lycheelug.store.interface import HostDelta, HostEntry, Row
 from lycheelug.records import (
     SHEET_KEY,
     SheetRow,
@@ -29,6 +28,7 @@
 from lycheelug.sheet import Sheet, parse_sheet
 from lycheelug.sheet_checks import check_sheet
 from lycheelug.steps import ChangeKind, Step
+from lycheelug.store.interface import HostDelta, HostEntry, Row
 
 __all__ = ["main"]
 
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -22,8 +22,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.store import HostEntry, HostState
 from lycheelug.registry import Registry
+from lycheelug.store import HostEntry, HostState
 from standins.callers import Callers
 from standins.world import World
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,9 +21,9 @@
 from lycheelug.fleet import FleetSnapshot
 from lycheelug.fleet_view import FleetView
 from lycheelug.metrics import Metrics
-from lycheelug.store import Delta, HostDelta, HostEntry, Row
 from lycheelug.records import HostRow, PoolRow, encode, host_key, pool_key
 from lycheelug.settings import Settings
+from lycheelug.store import Delta, HostDelta, HostEntry, Row
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/lycheelug/claim_table.py
+++ b/lycheelug/claim_table.py
@@ -22,8 +22,8 @@
     Peer,
     Step,
 )
-from lycheelug.store.interface import Guard, Row, Transaction, Write
 from lycheelug.records import decode, encode
+from lycheelug.store.interface import Guard, Row, Transaction, Write
 
 if TYPE_CHECKING:
     import random
--- a/lycheelug/claims.py
+++ b/lycheelug/claims.py
@@ -52,9 +52,9 @@
     Fault,
 )
 from lycheelug.issued_keys import IssuedClaim, IssuedKeys
-from lycheelug.store.interface import ABSENT, Commit, Row
 from lycheelug.records import encode
 from lycheelug.settlements import SettlementQueue
+from lycheelug.store.interface import ABSENT, Commit, Row
 from lycheelug.sweeping import SWEEP_PERIOD_S, RowSweeper
 
 if TYPE_CHECKING:
--- a/lycheelug/config_submission.py
+++ b/lycheelug/config_submission.py
@@ -34,6 +34,7 @@
     PLATFORM_INVALID,
     PLATFORM_UNKNOWN,
 )
+from lycheelug.records import CONFIG_KEY, encode
 from lycheelug.store.interface import (
     ABSENT,
     Commit,
@@ -43,7 +44,6 @@
     Transaction,
     Write,
 )
-from lycheelug.records import CONFIG_KEY, encode
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/lycheelug/core.py
+++ b/lycheelug/core.py
@@ -14,8 +14,8 @@
 from lycheelug.member import Thresholds, new_run
 from lycheelug.membership import Members
 from lycheelug.metrics import Metrics
-from lycheelug.store import BINDINGS
 from lycheelug.pools import PoolTable
+from lycheelug.store import BINDINGS
 
 if TYPE_CHECKING:
     import random
--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -28,7 +28,6 @@
 from lycheelug.logs import log_change
 from lycheelug.operators.server import OperatorService
 from lycheelug.plan_loop import PlanLoop
-from lycheelug.store.watch import Watch
 from lycheelug.request_path import RequestPath
 from lycheelug.runtime_config import RuntimeSettings, validate_body
 from lycheelug.settings_schema import split_address
@@ -38,6 +37,7 @@
     leave_fleet,
     peer_clients,
 )
+from lycheelug.store.watch import Watch
 
 if TYPE_CHECKING:
     import random
--- a/lycheelug/embedded.py
+++ b/lycheelug/embedded.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lycheelug.records import HostRow, PoolRow, encode, host_key, pool_key
 from lycheelug.store import (
     ABSENT,
     Guard,
@@ -12,11 +13,10 @@
     Write,
 )
 from lycheelug.store.memory import MemoryPlatform
-from lycheelug.records import HostRow, PoolRow, encode, host_key, pool_key
 
 if TYPE_CHECKING:
-    from lycheelug.store import Platform
     from lycheelug.settings import Settings
+    from lycheelug.store import Platform
 
 __all__ = ["fill_embedded"]
 
--- a/lycheelug/entries/join.py
+++ b/lycheelug/entries/join.py
@@ -26,6 +26,13 @@
     Peer,
     Step,
 )
+from lycheelug.records import (
+    ENTRY_EPOCH_KEY,
+    EntryRow,
+    decode,
+    encode,
+    entry_key,
+)
 from lycheelug.store.interface import (
     ABSENT,
     Commit,
@@ -34,13 +41,6 @@
     Transaction,
     Write,
 )
-from lycheelug.records import (
-    ENTRY_EPOCH_KEY,
-    EntryRow,
-    decode,
-    encode,
-    entry_key,
-)
 
 if TYPE_CHECKING:
     import random
--- a/lycheelug/fleet.py
+++ b/lycheelug/fleet.py
@@ -13,7 +13,6 @@
 import msgspec
 from returns.result import Success
 
-from lycheelug.store.interface import HostRole, HostState, Row
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     ENTRY_PREFIX,
@@ -30,13 +29,14 @@
     decode,
 )
 from lycheelug.sheet import parse_sheet
+from lycheelug.store.interface import HostRole, HostState, Row
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lycheelug.entries.messages import Digest
-    from lycheelug.store.interface import HostDelta, HostEntry
     from lycheelug.sheet import Sheet
+    from lycheelug.store.interface import HostDelta, HostEntry
 
 __all__ = ["FLEET_PREFIXES", "FleetSnapshot", "Versioned", "last_part"]
 
--- a/lycheelug/fleet_sync.py
+++ b/lycheelug/fleet_sync.py
@@ -16,16 +16,16 @@
 from lycheelug.core import Phase
 from lycheelug.entries.messages import Digest, PoolLoad
 from lycheelug.leaving import LeavingSign
-from lycheelug.store import HostState
 from lycheelug.records import ENTRY_PREFIX, EntryRow, decode
+from lycheelug.store import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from lycheelug.config_exchange import ConfigExchange
     from lycheelug.core import Core
-    from lycheelug.store import HostEntry, Row
     from lycheelug.records import HostRow
+    from lycheelug.store import HostEntry, Row
 
 __all__ = ["FleetSync"]
 
--- a/lycheelug/fleet_view.py
+++ b/lycheelug/fleet_view.py
@@ -20,7 +20,6 @@
 import msgspec
 
 from lycheelug.entries.messages import ViewReply, ViewRow
-from lycheelug.store.interface import HostRole, HostState, Row
 from lycheelug.records import (
     CONFIG_KEY,
     ENTRY_PREFIX,
@@ -32,6 +31,7 @@
     PoolRow,
     decode,
 )
+from lycheelug.store.interface import HostRole, HostState, Row
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/lycheelug/http/server.py
+++ b/lycheelug/http/server.py
@@ -34,6 +34,7 @@
         "_loop",
         "_server",
         "_sweeper",
+        "announce_close",
         "draining",
         "handler",
         "limits",
@@ -54,6 +55,8 @@
         self.refuser = refuser or _plain_refusal
         self.on_refused = on_refused or _ignore
         self.draining = False
+        # Each answer from now on asks its client to close.
+        self.announce_close = False
         # The time of the loop; set by `start`.
         self.now: Callable[[], float] = _not_started
         self._connections: set[ServerConnection] = set()
--- a/lycheelug/http/server_connection.py
+++ b/lycheelug/http/server_connection.py
@@ -302,7 +302,8 @@
         self._task = None
         if self._transport is None or self._transport.is_closing():
             return
-        closing = answer.close or self._server.draining
+        server = self._server
+        closing = answer.close or server.draining or server.announce_close
         self._write(answer, close=closing)
         if self._h11.our_state is not h11.DONE:
             self._transport.close()
--- a/lycheelug/job_records.py
+++ b/lycheelug/job_records.py
@@ -15,9 +15,9 @@
 
 from lycheelug.claim_records import StoredAnswer  # noqa: TC001  # read at run time
 from lycheelug.job_failures import JobFailure
-from lycheelug.store.interface import Write
 from lycheelug.records import encode
 from lycheelug.requests import Outcome
+from lycheelug.store.interface import Write
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/lycheelug/job_runner.py
+++ b/lycheelug/job_runner.py
@@ -31,10 +31,10 @@
 
     from lycheelug.jobs import JobBook, JobClaim
     from lycheelug.metrics import Metrics
-    from lycheelug.store import Platform
     from lycheelug.pools import PoolTable
     from lycheelug.runner import RequestRunner, Run
     from lycheelug.scheduler import PoolScheduler
+    from lycheelug.store import Platform
 
 __all__ = ["JobRunner"]
 
--- a/lycheelug/job_table.py
+++ b/lycheelug/job_table.py
@@ -27,6 +27,7 @@
     StoredJob,
     index_writes,
 )
+from lycheelug.records import decode, encode
 from lycheelug.store.interface import (
     ABSENT,
     Commit,
@@ -34,7 +35,6 @@
     Transaction,
     Write,
 )
-from lycheelug.records import decode, encode
 
 if TYPE_CHECKING:
     import random
--- /dev/null
+++ b/lycheelug/jobservice/duties.py
@@ -0,0 +1,301 @@
+"""Claims duties for this daemon, holds them and gives them back.
+
+A duty is a pool or the fleet's planning.  Claims are conditional writes of
+the owner's row with a term one higher; heartbeats only tell when a claim
+is worth a try.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final, Protocol
+
+import msgspec
+from returns.result import Failure, Success
+
+from lycheelug.jobservice.tables import FLEET_PART
+from lycheelug.logs import log_change, log_fault
+from lycheelug.ownership import (
+    DAEMONS_TABLE,
+    OWNER_KEY,
+    OWNERS_TABLE,
+    BeatRecord,
+    Liveness,
+    OwnerRecord,
+    choose_claims,
+)
+from lycheelug.store.mirror import TableMirror
+from lycheelug.store.rows import RowCommit, RowName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.jobservice.clock import Clock
+    from lycheelug.store.rows import RowStore, StoredRow
+
+__all__ = ["Duties", "DutyHolder"]
+
+BEAT_S: Final = 1.0
+# After a pause of this long between two looks at the heartbeats, all
+# daemons get the benefit of the doubt once.
+GAP_S: Final = 2.0
+# A new daemon waits for the others to show up before it claims anything.
+SETTLE_S: Final = 1.2
+OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
+
+
+class DutyHolder(Protocol):
+    """What carries out a duty while it is held."""
+
+    async def run(self) -> None:
+        """Carry it out until it is lost."""
+
+    def lose(self, why: str) -> None:
+        """End it: another holder was seen."""
+
+    async def hand_over(self) -> None:
+        """Bring what is known to the store before the duty is given back."""
+
+
+class _Held:
+    """A duty in this daemon's hands."""
+
+    __slots__ = ("holder", "record", "task", "version")
+
+    def __init__(
+        self,
+        holder: DutyHolder,
+        record: OwnerRecord,
+        version: int,
+        task: asyncio.Task[None],
+    ) -> None:
+        self.holder = holder
+        self.record = record
+        self.version = version
+        self.task = task
+
+
+class Duties:
+    """The duties of one daemon."""
+
+    __slots__ = (
+        "_beat",
+        "_clock",
+        "_held",
+        "_incarnation",
+        "_leaving",
+        "_liveness",
+        "_make_holder",
+        "_mirror",
+        "_name",
+        "_owners",
+        "_pools",
+        "_started_at",
+        "_store",
+        "_tasks",
+        "_wake",
+        "_zone",
+    )
+
+    def __init__(
+        self,
+        store: RowStore,
+        clock: Clock,
+        name: str,
+        incarnation: str,
+        zone: str,
+        pools: Callable[[], list[str]],
+        make_holder: Callable[[str, int, int], DutyHolder],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._zone = zone
+        # The pools that need an owner.
+        self._pools = pools
+        # Makes the holder of a duty from its name, term and row version.
+        self._make_holder = make_holder
+        self._mirror = TableMirror(store, OWNERS_TABLE, self._on_owner)
+        self._owners: dict[str, tuple[OwnerRecord, int]] = {}
+        self._liveness = Liveness()
+        self._held: dict[str, _Held] = {}
+        self._beat = 0
+        self._leaving = False
+        self._started_at = clock.now()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._wake = asyncio.Event()
+
+    @property
+    def held(self) -> dict[str, DutyHolder]:
+        """The duties held, with what carries them out."""
+        return {duty: held.holder for duty, held in self._held.items()}
+
+    @property
+    def owners(self) -> dict[str, OwnerRecord]:
+        """Who holds which duty, as far as is known."""
+        return {duty: record for duty, (record, _) in self._owners.items()}
+
+    def start(self) -> None:
+        """Begin to show that this daemon lives, and to claim duties."""
+        loop = asyncio.get_running_loop()
+        for work in (self._mirror.run(), self._beats(), self._claims()):
+            self._tasks.append(loop.create_task(work))
+
+    async def release(self) -> None:
+        """Give all duties back, and say that this daemon leaves."""
+        self._leaving = True
+        for duty in list(self._held):
+            await self._give_back(duty)
+        await self._write_beat()
+
+    async def stop(self) -> None:
+        """End everything at once."""
+        for held in self._held.values():
+            held.task.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    # --- Heartbeats.
+
+    async def _beats(self) -> None:
+        """Write this daemon's heartbeat, and read the others'."""
+        while True:
+            began = self._clock.now()
+            if not self._leaving:
+                await self._write_beat()
+            await self._read_beats()
+            self._wake.set()
+            spent_s = self._clock.now() - began
+            await asyncio.sleep(max(0.1, BEAT_S - spent_s))
+
+    async def _write_beat(self) -> None:
+        """Write the heartbeat row."""
+        self._beat += 1
+        record = BeatRecord(
+            self._incarnation, self._zone, "", self._beat, self._leaving
+        )
+        name = RowName(DAEMONS_TABLE, self._name)
+        await self._store.commit("", {}, {name: msgspec.json.encode(record)})
+
+    async def _read_beats(self) -> None:
+        """Read all heartbeat rows."""
+        read = await self._store.read(DAEMONS_TABLE, "")
+        if isinstance(read, Failure):
+            return
+        now = self._clock.now()
+        self._liveness.note_look(now, GAP_S)
+        for row in read.unwrap().rows:
+            try:
+                beat = msgspec.json.decode(row.value or b"", type=BeatRecord)
+            except msgspec.DecodeError:
+                log_change("row-unreadable", table=row.table, key=row.key)
+                continue
+            self._liveness.note(
+                row.key, beat.incarnation, row.version, now, beat.leaving
+            )
+
+    # --- Claims.
+
+    def _on_owner(self, row: StoredRow) -> None:
+        """Take in who holds a duty."""
+        if row.key != OWNER_KEY or row.value is None:
+            return
+        try:
+            record = msgspec.json.decode(row.value, type=OwnerRecord)
+        except msgspec.DecodeError:
+            log_change("row-unreadable", table=row.table, part=row.part)
+            return
+        self._owners[row.part] = (record, row.version)
+        log_change(
+            "duty-seen",
+            duty=row.part,
+            holder=record.holder,
+            term=record.term,
+            version=row.version,
+        )
+        held = self._held.get(row.part)
+        if held is not None and row.version > held.version:
+            held.holder.lose(f"held by {record.holder or 'nobody'}")
+        self._wake.set()
+
+    async def _claims(self) -> None:
+        """Claim what nobody holds, whenever something has changed."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            self._drop_lost()
+            now = self._clock.now()
+            is_settled = now - self._started_at >= SETTLE_S
+            if self._leaving or not is_settled:
+                continue
+            if not self._mirror.loaded.is_set():
+                continue
+            pools = self._pools()
+            if not pools:
+                continue
+            wanted = choose_claims(
+                self._name,
+                [*pools, FLEET_PART],
+                self.owners,
+                self._liveness,
+                now,
+            )
+            for duty in wanted:
+                if duty not in self._held:
+                    await self._claim(duty)
+
+    def _drop_lost(self) -> None:
+        """Forget the duties whose holder has ended."""
+        for duty, held in list(self._held.items()):
+            if held.task.done():
+                del self._held[duty]
+
+    async def _claim(self, duty: str) -> None:
+        """Take a duty by a conditional write."""
+        known = self._owners.get(duty)
+        term = known[0].term + 1 if known is not None else 1
+        version = known[1] if known is not None else 0
+        record = OwnerRecord(self._name, self._incarnation, term)
+        result = await self._store.commit(
+            duty,
+            {OWNER_ROW: version},
+            {OWNER_ROW: msgspec.json.encode(record)},
+        )
+        if isinstance(result, Failure):
+            # If it took effect, the feed brings the row, and the next
+            # claim replaces it with a higher term.
+            log_fault("claim-undecided", result.failure(), duty=duty)
+            return
+        outcome = result.unwrap()
+        if not isinstance(outcome, RowCommit):
+            return
+        log_change(
+            "duty-claimed",
+            duty=duty,
+            term=term,
+            former=known[0].holder if known is not None else "",
+        )
+        self._owners[duty] = (record, outcome.version)
+        holder = self._make_holder(duty, term, outcome.version)
+        task = asyncio.get_running_loop().create_task(holder.run())
+        task.add_done_callback(lambda _: self._wake.set())
+        self._held[duty] = _Held(holder, record, outcome.version, task)
+
+    async def _give_back(self, duty: str) -> None:
+        """Give a duty back, so that another daemon claims it at once."""
+        held = self._held.pop(duty)
+        await held.holder.hand_over()
+        held.task.cancel()
+        record = OwnerRecord("", "", held.record.term)
+        result = await self._store.commit(
+            duty,
+            {OWNER_ROW: held.version},
+            {OWNER_ROW: msgspec.json.encode(record)},
+        )
+        log_change(
+            "duty-given-back",
+            duty=duty,
+            term=held.record.term,
+            stored=isinstance(result, Success),
+        )
--- /dev/null
+++ b/lycheelug/jobservice/executor_loop.py
@@ -0,0 +1,169 @@
+"""Looks at one executor again and again while its pool is owned.
+
+A look extends the lease of all that runs there, acknowledges the ends that
+are durable, and waits on the executor's side for the next end.  After an
+end, the next look waits until the store has it: without a new
+acknowledgement it would only be told the same.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from lycheelug.jobservice.interfaces import LookFailure
+from lycheelug.logs import log_change
+from lycheelug.workloads import take_list
+
+if TYPE_CHECKING:
+    from lycheelug.jobservice.pool_owner import OwnerContext, PoolOwner
+    from lycheelug.workloads import ExecutorInfo, ExecutorView
+
+__all__ = ["ExecutorLoop"]
+
+# How long an executor may hold a look back; leases are renewed at this
+# pace.
+LOOK_WAIT_S: Final = 1.0
+# The pause after a look that brought nothing.
+RETRY_S: Final = 0.15
+RETRY_MAX_S: Final = 0.6
+# How long a look waits for the store to take in ends.
+STORE_WAIT_S: Final = 0.25
+
+
+class ExecutorLoop:
+    """The looks at one executor."""
+
+    __slots__ = (
+        "_context",
+        "_ended",
+        "_executor_id",
+        "_is_silent",
+        "_owner",
+        "_recorded",
+        "info",
+    )
+
+    def __init__(
+        self, context: OwnerContext, owner: PoolOwner, executor_id: str
+    ) -> None:
+        self._context = context
+        self._owner = owner
+        self._executor_id = executor_id
+        self.info: ExecutorInfo = owner.schedule.executors[executor_id].info
+        self._recorded = asyncio.Event()
+        self._ended = False
+        self._is_silent = False
+
+    def end(self) -> None:
+        """Look no more: the executor is gone."""
+        self._ended = True
+        self._context.gateway.forget(self.info)
+
+    def note_recorded(self) -> None:
+        """Go on after the store has taken in ends."""
+        self._recorded.set()
+
+    async def run(self) -> None:
+        """Look until the pool or the executor is gone."""
+        retry_s = RETRY_S
+        while not self._ended and not self._owner.lost.is_set():
+            view = self._owner.schedule.executors.get(self._executor_id)
+            if view is None:
+                return
+            self.info = view.info
+            await self._wait_for_store(view)
+            if await self._look(view):
+                retry_s = RETRY_S
+                continue
+            await asyncio.sleep(retry_s)
+            retry_s = min(RETRY_MAX_S, retry_s * 2)
+
+    async def _wait_for_store(self, view: ExecutorView) -> None:
+        """Wait until the ends that were taken in are durable."""
+        if view.processed <= view.acknowledged:
+            return
+        self._recorded.clear()
+        try:
+            async with asyncio.timeout(STORE_WAIT_S):
+                await self._recorded.wait()
+        except TimeoutError:
+            return
+
+    async def _look(self, view: ExecutorView) -> bool:
+        """Look once; False where that brought no list."""
+        context = self._context
+        owner = self._owner
+        asked_at = context.clock.now()
+        deadline_ms = None
+        clock_ms = view.estimate_clock_ms(asked_at)
+        if clock_ms is not None and owner.is_verified:
+            deadline_ms = clock_ms + int(context.lease_s * 1000)
+            view.note_deadline(asked_at, context.lease_s)
+        wait_s = LOOK_WAIT_S if view.is_fenced else 0.0
+        acknowledged = view.acknowledged
+        born_ms = view.info.born_ms
+        result = await context.gateway.look(
+            view.info, owner.term, acknowledged, deadline_ms, wait_s
+        )
+        now = context.clock.now()
+        if isinstance(result, Failure):
+            self._take_failure(view, result.failure(), now)
+            return False
+        report = result.unwrap()
+        was_fenced = view.is_fenced
+        ends = take_list(
+            owner.schedule,
+            view,
+            report,
+            asked_at,
+            now,
+            context.clock.unix_ms(),
+        )
+        if not was_fenced or self._is_silent or report.born_ms != born_ms:
+            self._is_silent = False
+            log_change(
+                "executor-heard",
+                pool=owner.pool,
+                executor=self._executor_id,
+                term=owner.term,
+                born_ms=report.born_ms,
+                running=len(report.running),
+            )
+        for end in ends:
+            context.metrics.count(f"ends-{end.kind.value}")
+            log_change(
+                "task-end",
+                job=end.task.job,
+                task=end.task.render(),
+                run=end.run,
+                executor=self._executor_id,
+                how=end.kind.value,
+                number=end.number,
+            )
+        owner.wake()
+        return True
+
+    def _take_failure(
+        self, view: ExecutorView, failure: LookFailure, now: float
+    ) -> None:
+        """Take in why a look brought no list."""
+        owner = self._owner
+        if not self._is_silent:
+            self._is_silent = True
+            log_change(
+                "executor-lost",
+                pool=owner.pool,
+                executor=self._executor_id,
+                reason=failure.name.lower(),
+                runs=len(view.runs),
+                lapses_in_s=round(view.lapses_at - now, 2),
+            )
+        if failure is LookFailure.FENCED:
+            owner.writer.verify_soon()
+            return
+        if failure is LookFailure.GONE:
+            owner.schedule.end_executor(self._executor_id, now)
+            owner.wake()
--- /dev/null
+++ b/lycheelug/jobservice/interfaces.py
@@ -0,0 +1,295 @@
+"""What the job service needs of its outside world, beside the row store.
+
+A binding (the users' platform, or the project's stand-ins) implements
+these.  No call raises for an expected failure.
+"""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from returns.result import Result
+
+    from lycheelug.errors import Fault
+    from lycheelug.workloads import (
+        ExecutorInfo,
+        ListReport,
+        Resources,
+        StartAnswer,
+        TaskName,
+    )
+
+__all__ = [
+    "Configuration",
+    "ExecutorGateway",
+    "HostAnswer",
+    "HostControl",
+    "HostInfo",
+    "HostState",
+    "LookFailure",
+    "PoolPolicy",
+    "Route",
+    "StopAnswer",
+    "UpkeepWave",
+]
+
+
+class StopAnswer(Enum):
+    """What came back of a stop."""
+
+    ANSWERED = auto()
+    # The executor has seen a higher fencing token.
+    FENCED = auto()
+    # Another life answered: this one is over, and all that it ran.
+    GONE = auto()
+    NO_ANSWER = auto()
+
+
+class LookFailure(Enum):
+    """Why a look at an executor brought no list."""
+
+    FENCED = auto()
+    GONE = auto()
+    # Nothing listens at its address; it may be cut off all the same.
+    REFUSED = auto()
+    NO_ANSWER = auto()
+
+
+class ExecutorGateway(ABC):
+    """Orders to executors."""
+
+    @abstractmethod
+    async def start(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        deadline_ms: int,
+        token: int,
+        ticket: str = "",
+    ) -> tuple[StartAnswer, int | None]:
+        """Start a run; also return the executor's clock if it told it."""
+
+    @abstractmethod
+    async def stop(
+        self, info: ExecutorInfo, task: TaskName, run: int, token: int
+    ) -> StopAnswer:
+        """Stop a run."""
+
+    @abstractmethod
+    async def look(
+        self,
+        info: ExecutorInfo,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_s: float,
+    ) -> Result[ListReport, LookFailure]:
+        """Return the executor's lists; wait for an end up to `wait_s`.
+
+        Ends up to `acknowledged` are forgotten there.  With a deadline
+        (on its clock), all that runs there may go on until then.
+        """
+
+    @abstractmethod
+    def forget(self, info: ExecutorInfo) -> None:
+        """Close the connections to an executor that is gone."""
+
+
+class HostState(Enum):
+    """What a host does."""
+
+    UP = auto()
+    MOVING = auto()
+    IN_UPKEEP = auto()
+    DOWN = auto()
+
+
+class HostInfo:
+    """One host in the platform's list of hosts."""
+
+    __slots__ = (
+        "capacity",
+        "executor_id",
+        "labels",
+        "name",
+        "pool",
+        "state",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        pool: str,
+        state: HostState,
+        zone: str = "",
+        labels: tuple[str, ...] = (),
+        capacity: Resources | None = None,
+        executor_id: str = "",
+    ) -> None:
+        self.name = name
+        self.pool = pool
+        self.state = state
+        self.zone = zone
+        self.labels = labels
+        self.capacity = capacity
+        # The present life; empty where the host runs none.
+        self.executor_id = executor_id
+
+
+class HostAnswer(Enum):
+    """What came back of an order to a host."""
+
+    DONE = auto()
+    FENCED = auto()
+    # It is not up, or it is leaving.
+    BUSY = auto()
+    # The order can't be given: no such host, pool or wave.
+    REFUSED = auto()
+    # Too many calls.
+    THROTTLED = auto()
+    NO_ANSWER = auto()
+
+
+class HostControl(ABC):
+    """Moves of hosts between pools, and their upkeep."""
+
+    @abstractmethod
+    async def hosts(self) -> Result[list[HostInfo], Fault]:
+        """Return all hosts."""
+
+    @abstractmethod
+    async def move(
+        self, host: str, pool: str, holder: str, token: int
+    ) -> HostAnswer:
+        """End all that runs on a host and put it into another pool."""
+
+    @abstractmethod
+    async def maintain(
+        self, host: str, wave: int, holder: str, token: int
+    ) -> HostAnswer:
+        """End all that runs on a host and begin its upkeep."""
+
+    @abstractmethod
+    async def publish_wave(self, wave: int, is_completed: bool) -> bool:
+        """Tell the operator how far a wave is; False where that failed."""
+
+
+class Route:
+    """A queue as callers address it."""
+
+    __slots__ = (
+        "advice",
+        "host",
+        "max_attempts",
+        "name",
+        "objective_s",
+        "path_prefix",
+        "pool",
+        "priority",
+        "stretch",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        path_prefix: str,
+        pool: str,
+        priority: int,
+        max_attempts: int,
+        stretch: float,
+        objective_s: float,
+        advice: bool,
+    ) -> None:
+        self.name = name
+        # The name that callers send with a request; empty for any.
+        self.host = host
+        self.path_prefix = path_prefix
+        self.pool = pool
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.stretch = stretch
+        self.objective_s = objective_s
+        # Whether only the advice service knows the executors to use.
+        self.advice = advice
+
+
+class PoolPolicy:
+    """What the configuration says of a pool."""
+
+    __slots__ = ("guards_room", "is_standby", "name")
+
+    def __init__(
+        self, name: str, is_standby: bool = False, guards_room: bool = False
+    ) -> None:
+        self.name = name
+        # Its hosts are off and cost nothing.
+        self.is_standby = is_standby
+        # Its executors refuse what does not fit.
+        self.guards_room = guards_room
+
+
+class Configuration:
+    """One configuration; a higher version replaces it."""
+
+    __slots__ = ("pools", "routes", "version")
+
+    def __init__(
+        self,
+        version: int,
+        routes: Sequence[Route],
+        pools: Sequence[PoolPolicy],
+    ) -> None:
+        self.version = version
+        self.routes = tuple(routes)
+        self.pools = {pool.name: pool for pool in pools}
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        best: Route | None = None
+        for route in self.routes:
+            if route.host and route.host != host:
+                continue
+            if not path.startswith(route.path_prefix):
+                continue
+            if best is None or len(route.path_prefix) > len(best.path_prefix):
+                best = route
+        return best
+
+    def find_queue(self, name: str) -> Route | None:
+        """Return the route of a name."""
+        for route in self.routes:
+            if route.name == name:
+                return route
+        return None
+
+
+class UpkeepWave:
+    """Hosts that are due for upkeep together."""
+
+    __slots__ = ("at_once", "deadline_s", "hosts", "number", "version")
+
+    def __init__(
+        self,
+        number: int,
+        hosts: Sequence[str],
+        deadline_s: float,
+        at_once: int,
+        version: int,
+    ) -> None:
+        self.number = number
+        self.hosts = tuple(hosts)
+        # Seconds from its announcement.
+        self.deadline_s = deadline_s
+        # Most hosts in upkeep at the same time.
+        self.at_once = at_once
+        self.version = version
--- /dev/null
+++ b/lycheelug/jobservice/pool_owner.py
@@ -0,0 +1,406 @@
+"""Owns one pool under one term: drives its schedule against the world.
+
+One task follows submissions and cancels, one looks at each executor, one
+writes progress, and one sends orders.  All writes carry the condition that
+the owner's row is unchanged, so an owner that was replaced, whatever it
+believes, writes nothing any more; its orders carry a lower fencing token.
+
+While it can't prove its ownership (`VERIFY_S`), it extends no leases and
+starts nothing: the next owner counts on that for executors that it can't
+reach itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Success
+
+from lycheelug.jobservice.executor_loop import ExecutorLoop
+from lycheelug.jobservice.interfaces import StopAnswer
+from lycheelug.jobservice.progress_writer import ProgressWriter
+from lycheelug.jobservice.tables import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    PROGRESS_TABLE,
+    decode_job,
+    decode_progress,
+    jobs_table,
+)
+from lycheelug.logs import log_change, log_fault
+from lycheelug.store.mirror import TableMirror
+from lycheelug.workloads import (
+    PoolSchedule,
+    QueuePolicy,
+    StartOrder,
+    StopOrder,
+    note_start,
+    note_stop,
+)
+from lycheelug.workloads.executors import CLOCK_DRIFT
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from returns.result import Result
+
+    from lycheelug.errors import Fault
+    from lycheelug.jobservice.clock import Clock
+    from lycheelug.jobservice.interfaces import Configuration, ExecutorGateway
+    from lycheelug.metrics import Metrics
+    from lycheelug.store.rows import RowStore, StoredRow
+    from lycheelug.workloads import ExecutorInfo, Job, ProgressRecord
+
+__all__ = ["LEASE_S", "VERIFY_S", "OwnerContext", "PoolOwner"]
+
+# Leases outlast a takeover (silence of 2.5 s and its recovery), and are
+# short enough that tasks of a lost executor soon start elsewhere.
+LEASE_S: Final = 5.0
+# Without proof of its ownership for this long an owner extends nothing.
+VERIFY_S: Final = 8.0
+# Submissions are gathered for this long between two calls to the feed.
+GATHER_S: Final = 0.03
+# The schedule is looked at this often even if nothing happened.
+TICK_S: Final = 0.1
+
+
+class OwnerContext:
+    """What an owner needs of its daemon."""
+
+    __slots__ = (
+        "clock",
+        "configuration",
+        "executors",
+        "gateway",
+        "lease_s",
+        "metrics",
+        "store",
+    )
+
+    def __init__(
+        self,
+        store: RowStore,
+        gateway: ExecutorGateway,
+        clock: Clock,
+        metrics: Metrics,
+        configuration: Callable[[], Configuration | None],
+        executors: Callable[[str], list[ExecutorInfo]],
+        lease_s: float = LEASE_S,
+    ) -> None:
+        self.store = store
+        self.gateway = gateway
+        self.clock = clock
+        self.metrics = metrics
+        self.configuration = configuration
+        # The executors of a pool that the store lists now.
+        self.executors = executors
+        # How long a run may go on without word of its owner.
+        self.lease_s = lease_s
+
+
+class PoolOwner:
+    """One pool in this daemon's hands."""
+
+    __slots__ = (
+        "_context",
+        "_loops",
+        "_mirror",
+        "_stored_progress",
+        "_tasks",
+        "_wake",
+        "lost",
+        "owner_version",
+        "pool",
+        "schedule",
+        "term",
+        "verified_at",
+        "writer",
+    )
+
+    def __init__(
+        self,
+        context: OwnerContext,
+        pool: str,
+        term: int,
+        owner_version: int,
+    ) -> None:
+        self._context = context
+        self.pool = pool
+        self.term = term
+        # The owner row's version, the condition of all writes.
+        self.owner_version = owner_version
+        now = context.clock.now()
+        # Local time at which the last proof of ownership was asked for.
+        self.verified_at = now
+        fenced_out_at = now + VERIFY_S + context.lease_s * (1 + CLOCK_DRIFT)
+        self.schedule = PoolSchedule(
+            pool, term, context.lease_s, fenced_out_at
+        )
+        self.writer = ProgressWriter(context, self)
+        self._mirror = TableMirror(
+            context.store,
+            jobs_table(pool),
+            self._on_row,
+            part=pool,
+            pause_s=GATHER_S,
+        )
+        self._stored_progress: dict[str, tuple[ProgressRecord, int]] = {}
+        self._loops: dict[str, ExecutorLoop] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()
+        # Set once another owner was seen.
+        self.lost = asyncio.Event()
+
+    @property
+    def is_verified(self) -> bool:
+        """Whether the ownership was proved lately enough."""
+        return self._context.clock.now() - self.verified_at < VERIFY_S
+
+    async def run(self) -> None:
+        """Own the pool until it is lost or this is cancelled."""
+        try:
+            recovered = await self._recover()
+            if isinstance(recovered, Failure):
+                log_fault(
+                    "pool-not-recovered",
+                    recovered.failure(),
+                    pool=self.pool,
+                    term=self.term,
+                )
+                return
+            self.spawn(self._mirror.run())
+            self.spawn(self.writer.run())
+            await self._drive()
+        finally:
+            self.stop()
+
+    async def hand_over(self) -> None:
+        """Send nothing more, and store what is known."""
+        self.lost.set()
+        await self.writer.flush()
+
+    def stop(self) -> None:
+        """End all that runs for the pool here."""
+        for task in self._tasks:
+            task.cancel()
+        for loop in self._loops.values():
+            self._context.gateway.forget(loop.info)
+        self._loops.clear()
+
+    def note_recorded(self) -> None:
+        """Let the looks go on that wait for the store."""
+        for loop in self._loops.values():
+            loop.note_recorded()
+
+    def wake(self) -> None:
+        """Look at the schedule soon."""
+        self._wake.set()
+
+    def lose(self, why: str) -> None:
+        """Give the pool up: another owner was seen."""
+        if not self.lost.is_set():
+            log_change("pool-lost", pool=self.pool, term=self.term, reason=why)
+        self.lost.set()
+        self.wake()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run something until the pool is given up."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        """Forget a task; a defect in it is logged and ends the ownership."""
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            log_change("defect", pool=self.pool, error=repr(error))
+            self.lose("defect")
+
+    # --- Recovery and intake.
+
+    async def _recover(self) -> Result[None, Fault]:
+        """Read progress; the jobs follow through the mirror."""
+        read = await self._context.store.read(PROGRESS_TABLE, self.pool)
+        if isinstance(read, Failure):
+            return Failure(read.failure())
+        for row in read.unwrap().rows:
+            progress = decode_progress(row.value or b"")
+            if progress is None:
+                log_change("row-unreadable", table=row.table, key=row.key)
+                self._context.metrics.count("rows-unreadable")
+                continue
+            self._stored_progress[row.key] = (progress, row.version)
+        log_change(
+            "pool-recovered",
+            pool=self.pool,
+            term=self.term,
+            jobs=len(self._stored_progress),
+        )
+        return Success(None)
+
+    def _on_row(self, row: StoredRow) -> None:
+        """Take in a submission or a cancel."""
+        clock = self._context.clock
+        if row.value is None:
+            return
+        if row.key.startswith(CANCEL_PREFIX):
+            job = self.schedule.cancel_job(
+                row.key[len(CANCEL_PREFIX) :], clock.unix_ms()
+            )
+            if job is not None:
+                self.wake()
+            return
+        if not row.key.startswith(JOB_PREFIX):
+            return
+        job_id = row.key[len(JOB_PREFIX) :]
+        record = decode_job(row.value)
+        if record is None:
+            log_change("row-unreadable", table=row.table, key=row.key)
+            self._context.metrics.count("rows-unreadable")
+            return
+        progress, version = self._stored_progress.pop(job_id, (None, 0))
+        job = self.schedule.add_job(
+            job_id,
+            record,
+            self._policy(record.queue),
+            progress,
+            clock.unix_ms(),
+            clock.now(),
+        )
+        job.row_version = max(job.row_version, version)
+        self._cancel_if_told(job)
+        self.wake()
+
+    def _cancel_if_told(self, job: Job) -> None:
+        """Apply a cancel whose row came before the job's."""
+        if self._mirror.has(self.pool, CANCEL_PREFIX + job.job_id):
+            self.schedule.cancel_job(job.job_id, self._context.clock.unix_ms())
+
+    def _policy(self, queue: str) -> QueuePolicy:
+        """Return a queue's policy; a queue that is gone keeps defaults."""
+        configuration = self._context.configuration()
+        route = configuration.find_queue(queue) if configuration else None
+        if route is None:
+            return QueuePolicy(queue, self.pool)
+        return QueuePolicy(
+            queue,
+            self.pool,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            stretch=route.stretch,
+            objective_s=route.objective_s,
+            needs_advice=route.advice,
+        )
+
+    # --- Orders.
+
+    async def _drive(self) -> None:
+        """Plan and send orders until the pool is lost."""
+        while not self.lost.is_set():
+            self._sync_executors()
+            self._open_due()
+            self.writer.wake_if_needed()
+            if self.is_verified and self._mirror.loaded.is_set():
+                for order in self.schedule.plan(self._context.clock.now()):
+                    if isinstance(order, StartOrder):
+                        self.spawn(self._start(order))
+                    else:
+                        self.spawn(self._stop(order))
+            try:
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+            self._wake.clear()
+
+    def _sync_executors(self) -> None:
+        """Follow the store's list of executors."""
+        listed = set()
+        for info in self._context.executors(self.pool):
+            listed.add(info.executor_id)
+            self.schedule.observe_executor(info)
+            if info.executor_id not in self._loops:
+                loop = ExecutorLoop(self._context, self, info.executor_id)
+                self._loops[info.executor_id] = loop
+                self.spawn(loop.run())
+        for executor_id in list(self.schedule.executors):
+            if executor_id not in listed:
+                self.schedule.miss_executor(executor_id)
+        for executor_id in list(self._loops):
+            if executor_id not in self.schedule.executors:
+                self._loops.pop(executor_id).end()
+
+    def _open_due(self) -> None:
+        """Open occurrences of scheduled jobs whose time has come."""
+        unix_ms = self._context.clock.unix_ms()
+        for job in self.schedule.jobs.values():
+            due_ms = job.next_due_ms() if job.record.schedule else None
+            if due_ms is not None and due_ms <= unix_ms:
+                self.schedule.open_due(job, unix_ms, self._context.clock.now())
+
+    async def _start(self, order: StartOrder) -> None:
+        """Send a start and take in what comes back."""
+        context = self._context
+        task = order.task
+        view = self.schedule.executors.get(order.executor_id)
+        if view is None:
+            return
+        clock_ms = view.estimate_clock_ms(context.clock.now())
+        assert clock_ms is not None
+        deadline_ms = clock_ms + int(context.lease_s * 1000)
+        answer, told_ms = await context.gateway.start(
+            view.info,
+            task.name,
+            order.run,
+            task.job.record.payload,
+            task.checkpoint,
+            deadline_ms,
+            self.term,
+        )
+        now = context.clock.now()
+        if told_ms is not None:
+            view.note_clock(told_ms, now)
+        note_start(self.schedule, view, task, order.run, answer, now)
+        context.metrics.count(f"starts-{answer.name.lower()}")
+        log_change(
+            "task-start",
+            job=task.name.job,
+            task=task.name.render(),
+            run=order.run,
+            term=self.term,
+            executor=order.executor_id,
+            answer=answer.name.lower(),
+        )
+        self.wake()
+
+    async def _stop(self, order: StopOrder) -> None:
+        """Send a stop; it is planned again until it is answered."""
+        context = self._context
+        view = self.schedule.executors.get(order.executor_id)
+        if view is None:
+            return
+        answer = await context.gateway.stop(
+            view.info, order.task_name, order.run, self.term
+        )
+        now = context.clock.now()
+        log_change(
+            "task-stop",
+            job=order.task_name.job,
+            task=order.task_name.render(),
+            run=order.run,
+            executor=order.executor_id,
+            reason=order.why,
+            answer=answer.name.lower(),
+        )
+        if answer is StopAnswer.GONE:
+            self.schedule.end_executor(order.executor_id, now)
+        elif answer is StopAnswer.FENCED:
+            self.writer.verify_soon()
+        key = (order.task_name, order.run)
+        note_stop(view, key, answer is StopAnswer.ANSWERED, now)
+        if answer is StopAnswer.ANSWERED:
+            self.wake()
--- /dev/null
+++ b/lycheelug/jobservice/progress_writer.py
@@ -0,0 +1,178 @@
+"""Writes a pool's progress to the store, many jobs in one transaction.
+
+Each transaction has the owner's row and the old version of each progress
+row as conditions.  So a repeat, or a transaction that the store carries
+out late, can never put an old record over a newer one, and a conflict on
+the owner's row tells that the pool is lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from returns.result import Failure
+
+from lycheelug.jobservice.tables import PROGRESS_TABLE
+from lycheelug.logs import log_change, log_fault
+from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
+from lycheelug.store.rows import RowConflict, RowName
+
+if TYPE_CHECKING:
+    from lycheelug.errors import Fault
+    from lycheelug.jobservice.pool_owner import OwnerContext, PoolOwner
+    from lycheelug.workloads import Job
+
+__all__ = ["ProgressWriter"]
+
+# The store takes at most 100 entries, conditions and writes together.
+JOBS_MAX: Final = 45
+# Ownership is proved at least this often, by an empty transaction if
+# there is nothing to write.
+PROVE_S: Final = 1.5
+RETRY_S: Final = 0.1
+
+
+class ProgressWriter:
+    """The single writer of one pool's progress."""
+
+    __slots__ = (
+        "_context",
+        "_is_lost",
+        "_must_verify",
+        "_owner",
+        "_wake",
+        "_writing",
+    )
+
+    def __init__(self, context: OwnerContext, owner: PoolOwner) -> None:
+        self._context = context
+        self._owner = owner
+        self._wake = asyncio.Event()
+        self._writing = asyncio.Lock()
+        self._must_verify = False
+        self._is_lost = False
+
+    def verify_soon(self) -> None:
+        """Prove the ownership at once: an executor knows a newer owner."""
+        self._must_verify = True
+        self._wake.set()
+
+    def wake_if_needed(self) -> None:
+        """Write soon if there is something to write."""
+        if self._has_work():
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Write whatever changes until cancelled."""
+        while True:
+            wait_s = PROVE_S
+            if self._has_work():
+                wait_s = 0.0
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            async with self._writing:
+                is_stored = await self._write()
+            if not is_stored:
+                await asyncio.sleep(RETRY_S)
+
+    async def flush(self) -> None:
+        """Write once more before the pool is handed over."""
+        async with self._writing:
+            await self._write()
+
+    def _has_work(self) -> bool:
+        """Whether something waits to be written or acknowledged."""
+        schedule = self._owner.schedule
+        if schedule.jobs_to_begin():
+            return True
+        for job in schedule.jobs.values():
+            if job.is_dirty:
+                return True
+        for view in schedule.executors.values():
+            if view.processed > view.acknowledged:
+                return True
+        return False
+
+    async def _write(self) -> bool:
+        """Write once; False where the store did not take it."""
+        owner = self._owner
+        schedule = owner.schedule
+        for job in schedule.jobs_to_begin()[:JOBS_MAX]:
+            job.begin(owner.term)
+        jobs = [job for job in schedule.jobs.values() if job.is_dirty]
+        is_whole = len(jobs) <= JOBS_MAX
+        jobs = jobs[:JOBS_MAX]
+        owner_row = RowName(OWNERS_TABLE, OWNER_KEY)
+        expected = {owner_row: owner.owner_version}
+        writes: dict[RowName, bytes | None] = {}
+        for job in jobs:
+            name = RowName(PROGRESS_TABLE, job.job_id)
+            expected[name] = job.row_version
+            writes[name] = msgspec.json.encode(job.progress)
+            job.is_dirty = False
+        seen = [
+            (view, view.info.born_ms, view.processed)
+            for view in schedule.executors.values()
+        ]
+        asked_at = self._context.clock.now()
+        result = await self._context.store.commit(owner.pool, expected, writes)
+        if isinstance(result, Failure):
+            for job in jobs:
+                job.is_dirty = True
+            self._note_failure(result.failure())
+            return False
+        outcome = result.unwrap()
+        if isinstance(outcome, RowConflict):
+            self._take_conflict(outcome, jobs, owner_row)
+            return False
+        self._note_success()
+        owner.verified_at = asked_at
+        for job in jobs:
+            job.row_version = outcome.version
+            if job.progress.begun_term:
+                job.begin_is_stored = True
+        if is_whole:
+            for view, born_ms, processed in seen:
+                if view.info.born_ms == born_ms:
+                    view.acknowledged = max(view.acknowledged, processed)
+            owner.note_recorded()
+        owner.wake()
+        return True
+
+    def _take_conflict(
+        self, conflict: RowConflict, jobs: list[Job], owner_row: RowName
+    ) -> None:
+        """Find out whether the pool is lost or a write came late."""
+        owner = self._owner
+        current = conflict.rows.get(owner_row)
+        if current is None or current.version != owner.owner_version:
+            owner.lose("another owner's row")
+            return
+        for job in jobs:
+            job.is_dirty = True
+            row = conflict.rows.get(RowName(PROGRESS_TABLE, job.job_id))
+            job.row_version = row.version if row is not None else 0
+        log_change(
+            "progress-rewritten",
+            pool=owner.pool,
+            jobs=len(jobs),
+            reason="an earlier write without an answer took effect",
+        )
+
+    def _note_failure(self, fault: Fault) -> None:
+        """Log the first failure in a row."""
+        if not self._is_lost:
+            self._is_lost = True
+            log_fault("progress-not-stored", fault, pool=self._owner.pool)
+
+    def _note_success(self) -> None:
+        """Log the first success after a failure."""
+        if self._is_lost:
+            self._is_lost = False
+            log_change("progress-stored-again", pool=self._owner.pool)
--- /dev/null
+++ b/lycheelug/jobservice/service.py
@@ -0,0 +1,171 @@
+"""The job service of one daemon: its parts, and what they share."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+from lycheelug.jobservice.duties import Duties
+from lycheelug.jobservice.fleet_owner import FleetOwner
+from lycheelug.jobservice.pool_owner import OwnerContext, PoolOwner
+from lycheelug.jobservice.submissions import Submissions
+from lycheelug.jobservice.tables import FLEET_PART
+from lycheelug.logs import log_change
+from lycheelug.metrics import Metrics
+
+if TYPE_CHECKING:
+    from lycheelug.jobservice.clock import Clock
+    from lycheelug.jobservice.duties import DutyHolder
+    from lycheelug.jobservice.interfaces import (
+        Configuration,
+        ExecutorGateway,
+        HostControl,
+        UpkeepWave,
+    )
+    from lycheelug.store.rows import RowStore
+    from lycheelug.workloads import ExecutorInfo
+
+__all__ = ["JobService"]
+
+
+class JobService:
+    """What one daemon knows and does for jobs."""
+
+    __slots__ = (
+        "_context",
+        "_executors",
+        "_hosts",
+        "_name",
+        "configuration",
+        "duties",
+        "metrics",
+        "submissions",
+        "waves",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        zone: str,
+        store: RowStore,
+        gateway: ExecutorGateway,
+        hosts: HostControl,
+        clock: Clock,
+        lease_s: float,
+    ) -> None:
+        self._name = name
+        self._hosts = hosts
+        self.metrics = Metrics()
+        self.configuration: Configuration | None = None
+        self.waves: dict[int, UpkeepWave] = {}
+        self._executors: dict[str, ExecutorInfo] = {}
+        self.submissions = Submissions(store, clock, self.metrics)
+        self._context = OwnerContext(
+            store,
+            gateway,
+            clock,
+            self.metrics,
+            lambda: self.configuration,
+            self.executors_of,
+            lease_s,
+        )
+        incarnation = secrets.token_hex(8)
+        self.duties = Duties(
+            store,
+            clock,
+            name,
+            incarnation,
+            zone,
+            self._pools,
+            self._make_holder,
+        )
+
+    @property
+    def is_configured(self) -> bool:
+        """Whether a configuration is in force."""
+        return self.configuration is not None
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self.duties.start()
+
+    async def drain(self) -> None:
+        """Give the duties back; submissions are still taken."""
+        await self.duties.release()
+
+    async def stop(self) -> None:
+        """End everything."""
+        await self.duties.stop()
+
+    # --- What the outside world tells.
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force, unless a newer one is."""
+        current = self.configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self.configuration = configuration
+        self.submissions.take_configuration(configuration)
+        log_change(
+            "configuration-in-force",
+            version=configuration.version,
+            former=current.version if current is not None else 0,
+            routes=len(configuration.routes),
+            pools=len(configuration.pools),
+        )
+
+    def take_executor(
+        self, executor_id: str, info: ExecutorInfo | None
+    ) -> None:
+        """Take in an executor's entry; None where it is gone."""
+        known = self._executors.get(executor_id)
+        if info is None:
+            if self._executors.pop(executor_id, None) is not None:
+                log_change("executor-unlisted", executor=executor_id)
+        else:
+            self._executors[executor_id] = info
+            if known is None or known.draining != info.draining:
+                log_change(
+                    "executor-listed",
+                    executor=executor_id,
+                    pool=info.pool,
+                    host=info.host,
+                    draining=info.draining,
+                    version=info.version,
+                )
+        for holder in self.duties.held.values():
+            if isinstance(holder, PoolOwner):
+                holder.wake()
+
+    def take_wave(self, wave: UpkeepWave) -> None:
+        """Take in a wave of upkeep."""
+        if wave.number not in self.waves:
+            log_change(
+                "wave-seen",
+                wave=wave.number,
+                hosts=len(wave.hosts),
+                deadline_s=wave.deadline_s,
+            )
+        self.waves[wave.number] = wave
+
+    def executors_of(self, pool: str) -> list[ExecutorInfo]:
+        """Return the executors of a pool that the store lists."""
+        return [info for info in self._executors.values() if info.pool == pool]
+
+    # --- Parts.
+
+    def _pools(self) -> list[str]:
+        """Return the pools that need an owner."""
+        if self.configuration is None:
+            return []
+        found: list[str] = []
+        for pool in self.configuration.pools.values():
+            if not pool.is_standby:
+                found.append(pool.name)
+        return found
+
+    def _make_holder(self, duty: str, term: int, version: int) -> DutyHolder:
+        """Return what carries out a duty."""
+        if duty == FLEET_PART:
+            return FleetOwner(self._context, self._hosts, self._name, term)
+        return PoolOwner(self._context, duty, term, version)
--- /dev/null
+++ b/lycheelug/jobservice/tables.py
@@ -0,0 +1,74 @@
+"""The job service's rows: which table, part and key holds what.
+
+A pool's rows lie in a part of their own, so that the owner's row can be a
+condition of each of its writes.  Submissions and cancels lie in one of a
+fixed number of tables, chosen by the pool, so that an owner follows little
+more than its own pool's.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+from zlib import crc32
+
+import msgspec
+
+from lycheelug.workloads import JobRecord, ProgressRecord
+
+__all__ = [
+    "CANCEL_PREFIX",
+    "FLEET_PART",
+    "JOB_PREFIX",
+    "PLANS_TABLE",
+    "PROGRESS_TABLE",
+    "SUMMARIES_TABLE",
+    "SUMMARY_KEY",
+    "CancelRecord",
+    "decode_job",
+    "decode_progress",
+    "jobs_table",
+]
+
+PROGRESS_TABLE: Final = "progress"
+# One row a pool: what its owner tells the others.
+SUMMARIES_TABLE: Final = "summaries"
+SUMMARY_KEY: Final = "summary"
+# One row: which hosts the fleet's planner wants emptied.
+PLANS_TABLE: Final = "plans"
+FLEET_PART: Final = "~fleet"
+JOB_PREFIX: Final = "job/"
+CANCEL_PREFIX: Final = "cancel/"
+# The store allows 100 tables in all.
+JOB_TABLES: Final = 64
+
+
+class CancelRecord(msgspec.Struct, omit_defaults=True):
+    """A cancel as it was acknowledged."""
+
+    # Unix time in milliseconds at the daemon that took it.
+    at_ms: int = 0
+
+
+def jobs_table(pool: str) -> str:
+    """Return the table of a pool's submissions and cancels.
+
+    >>> jobs_table("quotes") == jobs_table("quotes")
+    True
+    """
+    return f"jobs-{crc32(pool.encode()) % JOB_TABLES:02d}"
+
+
+def decode_job(value: bytes) -> JobRecord | None:
+    """Return a submission; None for bytes that are none."""
+    try:
+        return msgspec.json.decode(value, type=JobRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def decode_progress(value: bytes) -> ProgressRecord | None:
+    """Return a progress record; None for bytes that are none."""
+    try:
+        return msgspec.json.decode(value, type=ProgressRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- a/lycheelug/member.py
+++ b/lycheelug/member.py
@@ -19,8 +19,8 @@
     import random
 
     from lycheelug.entries.messages import Digest
-    from lycheelug.store.interface import HostEntry
     from lycheelug.records import EntryRow
+    from lycheelug.store.interface import HostEntry
 
 __all__ = [
     "LEFT",
--- a/lycheelug/moves.py
+++ b/lycheelug/moves.py
@@ -23,9 +23,9 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.store.interface import HostRole, HostState
 from lycheelug.records import HostPhase
 from lycheelug.registry import Registry
+from lycheelug.store.interface import HostRole, HostState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- /dev/null
+++ b/lycheelug/ownership/__init__.py
@@ -0,0 +1,21 @@
+"""Who owns a pool or a fleet duty, and which daemons are alive; no I/O."""
+
+from lycheelug.ownership.assignment import choose_claims
+from lycheelug.ownership.liveness import Liveness
+from lycheelug.ownership.records import (
+    DAEMONS_TABLE,
+    OWNER_KEY,
+    OWNERS_TABLE,
+    BeatRecord,
+    OwnerRecord,
+)
+
+__all__ = [
+    "DAEMONS_TABLE",
+    "OWNERS_TABLE",
+    "OWNER_KEY",
+    "BeatRecord",
+    "Liveness",
+    "OwnerRecord",
+    "choose_claims",
+]
--- /dev/null
+++ b/lycheelug/ownership/liveness.py
@@ -0,0 +1,104 @@
+"""Which daemons are alive, by whether their heartbeat rows still change.
+
+Only the local time since a row last changed counts, so daemons need no
+common clock.  A false alarm costs work, never safety: what a daemon may do
+is decided by conditional writes and fencing tokens.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+__all__ = ["SILENT_S", "Liveness"]
+
+# A daemon whose heartbeat stood still for this long is taken as dead:
+# two and a half heartbeat periods.
+SILENT_S: Final = 2.5
+
+
+class _Peer:
+    """One daemon's last heartbeat."""
+
+    __slots__ = ("changed_at", "incarnation", "leaving", "version")
+
+    def __init__(
+        self, incarnation: str, version: int, changed_at: float, leaving: bool
+    ) -> None:
+        self.incarnation = incarnation
+        self.version = version
+        self.changed_at = changed_at
+        self.leaving = leaving
+
+
+class Liveness:
+    """The daemons that this one has seen, and when they last moved.
+
+    >>> peers = Liveness()
+    >>> peers.note("e1", "a", version=1, now=10.0)
+    >>> peers.is_alive("e1", "a", now=11.0), peers.is_alive("e1", "b", 11.0)
+    (True, False)
+    >>> peers.is_alive("e1", "a", now=14.0)
+    False
+    """
+
+    __slots__ = ("_looked_at", "_peers")
+
+    def __init__(self) -> None:
+        self._peers: dict[str, _Peer] = {}
+        # Local time of the last successful look at all rows.
+        self._looked_at: float | None = None
+
+    def note(
+        self,
+        name: str,
+        incarnation: str,
+        version: int,
+        now: float,
+        leaving: bool = False,
+    ) -> None:
+        """Take in one heartbeat row."""
+        peer = self._peers.get(name)
+        if peer is not None and peer.version >= version:
+            return
+        self._peers[name] = _Peer(incarnation, version, now, leaving)
+
+    def note_look(self, now: float, gap_s: float) -> None:
+        """Take in that all rows were read now.
+
+        After a gap (the store was away, or this daemon was suspended)
+        nobody is blamed for rows that could not be seen to change.
+        """
+        last = self._looked_at
+        self._looked_at = now
+        if last is None or now - last <= gap_s:
+            return
+        for peer in self._peers.values():
+            peer.changed_at = now
+
+    def drop(self, name: str) -> None:
+        """Forget a daemon whose row was removed."""
+        self._peers.pop(name, None)
+
+    def is_alive(self, name: str, incarnation: str, now: float) -> bool:
+        """Whether this life of a daemon still moves."""
+        peer = self._peers.get(name)
+        if peer is None or peer.incarnation != incarnation:
+            return False
+        return now - peer.changed_at < SILENT_S
+
+    def alive(self, now: float) -> list[str]:
+        """Return the daemons that may be given duties, sorted."""
+        found: list[str] = []
+        for name, peer in self._peers.items():
+            if peer.leaving or now - peer.changed_at >= SILENT_S:
+                continue
+            found.append(name)
+        return sorted(found)
+
+    def stale(self, now: float, age_s: float) -> list[str]:
+        """Return the daemons that have been silent for `age_s`."""
+        found: list[str] = []
+        for name, peer in self._peers.items():
+            if now - peer.changed_at >= age_s:
+                found.append(name)
+        return found
--- a/lycheelug/plan.py
+++ b/lycheelug/plan.py
@@ -20,7 +20,6 @@
 from lycheelug.moves import plan_placement
 from lycheelug.plan_hosts import HostProgress
 from lycheelug.plan_pools import adoption_step, pools_to_adopt, shortages
-from lycheelug.store.interface import ABSENT, HostState
 from lycheelug.records import (
     SHEET_KEY,
     HostPhase,
@@ -28,6 +27,7 @@
     host_key,
 )
 from lycheelug.steps import Change, ChangeKind, PlatformCall, Step, StepBuilder
+from lycheelug.store.interface import ABSENT, HostState
 from lycheelug.waves import (
     MAINTENANCE_AHEAD_S,
     MAINTENANCE_INTERVAL_S,
--- a/lycheelug/plan_driver.py
+++ b/lycheelug/plan_driver.py
@@ -17,6 +17,13 @@
 from returns.result import Failure, Success
 
 from lycheelug.plan import next_steps
+from lycheelug.records import (
+    PlanLeaseRow,
+    encode,
+    host_key,
+    plan_lease_key,
+)
+from lycheelug.steps import CallKind
 from lycheelug.store.interface import (
     ABSENT,
     Commit,
@@ -26,13 +33,6 @@
     Transaction,
     Write,
 )
-from lycheelug.records import (
-    PlanLeaseRow,
-    encode,
-    host_key,
-    plan_lease_key,
-)
-from lycheelug.steps import CallKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,8 +43,8 @@
     from lycheelug.errors import Fault
     from lycheelug.fleet import FleetSnapshot
     from lycheelug.plan import Plan
-    from lycheelug.store.interface import Platform
     from lycheelug.steps import PlatformCall, Step
+    from lycheelug.store.interface import Platform
 
 __all__ = ["PLAN_LEASE_S", "PlanDriver", "Report"]
 
--- a/lycheelug/plan_hosts.py
+++ b/lycheelug/plan_hosts.py
@@ -15,9 +15,9 @@
 
 from lycheelug.blockers import Blocker, BlockerKind
 from lycheelug.entry_acks import knows_all_entries, waiting_for
-from lycheelug.store.interface import HostState
 from lycheelug.records import HostPhase
 from lycheelug.steps import CallKind, PlatformCall
+from lycheelug.store.interface import HostState
 from lycheelug.waves import REBOOT_TIMEOUT_S, is_due, is_late, open_until
 
 if TYPE_CHECKING:
--- a/lycheelug/plan_pools.py
+++ b/lycheelug/plan_pools.py
@@ -14,10 +14,10 @@
 
 from lycheelug.blockers import Blocker, BlockerKind
 from lycheelug.moves import assigned_pool
-from lycheelug.store.interface import ABSENT
 from lycheelug.records import SHEET_KEY, PoolRow, pool_key
 from lycheelug.sheet import PoolSpec
 from lycheelug.steps import Change, ChangeKind, Step
+from lycheelug.store.interface import ABSENT
 
 if TYPE_CHECKING:
     from lycheelug.fleet import FleetSnapshot
--- a/lycheelug/plan_report.py
+++ b/lycheelug/plan_report.py
@@ -13,9 +13,9 @@
 from lycheelug.budgets import budgets_of
 from lycheelug.moves import plan_moves
 from lycheelug.plan import next_steps
-from lycheelug.store.interface import Row
 from lycheelug.records import HostPhase, encode
 from lycheelug.steps import ChangeKind
+from lycheelug.store.interface import Row
 from lycheelug.waves import next_window_start, open_until, plan_waves
 
 if TYPE_CHECKING:
--- a/lycheelug/plan_submit.py
+++ b/lycheelug/plan_submit.py
@@ -23,6 +23,9 @@
     Peer,
     Step,
 )
+from lycheelug.records import SHEET_KEY, SheetRow, decode, encode
+from lycheelug.sheet import PoolSpec, Sheet, parse_sheet
+from lycheelug.sheet_checks import check_sheet
 from lycheelug.store.interface import (
     Commit,
     Conflict,
@@ -30,16 +33,13 @@
     Transaction,
     Write,
 )
-from lycheelug.records import SHEET_KEY, SheetRow, decode, encode
-from lycheelug.sheet import PoolSpec, Sheet, parse_sheet
-from lycheelug.sheet_checks import check_sheet
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lycheelug.fleet import FleetSnapshot
-    from lycheelug.store.interface import Platform, Row
     from lycheelug.sheet_faults import SheetFault
+    from lycheelug.store.interface import Platform, Row
 
 __all__ = ["SheetAccepted", "SheetRefused", "sheet_changes", "submit_sheet"]
 
--- /dev/null
+++ b/lycheelug/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform: only translation, no decisions."""
--- /dev/null
+++ b/lycheelug/platform/config.py
@@ -0,0 +1,74 @@
+"""The operator's rows: the configuration and waves of upkeep."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from lycheelug.jobservice.interfaces import (
+    Configuration,
+    PoolPolicy,
+    Route,
+    UpkeepWave,
+)
+from lycheelug.platform.wire import ConfigMessage, WaveMessage
+
+if TYPE_CHECKING:
+    from lycheelug.store.rows import StoredRow
+
+__all__ = [
+    "CONFIG_KEY",
+    "OPERATOR_TABLE",
+    "WAVE_PREFIX",
+    "decode_configuration",
+    "decode_wave",
+]
+
+OPERATOR_TABLE: Final = "op"
+CONFIG_KEY: Final = "config"
+WAVE_PREFIX: Final = "wave/"
+
+
+def decode_configuration(value: bytes) -> Configuration | None:
+    """Return a configuration; None where it can't be read."""
+    try:
+        message = msgspec.json.decode(value, type=ConfigMessage)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    routes: list[Route] = []
+    for route in message.routes:
+        routes.append(
+            Route(
+                route.name,
+                route.host.lower(),
+                route.path_prefix,
+                route.service,
+                route.priority,
+                route.max_attempts,
+                route.stretch,
+                route.slo_ms / 1000,
+                route.hint is not None,
+            )
+        )
+    pools: list[PoolPolicy] = []
+    for service in message.services:
+        pools.append(
+            PoolPolicy(service.name, service.standby, service.rejects_overload)
+        )
+    return Configuration(message.version, routes, pools)
+
+
+def decode_wave(row: StoredRow) -> UpkeepWave | None:
+    """Return a wave of upkeep; None where it can't be read."""
+    try:
+        message = msgspec.json.decode(row.value or b"", type=WaveMessage)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return UpkeepWave(
+        message.wave,
+        message.machines,
+        message.deadline_s,
+        message.cap,
+        row.version,
+    )
--- /dev/null
+++ b/lycheelug/platform/hosts.py
@@ -0,0 +1,184 @@
+"""Hosts as the platform has them: their list, moves and upkeep."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Success
+
+from lycheelug.errors import (
+    PLATFORM_INVALID,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.http import HttpClient, Request
+from lycheelug.jobservice.interfaces import (
+    HostAnswer,
+    HostControl,
+    HostInfo,
+    HostState,
+)
+from lycheelug.platform.wire import MachinesAnswer, OrderAnswer
+from lycheelug.store.rows import RowName
+from lycheelug.workloads import Resources
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from returns.result import Result
+
+    from lycheelug.platform.wire import MachineMessage
+    from lycheelug.store.rows import RowStore
+
+__all__ = ["PlatformHosts"]
+
+CALL_TIMEOUT_S: Final = 1.0
+CONNECT_TIMEOUT_S: Final = 0.7
+REUSE_IDLE_S: Final = 4.0
+STATUS_TABLE: Final = "status"
+
+STATES: Final = {
+    "up": HostState.UP,
+    "moving": HostState.MOVING,
+    "upkeep": HostState.IN_UPKEEP,
+    "down": HostState.DOWN,
+}
+
+REASONS: Final = {
+    "fence": HostAnswer.FENCED,
+    "busy": HostAnswer.BUSY,
+    "wave": HostAnswer.REFUSED,
+}
+
+
+class PlatformHosts(HostControl):
+    """A client of the platform's host interface."""
+
+    __slots__ = ("_address", "_client", "_store")
+
+    def __init__(self, address: str, store: RowStore) -> None:
+        self._address = address
+        self._client = HttpClient(
+            address, Peer.PLATFORM, connect_s=CONNECT_TIMEOUT_S
+        )
+        self._store = store
+
+    async def hosts(self) -> Result[list[HostInfo], Fault]:
+        """Return all hosts."""
+        found: list[HostInfo] = []
+        token: str | None = ""
+        while token is not None:
+            query = f"?{urlencode({'page_token': token})}" if token else ""
+            headers = [(b"host", self._address.encode())]
+            request = Request(b"GET", f"/v1/machines{query}".encode(), headers)
+            result = await self._client.request(
+                request, CALL_TIMEOUT_S, REUSE_IDLE_S
+            )
+            if isinstance(result, Failure):
+                fault = result.failure()
+                return Failure(self._fault(f"{fault.code.name}"))
+            answer = result.unwrap()
+            if answer.status != 200:
+                return Failure(self._fault(f"status {answer.status}"))
+            try:
+                page = msgspec.json.decode(answer.body, type=MachinesAnswer)
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                return Failure(
+                    Fault(
+                        PLATFORM_INVALID,
+                        Step.READ,
+                        Peer.PLATFORM,
+                        str(error),
+                        self._address,
+                    )
+                )
+            for message in page.machines:
+                found.append(_decode_host(message))
+            token = page.next_token or None
+        return Success(found)
+
+    async def move(
+        self, host: str, pool: str, holder: str, token: int
+    ) -> HostAnswer:
+        """End all that runs on a host and put it into another pool."""
+        body = {"machine": host, "pool": pool}
+        return await self._order(b"/v1/machine-move", body, holder, token)
+
+    async def maintain(
+        self, host: str, wave: int, holder: str, token: int
+    ) -> HostAnswer:
+        """End all that runs on a host and begin its upkeep."""
+        body = {"machine": host, "wave": wave}
+        return await self._order(b"/v1/machine-upkeep", body, holder, token)
+
+    async def publish_wave(self, wave: int, is_completed: bool) -> bool:
+        """Tell the operator how far a wave is; False where that failed."""
+        state = "completed" if is_completed else "running"
+        name = RowName(STATUS_TABLE, f"wave/{wave}")
+        value = msgspec.json.encode({"state": state})
+        result = await self._store.commit("", {}, {name: value})
+        return isinstance(result, Success)
+
+    async def _order(
+        self, path: bytes, body: dict[str, Any], holder: str, token: int
+    ) -> HostAnswer:
+        """Send an order under the duty's fencing token."""
+        data = msgspec.json.encode(body)
+        headers = [
+            (b"host", self._address.encode()),
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(data)),
+            (b"duty-holder", holder.encode()),
+            (b"fencing-token", b"%d" % token),
+        ]
+        request = Request(b"POST", path, headers, data)
+        result = await self._client.request(
+            request, CALL_TIMEOUT_S, REUSE_IDLE_S
+        )
+        if isinstance(result, Failure):
+            return HostAnswer.NO_ANSWER
+        answer = result.unwrap()
+        if answer.status == 200:
+            return HostAnswer.DONE
+        if answer.status == 429:
+            return HostAnswer.THROTTLED
+        if answer.status == 400:
+            return HostAnswer.REFUSED
+        if answer.status != 409:
+            return HostAnswer.NO_ANSWER
+        try:
+            told = msgspec.json.decode(answer.body, type=OrderAnswer)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return HostAnswer.NO_ANSWER
+        return REASONS.get(told.reason, HostAnswer.NO_ANSWER)
+
+    def _fault(self, detail: str) -> Fault:
+        """Return a fault of a call that brought no list."""
+        return Fault(
+            PLATFORM_UNREACHABLE,
+            Step.READ,
+            Peer.PLATFORM,
+            detail,
+            self._address,
+        )
+
+
+def _decode_host(message: MachineMessage) -> HostInfo:
+    """Return a host as the product has it."""
+    capacity = None
+    if message.capacity is not None:
+        room = message.capacity
+        capacity = Resources(room.cpu, room.mem_mb, room.gpu)
+    return HostInfo(
+        message.machine,
+        message.pool,
+        STATES.get(message.state, HostState.DOWN),
+        zone=message.zone,
+        labels=tuple(message.labels),
+        capacity=capacity,
+        executor_id=message.id or "",
+    )
--- /dev/null
+++ b/lycheelug/platform/ingress.py
@@ -0,0 +1,196 @@
+"""Callers as the platform sends them: job paths, status codes, readiness."""
+
+from __future__ import annotations
+
+import asyncio
+import string
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from lycheelug.http import Answer, find_header, json_answer
+from lycheelug.jobservice.submissions import Reply, ReplyKind
+from lycheelug.logs import log_change
+from lycheelug.platform.wire import JobMessage
+from lycheelug.workloads import JobRecord, Occurrences, StepSpec
+
+if TYPE_CHECKING:
+    from lycheelug.http import Request
+    from lycheelug.jobservice.clock import Clock
+    from lycheelug.jobservice.interfaces import Route
+    from lycheelug.jobservice.service import JobService
+    from lycheelug.platform.wire import StepMessage
+
+__all__ = ["Ingress", "decode_job_message"]
+
+DEADLINE_HEADER: Final = b"deadline-ms"
+# Used where a caller does not say how long it waits.
+DEADLINE_DEFAULT_S: Final = 3.0
+# The answer leaves this long before the caller gives up.
+ANSWER_MARGIN_S: Final = 0.1
+JOB_ID_LENGTH: Final = 16
+HEX_DIGITS: Final = frozenset(string.hexdigits)
+SPEC_BYTES_MAX: Final = 4_000
+STEPS_MAX: Final = 1_000
+NOT_CONFIGURED_RETRY_S: Final = 1
+
+
+class Ingress:
+    """Answers callers' requests about jobs."""
+
+    __slots__ = ("_clock", "_service")
+
+    def __init__(self, service: JobService, clock: Clock) -> None:
+        self._service = service
+        self._clock = clock
+
+    async def handle(self, request: Request) -> Answer:
+        """Answer one request, at the latest when its caller gives up."""
+        deadline_s = _deadline_s(request)
+        try:
+            async with asyncio.timeout(deadline_s - ANSWER_MARGIN_S):
+                return await self._route(request)
+        except TimeoutError:
+            log_change(
+                "request-timed-out",
+                target=request.target.decode("latin-1"),
+                method=request.method.decode("latin-1"),
+                deadline_s=deadline_s,
+            )
+            return _error(504, "no answer from the platform's store in time")
+
+    async def _route(self, request: Request) -> Answer:
+        """Find the queue and the call."""
+        configuration = self._service.configuration
+        if configuration is None:
+            return _unavailable("no configuration yet", NOT_CONFIGURED_RETRY_S)
+        host = (find_header(request.headers, b"host") or b"").decode("latin-1")
+        path = request.target.decode("latin-1").partition("?")[0]
+        route = configuration.find_route(
+            host.rpartition(":")[0].lower() if ":" in host else host.lower(),
+            path,
+        )
+        if route is None:
+            return _error(404, "no queue has this host and path")
+        rest = path[len(route.path_prefix) :]
+        if not rest:
+            return await self._queue(request, route)
+        if len(rest) != JOB_ID_LENGTH or not HEX_DIGITS.issuperset(rest):
+            return _error(404, "a job's id is 16 hexadecimal digits")
+        if request.method == b"POST":
+            return await self._submit(request, route, rest)
+        if request.method == b"GET":
+            reply = await self._service.submissions.state(route, rest)
+            return _answer(reply, {"state": reply.state})
+        if request.method == b"DELETE":
+            return _answer(
+                await self._service.submissions.cancel(route, rest), {}
+            )
+        return _error(405, "a job takes POST, GET and DELETE")
+
+    async def _queue(self, request: Request, route: Route) -> Answer:
+        """Answer how many jobs of a queue wait."""
+        if request.method != b"GET":
+            return _error(405, "a queue takes GET")
+        reply = await self._service.submissions.pending(route)
+        return _answer(reply, {"pending": reply.pending})
+
+    async def _submit(
+        self, request: Request, route: Route, job_id: str
+    ) -> Answer:
+        """Take a submission."""
+        decoded = decode_job_message(
+            request.body, route.name, self._clock.unix_ms()
+        )
+        if isinstance(decoded, str):
+            log_change("submission-invalid", job=job_id, reason=decoded)
+            return _error(400, decoded)
+        return _answer(
+            await self._service.submissions.submit(route, job_id, decoded), {}
+        )
+
+
+def decode_job_message(
+    body: bytes, queue: str, unix_ms: int
+) -> JobRecord | str:
+    """Return a submission, or a text that says what is wrong with it."""
+    try:
+        message = msgspec.json.decode(body, type=JobMessage)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return f"the body is no job: {error}"
+    if len(message.spec.encode()) > SPEC_BYTES_MAX:
+        return f"spec: over {SPEC_BYTES_MAX} bytes; shorten it"
+    if not 0 < len(message.steps) <= STEPS_MAX:
+        return f"steps: {len(message.steps)}; give 1 to {STEPS_MAX}"
+    steps: list[StepSpec] = []
+    for number, step in enumerate(message.steps):
+        if step.count < 1:
+            return f"steps[{number}].count: {step.count}; give 1 or more"
+        for earlier in step.depends_on:
+            if not 0 <= earlier < number:
+                return (
+                    f"steps[{number}].depends_on: {earlier}; "
+                    "name earlier steps only"
+                )
+        steps.append(_step(step))
+    schedule = None
+    if message.repeats > 0:
+        schedule = Occurrences(
+            message.repeats, message.start_at_ms, message.interval_ms
+        )
+    return JobRecord(queue, message.spec, steps, unix_ms, schedule)
+
+
+def _step(step: StepMessage) -> StepSpec:
+    """Return a step as the product has it."""
+    return StepSpec(
+        count=step.count,
+        cpu_millis=step.cpu,
+        memory_mb=step.mem_mb,
+        gpus=step.gpu,
+        estimate_ms=step.estimate_ms,
+        depends_on=step.depends_on,
+        saves_checkpoints=step.checkpointing,
+        is_gang=step.gang,
+        wants_one_rack=step.same_rack,
+        required_label=step.requirements,
+        data_rack=step.affinity,
+        max_per_executor=step.anti_affinity,
+        may_duplicate=step.speculative,
+        lasts=step.long_running,
+        image=step.image,
+        target_ms=step.target_ms,
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def _deadline_s(request: Request) -> float:
+    """Return how long the caller waits."""
+    value = find_header(request.headers, DEADLINE_HEADER)
+    if value is None or not value.isdigit():
+        return DEADLINE_DEFAULT_S
+    return max(2 * ANSWER_MARGIN_S, int(value) / 1000)
+
+
+def _answer(reply: Reply, content: dict[str, object]) -> Answer:
+    """Return a reply in the platform's status codes."""
+    if reply.kind is ReplyKind.OK:
+        return json_answer(200, content)
+    if reply.kind is ReplyKind.UNKNOWN_JOB:
+        return _error(410, "no such job")
+    if reply.kind is ReplyKind.REFUSED:
+        return _unavailable("not taken", reply.retry_after_s)
+    return _error(504, "not known whether it was taken; ask again")
+
+
+def _unavailable(text: str, retry_after_s: int) -> Answer:
+    """Return a refusal that tells when to come back."""
+    answer = _error(503, text)
+    answer.headers.append((b"retry-after", b"%d" % retry_after_s))
+    return answer
+
+
+def _error(status: int, text: str) -> Answer:
+    """Return an error with a text for people."""
+    return json_answer(status, {"error": text})
--- /dev/null
+++ b/lycheelug/platform/main.py
@@ -0,0 +1,239 @@
+"""The daemon on the users' platform: `python -m lycheelug.platform.main`.
+
+Exit codes: 0 after a graceful stop; 1 where an address can't be listened
+on; 2 for bad settings.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from lycheelug.http import Answer, HttpServer, ServerLimits
+from lycheelug.jobservice.clock import Clock
+from lycheelug.jobservice.pool_owner import LEASE_S
+from lycheelug.jobservice.service import JobService
+from lycheelug.logs import log_change, set_up_stdout_logs
+from lycheelug.platform.config import (
+    CONFIG_KEY,
+    OPERATOR_TABLE,
+    WAVE_PREFIX,
+    decode_configuration,
+    decode_wave,
+)
+from lycheelug.platform.executors import (
+    EXECUTORS_TABLE,
+    PlatformExecutors,
+    decode_executor,
+)
+from lycheelug.platform.hosts import PlatformHosts
+from lycheelug.platform.ingress import Ingress
+from lycheelug.platform.settings import SETTINGS_VARIABLE, read_settings
+from lycheelug.platform.store import PlatformRows
+from lycheelug.store.mirror import TableMirror
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.http import Request
+    from lycheelug.platform.settings import PlatformSettings
+    from lycheelug.store.rows import StoredRow
+
+__all__ = ["main"]
+
+EXIT_DONE: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_USAGE: Final = 2
+
+# Net new container objects before the youngest are searched for cycles.
+COLLECT_AFTER_OBJECTS: Final = 20_000
+READY_PATH: Final = b"/v1/readyz"
+# Not ready once the store has been silent for this long: callers are
+# better served by a daemon that reaches it.
+STORE_SILENT_S: Final = 1.5
+# After SIGTERM callers are still served until the platform has noticed
+# that this daemon is not ready (two misses, a second apart).
+NOTICE_S: Final = 2.5
+# What is left of the grace period for the process to end.
+GRACE_MARGIN_S: Final = 1.0
+BODY_BYTES_MAX: Final = 1024 * 1024
+
+
+def main() -> None:
+    """Run the daemon until it is told to stop."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    result = read_settings(path)
+    if isinstance(result, Failure):
+        sys.stderr.write(f"lycheelug: {result.failure()}\n")
+        raise SystemExit(EXIT_USAGE)
+    settings = result.unwrap()
+    set_up_stdout_logs(settings.node_name)
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER_OBJECTS, 20, 20)
+    raise SystemExit(asyncio.run(PlatformDaemon(settings).run()))
+
+
+class PlatformDaemon:
+    """One daemon: the job service behind the platform's interfaces."""
+
+    __slots__ = (
+        "_callers",
+        "_probes",
+        "_service",
+        "_settings",
+        "_stopping",
+        "_store",
+        "_tasks",
+    )
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        clock = Clock()
+        self._store = PlatformRows(settings.platform.address)
+        self._service = JobService(
+            settings.node_name,
+            settings.zone,
+            self._store,
+            PlatformExecutors(),
+            PlatformHosts(settings.cloud_api.address, self._store),
+            clock,
+            min(LEASE_S, settings.bounds.hold_max_ms / 1000),
+        )
+        limits = ServerLimits(max_body_bytes=BODY_BYTES_MAX)
+        ingress = Ingress(self._service, clock)
+        self._callers = HttpServer(ingress.handle, limits)
+        self._probes = HttpServer(self._answer_probe)
+        self._stopping = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> int:
+        """Serve until SIGTERM, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        addresses = self._settings.listen_addrs
+        for server, field, address in (
+            (self._callers, "frontend_addr", addresses.frontend_addr),
+            (self._probes, "readiness_addr", addresses.readiness_addr),
+        ):
+            host, _, port = address.rpartition(":")
+            try:
+                await server.start(host, int(port))
+            except OSError as error:
+                log_change(
+                    "cannot-listen",
+                    setting=f"listen_addrs.{field}",
+                    address=address,
+                    error=str(error),
+                )
+                return EXIT_FAILED
+        log_change(
+            "started",
+            zone=self._settings.zone,
+            callers=addresses.frontend_addr,
+            store=self._settings.platform.address,
+        )
+        self._follow(OPERATOR_TABLE, self._on_operator_row)
+        self._follow(EXECUTORS_TABLE, self._on_executor_row)
+        self._service.start()
+        await self._stopping.wait()
+        return await self._stop()
+
+    def _follow(
+        self, table: str, listener: Callable[[StoredRow], None]
+    ) -> None:
+        """Follow one of the platform's tables."""
+        mirror = TableMirror(self._store, table, listener, part="")
+        loop = asyncio.get_running_loop()
+        self._tasks.append(loop.create_task(mirror.run()))
+
+    async def _stop(self) -> int:
+        """Give the duties back, serve the last callers, end."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        log_change("stopping", reason="signal")
+        self._callers.announce_close = True
+        await self._service.drain()
+        await asyncio.sleep(max(0.0, began + NOTICE_S - loop.time()))
+        self._callers.stop_accepting()
+        ends_at = began + self._settings.bounds.grace_s - GRACE_MARGIN_S
+        while self._callers.busy_connections and loop.time() < ends_at:  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+        cut = self._callers.busy_connections
+        self._callers.stop()
+        self._probes.stop()
+        await self._service.stop()
+        for task in self._tasks:
+            task.cancel()
+        log_change("stopped", requests_cut=cut)
+        return EXIT_DONE
+
+    def _reload(self) -> None:
+        """Take in that the settings file changed: check and log it."""
+        path = os.environ.get(SETTINGS_VARIABLE, "")
+        result = read_settings(path)
+        if isinstance(result, Failure):
+            log_change("settings-invalid", error=result.failure())
+            return
+        log_change("settings-reloaded")
+
+    # --- What the platform tells.
+
+    def _on_operator_row(self, row: StoredRow) -> None:
+        """Take in a configuration or a wave."""
+        if row.value is None:
+            return
+        if row.key == CONFIG_KEY:
+            configuration = decode_configuration(row.value)
+            if configuration is None:
+                log_change("row-unreadable", table=row.table, key=row.key)
+                return
+            self._service.take_configuration(configuration)
+            return
+        if row.key.startswith(WAVE_PREFIX):
+            wave = decode_wave(row)
+            if wave is None:
+                log_change("row-unreadable", table=row.table, key=row.key)
+                return
+            self._service.take_wave(wave)
+
+    def _on_executor_row(self, row: StoredRow) -> None:
+        """Take in an executor's entry."""
+        info = decode_executor(row)
+        if info is None and row.value is not None:
+            log_change("row-unreadable", table=row.table, key=row.key)
+            self._service.metrics.count("rows-unreadable")
+        self._service.take_executor(row.key, info)
+
+    async def _answer_probe(self, request: Request) -> Answer:
+        """Answer the platform's readiness probe, and metrics."""
+        path = request.target.partition(b"?")[0]
+        if path == READY_PATH:
+            ready = self._is_ready()
+            return Answer(200 if ready else 503, [])
+        if path == b"/metrics":
+            body = self._service.metrics.exposition().encode()
+            return Answer(200, [(b"content-type", b"text/plain")], body)
+        return Answer(404, [])
+
+    def _is_ready(self) -> bool:
+        """Whether this daemon can serve callers."""
+        if self._stopping.is_set() or not self._service.is_configured:
+            return False
+        failing_since = self._store.failing_since
+        if failing_since is None:
+            return True
+        now = asyncio.get_running_loop().time()
+        return now - failing_since < STORE_SILENT_S
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lycheelug/platform/settings.py
@@ -0,0 +1,91 @@
+"""The platform's settings file: read, checked, decoded once."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from returns.result import Failure, Success
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+__all__ = ["SETTINGS_VARIABLE", "PlatformSettings", "read_settings"]
+
+SETTINGS_VARIABLE: Final = "LYCHEELUG_NODE_FILE"
+
+
+class _ListenAddresses(msgspec.Struct):
+    """The addresses of what the role serves."""
+
+    frontend_addr: str = ""
+    readiness_addr: str = ""
+    control: str = ""
+
+
+class _Store(msgspec.Struct):
+    """Where the store is."""
+
+    address: str
+
+
+class _Cloud(msgspec.Struct):
+    """Where hosts are managed; the rate is for all daemons together."""
+
+    address: str = ""
+    rate_per_s: float = 10.0
+    duty_per_s: float = 10.0
+
+
+class _Bounds(msgspec.Struct):
+    """The promises' figures that this program acts on."""
+
+    hold_max_ms: int = 6000
+    grace_s: float = 6.0
+    stop_grace_ms: int = 500
+    migrate_s: float = 2.0
+    maintenance_s: float = 2.0
+    notice_ms: int = 4500
+    early_ms: int = 250
+
+
+class PlatformSettings(msgspec.Struct):
+    """What the settings file says; unknown fields are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    platform: _Store
+    listen_addrs: _ListenAddresses
+    cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    internal_ports: list[int] = []
+    hint: str = ""
+
+
+def read_settings(path: str) -> Result[PlatformSettings, str]:
+    """Return the settings, or a text that names field and remedy."""
+    if not path:
+        return Failure(
+            f"{SETTINGS_VARIABLE}: not set; set it to the settings file"
+        )
+    try:
+        values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        return Failure(f"{path}: {error.strerror}; check {SETTINGS_VARIABLE}")
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return Failure(f"{path}: not valid TOML: {error}")
+    try:
+        settings = msgspec.convert(values, PlatformSettings)
+    except msgspec.ValidationError as error:
+        return Failure(f"{path}: {error}; correct this field")
+    addresses = settings.listen_addrs
+    for field in ("frontend_addr", "readiness_addr"):
+        address = getattr(addresses, field)
+        if not address.rpartition(":")[2].isdigit():
+            return Failure(
+                f"{path}: listen_addrs.{field}: {address!r}; give IP:PORT"
+            )
+    return Success(settings)
--- /dev/null
+++ b/lycheelug/platform/store.py
@@ -0,0 +1,268 @@
+"""The row store over the platform's HTTP interface."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final, TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from returns.result import Failure, Success
+
+from lycheelug.errors import (
+    PLATFORM_INVALID,
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.http import HttpClient, Request
+from lycheelug.platform.wire import (
+    PartsAnswer,
+    RowMessage,
+    RowsAnswer,
+    TransactionMessage,
+)
+from lycheelug.store.rows import (
+    HistoryGone,
+    RowCommit,
+    RowConflict,
+    RowName,
+    RowSet,
+    RowStore,
+    StoredRow,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from returns.result import Result
+
+    from lycheelug.errors import ErrorCode
+    from lycheelug.http import Answer
+
+__all__ = ["PlatformRows"]
+
+T = TypeVar("T")
+
+# A call takes some milliseconds; one that is silent for this long is on a
+# connection that went dead, or the store is away.
+CALL_TIMEOUT_S: Final = 1.0
+# Added to the time that a feed may wait for a change.
+FEED_MARGIN_S: Final = 1.0
+CONNECT_TIMEOUT_S: Final = 0.7
+# The store closes connections that are idle for longer than some seconds.
+REUSE_IDLE_S: Final = 4.0
+
+STATUS_OK: Final = 200
+STATUS_GONE: Final = 410
+STATUS_CONFLICT: Final = 412
+
+
+class PlatformRows(RowStore):
+    """A client of the platform's store."""
+
+    __slots__ = ("_client", "_headers", "answered_at", "failing_since")
+
+    def __init__(self, address: str) -> None:
+        self._client = HttpClient(
+            address, Peer.PLATFORM, connect_s=CONNECT_TIMEOUT_S
+        )
+        self._headers = [
+            (b"host", address.encode()),
+            (b"content-type", b"application/json"),
+        ]
+        # Loop time of the last good answer, and of the first failure
+        # since then.
+        self.answered_at = 0.0
+        self.failing_since: float | None = None
+
+    async def commit(
+        self,
+        part: str,
+        expected: Mapping[RowName, int],
+        writes: Mapping[RowName, bytes | None],
+    ) -> Result[RowCommit | RowConflict, Fault]:
+        """Write rows if the expected ones have these versions."""
+        message = TransactionMessage([], [], [])
+        for name, version in expected.items():
+            message.expected_rev.append(
+                RowMessage(name.table, part, name.key, row_version=version)
+            )
+        for name, value in writes.items():
+            row = RowMessage(name.table, part, name.key, value)
+            if value is None:
+                message.remove.append(row)
+                continue
+            message.set_keys.append(row)
+        body = msgspec.json.encode(message)
+        called = await self._call(b"POST", "/v1/rows-tx", body)
+        if isinstance(called, Failure):
+            return Failure(called.failure())
+        answer = called.unwrap()
+        if answer.status not in (STATUS_OK, STATUS_CONFLICT):
+            return Failure(self._refusal(answer, Step.WRITE))
+        rows = _decode(answer.body, RowsAnswer)
+        if rows is None:
+            return Failure(
+                self._fault(PLATFORM_UNKNOWN, Step.WRITE, "invalid answer")
+            )
+        if answer.status == STATUS_CONFLICT:
+            return Success(RowConflict(_stored(rows.rows)))
+        return Success(RowCommit(rows.row_version))
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Result[RowSet, Fault]:
+        """Return all rows of a part from key `first` to before `end`."""
+        found: list[StoredRow] = []
+        version: int | None = None
+        while True:
+            query = {"table": table, "part": part}
+            if first:
+                query["from"] = first
+            if end:
+                query["to"] = end
+            read = await self._get("/v1/rows-get", query, RowsAnswer)
+            if isinstance(read, Failure):
+                return Failure(read.failure())
+            page = read.unwrap()
+            found.extend(_stored(page.rows))
+            # A later page may miss what came before it but after the
+            # first: the whole is complete up to the first page's version.
+            version = page.row_version if version is None else version
+            if not page.has_more or not page.rows:
+                return Success(RowSet(found, version))
+            first = page.rows[-1].key + "\0"
+
+    async def parts(self, table: str) -> Result[list[str], Fault]:
+        """Return the parts of a table that have rows."""
+        found: list[str] = []
+        while True:
+            query = {"table": table}
+            if found:
+                query["depends_on"] = found[-1]
+            read = await self._get("/v1/rows-parts", query, PartsAnswer)
+            if isinstance(read, Failure):
+                return Failure(read.failure())
+            page = read.unwrap()
+            found.extend(page.parts)
+            if not page.has_more or not page.parts:
+                return Success(found)
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowSet | HistoryGone, Fault]:
+        """Return a table's changes; wait for the first one."""
+        query = {
+            "table": table,
+            "depends_on": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        target = f"/v1/rows-feed?{urlencode(query)}"
+        called = await self._call(
+            b"GET", target, timeout_s=wait_s + FEED_MARGIN_S
+        )
+        if isinstance(called, Failure):
+            return Failure(called.failure())
+        answer = called.unwrap()
+        if answer.status == STATUS_GONE:
+            return Success(HistoryGone())
+        if answer.status != STATUS_OK:
+            return Failure(self._refusal(answer, Step.READ))
+        rows = _decode(answer.body, RowsAnswer)
+        if rows is None:
+            return Failure(
+                self._fault(PLATFORM_INVALID, Step.READ, "invalid answer")
+            )
+        return Success(RowSet(_stored(rows.rows), rows.row_version))
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._client.close()
+
+    # --- Calls.
+
+    async def _get(
+        self, path: str, query: dict[str, str], kind: type[T]
+    ) -> Result[T, Fault]:
+        """Make a call without effect; once more on a dead connection."""
+        target = f"{path}?{urlencode(query)}"
+        called = await self._call(b"GET", target)
+        if isinstance(called, Failure):
+            called = await self._call(b"GET", target)
+        if isinstance(called, Failure):
+            return Failure(called.failure())
+        answer = called.unwrap()
+        if answer.status != STATUS_OK:
+            return Failure(self._refusal(answer, Step.READ))
+        message = _decode(answer.body, kind)
+        if message is None:
+            return Failure(
+                self._fault(PLATFORM_INVALID, Step.READ, "invalid answer")
+            )
+        return Success(message)
+
+    async def _call(
+        self,
+        method: bytes,
+        target: str,
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Result[Answer, Fault]:
+        """Make one call; a fault tells whether it may have an effect."""
+        headers = self._headers
+        if body:
+            length = b"%d" % len(body)
+            headers = [*headers, (b"content-length", length)]
+        request = Request(method, target.encode(), headers, body)
+        result = await self._client.request(request, timeout_s, REUSE_IDLE_S)
+        now = asyncio.get_running_loop().time()
+        if isinstance(result, Success):
+            answer = result.unwrap()
+            if answer.status < 429 or answer.status == 507:
+                self.answered_at = now
+                self.failing_since = None
+            else:
+                self._note_failure(now)
+            return Success(answer)
+        fault = result.failure()
+        self._note_failure(now)
+        code = PLATFORM_UNKNOWN if fault.sent else PLATFORM_UNREACHABLE
+        detail = f"{fault.code.name}: {fault.detail}"
+        return Failure(self._fault(code, fault.step, detail))
+
+    def _note_failure(self, now: float) -> None:
+        """Remember since when the store has not answered."""
+        if self.failing_since is None:
+            self.failing_since = now
+
+    def _refusal(self, answer: Answer, step: Step) -> Fault:
+        """Return the fault of a call that the store has refused."""
+        detail = f"status {answer.status}"
+        return self._fault(PLATFORM_UNREACHABLE, step, detail)
+
+    def _fault(self, code: ErrorCode, step: Step, detail: str) -> Fault:
+        """Return a fault of the platform."""
+        return Fault(code, step, Peer.PLATFORM, detail, self._client.address)
+
+
+def _decode(body: bytes, kind: type[T]) -> T | None:
+    """Return a message, or None where it can't be read."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def _stored(messages: list[RowMessage]) -> list[StoredRow]:
+    """Return rows as the product has them; values come in base64."""
+    rows: list[StoredRow] = []
+    for message in messages:
+        value = None if message.tombstone else (message.value or b"")
+        version = message.row_version or 0
+        rows.append(
+            StoredRow(message.table, message.part, message.key, value, version)
+        )
+    return rows
--- a/lycheelug/steps.py
+++ b/lycheelug/steps.py
@@ -16,7 +16,6 @@
 
 import msgspec
 
-from lycheelug.store.interface import ABSENT, Guard, Transaction, Write
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     SHEET_KEY,
@@ -25,6 +24,7 @@
     host_key,
     pool_key,
 )
+from lycheelug.store.interface import ABSENT, Guard, Transaction, Write
 
 if TYPE_CHECKING:
     from lycheelug.fleet import FleetSnapshot, Versioned
--- a/lycheelug/waves.py
+++ b/lycheelug/waves.py
@@ -11,8 +11,8 @@
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.store.interface import HostState
 from lycheelug.records import HostPhase
+from lycheelug.store.interface import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- /dev/null
+++ b/lycheelug/workloads/__init__.py
@@ -0,0 +1,59 @@
+"""Jobs of steps of tasks, and the schedule of one pool; no I/O."""
+
+from lycheelug.workloads.executors import (
+    EndKind,
+    EndReport,
+    ExecutorInfo,
+    ExecutorView,
+    ListReport,
+    Run,
+    RunPhase,
+    RunReport,
+)
+from lycheelug.workloads.jobs import Job, Task, TaskState
+from lycheelug.workloads.lists import (
+    StartAnswer,
+    note_start,
+    note_stop,
+    take_list,
+)
+from lycheelug.workloads.model import (
+    JobRecord,
+    JobState,
+    Occurrences,
+    QueuePolicy,
+    Resources,
+    StepSpec,
+    TaskName,
+)
+from lycheelug.workloads.pool import PoolSchedule, StartOrder, StopOrder
+from lycheelug.workloads.progress import ProgressRecord
+
+__all__ = [
+    "EndKind",
+    "EndReport",
+    "ExecutorInfo",
+    "ExecutorView",
+    "Job",
+    "JobRecord",
+    "JobState",
+    "ListReport",
+    "Occurrences",
+    "PoolSchedule",
+    "ProgressRecord",
+    "QueuePolicy",
+    "Resources",
+    "Run",
+    "RunPhase",
+    "RunReport",
+    "StartAnswer",
+    "StartOrder",
+    "StepSpec",
+    "StopOrder",
+    "Task",
+    "TaskName",
+    "TaskState",
+    "note_start",
+    "note_stop",
+    "take_list",
+]
--- /dev/null
+++ b/lycheelug/workloads/executors.py
@@ -0,0 +1,326 @@
+"""What a pool's owner knows of one executor and of the runs on it.
+
+An executor is one life of a host.  Its own lists of runs and ends are the
+truth about what it does; between two lists the owner adds what it has
+ordered itself.  A run counts against the executor's room from the moment
+its start is sent until an answer or a list rules it out.
+
+`lapses_at` is the latest local time at which anything may still run there
+or a start that is on its way may still be carried out: each lease that was
+ever ordered ends before it.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.jobs import Task
+    from lycheelug.workloads.model import Resources, TaskName
+
+__all__ = [
+    "CLOCK_DRIFT",
+    "EndKind",
+    "EndReport",
+    "ExecutorInfo",
+    "ExecutorView",
+    "ListReport",
+    "Run",
+    "RunPhase",
+    "RunReport",
+]
+
+# An executor's clock may run this much too slow (the platform's figure).
+CLOCK_DRIFT: Final = 0.02
+
+
+class EndKind(Enum):
+    """How a run ended, by its executor's word."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    # Another member of its gang ended.
+    BROKEN = "broken"
+    # It waited in vain for the other members of its gang.
+    ALONE = "alone"
+
+
+class RunPhase(Enum):
+    """What the owner believes of a run."""
+
+    # Ordered, no answer yet.
+    STARTING = auto()
+    # No answer came: it may run, now or later.
+    UNKNOWN = auto()
+    RUNNING = auto()
+    # A stop is wanted or ordered.
+    STOPPING = auto()
+
+
+class ExecutorInfo:
+    """What an executor reports about itself."""
+
+    __slots__ = (
+        "address",
+        "born_ms",
+        "capacity",
+        "cold_s",
+        "draining",
+        "executor_id",
+        "host",
+        "labels",
+        "leaves_in_s",
+        "pool",
+        "version",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        executor_id: str,
+        pool: str,
+        address: str,
+        capacity: Resources,
+        zone: str = "",
+        labels: tuple[str, ...] = (),
+        host: str = "",
+        draining: bool = False,
+        born_ms: int = 0,
+        leaves_in_s: float | None = None,
+        cold_s: float = 0.0,
+        version: int = 0,
+    ) -> None:
+        self.executor_id = executor_id
+        self.pool = pool
+        self.address = address
+        self.capacity = capacity
+        self.zone = zone
+        # Its kind and its rack, among others.
+        self.labels = labels
+        # The host that it is a life of; empty where it is not told.
+        self.host = host
+        self.draining = draining
+        # Unix time in milliseconds of its start; tells its lives apart.
+        self.born_ms = born_ms
+        # Least time until it leaves, while it drains.
+        self.leaves_in_s = leaves_in_s
+        # How much longer it is slow after its start.
+        self.cold_s = cold_s
+        # The store's version of the entry.
+        self.version = version
+
+
+class RunReport:
+    """One entry of an executor's list of what runs."""
+
+    __slots__ = ("checkpoint", "load", "percent", "run", "task")
+
+    def __init__(
+        self,
+        task: TaskName,
+        run: int,
+        checkpoint: str = "",
+        percent: int = 0,
+        load: int = 0,
+    ) -> None:
+        self.task = task
+        self.run = run
+        self.checkpoint = checkpoint
+        self.percent = percent
+        # Tail response time in milliseconds of a task that serves users,
+        # else thousandths of a core in use, over the last half second.
+        self.load = load
+
+
+class EndReport:
+    """One entry of an executor's list of ends."""
+
+    __slots__ = ("checkpoint", "kind", "number", "run", "task")
+
+    def __init__(
+        self,
+        number: int,
+        task: TaskName,
+        run: int,
+        kind: EndKind,
+        checkpoint: str = "",
+    ) -> None:
+        self.number = number
+        self.task = task
+        self.run = run
+        self.kind = kind
+        self.checkpoint = checkpoint
+
+
+class ListReport:
+    """An executor's answer to a look at it."""
+
+    __slots__ = ("born_ms", "clock_ms", "ended", "running")
+
+    def __init__(
+        self,
+        clock_ms: int,
+        born_ms: int,
+        running: list[RunReport],
+        ended: list[EndReport],
+    ) -> None:
+        self.clock_ms = clock_ms
+        self.born_ms = born_ms
+        self.running = running
+        self.ended = ended
+
+
+class Run:
+    """One run of a task on an executor."""
+
+    __slots__ = (
+        "checkpoint",
+        "confirmed_at",
+        "ordered_at",
+        "percent",
+        "percent_at",
+        "phase",
+        "room",
+        "run",
+        "stop_answered_at",
+        "stop_sent",
+        "task",
+        "task_name",
+        "why_stopped",
+    )
+
+    def __init__(
+        self,
+        task_name: TaskName,
+        run: int,
+        room: Resources,
+        ordered_at: float,
+        task: Task | None,
+    ) -> None:
+        self.task_name = task_name
+        self.run = run
+        self.room = room
+        self.ordered_at = ordered_at
+        # None for a run that nobody here wants.
+        self.task = task
+        self.phase = RunPhase.STARTING
+        # Local time of the first answer or list that showed it.
+        self.confirmed_at: float | None = None
+        self.checkpoint = ""
+        self.percent = 0
+        # Local time at which `percent` last rose.
+        self.percent_at = ordered_at
+        self.stop_sent = False
+        self.stop_answered_at: float | None = None
+        self.why_stopped = ""
+
+    @property
+    def key(self) -> tuple[TaskName, int]:
+        """What tells it from other runs on its executor."""
+        return (self.task_name, self.run)
+
+
+class ExecutorView:
+    """One executor of a pool as its owner sees it."""
+
+    __slots__ = (
+        "acknowledged",
+        "clock_at",
+        "clock_ms",
+        "cordoned",
+        "failures_at",
+        "heard_at",
+        "info",
+        "is_fenced",
+        "is_listed",
+        "lapses_at",
+        "processed",
+        "runs",
+        "shunned_until",
+        "used_cpu",
+        "used_gpus",
+        "used_memory",
+    )
+
+    def __init__(self, info: ExecutorInfo, lapses_at: float) -> None:
+        self.info = info
+        self.lapses_at = lapses_at
+        # Whether it has answered this owner's fencing token.
+        self.is_fenced = False
+        # Whether the store still has its entry.
+        self.is_listed = True
+        # Its steady clock, and the local time at which it told it.
+        self.clock_ms: int | None = None
+        self.clock_at = 0.0
+        # Local time of its last list.
+        self.heard_at: float | None = None
+        # The highest end taken in, and the highest that is durable.
+        self.processed = 0
+        self.acknowledged = 0
+        # By task and number: a task may have an unwanted second run.
+        self.runs: dict[tuple[TaskName, int], Run] = {}
+        self.used_cpu = 0
+        self.used_memory = 0
+        self.used_gpus = 0
+        # It gets no new tasks before this local time.
+        self.shunned_until = 0.0
+        # Local times of recent failed runs.
+        self.failures_at: list[float] = []
+        # It is to be emptied for a move or for upkeep.
+        self.cordoned = False
+
+    @property
+    def executor_id(self) -> str:
+        """Its id in the store."""
+        return self.info.executor_id
+
+    @property
+    def rack(self) -> str:
+        """The rack of its host, the last of its labels."""
+        return self.info.labels[-1] if self.info.labels else ""
+
+    def add_run(self, run: Run) -> None:
+        """Take a run into account."""
+        self.runs[run.key] = run
+        self.used_cpu += run.room.cpu_millis
+        self.used_memory += run.room.memory_mb
+        self.used_gpus += run.room.gpus
+
+    def drop_run(self, key: tuple[TaskName, int]) -> Run | None:
+        """Forget a run and free its room."""
+        run = self.runs.pop(key, None)
+        if run is None:
+            return None
+        self.used_cpu -= run.room.cpu_millis
+        self.used_memory -= run.room.memory_mb
+        self.used_gpus -= run.room.gpus
+        return run
+
+    def fits(self, room: Resources) -> bool:
+        """Whether a task of this size fits beside what runs."""
+        capacity = self.info.capacity
+        return (
+            self.used_cpu + room.cpu_millis <= capacity.cpu_millis
+            and self.used_memory + room.memory_mb <= capacity.memory_mb
+            and self.used_gpus + room.gpus <= capacity.gpus
+        )
+
+    def estimate_clock_ms(self, now: float) -> int | None:
+        """Return its clock's likely value, None before its first word."""
+        if self.clock_ms is None:
+            return None
+        return self.clock_ms + int((now - self.clock_at) * 1000)
+
+    def note_clock(self, clock_ms: int, received_at: float) -> None:
+        """Keep its clock."""
+        if self.clock_ms is None or clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_at = received_at
+
+    def note_deadline(self, now: float, lease_s: float) -> None:
+        """Note that an order sent now may run things for `lease_s`."""
+        latest = now + lease_s * (1 + CLOCK_DRIFT)
+        self.lapses_at = max(self.lapses_at, latest)
--- /dev/null
+++ b/lycheelug/workloads/jobs.py
@@ -0,0 +1,313 @@
+"""One accepted job in its owner's memory: occurrences, steps and tasks.
+
+A task is ready once all tasks of the steps that its step depends on are
+done.  Each end changes the job's progress record, which the owner writes
+to the store before it acknowledges the end to the executor.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from lycheelug.workloads.model import (
+    JobState,
+    TaskName,
+    is_lasting,
+    longest_chain_s,
+)
+from lycheelug.workloads.progress import ProgressRecord, step_key, task_key
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.model import JobRecord, QueuePolicy, StepSpec
+
+__all__ = ["Job", "Task", "TaskState"]
+
+# Run numbers of one term; a later term's numbers are above all of them.
+RUNS_PER_TERM = 1000
+
+
+class TaskState(Enum):
+    """What a task waits for."""
+
+    # For earlier steps.
+    BLOCKED = auto()
+    # For a place.
+    READY = auto()
+    # It has a run, or may have one.
+    PLACED = auto()
+    DONE = auto()
+    # It has failed as often as its queue allows.
+    EXHAUSTED = auto()
+
+
+class Task:
+    """One task of an occurrence."""
+
+    __slots__ = (
+        "avoided_executor",
+        "checkpoint",
+        "executor_id",
+        "failures",
+        "job",
+        "last_run",
+        "name",
+        "placed_at",
+        "ready_at",
+        "run",
+        "state",
+        "step",
+    )
+
+    def __init__(self, job: Job, name: TaskName, step: StepSpec) -> None:
+        self.job = job
+        self.name = name
+        self.step = step
+        self.state = TaskState.BLOCKED
+        self.executor_id = ""
+        self.run = 0
+        self.last_run = 0
+        self.failures = 0
+        self.checkpoint = ""
+        # The executor of the last failed run; a retry goes elsewhere.
+        self.avoided_executor = ""
+        # Local times since which it waits, and at which it was placed.
+        self.ready_at = 0.0
+        self.placed_at = 0.0
+
+    def next_run(self, term: int) -> int:
+        """Return the number of the next run, above all earlier ones."""
+        return max(self.last_run + 1, term * RUNS_PER_TERM + 1)
+
+
+class Job:
+    """One accepted job."""
+
+    __slots__ = (
+        "begin_is_stored",
+        "cancelled",
+        "due_ms",
+        "is_dirty",
+        "is_lasting",
+        "job_id",
+        "occurrences",
+        "open_steps",
+        "policy",
+        "progress",
+        "record",
+        "row_version",
+    )
+
+    def __init__(
+        self,
+        job_id: str,
+        record: JobRecord,
+        policy: QueuePolicy,
+        progress: ProgressRecord | None,
+    ) -> None:
+        self.job_id = job_id
+        self.record = record
+        self.policy = policy
+        self.progress = progress or ProgressRecord()
+        # The store's version of the progress record; 0 for none.
+        self.row_version = 0
+        # Whether the store has the mark that the job has begun.
+        self.begin_is_stored = self.progress.begun_term > 0
+        self.cancelled = self.progress.state == JobState.CANCELLED
+        # Whether the progress record has changes that are not stored.
+        self.is_dirty = False
+        self.is_lasting = is_lasting(record.steps)
+        # Tasks of the occurrences that are due and not finished, by step.
+        self.occurrences: dict[int, list[list[Task]]] = {}
+        # Steps with unfinished tasks, by occurrence.
+        self.open_steps: dict[int, set[int]] = {}
+        self.due_ms: dict[int, int] = {}
+
+    @property
+    def is_final(self) -> bool:
+        """Whether nothing of the job may run any more."""
+        return self.cancelled or self.progress.state in JobState.FINAL
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the store knows that a task may have been started."""
+        return self.begin_is_stored
+
+    def begin(self, term: int) -> None:
+        """Note that tasks are about to be started."""
+        self.progress.begun_term = term
+        if self.progress.state == JobState.QUEUED:
+            self.progress.state = JobState.RUNNING
+        self.is_dirty = True
+
+    def next_due_ms(self) -> int | None:
+        """Return when the next occurrence is due; None for none."""
+        schedule = self.record.schedule
+        number = self._next_occurrence()
+        if schedule is None or number >= schedule.count or self.is_final:
+            return None
+        return schedule.first_ms + number * schedule.interval_ms
+
+    def open_due(self, unix_ms: int, now: float) -> list[Task]:
+        """Open the occurrences that are due; return their ready tasks."""
+        ready: list[Task] = []
+        if self.is_final:
+            return ready
+        schedule = self.record.schedule
+        while True:
+            number = self._next_occurrence()
+            if number >= self.record.occurrences:
+                return ready
+            due_ms = self.record.accepted_ms
+            if schedule is not None:
+                due_ms = schedule.first_ms + number * schedule.interval_ms
+                if due_ms > unix_ms:
+                    return ready
+            self.due_ms[number] = due_ms
+            if number in self.progress.finished:
+                continue
+            ready.extend(self._open(number, now))
+
+    def find(self, name: TaskName) -> Task | None:
+        """Return a task of an occurrence that is open."""
+        steps = self.occurrences.get(name.occurrence)
+        if steps is None or not 0 <= name.step < len(steps):
+            return None
+        tasks = steps[name.step]
+        return tasks[name.number] if 0 <= name.number < len(tasks) else None
+
+    def tasks(self) -> list[Task]:
+        """Return all tasks of the open occurrences."""
+        found: list[Task] = []
+        for steps in self.occurrences.values():
+            for tasks in steps:
+                found.extend(tasks)
+        return found
+
+    def gang(self, task: Task) -> list[Task]:
+        """Return all tasks of a task's step and occurrence."""
+        return self.occurrences[task.name.occurrence][task.name.step]
+
+    # --- Ends.
+
+    def note_done(self, task: Task, unix_ms: int, now: float) -> list[Task]:
+        """Take in that a task is done; return the tasks it makes ready."""
+        if task.state is TaskState.DONE:
+            return []
+        task.state = TaskState.DONE
+        self.is_dirty = True
+        name = task.name
+        key = step_key(name.occurrence, name.step)
+        self.progress.done.setdefault(key, []).append(name.number)
+        self.progress.checkpoints.pop(task_key(*name[1:]), None)
+        for other in self.gang(task):
+            if other.state is not TaskState.DONE:
+                return []
+        return self._finish_step(name.occurrence, name.step, unix_ms, now)
+
+    def note_failed(self, task: Task, unix_ms: int) -> None:
+        """Count a failed run; the job fails with its last attempt."""
+        task.failures += 1
+        if self.is_lasting or task.step.lasts:
+            return
+        self.is_dirty = True
+        self.progress.failures[task_key(*task.name[1:])] = task.failures
+        if task.failures < self.policy.max_attempts:
+            return
+        task.state = TaskState.EXHAUSTED
+        self._become(JobState.FAILED, unix_ms)
+
+    def note_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keep a checkpoint that a run left behind."""
+        if not checkpoint or checkpoint == task.checkpoint:
+            return
+        task.checkpoint = checkpoint
+        self.progress.checkpoints[task_key(*task.name[1:])] = checkpoint
+        self.is_dirty = True
+
+    def cancel(self, unix_ms: int) -> None:
+        """Take in that the job was cancelled."""
+        if self.is_final:
+            return
+        self.cancelled = True
+        self._become(JobState.CANCELLED, unix_ms)
+
+    # --- Objectives.
+
+    def objective_at_ms(self, occurrence: int) -> float:
+        """Return the Unix time at which an occurrence becomes late."""
+        estimates = [step.estimate_ms / 1000 for step in self.record.steps]
+        chain_s = longest_chain_s(self.record.steps, estimates)
+        policy = self.policy
+        allowed_s = policy.stretch * chain_s + policy.objective_s
+        due_ms = self.due_ms.get(occurrence, self.record.accepted_ms)
+        return due_ms + allowed_s * 1000
+
+    # --- Parts.
+
+    def _next_occurrence(self) -> int:
+        """Return the first occurrence that was not looked at yet."""
+        return len(self.due_ms)
+
+    def _open(self, number: int, now: float) -> list[Task]:
+        """Make an occurrence's tasks as the progress record has them."""
+        progress = self.progress
+        steps: list[list[Task]] = []
+        open_steps: set[int] = set()
+        for position, step in enumerate(self.record.steps):
+            done = frozenset(progress.done.get(step_key(number, position), ()))
+            tasks: list[Task] = []
+            for index in range(step.count):
+                name = TaskName(self.job_id, number, position, index)
+                task = Task(self, name, step)
+                key = task_key(number, position, index)
+                task.failures = progress.failures.get(key, 0)
+                task.checkpoint = progress.checkpoints.get(key, "")
+                if index in done:
+                    task.state = TaskState.DONE
+                tasks.append(task)
+            if len(done) < step.count:
+                open_steps.add(position)
+            steps.append(tasks)
+        self.occurrences[number] = steps
+        self.open_steps[number] = open_steps
+        return self._unblock(number, now)
+
+    def _unblock(self, number: int, now: float) -> list[Task]:
+        """Make tasks ready whose earlier steps are all done."""
+        ready: list[Task] = []
+        open_steps = self.open_steps[number]
+        for position, step in enumerate(self.record.steps):
+            if position not in open_steps:
+                continue
+            if not open_steps.isdisjoint(step.depends_on):
+                continue
+            for task in self.occurrences[number][position]:
+                if task.state is not TaskState.BLOCKED:
+                    continue
+                task.state = TaskState.READY
+                task.ready_at = now
+                ready.append(task)
+        return ready
+
+    def _finish_step(
+        self, number: int, position: int, unix_ms: int, now: float
+    ) -> list[Task]:
+        """Close a step; return what it makes ready."""
+        open_steps = self.open_steps[number]
+        open_steps.discard(position)
+        if open_steps:
+            return self._unblock(number, now)
+        for done_step in range(len(self.record.steps)):
+            self.progress.done.pop(step_key(number, done_step), None)
+        self.progress.finished.append(number)
+        del self.occurrences[number]
+        if len(self.progress.finished) == self.record.occurrences:
+            self._become(JobState.COMPLETED, unix_ms)
+        return []
+
+    def _become(self, state: str, unix_ms: int) -> None:
+        """Enter a final state."""
+        self.progress.state = state
+        self.progress.final_ms = unix_ms
+        self.is_dirty = True
--- /dev/null
+++ b/lycheelug/workloads/lists.py
@@ -0,0 +1,252 @@
+"""Takes executors' lists and answers into a pool's schedule.
+
+A list was asked for at `asked_at`.  A run whose start or stop was answered
+before that moment, and which the list leaves out, is not there: the
+executor made the list after it gave that answer.  An order without an
+answer may be carried out later than the list, so it proves nothing.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.workloads.executors import EndKind, Run, RunPhase
+from lycheelug.workloads.jobs import TaskState
+from lycheelug.workloads.model import Resources
+from lycheelug.workloads.pool import SHUN_S
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.executors import (
+        EndReport,
+        ExecutorView,
+        ListReport,
+        RunReport,
+    )
+    from lycheelug.workloads.jobs import Task
+    from lycheelug.workloads.model import TaskName
+    from lycheelug.workloads.pool import PoolSchedule
+
+__all__ = ["StartAnswer", "note_start", "note_stop", "take_list"]
+
+NO_ROOM: Final = Resources(0, 0, 0)
+
+
+class StartAnswer(Enum):
+    """What came back of a start."""
+
+    STARTED = auto()
+    # The executor has seen a higher fencing token.
+    FENCED = auto()
+    # It has done nothing: an old run, a passed deadline, no room, no
+    # valid advice, or it is not healthy.
+    REJECTED = auto()
+    NO_ROOM = auto()
+    # The order never left, as no connection could be made.
+    NOT_SENT = auto()
+    # No answer: it may have been carried out, or may be later.
+    NO_ANSWER = auto()
+
+
+def take_list(
+    schedule: PoolSchedule,
+    view: ExecutorView,
+    report: ListReport,
+    asked_at: float,
+    now: float,
+    unix_ms: int,
+) -> list[EndReport]:
+    """Take in an executor's list; return the ends that are new."""
+    if view.info.born_ms and report.born_ms > view.info.born_ms:
+        _begin_new_life(schedule, view, report.born_ms, asked_at, now)
+    elif view.info.born_ms == 0:
+        view.info.born_ms = report.born_ms
+    view.is_fenced = True
+    view.heard_at = now
+    view.note_clock(report.clock_ms, now)
+    listed = set()
+    for entry in report.running:
+        listed.add((entry.task, entry.run))
+        _take_running(schedule, view, entry, now)
+    ends: list[EndReport] = []
+    for end in report.ended:
+        if end.number <= view.processed:
+            continue
+        view.processed = end.number
+        ends.append(end)
+        _take_end(schedule, view, end, now, unix_ms)
+    for run in list(view.runs.values()):
+        if run.key not in listed and _is_ruled_out(run, asked_at):
+            view.drop_run(run.key)
+            schedule.free_task(run, view, now)
+    return ends
+
+
+def note_start(
+    schedule: PoolSchedule,
+    view: ExecutorView,
+    task: Task,
+    number: int,
+    answer: StartAnswer,
+    now: float,
+) -> None:
+    """Take in what came back of a start."""
+    run = view.runs.get((task.name, number))
+    if run is None or run.phase not in (RunPhase.STARTING, RunPhase.UNKNOWN):
+        return
+    if answer is StartAnswer.STARTED:
+        run.confirmed_at = now
+        run.percent_at = now
+        run.phase = RunPhase.RUNNING
+        return
+    if answer is StartAnswer.NO_ANSWER:
+        run.phase = RunPhase.UNKNOWN
+        view.shunned_until = max(view.shunned_until, now + SHUN_S)
+        return
+    if answer in (StartAnswer.NO_ROOM, StartAnswer.NOT_SENT):
+        view.shunned_until = max(view.shunned_until, now + SHUN_S)
+    view.drop_run(run.key)
+    schedule.free_task(run, view, now)
+
+
+def note_stop(
+    view: ExecutorView,
+    key: tuple[TaskName, int],
+    answered: bool,
+    now: float,
+) -> None:
+    """Take in whether a stop was answered; without, it is sent again."""
+    run = view.runs.get(key)
+    if run is None:
+        return
+    if answered:
+        run.stop_answered_at = now
+    else:
+        run.stop_sent = False
+
+
+def _begin_new_life(
+    schedule: PoolSchedule,
+    view: ExecutorView,
+    born_ms: int,
+    asked_at: float,
+    now: float,
+) -> None:
+    """Forget what the former life of an executor ran and listed.
+
+    An order without an answer may have been carried out by the new life.
+    """
+    view.info.born_ms = born_ms
+    view.processed = 0
+    view.acknowledged = 0
+    view.clock_ms = None
+    for run in list(view.runs.values()):
+        if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
+            continue
+        if run.confirmed_at is not None and run.confirmed_at >= asked_at:
+            continue
+        view.drop_run(run.key)
+        schedule.free_task(run, view, now)
+
+
+def _take_running(
+    schedule: PoolSchedule,
+    view: ExecutorView,
+    entry: RunReport,
+    now: float,
+) -> None:
+    """Take in one entry of the list of runs."""
+    run = view.runs.get((entry.task, entry.run))
+    if run is None:
+        run = _adopt(schedule, view, entry, now)
+    if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
+        run.phase = RunPhase.RUNNING
+    if run.confirmed_at is None:
+        run.confirmed_at = now
+    if entry.percent > run.percent:
+        run.percent_at = now
+    run.percent = entry.percent
+    run.checkpoint = entry.checkpoint
+
+
+def _adopt(
+    schedule: PoolSchedule,
+    view: ExecutorView,
+    entry: RunReport,
+    now: float,
+) -> Run:
+    """Take in a run that this owner has not ordered.
+
+    It is kept where its task waits for a place and has had no later run;
+    otherwise it is stopped.
+    """
+    job = schedule.jobs.get(entry.task.job)
+    task = job.find(entry.task) if job is not None else None
+    room = task.step.room if task is not None else NO_ROOM
+    run = Run(entry.task, entry.run, room, now, None)
+    run.phase = RunPhase.RUNNING
+    view.add_run(run)
+    if task is None or job is None or job.is_final:
+        return run
+    wanted = task.state is TaskState.READY and entry.run > task.last_run
+    if not wanted:
+        return run
+    run.task = task
+    schedule.settle(task)
+    task.state = TaskState.PLACED
+    task.executor_id = view.executor_id
+    task.run = entry.run
+    task.last_run = entry.run
+    task.placed_at = now
+    return run
+
+
+def _take_end(
+    schedule: PoolSchedule,
+    view: ExecutorView,
+    end: EndReport,
+    now: float,
+    unix_ms: int,
+) -> None:
+    """Take in one end."""
+    run = view.drop_run((end.task, end.run))
+    job = schedule.jobs.get(end.task.job)
+    task = job.find(end.task) if job is not None else None
+    if job is None or task is None:
+        return
+    task.last_run = max(task.last_run, end.run)
+    if end.kind is EndKind.DONE:
+        _take_done(schedule, task, now, unix_ms)
+        return
+    if end.kind is EndKind.FAILED:
+        view.failures_at.append(now)
+        task.avoided_executor = view.executor_id
+        job.note_failed(task, unix_ms)
+    if end.checkpoint:
+        job.note_checkpoint(task, end.checkpoint)
+    if job.is_final:
+        schedule.settle(task)
+        schedule.drop_final(job)
+        return
+    if run is not None:
+        schedule.free_task(run, view, now)
+
+
+def _take_done(
+    schedule: PoolSchedule, task: Task, now: float, unix_ms: int
+) -> None:
+    """Take in that a task is done; a gang's members are done together."""
+    job = task.job
+    members = job.gang(task) if task.step.is_gang else [task]
+    for member in members:
+        schedule.settle(member)
+        schedule.make_ready(job.note_done(member, unix_ms, now))
+
+
+def _is_ruled_out(run: Run, asked_at: float) -> bool:
+    """Whether a run that a list leaves out can't be on the executor."""
+    if run.stop_answered_at is not None:
+        return run.stop_answered_at < asked_at
+    if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
+        return False
+    return run.confirmed_at is not None and run.confirmed_at < asked_at
--- /dev/null
+++ b/lycheelug/workloads/placement.py
@@ -0,0 +1,131 @@
+"""Where a task goes: the registry of placement policies.
+
+A policy is given the executors that may take a task and picks one.  What
+may take it at all (room, labels, spreading, a lease that is sure) is not a
+policy's choice and is checked here first.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from lycheelug.workloads.executors import ExecutorView
+    from lycheelug.workloads.jobs import Task
+
+    Policy = Callable[[Task, list[ExecutorView]], ExecutorView]
+
+__all__ = ["PLACEMENTS", "find_place", "may_take"]
+
+PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
+
+# An executor that was silent for longer gets no new tasks.
+SILENT_S: Final = 2.5
+
+
+def may_take(view: ExecutorView, task: Task, now: float) -> bool:
+    """Whether an executor may be given a task at all."""
+    info = view.info
+    if not view.is_fenced or not view.is_listed or info.draining:
+        return False
+    if view.cordoned or view.shunned_until > now:
+        return False
+    if view.heard_at is None or now - view.heard_at > SILENT_S:
+        return False
+    step = task.step
+    if step.required_label and step.required_label not in info.labels:
+        return False
+    if not view.fits(step.room):
+        return False
+    return step.max_per_executor == 0 or (
+        _same_step_runs(view, task) < step.max_per_executor
+    )
+
+
+def find_place(
+    task: Task,
+    views: Iterable[ExecutorView],
+    now: float,
+    policy: str = "pack",
+) -> ExecutorView | None:
+    """Return the executor for a task; None where none may take it."""
+    allowed: list[ExecutorView] = []
+    avoided: list[ExecutorView] = []
+    for view in views:
+        if not may_take(view, task, now):
+            continue
+        if view.executor_id == task.avoided_executor:
+            avoided.append(view)
+            continue
+        allowed.append(view)
+    if not allowed:
+        allowed = avoided
+    if not allowed:
+        return None
+    return PLACEMENTS.get(policy)(task, allowed)
+
+
+def _same_step_runs(view: ExecutorView, task: Task) -> int:
+    """Return how many tasks of a task's step an executor has."""
+    count = 0
+    name = task.name
+    for other, _ in view.runs:
+        if (
+            other.job == name.job
+            and other.step == name.step
+            and other.occurrence == name.occurrence
+            and other.number != name.number
+        ):
+            count += 1
+    return count
+
+
+def _near_data(task: Task, views: list[ExecutorView]) -> list[ExecutorView]:
+    """Return the executors in the rack of a step's data, if any may."""
+    rack = task.step.data_rack
+    if not rack:
+        return views
+    near = [view for view in views if rack in view.info.labels]
+    return near or views
+
+
+@PLACEMENTS.register("pack")
+def pack(task: Task, views: list[ExecutorView]) -> ExecutorView:
+    """Fill the fullest executor, so that others come free.
+
+    Short tasks and lasting ones are both kept together; the name breaks
+    ties so that daemons choose alike.
+    """
+    best = None
+    best_key: tuple[float, str] | None = None
+    for view in _near_data(task, views):
+        capacity = view.info.capacity
+        free = 0.0
+        if capacity.cpu_millis:
+            free += 1 - view.used_cpu / capacity.cpu_millis
+        key = (free, view.info.host or view.executor_id)
+        if best_key is None or key < best_key:
+            best, best_key = view, key
+    assert best is not None
+    return best
+
+
+@PLACEMENTS.register("spread")
+def spread(task: Task, views: list[ExecutorView]) -> ExecutorView:
+    """Use the emptiest executor: the baseline."""
+    best = None
+    best_key: tuple[float, str] | None = None
+    for view in _near_data(task, views):
+        capacity = view.info.capacity
+        used = 0.0
+        if capacity.cpu_millis:
+            used = view.used_cpu / capacity.cpu_millis
+        key = (used, view.info.host or view.executor_id)
+        if best_key is None or key < best_key:
+            best, best_key = view, key
+    assert best is not None
+    return best
--- /dev/null
+++ b/lycheelug/workloads/pool.py
@@ -0,0 +1,372 @@
+"""The schedule of one pool: jobs and executors in, orders out; no I/O.
+
+The pool's owner feeds in what it learns (jobs, cancels, executors, their
+lists, answers to orders) and takes the orders that `plan` returns.  Rules
+that the order of steps below keeps:
+
+* A job's first start comes after the store has the mark that it has begun
+  (`jobs_to_begin`), so that a later owner may start any
+  job without the mark at once.
+* A start without an answer keeps the task placed and its room taken.  The
+  next lists show the run, or it is stopped; only an answered stop and a
+  list after it free the task.
+* A run that may live on a silent executor is given up only when every
+  lease that was ordered there has ended.
+* After a takeover, a task of a job that has begun waits until each
+  executor that may run it has answered the new fencing token or its
+  lease has ended.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
+from lycheelug.workloads.jobs import Job, Task, TaskState
+from lycheelug.workloads.placement import find_place
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.executors import ExecutorInfo
+    from lycheelug.workloads.model import JobRecord, QueuePolicy, TaskName
+    from lycheelug.workloads.progress import ProgressRecord
+
+__all__ = ["PoolSchedule", "StartOrder", "StopOrder"]
+
+# A start without an answer is waited for in the lists for this long
+# before it is stopped.
+UNKNOWN_WAIT_S: Final = 0.6
+# An executor that refused a start for want of room or health gets none
+# for this long.
+SHUN_S: Final = 0.5
+# A lasting task waits this long for its next run after a failure, longer
+# with each: its executor may be the cause.
+RESTART_WAIT_S: Final = 0.1
+
+
+class StartOrder:
+    """Start a run of a task on an executor."""
+
+    __slots__ = ("executor_id", "run", "task")
+
+    def __init__(self, executor_id: str, task: Task, run: int) -> None:
+        self.executor_id = executor_id
+        self.task = task
+        self.run = run
+
+
+class StopOrder:
+    """Stop a run; it is repeated until it is answered."""
+
+    __slots__ = ("executor_id", "run", "task_name", "why")
+
+    def __init__(
+        self, executor_id: str, task_name: TaskName, run: int, why: str
+    ) -> None:
+        self.executor_id = executor_id
+        self.task_name = task_name
+        self.run = run
+        self.why = why
+
+
+class PoolSchedule:
+    """All jobs and executors of one pool under one term."""
+
+    __slots__ = (
+        "_fenced_out_at",
+        "_ready",
+        "executors",
+        "jobs",
+        "lease_s",
+        "placement",
+        "pool",
+        "term",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        term: int,
+        lease_s: float,
+        fenced_out_at: float,
+        placement: str = "pack",
+    ) -> None:
+        self.pool = pool
+        self.term = term
+        self.lease_s = lease_s
+        self.placement = placement
+        # Local time after which no earlier owner's lease can hold.
+        self._fenced_out_at = fenced_out_at
+        self.jobs: dict[str, Job] = {}
+        self.executors: dict[str, ExecutorView] = {}
+        self._ready: dict[TaskName, Task] = {}
+
+    @property
+    def ready_tasks(self) -> list[Task]:
+        """The tasks that wait for a place."""
+        return list(self._ready.values())
+
+    # --- Jobs.
+
+    def add_job(
+        self,
+        job_id: str,
+        record: JobRecord,
+        policy: QueuePolicy,
+        progress: ProgressRecord | None,
+        unix_ms: int,
+        now: float,
+    ) -> Job:
+        """Take in a job; a second time changes nothing."""
+        known = self.jobs.get(job_id)
+        if known is not None:
+            return known
+        job = Job(job_id, record, policy, progress)
+        self.jobs[job_id] = job
+        self.open_due(job, unix_ms, now)
+        return job
+
+    def open_due(self, job: Job, unix_ms: int, now: float) -> None:
+        """Open a job's occurrences that are due."""
+        for task in job.open_due(unix_ms, now):
+            self._ready[task.name] = task
+
+    def cancel_job(self, job_id: str, unix_ms: int) -> Job | None:
+        """Take in a cancel; what runs is stopped by the next plan."""
+        job = self.jobs.get(job_id)
+        if job is None or job.is_final:
+            return job
+        job.cancel(unix_ms)
+        self.drop_final(job)
+        return job
+
+    def drop_final(self, job: Job) -> None:
+        """Withdraw the waiting tasks of a job that is over."""
+        for task in job.tasks():
+            self._ready.pop(task.name, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop a job that is over and that nobody asks for any more."""
+        job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self.drop_final(job)
+
+    def jobs_to_begin(self) -> list[Job]:
+        """Return waiting jobs that lack the mark of having begun."""
+        found: dict[str, Job] = {}
+        for task in self._ready.values():
+            if not task.job.progress.begun_term:
+                found[task.job.job_id] = task.job
+        return list(found.values())
+
+    def requeue(self, task: Task, now: float) -> None:
+        """Make a placed task wait for a place again."""
+        if task.state is not TaskState.PLACED:
+            return
+        task.state = TaskState.READY
+        task.executor_id = ""
+        task.run = 0
+        task.ready_at = now
+        if not task.job.is_final:
+            self._ready[task.name] = task
+
+    def make_ready(self, tasks: list[Task]) -> None:
+        """Queue tasks whose turn has come."""
+        for task in tasks:
+            self._ready[task.name] = task
+
+    def settle(self, task: Task) -> None:
+        """Take a task that is done or exhausted out of the queue."""
+        self._ready.pop(task.name, None)
+
+    # --- Executors.
+
+    def observe_executor(self, info: ExecutorInfo) -> ExecutorView:
+        """Take in an executor's entry."""
+        view = self.executors.get(info.executor_id)
+        if view is None:
+            view = ExecutorView(info, self._fenced_out_at)
+            self.executors[info.executor_id] = view
+            return view
+        view.info = info
+        view.is_listed = True
+        return view
+
+    def miss_executor(self, executor_id: str) -> None:
+        """Take in that an executor's entry is gone: no new tasks there."""
+        view = self.executors.get(executor_id)
+        if view is not None:
+            view.is_listed = False
+
+    def end_executor(self, executor_id: str, now: float) -> list[Run]:
+        """Take in that an executor is gone for sure; free its tasks."""
+        view = self.executors.pop(executor_id, None)
+        if view is None:
+            return []
+        return self.clear_runs(view, now)
+
+    def clear_runs(self, view: ExecutorView, now: float) -> list[Run]:
+        """Free all tasks of an executor on which nothing runs."""
+        cleared = list(view.runs.values())
+        for run in cleared:
+            view.drop_run(run.key)
+            self.free_task(run, view, now)
+        return cleared
+
+    def free_task(self, run: Run, view: ExecutorView, now: float) -> None:
+        """Queue a run's task again, unless it has another run."""
+        task = run.task
+        if task is None or task.state is not TaskState.PLACED:
+            return
+        if task.executor_id != view.executor_id or task.run != run.run:
+            return
+        self.requeue(task, now)
+
+    # --- Orders.
+
+    def plan(self, now: float) -> list[StartOrder | StopOrder]:
+        """Return the orders that are due now."""
+        orders: list[StartOrder | StopOrder] = []
+        for view in list(self.executors.values()):
+            self._expire(view, now)
+            orders.extend(self._stops(view, now))
+        orders.extend(self._starts(now))
+        return orders
+
+    def _expire(self, view: ExecutorView, now: float) -> None:
+        """Free what ran on an executor whose last lease has ended."""
+        if now < view.lapses_at:
+            return
+        self.clear_runs(view, now)
+        if not view.is_listed:
+            self.executors.pop(view.executor_id, None)
+
+    def _stops(self, view: ExecutorView, now: float) -> list[StopOrder]:
+        """Return the stops that an executor is to be sent."""
+        stops: list[StopOrder] = []
+        for run in view.runs.values():
+            why = self._why_stop(run, now)
+            if why:
+                run.phase = RunPhase.STOPPING
+                run.why_stopped = run.why_stopped or why
+            if run.phase is not RunPhase.STOPPING or run.stop_sent:
+                continue
+            run.stop_sent = True
+            stops.append(
+                StopOrder(
+                    view.executor_id,
+                    run.task_name,
+                    run.run,
+                    run.why_stopped,
+                )
+            )
+        return stops
+
+    def _why_stop(self, run: Run, now: float) -> str:
+        """Return why a run is to be stopped; empty where it may go on."""
+        if run.phase is RunPhase.STARTING:
+            return ""
+        if run.phase is RunPhase.STOPPING:
+            return run.why_stopped
+        task = run.task
+        if task is None:
+            return "not wanted"
+        if task.job.is_final:
+            return "job is over"
+        if task.state is TaskState.DONE:
+            return "task is done"
+        if (
+            run.phase is RunPhase.UNKNOWN
+            and now - run.ordered_at > UNKNOWN_WAIT_S
+        ):
+            return "start was not answered"
+        return ""
+
+    def _starts(self, now: float) -> list[StartOrder]:
+        """Return the starts for which there is room, most urgent first."""
+        if not self._ready:
+            return []
+        orders: list[StartOrder] = []
+        is_settled = self._is_settled(now)
+        waiting = sorted(self._ready.values(), key=_urgency)
+        for task in waiting:
+            job = task.job
+            if not job.is_begun or job.is_final:
+                continue
+            if job.progress.begun_term != self.term and not is_settled:
+                # A run of an earlier owner may not have been seen yet.
+                continue
+            if task.step.is_gang:
+                orders.extend(self._start_gang(task, now))
+                continue
+            if task.failures and task.step.lasts:
+                wait_s = RESTART_WAIT_S * min(task.failures, 10)
+                if now - task.ready_at < wait_s:
+                    continue
+            view = find_place(
+                task, self.executors.values(), now, self.placement
+            )
+            if view is not None:
+                orders.append(self.place(task, view, now))
+        return orders
+
+    def _start_gang(self, task: Task, now: float) -> list[StartOrder]:
+        """Start all members of a gang, or none."""
+        members = task.job.gang(task)
+        for member in members:
+            if member.state is not TaskState.READY:
+                return []
+        orders: list[StartOrder] = []
+        run = max(member.next_run(self.term) for member in members)
+        checkpoint = task.checkpoint
+        for member in members:
+            view = find_place(
+                member, self.executors.values(), now, self.placement
+            )
+            if view is None:
+                for order in orders:
+                    self._unplace(order, now)
+                return []
+            member.checkpoint = checkpoint
+            orders.append(self.place(member, view, now, run))
+        return orders
+
+    def _unplace(self, order: StartOrder, now: float) -> None:
+        """Take back a placement whose start was not sent."""
+        view = self.executors[order.executor_id]
+        view.drop_run((order.task.name, order.run))
+        self.requeue(order.task, now)
+
+    def place(
+        self, task: Task, view: ExecutorView, now: float, run: int = 0
+    ) -> StartOrder:
+        """Reserve room for a task's next run and return its start."""
+        run = run or task.next_run(self.term)
+        task.state = TaskState.PLACED
+        task.executor_id = view.executor_id
+        task.run = run
+        task.last_run = run
+        task.placed_at = now
+        self._ready.pop(task.name, None)
+        view.add_run(Run(task.name, run, task.step.room, now, task))
+        view.note_deadline(now, self.lease_s)
+        return StartOrder(view.executor_id, task, run)
+
+    def _is_settled(self, now: float) -> bool:
+        """Whether no run of an earlier owner can be unseen."""
+        if now >= self._fenced_out_at:
+            return True
+        for view in self.executors.values():
+            if not view.is_fenced and now < view.lapses_at:
+                return False
+        return True
+
+
+def _urgency(task: Task) -> tuple[int, bool, float, TaskName]:
+    """Return the order in which tasks are placed: the smallest first.
+
+    A lasting task earns from the moment that it works, so it goes before
+    what has until its objective.
+    """
+    job = task.job
+    objective = job.objective_at_ms(task.name.occurrence)
+    return (job.policy.priority, not job.is_lasting, objective, task.name)
--- a/standins/world.py
+++ b/standins/world.py
@@ -12,9 +12,6 @@
 import msgspec
 
 from lycheelug.entries.join import remove_entry
-from lycheelug.store import ABSENT, Guard, HostEntry, Transaction, Write
-from lycheelug.store.codec import HostMessage, HostsMessage
-from lycheelug.store.http import HttpPlatform
 from lycheelug.records import (
     EntryRow,
     HostRow,
@@ -25,6 +22,9 @@
     host_key,
     pool_key,
 )
+from lycheelug.store import ABSENT, Guard, HostEntry, Transaction, Write
+from lycheelug.store.codec import HostMessage, HostsMessage
+from lycheelug.store.http import HttpPlatform
 from standins.processes import Fleet, http_call, until
 
 if TYPE_CHECKING:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -16,18 +16,6 @@
 from lycheelug.plan import next_steps
 from lycheelug.plan_driver import PlanDriver
 from lycheelug.plan_submit import submit_sheet
-from lycheelug.store.interface import (
-    ABSENT,
-    Commit,
-    Conflict,
-    Guard,
-    HostEntry,
-    HostRole,
-    HostState,
-    Transaction,
-    Write,
-)
-from lycheelug.store.memory import MemoryPlatform
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     HOST_PREFIX,
@@ -41,6 +29,18 @@
     encode,
     entry_key,
 )
+from lycheelug.store.interface import (
+    ABSENT,
+    Commit,
+    Conflict,
+    Guard,
+    HostEntry,
+    HostRole,
+    HostState,
+    Transaction,
+    Write,
+)
+from lycheelug.store.memory import MemoryPlatform
 from tests.faulty_platform import FaultyPlatform, run
 
 if TYPE_CHECKING:
--- a/tests/test_config_exchange.py
+++ b/tests/test_config_exchange.py
@@ -26,9 +26,9 @@
     Step,
 )
 from lycheelug.membership import Members
+from lycheelug.records import CONFIG_KEY
 from lycheelug.store.interface import HostEntry, HostRole, HostState
 from lycheelug.store.memory import MemoryPlatform
-from lycheelug.records import CONFIG_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -31,8 +31,8 @@
 from lycheelug.entries.messages import ConfigPhase, ConfigPush, Digest
 from lycheelug.errors import PLATFORM_UNKNOWN, Fault, Peer, Step
 from lycheelug.membership import Members
-from lycheelug.store.memory import MemoryPlatform
 from lycheelug.records import CONFIG_KEY
+from lycheelug.store.memory import MemoryPlatform
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -10,6 +10,16 @@
 from lycheelug.entries.messages import ViewReply, ViewRow
 from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
 from lycheelug.fleet_view import FleetView
+from lycheelug.records import (
+    EntryRow,
+    HostPhase,
+    HostRow,
+    PoolRow,
+    encode,
+    entry_key,
+    host_key,
+    pool_key,
+)
 from lycheelug.store import memory
 from lycheelug.store.interface import (
     Delta,
@@ -23,16 +33,6 @@
 )
 from lycheelug.store.memory import MemoryPlatform
 from lycheelug.store.watch import Watch
-from lycheelug.records import (
-    EntryRow,
-    HostPhase,
-    HostRow,
-    PoolRow,
-    encode,
-    entry_key,
-    host_key,
-    pool_key,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/test_join.py
+++ b/tests/test_join.py
@@ -18,6 +18,12 @@
     Step,
 )
 from lycheelug.membership import Members
+from lycheelug.records import (
+    ENTRY_EPOCH_KEY,
+    EntryRow,
+    encode,
+    entry_key,
+)
 from lycheelug.store.interface import (
     Commit,
     Conflict,
@@ -29,12 +35,6 @@
     Write,
 )
 from lycheelug.store.memory import MemoryPlatform
-from lycheelug.records import (
-    ENTRY_EPOCH_KEY,
-    EntryRow,
-    encode,
-    entry_key,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,8 +8,8 @@
 from lycheelug.digest_exchange import DigestExchange
 from lycheelug.entries.messages import Digest, PoolLoad
 from lycheelug.membership import LEFT, Members, MemberState
-from lycheelug.store.interface import HostEntry, HostRole, HostState
 from lycheelug.records import EntryRow
+from lycheelug.store.interface import HostEntry, HostRole, HostState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -9,9 +9,9 @@
 
 from lycheelug.fleet import FleetSnapshot
 from lycheelug.moves import MOVE_PLANNERS, final_layout, plan_moves
-from lycheelug.store.interface import HostDelta, HostEntry, HostState, Row
 from lycheelug.records import HostPhase, HostRow, encode, host_key
 from lycheelug.sheet import PoolSpec, Sheet
+from lycheelug.store.interface import HostDelta, HostEntry, HostState, Row
 
 POOLS = ("p", "q", "s")
 ZONE = "z"
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -10,13 +10,6 @@
 from lycheelug.plan_driver import PlanDriver
 from lycheelug.plan_report import explain_plan, progress
 from lycheelug.plan_submit import SheetAccepted, submit_sheet
-from lycheelug.store.interface import (
-    HostDelta,
-    HostEntry,
-    HostRole,
-    HostState,
-    Row,
-)
 from lycheelug.records import (
     SHEET_KEY,
     EntryRow,
@@ -28,6 +21,13 @@
 )
 from lycheelug.sheet import parse_sheet
 from lycheelug.steps import ChangeKind
+from lycheelug.store.interface import (
+    HostDelta,
+    HostEntry,
+    HostRole,
+    HostState,
+    Row,
+)
 from lycheelug.waves import REBOOT_TIMEOUT_S
 from tests.faulty_platform import run
 from tests.fleet_world import HEADER, SHEETS, World
--- a/tests/test_plan_driver.py
+++ b/tests/test_plan_driver.py
@@ -10,7 +10,6 @@
 from lycheelug.blockers import BlockerKind
 from lycheelug.plan import Plan, next_steps
 from lycheelug.plan_report import progress
-from lycheelug.store.interface import HostEntry, HostState
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     HOST_PREFIX,
@@ -18,6 +17,7 @@
     SHEET_KEY,
 )
 from lycheelug.registry import Registry
+from lycheelug.store.interface import HostEntry, HostState
 from tests.fleet_world import World
 
 if TYPE_CHECKING:
--- a/tests/test_proof_fleet.py
+++ b/tests/test_proof_fleet.py
@@ -17,9 +17,9 @@
 import pytest
 from returns.result import Failure
 
+from lycheelug.records import HostPhase, HostRow, PoolRow, decode
 from lycheelug.store import HostState
 from lycheelug.store.http import HttpPlatform
-from lycheelug.records import HostPhase, HostRow, PoolRow, decode
 from standins.callers import Callers
 from standins.processes import http_call, until
 from standins.world import World
--- a/tests/test_proof_upstreams.py
+++ b/tests/test_proof_upstreams.py
@@ -10,9 +10,9 @@
 
 from lycheelug.dispatch import CHOICES
 from lycheelug.leaving import LeavingHosts
-from lycheelug.store import HostEntry, HostState
 from lycheelug.records import HostRow
 from lycheelug.slots import SHARES, ShareSettings
+from lycheelug.store import HostEntry, HostState
 from lycheelug.upstreams.executors import ExecutorSet
 from standins.callers import Callers
 from standins.processes import DaemonProcess, until
--- a/tests/test_refresh.py
+++ b/tests/test_refresh.py
@@ -21,9 +21,9 @@
 from lycheelug.fleet_view import FleetView
 from lycheelug.membership import Members
 from lycheelug.pause import PauseDetector
+from lycheelug.records import EntryRow
 from lycheelug.store.memory import MemoryPlatform
 from lycheelug.store.watch import Watch
-from lycheelug.records import EntryRow
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tests/test_sheet.py
+++ b/tests/test_sheet.py
@@ -4,10 +4,10 @@
 from returns.result import Failure, Success
 
 from lycheelug.fleet import FleetSnapshot
-from lycheelug.store.interface import HostDelta, HostEntry, HostState, Row
 from lycheelug.records import HostRow, encode, host_key
 from lycheelug.sheet import Sheet, SheetFault, parse_sheet
 from lycheelug.sheet_checks import check_sheet
+from lycheelug.store.interface import HostDelta, HostEntry, HostState, Row
 
 HEADER = (
     "kind,pool,min_available,survive_rack,weight,spare,slots,connections,"
--- a/tests/test_waves.py
+++ b/tests/test_waves.py
@@ -3,9 +3,9 @@
 import pytest
 
 from lycheelug.fleet import FleetSnapshot
-from lycheelug.store.interface import HostDelta, HostEntry, HostState, Row
 from lycheelug.records import HostRow, encode, host_key
 from lycheelug.sheet import WindowSpec
+from lycheelug.store.interface import HostDelta, HostEntry, HostState, Row
 from lycheelug.waves import (
     MAINTENANCE_AHEAD_S,
     MAINTENANCE_INTERVAL_S,
