--- /dev/null
+++ b/lycheelug/fleetplan/__init__.py
@@ -0,0 +1,30 @@
+"""Where hosts stand, and when they have their upkeep; no I/O."""
+
+from lycheelug.fleetplan.planner import FleetPlanner, HostOrder
+from lycheelug.fleetplan.records import (
+    PLAN_KEY,
+    PLANS_TABLE,
+    SUMMARIES_TABLE,
+    SUMMARY_KEY,
+    HostLoad,
+    PlanRecord,
+    SummaryRecord,
+    VacateOrder,
+    decode_plan,
+    decode_summary,
+)
+
+__all__ = [
+    "PLANS_TABLE",
+    "PLAN_KEY",
+    "SUMMARIES_TABLE",
+    "SUMMARY_KEY",
+    "FleetPlanner",
+    "HostLoad",
+    "HostOrder",
+    "PlanRecord",
+    "SummaryRecord",
+    "VacateOrder",
+    "decode_plan",
+    "decode_summary",
+]
--- /dev/null
+++ b/lycheelug/fleetplan/planner.py
@@ -0,0 +1,395 @@
+"""Decides which hosts are to be emptied, moved and maintained; no I/O.
+
+In each round the planner compares what pools want with what they have.
+Moves go from the standby pool and from pools with a surplus to pools in
+need; surplus that lasts goes back to standby.  A wave's hosts in standby
+are maintained first, as nothing runs there; hosts in pools one at a time
+for each pool, more where the deadline presses.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.fleetplan.records import PlanRecord, VacateOrder
+from lycheelug.fleetplan.sizing import SIZINGS
+from lycheelug.jobservice.interfaces import HostState
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from lycheelug.fleetplan.records import SummaryRecord
+    from lycheelug.jobservice.interfaces import HostInfo, UpkeepWave
+
+__all__ = ["FleetPlanner", "HostOrder"]
+
+# A surplus is given back after it has lasted for this long.
+SURPLUS_S: Final = 0.8
+# Upkeep of a pool's hosts hurries once this share of the time is gone.
+HURRY_SHARE: Final = 0.6
+# Hosts of one pool that are emptied for upkeep at once in a hurry.
+HURRIED_HOSTS: Final = 2
+
+
+class HostOrder:
+    """A call that may be made now."""
+
+    __slots__ = ("host", "order")
+
+    def __init__(self, host: str, order: VacateOrder) -> None:
+        self.host = host
+        self.order = order
+
+
+class FleetPlanner:
+    """What the fleet's planner knows and wants under one term."""
+
+    __slots__ = (
+        "_arriving",
+        "_number",
+        "_surplus_since",
+        "_upkeep_ends",
+        "_wave_seen_at",
+        "hosts",
+        "plan",
+        "pools",
+        "sizing",
+        "standby",
+        "summaries",
+        "term",
+        "upkeep_s",
+        "waves",
+    )
+
+    def __init__(
+        self,
+        term: int,
+        plan: PlanRecord | None,
+        upkeep_s: float,
+        sizing: str = "demand",
+    ) -> None:
+        self.term = term
+        self.plan = plan or PlanRecord(term)
+        self.plan.term = term
+        self.sizing = sizing
+        # How long an upkeep takes at least.
+        self.upkeep_s = upkeep_s
+        self.hosts: dict[str, HostInfo] = {}
+        self.summaries: dict[str, SummaryRecord] = {}
+        self.waves: dict[int, UpkeepWave] = {}
+        # Pools in use, and the pool of hosts that are off.
+        self.pools: list[str] = []
+        self.standby = ""
+        self._number = 0
+        self._surplus_since: dict[str, float] = {}
+        # Hosts that were sent to a pool and have not shown up in it.
+        self._arriving: dict[str, tuple[str, float]] = {}
+        # Local time at which an upkeep that began may have ended.
+        self._upkeep_ends: dict[str, float] = {}
+        self._wave_seen_at: dict[int, float] = {}
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether hosts move, are emptied or have their upkeep."""
+        return bool(self.plan.orders or self._arriving or self._upkeep_ends)
+
+    # --- What happened.
+
+    def take_hosts(self, hosts: Mapping[str, HostInfo], now: float) -> None:
+        """Take in the list of hosts."""
+        self.hosts = dict(hosts)
+        for name, (pool, until) in list(self._arriving.items()):
+            host = self.hosts.get(name)
+            is_there = (
+                host is not None
+                and host.pool == pool
+                and host.state is HostState.UP
+            )
+            if is_there or now > until:
+                del self._arriving[name]
+        for name, ends_at in list(self._upkeep_ends.items()):
+            host = self.hosts.get(name)
+            is_up = host is None or host.state is HostState.UP
+            if is_up and now >= ends_at:
+                del self._upkeep_ends[name]
+
+    def note_moved(self, host: str, pool: str, now: float) -> None:
+        """Take in that a move was accepted."""
+        self.plan.orders.pop(host, None)
+        known = self.hosts.get(host)
+        if known is not None:
+            known.pool = pool
+            known.state = HostState.MOVING
+        self._arriving[host] = (pool, now + 6.0)
+
+    def note_maintained(self, host: str, wave: int, now: float) -> None:
+        """Take in that an upkeep was accepted."""
+        self.plan.orders.pop(host, None)
+        done = self.plan.maintained.setdefault(str(wave), [])
+        if host not in done:
+            done.append(host)
+        known = self.hosts.get(host)
+        if known is not None:
+            known.state = HostState.IN_UPKEEP
+        self._upkeep_ends[host] = now + self.upkeep_s
+
+    def note_refused(self, host: str) -> None:
+        """Take in that an order can't be given: the host is used again."""
+        self.plan.orders.pop(host, None)
+
+    # --- Decisions.
+
+    def decide(self, now: float) -> None:
+        """Change the plan's orders to what is wanted now."""
+        for wave in self.waves.values():
+            self._wave_seen_at.setdefault(wave.number, now)
+        self._drop_void()
+        wanted = self._wanted_sizes()
+        self._withdraw(wanted)
+        self._plan_waves(wanted, now)
+        self._plan_moves(wanted, now)
+
+    def due_calls(self) -> list[HostOrder]:
+        """Return the calls whose hosts are confirmed to be empty."""
+        due: list[HostOrder] = []
+        busy = self._in_upkeep()
+        for name, order in self.plan.orders.items():
+            host = self.hosts.get(name)
+            is_up = host is not None and host.state is HostState.UP
+            if not is_up and not order.sent:
+                continue
+            if order.pool != self.standby and not self._is_vacated(
+                name, order
+            ):
+                continue
+            if order.wave:
+                wave = self.waves.get(order.wave)
+                if wave is None:
+                    continue
+                if not order.sent and busy >= wave.at_once:
+                    continue
+                busy += 1
+            due.append(HostOrder(name, order))
+        return due
+
+    def finished_waves(self) -> list[int]:
+        """Return the waves that are done and were not told so."""
+        found: list[int] = []
+        for number, wave in self.waves.items():
+            if number in self.plan.completed:
+                continue
+            if self.hosts and not self._left(wave):
+                found.append(number)
+        return found
+
+    # --- Parts.
+
+    def _left(self, wave: UpkeepWave) -> list[str]:
+        """Return a wave's hosts that stay and lack their upkeep."""
+        done = self.plan.maintained.get(str(wave.number), [])
+        return [
+            name
+            for name in wave.hosts
+            if name in self.hosts and name not in done
+        ]
+
+    def _is_vacated(self, name: str, order: VacateOrder) -> bool:
+        """Whether the pool's owner has confirmed this order."""
+        summary = self.summaries.get(order.pool)
+        return (
+            summary is not None and summary.vacated.get(name) == order.number
+        )
+
+    def _in_upkeep(self) -> int:
+        """Return how many hosts are, or may be, in upkeep."""
+        names = set(self._upkeep_ends)
+        for name, host in self.hosts.items():
+            if host.state is HostState.IN_UPKEEP:
+                names.add(name)
+        for name, order in self.plan.orders.items():
+            if order.wave and order.sent:
+                names.add(name)
+        return len(names)
+
+    def _drop_void(self) -> None:
+        """Drop orders for hosts that are gone or changed their pool."""
+        for name, order in list(self.plan.orders.items()):
+            host = self.hosts.get(name)
+            if order.sent or not self.hosts:
+                continue
+            if host is None or host.pool != order.pool:
+                del self.plan.orders[name]
+
+    def _capacity(self) -> tuple[int, int]:
+        """Return the usual room of a host: processor time and memory."""
+        for host in self.hosts.values():
+            if host.capacity is not None:
+                return host.capacity.cpu_millis, host.capacity.memory_mb
+        return 0, 0
+
+    def _wanted_sizes(self) -> dict[str, int]:
+        """Return how many hosts each pool should have."""
+        host_cpu, host_memory = self._capacity()
+        policy = SIZINGS.get(self.sizing)
+        wanted: dict[str, int] = {}
+        for pool in self.pools:
+            summary = self.summaries.get(pool)
+            if summary is None:
+                wanted[pool] = self._count(pool)
+                continue
+            wanted[pool] = policy(summary, host_cpu, host_memory)
+        return wanted
+
+    def _members(self, pool: str) -> list[str]:
+        """Return a pool's hosts that are up and are to stay."""
+        found: list[str] = []
+        for name, host in self.hosts.items():
+            if host.pool != pool or host.state is not HostState.UP:
+                continue
+            if name not in self.plan.orders:
+                found.append(name)
+        return found
+
+    def _count(self, pool: str) -> int:
+        """Return a pool's hosts, with those that are on their way."""
+        count = len(self._members(pool))
+        for name, host in self.hosts.items():
+            if host.pool == pool and host.state in (
+                HostState.MOVING,
+                HostState.IN_UPKEEP,
+            ):
+                count += 1
+            elif name in self._arriving and self._arriving[name][0] == pool:
+                count += host.pool != pool
+        for order in self.plan.orders.values():
+            if order.target == pool or (order.wave and order.pool == pool):
+                count += 1
+        return count
+
+    def _withdraw(self, wanted: dict[str, int]) -> None:
+        """Keep a host whose pool needs it again."""
+        for name, order in list(self.plan.orders.items()):
+            if order.sent or order.wave or order.pool == self.standby:
+                continue
+            if wanted.get(order.pool, 0) > self._count(order.pool):
+                del self.plan.orders[name]
+
+    def _order(self, name: str, target: str = "", wave: int = 0) -> None:
+        """Add an order with a number of its own."""
+        self._number += 1
+        host = self.hosts[name]
+        self.plan.orders[name] = VacateOrder(
+            f"{self.term}.{self._number}", host.pool, target, wave
+        )
+
+    def _plan_waves(self, wanted: dict[str, int], now: float) -> None:
+        """Order the upkeep of the hosts whose turn it is."""
+        for wave in self.waves.values():
+            if wave.number in self.plan.completed:
+                continue
+            self._plan_wave(wave, wanted, now)
+
+    def _plan_wave(
+        self, wave: UpkeepWave, wanted: dict[str, int], now: float
+    ) -> None:
+        """Order the upkeep of one wave's hosts."""
+        age_s = now - self._wave_seen_at[wave.number]
+        in_hurry = age_s > wave.deadline_s * HURRY_SHARE
+        room = wave.at_once - self._in_upkeep()
+        by_pool: dict[str, int] = {}
+        for order in self.plan.orders.values():
+            if order.wave and not order.sent:
+                by_pool[order.pool] = by_pool.get(order.pool, 0) + 1
+                room -= 1
+        for name in self._by_load(self._left(wave)):
+            host = self.hosts[name]
+            if room <= 0:
+                return
+            if name in self.plan.orders or host.state is not HostState.UP:
+                continue
+            if host.pool != self.standby:
+                at_once = HURRIED_HOSTS if in_hurry else 1
+                if by_pool.get(host.pool, 0) >= at_once:
+                    continue
+                if not in_hurry and not self._can_spare(host.pool, wanted):
+                    continue
+            self._order(name, wave=wave.number)
+            by_pool[host.pool] = by_pool.get(host.pool, 0) + 1
+            room -= 1
+
+    def _can_spare(self, pool: str, wanted: dict[str, int]) -> bool:
+        """Whether a pool does well without one of its hosts for a while."""
+        return len(self._members(pool)) > wanted[pool] or (
+            wanted[pool] <= max(2, self._count(pool) // 2)
+        )
+
+    def _by_load(self, names: list[str]) -> list[str]:
+        """Return hosts in standby first, then the emptiest."""
+
+        def load(name: str) -> tuple[bool, int, int, str]:
+            pool = self.hosts[name].pool
+            summary = self.summaries.get(pool)
+            known = summary.hosts.get(name) if summary is not None else None
+            in_use = pool != self.standby
+            if known is None:
+                return (in_use, 0, 0, name)
+            return (in_use, known.lasting_runs, known.used_cpu, name)
+
+        return sorted(names, key=load)
+
+    def _plan_moves(self, wanted: dict[str, int], now: float) -> None:
+        """Order moves to pools in need, and of lasting surplus."""
+        if not self.standby:
+            return
+        missing: list[str] = []
+        surplus: list[str] = []
+        for pool in self.pools:
+            spare = self._count(pool) - wanted[pool]
+            if spare < 0:
+                missing.extend([pool] * -spare)
+            if spare <= 0:
+                self._surplus_since.pop(pool, None)
+                continue
+            since = self._surplus_since.setdefault(pool, now)
+            if now - since < SURPLUS_S:
+                continue
+            for name in self._idle(pool)[:spare]:
+                surplus.append(name)
+        reserve = self._reserve()
+        for pool in missing:
+            if surplus:
+                self._order(surplus.pop(0), target=pool)
+            elif reserve:
+                self._order(reserve.pop(0), target=pool)
+        for name in surplus:
+            self._order(name, target=self.standby)
+
+    def _idle(self, pool: str) -> list[str]:
+        """Return a pool's hosts without lasting tasks, emptiest first."""
+        summary = self.summaries.get(pool)
+        if summary is None:
+            return []
+        due = self._due_for_upkeep()
+        found: list[tuple[int, bool, str]] = []
+        for name in self._members(pool):
+            load = summary.hosts.get(name)
+            if load is None or load.lasting_runs:
+                continue
+            found.append((load.used_cpu, name not in due, name))
+        return [name for _, _, name in sorted(found)]
+
+    def _reserve(self) -> list[str]:
+        """Return standby hosts that may move, those with upkeep first."""
+        due = self._due_for_upkeep()
+        found: list[tuple[bool, str]] = []
+        for name in self._members(self.standby):
+            found.append((name in due, name))
+        return [name for _, name in sorted(found)]
+
+    def _due_for_upkeep(self) -> set[str]:
+        """Return the hosts that lack the upkeep of an open wave."""
+        due: set[str] = set()
+        for wave in self.waves.values():
+            if wave.number not in self.plan.completed:
+                due.update(self._left(wave))
+        return due
--- /dev/null
+++ b/lycheelug/fleetplan/sizing.py
@@ -0,0 +1,52 @@
+"""How many hosts a pool should have: the registry of sizing policies.
+
+A host in a pool costs by the second, a move costs as much as a host in
+about a second, and a moved host takes a second or two to come up.  So a
+pool grows as soon as its tasks find no room, and shrinks only after its
+surplus has lasted for a while.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.registry import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.fleetplan.records import SummaryRecord
+
+    Sizing = Callable[[SummaryRecord, int, int], int]
+
+__all__ = ["SIZINGS", "size_by_demand"]
+
+SIZINGS: Final[Registry[Sizing]] = Registry("sizing policy")
+
+# Tasks of uneven sizes fill a host to about this share.
+PACKED_SHARE: Final = 0.9
+# Share of the blocked tasks' room that is wanted before their turn.
+BLOCKED_SHARE: Final = 0.3
+HOSTS_MIN: Final = 1
+
+
+@SIZINGS.register("demand")
+def size_by_demand(
+    summary: SummaryRecord, host_cpu: int, host_memory: int
+) -> int:
+    """Return the hosts that all runnable tasks would fill at once."""
+    cpu = summary.running_cpu + summary.ready_cpu
+    cpu += int(summary.blocked_cpu * BLOCKED_SHARE)
+    memory = summary.running_memory + summary.ready_memory
+    by_cpu = math.ceil(cpu / (host_cpu * PACKED_SHARE)) if host_cpu else 0
+    by_memory = (
+        math.ceil(memory / (host_memory * PACKED_SHARE)) if host_memory else 0
+    )
+    return max(by_cpu, by_memory, summary.spread, HOSTS_MIN)
+
+
+@SIZINGS.register("fixed")
+def size_fixed(summary: SummaryRecord, host_cpu: int, host_memory: int) -> int:
+    """Return the hosts that the pool has: the baseline."""
+    return len(summary.hosts)
--- /dev/null
+++ b/lycheelug/jobservice/__init__.py
@@ -0,0 +1,1 @@
+"""Serves jobs: submissions, owners of pools, the fleet's planner."""
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -1,23 +1,75 @@
-"""Holds the fleet's duty: moves of hosts and upkeep."""
+"""Holds the fleet's duty: carries out the planner's moves and upkeep.
+
+An order is stored before its host is emptied, and marked as sent before
+its call: a planner that takes over finishes what may be under way under
+its own, higher fencing token, so that no late call of its predecessor can
+hit a host that is in use again.
+"""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from returns.result import Failure
 
-from lycheelug.logs import log_change
+from lycheelug.fleetplan import (
+    PLAN_KEY,
+    PLANS_TABLE,
+    SUMMARIES_TABLE,
+    SUMMARY_KEY,
+    FleetPlanner,
+    decode_plan,
+    decode_summary,
+)
+from lycheelug.jobservice.interfaces import HostAnswer
+from lycheelug.jobservice.tables import FLEET_PART
+from lycheelug.logs import log_change, log_fault
+from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
+from lycheelug.store.mirror import TableMirror
+from lycheelug.store.rows import RowConflict, RowName
 
 if TYPE_CHECKING:
-    from lycheelug.jobservice.interfaces import HostControl
+    from collections.abc import Callable
+
+    from lycheelug.fleetplan import HostOrder, SummaryRecord
+    from lycheelug.jobservice.interfaces import HostControl, UpkeepWave
     from lycheelug.jobservice.pool_owner import OwnerContext
+    from lycheelug.store.rows import StoredRow
 
 __all__ = ["FleetOwner"]
 
+ROUND_S: Final = 0.1
+# The list of hosts is read this often, and more often while hosts move.
+HOSTS_IDLE_S: Final = 2.0
+HOSTS_BUSY_S: Final = 0.4
+# Summaries are gathered for this long between two calls to the feed.
+GATHER_S: Final = 0.1
+PLAN_ROW: Final = RowName(PLANS_TABLE, PLAN_KEY)
+OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
+
 
 class FleetOwner:
     """The fleet's planner under one term."""
 
-    __slots__ = ("_context", "_hosts", "_lost", "_name", "_term")
+    __slots__ = (
+        "_calls",
+        "_context",
+        "_hosts",
+        "_hosts_at",
+        "_lost",
+        "_mirror",
+        "_name",
+        "_owner_version",
+        "_plan_version",
+        "_planner",
+        "_published",
+        "_stored",
+        "_term",
+        "_upkeep_s",
+        "_waves",
+    )
 
     def __init__(
         self,
@@ -25,21 +77,214 @@
         hosts: HostControl,
         name: str,
         term: int,
+        owner_version: int,
+        waves: Callable[[], dict[int, UpkeepWave]],
+        upkeep_s: float,
     ) -> None:
         self._context = context
         self._hosts = hosts
         self._name = name
         self._term = term
+        self._owner_version = owner_version
+        self._waves = waves
+        self._upkeep_s = upkeep_s
+        self._planner = FleetPlanner(term, None, upkeep_s)
+        self._plan_version = 0
+        self._stored = b""
+        self._hosts_at: float | None = None
+        self._published: set[int] = set()
+        self._calls: dict[str, asyncio.Task[None]] = {}
+        self._mirror = TableMirror(
+            context.store,
+            SUMMARIES_TABLE,
+            self._on_summary,
+            pause_s=GATHER_S,
+        )
         self._lost = asyncio.Event()
 
     async def run(self) -> None:
         """Plan until the duty is lost."""
-        await self._lost.wait()
+        following = asyncio.get_running_loop().create_task(self._mirror.run())
+        try:
+            is_recovered = False
+            while not self._lost.is_set():
+                if is_recovered:
+                    await self._round()
+                else:
+                    is_recovered = await self._recover()
+                await asyncio.sleep(ROUND_S)
+        finally:
+            following.cancel()
+            for call in self._calls.values():
+                call.cancel()
 
     def lose(self, why: str) -> None:
         """End: another holder was seen."""
-        log_change("duty-lost", duty="fleet", term=self._term, reason=why)
+        if not self._lost.is_set():
+            log_change("duty-lost", duty="fleet", term=self._term, reason=why)
         self._lost.set()
 
     async def hand_over(self) -> None:
-        """Nothing is to be brought to the store."""
+        """Make no new calls; the next holder finishes what was sent."""
+        self._lost.set()
+        if self._calls:
+            await asyncio.wait(self._calls.values(), timeout=1.0)
+
+    # --- Rounds.
+
+    async def _recover(self) -> bool:
+        """Read the plan that the last holder left."""
+        read = await self._context.store.read(PLANS_TABLE, FLEET_PART)
+        if isinstance(read, Failure):
+            log_fault("plan-not-read", read.failure())
+            return False
+        plan = None
+        for row in read.unwrap().rows:
+            if row.key == PLAN_KEY:
+                plan = decode_plan(row.value or b"")
+                self._plan_version = row.version
+        self._planner = FleetPlanner(self._term, plan, self._upkeep_s)
+        for mirrored in self._mirror.rows:
+            self._on_summary(mirrored)
+        log_change(
+            "plan-recovered",
+            term=self._term,
+            orders=len(self._planner.plan.orders),
+        )
+        return True
+
+    async def _round(self) -> None:
+        """Look, decide, store the plan, make the calls that are due."""
+        planner = self._planner
+        configuration = self._context.configuration()
+        if configuration is None or not await self._read_hosts():
+            return
+        planner.pools = [
+            pool.name
+            for pool in configuration.pools.values()
+            if not pool.is_standby
+        ]
+        for pool in configuration.pools.values():
+            if pool.is_standby:
+                planner.standby = pool.name
+        planner.waves = dict(self._waves())
+        planner.decide(self._context.clock.now())
+        due = [
+            call
+            for call in planner.due_calls()
+            if call.host not in self._calls
+        ]
+        for call in due:
+            call.order.sent = True
+        if not await self._store_plan():
+            return
+        loop = asyncio.get_running_loop()
+        for call in due:
+            task = loop.create_task(self._carry_out(call))
+            self._calls[call.host] = task
+        await self._publish_waves()
+
+    async def _read_hosts(self) -> bool:
+        """Read the list of hosts if it is old; False where there is none."""
+        now = self._context.clock.now()
+        age_s = HOSTS_BUSY_S if self._planner.is_busy else HOSTS_IDLE_S
+        if self._hosts_at is not None and now - self._hosts_at < age_s:
+            return True
+        result = await self._hosts.hosts()
+        if isinstance(result, Failure):
+            log_fault("hosts-not-read", result.failure())
+            return self._hosts_at is not None
+        self._hosts_at = now
+        self._planner.take_hosts(
+            {host.name: host for host in result.unwrap()}, now
+        )
+        return True
+
+    async def _store_plan(self) -> bool:
+        """Store the plan if it changed; False where that failed."""
+        value = msgspec.json.encode(self._planner.plan)
+        if value == self._stored:
+            return True
+        result = await self._context.store.commit(
+            FLEET_PART,
+            {
+                OWNER_ROW: self._owner_version,
+                PLAN_ROW: self._plan_version,
+            },
+            {PLAN_ROW: value},
+        )
+        if isinstance(result, Failure):
+            log_fault("plan-not-stored", result.failure())
+            return False
+        outcome = result.unwrap()
+        if not isinstance(outcome, RowConflict):
+            self._plan_version = outcome.version
+            self._stored = value
+            return True
+        owner = outcome.rows.get(OWNER_ROW)
+        if owner is None or owner.version != self._owner_version:
+            self.lose("another holder's row")
+            return False
+        plan = outcome.rows.get(PLAN_ROW)
+        self._plan_version = plan.version if plan is not None else 0
+        return False
+
+    async def _carry_out(self, call: HostOrder) -> None:
+        """Move or maintain one host."""
+        order = call.order
+        if order.wave:
+            answer = await self._hosts.maintain(
+                call.host, order.wave, self._name, self._term
+            )
+        else:
+            answer = await self._hosts.move(
+                call.host, order.target, self._name, self._term
+            )
+        log_change(
+            "host-order",
+            host=call.host,
+            pool=order.pool,
+            target=order.target,
+            wave=order.wave,
+            number=order.number,
+            term=self._term,
+            answer=answer.name.lower(),
+        )
+        self._context.metrics.count(f"host-orders-{answer.name.lower()}")
+        del self._calls[call.host]
+        now = self._context.clock.now()
+        if answer is HostAnswer.DONE and order.wave:
+            self._planner.note_maintained(call.host, order.wave, now)
+        elif answer is HostAnswer.DONE:
+            self._planner.note_moved(call.host, order.target, now)
+        elif answer is HostAnswer.FENCED:
+            self.lose("a higher fencing token")
+        elif answer in (HostAnswer.REFUSED, HostAnswer.BUSY):
+            self._planner.note_refused(call.host)
+            self._hosts_at = None
+
+    async def _publish_waves(self) -> None:
+        """Tell the operator which waves run and which are done."""
+        planner = self._planner
+        for number in planner.waves:
+            if number in self._published or number in planner.plan.completed:
+                continue
+            if await self._hosts.publish_wave(number, False):
+                self._published.add(number)
+        for number in planner.finished_waves():
+            if await self._hosts.publish_wave(number, True):
+                planner.plan.completed.append(number)
+                log_change("wave-completed", wave=number)
+
+    def _on_summary(self, row: StoredRow) -> None:
+        """Take in a pool's summary."""
+        if row.key != SUMMARY_KEY or row.value is None:
+            return
+        summary: SummaryRecord | None = decode_summary(row.value)
+        if summary is None:
+            log_change("row-unreadable", table=row.table, part=row.part)
+            return
+        known = self._planner.summaries.get(row.part)
+        if known is not None and known.term > summary.term:
+            return
+        self._planner.summaries[row.part] = summary
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -17,11 +17,13 @@
 
 from returns.result import Failure, Success
 
+from lycheelug.fleetplan import PLAN_KEY, PLANS_TABLE, decode_plan
 from lycheelug.jobservice.executor_loop import ExecutorLoop
 from lycheelug.jobservice.interfaces import StopAnswer
 from lycheelug.jobservice.progress_writer import ProgressWriter
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
+    FLEET_PART,
     JOB_PREFIX,
     PROGRESS_TABLE,
     decode_job,
@@ -106,8 +108,10 @@
         "_context",
         "_loops",
         "_mirror",
+        "_plan_mirror",
         "_stored_progress",
         "_tasks",
+        "_vacate",
         "_wake",
         "lost",
         "owner_version",
@@ -145,6 +149,11 @@
             part=pool,
             pause_s=GATHER_S,
         )
+        self._plan_mirror = TableMirror(
+            context.store, PLANS_TABLE, self._on_plan, part=FLEET_PART
+        )
+        # The planner's orders to empty hosts: numbers by host.
+        self._vacate: dict[str, str] = {}
         self._stored_progress: dict[str, tuple[ProgressRecord, int]] = {}
         self._loops: dict[str, ExecutorLoop] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -157,6 +166,15 @@
         """Whether the ownership was proved lately enough."""
         return self._context.clock.now() - self.verified_at < VERIFY_S
 
+    @property
+    def _may_order(self) -> bool:
+        """Whether all is known that orders depend on."""
+        return (
+            self.is_verified
+            and self._mirror.loaded.is_set()
+            and self._plan_mirror.loaded.is_set()
+        )
+
     async def run(self) -> None:
         """Own the pool until it is lost or this is cancelled."""
         try:
@@ -169,6 +187,7 @@
                     term=self.term,
                 )
                 return
+            self.spawn(self._plan_mirror.run())
             self.spawn(self._mirror.run())
             self.spawn(self.writer.run())
             await self._drive()
@@ -280,6 +299,21 @@
         if self._mirror.has(self.pool, CANCEL_PREFIX + job.job_id):
             self.schedule.cancel_job(job.job_id, self._context.clock.unix_ms())
 
+    def _on_plan(self, row: StoredRow) -> None:
+        """Take in which hosts are to be emptied."""
+        if row.key != PLAN_KEY:
+            return
+        plan = decode_plan(row.value or b"")
+        if plan is None:
+            log_change("row-unreadable", table=row.table, key=row.key)
+            return
+        self._vacate = {
+            host: order.number
+            for host, order in plan.orders.items()
+            if order.pool == self.pool
+        }
+        self.wake()
+
     def _policy(self, queue: str) -> QueuePolicy:
         """Return a queue's policy; a queue that is gone keeps defaults."""
         configuration = self._context.configuration()
@@ -304,7 +338,7 @@
             self._sync_executors()
             self._open_due()
             self.writer.wake_if_needed()
-            if self.is_verified and self._mirror.loaded.is_set():
+            if self._may_order:
                 for order in self.schedule.plan(self._context.clock.now()):
                     if isinstance(order, StartOrder):
                         self.spawn(self._start(order))
@@ -322,7 +356,10 @@
         listed = set()
         for info in self._context.executors(self.pool):
             listed.add(info.executor_id)
-            self.schedule.observe_executor(info)
+            view = self.schedule.observe_executor(info)
+            view.cordon(
+                self._vacate.get(info.host, ""), self._context.clock.now()
+            )
             if info.executor_id not in self._loops:
                 loop = ExecutorLoop(self._context, self, info.executor_id)
                 self._loops[info.executor_id] = loop
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -14,6 +14,8 @@
 import msgspec
 from returns.result import Failure
 
+from lycheelug.fleetplan import SUMMARIES_TABLE, SUMMARY_KEY
+from lycheelug.jobservice.summary import summarize
 from lycheelug.jobservice.tables import PROGRESS_TABLE
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
@@ -32,6 +34,8 @@
 # there is nothing to write.
 PROVE_S: Final = 1.5
 RETRY_S: Final = 0.1
+# The pool's summary is stored at most this often.
+SUMMARY_S: Final = 0.15
 
 
 class ProgressWriter:
@@ -42,6 +46,9 @@
         "_is_lost",
         "_must_verify",
         "_owner",
+        "_summary",
+        "_summary_at",
+        "_summary_version",
         "_wake",
         "_writing",
     )
@@ -52,6 +59,10 @@
         self._wake = asyncio.Event()
         self._writing = asyncio.Lock()
         self._must_verify = False
+        # The summary as it was last stored, when, and its row's version.
+        self._summary = b""
+        self._summary_at = 0.0
+        self._summary_version = 0
         self._is_lost = False
 
     def verify_soon(self) -> None:
@@ -97,7 +108,20 @@
         for view in schedule.executors.values():
             if view.processed > view.acknowledged:
                 return True
-        return False
+        return self._is_summary_due()
+
+    def _changed_summary(self) -> bytes:
+        """Return the pool's summary if it has changed."""
+        value = msgspec.json.encode(summarize(self._owner.schedule))
+        return value if value != self._summary else b""
+
+    def _is_summary_due(self) -> bool:
+        """Whether a change of the summary is worth a write of its own."""
+        now = self._context.clock.now()
+        if now - self._summary_at < SUMMARY_S:
+            return False
+        self._summary_at = now
+        return bool(self._changed_summary())
 
     async def _write(self) -> bool:
         """Write once; False where the store did not take it."""
@@ -116,6 +140,11 @@
             expected[name] = job.row_version
             writes[name] = msgspec.json.encode(job.progress)
             job.is_dirty = False
+        summary = self._changed_summary()
+        summary_row = RowName(SUMMARIES_TABLE, SUMMARY_KEY)
+        if summary:
+            expected[summary_row] = self._summary_version
+            writes[summary_row] = summary
         seen = [
             (view, view.info.born_ms, view.processed)
             for view in schedule.executors.values()
@@ -133,6 +162,9 @@
             return False
         self._note_success()
         owner.verified_at = asked_at
+        if summary:
+            self._summary = summary
+            self._summary_version = outcome.version
         for job in jobs:
             job.row_version = outcome.version
             if job.progress.begun_term:
@@ -154,6 +186,8 @@
         if current is None or current.version != owner.owner_version:
             owner.lose("another owner's row")
             return
+        summary = conflict.rows.get(RowName(SUMMARIES_TABLE, SUMMARY_KEY))
+        self._summary_version = summary.version if summary else 0
         for job in jobs:
             job.is_dirty = True
             row = conflict.rows.get(RowName(PROGRESS_TABLE, job.job_id))
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -36,6 +36,7 @@
         "_executors",
         "_hosts",
         "_name",
+        "_upkeep_s",
         "configuration",
         "duties",
         "metrics",
@@ -52,7 +53,9 @@
         hosts: HostControl,
         clock: Clock,
         lease_s: float,
+        upkeep_s: float,
     ) -> None:
+        self._upkeep_s = upkeep_s
         self._name = name
         self._hosts = hosts
         self.metrics = Metrics()
@@ -167,5 +170,13 @@
     def _make_holder(self, duty: str, term: int, version: int) -> DutyHolder:
         """Return what carries out a duty."""
         if duty == FLEET_PART:
-            return FleetOwner(self._context, self._hosts, self._name, term)
+            return FleetOwner(
+                self._context,
+                self._hosts,
+                self._name,
+                term,
+                version,
+                lambda: self.waves,
+                self._upkeep_s,
+            )
         return PoolOwner(self._context, duty, term, version)
--- a/lycheelug/jobservice/tables.py
+++ b/lycheelug/jobservice/tables.py
@@ -19,10 +19,7 @@
     "CANCEL_PREFIX",
     "FLEET_PART",
     "JOB_PREFIX",
-    "PLANS_TABLE",
     "PROGRESS_TABLE",
-    "SUMMARIES_TABLE",
-    "SUMMARY_KEY",
     "CancelRecord",
     "decode_job",
     "decode_progress",
@@ -30,11 +27,7 @@
 ]
 
 PROGRESS_TABLE: Final = "progress"
-# One row a pool: what its owner tells the others.
-SUMMARIES_TABLE: Final = "summaries"
-SUMMARY_KEY: Final = "summary"
-# One row: which hosts the fleet's planner wants emptied.
-PLANS_TABLE: Final = "plans"
+# The part, and the name, of the fleet planner's duty.
 FLEET_PART: Final = "~fleet"
 JOB_PREFIX: Final = "job/"
 CANCEL_PREFIX: Final = "cancel/"
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -62,6 +62,8 @@
 NOTICE_S: Final = 2.5
 # What is left of the grace period for the process to end.
 GRACE_MARGIN_S: Final = 1.0
+# Executors rewrite their entries all the time; changes are gathered.
+GATHER_EXECUTORS_S: Final = 0.25
 BODY_BYTES_MAX: Final = 1024 * 1024
 
 
@@ -105,6 +107,7 @@
             PlatformHosts(settings.cloud_api.address, self._store),
             clock,
             min(LEASE_S, settings.bounds.hold_max_ms / 1000),
+            settings.bounds.maintenance_s,
         )
         limits = ServerLimits(max_body_bytes=BODY_BYTES_MAX)
         ingress = Ingress(self._service, clock)
@@ -142,16 +145,23 @@
             store=self._settings.platform.address,
         )
         self._follow(OPERATOR_TABLE, self._on_operator_row)
-        self._follow(EXECUTORS_TABLE, self._on_executor_row)
+        self._follow(
+            EXECUTORS_TABLE, self._on_executor_row, GATHER_EXECUTORS_S
+        )
         self._service.start()
         await self._stopping.wait()
         return await self._stop()
 
     def _follow(
-        self, table: str, listener: Callable[[StoredRow], None]
+        self,
+        table: str,
+        listener: Callable[[StoredRow], None],
+        pause_s: float = 0.0,
     ) -> None:
         """Follow one of the platform's tables."""
-        mirror = TableMirror(self._store, table, listener, part="")
+        mirror = TableMirror(
+            self._store, table, listener, part="", pause_s=pause_s
+        )
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(mirror.run()))
 
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -228,9 +228,11 @@
 
     __slots__ = (
         "acknowledged",
+        "asked_at",
         "clock_at",
         "clock_ms",
-        "cordoned",
+        "cordon_order",
+        "cordoned_at",
         "failures_at",
         "heard_at",
         "info",
@@ -255,8 +257,9 @@
         # Its steady clock, and the local time at which it told it.
         self.clock_ms: int | None = None
         self.clock_at = 0.0
-        # Local time of its last list.
+        # Local times of its last list, and at which that was asked for.
         self.heard_at: float | None = None
+        self.asked_at = 0.0
         # The highest end taken in, and the highest that is durable.
         self.processed = 0
         self.acknowledged = 0
@@ -269,8 +272,9 @@
         self.shunned_until = 0.0
         # Local times of recent failed runs.
         self.failures_at: list[float] = []
-        # It is to be emptied for a move or for upkeep.
-        self.cordoned = False
+        # The planner's order to empty its host, and since when it is known.
+        self.cordon_order = ""
+        self.cordoned_at = 0.0
 
     @property
     def executor_id(self) -> str:
@@ -282,6 +286,19 @@
         """The rack of its host, the last of its labels."""
         return self.info.labels[-1] if self.info.labels else ""
 
+    @property
+    def is_vacated(self) -> bool:
+        """Whether nothing runs, and no start is on its way."""
+        if not self.cordon_order or self.runs or self.heard_at is None:
+            return False
+        return self.asked_at > self.cordoned_at
+
+    def cordon(self, order: str, now: float) -> None:
+        """Give it no new tasks, or use it again (no order)."""
+        if order and not self.cordon_order:
+            self.cordoned_at = now
+        self.cordon_order = order
+
     def add_run(self, run: Run) -> None:
         """Take a run into account."""
         self.runs[run.key] = run
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -63,6 +63,7 @@
         view.info.born_ms = report.born_ms
     view.is_fenced = True
     view.heard_at = now
+    view.asked_at = asked_at
     view.note_clock(report.clock_ms, now)
     listed = set()
     for entry in report.running:
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -32,7 +32,7 @@
     info = view.info
     if not view.is_fenced or not view.is_listed or info.draining:
         return False
-    if view.cordoned or view.shunned_until > now:
+    if view.cordon_order or view.shunned_until > now:
         return False
     if view.heard_at is None or now - view.heard_at > SILENT_S:
         return False
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -38,6 +38,8 @@
 # An executor that refused a start for want of room or health gets none
 # for this long.
 SHUN_S: Final = 0.5
+# A lasting task that shows this much has finished its startup.
+AT_WORK_PERCENT: Final = 100
 # A lasting task waits this long for its next run after a failure, longer
 # with each: its executor may be the cause.
 RESTART_WAIT_S: Final = 0.1
@@ -228,6 +230,8 @@
         orders: list[StartOrder | StopOrder] = []
         for view in list(self.executors.values()):
             self._expire(view, now)
+            if view.cordon_order or view.info.draining:
+                self._relocate(view)
             orders.extend(self._stops(view, now))
         orders.extend(self._starts(now))
         return orders
@@ -240,6 +244,39 @@
         if not view.is_listed:
             self.executors.pop(view.executor_id, None)
 
+    def _relocate(self, view: ExecutorView) -> None:
+        """Mark lasting runs to be stopped that may leave their place now.
+
+        Of each step only as many may be away as it allows, whatever the
+        reason why the others are not at work.
+        """
+        for run in view.runs.values():
+            task = run.task
+            if task is None or not task.step.lasts:
+                continue
+            if run.phase is not RunPhase.RUNNING or task.job.is_final:
+                continue
+            if self._away(task) >= max(1, task.step.may_miss):
+                continue
+            run.phase = RunPhase.STOPPING
+            run.why_stopped = "its host is to be emptied"
+
+    def _away(self, task: Task) -> int:
+        """Return how many other tasks of a step are not at work."""
+        away = 0
+        for other in task.job.gang(task):
+            if other is task:
+                continue
+            view = self.executors.get(other.executor_id)
+            run = view.runs.get((other.name, other.run)) if view else None
+            is_at_work = (
+                run is not None
+                and run.phase is RunPhase.RUNNING
+                and run.percent >= AT_WORK_PERCENT
+            )
+            away += not is_at_work
+        return away
+
     def _stops(self, view: ExecutorView, now: float) -> list[StopOrder]:
         """Return the stops that an executor is to be sent."""
         stops: list[StopOrder] = []
