Load a pool's jobs before its executors are heard; never start beside a run

Ruled out: two owners (one term wrote). Change: looks begin after the jobs are loaded; a task with any known run is not started. Test: test_unwanted_run_ends_before_its_task_is_started.

--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -166,15 +166,6 @@
         """Whether the ownership was proved lately enough."""
         return self._context.clock.now() - self.verified_at < VERIFY_S
 
-    @property
-    def _may_order(self) -> bool:
-        """Whether all is known that orders depend on."""
-        return (
-            self.is_verified
-            and self._mirror.loaded.is_set()
-            and self._plan_mirror.loaded.is_set()
-        )
-
     async def run(self) -> None:
         """Own the pool until it is lost or this is cancelled."""
         try:
@@ -333,12 +324,18 @@
     # --- Orders.
 
     async def _drive(self) -> None:
-        """Plan and send orders until the pool is lost."""
+        """Plan and send orders until the pool is lost.
+
+        All jobs are known before the first look at an executor: a run is
+        judged by its job.
+        """
+        await self._mirror.loaded.wait()
+        await self._plan_mirror.loaded.wait()
         while not self.lost.is_set():
             self._sync_executors()
             self._open_due()
             self.writer.wake_if_needed()
-            if self._may_order:
+            if self.is_verified:
                 for order in self.schedule.plan(self._context.clock.now()):
                     if isinstance(order, StartOrder):
                         self.spawn(self._start(order))
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
@@ -227,6 +228,7 @@
     """One executor of a pool as its owner sees it."""
 
     __slots__ = (
+        "_run_counts",
         "acknowledged",
         "asked_at",
         "clock_at",
@@ -247,9 +249,16 @@
         "used_memory",
     )
 
-    def __init__(self, info: ExecutorInfo, lapses_at: float) -> None:
+    def __init__(
+        self,
+        info: ExecutorInfo,
+        lapses_at: float,
+        run_counts: Counter[TaskName] | None = None,
+    ) -> None:
         self.info = info
         self.lapses_at = lapses_at
+        # Known runs of each task on all executors of the pool.
+        self._run_counts = Counter() if run_counts is None else run_counts
         # Whether it has answered this owner's fencing token.
         self.is_fenced = False
         # Whether the store still has its entry.
@@ -302,6 +311,7 @@
     def add_run(self, run: Run) -> None:
         """Take a run into account."""
         self.runs[run.key] = run
+        self._run_counts[run.task_name] += 1
         self.used_cpu += run.room.cpu_millis
         self.used_memory += run.room.memory_mb
         self.used_gpus += run.room.gpus
@@ -311,6 +321,9 @@
         run = self.runs.pop(key, None)
         if run is None:
             return None
+        self._run_counts[run.task_name] -= 1
+        if not self._run_counts[run.task_name]:
+            del self._run_counts[run.task_name]
         self.used_cpu -= run.room.cpu_millis
         self.used_memory -= run.room.memory_mb
         self.used_gpus -= run.room.gpus
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
@@ -76,6 +77,7 @@
     __slots__ = (
         "_fenced_out_at",
         "_ready",
+        "_run_counts",
         "executors",
         "jobs",
         "lease_s",
@@ -101,6 +103,8 @@
         self.jobs: dict[str, Job] = {}
         self.executors: dict[str, ExecutorView] = {}
         self._ready: dict[TaskName, Task] = {}
+        # Known runs of each task, wanted or not.
+        self._run_counts: Counter[TaskName] = Counter()
 
     @property
     def ready_tasks(self) -> list[Task]:
@@ -186,7 +190,7 @@
         """Take in an executor's entry."""
         view = self.executors.get(info.executor_id)
         if view is None:
-            view = ExecutorView(info, self._fenced_out_at)
+            view = ExecutorView(info, self._fenced_out_at, self._run_counts)
             self.executors[info.executor_id] = view
             return view
         view.info = info
@@ -332,6 +336,9 @@
             if job.progress.begun_term != self.term and not is_settled:
                 # A run of an earlier owner may not have been seen yet.
                 continue
+            if task.name in self._run_counts:
+                # A run that is not wanted has not ended yet.
+                continue
             if task.step.is_gang:
                 orders.extend(self._start_gang(task, now))
                 continue
@@ -350,7 +357,8 @@
         """Start all members of a gang, or none."""
         members = task.job.gang(task)
         for member in members:
-            if member.state is not TaskState.READY:
+            is_running = member.name in self._run_counts
+            if member.state is not TaskState.READY or is_running:
                 return []
         orders: list[StartOrder] = []
         run = max(member.next_run(self.term) for member in members)
--- /dev/null
+++ b/tests/pool_world.py
@@ -0,0 +1,132 @@
+"""A pool's schedule with executors that tests play by hand."""
+
+from __future__ import annotations
+
+from lycheelug.workloads import (
+    EndKind,
+    EndReport,
+    ExecutorInfo,
+    ExecutorView,
+    Job,
+    JobRecord,
+    ListReport,
+    PoolSchedule,
+    ProgressRecord,
+    QueuePolicy,
+    Resources,
+    RunReport,
+    StartAnswer,
+    StartOrder,
+    StepSpec,
+    StopOrder,
+    TaskName,
+    note_start,
+    note_stop,
+    take_list,
+)
+
+JOB = "5c0e7a21d94b36f8"
+ROOM = Resources(4000, 4096, 0)
+
+
+class PoolWorld:
+    """One owner's schedule; time moves only when told."""
+
+    def __init__(self, term: int = 1, fenced_out_at: float = 0.0) -> None:
+        self.now = 100.0
+        self.schedule = PoolSchedule("quotes", term, 5.0, fenced_out_at)
+        self.numbers: dict[str, int] = {}
+
+    def add_executor(
+        self,
+        executor_id: str,
+        heard: bool = True,
+        capacity: Resources = ROOM,
+        labels: tuple[str, ...] = ("a", "r1"),
+        host: str = "",
+    ) -> ExecutorView:
+        view = self.schedule.observe_executor(
+            ExecutorInfo(
+                executor_id,
+                "quotes",
+                "10.0.0.1:1",
+                capacity,
+                labels=labels,
+                host=host or f"h-{executor_id}",
+                born_ms=1,
+            )
+        )
+        if heard:
+            self.hear(executor_id)
+        return view
+
+    def add_job(
+        self,
+        steps: list[StepSpec],
+        job_id: str = JOB,
+        progress: ProgressRecord | None = None,
+        begun: bool = True,
+        max_attempts: int = 2,
+    ) -> Job:
+        job = self.schedule.add_job(
+            job_id,
+            JobRecord("queue", "payload", steps),
+            QueuePolicy("queue", "quotes", max_attempts=max_attempts),
+            progress,
+            0,
+            self.now,
+        )
+        if begun and not job.is_begun:
+            job.begin(self.schedule.term)
+            job.begin_is_stored = True
+        return job
+
+    def plan(self) -> list[StartOrder | StopOrder]:
+        return self.schedule.plan(self.now)
+
+    def starts(self) -> list[StartOrder]:
+        return [each for each in self.plan() if isinstance(each, StartOrder)]
+
+    def stops(self) -> list[StopOrder]:
+        return [each for each in self.plan() if isinstance(each, StopOrder)]
+
+    def answer(
+        self, order: StartOrder, answer: StartAnswer = StartAnswer.STARTED
+    ) -> None:
+        view = self.schedule.executors[order.executor_id]
+        note_start(
+            self.schedule, view, order.task, order.run, answer, self.now
+        )
+
+    def answer_stop(self, order: StopOrder, answered: bool = True) -> None:
+        view = self.schedule.executors[order.executor_id]
+        note_stop(view, (order.task_name, order.run), answered, self.now)
+
+    def hear(
+        self,
+        executor_id: str,
+        running: list[tuple[TaskName, int]] | None = None,
+        ended: list[tuple[TaskName, int, EndKind]] | None = None,
+        asked_at: float | None = None,
+        percent: int = 0,
+        born_ms: int = 1,
+    ) -> None:
+        """Let an executor list what runs and what has newly ended."""
+        view = self.schedule.executors[executor_id]
+        ends: list[EndReport] = []
+        for name, run, kind in ended or []:
+            number = self.numbers.get(executor_id, 0) + 1
+            self.numbers[executor_id] = number
+            ends.append(EndReport(number, name, run, kind))
+        report = ListReport(
+            1000,
+            born_ms,
+            [
+                RunReport(name, run, percent=percent)
+                for name, run in running or []
+            ],
+            ends,
+        )
+        asked = self.now if asked_at is None else asked_at
+        take_list(self.schedule, view, report, asked, self.now, 0)
+        view.acknowledged = view.processed
--- /dev/null
+++ b/tests/test_pool_schedule.py
@@ -0,0 +1,263 @@
+"""One pool's schedule against executors that fail in all known ways."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheelug.workloads import (
+    EndKind,
+    ProgressRecord,
+    RunPhase,
+    StartAnswer,
+    StepSpec,
+    TaskName,
+    TaskState,
+)
+from lycheelug.workloads.model import JobState
+from tests.pool_world import JOB, PoolWorld
+
+TASK = TaskName(JOB, 0, 0, 0)
+ONE = [StepSpec(count=1, cpu_millis=1000, memory_mb=100)]
+
+
+def begun(term: int = 1) -> ProgressRecord:
+    return ProgressRecord(begun_term=term, state=JobState.RUNNING)
+
+
+def test_job_without_stored_mark_is_not_started() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    job = world.add_job(ONE, begun=False)
+    assert world.plan() == []
+    assert world.schedule.jobs_to_begin() == [job]
+
+
+def test_steps_follow_their_dependencies() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    steps = [
+        StepSpec(count=2, cpu_millis=500),
+        StepSpec(count=1, cpu_millis=500, depends_on=[0]),
+    ]
+    job = world.add_job(steps)
+    first = world.starts()
+    assert [order.task.name.step for order in first] == [0, 0]
+    for order in first:
+        world.answer(order)
+    name = first[0].task.name
+    world.hear(
+        "x",
+        running=[(first[1].task.name, first[1].run)],
+        ended=[(name, first[0].run, EndKind.DONE)],
+    )
+    assert world.starts() == []
+    name = first[1].task.name
+    world.hear("x", ended=[(name, first[1].run, EndKind.DONE)])
+    (last,) = world.starts()
+    assert last.task.name.step == 1
+    world.answer(last)
+    world.hear("x", ended=[(last.task.name, last.run, EndKind.DONE)])
+    assert job.progress.state == JobState.COMPLETED
+
+
+def test_room_is_never_exceeded() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_job([StepSpec(count=9, cpu_millis=1500, memory_mb=10)])
+    assert len(world.starts()) == 2
+
+
+@pytest.mark.parametrize(
+    ("answer", "is_free"),
+    [
+        (StartAnswer.REJECTED, True),
+        (StartAnswer.NO_ROOM, True),
+        (StartAnswer.NOT_SENT, True),
+        (StartAnswer.FENCED, True),
+        (StartAnswer.NO_ANSWER, False),
+        (StartAnswer.STARTED, False),
+    ],
+)
+def test_only_a_start_that_had_no_effect_frees_its_task(
+    answer: StartAnswer, is_free: bool
+) -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    job = world.add_job(ONE)
+    (order,) = world.starts()
+    world.answer(order, answer)
+    task = job.find(TASK)
+    assert task is not None
+    assert (task.state is TaskState.READY) is is_free
+    assert bool(world.schedule.executors["x"].runs) is not is_free
+
+
+def test_unanswered_start_is_stopped_before_it_goes_elsewhere() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_executor("y")
+    world.add_job(ONE)
+    (order,) = world.starts()
+    other = "y" if order.executor_id == "x" else "x"
+    world.answer(order, StartAnswer.NO_ANSWER)
+    world.now += 1.0
+    world.hear(other)
+    (stop,) = world.stops()
+    world.answer_stop(stop, answered=False)
+    (stop,) = world.stops()
+    asked_before = world.now
+    world.now += 0.1
+    world.answer_stop(stop)
+    # A list that was asked for before the stop's answer proves nothing.
+    world.hear(order.executor_id, asked_at=asked_before)
+    assert world.starts() == []
+    world.now += 0.1
+    world.hear(order.executor_id)
+    world.hear(other)
+    (again,) = world.starts()
+    assert again.run > order.run
+
+
+def test_unanswered_start_that_runs_is_kept() -> None:
+    world = PoolWorld()
+    view = world.add_executor("x")
+    world.add_job(ONE)
+    (order,) = world.starts()
+    world.answer(order, StartAnswer.NO_ANSWER)
+    world.hear("x", running=[(TASK, order.run)])
+    world.now += 5
+    world.hear("x", running=[(TASK, order.run)])
+    assert world.plan() == []
+    assert view.runs[TASK, order.run].phase is RunPhase.RUNNING
+
+
+def test_silent_executor_keeps_its_tasks_until_the_last_lease_ends() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_job(ONE)
+    (order,) = world.starts()
+    world.answer(order)
+    world.add_executor("y")
+    world.now += 4.9
+    world.hear("y")
+    assert world.starts() == []
+    world.now += 0.3
+    world.hear("y")
+    (again,) = world.starts()
+    assert again.executor_id == "y"
+
+
+def test_new_life_at_the_same_address_has_lost_its_runs() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_job(ONE)
+    (order,) = world.starts()
+    world.answer(order)
+    world.now += 1
+    world.hear("x", born_ms=2)
+    (again,) = world.starts()
+    assert again.run > order.run
+
+
+def test_taken_over_run_is_adopted_and_not_started_again() -> None:
+    world = PoolWorld(term=2, fenced_out_at=200.0)
+    world.add_executor("x", heard=False)
+    world.add_executor("y", heard=False)
+    world.add_job(ONE, progress=begun())
+    world.hear("y")
+    # The run may be on the executor that was not heard yet.
+    assert world.starts() == []
+    world.hear("x", running=[(TASK, 1001)])
+    assert world.plan() == []
+    task = world.schedule.jobs[JOB].find(TASK)
+    assert task is not None
+    assert task.executor_id == "x"
+
+
+def test_unwanted_run_ends_before_its_task_is_started() -> None:
+    """A run that was judged before its job was known; seen on a day."""
+    world = PoolWorld(term=2, fenced_out_at=200.0)
+    world.add_executor("x", heard=False)
+    world.hear("x", running=[(TASK, 1005)])
+    (stop,) = world.stops()
+    world.add_job(ONE, progress=begun())
+    assert world.starts() == []
+    world.answer_stop(stop)
+    world.now += 0.1
+    world.hear("x", ended=[(TASK, 1005, EndKind.STOPPED)])
+    (order,) = world.starts()
+    assert order.run > 1005
+
+
+def test_job_fails_with_its_last_attempt() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_executor("y")
+    job = world.add_job(ONE, max_attempts=2)
+    (order,) = world.starts()
+    first = order.executor_id
+    world.answer(order)
+    world.hear(first, ended=[(TASK, order.run, EndKind.FAILED)])
+    (order,) = world.starts()
+    assert order.executor_id != first
+    world.answer(order)
+    world.hear(order.executor_id, ended=[(TASK, order.run, EndKind.FAILED)])
+    assert job.progress.state == JobState.FAILED
+    assert world.plan() == []
+
+
+def test_cancel_stops_what_runs_and_what_was_not_answered() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_job([StepSpec(count=2, cpu_millis=1000)])
+    started, unanswered = world.starts()
+    world.answer(started)
+    world.answer(unanswered, StartAnswer.NO_ANSWER)
+    world.schedule.cancel_job(JOB, 0)
+    assert len(world.stops()) == 2
+
+
+def test_gang_starts_whole_with_one_run_number() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_job([StepSpec(count=3, cpu_millis=2000, is_gang=True)])
+    assert world.starts() == []
+    world.add_executor("y")
+    orders = world.starts()
+    assert len(orders) == 3
+    assert len({order.run for order in orders}) == 1
+
+
+@pytest.mark.parametrize(
+    ("percents", "moves"),
+    [
+        # All others are at work: one may be away.
+        ((100, 100, 100), 1),
+        # One is still in its startup.
+        ((100, 100, 40), 0),
+    ],
+)
+def test_emptying_a_host_ends_no_more_than_may_be_away(
+    percents: tuple[int, ...], moves: int
+) -> None:
+    world = PoolWorld()
+    for name in ("x", "y", "z"):
+        world.add_executor(name)
+    step = StepSpec(
+        count=3, cpu_millis=100, lasts=True, may_miss=1, max_per_executor=1
+    )
+    world.add_job([step])
+    orders = world.starts()
+    for order, percent in zip(orders, percents, strict=True):
+        world.answer(order)
+        world.hear(
+            order.executor_id,
+            running=[(order.task.name, order.run)],
+            percent=percent,
+        )
+    view = world.schedule.executors[orders[0].executor_id]
+    view.cordon("1.1", world.now)
+    view2 = world.schedule.executors[orders[1].executor_id]
+    view2.cordon("1.2", world.now)
+    assert len(world.stops()) == moves
+    assert not view.is_vacated
