Extend no lease at an executor that does not answer

Ruled out: no room (the pool had it), an owner without proof. Change: a look at a silent executor carries no deadline.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -4,6 +4,9 @@
 are durable, and waits on the executor's side for the next end.  After an
 end, the next look waits until the store has it: without a new
 acknowledgement it would only be told the same.
+
+A look at a silent executor extends no lease: what may run there must come
+to an end, so that its tasks can start elsewhere.
 """
 
 from __future__ import annotations
@@ -99,7 +102,7 @@
         asked_at = context.clock.now()
         deadline_ms = None
         clock_ms = view.estimate_clock_ms(asked_at)
-        if clock_ms is not None and owner.is_verified:
+        if clock_ms is not None and owner.is_verified and not self._is_silent:
             deadline_ms = clock_ms + int(context.lease_s * 1000)
             view.note_deadline(asked_at, context.lease_s)
         wait_s = LOOK_WAIT_S if view.is_fenced else 0.0
