Prove the job service under failure on virtual time; judge unanswered starts by later lists

Three tests failed first: an unanswered start was stopped before a list could show its run; a fenced executor kept the takeover's long wait as its last lease, so a silent one held its tasks for 13 s instead of 5. Change: an unanswered start is stopped only after a list that was asked for later lacks it; the first fenced list sets the last lease anew.

--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -190,6 +190,7 @@
         "stop_sent",
         "task",
         "task_name",
+        "unknown_at",
         "why_stopped",
     )
 
@@ -214,6 +215,8 @@
         self.percent = 0
         # Local time at which `percent` last rose.
         self.percent_at = ordered_at
+        # Local time at which its start was given up as unanswered.
+        self.unknown_at = ordered_at
         self.stop_sent = False
         self.stop_answered_at: float | None = None
         self.why_stopped = ""
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -61,7 +61,11 @@
         _begin_new_life(schedule, view, report.born_ms, asked_at, now)
     elif view.info.born_ms == 0:
         view.info.born_ms = report.born_ms
-    view.is_fenced = True
+    if not view.is_fenced:
+        # No earlier owner extends a lease any more.
+        view.is_fenced = True
+        view.lapses_at = now
+        view.note_deadline(now, schedule.lease_s)
     view.heard_at = now
     view.asked_at = asked_at
     view.note_clock(report.clock_ms, now)
@@ -102,6 +106,7 @@
         return
     if answer is StartAnswer.NO_ANSWER:
         run.phase = RunPhase.UNKNOWN
+        run.unknown_at = now
         view.shunned_until = max(view.shunned_until, now + SHUN_S)
         return
     if answer in (StartAnswer.NO_ROOM, StartAnswer.NOT_SENT):
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -33,9 +33,9 @@
 
 __all__ = ["PoolSchedule", "StartOrder", "StopOrder"]
 
-# A start without an answer is waited for in the lists for this long
-# before it is stopped.
-UNKNOWN_WAIT_S: Final = 0.6
+# A start without an answer is stopped once a list that was asked for after
+# it lacks its run, or after this long without such a list.
+UNKNOWN_WAIT_S: Final = 1.5
 # An executor that refused a start for want of room or health gets none
 # for this long.
 SHUN_S: Final = 0.5
@@ -285,7 +285,7 @@
         """Return the stops that an executor is to be sent."""
         stops: list[StopOrder] = []
         for run in view.runs.values():
-            why = self._why_stop(run, now)
+            why = self._why_stop(run, view, now)
             if why:
                 run.phase = RunPhase.STOPPING
                 run.why_stopped = run.why_stopped or why
@@ -302,7 +302,7 @@
             )
         return stops
 
-    def _why_stop(self, run: Run, now: float) -> str:
+    def _why_stop(self, run: Run, view: ExecutorView, now: float) -> str:
         """Return why a run is to be stopped; empty where it may go on."""
         if run.phase is RunPhase.STARTING:
             return ""
@@ -315,10 +315,10 @@
             return "job is over"
         if task.state is TaskState.DONE:
             return "task is done"
-        if (
-            run.phase is RunPhase.UNKNOWN
-            and now - run.ordered_at > UNKNOWN_WAIT_S
-        ):
+        if run.phase is not RunPhase.UNKNOWN:
+            return ""
+        is_looked_for = view.asked_at > run.unknown_at
+        if is_looked_for or now - run.unknown_at > UNKNOWN_WAIT_S:
             return "start was not answered"
         return ""
 
--- /dev/null
+++ b/tests/job_world.py
@@ -0,0 +1,401 @@
+"""Daemons of the job service against a store and executors with faults.
+
+Everything runs in one process on virtual time.  The executors keep the
+truth: which runs began when, and which were at work at the same time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from returns.result import Failure, Success
+
+from lycheelug.errors import (
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.jobservice.interfaces import (
+    Configuration,
+    ExecutorGateway,
+    HostAnswer,
+    HostControl,
+    HostInfo,
+    HostState,
+    LookFailure,
+    PoolPolicy,
+    Route,
+    StopAnswer,
+)
+from lycheelug.jobservice.service import JobService
+from lycheelug.store.memory_rows import MemoryRows
+from lycheelug.workloads import (
+    EndKind,
+    EndReport,
+    ExecutorInfo,
+    JobRecord,
+    ListReport,
+    Resources,
+    RunReport,
+    StartAnswer,
+    StepSpec,
+    TaskName,
+)
+from tests.virtual_time import VirtualClock
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from returns.result import Result
+
+    from lycheelug.jobservice.submissions import Reply
+    from lycheelug.store.rows import (
+        HistoryGone,
+        RowCommit,
+        RowConflict,
+        RowName,
+        RowSet,
+    )
+
+POOL = "quotes"
+ROUTE = Route("quick", "", "/q/", POOL, 0, 2, 1.6, 0.6, False)
+CAPACITY = Resources(8000, 8192, 0)
+
+
+class FaultyRows(MemoryRows):
+    """One daemon's way to the shared store."""
+
+    __slots__ = ("down", "lose_answers", "shared")
+
+    def __init__(self, shared: MemoryRows) -> None:
+        super().__init__()
+        self.shared = shared
+        self.down = False
+        # Submissions that take effect and are not answered.
+        self.lose_answers = 0
+
+    async def commit(
+        self,
+        part: str,
+        expected: Mapping[RowName, int],
+        writes: Mapping[RowName, bytes | None],
+    ) -> Result[RowCommit | RowConflict, Fault]:
+        await asyncio.sleep(0.008)
+        if self.down:
+            return Failure(_fault())
+        result = await self.shared.commit(part, expected, writes)
+        is_submission = any(name.table.startswith("jobs-") for name in writes)
+        if is_submission and self.lose_answers:
+            self.lose_answers -= 1
+            return Failure(_fault(unknown=True))
+        return result
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Result[RowSet, Fault]:
+        await asyncio.sleep(0.004)
+        if self.down:
+            return Failure(_fault())
+        return await self.shared.read(table, part, first, end)
+
+    async def parts(self, table: str) -> Result[list[str], Fault]:
+        await asyncio.sleep(0.004)
+        if self.down:
+            return Failure(_fault())
+        return await self.shared.parts(table)
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowSet | HistoryGone, Fault]:
+        await asyncio.sleep(0.004)
+        if self.down:
+            return Failure(_fault())
+        return await self.shared.feed(table, after, wait_s)
+
+
+class FakeRun:
+    """A run on a fake executor."""
+
+    def __init__(self, number: int, began: float) -> None:
+        self.number = number
+        self.began = began
+
+
+class FakeExecutor:
+    """One executor that enforces tokens and leases on its own clock."""
+
+    def __init__(self, executor_id: str, work_s: float) -> None:
+        self.info = ExecutorInfo(
+            executor_id,
+            POOL,
+            f"{executor_id}:1",
+            CAPACITY,
+            labels=("a", "r1"),
+            host=f"h-{executor_id}",
+            born_ms=1,
+        )
+        self.work_s = work_s
+        self.token = 0
+        self.deadline_ms = 0
+        self.running: dict[TaskName, FakeRun] = {}
+        self.ended: list[EndReport] = []
+        self.count = 0
+        self.highest: dict[TaskName, int] = {}
+        # Nothing reaches it, and nothing comes back.
+        self.dark = False
+        # Orders are carried out, their answers are lost.
+        self.mute = False
+
+    def clock_ms(self) -> int:
+        return int(asyncio.get_running_loop().time() * 1000)
+
+    def end(self, name: TaskName, kind: EndKind) -> None:
+        run = self.running.pop(name)
+        self.count += 1
+        self.ended.append(EndReport(self.count, name, run.number, kind))
+
+    def tick(self) -> None:
+        """End what is done, or whose lease is over."""
+        now = asyncio.get_running_loop().time()
+        for name, run in list(self.running.items()):
+            if self.clock_ms() > self.deadline_ms:
+                self.end(name, EndKind.LAPSED)
+            elif now - run.began >= self.work_s:
+                self.end(name, EndKind.DONE)
+
+
+class Began:
+    """A run that really began."""
+
+    def __init__(
+        self, name: TaskName, run: int, executor_id: str, at: float
+    ) -> None:
+        self.name = name
+        self.run = run
+        self.executor_id = executor_id
+        self.at = at
+
+
+class FakeFleet(ExecutorGateway, HostControl):
+    """All executors, and the record of what they began."""
+
+    def __init__(self) -> None:
+        self.executors: dict[str, FakeExecutor] = {}
+        self.began: list[Began] = []
+        # Tasks that were seen to run twice at the same time.
+        self.doubled: list[TaskName] = []
+        # Daemons' tokens that can't reach an executor: (token, executor).
+        self.cut: set[tuple[int, str]] = set()
+        self.host_orders: list[tuple[str, str, int]] = []
+
+    def add(self, executor_id: str, work_s: float = 1.0) -> FakeExecutor:
+        executor = FakeExecutor(executor_id, work_s)
+        self.executors[executor_id] = executor
+        return executor
+
+    async def run(self) -> None:
+        while True:
+            for executor in self.executors.values():
+                executor.tick()
+            await asyncio.sleep(0.02)
+
+    async def start(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        deadline_ms: int,
+        token: int,
+        ticket: str = "",
+    ) -> tuple[StartAnswer, int | None]:
+        executor = self.executors[info.executor_id]
+        await asyncio.sleep(0.002)
+        if executor.dark or (token, info.executor_id) in self.cut:
+            await asyncio.sleep(0.8)
+            return StartAnswer.NO_ANSWER, None
+        if token < executor.token:
+            return StartAnswer.FENCED, executor.clock_ms()
+        executor.token = token
+        if run <= executor.highest.get(task, 0):
+            return StartAnswer.REJECTED, executor.clock_ms()
+        executor.highest[task] = run
+        executor.deadline_ms = max(executor.deadline_ms, deadline_ms)
+        for other in self.executors.values():
+            if task in other.running:
+                self.doubled.append(task)
+        now = asyncio.get_running_loop().time()
+        executor.running[task] = FakeRun(run, now)
+        self.began.append(Began(task, run, info.executor_id, now))
+        if executor.mute:
+            await asyncio.sleep(0.8)
+            return StartAnswer.NO_ANSWER, None
+        return StartAnswer.STARTED, executor.clock_ms()
+
+    async def stop(
+        self, info: ExecutorInfo, task: TaskName, run: int, token: int
+    ) -> StopAnswer:
+        executor = self.executors[info.executor_id]
+        await asyncio.sleep(0.002)
+        if executor.dark or (token, info.executor_id) in self.cut:
+            await asyncio.sleep(0.8)
+            return StopAnswer.NO_ANSWER
+        if token < executor.token:
+            return StopAnswer.FENCED
+        executor.highest[task] = max(run, executor.highest.get(task, 0))
+        if task in executor.running:
+            executor.end(task, EndKind.STOPPED)
+        return StopAnswer.ANSWERED
+
+    async def look(
+        self,
+        info: ExecutorInfo,
+        token: int,
+        acknowledged: int,
+        deadline_ms: int | None,
+        wait_s: float,
+    ) -> Result[ListReport, LookFailure]:
+        executor = self.executors[info.executor_id]
+        await asyncio.sleep(0.002)
+        if executor.dark or (token, info.executor_id) in self.cut:
+            await asyncio.sleep(wait_s + 0.8)
+            return Failure(LookFailure.NO_ANSWER)
+        if token < executor.token:
+            return Failure(LookFailure.FENCED)
+        executor.token = token
+        if deadline_ms is not None:
+            executor.deadline_ms = max(executor.deadline_ms, deadline_ms)
+        executor.ended = [
+            end for end in executor.ended if end.number > acknowledged
+        ]
+        waited_s = 0.0
+        while waited_s < wait_s and not executor.ended:
+            await asyncio.sleep(0.02)
+            waited_s += 0.02
+        if executor.dark:
+            return Failure(LookFailure.NO_ANSWER)
+        running = [
+            RunReport(name, run.number, percent=100)
+            for name, run in executor.running.items()
+        ]
+        return Success(
+            ListReport(executor.clock_ms(), 1, running, list(executor.ended))
+        )
+
+    def forget(self, info: ExecutorInfo) -> None:
+        return
+
+    async def hosts(self) -> Result[list[HostInfo], Fault]:
+        return Success(
+            [
+                HostInfo(
+                    executor.info.host,
+                    POOL,
+                    HostState.UP,
+                    capacity=CAPACITY,
+                    executor_id=executor.info.executor_id,
+                )
+                for executor in self.executors.values()
+            ]
+        )
+
+    async def move(
+        self, host: str, pool: str, holder: str, token: int
+    ) -> HostAnswer:
+        self.host_orders.append((host, pool, token))
+        return HostAnswer.DONE
+
+    async def maintain(
+        self, host: str, wave: int, holder: str, token: int
+    ) -> HostAnswer:
+        self.host_orders.append((host, f"wave {wave}", token))
+        return HostAnswer.DONE
+
+    async def publish_wave(self, wave: int, is_completed: bool) -> bool:
+        return True
+
+
+class JobWorld:
+    """Some daemons, one store, some executors."""
+
+    def __init__(self) -> None:
+        self.rows = MemoryRows()
+        self.fleet = FakeFleet()
+        self.ways: dict[str, FaultyRows] = {}
+        self.daemons: dict[str, JobService] = {}
+        self._playing: asyncio.Task[None] | None = None
+
+    def play(self) -> None:
+        """Let the executors work."""
+        loop = asyncio.get_running_loop()
+        self._playing = loop.create_task(self.fleet.run())
+
+    def start_daemon(self, name: str) -> JobService:
+        way = FaultyRows(self.rows)
+        service = JobService(
+            name, "z1", way, self.fleet, self.fleet, VirtualClock(), 5.0, 2.0
+        )
+        service.take_configuration(
+            Configuration(1, [ROUTE], [PoolPolicy(POOL)])
+        )
+        for executor in self.fleet.executors.values():
+            service.take_executor(executor.info.executor_id, executor.info)
+        service.start()
+        self.ways[name] = way
+        self.daemons[name] = service
+        return service
+
+    async def stop(self) -> None:
+        for service in self.daemons.values():
+            await service.stop()
+        if self._playing is not None:
+            self._playing.cancel()
+        await asyncio.sleep(0)
+
+    async def submit(
+        self, daemon: str, number: int, steps: list[StepSpec] | None = None
+    ) -> Reply:
+        record = JobRecord(
+            ROUTE.name,
+            "payload",
+            steps or [StepSpec(count=2, cpu_millis=1000)],
+        )
+        return await self.daemons[daemon].submissions.submit(
+            ROUTE, job_id(number), record
+        )
+
+    async def state(self, daemon: str, number: int) -> str:
+        reply = await self.daemons[daemon].submissions.state(
+            ROUTE, job_id(number)
+        )
+        return reply.state
+
+    def holders(self, duty: str = POOL) -> list[str]:
+        """Return the daemons that believe they hold a duty."""
+        return [
+            name
+            for name, service in self.daemons.items()
+            if duty in service.duties.held
+        ]
+
+
+def job_id(number: int) -> str:
+    return f"{number:016x}"
+
+
+async def until(
+    condition: Callable[[], bool], timeout_s: float = 30.0
+) -> None:
+    """Wait on virtual time until a condition holds."""
+    async with asyncio.timeout(timeout_s):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+def _fault(unknown: bool = False) -> Fault:
+    code = PLATFORM_UNKNOWN if unknown else PLATFORM_UNREACHABLE
+    return Fault(code, Step.WRITE, Peer.PLATFORM, "by the test")
--- /dev/null
+++ b/tests/test_job_service.py
@@ -0,0 +1,212 @@
+"""The job service's promises while daemons, store and executors fail."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lycheelug.jobservice.submissions import ReplyKind
+from lycheelug.workloads import StepSpec
+from lycheelug.workloads.model import JobState
+from tests.job_world import JobWorld, until
+from tests.virtual_time import run_virtual
+
+
+async def settled(world: JobWorld, executors: int, daemons: int) -> None:
+    """Start everything and wait until the pool has an owner."""
+    for number in range(executors):
+        world.fleet.add(f"x{number}")
+    world.play()
+    for number in range(daemons):
+        world.start_daemon(f"e{number}")
+    await until(lambda: len(world.holders()) == 1)
+
+
+async def wait_state(
+    world: JobWorld, daemon: str, number: int, state: str
+) -> None:
+    async with asyncio.timeout(40):
+        while await world.state(daemon, number) != state:  # noqa: ASYNC110
+            await asyncio.sleep(0.1)
+
+
+def test_job_runs_to_its_end_and_only_once() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        for daemon in world.daemons:
+            reply = await world.submit(daemon, 1)
+            assert reply.kind is ReplyKind.OK
+        await wait_state(world, "e0", 1, JobState.COMPLETED)
+        assert len(world.fleet.began) == 2
+        await world.stop()
+
+    run_virtual(run())
+
+
+@pytest.mark.parametrize(
+    ("down", "lost_answers", "kind"),
+    [
+        # Nothing was done, and the caller is told so.
+        (True, 0, ReplyKind.REFUSED),
+        # The row is there: the repeat finds it.
+        (False, 1, ReplyKind.OK),
+        (False, 2, ReplyKind.OK),
+        # No sure answer at all.
+        (False, 3, ReplyKind.UNDECIDED),
+    ],
+)
+def test_submission_is_told_truly_whatever_the_store_does(
+    down: bool, lost_answers: int, kind: ReplyKind
+) -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=1, daemons=1)
+        world.ways["e0"].down = down
+        world.ways["e0"].lose_answers = lost_answers
+        reply = await world.submit("e0", 7)
+        assert reply.kind is kind
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_dead_owner_is_replaced_and_running_work_goes_on() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        other = next(name for name in world.daemons if name != owner)
+        await world.submit(other, 1, [StepSpec(count=4, cpu_millis=1000)])
+        await until(lambda: len(world.fleet.began) == 4)
+        await world.daemons.pop(owner).stop()
+        await wait_state(world, other, 1, JobState.COMPLETED)
+        assert len(world.fleet.began) == 4
+        assert world.fleet.doubled == []
+        await world.submit(other, 2)
+        await wait_state(world, other, 2, JobState.COMPLETED)
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_owner_without_the_store_is_fenced_by_the_next() -> None:
+    """Two owners at once: nothing runs twice, and only one writes."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        other = next(name for name in world.daemons if name != owner)
+        for executor in world.fleet.executors.values():
+            executor.work_s = 6.0
+        await world.submit(other, 1)
+        await until(lambda: len(world.fleet.began) == 2)
+        world.ways[owner].down = True
+        await until(lambda: len(world.holders()) == 2)
+        await world.submit(other, 2)
+        await wait_state(world, other, 1, JobState.COMPLETED)
+        await wait_state(world, other, 2, JobState.COMPLETED)
+        world.ways[owner].down = False
+        await until(lambda: len(world.holders()) == 1)
+        assert world.fleet.doubled == []
+        assert len(world.fleet.began) == 4
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_graceful_stop_hands_the_pool_over_at_once() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        other = next(name for name in world.daemons if name != owner)
+        await world.submit(other, 1, [StepSpec(count=3, cpu_millis=1000)])
+        await until(lambda: len(world.fleet.began) == 3)
+        await world.daemons[owner].drain()
+        began = asyncio.get_running_loop().time()
+        await until(lambda: world.holders() not in ([], [owner]))
+        assert asyncio.get_running_loop().time() - began < 1.0
+        await world.daemons.pop(owner).stop()
+        await wait_state(world, other, 1, JobState.COMPLETED)
+        assert len(world.fleet.began) == 3
+        assert world.fleet.doubled == []
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_lasting_task_leaves_an_executor_that_fell_silent() -> None:
+    """A dead executor's lease must come to an end; seen on a day."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=1)
+        for executor in world.fleet.executors.values():
+            executor.work_s = 1000.0
+        await world.submit("e0", 1, [StepSpec(count=1, lasts=True)])
+        await until(lambda: len(world.fleet.began) == 1)
+        first = world.fleet.began[0]
+        world.fleet.executors[first.executor_id].dark = True
+        await until(lambda: len(world.fleet.began) == 2, timeout_s=10)
+        assert world.fleet.began[1].executor_id != first.executor_id
+        assert world.fleet.doubled == []
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_unanswered_starts_are_kept_where_they_run() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=1)
+        for executor in world.fleet.executors.values():
+            executor.mute = True
+            executor.work_s = 2.0
+        await world.submit("e0", 1)
+        await wait_state(world, "e0", 1, JobState.COMPLETED)
+        assert len(world.fleet.began) == 2
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_cancelled_job_stops_within_moments() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=1, daemons=2)
+        for executor in world.fleet.executors.values():
+            executor.work_s = 1000.0
+        await world.submit("e0", 1)
+        await until(lambda: len(world.fleet.began) == 2)
+        service = world.daemons["e1"]
+        route = service.configuration.routes[0]  # type: ignore[union-attr]
+        reply = await service.submissions.cancel(route, f"{1:016x}")
+        assert reply.kind is ReplyKind.OK
+        await until(
+            lambda: not world.fleet.executors["x0"].running, timeout_s=2
+        )
+        await wait_state(world, "e0", 1, JobState.CANCELLED)
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_everything_restarts_with_work_running() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=2)
+        await world.submit("e0", 1, [StepSpec(count=4, cpu_millis=1000)])
+        await until(lambda: len(world.fleet.began) == 4)
+        for name in list(world.daemons):
+            await world.daemons.pop(name).stop()
+        await asyncio.sleep(0.5)
+        for name in ("f0", "f1"):
+            world.start_daemon(name)
+        await wait_state(world, "f0", 1, JobState.COMPLETED)
+        assert world.fleet.doubled == []
+        await world.stop()
+
+    run_virtual(run())
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -101,6 +101,7 @@
     other = "y" if order.executor_id == "x" else "x"
     world.answer(order, StartAnswer.NO_ANSWER)
     world.now += 1.0
+    world.hear(order.executor_id)
     world.hear(other)
     (stop,) = world.stops()
     world.answer_stop(stop, answered=False)
@@ -214,6 +215,7 @@
     world.answer(started)
     world.answer(unanswered, StartAnswer.NO_ANSWER)
     world.schedule.cancel_job(JOB, 0)
+    world.now += 0.1
     assert len(world.stops()) == 2
 
 
