Give no run up without proof of ownership; keep lasting tasks placeable through upkeep

Change: proof of ownership after a lease's end before its tasks move; the last summary's executors are recalled at a takeover; hosts to be emptied do not count for their pool; the owner counts jobs without a started task. Test: test_owner_without_proof_gives_no_run_up.

--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -246,10 +246,19 @@
         for name, host in self.hosts.items():
             if host.pool != pool or host.state is not HostState.UP:
                 continue
-            if name not in self.plan.orders:
+            if name not in self.plan.orders and self._is_usable(name):
                 found.append(name)
         return found
 
+    def _is_usable(self, name: str) -> bool:
+        """Whether a host takes tasks, or is too new for its owner's word."""
+        host = self.hosts[name]
+        summary = self.summaries.get(host.pool)
+        load = summary.hosts.get(name) if summary is not None else None
+        if load is None or load.executor != host.executor_id:
+            return True
+        return load.is_usable
+
     def _count(self, pool: str) -> int:
         """Return a pool's hosts, with those that are on their way."""
         count = len(self._members(pool))
@@ -262,7 +271,7 @@
             elif name in self._arriving and self._arriving[name][0] == pool:
                 count += host.pool != pool
         for order in self.plan.orders.values():
-            if order.target == pool or (order.wave and order.pool == pool):
+            if order.target == pool:
                 count += 1
         return count
 
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -38,6 +38,7 @@
     """What a pool's owner knows of one host."""
 
     executor: str
+    address: str = ""
     # Room in use, by all runs and by lasting ones, in thousandths of a core.
     used_cpu: int = 0
     lasting_cpu: int = 0
@@ -65,6 +66,8 @@
     lasting_cpu: int = 0
     # Most executors over which a lasting step must be spread.
     spread: int = 0
+    # Accepted jobs without a started task, by queue.
+    waiting: dict[str, int] = {}
     # Confirmed orders: order numbers by host.
     vacated: dict[str, str] = {}
 
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -234,10 +234,11 @@
             pools = self._pools()
             if not pools:
                 continue
+            self._liveness.keep(self._name, self._incarnation, now)
             wanted = choose_claims(
                 self._name,
                 [*pools, FLEET_PART],
-                self.owners,
+                self._carried_out(),
                 self._liveness,
                 now,
             )
@@ -245,6 +246,14 @@
                 if duty not in self._held:
                     await self._claim(duty)
 
+    def _carried_out(self) -> dict[str, OwnerRecord]:
+        """Return who holds what, without what this daemon let go."""
+        found: dict[str, OwnerRecord] = {}
+        for duty, record in self.owners.items():
+            if record.holder != self._name or duty in self._held:
+                found[duty] = record
+        return found
+
     def _drop_lost(self) -> None:
         """Forget the duties whose holder has ended."""
         for duty, held in list(self._held.items()):
--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -107,7 +107,7 @@
             view.note_deadline(asked_at, context.lease_s)
         wait_s = LOOK_WAIT_S if view.is_fenced else 0.0
         acknowledged = view.acknowledged
-        born_ms = view.info.born_ms
+        born_ms = view.born_ms
         result = await context.gateway.look(
             view.info, owner.term, acknowledged, deadline_ms, wait_s
         )
@@ -154,6 +154,7 @@
     ) -> None:
         """Take in why a look brought no list."""
         owner = self._owner
+        view.heard_at = None
         if not self._is_silent:
             self._is_silent = True
             log_change(
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -17,7 +17,14 @@
 
 from returns.result import Failure, Success
 
-from lycheelug.fleetplan import PLAN_KEY, PLANS_TABLE, decode_plan
+from lycheelug.fleetplan import (
+    PLAN_KEY,
+    PLANS_TABLE,
+    SUMMARIES_TABLE,
+    SUMMARY_KEY,
+    decode_plan,
+    decode_summary,
+)
 from lycheelug.jobservice.executor_loop import ExecutorLoop
 from lycheelug.jobservice.interfaces import StopAnswer
 from lycheelug.jobservice.progress_writer import ProgressWriter
@@ -33,8 +40,10 @@
 from lycheelug.logs import log_change, log_fault
 from lycheelug.store.mirror import TableMirror
 from lycheelug.workloads import (
+    ExecutorInfo,
     PoolSchedule,
     QueuePolicy,
+    Resources,
     StartOrder,
     StopOrder,
     note_start,
@@ -52,7 +61,7 @@
     from lycheelug.jobservice.interfaces import Configuration, ExecutorGateway
     from lycheelug.metrics import Metrics
     from lycheelug.store.rows import RowStore, StoredRow
-    from lycheelug.workloads import ExecutorInfo, Job, ProgressRecord
+    from lycheelug.workloads import Job, ProgressRecord
 
 __all__ = ["LEASE_S", "VERIFY_S", "OwnerContext", "PoolOwner"]
 
@@ -244,6 +253,11 @@
                 self._context.metrics.count("rows-unreadable")
                 continue
             self._stored_progress[row.key] = (progress, row.version)
+        summary = await self._context.store.read(SUMMARIES_TABLE, self.pool)
+        if isinstance(summary, Failure):
+            return Failure(summary.failure())
+        for row in summary.unwrap().rows:
+            self._recall_executors(row)
         log_change(
             "pool-recovered",
             pool=self.pool,
@@ -252,6 +266,27 @@
         )
         return Success(None)
 
+    def _recall_executors(self, row: StoredRow) -> None:
+        """Take in the executors that the last owner used.
+
+        The store may lack the entry of one that is alive: entries lapse
+        while the store, or the way to it, is away.
+        """
+        summary = decode_summary(row.value or b"")
+        if row.key != SUMMARY_KEY or summary is None:
+            return
+        self.writer.note_summary_version(row.version)
+        for host, load in summary.hosts.items():
+            if not load.address or not (load.runs or load.is_usable):
+                continue
+            room = Resources(load.capacity_cpu, load.capacity_memory, 0)
+            view = self.schedule.observe_executor(
+                ExecutorInfo(
+                    load.executor, self.pool, load.address, room, host=host
+                )
+            )
+            view.is_listed = False
+
     def _on_row(self, row: StoredRow) -> None:
         """Take in a submission or a cancel."""
         clock = self._context.clock
@@ -336,7 +371,9 @@
             self._open_due()
             self.writer.wake_if_needed()
             if self.is_verified:
-                for order in self.schedule.plan(self._context.clock.now()):
+                for order in self.schedule.plan(
+                    self._context.clock.now(), self.verified_at
+                ):
                     if isinstance(order, StartOrder):
                         self.spawn(self._start(order))
                     else:
@@ -357,13 +394,14 @@
             view.cordon(
                 self._vacate.get(info.host, ""), self._context.clock.now()
             )
-            if info.executor_id not in self._loops:
-                loop = ExecutorLoop(self._context, self, info.executor_id)
-                self._loops[info.executor_id] = loop
-                self.spawn(loop.run())
         for executor_id in list(self.schedule.executors):
             if executor_id not in listed:
                 self.schedule.miss_executor(executor_id)
+        for executor_id in self.schedule.executors:
+            if executor_id not in self._loops:
+                loop = ExecutorLoop(self._context, self, executor_id)
+                self._loops[executor_id] = loop
+                self.spawn(loop.run())
         for executor_id in list(self._loops):
             if executor_id not in self.schedule.executors:
                 self._loops.pop(executor_id).end()
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -34,6 +34,8 @@
 # there is nothing to write.
 PROVE_S: Final = 1.5
 RETRY_S: Final = 0.1
+# Ends that come close together are stored together.
+GATHER_S: Final = 0.02
 # The pool's summary is stored at most this often.
 SUMMARY_S: Final = 0.15
 
@@ -65,6 +67,10 @@
         self._summary_version = 0
         self._is_lost = False
 
+    def note_summary_version(self, version: int) -> None:
+        """Take in the version of the last owner's summary."""
+        self._summary_version = version
+
     def verify_soon(self) -> None:
         """Prove the ownership at once: an executor knows a newer owner."""
         self._must_verify = True
@@ -78,15 +84,11 @@
     async def run(self) -> None:
         """Write whatever changes until cancelled."""
         while True:
-            wait_s = PROVE_S
-            if self._has_work():
-                wait_s = 0.0
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
+            if not self._has_work():
+                await self._wait()
             self._wake.clear()
+            if not self._owner.schedule.jobs_to_begin():
+                await asyncio.sleep(GATHER_S)
             async with self._writing:
                 is_stored = await self._write()
             if not is_stored:
@@ -97,6 +99,14 @@
         async with self._writing:
             await self._write()
 
+    async def _wait(self) -> None:
+        """Wait for work, or until the ownership is to be proved."""
+        try:
+            async with asyncio.timeout(PROVE_S):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
     def _has_work(self) -> bool:
         """Whether something waits to be written or acknowledged."""
         schedule = self._owner.schedule
@@ -112,7 +122,8 @@
 
     def _changed_summary(self) -> bytes:
         """Return the pool's summary if it has changed."""
-        value = msgspec.json.encode(summarize(self._owner.schedule))
+        now = self._context.clock.now()
+        value = msgspec.json.encode(summarize(self._owner.schedule, now))
         return value if value != self._summary else b""
 
     def _is_summary_due(self) -> bool:
@@ -146,7 +157,7 @@
             expected[summary_row] = self._summary_version
             writes[summary_row] = summary
         seen = [
-            (view, view.info.born_ms, view.processed)
+            (view, view.born_ms, view.processed)
             for view in schedule.executors.values()
         ]
         asked_at = self._context.clock.now()
@@ -171,7 +182,7 @@
                 job.begin_is_stored = True
         if is_whole:
             for view, born_ms, processed in seen:
-                if view.info.born_ms == born_ms:
+                if view.born_ms == born_ms:
                     view.acknowledged = max(view.acknowledged, processed)
             owner.note_recorded()
         owner.wake()
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -15,6 +15,11 @@
 from returns.result import Failure, Success
 
 from lycheelug.errors import PLATFORM_UNREACHABLE
+from lycheelug.fleetplan import (
+    SUMMARIES_TABLE,
+    SUMMARY_KEY,
+    decode_summary,
+)
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     JOB_PREFIX,
@@ -201,24 +206,19 @@
         return Reply(ReplyKind.UNKNOWN_JOB)
 
     async def pending(self, route: Route) -> Reply:
-        """Return how many accepted jobs of a queue have not begun."""
-        read = await self._store.read(
-            jobs_table(route.pool), route.pool, JOB_PREFIX, JOB_PREFIX + "~"
-        )
+        """Return how many accepted jobs of a queue have not started.
+
+        The pool's owner counts them in its summary.
+        """
+        read = await self._read_one(SUMMARIES_TABLE, route.pool, SUMMARY_KEY)
         if isinstance(read, Failure):
             return self._refuse("count", route.name, read.failure())
-        begun = await self._store.read(PROGRESS_TABLE, route.pool)
-        if isinstance(begun, Failure):
-            return self._refuse("count", route.name, begun.failure())
-        begun_ids = {row.key for row in begun.unwrap().rows}
-        needle = b'"queue":' + msgspec.json.encode(route.name)
-        count = 0
         for row in read.unwrap().rows:
-            if row.key[len(JOB_PREFIX) :] in begun_ids:
-                continue
-            if needle in (row.value or b""):
-                count += 1
-        return Reply(ReplyKind.OK, pending=count)
+            summary = decode_summary(row.value or b"")
+            if summary is not None:
+                count = summary.waiting.get(route.name, 0)
+                return Reply(ReplyKind.OK, pending=count)
+        return Reply(ReplyKind.OK)
 
     async def _read_one(
         self, table: str, part: str, key: str
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -14,14 +14,14 @@
 __all__ = ["summarize"]
 
 
-def summarize(schedule: PoolSchedule) -> SummaryRecord:
+def summarize(schedule: PoolSchedule, now: float) -> SummaryRecord:
     """Return a pool's load."""
     summary = SummaryRecord(schedule.term)
     for view in schedule.executors.values():
         host = view.info.host
-        if not host or not view.is_listed:
+        if not host or not (view.is_listed or view.runs):
             continue
-        summary.hosts[host] = _load(view)
+        summary.hosts[host] = _load(view, now)
         summary.running_cpu += view.used_cpu
         summary.running_memory += view.used_memory
         if view.is_vacated:
@@ -29,6 +29,9 @@
     for job in schedule.jobs.values():
         if job.is_final:
             continue
+        if not job.has_started:
+            queue = job.record.queue
+            summary.waiting[queue] = summary.waiting.get(queue, 0) + 1
         for task in job.tasks():
             room = task.step.room
             if task.state is TaskState.READY:
@@ -45,15 +48,16 @@
     return summary
 
 
-def _load(view: ExecutorView) -> HostLoad:
+def _load(view: ExecutorView, now: float) -> HostLoad:
     """Return the load of one host."""
     load = HostLoad(
         view.executor_id,
+        address=view.info.address,
         used_cpu=view.used_cpu,
         runs=len(view.runs),
         capacity_cpu=view.info.capacity.cpu_millis,
         capacity_memory=view.info.capacity.memory_mb,
-        is_usable=not view.info.draining and not view.cordon_order,
+        is_usable=view.is_sound(now) and not view.cordon_order,
     )
     for run in view.runs.values():
         if run.task is not None and run.task.step.lasts:
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -62,6 +62,12 @@
             return
         self._peers[name] = _Peer(incarnation, version, now, leaving)
 
+    def keep(self, name: str, incarnation: str, now: float) -> None:
+        """Take in that a daemon lives, whatever its row says."""
+        peer = self._peers.get(name)
+        if peer is not None and peer.incarnation == incarnation:
+            peer.changed_at = now
+
     def note_look(self, now: float, gap_s: float) -> None:
         """Take in that all rows were read now.
 
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -34,6 +34,8 @@
 
 # An executor's clock may run this much too slow (the platform's figure).
 CLOCK_DRIFT: Final = 0.02
+# An executor that was silent for longer gets no new tasks.
+SILENT_S: Final = 2.5
 
 
 class EndKind(Enum):
@@ -234,6 +236,7 @@
         "_run_counts",
         "acknowledged",
         "asked_at",
+        "born_ms",
         "clock_at",
         "clock_ms",
         "cordon_order",
@@ -262,6 +265,9 @@
         self.lapses_at = lapses_at
         # Known runs of each task on all executors of the pool.
         self._run_counts = Counter() if run_counts is None else run_counts
+        # Unix time in milliseconds at which its present life began; only
+        # its own lists move it on, as entries may lag.
+        self.born_ms = info.born_ms
         # Whether it has answered this owner's fencing token.
         self.is_fenced = False
         # Whether the store still has its entry.
@@ -305,6 +311,12 @@
             return False
         return self.asked_at > self.cordoned_at
 
+    def is_sound(self, now: float) -> bool:
+        """Whether it answers this owner, is listed and does not drain."""
+        if not self.is_fenced or not self.is_listed or self.info.draining:
+            return False
+        return self.heard_at is not None and now - self.heard_at <= SILENT_S
+
     def cordon(self, order: str, now: float) -> None:
         """Give it no new tasks, or use it again (no order)."""
         if order and not self.cordon_order:
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -87,6 +87,7 @@
         "begin_is_stored",
         "cancelled",
         "due_ms",
+        "has_started",
         "is_dirty",
         "is_lasting",
         "job_id",
@@ -111,6 +112,12 @@
         self.progress = progress or ProgressRecord()
         # The store's version of the progress record; 0 for none.
         self.row_version = 0
+        # Whether a task is known to have been started.
+        self.has_started = bool(
+            self.progress.done
+            or self.progress.failures
+            or self.progress.finished
+        )
         # Whether the store has the mark that the job has begun.
         self.begin_is_stored = self.progress.begun_term > 0
         self.cancelled = self.progress.state == JobState.CANCELLED
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -57,10 +57,10 @@
     unix_ms: int,
 ) -> list[EndReport]:
     """Take in an executor's list; return the ends that are new."""
-    if view.info.born_ms and report.born_ms > view.info.born_ms:
+    if view.born_ms and report.born_ms > view.born_ms:
         _begin_new_life(schedule, view, report.born_ms, asked_at, now)
-    elif view.info.born_ms == 0:
-        view.info.born_ms = report.born_ms
+    elif view.born_ms == 0:
+        view.born_ms = report.born_ms
     if not view.is_fenced:
         # No earlier owner extends a lease any more.
         view.is_fenced = True
@@ -103,6 +103,7 @@
         run.confirmed_at = now
         run.percent_at = now
         run.phase = RunPhase.RUNNING
+        task.job.has_started = True
         return
     if answer is StartAnswer.NO_ANSWER:
         run.phase = RunPhase.UNKNOWN
@@ -142,7 +143,7 @@
 
     An order without an answer may have been carried out by the new life.
     """
-    view.info.born_ms = born_ms
+    view.born_ms = born_ms
     view.processed = 0
     view.acknowledged = 0
     view.clock_ms = None
@@ -169,6 +170,8 @@
         run.phase = RunPhase.RUNNING
     if run.confirmed_at is None:
         run.confirmed_at = now
+    if run.task is not None:
+        run.task.job.has_started = True
     if entry.percent > run.percent:
         run.percent_at = now
     run.percent = entry.percent
@@ -221,6 +224,7 @@
     if job is None or task is None:
         return
     task.last_run = max(task.last_run, end.run)
+    job.has_started = True
     if end.kind is EndKind.DONE:
         _take_done(schedule, task, now, unix_ms)
         return
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -23,21 +23,15 @@
 
 PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
 
-# An executor that was silent for longer gets no new tasks.
-SILENT_S: Final = 2.5
-
 
 def may_take(view: ExecutorView, task: Task, now: float) -> bool:
     """Whether an executor may be given a task at all."""
-    info = view.info
-    if not view.is_fenced or not view.is_listed or info.draining:
+    if not view.is_sound(now):
         return False
     if view.cordon_order or view.shunned_until > now:
         return False
-    if view.heard_at is None or now - view.heard_at > SILENT_S:
-        return False
     step = task.step
-    if step.required_label and step.required_label not in info.labels:
+    if step.required_label and step.required_label not in view.info.labels:
         return False
     if not view.fits(step.room):
         return False
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -11,7 +11,8 @@
   next lists show the run, or it is stopped; only an answered stop and a
   list after it free the task.
 * A run that may live on a silent executor is given up only when every
-  lease that was ordered there has ended.
+  lease that was ordered there has ended, and the store has said since then
+  that there is no newer owner, who might have extended it.
 * After a takeover, a task of a job that has begun waits until each
   executor that may run it has answered the new fencing token or its
   lease has ended.
@@ -229,20 +230,32 @@
 
     # --- Orders.
 
-    def plan(self, now: float) -> list[StartOrder | StopOrder]:
-        """Return the orders that are due now."""
+    def plan(
+        self, now: float, verified_at: float
+    ) -> list[StartOrder | StopOrder]:
+        """Return the orders that are due now.
+
+        At `verified_at` the store was asked whether this owner still is
+        the owner, and said so.
+        """
         orders: list[StartOrder | StopOrder] = []
         for view in list(self.executors.values()):
-            self._expire(view, now)
+            self._expire(view, now, verified_at)
             if view.cordon_order or view.info.draining:
                 self._relocate(view)
             orders.extend(self._stops(view, now))
         orders.extend(self._starts(now))
         return orders
 
-    def _expire(self, view: ExecutorView, now: float) -> None:
-        """Free what ran on an executor whose last lease has ended."""
-        if now < view.lapses_at:
+    def _expire(
+        self, view: ExecutorView, now: float, verified_at: float
+    ) -> None:
+        """Free what ran on an executor whose last lease has ended.
+
+        A new owner may have extended the lease, so the ownership must have
+        been proved after that end.
+        """
+        if now < view.lapses_at or verified_at < view.lapses_at:
             return
         self.clear_runs(view, now)
         if not view.is_listed:
--- a/tests/pool_world.py
+++ b/tests/pool_world.py
@@ -35,6 +35,8 @@
     def __init__(self, term: int = 1, fenced_out_at: float = 0.0) -> None:
         self.now = 100.0
         self.schedule = PoolSchedule("quotes", term, 5.0, fenced_out_at)
+        # None: the ownership is proved all the time.
+        self.verified_at: float | None = None
         self.numbers: dict[str, int] = {}
 
     def add_executor(
@@ -82,7 +84,10 @@
         return job
 
     def plan(self) -> list[StartOrder | StopOrder]:
-        return self.schedule.plan(self.now)
+        verified_at = (
+            self.now if self.verified_at is None else self.verified_at
+        )
+        return self.schedule.plan(self.now, verified_at)
 
     def starts(self) -> list[StartOrder]:
         return [each for each in self.plan() if isinstance(each, StartOrder)]
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -148,6 +148,22 @@
     assert again.executor_id == "y"
 
 
+def test_owner_without_proof_gives_no_run_up() -> None:
+    """A new owner may have extended the lease; seen in a cut zone."""
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_job(ONE)
+    (order,) = world.starts()
+    world.answer(order)
+    world.add_executor("y")
+    world.verified_at = world.now + 1
+    world.now += 6
+    world.hear("y")
+    assert world.starts() == []
+    world.verified_at = world.now
+    assert len(world.starts()) == 1
+
+
 def test_new_life_at_the_same_address_has_lost_its_runs() -> None:
     world = PoolWorld()
     world.add_executor("x")
