Use an executor only once the store knows of it; wait for the store without new claims

Terms rose each second while the store was away, as a failed recovery gave the duty up. Change: an executor is used after a stored summary names it, a new owner recalls all of these; recovery is retried under the same term. Tests: three in test_job_service.py and test_pool_schedule.py.

--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -46,6 +46,7 @@
 
     __slots__ = (
         "_arriving",
+        "_has_seen_work",
         "_number",
         "_surplus_since",
         "_upkeep_ends",
@@ -81,6 +82,8 @@
         self.pools: list[str] = []
         self.standby = ""
         self._number = 0
+        # Without any work seen, nothing tells which hosts are too many.
+        self._has_seen_work = False
         self._surplus_since: dict[str, float] = {}
         # Hosts that were sent to a pool and have not shown up in it.
         self._arriving: dict[str, tuple[str, float]] = {}
@@ -238,6 +241,8 @@
                 wanted[pool] = self._count(pool)
                 continue
             wanted[pool] = policy(summary, host_cpu, host_memory)
+            if summary.short_cpu > 0:
+                self._has_seen_work = True
         return wanted
 
     def _members(self, pool: str) -> list[str]:
@@ -356,7 +361,7 @@
             spare = self._count(pool) - wanted[pool]
             if spare < 0:
                 missing.extend([pool] * -spare)
-            if spare <= 0:
+            if spare <= 0 or not self._has_seen_work:
                 self._surplus_since.pop(pool, None)
                 continue
             since = self._surplus_since.setdefault(pool, now)
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -71,6 +71,12 @@
     # Confirmed orders: order numbers by host.
     vacated: dict[str, str] = {}
 
+    @property
+    def short_cpu(self) -> int:
+        """Room that tasks take or want which come to an end by themselves."""
+        wanted = self.running_cpu + self.ready_cpu + self.blocked_cpu
+        return wanted - self.lasting_cpu
+
 
 class VacateOrder(msgspec.Struct, omit_defaults=True):
     """A host that is to be emptied, and what for."""
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -74,6 +74,7 @@
 GATHER_S: Final = 0.03
 # The schedule is looked at this often even if nothing happened.
 TICK_S: Final = 0.1
+RECOVER_RETRY_S: Final = 0.3
 
 
 class OwnerContext:
@@ -178,14 +179,7 @@
     async def run(self) -> None:
         """Own the pool until it is lost or this is cancelled."""
         try:
-            recovered = await self._recover()
-            if isinstance(recovered, Failure):
-                log_fault(
-                    "pool-not-recovered",
-                    recovered.failure(),
-                    pool=self.pool,
-                    term=self.term,
-                )
+            if not await self._recover_in_time():
                 return
             self.spawn(self._plan_mirror.run())
             self.spawn(self._mirror.run())
@@ -241,6 +235,24 @@
 
     # --- Recovery and intake.
 
+    async def _recover_in_time(self) -> bool:
+        """Recover, however long the store is away; False once lost.
+
+        A new claim would only raise the term and begin the wait anew.
+        """
+        while not self.lost.is_set():
+            recovered = await self._recover()
+            if not isinstance(recovered, Failure):
+                return True
+            log_fault(
+                "pool-not-recovered",
+                recovered.failure(),
+                pool=self.pool,
+                term=self.term,
+            )
+            await asyncio.sleep(RECOVER_RETRY_S)
+        return False
+
     async def _recover(self) -> Result[None, Fault]:
         """Read progress; the jobs follow through the mirror."""
         read = await self._context.store.read(PROGRESS_TABLE, self.pool)
@@ -277,7 +289,7 @@
             return
         self.writer.note_summary_version(row.version)
         for host, load in summary.hosts.items():
-            if not load.address or not (load.runs or load.is_usable):
+            if not load.address or host in summary.vacated:
                 continue
             room = Resources(load.capacity_cpu, load.capacity_memory, 0)
             view = self.schedule.observe_executor(
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
     from lycheelug.jobservice.pool_owner import OwnerContext, PoolOwner
-    from lycheelug.workloads import Job
+    from lycheelug.workloads import ExecutorView, Job
 
 __all__ = ["ProgressWriter"]
 
@@ -38,6 +38,31 @@
 GATHER_S: Final = 0.02
 # The pool's summary is stored at most this often.
 SUMMARY_S: Final = 0.15
+OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
+SUMMARY_ROW: Final = RowName(SUMMARIES_TABLE, SUMMARY_KEY)
+
+
+class _Batch:
+    """What one transaction writes, and what it makes durable."""
+
+    __slots__ = (
+        "expected",
+        "is_whole",
+        "jobs",
+        "seen",
+        "summary",
+        "writes",
+    )
+
+    def __init__(self) -> None:
+        self.expected: dict[RowName, int] = {}
+        self.writes: dict[RowName, bytes | None] = {}
+        self.jobs: list[Job] = []
+        self.summary = b""
+        # Executors, their lives, and the ends that were taken in.
+        self.seen: list[tuple[ExecutorView, int, int]] = []
+        # Whether it has all changes that those ends brought.
+        self.is_whole = True
 
 
 class ProgressWriter:
@@ -129,6 +154,9 @@
     def _is_summary_due(self) -> bool:
         """Whether a change of the summary is worth a write of its own."""
         now = self._context.clock.now()
+        for view in self._owner.schedule.executors.values():
+            if view.is_fenced and not view.is_recorded:
+                return True
         if now - self._summary_at < SUMMARY_S:
             return False
         self._summary_at = now
@@ -137,67 +165,77 @@
     async def _write(self) -> bool:
         """Write once; False where the store did not take it."""
         owner = self._owner
-        schedule = owner.schedule
-        for job in schedule.jobs_to_begin()[:JOBS_MAX]:
-            job.begin(owner.term)
-        jobs = [job for job in schedule.jobs.values() if job.is_dirty]
-        is_whole = len(jobs) <= JOBS_MAX
-        jobs = jobs[:JOBS_MAX]
-        owner_row = RowName(OWNERS_TABLE, OWNER_KEY)
-        expected = {owner_row: owner.owner_version}
-        writes: dict[RowName, bytes | None] = {}
-        for job in jobs:
-            name = RowName(PROGRESS_TABLE, job.job_id)
-            expected[name] = job.row_version
-            writes[name] = msgspec.json.encode(job.progress)
-            job.is_dirty = False
-        summary = self._changed_summary()
-        summary_row = RowName(SUMMARIES_TABLE, SUMMARY_KEY)
-        if summary:
-            expected[summary_row] = self._summary_version
-            writes[summary_row] = summary
-        seen = [
-            (view, view.born_ms, view.processed)
-            for view in schedule.executors.values()
-        ]
+        batch = self._gather()
         asked_at = self._context.clock.now()
-        result = await self._context.store.commit(owner.pool, expected, writes)
+        result = await self._context.store.commit(
+            owner.pool, batch.expected, batch.writes
+        )
         if isinstance(result, Failure):
-            for job in jobs:
+            for job in batch.jobs:
                 job.is_dirty = True
             self._note_failure(result.failure())
             return False
         outcome = result.unwrap()
         if isinstance(outcome, RowConflict):
-            self._take_conflict(outcome, jobs, owner_row)
+            self._take_conflict(outcome, batch.jobs)
             return False
         self._note_success()
         owner.verified_at = asked_at
-        if summary:
-            self._summary = summary
-            self._summary_version = outcome.version
-        for job in jobs:
-            job.row_version = outcome.version
-            if job.progress.begun_term:
-                job.begin_is_stored = True
-        if is_whole:
-            for view, born_ms, processed in seen:
-                if view.born_ms == born_ms:
-                    view.acknowledged = max(view.acknowledged, processed)
-            owner.note_recorded()
+        self._confirm(batch, outcome.version)
         owner.wake()
         return True
 
-    def _take_conflict(
-        self, conflict: RowConflict, jobs: list[Job], owner_row: RowName
-    ) -> None:
+    def _gather(self) -> _Batch:
+        """Return what is to be written now."""
+        owner = self._owner
+        schedule = owner.schedule
+        for job in schedule.jobs_to_begin()[:JOBS_MAX]:
+            job.begin(owner.term)
+        batch = _Batch()
+        batch.expected[OWNER_ROW] = owner.owner_version
+        for job in schedule.jobs.values():
+            if not job.is_dirty:
+                continue
+            if len(batch.jobs) >= JOBS_MAX:
+                batch.is_whole = False
+                break
+            job.is_dirty = False
+            name = RowName(PROGRESS_TABLE, job.job_id)
+            batch.jobs.append(job)
+            batch.expected[name] = job.row_version
+            batch.writes[name] = msgspec.json.encode(job.progress)
+        batch.summary = self._changed_summary()
+        if batch.summary:
+            batch.expected[SUMMARY_ROW] = self._summary_version
+            batch.writes[SUMMARY_ROW] = batch.summary
+        for view in schedule.executors.values():
+            batch.seen.append((view, view.born_ms, view.processed))
+        return batch
+
+    def _confirm(self, batch: _Batch, version: int) -> None:
+        """Take in that a batch is stored."""
+        if batch.summary:
+            self._summary = batch.summary
+            self._summary_version = version
+        for job in batch.jobs:
+            job.row_version = version
+            if job.progress.begun_term:
+                job.begin_is_stored = True
+        for view, born_ms, processed in batch.seen:
+            view.is_recorded = True
+            if batch.is_whole and view.born_ms == born_ms:
+                view.acknowledged = max(view.acknowledged, processed)
+        if batch.is_whole:
+            self._owner.note_recorded()
+
+    def _take_conflict(self, conflict: RowConflict, jobs: list[Job]) -> None:
         """Find out whether the pool is lost or a write came late."""
         owner = self._owner
-        current = conflict.rows.get(owner_row)
+        current = conflict.rows.get(OWNER_ROW)
         if current is None or current.version != owner.owner_version:
             owner.lose("another owner's row")
             return
-        summary = conflict.rows.get(RowName(SUMMARIES_TABLE, SUMMARY_KEY))
+        summary = conflict.rows.get(SUMMARY_ROW)
         self._summary_version = summary.version if summary else 0
         for job in jobs:
             job.is_dirty = True
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -18,8 +18,9 @@
     """Return a pool's load."""
     summary = SummaryRecord(schedule.term)
     for view in schedule.executors.values():
-        host = view.info.host
-        if not host or not (view.is_listed or view.runs):
+        host = view.info.host or view.executor_id
+        is_gone = not view.is_listed and view.is_fenced and not view.runs
+        if is_gone:
             continue
         summary.hosts[host] = _load(view, now)
         summary.running_cpu += view.used_cpu
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -246,6 +246,7 @@
         "info",
         "is_fenced",
         "is_listed",
+        "is_recorded",
         "lapses_at",
         "processed",
         "runs",
@@ -268,6 +269,9 @@
         # Unix time in milliseconds at which its present life began; only
         # its own lists move it on, as entries may lag.
         self.born_ms = info.born_ms
+        # Whether the store knows that the pool uses it, so that a later
+        # owner looks for its runs even if its entry is gone.
+        self.is_recorded = False
         # Whether it has answered this owner's fencing token.
         self.is_fenced = False
         # Whether the store still has its entry.
@@ -313,7 +317,9 @@
 
     def is_sound(self, now: float) -> bool:
         """Whether it answers this owner, is listed and does not drain."""
-        if not self.is_fenced or not self.is_listed or self.info.draining:
+        if not self.is_fenced or not self.is_recorded:
+            return False
+        if not self.is_listed or self.info.draining:
             return False
         return self.heard_at is not None and now - self.heard_at <= SILENT_S
 
--- a/tests/pool_world.py
+++ b/tests/pool_world.py
@@ -58,6 +58,7 @@
                 born_ms=1,
             )
         )
+        view.is_recorded = True
         if heard:
             self.hear(executor_id)
         return view
--- /dev/null
+++ b/tests/test_fleet_planner.py
@@ -0,0 +1,195 @@
+"""Which hosts are emptied, moved and maintained."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheelug.fleetplan import (
+    FleetPlanner,
+    HostLoad,
+    PlanRecord,
+    SummaryRecord,
+)
+from lycheelug.jobservice.interfaces import (
+    HostInfo,
+    HostState,
+    UpkeepWave,
+)
+from lycheelug.workloads import Resources
+
+ROOM = Resources(1000, 1000, 0)
+
+
+class FleetWorld:
+    """Hosts in two pools and in standby, as the planner is told of them."""
+
+    def __init__(self, plan: PlanRecord | None = None) -> None:
+        self.now = 50.0
+        self.planner = FleetPlanner(3, plan, 2.0)
+        self.planner.pools = ["a", "b"]
+        self.planner.standby = "off"
+        self.planner.summaries["a"] = SummaryRecord(1, ready_cpu=1)
+        self.hosts: dict[str, HostInfo] = {}
+
+    def add(self, pool: str, *names: str, used: int = 0) -> None:
+        summary = self.planner.summaries.setdefault(pool, SummaryRecord(1))
+        for name in names:
+            self.hosts[name] = HostInfo(
+                name, pool, HostState.UP, capacity=ROOM, executor_id=name
+            )
+            summary.hosts[name] = HostLoad(
+                name, used_cpu=used, runs=bool(used), is_usable=True
+            )
+            summary.running_cpu += used
+
+    def decide(self, after_s: float = 0.0) -> None:
+        self.now += after_s
+        self.planner.take_hosts(self.hosts, self.now)
+        self.planner.decide(self.now)
+
+    def confirm(self) -> None:
+        """Let the owners confirm all orders."""
+        for name, order in self.planner.plan.orders.items():
+            summary = self.planner.summaries[order.pool]
+            summary.vacated[name] = order.number
+
+    def wave(self, *names: str, at_once: int = 2) -> None:
+        self.planner.waves[1] = UpkeepWave(1, names, 20.0, at_once, 1)
+
+    @property
+    def targets(self) -> dict[str, str]:
+        return {
+            name: order.target or f"wave {order.wave}"
+            for name, order in self.planner.plan.orders.items()
+        }
+
+
+def test_pool_in_need_gets_standby_hosts_at_once() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", used=900)
+    world.add("b", "b1")
+    world.add("off", "s1", "s2", "s3")
+    world.planner.summaries["a"].ready_cpu = 1700
+    world.decide()
+    assert world.targets == {"s1": "a", "s2": "a"}
+    # What is on its way counts: nothing more is ordered.
+    world.decide(0.1)
+    assert world.targets == {"s1": "a", "s2": "a"}
+
+
+def test_surplus_goes_to_standby_only_after_it_has_lasted() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", "a2", "a3")
+    world.add("b", "b1")
+    world.decide()
+    assert world.targets == {}
+    world.decide(1.0)
+    assert set(world.targets.values()) == {"off"}
+    assert len(world.targets) == 2
+
+
+def test_nothing_is_given_back_before_any_work_came() -> None:
+    """The first surge of a day finds the hosts where they are."""
+    world = FleetWorld()
+    world.planner.summaries.clear()
+    world.add("a", "a1", "a2", "a3")
+    world.add("b", "b1")
+    world.decide()
+    world.decide(9.0)
+    assert world.targets == {}
+    world.planner.summaries["b"].ready_cpu = 10
+    world.decide()
+    world.decide(1.0)
+    assert len(world.targets) == 2
+
+
+def test_lasting_surplus_goes_to_the_pool_in_need() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", "a2")
+    world.add("b", "b1", used=900)
+    world.decide()
+    world.planner.summaries["b"].ready_cpu = 500
+    world.decide(1.0)
+    assert list(world.targets.values()) == ["b"]
+
+
+def test_host_is_called_only_once_its_owner_has_confirmed_this_order() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", "a2")
+    world.add("b", "b1")
+    world.decide()
+    world.decide(1.0)
+    assert world.planner.due_calls() == []
+    (name,) = world.targets
+    world.planner.summaries["a"].vacated[name] = "2.9"
+    assert world.planner.due_calls() == []
+    world.confirm()
+    (call,) = world.planner.due_calls()
+    assert call.host == name
+
+
+def test_wave_takes_standby_hosts_first_and_keeps_its_bound() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", "a2", "a3")
+    world.add("b", "b1", "b2")
+    world.add("off", "s1", "s2", "s3")
+    world.wave("a1", "b1", "s1", "s2", "s3", at_once=2)
+    world.decide()
+    assert world.targets == {"s1": "wave 1", "s2": "wave 1"}
+    assert len(world.planner.due_calls()) == 2
+    world.planner.note_maintained("s1", 1, world.now)
+    world.decide(0.1)
+    assert len(world.planner.due_calls()) <= 1
+
+
+def test_only_host_of_a_pool_is_replaced_before_its_upkeep() -> None:
+    """Its lasting tasks need a place to go; seen on a day."""
+    world = FleetWorld()
+    world.add("a", "a1", used=100)
+    world.add("b", "b1")
+    world.add("off", "s1")
+    world.wave("a1")
+    world.decide()
+    assert world.targets == {"a1": "wave 1", "s1": "a"}
+
+
+def test_wave_is_finished_when_all_hosts_that_stay_are_done() -> None:
+    world = FleetWorld()
+    world.add("off", "s1", "s2")
+    world.wave("s1", "s2", "gone")
+    world.decide()
+    assert world.planner.finished_waves() == []
+    world.planner.note_maintained("s1", 1, world.now)
+    assert world.planner.finished_waves() == []
+    world.planner.note_maintained("s2", 1, world.now)
+    assert world.planner.finished_waves() == [1]
+
+
+def test_order_that_was_sent_is_finished_by_the_next_planner() -> None:
+    """A late call of the last holder must not hit a host in use."""
+    before = FleetWorld()
+    before.add("a", "a1", "a2")
+    before.add("b", "b1")
+    before.decide()
+    before.decide(1.0)
+    (name,) = before.targets
+    before.planner.plan.orders[name].sent = True
+    world = FleetWorld(before.planner.plan)
+    world.add("a", "a1", "a2", used=900)
+    world.add("b", "b1")
+    world.planner.summaries["a"].ready_cpu = 2000
+    world.decide()
+    assert world.targets[name] == "off"
+    world.confirm()
+    assert [call.host for call in world.planner.due_calls()] == [name]
+
+
+@pytest.mark.parametrize("is_usable", [True, False])
+def test_unsound_host_does_not_count_for_its_pool(is_usable: bool) -> None:
+    world = FleetWorld()
+    world.add("a", "a1", "a2", used=600)
+    world.add("b", "b1")
+    world.add("off", "s1")
+    world.planner.summaries["a"].hosts["a2"].is_usable = is_usable
+    world.decide()
+    assert world.targets == ({} if is_usable else {"s1": "a"})
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -9,7 +9,7 @@
 from lycheelug.jobservice.submissions import ReplyKind
 from lycheelug.workloads import StepSpec
 from lycheelug.workloads.model import JobState
-from tests.job_world import JobWorld, until
+from tests.job_world import POOL, JobWorld, until
 from tests.virtual_time import run_virtual
 
 
@@ -117,6 +117,52 @@
     run_virtual(run())
 
 
+def test_new_owner_looks_for_executors_whose_entries_are_gone() -> None:
+    """Entries lapse in a cut; what runs there must not run again."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        for executor in world.fleet.executors.values():
+            executor.work_s = 3.0
+        await world.submit(owner, 1)
+        await until(lambda: len(world.fleet.began) == 2)
+        used = world.fleet.began[0].executor_id
+        world.fleet.executors[used].dark = True
+        await world.daemons.pop(owner).stop()
+        for service in world.daemons.values():
+            service.take_executor(used, None)
+        other = next(iter(world.daemons))
+        await until(lambda: len(world.holders()) == 1)
+        await asyncio.sleep(1.5)
+        assert len(world.fleet.began) == 2
+        world.fleet.executors[used].dark = False
+        await wait_state(world, other, 1, JobState.COMPLETED)
+        assert len(world.fleet.began) == 2
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_owner_waits_for_the_store_without_a_new_claim() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=1, daemons=2)
+        (owner,) = world.holders()
+        other = next(name for name in world.daemons if name != owner)
+        await world.daemons.pop(owner).stop()
+        await until(lambda: len(world.holders()) == 1)
+        world.ways[other].down = True
+        await asyncio.sleep(3)
+        world.ways[other].down = False
+        await asyncio.sleep(3)
+        assert world.daemons[other].duties.owners[POOL].term == 2
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_graceful_stop_hands_the_pool_over_at_once() -> None:
     async def run() -> None:
         world = JobWorld()
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -32,6 +32,17 @@
     assert world.schedule.jobs_to_begin() == [job]
 
 
+def test_executor_is_used_only_once_the_store_knows_of_it() -> None:
+    """A later owner must know where runs may be; seen in a cut zone."""
+    world = PoolWorld()
+    view = world.add_executor("x")
+    view.is_recorded = False
+    world.add_job(ONE)
+    assert world.plan() == []
+    view.is_recorded = True
+    assert len(world.starts()) == 1
+
+
 def test_steps_follow_their_dependencies() -> None:
     world = PoolWorld()
     world.add_executor("x")
