--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -53,6 +53,9 @@
 IDLE_TICK_S: Final = 0.4
 SHARES_PERIOD_S: Final = 1.0
 DRAIN_POLL_S: Final = 0.02
+# A connection that was idle for this long is closed without much risk
+# that its next request is on its way.
+QUIET_S: Final = 0.5
 # Between the first refusal and the end of listening: the balancer and
 # callers with open connections are told meanwhile.
 DRAIN_NOTICE_S: Final = 0.25
@@ -211,8 +214,9 @@
         self.core.enter_phase(Phase.STOPPED)
 
     def _is_busy(self) -> bool:
-        """Whether a request is in progress."""
-        return bool(self._callers_server.busy_connections or self.in_flight)
+        """Whether a request is in progress, or may be on its way."""
+        is_quiet = self._callers_server.is_quiet(QUIET_S)
+        return bool(self.in_flight or not is_quiet)
 
     async def _run_ticks(self) -> None:
         """Do what time alone asks for."""
--- a/lycheelug/http/server.py
+++ b/lycheelug/http/server.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.http.messages import Answer, Request
 from lycheelug.http.server_connection import ServerConnection, ServerLimits
+from lycheelug.logs import log_change
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -24,6 +26,8 @@
 __all__ = ["HttpServer", "ServerConnection", "ServerLimits"]
 
 SWEEP_PERIOD_S: Final = 1.0
+# Connections that may wait to be accepted.
+BACKLOG: Final = 1024
 
 
 class HttpServer:
@@ -31,9 +35,11 @@
 
     __slots__ = (
         "_connections",
+        "_listener",
         "_loop",
         "_server",
         "_sweeper",
+        "_taken",
         "announce_close",
         "draining",
         "handler",
@@ -60,7 +66,10 @@
         # The time of the loop; set by `start`.
         self.now: Callable[[], float] = _not_started
         self._connections: set[ServerConnection] = set()
+        # Connections of the backlog that are being set up.
+        self._taken: set[asyncio.Task[object]] = set()
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
         self._sweeper: asyncio.TimerHandle | None = None
         self._loop: asyncio.AbstractEventLoop | None = None
 
@@ -84,8 +93,15 @@
         """Listen on an address; raise OSError where that fails."""
         self._loop = asyncio.get_running_loop()
         self.now = self._loop.time
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._listener = socket.create_server(
+            (host, port), family=family, backlog=BACKLOG
+        )
+        self._listener.setblocking(False)
         self._server = await self._loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=1024
+            lambda: ServerConnection(self),
+            sock=self._listener,
+            backlog=BACKLOG,
         )
         self._sweep()
 
@@ -94,13 +110,24 @@
         self.draining = True
 
     def stop_accepting(self) -> None:
-        """Take no new connections and end those without a request."""
+        """Take no new connections; what has come is still answered.
+
+        Connections in the backlog are taken first: closing the listener
+        would reset them.  Idle connections stay open, as a request may be
+        on its way: it is told that the server stops.
+        """
         self.draining = True
         if self._server is not None:
+            self._accept_backlog()
             self._server.close()
-        for connection in tuple(self._connections):
-            if not connection.busy:
-                connection.close()
+
+    def is_quiet(self, idle_s: float) -> bool:
+        """Whether all connections have been idle for at least `idle_s`."""
+        now = self.now()
+        for connection in self._connections:
+            if connection.busy or now - connection.idle_since < idle_s:
+                return False
+        return True
 
     def stop(self) -> None:
         """Close everything now."""
@@ -123,6 +150,27 @@
         """Remove a connection."""
         self._connections.discard(connection)
 
+    def _accept_backlog(self) -> None:
+        """Take the connections that wait in the listener's backlog."""
+        assert self._loop is not None
+        assert self._listener is not None
+        while True:
+            try:
+                accepted, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log_change("backlog-not-taken", error=str(error))
+                return
+            accepted.setblocking(False)
+            task = self._loop.create_task(
+                self._loop.connect_accepted_socket(
+                    lambda: ServerConnection(self), accepted
+                )
+            )
+            self._taken.add(task)
+            task.add_done_callback(self._taken.discard)
+
     def _sweep(self) -> None:
         """Expire the connections whose time is over; runs by itself."""
         assert self._loop is not None
--- a/lycheelug/http/server_connection.py
+++ b/lycheelug/http/server_connection.py
@@ -96,6 +96,7 @@
         "_task",
         "_transport",
         "expires_at",
+        "idle_since",
     )
 
     def __init__(self, server: HttpServer) -> None:
@@ -115,6 +116,8 @@
         # Whether the request began after the server started to drain.
         self._late = False
         self.expires_at = 0.0
+        # Loop time since which no request has come.
+        self.idle_since = 0.0
 
     @property
     def busy(self) -> bool:
@@ -201,8 +204,11 @@
 
     def _set_phase(self, phase: _Phase, limit_s: float) -> None:
         """Enter a phase that may last for `limit_s` seconds."""
+        now = self._server.now()
+        if phase is _Phase.IDLE:
+            self.idle_since = now
         self._phase = phase
-        self.expires_at = self._server.now() + limit_s
+        self.expires_at = now + limit_s
 
     def _advance(self) -> None:
         """Take the parser's events until a request is whole."""
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -62,6 +62,10 @@
 NOTICE_S: Final = 2.5
 # What is left of the grace period for the process to end.
 GRACE_MARGIN_S: Final = 1.0
+# A caller's connection that was idle for this long is closed without a
+# risk that its next request is on its way.
+QUIET_S: Final = 0.5
+QUIET_POLL_S: Final = 0.02
 # Executors rewrite their entries all the time; changes are gathered.
 GATHER_EXECUTORS_S: Final = 0.25
 BODY_BYTES_MAX: Final = 1024 * 1024
@@ -175,8 +179,10 @@
         await asyncio.sleep(max(0.0, began + NOTICE_S - loop.time()))
         self._callers.stop_accepting()
         ends_at = began + self._settings.bounds.grace_s - GRACE_MARGIN_S
-        while self._callers.busy_connections and loop.time() < ends_at:  # noqa: ASYNC110
-            await asyncio.sleep(0.02)
+        while not self._callers.is_quiet(QUIET_S):
+            if loop.time() >= ends_at:
+                break
+            await asyncio.sleep(QUIET_POLL_S)
         cut = self._callers.busy_connections
         self._callers.stop()
         self._probes.stop()
