Claim duties only on a current view of the heartbeats

Ruled out: lost heartbeats (the living wrote theirs all the while). Test: test_daemon_that_regains_the_store_claims_nothing_from_the_living.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -231,6 +231,8 @@
                 continue
             if not self._mirror.loaded.is_set():
                 continue
+            if not self._liveness.is_current(now, GAP_S):
+                continue
             pools = self._pools()
             if not pools:
                 continue
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -81,6 +81,10 @@
         for peer in self._peers.values():
             peer.changed_at = now
 
+    def is_current(self, now: float, age_s: float) -> bool:
+        """Whether all rows were read lately: no claim rests on old ones."""
+        return self._looked_at is not None and now - self._looked_at < age_s
+
     def drop(self, name: str) -> None:
         """Forget a daemon whose row was removed."""
         self._peers.pop(name, None)
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -145,6 +145,29 @@
     run_virtual(run())
 
 
+def test_daemon_that_regains_the_store_claims_nothing_from_the_living() -> (
+    None
+):
+    """Its view of the others' heartbeats is old; seen as a storm."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=1, daemons=4)
+        (owner,) = world.holders()
+        others = [name for name in world.daemons if name != owner]
+        for name in others[:2]:
+            world.ways[name].down = True
+        await asyncio.sleep(9)
+        for name in others[:2]:
+            world.ways[name].down = False
+        await asyncio.sleep(5)
+        assert world.holders() == [owner]
+        assert world.daemons[owner].duties.owners[POOL].term == 1
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_owner_waits_for_the_store_without_a_new_claim() -> None:
     async def run() -> None:
         world = JobWorld()
