Confirm an empty host at once; log the pools' sizes

Cause: a host without runs was confirmed only after a look that was asked for later, up to 1 s; it cost while it waited. Test: test_host_is_vacated_once_every_start_is_ruled_out.

--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -152,6 +152,11 @@
         self._plan_waves(wanted, now)
         self._plan_moves(wanted, now)
 
+    def sizes(self) -> dict[str, tuple[int, int]]:
+        """Return how many hosts each pool has, and should have."""
+        wanted = self._wanted_sizes()
+        return {pool: (self._count(pool), wanted[pool]) for pool in wanted}
+
     def due_calls(self) -> list[HostOrder]:
         """Return the calls whose hosts are confirmed to be empty."""
         due: list[HostOrder] = []
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -41,6 +41,8 @@
 __all__ = ["FleetOwner"]
 
 ROUND_S: Final = 0.1
+# Changed sizes of pools are logged at most this often.
+SIZES_S: Final = 1.0
 # The list of hosts is read this often, and more often while hosts move.
 HOSTS_IDLE_S: Final = 2.0
 HOSTS_BUSY_S: Final = 0.4
@@ -65,6 +67,8 @@
         "_plan_version",
         "_planner",
         "_published",
+        "_sizes",
+        "_sizes_at",
         "_stored",
         "_term",
         "_upkeep_s",
@@ -93,6 +97,8 @@
         self._stored = b""
         self._hosts_at: float | None = None
         self._published: set[int] = set()
+        self._sizes: dict[str, tuple[int, int]] = {}
+        self._sizes_at = 0.0
         self._calls: dict[str, asyncio.Task[None]] = {}
         self._mirror = TableMirror(
             context.store,
@@ -169,6 +175,7 @@
                 planner.standby = pool.name
         planner.waves = dict(self._waves())
         planner.decide(self._context.clock.now())
+        self._log_sizes()
         due = [
             call
             for call in planner.due_calls()
@@ -184,6 +191,16 @@
             self._calls[call.host] = task
         await self._publish_waves()
 
+    def _log_sizes(self) -> None:
+        """Log how many hosts pools have and want, once a second."""
+        now = self._context.clock.now()
+        sizes = self._planner.sizes()
+        if sizes == self._sizes or now - self._sizes_at < SIZES_S:
+            return
+        self._sizes = sizes
+        self._sizes_at = now
+        log_change("pool-sizes", **{"have,wanted": sizes})
+
     async def _read_hosts(self) -> bool:
         """Read the list of hosts if it is old; False where there is none."""
         now = self._context.clock.now()
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -403,9 +403,7 @@
         for info in self._context.executors(self.pool):
             listed.add(info.executor_id)
             view = self.schedule.observe_executor(info)
-            view.cordon(
-                self._vacate.get(info.host, ""), self._context.clock.now()
-            )
+            view.cordon_order = self._vacate.get(info.host, "")
         for executor_id in list(self.schedule.executors):
             if executor_id not in listed:
                 self.schedule.miss_executor(executor_id)
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -240,7 +240,6 @@
         "clock_at",
         "clock_ms",
         "cordon_order",
-        "cordoned_at",
         "failures_at",
         "heard_at",
         "info",
@@ -294,9 +293,8 @@
         self.shunned_until = 0.0
         # Local times of recent failed runs.
         self.failures_at: list[float] = []
-        # The planner's order to empty its host, and since when it is known.
+        # The planner's order to empty its host; empty for none.
         self.cordon_order = ""
-        self.cordoned_at = 0.0
 
     @property
     def executor_id(self) -> str:
@@ -310,10 +308,13 @@
 
     @property
     def is_vacated(self) -> bool:
-        """Whether nothing runs, and no start is on its way."""
-        if not self.cordon_order or self.runs or self.heard_at is None:
-            return False
-        return self.asked_at > self.cordoned_at
+        """Whether nothing runs, and no start is on its way.
+
+        All runs are known: those of earlier owners by its first list, and
+        an order without an answer counts as a run until it is ruled out.
+        """
+        is_known = self.is_fenced and self.heard_at is not None
+        return bool(self.cordon_order) and is_known and not self.runs
 
     def is_sound(self, now: float) -> bool:
         """Whether it answers this owner, is listed and does not drain."""
@@ -323,12 +324,6 @@
             return False
         return self.heard_at is not None and now - self.heard_at <= SILENT_S
 
-    def cordon(self, order: str, now: float) -> None:
-        """Give it no new tasks, or use it again (no order)."""
-        if order and not self.cordon_order:
-            self.cordoned_at = now
-        self.cordon_order = order
-
     def add_run(self, run: Run) -> None:
         """Take a run into account."""
         self.runs[run.key] = run
