--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -36,6 +36,8 @@
 __all__ = ["Duties", "DutyHolder"]
 
 BEAT_S: Final = 1.0
+# The pause after a look that the store did not answer.
+BEAT_RETRY_S: Final = 0.3
 # After a pause of this long between two looks at the heartbeats, all
 # daemons get the benefit of the doubt once.
 GAP_S: Final = 2.0
@@ -164,8 +166,11 @@
             began = self._clock.now()
             if not self._leaving:
                 await self._write_beat()
-            await self._read_beats()
+            is_read = await self._read_beats()
             self._wake.set()
+            if not is_read:
+                await asyncio.sleep(BEAT_RETRY_S)
+                continue
             spent_s = self._clock.now() - began
             await asyncio.sleep(max(0.1, BEAT_S - spent_s))
 
@@ -178,11 +183,11 @@
         name = RowName(DAEMONS_TABLE, self._name)
         await self._store.commit("", {}, {name: msgspec.json.encode(record)})
 
-    async def _read_beats(self) -> None:
-        """Read all heartbeat rows."""
+    async def _read_beats(self) -> bool:
+        """Read all heartbeat rows; False where that failed."""
         read = await self._store.read(DAEMONS_TABLE, "")
         if isinstance(read, Failure):
-            return
+            return False
         now = self._clock.now()
         self._liveness.note_look(now, GAP_S)
         for row in read.unwrap().rows:
@@ -194,6 +199,7 @@
             self._liveness.note(
                 row.key, beat.incarnation, row.version, now, beat.leaving
             )
+        return True
 
     # --- Claims.
 
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -9,12 +9,16 @@
 
 from typing import Final
 
-__all__ = ["SILENT_S", "Liveness"]
+__all__ = ["GRACE_S", "SILENT_S", "Liveness"]
 
 # A daemon whose heartbeat stood still for this long is taken as dead:
 # two and a half heartbeat periods.
 SILENT_S: Final = 2.5
 
+# Who lives writes its heartbeat within this time of the store's return:
+# a heartbeat period and a call.
+GRACE_S: Final = 1.3
+
 
 class _Peer:
     """One daemon's last heartbeat."""
@@ -72,14 +76,16 @@
         """Take in that all rows were read now.
 
         After a gap (the store was away, or this daemon was suspended)
-        nobody is blamed for rows that could not be seen to change.
+        nobody is blamed for rows that could not be seen to change: the
+        living have `GRACE_S` to write theirs.
         """
         last = self._looked_at
         self._looked_at = now
         if last is None or now - last <= gap_s:
             return
+        blamed_at = now - SILENT_S + GRACE_S
         for peer in self._peers.values():
-            peer.changed_at = now
+            peer.changed_at = max(peer.changed_at, blamed_at)
 
     def is_current(self, now: float, age_s: float) -> bool:
         """Whether all rows were read lately: no claim rests on old ones."""
