--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -107,7 +107,7 @@
         incarnation: str,
         zone: str,
         pools: Callable[[], list[str]],
-        make_holder: Callable[[str, int, int], DutyHolder],
+        make_holder: Callable[[str, int, int, bool], DutyHolder],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -116,7 +116,8 @@
         self._zone = zone
         # The pools that need an owner.
         self._pools = pools
-        # Makes the holder of a duty from its name, term and row version.
+        # Makes the holder of a duty from its name, term and row version,
+        # and whether the last holder gave it back (or there was none).
         self._make_holder = make_holder
         self._mirror = TableMirror(store, OWNERS_TABLE, self._on_owner)
         self._owners: dict[str, tuple[OwnerRecord, int]] = {}
@@ -294,7 +295,8 @@
             former=known[0].holder if known is not None else "",
         )
         self._owners[duty] = (record, outcome.version)
-        holder = self._make_holder(duty, term, outcome.version)
+        was_released = known is None or not known[0].holder
+        holder = self._make_holder(duty, term, outcome.version, was_released)
         task = asyncio.get_running_loop().create_task(holder.run())
         task.add_done_callback(lambda _: self._wake.set())
         self._held[duty] = _Held(holder, record, outcome.version, task)
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -144,6 +144,12 @@
         # The present life; empty where the host runs none.
         self.executor_id = executor_id
 
+    def has_ended(self, executor_id: str) -> bool:
+        """Whether a former life of this host is over for sure."""
+        if self.state in (HostState.MOVING, HostState.IN_UPKEEP):
+            return True
+        return bool(self.executor_id) and self.executor_id != executor_id
+
 
 class HostAnswer(Enum):
     """What came back of an order to a host."""
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -58,7 +58,11 @@
 
     from lycheelug.errors import Fault
     from lycheelug.jobservice.clock import Clock
-    from lycheelug.jobservice.interfaces import Configuration, ExecutorGateway
+    from lycheelug.jobservice.interfaces import (
+        Configuration,
+        ExecutorGateway,
+        HostControl,
+    )
     from lycheelug.metrics import Metrics
     from lycheelug.store.rows import RowStore, StoredRow
     from lycheelug.workloads import Job, ProgressRecord
@@ -75,6 +79,8 @@
 # The schedule is looked at this often even if nothing happened.
 TICK_S: Final = 0.1
 RECOVER_RETRY_S: Final = 0.3
+# The list of hosts is read this often while executors do not answer.
+ENDED_LIVES_S: Final = 0.5
 
 
 class OwnerContext:
@@ -85,6 +91,7 @@
         "configuration",
         "executors",
         "gateway",
+        "hosts",
         "lease_s",
         "metrics",
         "store",
@@ -94,6 +101,7 @@
         self,
         store: RowStore,
         gateway: ExecutorGateway,
+        hosts: HostControl,
         clock: Clock,
         metrics: Metrics,
         configuration: Callable[[], Configuration | None],
@@ -102,6 +110,7 @@
     ) -> None:
         self.store = store
         self.gateway = gateway
+        self.hosts = hosts
         self.clock = clock
         self.metrics = metrics
         self.configuration = configuration
@@ -138,6 +147,7 @@
         pool: str,
         term: int,
         owner_version: int,
+        was_released: bool = False,
     ) -> None:
         self._context = context
         self.pool = pool
@@ -184,6 +194,7 @@
             self.spawn(self._plan_mirror.run())
             self.spawn(self._mirror.run())
             self.spawn(self.writer.run())
+            self.spawn(self._find_ended_lives())
             await self._drive()
         finally:
             self.stop()
@@ -401,6 +412,8 @@
         """Follow the store's list of executors."""
         listed = set()
         for info in self._context.executors(self.pool):
+            if self.schedule.is_over(info):
+                continue
             listed.add(info.executor_id)
             view = self.schedule.observe_executor(info)
             view.cordon_order = self._vacate.get(info.host, "")
@@ -416,6 +429,39 @@
             if executor_id not in self.schedule.executors:
                 self._loops.pop(executor_id).end()
 
+    async def _find_ended_lives(self) -> None:
+        """End executors whose hosts have a new life or change their pool.
+
+        A host that was moved or maintained refuses connections while the
+        old entry lingers; only the list of hosts tells that life's end.
+        """
+        while True:
+            await asyncio.sleep(ENDED_LIVES_S)
+            lost = self.schedule.unheard_executors()
+            if not lost:
+                continue
+            result = await self._context.hosts.hosts()
+            if isinstance(result, Failure):
+                log_fault("hosts-not-read", result.failure(), pool=self.pool)
+                continue
+            hosts = {host.name: host for host in result.unwrap()}
+            for view in lost:
+                host = hosts.get(view.info.host)
+                if host is None or not host.has_ended(view.executor_id):
+                    continue
+                log_change(
+                    "executor-ended",
+                    pool=self.pool,
+                    executor=view.executor_id,
+                    host=host.name,
+                    state=host.state.name.lower(),
+                    present=host.executor_id,
+                )
+                self.schedule.end_executor(
+                    view.executor_id, self._context.clock.now()
+                )
+                self.wake()
+
     def _open_due(self) -> None:
         """Open occurrences of scheduled jobs whose time has come."""
         unix_ms = self._context.clock.unix_ms()
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -66,6 +66,7 @@
         self._context = OwnerContext(
             store,
             gateway,
+            hosts,
             clock,
             self.metrics,
             lambda: self.configuration,
@@ -167,7 +168,9 @@
                 found.append(pool.name)
         return found
 
-    def _make_holder(self, duty: str, term: int, version: int) -> DutyHolder:
+    def _make_holder(
+        self, duty: str, term: int, version: int, was_released: bool
+    ) -> DutyHolder:
         """Return what carries out a duty."""
         if duty == FLEET_PART:
             return FleetOwner(
@@ -179,4 +182,4 @@
                 lambda: self.waves,
                 self._upkeep_s,
             )
-        return PoolOwner(self._context, duty, term, version)
+        return PoolOwner(self._context, duty, term, version, was_released)
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -76,6 +76,7 @@
     """All jobs and executors of one pool under one term."""
 
     __slots__ = (
+        "_ended_lives",
         "_fenced_out_at",
         "_ready",
         "_run_counts",
@@ -104,6 +105,8 @@
         self.jobs: dict[str, Job] = {}
         self.executors: dict[str, ExecutorView] = {}
         self._ready: dict[TaskName, Task] = {}
+        # Lives known to be over: when they began, by executor.
+        self._ended_lives: dict[str, int] = {}
         # Known runs of each task, wanted or not.
         self._run_counts: Counter[TaskName] = Counter()
 
@@ -204,13 +207,28 @@
         if view is not None:
             view.is_listed = False
 
+    def unheard_executors(self) -> list[ExecutorView]:
+        """Return the executors that do not answer this owner now."""
+        found: list[ExecutorView] = []
+        for view in self.executors.values():
+            if view.heard_at is None:
+                found.append(view)
+        return found
+
     def end_executor(self, executor_id: str, now: float) -> list[Run]:
         """Take in that an executor is gone for sure; free its tasks."""
         view = self.executors.pop(executor_id, None)
         if view is None:
             return []
+        born_ms = max(view.born_ms, view.info.born_ms)
+        self._ended_lives[executor_id] = born_ms
         return self.clear_runs(view, now)
 
+    def is_over(self, info: ExecutorInfo) -> bool:
+        """Whether an entry is what an ended life has left behind."""
+        ended_ms = self._ended_lives.get(info.executor_id)
+        return ended_ms is not None and info.born_ms <= ended_ms
+
     def clear_runs(self, view: ExecutorView, now: float) -> list[Run]:
         """Free all tasks of an executor on which nothing runs."""
         cleared = list(view.runs.values())
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -189,6 +189,8 @@
         self.doubled: list[TaskName] = []
         # Daemons' tokens that can't reach an executor: (token, executor).
         self.cut: set[tuple[int, str]] = set()
+        # Executors whose hosts run another life now.
+        self.moved: set[str] = set()
         self.host_orders: list[tuple[str, str, int]] = []
 
     def add(self, executor_id: str, work_s: float = 1.0) -> FakeExecutor:
@@ -297,9 +299,11 @@
                     POOL,
                     HostState.UP,
                     capacity=CAPACITY,
-                    executor_id=executor.info.executor_id,
+                    executor_id="new"
+                    if name in self.moved
+                    else executor.info.executor_id,
                 )
-                for executor in self.executors.values()
+                for name, executor in self.executors.items()
             ]
         )
 
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -145,6 +145,31 @@
     run_virtual(run())
 
 
+def test_moved_host_holds_up_no_owner_after_a_rolling_stop() -> None:
+    """Its old life is over, though nothing there says so; seen on a day."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        world.fleet.executors["x1"].dark = True
+        world.fleet.moved.add("x1")
+        (owner,) = world.holders()
+        other = next(name for name in world.daemons if name != owner)
+        # More than fits: some tasks of the begun job wait for a place.
+        await world.submit(other, 1, [StepSpec(count=10, cpu_millis=2000)])
+        await until(lambda: len(world.fleet.began) >= 4)
+        await world.daemons[owner].drain()
+        await world.daemons.pop(owner).stop()
+        await until(lambda: len(world.holders()) == 1)
+        began = len(world.fleet.began)
+        await until(lambda: len(world.fleet.began) > began, timeout_s=3)
+        await wait_state(world, other, 1, JobState.COMPLETED)
+        assert world.fleet.doubled == []
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_daemon_that_regains_the_store_claims_nothing_from_the_living() -> (
     None
 ):
