--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -73,7 +73,8 @@
 # short enough that tasks of a lost executor soon start elsewhere.
 LEASE_S: Final = 5.0
 # Without proof of its ownership for this long an owner extends nothing.
-VERIFY_S: Final = 8.0
+# With a lease more, what runs outlasts an outage of the store of 9 s.
+VERIFY_S: Final = 4.0
 # Submissions are gathered for this long between two calls to the feed.
 GATHER_S: Final = 0.03
 # The schedule is looked at this often even if nothing happened.
