Ask for advice where a queue needs it; pace tasks that fill by the measured tail

Cause: queues that need advice were never served (each start was rejected and sent again at once), and nothing kept filling tasks from harming serving ones. Change: an advice book for each pool, a pacer for each executor, and a short wait after a rejected start.

--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -21,10 +21,12 @@
         ListReport,
         Resources,
         StartAnswer,
+        StepName,
         TaskName,
     )
 
 __all__ = [
+    "Advice",
     "Configuration",
     "ExecutorGateway",
     "HostAnswer",
@@ -60,6 +62,16 @@
     NO_ANSWER = auto()
 
 
+class Advice:
+    """Tickets for a step by executor, and how long they hold."""
+
+    __slots__ = ("tickets", "valid_s")
+
+    def __init__(self, tickets: dict[str, str], valid_s: float) -> None:
+        self.tickets = tickets
+        self.valid_s = valid_s
+
+
 class ExecutorGateway(ABC):
     """Orders to executors."""
 
@@ -98,6 +110,23 @@
         (on its clock), all that runs there may go on until then.
         """
 
+    @abstractmethod
+    async def pace(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        percent: int,
+        token: int,
+    ) -> bool:
+        """Let a run work at a share of its speed; False without effect."""
+
+    @abstractmethod
+    async def advise(
+        self, step: StepName, executors: Sequence[str]
+    ) -> Result[Advice, Fault]:
+        """Ask which of some executors may run a step."""
+
     @abstractmethod
     def forget(self, info: ExecutorInfo) -> None:
         """Close the connections to an executor that is gone."""
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -41,6 +41,7 @@
 from lycheelug.store.mirror import TableMirror
 from lycheelug.workloads import (
     ExecutorInfo,
+    PaceOrder,
     PoolSchedule,
     QueuePolicy,
     Resources,
@@ -65,7 +66,7 @@
     )
     from lycheelug.metrics import Metrics
     from lycheelug.store.rows import RowStore, StoredRow
-    from lycheelug.workloads import Job, ProgressRecord
+    from lycheelug.workloads import Job, ProgressRecord, StepName
 
 __all__ = ["LEASE_S", "VERIFY_S", "OwnerContext", "PoolOwner"]
 
@@ -79,6 +80,8 @@
 GATHER_S: Final = 0.03
 # The schedule is looked at this often even if nothing happened.
 TICK_S: Final = 0.1
+# The pace of a run whose last order was not answered.
+PACE_UNKNOWN: Final = -1
 RECOVER_RETRY_S: Final = 0.3
 # The list of hosts is read this often while executors do not answer.
 ENDED_LIVES_S: Final = 0.5
@@ -398,10 +401,10 @@
                 for order in self.schedule.plan(
                     self._context.clock.now(), self.verified_at
                 ):
-                    if isinstance(order, StartOrder):
-                        self.spawn(self._start(order))
-                    else:
-                        self.spawn(self._stop(order))
+                    self._send(order)
+                for step, wanted in self.schedule.advice_wanted.items():
+                    self.spawn(self._ask_advice(step, wanted))
+                self.schedule.advice_wanted.clear()
             try:
                 async with asyncio.timeout(TICK_S):
                     await self._wake.wait()
@@ -409,6 +412,15 @@
                 continue
             self._wake.clear()
 
+    def _send(self, order: StartOrder | StopOrder | PaceOrder) -> None:
+        """Send an order without waiting for its answer."""
+        if isinstance(order, StartOrder):
+            self.spawn(self._start(order))
+        elif isinstance(order, StopOrder):
+            self.spawn(self._stop(order))
+        else:
+            self.spawn(self._pace(order))
+
     def _sync_executors(self) -> None:
         """Follow the store's list of executors."""
         listed = set()
@@ -489,6 +501,7 @@
             task.checkpoint,
             deadline_ms,
             self.term,
+            order.ticket,
         )
         now = context.clock.now()
         if told_ms is not None:
@@ -533,3 +546,44 @@
         note_stop(view, key, answer is StopAnswer.ANSWERED, now)
         if answer is StopAnswer.ANSWERED:
             self.wake()
+
+    async def _pace(self, order: PaceOrder) -> None:
+        """Set a run's pace; without an answer it is ordered again."""
+        view = self.schedule.executors.get(order.executor_id)
+        if view is None:
+            return
+        is_set = await self._context.gateway.pace(
+            view.info, order.task_name, order.run, order.percent, self.term
+        )
+        run = view.runs.get((order.task_name, order.run))
+        if not is_set and run is not None:
+            run.pace = PACE_UNKNOWN
+        log_change(
+            "task-pace",
+            task=order.task_name.render(),
+            run=order.run,
+            executor=order.executor_id,
+            percent=order.percent,
+            answered=is_set,
+        )
+
+    async def _ask_advice(self, step: StepName, wanted: list[str]) -> None:
+        """Ask which executors may run a step."""
+        result = await self._context.gateway.advise(step, wanted)
+        now = self._context.clock.now()
+        if isinstance(result, Failure):
+            log_fault("no-advice", result.failure(), step=step.render())
+            self.schedule.advice.note_failure(step, now)
+            return
+        advice = result.unwrap()
+        self.schedule.advice.take(
+            step, advice.tickets, advice.valid_s, now, wanted
+        )
+        log_change(
+            "advice",
+            step=step.render(),
+            asked=len(wanted),
+            allowed=len(advice.tickets),
+            valid_s=advice.valid_s,
+        )
+        self.wake()
--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -8,14 +8,20 @@
 import msgspec
 from returns.result import Failure, Success
 
-from lycheelug.errors import Peer
+from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
 from lycheelug.http import HttpClient, Request
 from lycheelug.jobservice.interfaces import (
+    Advice,
     ExecutorGateway,
     LookFailure,
     StopAnswer,
 )
-from lycheelug.platform.wire import EntryMessage, HoldAnswer, OrderAnswer
+from lycheelug.platform.wire import (
+    AdviceAnswer,
+    EntryMessage,
+    HoldAnswer,
+    OrderAnswer,
+)
 from lycheelug.workloads import (
     EndKind,
     EndReport,
@@ -28,12 +34,14 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from typing import Any
 
     from returns.result import Result
 
     from lycheelug.http import Answer
     from lycheelug.store.rows import StoredRow
+    from lycheelug.workloads import StepName
 
 __all__ = ["EXECUTORS_TABLE", "PlatformExecutors", "decode_executor"]
 
@@ -44,6 +52,9 @@
 CONNECT_TIMEOUT_S: Final = 0.6
 # Executors close connections that are idle for longer.
 REUSE_IDLE_S: Final = 8.0
+# The advice service takes calls in turn, each for some milliseconds an
+# executor.
+ADVICE_TIMEOUT_S: Final = 3.0
 # Orders to one executor that are under way at once.
 ORDERS_AT_ONCE: Final = 4
 EXPECTED_LIFE: Final = b"expected-instance"
@@ -57,7 +68,7 @@
     "fence": StartAnswer.FENCED,
     "old": StartAnswer.REJECTED,
     "late": StartAnswer.REJECTED,
-    "ticket": StartAnswer.REJECTED,
+    "ticket": StartAnswer.BAD_TICKET,
     "room": StartAnswer.NO_ROOM,
 }
 
@@ -107,10 +118,15 @@
 class PlatformExecutors(ExecutorGateway):
     """Sends orders to executors over HTTP."""
 
-    __slots__ = ("_links",)
+    __slots__ = ("_advice", "_advice_address", "_links")
 
-    def __init__(self) -> None:
+    def __init__(self, advice_address: str = "") -> None:
         self._links: dict[tuple[str, str], _Link] = {}
+        # Where the advice service is; empty where there is none.
+        self._advice_address = advice_address
+        self._advice = HttpClient(
+            advice_address, Peer.PLATFORM, connect_s=CONNECT_TIMEOUT_S
+        )
 
     async def start(
         self,
@@ -203,6 +219,61 @@
             return Failure(LookFailure.NO_ANSWER)
         return Success(report)
 
+    async def pace(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        percent: int,
+        token: int,
+    ) -> bool:
+        """Let a run work at a share of its speed; False without effect."""
+        body = {
+            "task": task.render(),
+            "run": run,
+            "percent": percent,
+            "fencing_token": token,
+        }
+        answer, _ = await self._order(info, b"/v1/pace", body)
+        return answer is not None and answer.status == 200
+
+    async def advise(
+        self, step: StepName, executors: Sequence[str]
+    ) -> Result[Advice, Fault]:
+        """Ask which of some executors may run a step."""
+        data = msgspec.json.encode(
+            {"step": step.render(), "workers": list(executors)}
+        )
+        headers = [
+            (b"host", self._advice_address.encode()),
+            (b"content-type", b"application/json"),
+            (b"content-length", b"%d" % len(data)),
+        ]
+        request = Request(b"POST", b"/v1/advise", headers, data)
+        result = await self._advice.request(
+            request, ADVICE_TIMEOUT_S, REUSE_IDLE_S
+        )
+        if isinstance(result, Failure):
+            return Failure(result.failure())
+        answer = result.unwrap()
+        message = None
+        if answer.status == 200:
+            try:
+                message = msgspec.json.decode(answer.body, type=AdviceAnswer)
+            except (msgspec.DecodeError, UnicodeDecodeError):
+                message = None
+        if message is None:
+            return Failure(
+                Fault(
+                    PLATFORM_UNREACHABLE,
+                    Step.READ,
+                    Peer.PLATFORM,
+                    f"status {answer.status}",
+                    self._advice_address,
+                )
+            )
+        return Success(Advice(dict(message.allowed), message.valid_ms / 1000))
+
     def forget(self, info: ExecutorInfo) -> None:
         """Close the connections to an executor that is gone."""
         link = self._links.pop((info.executor_id, info.address), None)
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -107,7 +107,7 @@
             settings.node_name,
             settings.zone,
             self._store,
-            PlatformExecutors(),
+            PlatformExecutors(settings.hint),
             PlatformHosts(settings.cloud_api.address, self._store),
             clock,
             min(LEASE_S, settings.bounds.hold_max_ms / 1000),
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -1,5 +1,6 @@
 """Jobs of steps of tasks, and the schedule of one pool; no I/O."""
 
+from lycheelug.workloads.advice import StepName
 from lycheelug.workloads.executors import (
     EndKind,
     EndReport,
@@ -26,7 +27,12 @@
     StepSpec,
     TaskName,
 )
-from lycheelug.workloads.pool import PoolSchedule, StartOrder, StopOrder
+from lycheelug.workloads.pool import (
+    PaceOrder,
+    PoolSchedule,
+    StartOrder,
+    StopOrder,
+)
 from lycheelug.workloads.progress import ProgressRecord
 
 __all__ = [
@@ -39,6 +45,7 @@
     "JobState",
     "ListReport",
     "Occurrences",
+    "PaceOrder",
     "PoolSchedule",
     "ProgressRecord",
     "QueuePolicy",
@@ -48,6 +55,7 @@
     "RunReport",
     "StartAnswer",
     "StartOrder",
+    "StepName",
     "StepSpec",
     "StopOrder",
     "Task",
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -182,7 +182,9 @@
     __slots__ = (
         "checkpoint",
         "confirmed_at",
+        "load",
         "ordered_at",
+        "pace",
         "percent",
         "percent_at",
         "phase",
@@ -219,6 +221,9 @@
         self.percent_at = ordered_at
         # Local time at which its start was given up as unanswered.
         self.unknown_at = ordered_at
+        # What its executor last told of its load, and its ordered pace.
+        self.load = 0
+        self.pace = 100
         self.stop_sent = False
         self.stop_answered_at: float | None = None
         self.why_stopped = ""
@@ -247,6 +252,8 @@
         "is_listed",
         "is_recorded",
         "lapses_at",
+        "pace",
+        "paced_at",
         "processed",
         "runs",
         "shunned_until",
@@ -289,6 +296,9 @@
         self.used_cpu = 0
         self.used_memory = 0
         self.used_gpus = 0
+        # The pace wanted of tasks that fill, and the list that set it.
+        self.pace = 100
+        self.paced_at: float | None = None
         # It gets no new tasks before this local time.
         self.shunned_until = 0.0
         # Local times of recent failed runs.
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -49,6 +49,7 @@
         "checkpoint",
         "executor_id",
         "failures",
+        "held_until",
         "job",
         "last_run",
         "name",
@@ -71,6 +72,8 @@
         self.checkpoint = ""
         # The executor of the last failed run; a retry goes elsewhere.
         self.avoided_executor = ""
+        # It is not started before this local time.
+        self.held_until = 0.0
         # Local times since which it waits, and at which it was placed.
         self.ready_at = 0.0
         self.placed_at = 0.0
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -11,6 +11,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.advice import StepName
 from lycheelug.workloads.executors import EndKind, Run, RunPhase
 from lycheelug.workloads.jobs import TaskState
 from lycheelug.workloads.model import Resources
@@ -29,6 +30,8 @@
 
 __all__ = ["StartAnswer", "note_start", "note_stop", "take_list"]
 
+# A task whose start was rejected waits this long for the next one.
+REJECTED_WAIT_S: Final = 0.05
 NO_ROOM: Final = Resources(0, 0, 0)
 
 
@@ -38,9 +41,11 @@
     STARTED = auto()
     # The executor has seen a higher fencing token.
     FENCED = auto()
-    # It has done nothing: an old run, a passed deadline, no room, no
-    # valid advice, or it is not healthy.
+    # It has done nothing: an old run, or a passed deadline.
     REJECTED = auto()
+    # It does not accept the advice service's ticket.
+    BAD_TICKET = auto()
+    # No room, or it is not healthy.
     NO_ROOM = auto()
     # The order never left, as no connection could be made.
     NOT_SENT = auto()
@@ -110,10 +115,13 @@
         run.unknown_at = now
         view.shunned_until = max(view.shunned_until, now + SHUN_S)
         return
+    if answer is StartAnswer.BAD_TICKET:
+        schedule.advice.reject(StepName.of(task.name), view.executor_id)
     if answer in (StartAnswer.NO_ROOM, StartAnswer.NOT_SENT):
         view.shunned_until = max(view.shunned_until, now + SHUN_S)
     view.drop_run(run.key)
     schedule.free_task(run, view, now)
+    task.held_until = now + REJECTED_WAIT_S
 
 
 def note_stop(
@@ -175,6 +183,7 @@
     if entry.percent > run.percent:
         run.percent_at = now
     run.percent = entry.percent
+    run.load = entry.load
     run.checkpoint = entry.checkpoint
 
 
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -10,10 +10,12 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.registry import Registry
+from lycheelug.workloads.advice import StepName
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from lycheelug.workloads.advice import AdviceBook
     from lycheelug.workloads.executors import ExecutorView
     from lycheelug.workloads.jobs import Task
 
@@ -45,13 +47,20 @@
     views: Iterable[ExecutorView],
     now: float,
     policy: str = "pack",
+    advice: AdviceBook | None = None,
 ) -> ExecutorView | None:
-    """Return the executor for a task; None where none may take it."""
+    """Return the executor for a task; None where none may take it.
+
+    With advice, only executors with a ticket for the step may.
+    """
     allowed: list[ExecutorView] = []
     avoided: list[ExecutorView] = []
     for view in views:
         if not may_take(view, task, now):
             continue
+        step = StepName.of(task.name)
+        if advice and not advice.ticket(step, view.executor_id, now):
+            continue
         if view.executor_id == task.avoided_executor:
             avoided.append(view)
             continue
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -23,8 +23,10 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.advice import AdviceBook, StepName
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
 from lycheelug.workloads.jobs import Job, Task, TaskState
+from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.placement import find_place
 
 if TYPE_CHECKING:
@@ -32,7 +34,7 @@
     from lycheelug.workloads.model import JobRecord, QueuePolicy, TaskName
     from lycheelug.workloads.progress import ProgressRecord
 
-__all__ = ["PoolSchedule", "StartOrder", "StopOrder"]
+__all__ = ["PaceOrder", "PoolSchedule", "StartOrder", "StopOrder"]
 
 # A start without an answer is stopped once a list that was asked for after
 # it lacks its run, or after this long without such a list.
@@ -50,12 +52,16 @@
 class StartOrder:
     """Start a run of a task on an executor."""
 
-    __slots__ = ("executor_id", "run", "task")
+    __slots__ = ("executor_id", "run", "task", "ticket")
 
-    def __init__(self, executor_id: str, task: Task, run: int) -> None:
+    def __init__(
+        self, executor_id: str, task: Task, run: int, ticket: str = ""
+    ) -> None:
         self.executor_id = executor_id
         self.task = task
         self.run = run
+        # The advice service's, where the queue needs it.
+        self.ticket = ticket
 
 
 class StopOrder:
@@ -72,6 +78,20 @@
         self.why = why
 
 
+class PaceOrder:
+    """Let a run that fills work at a share of its speed."""
+
+    __slots__ = ("executor_id", "percent", "run", "task_name")
+
+    def __init__(
+        self, executor_id: str, task_name: TaskName, run: int, percent: int
+    ) -> None:
+        self.executor_id = executor_id
+        self.task_name = task_name
+        self.run = run
+        self.percent = percent
+
+
 class PoolSchedule:
     """All jobs and executors of one pool under one term."""
 
@@ -80,6 +100,8 @@
         "_fenced_out_at",
         "_ready",
         "_run_counts",
+        "advice",
+        "advice_wanted",
         "executors",
         "jobs",
         "lease_s",
@@ -102,6 +124,9 @@
         self.placement = placement
         # Local time after which no earlier owner's lease can hold.
         self._fenced_out_at = fenced_out_at
+        self.advice = AdviceBook()
+        # Steps that wait for advice, with the executors to ask for.
+        self.advice_wanted: dict[StepName, list[str]] = {}
         self.jobs: dict[str, Job] = {}
         self.executors: dict[str, ExecutorView] = {}
         self._ready: dict[TaskName, Task] = {}
@@ -156,6 +181,7 @@
 
     def forget_job(self, job_id: str) -> None:
         """Drop a job that is over and that nobody asks for any more."""
+        self.advice.forget_job(job_id)
         job = self.jobs.pop(job_id, None)
         if job is not None:
             self.drop_final(job)
@@ -250,18 +276,25 @@
 
     def plan(
         self, now: float, verified_at: float
-    ) -> list[StartOrder | StopOrder]:
+    ) -> list[StartOrder | StopOrder | PaceOrder]:
         """Return the orders that are due now.
 
         At `verified_at` the store was asked whether this owner still is
         the owner, and said so.
         """
-        orders: list[StartOrder | StopOrder] = []
+        orders: list[StartOrder | StopOrder | PaceOrder] = []
         for view in list(self.executors.values()):
             self._expire(view, now, verified_at)
             if view.cordon_order or view.info.draining:
                 self._relocate(view)
             orders.extend(self._stops(view, now))
+            for run in plan_pace(view):
+                run.pace = view.pace
+                orders.append(
+                    PaceOrder(
+                        view.executor_id, run.task_name, run.run, run.pace
+                    )
+                )
         orders.extend(self._starts(now))
         return orders
 
@@ -367,7 +400,7 @@
             if job.progress.begun_term != self.term and not is_settled:
                 # A run of an earlier owner may not have been seen yet.
                 continue
-            if task.name in self._run_counts:
+            if now < task.held_until or task.name in self._run_counts:
                 # A run that is not wanted has not ended yet.
                 continue
             if task.step.is_gang:
@@ -377,13 +410,24 @@
                 wait_s = RESTART_WAIT_S * min(task.failures, 10)
                 if now - task.ready_at < wait_s:
                     continue
-            view = find_place(
-                task, self.executors.values(), now, self.placement
-            )
+            view = self._find_place(task, now)
             if view is not None:
                 orders.append(self.place(task, view, now))
         return orders
 
+    def _find_place(self, task: Task, now: float) -> ExecutorView | None:
+        """Return an executor for a task; note what advice is missing."""
+        views = self.executors.values()
+        if not task.job.policy.needs_advice:
+            return find_place(task, views, now, self.placement)
+        view = find_place(task, views, now, self.placement, self.advice)
+        if view is None:
+            step = StepName.of(task.name)
+            wanted = self.advice.to_ask(step, views, now)
+            if wanted:
+                self.advice_wanted[step] = wanted
+        return view
+
     def _start_gang(self, task: Task, now: float) -> list[StartOrder]:
         """Start all members of a gang, or none."""
         members = task.job.gang(task)
@@ -395,9 +439,7 @@
         run = max(member.next_run(self.term) for member in members)
         checkpoint = task.checkpoint
         for member in members:
-            view = find_place(
-                member, self.executors.values(), now, self.placement
-            )
+            view = self._find_place(member, now)
             if view is None:
                 for order in orders:
                     self._unplace(order, now)
@@ -425,7 +467,11 @@
         self._ready.pop(task.name, None)
         view.add_run(Run(task.name, run, task.step.room, now, task))
         view.note_deadline(now, self.lease_s)
-        return StartOrder(view.executor_id, task, run)
+        ticket = ""
+        if task.job.policy.needs_advice:
+            step = StepName.of(task.name)
+            ticket = self.advice.ticket(step, view.executor_id, now) or ""
+        return StartOrder(view.executor_id, task, run, ticket)
 
     def _is_settled(self, now: float) -> bool:
         """Whether no run of an earlier owner can be unseen."""
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -19,6 +19,7 @@
     Step,
 )
 from lycheelug.jobservice.interfaces import (
+    Advice,
     Configuration,
     ExecutorGateway,
     HostAnswer,
@@ -47,7 +48,7 @@
 from tests.virtual_time import VirtualClock
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Mapping, Sequence
 
     from returns.result import Result
 
@@ -59,6 +60,7 @@
         RowName,
         RowSet,
     )
+    from lycheelug.workloads import StepName
 
 POOL = "quotes"
 ROUTE = Route("quick", "", "/q/", POOL, 0, 2, 1.6, 0.6, False)
@@ -191,6 +193,9 @@
         self.cut: set[tuple[int, str]] = set()
         # Executors whose hosts run another life now.
         self.moved: set[str] = set()
+        # Executors that the advice service allows.
+        self.allowed: set[str] = set()
+        self.advice_calls = 0
         self.host_orders: list[tuple[str, str, int]] = []
 
     def add(self, executor_id: str, work_s: float = 1.0) -> FakeExecutor:
@@ -288,6 +293,25 @@
             ListReport(executor.clock_ms(), 1, running, list(executor.ended))
         )
 
+    async def pace(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        percent: int,
+        token: int,
+    ) -> bool:
+        await asyncio.sleep(0.002)
+        return token >= self.executors[info.executor_id].token
+
+    async def advise(
+        self, step: StepName, executors: Sequence[str]
+    ) -> Result[Advice, Fault]:
+        await asyncio.sleep(0.05)
+        self.advice_calls += 1
+        tickets = {each: "t" for each in executors if each in self.allowed}
+        return Success(Advice(tickets, 3.0))
+
     def forget(self, info: ExecutorInfo) -> None:
         return
 
--- a/tests/pool_world.py
+++ b/tests/pool_world.py
@@ -10,6 +10,7 @@
     Job,
     JobRecord,
     ListReport,
+    PaceOrder,
     PoolSchedule,
     ProgressRecord,
     QueuePolicy,
@@ -70,11 +71,17 @@
         progress: ProgressRecord | None = None,
         begun: bool = True,
         max_attempts: int = 2,
+        needs_advice: bool = False,
     ) -> Job:
         job = self.schedule.add_job(
             job_id,
             JobRecord("queue", "payload", steps),
-            QueuePolicy("queue", "quotes", max_attempts=max_attempts),
+            QueuePolicy(
+                "queue",
+                "quotes",
+                max_attempts=max_attempts,
+                needs_advice=needs_advice,
+            ),
             progress,
             0,
             self.now,
@@ -84,7 +91,7 @@
             job.begin_is_stored = True
         return job
 
-    def plan(self) -> list[StartOrder | StopOrder]:
+    def plan(self) -> list[StartOrder | StopOrder | PaceOrder]:
         verified_at = (
             self.now if self.verified_at is None else self.verified_at
         )
@@ -116,6 +123,7 @@
         asked_at: float | None = None,
         percent: int = 0,
         born_ms: int = 1,
+        load: int = 0,
     ) -> None:
         """Let an executor list what runs and what has newly ended."""
         view = self.schedule.executors[executor_id]
@@ -128,7 +136,7 @@
             1000,
             born_ms,
             [
-                RunReport(name, run, percent=percent)
+                RunReport(name, run, percent=percent, load=load)
                 for name, run in running or []
             ],
             ends,
