--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -81,6 +81,8 @@
     """The duties of one daemon."""
 
     __slots__ = (
+        "_address",
+        "_addresses",
         "_beat",
         "_clock",
         "_held",
@@ -106,6 +108,7 @@
         name: str,
         incarnation: str,
         zone: str,
+        address: str,
         pools: Callable[[], list[str]],
         make_holder: Callable[[str, int, int, bool], DutyHolder],
     ) -> None:
@@ -114,6 +117,9 @@
         self._name = name
         self._incarnation = incarnation
         self._zone = zone
+        # Where other daemons reach this one; empty for nowhere.
+        self._address = address
+        self._addresses: dict[str, str] = {}
         # The pools that need an owner.
         self._pools = pools
         # Makes the holder of a duty from its name, term and row version,
@@ -139,6 +145,17 @@
         """Who holds which duty, as far as is known."""
         return {duty: record for duty, (record, _) in self._owners.items()}
 
+    def peers(self) -> list[str]:
+        """Return the addresses of the other daemons that were seen alive.
+
+        While no heartbeats can be read, the last ones count.
+        """
+        found: list[str] = []
+        for name, address in self._addresses.items():
+            if name != self._name and address:
+                found.append(address)
+        return found
+
     def start(self) -> None:
         """Begin to show that this daemon lives, and to claim duties."""
         loop = asyncio.get_running_loop()
@@ -179,7 +196,11 @@
         """Write the heartbeat row."""
         self._beat += 1
         record = BeatRecord(
-            self._incarnation, self._zone, "", self._beat, self._leaving
+            self._incarnation,
+            self._zone,
+            self._address,
+            self._beat,
+            self._leaving,
         )
         name = RowName(DAEMONS_TABLE, self._name)
         await self._store.commit("", {}, {name: msgspec.json.encode(record)})
@@ -191,12 +212,16 @@
             return False
         now = self._clock.now()
         self._liveness.note_look(now, GAP_S)
-        for row in read.unwrap().rows:
+        seen = read.unwrap().rows
+        for name in set(self._addresses).difference(row.key for row in seen):
+            del self._addresses[name]
+        for row in seen:
             try:
                 beat = msgspec.json.decode(row.value or b"", type=BeatRecord)
             except msgspec.DecodeError:
                 log_change("row-unreadable", table=row.table, key=row.key)
                 continue
+            self._addresses[row.key] = beat.address
             self._liveness.note(
                 row.key, beat.incarnation, row.version, now, beat.leaving
             )
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -54,6 +54,7 @@
         clock: Clock,
         lease_s: float,
         upkeep_s: float,
+        address: str = "",
     ) -> None:
         self._upkeep_s = upkeep_s
         self._name = name
@@ -80,6 +81,7 @@
             name,
             incarnation,
             zone,
+            address,
             self._pools,
             self._make_holder,
         )
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -9,6 +9,7 @@
 import asyncio
 import gc
 import os
+import random
 import signal
 import sys
 from typing import TYPE_CHECKING, Final
@@ -36,6 +37,7 @@
 from lycheelug.platform.ingress import Ingress
 from lycheelug.platform.settings import SETTINGS_VARIABLE, read_settings
 from lycheelug.platform.store import PlatformRows
+from lycheelug.relay import RelayedRows, RelayServer
 from lycheelug.store.mirror import TableMirror
 
 if TYPE_CHECKING:
@@ -91,7 +93,9 @@
 
     __slots__ = (
         "_callers",
+        "_clock",
         "_probes",
+        "_relay",
         "_service",
         "_settings",
         "_stopping",
@@ -102,7 +106,10 @@
     def __init__(self, settings: PlatformSettings) -> None:
         self._settings = settings
         clock = Clock()
-        self._store = PlatformRows(settings.platform.address)
+        self._clock = clock
+        own = PlatformRows(settings.platform.address)
+        self._relay = RelayServer(own)
+        self._store = RelayedRows(own, self._peers, clock.now, random.Random())
         self._service = JobService(
             settings.node_name,
             settings.zone,
@@ -112,6 +119,7 @@
             clock,
             min(LEASE_S, settings.bounds.hold_max_ms / 1000),
             settings.bounds.maintenance_s,
+            self._relay_address(),
         )
         limits = ServerLimits(max_body_bytes=BODY_BYTES_MAX)
         ingress = Ingress(self._service, clock)
@@ -142,6 +150,8 @@
                     error=str(error),
                 )
                 return EXIT_FAILED
+        if not await self._start_relay():
+            return EXIT_FAILED
         log_change(
             "started",
             zone=self._settings.zone,
@@ -156,6 +166,33 @@
         await self._stopping.wait()
         return await self._stop()
 
+    def _peers(self) -> list[str]:
+        """Return the addresses of the other daemons."""
+        return self._service.duties.peers()
+
+    def _relay_address(self) -> str:
+        """Return where other daemons reach this one; empty for nowhere."""
+        ports = self._settings.internal_ports
+        return f"{self._settings.ip}:{ports[0]}" if ports else ""
+
+    async def _start_relay(self) -> bool:
+        """Listen for other daemons; False where that fails."""
+        address = self._relay_address()
+        if not address:
+            return True
+        host, _, port = address.rpartition(":")
+        try:
+            await self._relay.start(host, int(port))
+        except OSError as error:
+            log_change(
+                "cannot-listen",
+                setting="internal_ports",
+                address=address,
+                error=str(error),
+            )
+            return False
+        return True
+
     def _follow(
         self,
         table: str,
@@ -187,6 +224,8 @@
         self._callers.stop()
         self._probes.stop()
         await self._service.stop()
+        await self._relay.stop()
+        self._store.close()
         for task in self._tasks:
             task.cancel()
         log_change("stopped", requests_cut=cut)
@@ -247,8 +286,7 @@
         failing_since = self._store.failing_since
         if failing_since is None:
             return True
-        now = asyncio.get_running_loop().time()
-        return now - failing_since < STORE_SILENT_S
+        return self._clock.now() - failing_since < STORE_SILENT_S
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/lycheelug/relay/rows.py
@@ -0,0 +1,252 @@
+"""A row store that passes calls through a peer while its own way fails.
+
+The own way is tried first, and again after a moment while it fails.  A call
+that may have had an effect is not repeated here: who made it knows how to
+ask again.  When a peer's way fails as well, the store is away for all, and
+no peer is bothered for a moment.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any, Final
+
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from returns.result import Failure, Success
+
+from lycheelug.entries.codec import MessagePackCodec
+from lycheelug.errors import (
+    CODES,
+    PLATFORM_UNKNOWN,
+    PLATFORM_UNREACHABLE,
+    Fault,
+    Peer,
+    Step,
+)
+from lycheelug.logs import log_change
+from lycheelug.relay.messages import (
+    CommitCall,
+    FeedCall,
+    PartsCall,
+    ReadCall,
+    StoreReply,
+)
+from lycheelug.relay.server import COMMIT, FEED, PARTS, READ
+from lycheelug.store.rows import (
+    HistoryGone,
+    RowCommit,
+    RowConflict,
+    RowName,
+    RowSet,
+    RowStore,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable, Mapping
+
+    from returns.result import Result
+
+__all__ = ["RelayedRows"]
+
+# Added to the time that a relayed call may take by itself.
+CALL_MARGIN_S: Final = 1.2
+# While the own way fails it is tried again this often: a refusal is
+# cheap, and a way that hangs holds up one call at a time.
+OWN_RETRY_S: Final = 0.3
+# No peer is asked for this long after one could not help either.
+PEERS_PAUSE_S: Final = 0.5
+
+
+class RelayedRows(RowStore):
+    """The store by the own way, or by a peer's."""
+
+    __slots__ = (
+        "_channels",
+        "_codec",
+        "_now",
+        "_own",
+        "_own_retry_at",
+        "_peers",
+        "_peers_retry_at",
+        "_rng",
+        "failing_since",
+    )
+
+    def __init__(
+        self,
+        own: RowStore,
+        peers: Callable[[], list[str]],
+        now: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        # Addresses of daemons that live, as far as is known.
+        self._peers = peers
+        self._now = now
+        self._rng = rng
+        self._codec = MessagePackCodec()
+        self._channels: dict[str, Channel] = {}
+        # While the own way fails: when it is tried again.
+        self._own_retry_at: float | None = None
+        self._peers_retry_at = 0.0
+        # Since when neither way has worked; None while one does.
+        self.failing_since: float | None = None
+
+    async def commit(
+        self,
+        part: str,
+        expected: Mapping[RowName, int],
+        writes: Mapping[RowName, bytes | None],
+    ) -> Result[RowCommit | RowConflict, Fault]:
+        """Write rows if the expected ones have these versions."""
+        result: Result[RowCommit | RowConflict, Fault] | None = None
+        if self._tries_own():
+            result = await self._own.commit(part, expected, writes)
+            if not self._may_relay(result):
+                return result
+        call = CommitCall.of(part, expected, writes)
+        reply = await self._relay(COMMIT, call, Step.WRITE, 0.0)
+        if isinstance(reply, Failure):
+            fault = reply.failure()
+            if result is None or fault.code is PLATFORM_UNKNOWN:
+                # The peer may have done it, whatever the own way said.
+                return Failure(fault)
+            return result
+        told = reply.unwrap()
+        if told.is_conflict:
+            return Success(RowConflict([row.to_row() for row in told.rows]))
+        return Success(RowCommit(told.version))
+
+    async def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Result[RowSet, Fault]:
+        """Return all rows of a part from key `first` to before `end`."""
+        result: Result[RowSet, Fault] | None = None
+        if self._tries_own():
+            result = await self._own.read(table, part, first, end)
+            if not self._may_relay(result):
+                return result
+        call = ReadCall(table, part, first, end)
+        reply = await self._relay(READ, call, Step.READ, 0.0)
+        if isinstance(reply, Failure):
+            return Failure(reply.failure()) if result is None else result
+        return Success(reply.unwrap().to_set())
+
+    async def parts(self, table: str) -> Result[list[str], Fault]:
+        """Return the parts of a table that have rows."""
+        result: Result[list[str], Fault] | None = None
+        if self._tries_own():
+            result = await self._own.parts(table)
+            if not self._may_relay(result):
+                return result
+        reply = await self._relay(PARTS, PartsCall(table), Step.READ, 0.0)
+        if isinstance(reply, Failure):
+            return Failure(reply.failure()) if result is None else result
+        return Success(reply.unwrap().parts)
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowSet | HistoryGone, Fault]:
+        """Return a table's changes; wait for the first one."""
+        result: Result[RowSet | HistoryGone, Fault] | None = None
+        if self._tries_own():
+            result = await self._own.feed(table, after, wait_s)
+            if not self._may_relay(result):
+                return result
+        call = FeedCall(table, after, wait_s)
+        reply = await self._relay(FEED, call, Step.READ, wait_s)
+        if isinstance(reply, Failure):
+            return Failure(reply.failure()) if result is None else result
+        told = reply.unwrap()
+        if told.is_history_gone:
+            return Success(HistoryGone())
+        return Success(told.to_set())
+
+    def close(self) -> None:
+        """Close the connections to peers."""
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    # --- The choice of the way.
+
+    def _tries_own(self) -> bool:
+        """Whether a call goes the own way first."""
+        if self._own_retry_at is None:
+            return True
+        if self._now() < self._own_retry_at:
+            return False
+        self._own_retry_at = self._now() + OWN_RETRY_S
+        return True
+
+    def _may_relay(self, result: Result[Any, Fault]) -> bool:
+        """Take in how the own way went; True where a peer may help."""
+        if isinstance(result, Success):
+            if self._own_retry_at is not None:
+                log_change("own-way-regained", peer="platform")
+            self._own_retry_at = None
+            self.failing_since = None
+            return False
+        fault = result.failure()
+        if self._own_retry_at is None:
+            log_change(
+                "own-way-lost", code=fault.code.name, detail=fault.detail
+            )
+            self._own_retry_at = self._now() + OWN_RETRY_S
+        if self.failing_since is None:
+            self.failing_since = self._now()
+        is_unknown_write = (
+            fault.code is PLATFORM_UNKNOWN and fault.step is Step.WRITE
+        )
+        return not is_unknown_write
+
+    async def _relay(
+        self, path: str, message: Any, step: Step, wait_s: float
+    ) -> Result[StoreReply, Fault]:
+        """Let a peer make a call."""
+        peers = self._peers()
+        if not peers or self._now() < self._peers_retry_at:
+            return Failure(
+                Fault(
+                    PLATFORM_UNREACHABLE, step, Peer.PLATFORM, "no peer to ask"
+                )
+            )
+        address = self._rng.choice(peers)
+        try:
+            async with asyncio.timeout(wait_s + CALL_MARGIN_S):
+                method: UnaryUnaryMethod[Any, StoreReply] = UnaryUnaryMethod(
+                    self._channel(address), path, type(message), StoreReply
+                )
+                reply = await method(message)
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            GRPCError,
+            StreamTerminatedError,
+            ProtocolError,
+        ) as error:
+            channel = self._channels.pop(address, None)
+            if channel is not None:
+                channel.close()
+            detail = str(error) or type(error).__name__
+            return Failure(
+                Fault(PLATFORM_UNKNOWN, step, Peer.ENTRY, detail, address)
+            )
+        if not reply.fault:
+            self.failing_since = None
+            return Success(reply)
+        self._peers_retry_at = self._now() + PEERS_PAUSE_S
+        code = CODES.get(reply.fault, PLATFORM_UNKNOWN)
+        return Failure(Fault(code, step, Peer.ENTRY, reply.detail, address))
+
+    def _channel(self, address: str) -> Channel:
+        """Return the connection to a peer."""
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = Channel(host, int(port), codec=self._codec)
+            self._channels[address] = channel
+        return channel
--- /dev/null
+++ b/lycheelug/relay/server.py
@@ -0,0 +1,147 @@
+"""Makes calls to the store for daemons that the store turns away.
+
+Only the daemon's own way to the store is used: a relayed call is never
+relayed again.
+"""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any, Final, TypeVar
+
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.exceptions import GRPCError
+from grpclib.server import Server
+from returns.result import Failure, Success
+
+from lycheelug.entries.codec import MessagePackCodec
+from lycheelug.relay.messages import (
+    CommitCall,
+    FeedCall,
+    PartsCall,
+    ReadCall,
+    StoreReply,
+    pack_rows,
+)
+from lycheelug.store.rows import HistoryGone, RowConflict, RowName
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+
+    from grpclib.server import Stream
+    from returns.result import Result
+
+    from lycheelug.errors import Fault
+    from lycheelug.store.rows import RowSet, RowStore
+
+__all__ = ["COMMIT", "FEED", "PARTS", "READ", "RelayServer"]
+
+_SERVICE: Final = "/lycheelug.Relay/"
+COMMIT: Final = _SERVICE + "Commit"
+READ: Final = _SERVICE + "Read"
+PARTS: Final = _SERVICE + "Parts"
+FEED: Final = _SERVICE + "Feed"
+
+Q = TypeVar("Q")
+
+
+class RelayServer:
+    """Listens for other daemons' calls."""
+
+    __slots__ = ("_server", "_store", "port")
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+        self._server: Server | None = None
+        # The bound port, after `start`.
+        self.port = 0
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen; raise OSError where the address is taken."""
+        listener = socket.create_server((host, port))
+        listener.setblocking(False)
+        self.port = listener.getsockname()[1]
+        self._server = Server([self], codec=MessagePackCodec())
+        await self._server.start(sock=listener)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def __mapping__(self) -> Mapping[str, Handler]:
+        return {
+            COMMIT: _unary(self._commit, CommitCall),
+            READ: _unary(self._read, ReadCall),
+            PARTS: _unary(self._parts, PartsCall),
+            FEED: _unary(self._feed, FeedCall),
+        }
+
+    async def _commit(self, call: CommitCall) -> StoreReply:
+        """Make a commit."""
+        expected: dict[RowName, int] = {}
+        writes: dict[RowName, bytes | None] = {}
+        for row in call.expected:
+            expected[RowName(row.table, row.key)] = row.version
+        for row in call.writes:
+            writes[RowName(row.table, row.key)] = row.value
+        result = await self._store.commit(call.part, expected, writes)
+        if isinstance(result, Failure):
+            return _fault_reply(result.failure())
+        outcome = result.unwrap()
+        if isinstance(outcome, RowConflict):
+            rows = pack_rows(list(outcome.rows.values()))
+            return StoreReply(rows=rows, is_conflict=True)
+        return StoreReply(version=outcome.version)
+
+    async def _read(self, call: ReadCall) -> StoreReply:
+        """Read rows."""
+        result = await self._store.read(
+            call.table, call.part, call.first, call.end
+        )
+        return _rows_reply(result)
+
+    async def _parts(self, call: PartsCall) -> StoreReply:
+        """List parts."""
+        result = await self._store.parts(call.table)
+        if isinstance(result, Failure):
+            return _fault_reply(result.failure())
+        return StoreReply(parts=result.unwrap())
+
+    async def _feed(self, call: FeedCall) -> StoreReply:
+        """Follow a table."""
+        result = await self._store.feed(call.table, call.after, call.wait_s)
+        if isinstance(result, Success):
+            changes = result.unwrap()
+            if isinstance(changes, HistoryGone):
+                return StoreReply(is_history_gone=True)
+            return _rows_reply(Success(changes))
+        return _fault_reply(result.failure())
+
+
+def _unary(
+    function: Callable[[Q], Awaitable[StoreReply]], request: type[Q]
+) -> Handler:
+    """Return grpclib's handler of a method with one message each way."""
+
+    async def run(stream: Stream[Any, Any]) -> None:
+        message = await stream.recv_message()
+        if message is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no message")
+        await stream.send_message(await function(message))
+
+    return Handler(run, Cardinality.UNARY_UNARY, request, StoreReply)
+
+
+def _rows_reply(result: Result[RowSet, Fault]) -> StoreReply:
+    """Return rows, or the fault of a call that brought none."""
+    if isinstance(result, Failure):
+        return _fault_reply(result.failure())
+    found = result.unwrap()
+    return StoreReply(rows=pack_rows(found.rows), version=found.version)
+
+
+def _fault_reply(fault: Fault) -> StoreReply:
+    """Return a fault as it travels."""
+    return StoreReply(fault=fault.code.name, detail=fault.detail)
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,102 @@
+"""A daemon that the store turns away passes its calls through a peer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from returns.result import Failure, Result
+
+from lycheelug.errors import PLATFORM_UNKNOWN, PLATFORM_UNREACHABLE, Fault
+from lycheelug.relay import RelayedRows, RelayServer
+from lycheelug.store.memory_rows import MemoryRows
+from lycheelug.store.rows import (
+    HistoryGone,
+    RowCommit,
+    RowConflict,
+    RowName,
+)
+from tests.job_world import FaultyRows
+
+NAME = RowName("t", "k")
+
+
+class World:
+    """One store, a daemon that is turned away, and its peer."""
+
+    def __init__(self) -> None:
+        self.rows = MemoryRows()
+        self.own = FaultyRows(self.rows)
+        self.peer = FaultyRows(self.rows)
+        self.server = RelayServer(self.peer)
+        self.store = RelayedRows(
+            self.own,
+            lambda: [f"127.0.0.1:{self.server.port}"],
+            lambda: asyncio.get_running_loop().time(),
+            random.Random(1),
+        )
+
+    async def __aenter__(self) -> World:
+        await self.server.start("127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.store.close()
+        await self.server.stop()
+
+
+def test_all_calls_go_through_the_peer_and_back_to_the_own_way() -> None:
+    async def run() -> None:
+        async with World() as world:
+            world.own.down = True
+            done = await world.store.commit("p", {NAME: 0}, {NAME: b"v"})
+            assert isinstance(done.unwrap(), RowCommit)
+            again = await world.store.commit("p", {NAME: 0}, {NAME: b"w"})
+            conflict = again.unwrap()
+            assert isinstance(conflict, RowConflict)
+            assert conflict.rows[NAME].value == b"v"
+            read = await world.store.read("t", "p")
+            assert [row.value for row in read.unwrap().rows] == [b"v"]
+            assert (await world.store.parts("t")).unwrap() == ["p"]
+            fed = (await world.store.feed("t", 0, 0.1)).unwrap()
+            assert not isinstance(fed, HistoryGone)
+            assert fed.rows[0].key == "k"
+            world.rows.forget_history(0)
+            gone = await world.store.feed("t", 0, 0.1)
+            assert isinstance(gone.unwrap(), HistoryGone)
+            assert world.store.failing_since is None
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("peer_down", [True, False])
+def test_refusal_is_true_when_no_way_works(peer_down: bool) -> None:
+    async def run() -> None:
+        async with World() as world:
+            world.own.down = True
+            world.peer.down = peer_down
+            if not peer_down:
+                await world.server.stop()
+            result: Result[object, Fault] = await world.store.commit(
+                "p", {NAME: 0}, {NAME: b"v"}
+            )
+            assert isinstance(result, Failure)
+            code = result.failure().code
+            assert code in (PLATFORM_UNREACHABLE, PLATFORM_UNKNOWN)
+            assert (await world.rows.read("t", "p")).unwrap().rows == []
+            assert world.store.failing_since is not None
+
+    asyncio.run(run())
+
+
+def test_commit_that_may_be_done_is_not_repeated() -> None:
+    async def run() -> None:
+        async with World() as world:
+            name = RowName("jobs-01", "job/1")
+            world.own.lose_answers = 1
+            result = await world.store.commit("p", {name: 0}, {name: b"v"})
+            assert isinstance(result, Failure)
+            assert result.failure().code is PLATFORM_UNKNOWN
+
+    asyncio.run(run())
