--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -2,8 +2,8 @@
 
 The own way is tried first, and again after a moment while it fails.  A call
 that may have had an effect is not repeated here: who made it knows how to
-ask again.  When a peer's way fails as well, the store is away for all, and
-no peer is bothered for a moment.
+ask again.  When the ways of some peers fail as well, the store is away for
+all, and no peer is bothered for a moment.
 """
 
 from __future__ import annotations
@@ -58,7 +58,11 @@
 # While the own way fails it is tried again this often: a refusal is
 # cheap, and a way that hangs holds up one call at a time.
 OWN_RETRY_S: Final = 0.3
-# No peer is asked for this long after one could not help either.
+# Peers that one call asks in turn, and for how long one is passed over
+# whose own way failed.
+PEERS_MAX: Final = 3
+TURNED_AWAY_S: Final = 1.0
+# No peer is asked for this long after so many could not help either.
 PEERS_PAUSE_S: Final = 0.5
 
 
@@ -209,14 +213,34 @@
     async def _relay(
         self, path: str, message: Any, step: Step, wait_s: float
     ) -> Result[StoreReply, Fault]:
-        """Let a peer make a call."""
-        address = self._choose_peer()
-        if not address:
-            return Failure(
-                Fault(
-                    PLATFORM_UNREACHABLE, step, Peer.PLATFORM, "no peer to ask"
-                )
-            )
+        """Let a peer make a call; ask the next one if its way fails too."""
+        result: Result[StoreReply, Fault] = Failure(
+            Fault(PLATFORM_UNREACHABLE, step, Peer.PLATFORM, "no peer to ask")
+        )
+        for _ in range(PEERS_MAX):
+            address = self._choose_peer()
+            if not address:
+                return result
+            result = await self._ask(address, path, message, step, wait_s)
+            if isinstance(result, Success):
+                self.failing_since = None
+                return result
+            if result.failure().code is PLATFORM_UNKNOWN:
+                self._avoided_until[address] = self._now() + AVOID_S
+                return result
+            self._avoided_until[address] = self._now() + TURNED_AWAY_S
+        self._peers_retry_at = self._now() + PEERS_PAUSE_S
+        return result
+
+    async def _ask(
+        self,
+        address: str,
+        path: str,
+        message: Any,
+        step: Step,
+        wait_s: float,
+    ) -> Result[StoreReply, Fault]:
+        """Let one peer make a call."""
         try:
             async with asyncio.timeout(wait_s + CALL_MARGIN_S):
                 method: UnaryUnaryMethod[Any, StoreReply] = UnaryUnaryMethod(
@@ -231,7 +255,6 @@
             StreamTerminatedError,
             ProtocolError,
         ) as error:
-            self._avoided_until[address] = self._now() + AVOID_S
             channel = self._channels.pop(address, None)
             if channel is not None:
                 channel.close()
@@ -240,9 +263,7 @@
                 Fault(PLATFORM_UNKNOWN, step, Peer.ENTRY, detail, address)
             )
         if not reply.fault:
-            self.failing_since = None
             return Success(reply)
-        self._peers_retry_at = self._now() + PEERS_PAUSE_S
         code = CODES.get(reply.fault, PLATFORM_UNKNOWN)
         return Failure(Fault(code, step, Peer.ENTRY, reply.detail, address))
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -104,6 +104,22 @@
     asyncio.run(run())
 
 
+def test_next_peer_is_asked_when_the_first_is_turned_away_too() -> None:
+    """The nearest peer is often refused together; seen on a day."""
+
+    async def run() -> None:
+        async with World() as world:
+            refused = RelayServer(world.own)
+            await refused.start("127.0.0.1", 0)
+            world.own.down = True
+            world.dead.append(f"127.0.0.1:{refused.port}")
+            done = await world.store.commit("p", {NAME: 0}, {NAME: b"v"})
+            assert isinstance(done, Success)
+            await refused.stop()
+
+    asyncio.run(run())
+
+
 def test_commit_that_may_be_done_is_not_repeated() -> None:
     async def run() -> None:
         async with World() as world:
