Give free duties to settled daemons, in turns; remove rows of finished jobs

Change: daemons settle with their third heartbeat; a daemon that does not claim in 0.6 s is passed over. Rows of finished jobs go after 180 s.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -44,6 +44,9 @@
 GAP_S: Final = 2.0
 # A new daemon waits for the others to show up before it claims anything.
 SETTLE_S: Final = 1.2
+SETTLED_BEATS: Final = 3
+# A daemon whose turn it is has this long to claim a duty.
+TURN_S: Final = 0.6
 OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
 
 
@@ -86,6 +89,7 @@
         "_beat",
         "_beats_seen",
         "_clock",
+        "_free_since",
         "_held",
         "_incarnation",
         "_leaving",
@@ -127,6 +131,8 @@
         # and whether the last holder gave it back (or there was none).
         self._make_holder = make_holder
         self._mirror = TableMirror(store, OWNERS_TABLE, self._on_owner)
+        # Local times since which duties were seen without a holder.
+        self._free_since: dict[str, float] = {}
         self._owners: dict[str, tuple[OwnerRecord, int]] = {}
         self._liveness = Liveness()
         self._held: dict[str, _Held] = {}
@@ -227,7 +233,12 @@
                 continue
             self._beats_seen[row.key] = beat
             self._liveness.note(
-                row.key, beat.incarnation, row.version, now, beat.leaving
+                row.key,
+                beat.incarnation,
+                row.version,
+                now,
+                beat.leaving,
+                beat.beat >= SETTLED_BEATS,
             )
         return True
 
@@ -273,17 +284,37 @@
             if not pools:
                 continue
             self._liveness.keep(self._name, self._incarnation, now)
+            duties = [*pools, FLEET_PART]
             wanted = choose_claims(
                 self._name,
-                [*pools, FLEET_PART],
+                duties,
                 self._carried_out(),
                 self._liveness,
                 now,
+                self._turns(duties, now),
             )
             for duty in wanted:
                 if duty not in self._held:
                     await self._claim(duty)
 
+    def _turns(self, duties: list[str], now: float) -> dict[str, int]:
+        """Return how many daemons had their turn at each free duty."""
+        turns: dict[str, int] = {}
+        owners = self._carried_out()
+        for duty in duties:
+            owner = owners.get(duty)
+            if owner is not None and self._liveness.is_alive(
+                owner.holder, owner.incarnation, now
+            ):
+                self._free_since.pop(duty, None)
+                continue
+            since = self._free_since.setdefault(duty, now)
+            turns[duty] = int((now - since) / TURN_S)
+        if self._free_since:
+            loop = asyncio.get_running_loop()
+            loop.call_later(TURN_S / 2, self._wake.set)
+        return turns
+
     def _carried_out(self) -> dict[str, OwnerRecord]:
         """Return who holds what, without what this daemon let go."""
         found: dict[str, OwnerRecord] = {}
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -83,6 +83,12 @@
 # The pace of a run whose last order was not answered.
 PACE_UNKNOWN: Final = -1
 RECOVER_RETRY_S: Final = 0.3
+# Rows of finished jobs are kept for callers' questions: the platform asks
+# for 120 s, and daemons' times of day differ.
+KEEP_FINAL_S: Final = 180
+SWEEP_S: Final = 5.0
+# Jobs whose rows one transaction removes: three writes each, of 100.
+SWEEP_MAX: Final = 30
 # The list of hosts is read this often while executors do not answer.
 ENDED_LIVES_S: Final = 0.5
 
@@ -199,6 +205,7 @@
             self.spawn(self._mirror.run())
             self.spawn(self.writer.run())
             self.spawn(self._find_ended_lives())
+            self.spawn(self._sweep_finished())
             await self._drive()
         finally:
             self.stop()
@@ -475,6 +482,17 @@
                 )
                 self.wake()
 
+    async def _sweep_finished(self) -> None:
+        """Remove the rows of jobs that nobody asks for any more."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            before_ms = self._context.clock.unix_ms() - KEEP_FINAL_S * 1000
+            old = self.schedule.finished_before(before_ms)
+            if not await self.writer.remove(old[:SWEEP_MAX]):
+                continue
+            for job in old[:SWEEP_MAX]:
+                self.schedule.forget_job(job.job_id)
+
     def _open_due(self) -> None:
         """Open occurrences of scheduled jobs whose time has come."""
         unix_ms = self._context.clock.unix_ms()
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -16,7 +16,12 @@
 
 from lycheelug.fleetplan import SUMMARIES_TABLE, SUMMARY_KEY
 from lycheelug.jobservice.summary import summarize
-from lycheelug.jobservice.tables import PROGRESS_TABLE
+from lycheelug.jobservice.tables import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    PROGRESS_TABLE,
+    jobs_table,
+)
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
 from lycheelug.store.rows import RowConflict, RowName
@@ -119,6 +124,31 @@
             if not is_stored:
                 await asyncio.sleep(RETRY_S)
 
+    async def remove(self, jobs: list[Job]) -> bool:
+        """Remove all rows of some jobs; False where that failed."""
+        if not jobs:
+            return False
+        owner = self._owner
+        table = jobs_table(owner.pool)
+        expected = {OWNER_ROW: owner.owner_version}
+        writes: dict[RowName, bytes | None] = {}
+        for job in jobs:
+            writes[RowName(table, JOB_PREFIX + job.job_id)] = None
+            writes[RowName(table, CANCEL_PREFIX + job.job_id)] = None
+            writes[RowName(PROGRESS_TABLE, job.job_id)] = None
+        async with self._writing:
+            result = await self._context.store.commit(
+                owner.pool, expected, writes
+            )
+        if isinstance(result, Failure):
+            log_fault("jobs-not-removed", result.failure(), pool=owner.pool)
+            return False
+        if isinstance(result.unwrap(), RowConflict):
+            owner.lose("another owner's row")
+            return False
+        log_change("jobs-removed", pool=owner.pool, jobs=len(jobs))
+        return True
+
     async def flush(self) -> None:
         """Write once more before the pool is handed over."""
         async with self._writing:
--- a/lycheelug/ownership/assignment.py
+++ b/lycheelug/ownership/assignment.py
@@ -26,8 +26,13 @@
     owners: Mapping[str, OwnerRecord],
     liveness: Liveness,
     now: float,
+    passed_over: Mapping[str, int] | None = None,
 ) -> list[str]:
-    """Return the duties that this daemon should claim now."""
+    """Return the duties that this daemon should claim now.
+
+    `passed_over` tells for each duty how many daemons had their turn and
+    did not claim it: they may be dead or cut off without a sign yet.
+    """
     alive = liveness.alive(now)
     if me not in alive:
         return []
@@ -44,7 +49,11 @@
             held[owner.holder] += 1
     claims: list[str] = []
     for duty in free:
-        best = min(alive, key=lambda name: (held[name], _rank(duty, name)))
+        turn = (passed_over or {}).get(duty, 0) % len(alive)
+        ranked = sorted(
+            alive, key=lambda name: (held[name], _rank(duty, name))
+        )
+        best = ranked[turn]
         held[best] += 1
         if best == me:
             claims.append(duty)
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -23,15 +23,27 @@
 class _Peer:
     """One daemon's last heartbeat."""
 
-    __slots__ = ("changed_at", "incarnation", "leaving", "version")
+    __slots__ = (
+        "changed_at",
+        "incarnation",
+        "is_settled",
+        "leaving",
+        "version",
+    )
 
     def __init__(
-        self, incarnation: str, version: int, changed_at: float, leaving: bool
+        self,
+        incarnation: str,
+        version: int,
+        changed_at: float,
+        leaving: bool,
+        is_settled: bool,
     ) -> None:
         self.incarnation = incarnation
         self.version = version
         self.changed_at = changed_at
         self.leaving = leaving
+        self.is_settled = is_settled
 
 
 class Liveness:
@@ -59,12 +71,19 @@
         version: int,
         now: float,
         leaving: bool = False,
+        is_settled: bool = True,
     ) -> None:
-        """Take in one heartbeat row."""
+        """Take in one heartbeat row.
+
+        A daemon settles after some heartbeats; until then it claims
+        nothing, and is given nothing while others can be.
+        """
         peer = self._peers.get(name)
         if peer is not None and peer.version >= version:
             return
-        self._peers[name] = _Peer(incarnation, version, now, leaving)
+        self._peers[name] = _Peer(
+            incarnation, version, now, leaving, is_settled
+        )
 
     def keep(self, name: str, incarnation: str, now: float) -> None:
         """Take in that a daemon lives, whatever its row says."""
@@ -104,12 +123,15 @@
 
     def alive(self, now: float) -> list[str]:
         """Return the daemons that may be given duties, sorted."""
+        settled: list[str] = []
         found: list[str] = []
         for name, peer in self._peers.items():
             if peer.leaving or now - peer.changed_at >= SILENT_S:
                 continue
             found.append(name)
-        return sorted(found)
+            if peer.is_settled:
+                settled.append(name)
+        return sorted(settled or found)
 
     def stale(self, now: float, age_s: float) -> list[str]:
         """Return the daemons that have been silent for `age_s`."""
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -186,6 +186,16 @@
         if job is not None:
             self.drop_final(job)
 
+    def finished_before(self, unix_ms: int) -> list[Job]:
+        """Return jobs that became final before a Unix time, and are stored."""
+        found: list[Job] = []
+        for job in self.jobs.values():
+            if not job.is_final or job.is_dirty:
+                continue
+            if job.progress.final_ms < unix_ms:
+                found.append(job)
+        return found
+
     def jobs_to_begin(self) -> list[Job]:
         """Return waiting jobs that lack the mark of having begun."""
         found: dict[str, Job] = {}
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -288,6 +288,43 @@
     run_virtual(run())
 
 
+def test_pool_is_not_left_to_a_daemon_that_has_just_started() -> None:
+    """It claims nothing yet; pools stood still in a rolling stop."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=1, daemons=3)
+        for round_number in range(3):
+            (owner,) = world.holders()
+            await world.daemons[owner].drain()
+            await world.daemons.pop(owner).stop()
+            world.start_daemon(f"n{round_number}")
+            await until(lambda: len(world.holders()) == 1, timeout_s=0.9)
+            await asyncio.sleep(1.0)
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_rows_of_finished_jobs_go_after_their_time() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=1, daemons=1)
+        await world.submit("e0", 1)
+        await wait_state(world, "e0", 1, JobState.COMPLETED)
+        await asyncio.sleep(150)
+        assert (
+            len((await world.rows.read("progress", POOL)).unwrap().rows) == 1
+        )
+        await asyncio.sleep(50)
+        assert (await world.rows.read("progress", POOL)).unwrap().rows == []
+        await world.submit("e0", 2)
+        await wait_state(world, "e0", 2, JobState.COMPLETED)
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_everything_restarts_with_work_running() -> None:
     async def run() -> None:
         world = JobWorld()
