--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -406,7 +406,9 @@
             self.writer.wake_if_needed()
             if self.is_verified:
                 for order in self.schedule.plan(
-                    self._context.clock.now(), self.verified_at
+                    self._context.clock.now(),
+                    self.verified_at,
+                    self._context.clock.unix_ms(),
                 ):
                     self._send(order)
                 for step, wanted in self.schedule.advice_wanted.items():
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -285,7 +285,7 @@
     # --- Orders.
 
     def plan(
-        self, now: float, verified_at: float
+        self, now: float, verified_at: float, unix_ms: int = 0
     ) -> list[StartOrder | StopOrder | PaceOrder]:
         """Return the orders that are due now.
 
@@ -305,7 +305,7 @@
                         view.executor_id, run.task_name, run.run, run.pace
                     )
                 )
-        orders.extend(self._starts(now))
+        orders.extend(self._starts(now, unix_ms))
         return orders
 
     def _expire(
@@ -396,13 +396,15 @@
             return "start was not answered"
         return ""
 
-    def _starts(self, now: float) -> list[StartOrder]:
+    def _starts(self, now: float, unix_ms: int) -> list[StartOrder]:
         """Return the starts for which there is room, most urgent first."""
         if not self._ready:
             return []
         orders: list[StartOrder] = []
         is_settled = self._is_settled(now)
-        waiting = sorted(self._ready.values(), key=_urgency)
+        waiting = sorted(
+            self._ready.values(), key=lambda task: _urgency(task, unix_ms)
+        )
         for task in waiting:
             job = task.job
             if not job.is_begun or job.is_final:
@@ -493,12 +495,23 @@
         return True
 
 
-def _urgency(task: Task) -> tuple[int, bool, float, TaskName]:
+def _urgency(
+    task: Task, unix_ms: int
+) -> tuple[int, bool, bool, float, TaskName]:
     """Return the order in which tasks are placed: the smallest first.
 
     A lasting task earns from the moment that it works, so it goes before
-    what has until its objective.
+    what has until its objective.  A job that is late already goes after
+    those that can still be in time: served in order of objectives alone, a
+    surge would make each job late by as much as the one before.
     """
     job = task.job
     objective = job.objective_at_ms(task.name.occurrence)
-    return (job.policy.priority, not job.is_lasting, objective, task.name)
+    is_late = not job.is_lasting and unix_ms > objective
+    return (
+        job.policy.priority,
+        not job.is_lasting,
+        is_late,
+        objective,
+        task.name,
+    )
--- a/tests/pool_world.py
+++ b/tests/pool_world.py
@@ -38,6 +38,7 @@
         self.schedule = PoolSchedule("quotes", term, 5.0, fenced_out_at)
         # None: the ownership is proved all the time.
         self.verified_at: float | None = None
+        self.unix_ms = 0
         self.numbers: dict[str, int] = {}
 
     def add_executor(
@@ -72,10 +73,11 @@
         begun: bool = True,
         max_attempts: int = 2,
         needs_advice: bool = False,
+        accepted_ms: int = 0,
     ) -> Job:
         job = self.schedule.add_job(
             job_id,
-            JobRecord("queue", "payload", steps),
+            JobRecord("queue", "payload", steps, accepted_ms),
             QueuePolicy(
                 "queue",
                 "quotes",
@@ -95,7 +97,7 @@
         verified_at = (
             self.now if self.verified_at is None else self.verified_at
         )
-        return self.schedule.plan(self.now, verified_at)
+        return self.schedule.plan(self.now, verified_at, self.unix_ms)
 
     def starts(self) -> list[StartOrder]:
         return [each for each in self.plan() if isinstance(each, StartOrder)]
--- /dev/null
+++ b/tests/test_surge_order.py
@@ -0,0 +1,58 @@
+"""Load pattern: a surge of five times the mean, more than the pool holds.
+
+Jobs come faster than they can be done for some seconds, then seldom.  In
+order of objectives alone every job of the surge's second half would start
+just after its objective; with late jobs last, those that come later are
+still in time.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheelug.workloads import EndKind, StepSpec
+from lycheelug.workloads.jobs import Task
+from tests.pool_world import PoolWorld
+
+# One task a job, one second of work, four at once: four jobs a second.
+STEP = StepSpec(count=1, cpu_millis=1000, estimate_ms=1000)
+# stretch 1 x 1 s, and 1 s more.
+OBJECTIVE_MS = 2000
+TICK_MS = 250
+
+
+def play(arrivals: list[int], late_last: bool) -> int:
+    """Return how many jobs are done by their objective."""
+    world = PoolWorld()
+    world.add_executor("x")
+    running: list[tuple[int, Task, int]] = []
+    accepted: dict[str, int] = {}
+    in_time = 0
+    unix_ms = 0
+    for count in [*arrivals, *([0] * 60)]:
+        unix_ms += TICK_MS
+        world.now += TICK_MS / 1000
+        ended = []
+        for entry in list(running):
+            if unix_ms - entry[0] >= 1000:
+                running.remove(entry)
+                ended.append((entry[1].name, entry[2], EndKind.DONE))
+                began_ms = accepted[entry[1].name.job]
+                in_time += unix_ms - began_ms <= OBJECTIVE_MS
+        for _ in range(count):
+            job_id = f"{len(accepted):016x}"
+            accepted[job_id] = unix_ms
+            world.add_job([STEP], job_id=job_id, accepted_ms=unix_ms)
+        alive = [(each[1].name, each[2]) for each in running]
+        world.hear("x", running=alive, ended=ended)
+        world.unix_ms = unix_ms if late_last else 0
+        for order in world.starts():
+            world.answer(order)
+            running.append((unix_ms, order.task, order.run))
+    return in_time
+
+
+@pytest.mark.parametrize("surge", [2, 3, 5])
+def test_late_jobs_last_serve_more_of_a_surge_in_time(surge: int) -> None:
+    arrivals = [surge] * 16 + [0, 0, 0, 1] * 8
+    assert play(arrivals, late_last=True) > play(arrivals, late_last=False)
