--- a/tests/test_surge_order.py
+++ b/tests/test_surge_order.py
@@ -8,12 +8,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import pytest
 
 from lycheelug.workloads import EndKind, StepSpec
-from lycheelug.workloads.jobs import Task
 from tests.pool_world import PoolWorld
 
+if TYPE_CHECKING:
+    from lycheelug.workloads import Task
+
 # One task a job, one second of work, four at once: four jobs a second.
 STEP = StepSpec(count=1, cpu_millis=1000, estimate_ms=1000)
 # stretch 1 x 1 s, and 1 s more.
