Refuse callers at once while the store is away; close no connection over unread bytes

Test: test_daemon_without_the_store_refuses_at_once_and_truly. Change: a connection with unread bytes is answered before it is closed. Test: test_request_that_comes_at_the_very_end_is_not_reset.

--- a/lycheelug/daemon.py
+++ b/lycheelug/daemon.py
@@ -187,7 +187,9 @@
         self._callers_server.stop_accepting()
         deadline = time.monotonic() + self.core.settings.timing.grace_s
         while True:
-            if not self._is_busy() or time.monotonic() >= deadline:
+            if time.monotonic() >= deadline:
+                break
+            if not self._is_busy() and self._callers_server.close_idle():
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         await self.requests.settle(max(0.0, deadline - time.monotonic()))
--- a/lycheelug/http/server.py
+++ b/lycheelug/http/server.py
@@ -129,6 +129,17 @@
                 return False
         return True
 
+    def close_idle(self) -> bool:
+        """Close the connections on which nothing has come; True if all.
+
+        One with unread bytes stays: closing it would reset a request that
+        has reached this host, which is told that the server stops instead.
+        """
+        for connection in tuple(self._connections):
+            if not connection.busy and not connection.has_unread():
+                connection.close()
+        return all(each.is_closing for each in self._connections)
+
     def stop(self) -> None:
         """Close everything now."""
         self.stop_accepting()
--- a/lycheelug/http/server_connection.py
+++ b/lycheelug/http/server_connection.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final, cast
 
@@ -124,6 +125,20 @@
         """Whether a request is being received, handled or answered."""
         return self._phase is not _Phase.IDLE
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether it ends once what is written has gone out."""
+        return self._transport is None or self._transport.is_closing()
+
+    def has_unread(self) -> bool:
+        """Whether bytes, or the client's end, wait to be read."""
+        if self.is_closing or self._transport is None:
+            return False
+        peeked = self._transport.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(peeked.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     # --- Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -14,6 +14,8 @@
 from lycheelug.metrics import Metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lycheelug.jobservice.clock import Clock
     from lycheelug.jobservice.duties import DutyHolder
     from lycheelug.jobservice.interfaces import (
@@ -55,6 +57,7 @@
         lease_s: float,
         upkeep_s: float,
         address: str = "",
+        is_store_away: Callable[[], bool] | None = None,
     ) -> None:
         self._upkeep_s = upkeep_s
         self._name = name
@@ -63,7 +66,9 @@
         self.configuration: Configuration | None = None
         self.waves: dict[int, UpkeepWave] = {}
         self._executors: dict[str, ExecutorInfo] = {}
-        self.submissions = Submissions(store, clock, self.metrics)
+        self.submissions = Submissions(
+            store, clock, self.metrics, is_store_away
+        )
         self._context = OwnerContext(
             store,
             gateway,
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -33,6 +33,8 @@
 from lycheelug.workloads import JobState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from returns.result import Result
 
     from lycheelug.errors import Fault
@@ -85,11 +87,25 @@
 class Submissions:
     """The callers' side of the job service."""
 
-    __slots__ = ("_clock", "_final", "_metrics", "_pools_of", "_store")
+    __slots__ = (
+        "_clock",
+        "_final",
+        "_is_store_away",
+        "_metrics",
+        "_pools_of",
+        "_store",
+    )
 
     def __init__(
-        self, store: RowStore, clock: Clock, metrics: Metrics
+        self,
+        store: RowStore,
+        clock: Clock,
+        metrics: Metrics,
+        is_store_away: Callable[[], bool] | None = None,
     ) -> None:
+        # Whether calls to the store have failed for a while: then callers
+        # are refused at once, and nothing is sent for them.
+        self._is_store_away = is_store_away or _never
         self._store = store
         self._clock = clock
         self._metrics = metrics
@@ -110,6 +126,8 @@
         self, route: Route, job_id: str, record: JobRecord
     ) -> Reply:
         """Store a submission; a repeated one is the same job."""
+        if self._is_store_away():
+            return self._refuse_away("submission", job_id)
         for pool in self._pools_of.get(route.name, [])[1:]:
             found = await self._read_one(
                 jobs_table(pool), pool, JOB_PREFIX + job_id
@@ -147,12 +165,16 @@
                     continue
                 return self._refuse("submission", job_id, fault)
             may_be_done = True
+            if self._is_store_away():
+                break
         log_fault("submission-undecided", fault, job=job_id)
         self._metrics.count("jobs-undecided")
         return Reply(ReplyKind.UNDECIDED)
 
     async def cancel(self, route: Route, job_id: str) -> Reply:
         """Store a cancel; the pool's owner acts on it."""
+        if self._is_store_away():
+            return self._refuse_away("cancel", job_id)
         fault: Fault | None = None
         for pool in self._pools_of.get(route.name, [route.pool]):
             found = await self._read_one(
@@ -183,6 +205,8 @@
         known = self._final.get(job_id)
         if known is not None:
             return Reply(ReplyKind.OK, state=known)
+        if self._is_store_away():
+            return self._refuse_away("question", job_id)
         pools = self._pools_of.get(route.name, [route.pool])
         for pool in pools:
             read = await self._read_one(PROGRESS_TABLE, pool, job_id)
@@ -210,6 +234,8 @@
 
         The pool's owner counts them in its summary.
         """
+        if self._is_store_away():
+            return self._refuse_away("count", route.name)
         read = await self._read_one(SUMMARIES_TABLE, route.pool, SUMMARY_KEY)
         if isinstance(read, Failure):
             return self._refuse("count", route.name, read.failure())
@@ -232,8 +258,21 @@
         self._metrics.count(f"refused-{what}")
         return Reply(ReplyKind.REFUSED)
 
+    def _refuse_away(self, what: str, subject: str) -> Reply:
+        """Tell a caller at once that the store can't be reached."""
+        log_change(
+            f"{what}-refused", subject=subject, reason="the store is away"
+        )
+        self._metrics.count(f"refused-{what}")
+        return Reply(ReplyKind.REFUSED)
+
     def _remember(self, job_id: str, state: str) -> None:
         """Keep a final state, within a bound."""
         if len(self._final) >= REMEMBERED_MAX:
             self._final.pop(next(iter(self._final)))
         self._final[job_id] = state
+
+
+def _never() -> bool:
+    """Take the store for reachable."""
+    return False
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -58,6 +58,9 @@
 # Not ready once the store has been silent for this long: callers are
 # better served by a daemon that reaches it.
 STORE_SILENT_S: Final = 1.5
+# Callers are refused at once when no call has worked for this long; the
+# heartbeat tries again each 0.3 s.
+AWAY_S: Final = 0.4
 # After SIGTERM callers are still served until the platform has noticed
 # that this daemon is not ready (two misses, a second apart).
 NOTICE_S: Final = 2.5
@@ -119,6 +122,7 @@
             min(LEASE_S, settings.bounds.hold_max_ms / 1000),
             settings.bounds.maintenance_s,
             self._relay_address(),
+            self._is_store_away,
         )
         limits = ServerLimits(max_body_bytes=BODY_BYTES_MAX)
         ingress = Ingress(self._service, clock)
@@ -169,6 +173,11 @@
         """Return the addresses of the other daemons."""
         return self._service.duties.peers()
 
+    def _is_store_away(self) -> bool:
+        """Whether no way to the store has worked for a moment."""
+        since = self._store.failing_since
+        return since is not None and self._clock.now() - since > AWAY_S
+
     def _relay_address(self) -> str:
         """Return where other daemons reach this one; empty for nowhere."""
         ports = self._settings.internal_ports
@@ -215,8 +224,8 @@
         await asyncio.sleep(max(0.0, began + NOTICE_S - loop.time()))
         self._callers.stop_accepting()
         ends_at = began + self._settings.bounds.grace_s - GRACE_MARGIN_S
-        while not self._callers.is_quiet(QUIET_S):
-            if loop.time() >= ends_at:
+        while loop.time() < ends_at:
+            if self._callers.is_quiet(QUIET_S) and self._callers.close_idle():
                 break
             await asyncio.sleep(QUIET_POLL_S)
         cut = self._callers.busy_connections
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -70,12 +70,14 @@
 class FaultyRows(MemoryRows):
     """One daemon's way to the shared store."""
 
-    __slots__ = ("down", "lose_answers", "shared")
+    __slots__ = ("down", "known_away", "lose_answers", "shared")
 
     def __init__(self, shared: MemoryRows) -> None:
         super().__init__()
         self.shared = shared
         self.down = False
+        # Whether the daemon has found out that it is away.
+        self.known_away = False
         # Submissions that take effect and are not answered.
         self.lose_answers = 0
 
@@ -365,7 +367,15 @@
     def start_daemon(self, name: str) -> JobService:
         way = FaultyRows(self.rows)
         service = JobService(
-            name, "z1", way, self.fleet, self.fleet, VirtualClock(), 5.0, 2.0
+            name,
+            "z1",
+            way,
+            self.fleet,
+            self.fleet,
+            VirtualClock(),
+            5.0,
+            2.0,
+            is_store_away=lambda: way.known_away,
         )
         service.take_configuration(
             Configuration(1, [ROUTE], [PoolPolicy(POOL)])
--- a/tests/test_http_stop.py
+++ b/tests/test_http_stop.py
@@ -67,6 +67,29 @@
     asyncio.run(run())
 
 
+def test_request_that_comes_at_the_very_end_is_not_reset() -> None:
+    """The last close of an idle connection; seen on a busy machine."""
+
+    async def run() -> None:
+        server = HttpServer(answer_ok)
+        await server.start("127.0.0.1", 0)
+        client = ask_nonblocking(server.port)
+        assert await read_status(client) == b"200"
+        server.stop_accepting()
+        client.setblocking(True)
+        client.sendall(REQUEST)
+        client.setblocking(False)
+        assert not server.close_idle()
+        assert await read_status(client) == b"503"
+        client.close()
+        async with asyncio.timeout(5):
+            while not server.close_idle():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        server.stop()
+
+    asyncio.run(run())
+
+
 def test_stopping_server_waits_until_its_clients_are_quiet() -> None:
     async def run() -> None:
         server = HttpServer(answer_ok)
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -72,6 +72,24 @@
     run_virtual(run())
 
 
+def test_daemon_without_the_store_refuses_at_once_and_truly() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=1, daemons=1)
+        world.ways["e0"].known_away = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        reply = await world.submit("e0", 3)
+        assert reply.kind is ReplyKind.REFUSED
+        assert reply.retry_after_s > 0
+        assert loop.time() == began
+        world.ways["e0"].known_away = False
+        assert await world.state("e0", 3) == ""
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_dead_owner_is_replaced_and_running_work_goes_on() -> None:
     async def run() -> None:
         world = JobWorld()
