--- a/lycheelug/fleetplan/__init__.py
+++ b/lycheelug/fleetplan/__init__.py
@@ -1,12 +1,13 @@
 """Where hosts stand, and when they have their upkeep; no I/O."""
 
-from lycheelug.fleetplan.planner import FleetPlanner, HostOrder
+from lycheelug.fleetplan.planner import FleetPlanner
 from lycheelug.fleetplan.records import (
     PLAN_KEY,
     PLANS_TABLE,
     SUMMARIES_TABLE,
     SUMMARY_KEY,
     HostLoad,
+    HostOrder,
     PlanRecord,
     SummaryRecord,
     VacateOrder,
--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -11,8 +11,8 @@
 
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.fleetplan.records import PlanRecord, VacateOrder
-from lycheelug.fleetplan.sizing import SIZINGS
+from lycheelug.fleetplan.records import HostOrder, PlanRecord, VacateOrder
+from lycheelug.fleetplan.sizing import SIZINGS, usual_room
 from lycheelug.jobservice.interfaces import HostState
 
 if TYPE_CHECKING:
@@ -21,7 +21,7 @@
     from lycheelug.fleetplan.records import SummaryRecord
     from lycheelug.jobservice.interfaces import HostInfo, UpkeepWave
 
-__all__ = ["FleetPlanner", "HostOrder"]
+__all__ = ["FleetPlanner"]
 
 # A surplus is given back after it has lasted for this long.
 SURPLUS_S: Final = 0.8
@@ -31,16 +31,6 @@
 HURRIED_HOSTS: Final = 2
 
 
-class HostOrder:
-    """A call that may be made now."""
-
-    __slots__ = ("host", "order")
-
-    def __init__(self, host: str, order: VacateOrder) -> None:
-        self.host = host
-        self.order = order
-
-
 class FleetPlanner:
     """What the fleet's planner knows and wants under one term."""
 
@@ -228,16 +218,9 @@
             if host is None or host.pool != order.pool:
                 del self.plan.orders[name]
 
-    def _capacity(self) -> tuple[int, int]:
-        """Return the usual room of a host: processor time and memory."""
-        for host in self.hosts.values():
-            if host.capacity is not None:
-                return host.capacity.cpu_millis, host.capacity.memory_mb
-        return 0, 0
-
     def _wanted_sizes(self) -> dict[str, int]:
         """Return how many hosts each pool should have."""
-        host_cpu, host_memory = self._capacity()
+        host_cpu, host_memory = usual_room(self.hosts.values())
         policy = SIZINGS.get(self.sizing)
         wanted: dict[str, int] = {}
         for pool in self.pools:
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -21,6 +21,7 @@
     "SUMMARIES_TABLE",
     "SUMMARY_KEY",
     "HostLoad",
+    "HostOrder",
     "PlanRecord",
     "SummaryRecord",
     "VacateOrder",
@@ -101,6 +102,16 @@
     completed: list[int] = []
 
 
+class HostOrder:
+    """A call that may be made now."""
+
+    __slots__ = ("host", "order")
+
+    def __init__(self, host: str, order: VacateOrder) -> None:
+        self.host = host
+        self.order = order
+
+
 def decode_summary(value: bytes) -> SummaryRecord | None:
     """Return a summary; None for bytes that are none."""
     try:
--- a/lycheelug/fleetplan/sizing.py
+++ b/lycheelug/fleetplan/sizing.py
@@ -14,13 +14,14 @@
 from lycheelug.registry import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from lycheelug.fleetplan.records import SummaryRecord
+    from lycheelug.jobservice.interfaces import HostInfo
 
     Sizing = Callable[[SummaryRecord, int, int], int]
 
-__all__ = ["SIZINGS", "size_by_demand"]
+__all__ = ["SIZINGS", "size_by_demand", "usual_room"]
 
 SIZINGS: Final[Registry[Sizing]] = Registry("sizing policy")
 
@@ -31,6 +32,14 @@
 HOSTS_MIN: Final = 1
 
 
+def usual_room(hosts: Iterable[HostInfo]) -> tuple[int, int]:
+    """Return a host's usual room: processor time and memory."""
+    for host in hosts:
+        if host.capacity is not None:
+            return host.capacity.cpu_millis, host.capacity.memory_mb
+    return 0, 0
+
+
 @SIZINGS.register("demand")
 def size_by_demand(
     summary: SummaryRecord, host_cpu: int, host_memory: int
--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -21,7 +21,8 @@
 from lycheelug.workloads import take_list
 
 if TYPE_CHECKING:
-    from lycheelug.jobservice.pool_owner import OwnerContext, PoolOwner
+    from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.pool_owner import PoolOwner
     from lycheelug.workloads import ExecutorInfo, ExecutorView
 
 __all__ = ["ExecutorLoop"]
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -34,8 +34,8 @@
     from collections.abc import Callable
 
     from lycheelug.fleetplan import HostOrder, SummaryRecord
+    from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.interfaces import HostControl, UpkeepWave
-    from lycheelug.jobservice.pool_owner import OwnerContext
     from lycheelug.store.rows import StoredRow
 
 __all__ = ["FleetOwner"]
--- /dev/null
+++ b/lycheelug/jobservice/order_sender.py
@@ -0,0 +1,159 @@
+"""Sends a pool owner's orders and takes in what comes back of them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure
+
+from lycheelug.jobservice.interfaces import StopAnswer
+from lycheelug.logs import log_change, log_fault
+from lycheelug.workloads import (
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    note_start,
+    note_stop,
+)
+
+if TYPE_CHECKING:
+    from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.pool_owner import PoolOwner
+    from lycheelug.workloads import StepName
+
+__all__ = ["OrderSender"]
+
+# The pace of a run whose last order was not answered.
+PACE_UNKNOWN: Final = -1
+
+
+class OrderSender:
+    """The way from one pool's schedule to its executors."""
+
+    __slots__ = ("_context", "_owner")
+
+    def __init__(self, context: OwnerContext, owner: PoolOwner) -> None:
+        self._context = context
+        self._owner = owner
+
+    def send(self, order: StartOrder | StopOrder | PaceOrder) -> None:
+        """Send an order without waiting for its answer."""
+        if isinstance(order, StartOrder):
+            self._owner.spawn(self._start(order))
+        elif isinstance(order, StopOrder):
+            self._owner.spawn(self._stop(order))
+        else:
+            self._owner.spawn(self._pace(order))
+
+    async def _start(self, order: StartOrder) -> None:
+        """Send a start and take in what comes back."""
+        context = self._context
+        task = order.task
+        view = self._owner.schedule.executors.get(order.executor_id)
+        if view is None:
+            return
+        clock_ms = view.estimate_clock_ms(context.clock.now())
+        assert clock_ms is not None
+        deadline_ms = clock_ms + int(context.lease_s * 1000)
+        answer, told_ms = await context.gateway.start(
+            view.info,
+            task.name,
+            order.run,
+            task.job.record.payload,
+            task.checkpoint,
+            deadline_ms,
+            self._owner.term,
+            order.ticket,
+        )
+        now = context.clock.now()
+        if told_ms is not None:
+            view.note_clock(told_ms, now)
+        note_start(self._owner.schedule, view, task, order.run, answer, now)
+        context.metrics.count(f"starts-{answer.name.lower()}")
+        log_change(
+            "task-start",
+            job=task.name.job,
+            task=task.name.render(),
+            run=order.run,
+            term=self._owner.term,
+            executor=order.executor_id,
+            answer=answer.name.lower(),
+        )
+        self._owner.wake()
+
+    async def _stop(self, order: StopOrder) -> None:
+        """Send a stop; it is planned again until it is answered."""
+        context = self._context
+        view = self._owner.schedule.executors.get(order.executor_id)
+        if view is None:
+            return
+        answer = await context.gateway.stop(
+            view.info, order.task_name, order.run, self._owner.term
+        )
+        now = context.clock.now()
+        log_change(
+            "task-stop",
+            job=order.task_name.job,
+            task=order.task_name.render(),
+            run=order.run,
+            executor=order.executor_id,
+            reason=order.why,
+            answer=answer.name.lower(),
+        )
+        if answer is StopAnswer.GONE:
+            self._owner.schedule.end_executor(order.executor_id, now)
+        elif answer is StopAnswer.FENCED:
+            self._owner.writer.verify_soon()
+        key = (order.task_name, order.run)
+        note_stop(view, key, answer is StopAnswer.ANSWERED, now)
+        if answer is StopAnswer.ANSWERED:
+            self._owner.wake()
+
+    async def _pace(self, order: PaceOrder) -> None:
+        """Set a run's pace; without an answer it is ordered again."""
+        view = self._owner.schedule.executors.get(order.executor_id)
+        if view is None:
+            return
+        is_set = await self._context.gateway.pace(
+            view.info,
+            order.task_name,
+            order.run,
+            order.percent,
+            self._owner.term,
+        )
+        run = view.runs.get((order.task_name, order.run))
+        if not is_set and run is not None:
+            run.pace = PACE_UNKNOWN
+        log_change(
+            "task-pace",
+            task=order.task_name.render(),
+            run=order.run,
+            executor=order.executor_id,
+            percent=order.percent,
+            answered=is_set,
+        )
+
+    def ask_advice(self, step: StepName, wanted: list[str]) -> None:
+        """Ask which executors may run a step, without waiting for it."""
+        self._owner.spawn(self._ask_advice(step, wanted))
+
+    async def _ask_advice(self, step: StepName, wanted: list[str]) -> None:
+        """Ask which executors may run a step."""
+        result = await self._context.gateway.advise(step, wanted)
+        now = self._context.clock.now()
+        if isinstance(result, Failure):
+            log_fault("no-advice", result.failure(), step=step.render())
+            self._owner.schedule.advice.note_failure(step, now)
+            return
+        advice = result.unwrap()
+        self._owner.schedule.advice.take(
+            step, advice.tickets, advice.valid_s, now, wanted
+        )
+        log_change(
+            "advice",
+            step=step.render(),
+            asked=len(wanted),
+            allowed=len(advice.tickets),
+            valid_s=advice.valid_s,
+        )
+        self._owner.wake()
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -26,7 +26,11 @@
     decode_summary,
 )
 from lycheelug.jobservice.executor_loop import ExecutorLoop
-from lycheelug.jobservice.interfaces import StopAnswer
+from lycheelug.jobservice.order_sender import OrderSender
+from lycheelug.jobservice.pool_chores import (
+    find_ended_lives,
+    sweep_finished,
+)
 from lycheelug.jobservice.progress_writer import ProgressWriter
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
@@ -41,38 +45,24 @@
 from lycheelug.store.mirror import TableMirror
 from lycheelug.workloads import (
     ExecutorInfo,
-    PaceOrder,
     PoolSchedule,
     QueuePolicy,
     Resources,
-    StartOrder,
-    StopOrder,
-    note_start,
-    note_stop,
 )
 from lycheelug.workloads.executors import CLOCK_DRIFT
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Coroutine
 
     from returns.result import Result
 
     from lycheelug.errors import Fault
-    from lycheelug.jobservice.clock import Clock
-    from lycheelug.jobservice.interfaces import (
-        Configuration,
-        ExecutorGateway,
-        HostControl,
-    )
-    from lycheelug.metrics import Metrics
-    from lycheelug.store.rows import RowStore, StoredRow
-    from lycheelug.workloads import Job, ProgressRecord, StepName
+    from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.store.rows import StoredRow
+    from lycheelug.workloads import Job, ProgressRecord
 
-__all__ = ["LEASE_S", "VERIFY_S", "OwnerContext", "PoolOwner"]
+__all__ = ["VERIFY_S", "PoolOwner"]
 
-# Leases outlast a takeover (silence of 2.5 s and its recovery), and are
-# short enough that tasks of a lost executor soon start elsewhere.
-LEASE_S: Final = 5.0
 # Without proof of its ownership for this long an owner extends nothing.
 # With a lease more, what runs outlasts an outage of the store of 9 s.
 VERIFY_S: Final = 4.0
@@ -80,54 +70,7 @@
 GATHER_S: Final = 0.03
 # The schedule is looked at this often even if nothing happened.
 TICK_S: Final = 0.1
-# The pace of a run whose last order was not answered.
-PACE_UNKNOWN: Final = -1
 RECOVER_RETRY_S: Final = 0.3
-# Rows of finished jobs are kept for callers' questions: the platform asks
-# for 120 s, and daemons' times of day differ.
-KEEP_FINAL_S: Final = 180
-SWEEP_S: Final = 5.0
-# Jobs whose rows one transaction removes: three writes each, of 100.
-SWEEP_MAX: Final = 30
-# The list of hosts is read this often while executors do not answer.
-ENDED_LIVES_S: Final = 0.5
-
-
-class OwnerContext:
-    """What an owner needs of its daemon."""
-
-    __slots__ = (
-        "clock",
-        "configuration",
-        "executors",
-        "gateway",
-        "hosts",
-        "lease_s",
-        "metrics",
-        "store",
-    )
-
-    def __init__(
-        self,
-        store: RowStore,
-        gateway: ExecutorGateway,
-        hosts: HostControl,
-        clock: Clock,
-        metrics: Metrics,
-        configuration: Callable[[], Configuration | None],
-        executors: Callable[[str], list[ExecutorInfo]],
-        lease_s: float = LEASE_S,
-    ) -> None:
-        self.store = store
-        self.gateway = gateway
-        self.hosts = hosts
-        self.clock = clock
-        self.metrics = metrics
-        self.configuration = configuration
-        # The executors of a pool that the store lists now.
-        self.executors = executors
-        # How long a run may go on without word of its owner.
-        self.lease_s = lease_s
 
 
 class PoolOwner:
@@ -138,6 +81,7 @@
         "_loops",
         "_mirror",
         "_plan_mirror",
+        "_sender",
         "_stored_progress",
         "_tasks",
         "_vacate",
@@ -172,6 +116,7 @@
             pool, term, context.lease_s, fenced_out_at
         )
         self.writer = ProgressWriter(context, self)
+        self._sender = OrderSender(context, self)
         self._mirror = TableMirror(
             context.store,
             jobs_table(pool),
@@ -204,8 +149,8 @@
             self.spawn(self._plan_mirror.run())
             self.spawn(self._mirror.run())
             self.spawn(self.writer.run())
-            self.spawn(self._find_ended_lives())
-            self.spawn(self._sweep_finished())
+            self.spawn(find_ended_lives(self._context, self))
+            self.spawn(sweep_finished(self._context, self))
             await self._drive()
         finally:
             self.stop()
@@ -410,9 +355,9 @@
                     self.verified_at,
                     self._context.clock.unix_ms(),
                 ):
-                    self._send(order)
+                    self._sender.send(order)
                 for step, wanted in self.schedule.advice_wanted.items():
-                    self.spawn(self._ask_advice(step, wanted))
+                    self._sender.ask_advice(step, wanted)
                 self.schedule.advice_wanted.clear()
             try:
                 async with asyncio.timeout(TICK_S):
@@ -421,15 +366,6 @@
                 continue
             self._wake.clear()
 
-    def _send(self, order: StartOrder | StopOrder | PaceOrder) -> None:
-        """Send an order without waiting for its answer."""
-        if isinstance(order, StartOrder):
-            self.spawn(self._start(order))
-        elif isinstance(order, StopOrder):
-            self.spawn(self._stop(order))
-        else:
-            self.spawn(self._pace(order))
-
     def _sync_executors(self) -> None:
         """Follow the store's list of executors."""
         listed = set()
@@ -451,50 +387,6 @@
             if executor_id not in self.schedule.executors:
                 self._loops.pop(executor_id).end()
 
-    async def _find_ended_lives(self) -> None:
-        """End executors whose hosts have a new life or change their pool.
-
-        A host that was moved or maintained refuses connections while the
-        old entry lingers; only the list of hosts tells that life's end.
-        """
-        while True:
-            await asyncio.sleep(ENDED_LIVES_S)
-            lost = self.schedule.unheard_executors()
-            if not lost:
-                continue
-            result = await self._context.hosts.hosts()
-            if isinstance(result, Failure):
-                log_fault("hosts-not-read", result.failure(), pool=self.pool)
-                continue
-            hosts = {host.name: host for host in result.unwrap()}
-            for view in lost:
-                host = hosts.get(view.info.host)
-                if host is None or not host.has_ended(view.executor_id):
-                    continue
-                log_change(
-                    "executor-ended",
-                    pool=self.pool,
-                    executor=view.executor_id,
-                    host=host.name,
-                    state=host.state.name.lower(),
-                    present=host.executor_id,
-                )
-                self.schedule.end_executor(
-                    view.executor_id, self._context.clock.now()
-                )
-                self.wake()
-
-    async def _sweep_finished(self) -> None:
-        """Remove the rows of jobs that nobody asks for any more."""
-        while True:
-            await asyncio.sleep(SWEEP_S)
-            before_ms = self._context.clock.unix_ms() - KEEP_FINAL_S * 1000
-            old = self.schedule.finished_before(before_ms)
-            if not await self.writer.remove(old[:SWEEP_MAX]):
-                continue
-            for job in old[:SWEEP_MAX]:
-                self.schedule.forget_job(job.job_id)
-
     def _open_due(self) -> None:
         """Open occurrences of scheduled jobs whose time has come."""
         unix_ms = self._context.clock.unix_ms()
@@ -502,108 +394,3 @@
             due_ms = job.next_due_ms() if job.record.schedule else None
             if due_ms is not None and due_ms <= unix_ms:
                 self.schedule.open_due(job, unix_ms, self._context.clock.now())
-
-    async def _start(self, order: StartOrder) -> None:
-        """Send a start and take in what comes back."""
-        context = self._context
-        task = order.task
-        view = self.schedule.executors.get(order.executor_id)
-        if view is None:
-            return
-        clock_ms = view.estimate_clock_ms(context.clock.now())
-        assert clock_ms is not None
-        deadline_ms = clock_ms + int(context.lease_s * 1000)
-        answer, told_ms = await context.gateway.start(
-            view.info,
-            task.name,
-            order.run,
-            task.job.record.payload,
-            task.checkpoint,
-            deadline_ms,
-            self.term,
-            order.ticket,
-        )
-        now = context.clock.now()
-        if told_ms is not None:
-            view.note_clock(told_ms, now)
-        note_start(self.schedule, view, task, order.run, answer, now)
-        context.metrics.count(f"starts-{answer.name.lower()}")
-        log_change(
-            "task-start",
-            job=task.name.job,
-            task=task.name.render(),
-            run=order.run,
-            term=self.term,
-            executor=order.executor_id,
-            answer=answer.name.lower(),
-        )
-        self.wake()
-
-    async def _stop(self, order: StopOrder) -> None:
-        """Send a stop; it is planned again until it is answered."""
-        context = self._context
-        view = self.schedule.executors.get(order.executor_id)
-        if view is None:
-            return
-        answer = await context.gateway.stop(
-            view.info, order.task_name, order.run, self.term
-        )
-        now = context.clock.now()
-        log_change(
-            "task-stop",
-            job=order.task_name.job,
-            task=order.task_name.render(),
-            run=order.run,
-            executor=order.executor_id,
-            reason=order.why,
-            answer=answer.name.lower(),
-        )
-        if answer is StopAnswer.GONE:
-            self.schedule.end_executor(order.executor_id, now)
-        elif answer is StopAnswer.FENCED:
-            self.writer.verify_soon()
-        key = (order.task_name, order.run)
-        note_stop(view, key, answer is StopAnswer.ANSWERED, now)
-        if answer is StopAnswer.ANSWERED:
-            self.wake()
-
-    async def _pace(self, order: PaceOrder) -> None:
-        """Set a run's pace; without an answer it is ordered again."""
-        view = self.schedule.executors.get(order.executor_id)
-        if view is None:
-            return
-        is_set = await self._context.gateway.pace(
-            view.info, order.task_name, order.run, order.percent, self.term
-        )
-        run = view.runs.get((order.task_name, order.run))
-        if not is_set and run is not None:
-            run.pace = PACE_UNKNOWN
-        log_change(
-            "task-pace",
-            task=order.task_name.render(),
-            run=order.run,
-            executor=order.executor_id,
-            percent=order.percent,
-            answered=is_set,
-        )
-
-    async def _ask_advice(self, step: StepName, wanted: list[str]) -> None:
-        """Ask which executors may run a step."""
-        result = await self._context.gateway.advise(step, wanted)
-        now = self._context.clock.now()
-        if isinstance(result, Failure):
-            log_fault("no-advice", result.failure(), step=step.render())
-            self.schedule.advice.note_failure(step, now)
-            return
-        advice = result.unwrap()
-        self.schedule.advice.take(
-            step, advice.tickets, advice.valid_s, now, wanted
-        )
-        log_change(
-            "advice",
-            step=step.render(),
-            asked=len(wanted),
-            allowed=len(advice.tickets),
-            valid_s=advice.valid_s,
-        )
-        self.wake()
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -28,7 +28,8 @@
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
-    from lycheelug.jobservice.pool_owner import OwnerContext, PoolOwner
+    from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.pool_owner import PoolOwner
     from lycheelug.workloads import ExecutorView, Job
 
 __all__ = ["ProgressWriter"]
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -5,9 +5,10 @@
 import secrets
 from typing import TYPE_CHECKING
 
+from lycheelug.jobservice.context import OwnerContext
 from lycheelug.jobservice.duties import Duties
 from lycheelug.jobservice.fleet_owner import FleetOwner
-from lycheelug.jobservice.pool_owner import OwnerContext, PoolOwner
+from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.jobservice.submissions import Submissions
 from lycheelug.jobservice.tables import FLEET_PART
 from lycheelug.logs import log_change
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -17,7 +17,7 @@
 
 from lycheelug.http import Answer, HttpServer, ServerLimits
 from lycheelug.jobservice.clock import Clock
-from lycheelug.jobservice.pool_owner import LEASE_S
+from lycheelug.jobservice.context import LEASE_S
 from lycheelug.jobservice.service import JobService
 from lycheelug.logs import log_change, set_up_stdout_logs
 from lycheelug.platform.config import (
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -27,12 +27,8 @@
     StepSpec,
     TaskName,
 )
-from lycheelug.workloads.pool import (
-    PaceOrder,
-    PoolSchedule,
-    StartOrder,
-    StopOrder,
-)
+from lycheelug.workloads.orders import PaceOrder, StartOrder, StopOrder
+from lycheelug.workloads.pool import PoolSchedule
 from lycheelug.workloads.progress import ProgressRecord
 
 __all__ = [
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -26,72 +26,30 @@
 from lycheelug.workloads.advice import AdviceBook, StepName
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
 from lycheelug.workloads.jobs import Job, Task, TaskState
+from lycheelug.workloads.orders import (
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    urgency,
+    why_stop,
+)
 from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.placement import find_place
+from lycheelug.workloads.relocation import mark_relocations
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorInfo
     from lycheelug.workloads.model import JobRecord, QueuePolicy, TaskName
     from lycheelug.workloads.progress import ProgressRecord
 
-__all__ = ["PaceOrder", "PoolSchedule", "StartOrder", "StopOrder"]
+__all__ = ["PoolSchedule"]
 
-# A start without an answer is stopped once a list that was asked for after
-# it lacks its run, or after this long without such a list.
-UNKNOWN_WAIT_S: Final = 1.5
-# An executor that refused a start for want of room or health gets none
-# for this long.
+# An executor that refused a start gets none for this long.
 SHUN_S: Final = 0.5
-# A lasting task that shows this much has finished its startup.
-AT_WORK_PERCENT: Final = 100
-# A lasting task waits this long for its next run after a failure, longer
-# with each: its executor may be the cause.
+# A lasting task's wait after a failure, longer with each.
 RESTART_WAIT_S: Final = 0.1
 
 
-class StartOrder:
-    """Start a run of a task on an executor."""
-
-    __slots__ = ("executor_id", "run", "task", "ticket")
-
-    def __init__(
-        self, executor_id: str, task: Task, run: int, ticket: str = ""
-    ) -> None:
-        self.executor_id = executor_id
-        self.task = task
-        self.run = run
-        # The advice service's, where the queue needs it.
-        self.ticket = ticket
-
-
-class StopOrder:
-    """Stop a run; it is repeated until it is answered."""
-
-    __slots__ = ("executor_id", "run", "task_name", "why")
-
-    def __init__(
-        self, executor_id: str, task_name: TaskName, run: int, why: str
-    ) -> None:
-        self.executor_id = executor_id
-        self.task_name = task_name
-        self.run = run
-        self.why = why
-
-
-class PaceOrder:
-    """Let a run that fills work at a share of its speed."""
-
-    __slots__ = ("executor_id", "percent", "run", "task_name")
-
-    def __init__(
-        self, executor_id: str, task_name: TaskName, run: int, percent: int
-    ) -> None:
-        self.executor_id = executor_id
-        self.task_name = task_name
-        self.run = run
-        self.percent = percent
-
-
 class PoolSchedule:
     """All jobs and executors of one pool under one term."""
 
@@ -296,7 +254,7 @@
         for view in list(self.executors.values()):
             self._expire(view, now, verified_at)
             if view.cordon_order or view.info.draining:
-                self._relocate(view)
+                mark_relocations(view, self.executors)
             orders.extend(self._stops(view, now))
             for run in plan_pace(view):
                 run.pace = view.pace
@@ -322,44 +280,11 @@
         if not view.is_listed:
             self.executors.pop(view.executor_id, None)
 
-    def _relocate(self, view: ExecutorView) -> None:
-        """Mark lasting runs to be stopped that may leave their place now.
-
-        Of each step only as many may be away as it allows, whatever the
-        reason why the others are not at work.
-        """
-        for run in view.runs.values():
-            task = run.task
-            if task is None or not task.step.lasts:
-                continue
-            if run.phase is not RunPhase.RUNNING or task.job.is_final:
-                continue
-            if self._away(task) >= max(1, task.step.may_miss):
-                continue
-            run.phase = RunPhase.STOPPING
-            run.why_stopped = "its host is to be emptied"
-
-    def _away(self, task: Task) -> int:
-        """Return how many other tasks of a step are not at work."""
-        away = 0
-        for other in task.job.gang(task):
-            if other is task:
-                continue
-            view = self.executors.get(other.executor_id)
-            run = view.runs.get((other.name, other.run)) if view else None
-            is_at_work = (
-                run is not None
-                and run.phase is RunPhase.RUNNING
-                and run.percent >= AT_WORK_PERCENT
-            )
-            away += not is_at_work
-        return away
-
     def _stops(self, view: ExecutorView, now: float) -> list[StopOrder]:
         """Return the stops that an executor is to be sent."""
         stops: list[StopOrder] = []
         for run in view.runs.values():
-            why = self._why_stop(run, view, now)
+            why = why_stop(run, view, now)
             if why:
                 run.phase = RunPhase.STOPPING
                 run.why_stopped = run.why_stopped or why
@@ -376,26 +301,6 @@
             )
         return stops
 
-    def _why_stop(self, run: Run, view: ExecutorView, now: float) -> str:
-        """Return why a run is to be stopped; empty where it may go on."""
-        if run.phase is RunPhase.STARTING:
-            return ""
-        if run.phase is RunPhase.STOPPING:
-            return run.why_stopped
-        task = run.task
-        if task is None:
-            return "not wanted"
-        if task.job.is_final:
-            return "job is over"
-        if task.state is TaskState.DONE:
-            return "task is done"
-        if run.phase is not RunPhase.UNKNOWN:
-            return ""
-        is_looked_for = view.asked_at > run.unknown_at
-        if is_looked_for or now - run.unknown_at > UNKNOWN_WAIT_S:
-            return "start was not answered"
-        return ""
-
     def _starts(self, now: float, unix_ms: int) -> list[StartOrder]:
         """Return the starts for which there is room, most urgent first."""
         if not self._ready:
@@ -403,7 +308,7 @@
         orders: list[StartOrder] = []
         is_settled = self._is_settled(now)
         waiting = sorted(
-            self._ready.values(), key=lambda task: _urgency(task, unix_ms)
+            self._ready.values(), key=lambda task: urgency(task, unix_ms)
         )
         for task in waiting:
             job = task.job
@@ -493,25 +398,3 @@
             if not view.is_fenced and now < view.lapses_at:
                 return False
         return True
-
-
-def _urgency(
-    task: Task, unix_ms: int
-) -> tuple[int, bool, bool, float, TaskName]:
-    """Return the order in which tasks are placed: the smallest first.
-
-    A lasting task earns from the moment that it works, so it goes before
-    what has until its objective.  A job that is late already goes after
-    those that can still be in time: served in order of objectives alone, a
-    surge would make each job late by as much as the one before.
-    """
-    job = task.job
-    objective = job.objective_at_ms(task.name.occurrence)
-    is_late = not job.is_lasting and unix_ms > objective
-    return (
-        job.policy.priority,
-        not job.is_lasting,
-        is_late,
-        objective,
-        task.name,
-    )
--- /dev/null
+++ b/lycheelug/workloads/relocation.py
@@ -0,0 +1,56 @@
+"""Takes lasting tasks off executors that are to be emptied or that drain.
+
+Of each step only as many tasks may be away as it allows, whatever the
+reason why the others are not at work; so they move one after the other,
+each once the one before is at work elsewhere.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.workloads.executors import RunPhase
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from lycheelug.workloads.executors import ExecutorView
+    from lycheelug.workloads.jobs import Task
+
+__all__ = ["mark_relocations"]
+
+# A lasting task that shows this much has finished its startup.
+AT_WORK_PERCENT: Final = 100
+
+
+def mark_relocations(
+    view: ExecutorView, executors: Mapping[str, ExecutorView]
+) -> None:
+    """Mark an executor's lasting runs to be stopped that may leave now."""
+    for run in view.runs.values():
+        task = run.task
+        if task is None or not task.step.lasts:
+            continue
+        if run.phase is not RunPhase.RUNNING or task.job.is_final:
+            continue
+        if _count_away(task, executors) >= max(1, task.step.may_miss):
+            continue
+        run.phase = RunPhase.STOPPING
+        run.why_stopped = "its host is to be emptied"
+
+
+def _count_away(task: Task, executors: Mapping[str, ExecutorView]) -> int:
+    """Return how many other tasks of a step are not at work."""
+    away = 0
+    for other in task.job.gang(task):
+        if other is task:
+            continue
+        view = executors.get(other.executor_id)
+        run = view.runs.get((other.name, other.run)) if view else None
+        is_at_work = (
+            run is not None
+            and run.phase is RunPhase.RUNNING
+            and run.percent >= AT_WORK_PERCENT
+        )
+        away += not is_at_work
+    return away
