Remove a parameter that had no effect; correct the page on handovers

Found by reading the change. It would also have been wrong where the owner that gave the pool back had not waited out its own predecessor.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -115,7 +115,7 @@
         zone: str,
         address: str,
         pools: Callable[[], list[str]],
-        make_holder: Callable[[str, int, int, bool], DutyHolder],
+        make_holder: Callable[[str, int, int], DutyHolder],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -127,8 +127,7 @@
         self._beats_seen: dict[str, BeatRecord] = {}
         # The pools that need an owner.
         self._pools = pools
-        # Makes the holder of a duty from its name, term and row version,
-        # and whether the last holder gave it back (or there was none).
+        # Makes the holder of a duty from its name, term and row version.
         self._make_holder = make_holder
         self._mirror = TableMirror(store, OWNERS_TABLE, self._on_owner)
         # Local times since which duties were seen without a holder.
@@ -355,8 +354,7 @@
             former=known[0].holder if known is not None else "",
         )
         self._owners[duty] = (record, outcome.version)
-        was_released = known is None or not known[0].holder
-        holder = self._make_holder(duty, term, outcome.version, was_released)
+        holder = self._make_holder(duty, term, outcome.version)
         task = asyncio.get_running_loop().create_task(holder.run())
         task.add_done_callback(lambda _: self._wake.set())
         self._held[duty] = _Held(holder, record, outcome.version, task)
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -101,7 +101,6 @@
         pool: str,
         term: int,
         owner_version: int,
-        was_released: bool = False,
     ) -> None:
         self._context = context
         self.pool = pool
@@ -111,6 +110,7 @@
         now = context.clock.now()
         # Local time at which the last proof of ownership was asked for.
         self.verified_at = now
+        # The last owner may have gone on for as long as it needs no proof.
         fenced_out_at = now + VERIFY_S + context.lease_s * (1 + CLOCK_DRIFT)
         self.schedule = PoolSchedule(
             pool, term, context.lease_s, fenced_out_at
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -176,9 +176,7 @@
                 found.append(pool.name)
         return found
 
-    def _make_holder(
-        self, duty: str, term: int, version: int, was_released: bool
-    ) -> DutyHolder:
+    def _make_holder(self, duty: str, term: int, version: int) -> DutyHolder:
         """Return what carries out a duty."""
         if duty == FLEET_PART:
             return FleetOwner(
@@ -190,4 +188,4 @@
                 lambda: self.waves,
                 self._upkeep_s,
             )
-        return PoolOwner(self._context, duty, term, version, was_released)
+        return PoolOwner(self._context, duty, term, version)
