--- a/lycheelug/fleetplan/__init__.py
+++ b/lycheelug/fleetplan/__init__.py
@@ -1,5 +1,6 @@
 """Where hosts stand, and when they have their upkeep; no I/O."""
 
+from lycheelug.fleetplan.hosts import HostInfo, HostState, UpkeepWave
 from lycheelug.fleetplan.planner import FleetPlanner
 from lycheelug.fleetplan.records import (
     PLAN_KEY,
@@ -21,10 +22,13 @@
     "SUMMARIES_TABLE",
     "SUMMARY_KEY",
     "FleetPlanner",
+    "HostInfo",
     "HostLoad",
     "HostOrder",
+    "HostState",
     "PlanRecord",
     "SummaryRecord",
+    "UpkeepWave",
     "VacateOrder",
     "decode_plan",
     "decode_summary",
--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -11,15 +11,15 @@
 
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.fleetplan.hosts import HostState
 from lycheelug.fleetplan.records import HostOrder, PlanRecord, VacateOrder
 from lycheelug.fleetplan.sizing import SIZINGS, usual_room
-from lycheelug.jobservice.interfaces import HostState
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from lycheelug.fleetplan.hosts import HostInfo, UpkeepWave
     from lycheelug.fleetplan.records import SummaryRecord
-    from lycheelug.jobservice.interfaces import HostInfo, UpkeepWave
 
 __all__ = ["FleetPlanner"]
 
--- a/lycheelug/fleetplan/sizing.py
+++ b/lycheelug/fleetplan/sizing.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from lycheelug.fleetplan.hosts import HostInfo
     from lycheelug.fleetplan.records import SummaryRecord
-    from lycheelug.jobservice.interfaces import HostInfo
 
     Sizing = Callable[[SummaryRecord, int, int], int]
 
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -33,9 +33,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheelug.fleetplan import HostOrder, SummaryRecord
+    from lycheelug.fleetplan import HostOrder, SummaryRecord, UpkeepWave
     from lycheelug.jobservice.context import OwnerContext
-    from lycheelug.jobservice.interfaces import HostControl, UpkeepWave
+    from lycheelug.jobservice.interfaces import (
+        HostControl,
+    )
     from lycheelug.store.rows import StoredRow
 
 __all__ = ["FleetOwner"]
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -16,10 +16,10 @@
     from returns.result import Result
 
     from lycheelug.errors import Fault
+    from lycheelug.fleetplan import HostInfo
     from lycheelug.workloads import (
         ExecutorInfo,
         ListReport,
-        Resources,
         StartAnswer,
         StepName,
         TaskName,
@@ -31,13 +31,10 @@
     "ExecutorGateway",
     "HostAnswer",
     "HostControl",
-    "HostInfo",
-    "HostState",
     "LookFailure",
     "PoolPolicy",
     "Route",
     "StopAnswer",
-    "UpkeepWave",
 ]
 
 
@@ -132,54 +129,6 @@
         """Close the connections to an executor that is gone."""
 
 
-class HostState(Enum):
-    """What a host does."""
-
-    UP = auto()
-    MOVING = auto()
-    IN_UPKEEP = auto()
-    DOWN = auto()
-
-
-class HostInfo:
-    """One host in the platform's list of hosts."""
-
-    __slots__ = (
-        "capacity",
-        "executor_id",
-        "labels",
-        "name",
-        "pool",
-        "state",
-        "zone",
-    )
-
-    def __init__(
-        self,
-        name: str,
-        pool: str,
-        state: HostState,
-        zone: str = "",
-        labels: tuple[str, ...] = (),
-        capacity: Resources | None = None,
-        executor_id: str = "",
-    ) -> None:
-        self.name = name
-        self.pool = pool
-        self.state = state
-        self.zone = zone
-        self.labels = labels
-        self.capacity = capacity
-        # The present life; empty where the host runs none.
-        self.executor_id = executor_id
-
-    def has_ended(self, executor_id: str) -> bool:
-        """Whether a former life of this host is over for sure."""
-        if self.state in (HostState.MOVING, HostState.IN_UPKEEP):
-            return True
-        return bool(self.executor_id) and self.executor_id != executor_id
-
-
 class HostAnswer(Enum):
     """What came back of an order to a host."""
 
@@ -306,25 +255,3 @@
             if route.name == name:
                 return route
         return None
-
-
-class UpkeepWave:
-    """Hosts that are due for upkeep together."""
-
-    __slots__ = ("at_once", "deadline_s", "hosts", "number", "version")
-
-    def __init__(
-        self,
-        number: int,
-        hosts: Sequence[str],
-        deadline_s: float,
-        at_once: int,
-        version: int,
-    ) -> None:
-        self.number = number
-        self.hosts = tuple(hosts)
-        # Seconds from its announcement.
-        self.deadline_s = deadline_s
-        # Most hosts in upkeep at the same time.
-        self.at_once = at_once
-        self.version = version
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -77,7 +77,6 @@
     __slots__ = (
         "_context",
         "_is_lost",
-        "_must_verify",
         "_owner",
         "_summary",
         "_summary_at",
@@ -91,7 +90,6 @@
         self._owner = owner
         self._wake = asyncio.Event()
         self._writing = asyncio.Lock()
-        self._must_verify = False
         # The summary as it was last stored, when, and its row's version.
         self._summary = b""
         self._summary_at = 0.0
@@ -104,7 +102,6 @@
 
     def verify_soon(self) -> None:
         """Prove the ownership at once: an executor knows a newer owner."""
-        self._must_verify = True
         self._wake.set()
 
     def wake_if_needed(self) -> None:
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -17,13 +17,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lycheelug.fleetplan import UpkeepWave
     from lycheelug.jobservice.clock import Clock
     from lycheelug.jobservice.duties import DutyHolder
     from lycheelug.jobservice.interfaces import (
         Configuration,
         ExecutorGateway,
         HostControl,
-        UpkeepWave,
     )
     from lycheelug.store.rows import RowStore
     from lycheelug.workloads import ExecutorInfo
--- a/lycheelug/platform/config.py
+++ b/lycheelug/platform/config.py
@@ -6,11 +6,11 @@
 
 import msgspec
 
+from lycheelug.fleetplan import UpkeepWave
 from lycheelug.jobservice.interfaces import (
     Configuration,
     PoolPolicy,
     Route,
-    UpkeepWave,
 )
 from lycheelug.platform.wire import ConfigMessage, WaveMessage
 
--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -15,12 +15,11 @@
     Peer,
     Step,
 )
+from lycheelug.fleetplan import HostInfo, HostState
 from lycheelug.http import HttpClient, Request
 from lycheelug.jobservice.interfaces import (
     HostAnswer,
     HostControl,
-    HostInfo,
-    HostState,
 )
 from lycheelug.platform.wire import MachinesAnswer, OrderAnswer
 from lycheelug.store.rows import RowName
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -245,7 +245,6 @@
         "clock_at",
         "clock_ms",
         "cordon_order",
-        "failures_at",
         "heard_at",
         "info",
         "is_fenced",
@@ -301,8 +300,6 @@
         self.paced_at: float | None = None
         # It gets no new tasks before this local time.
         self.shunned_until = 0.0
-        # Local times of recent failed runs.
-        self.failures_at: list[float] = []
         # The planner's order to empty its host; empty for none.
         self.cordon_order = ""
 
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -238,7 +238,6 @@
         _take_done(schedule, task, now, unix_ms)
         return
     if end.kind is EndKind.FAILED:
-        view.failures_at.append(now)
         task.avoided_executor = view.executor_id
         job.note_failed(task, unix_ms)
     if end.checkpoint:
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -18,14 +18,13 @@
     Peer,
     Step,
 )
+from lycheelug.fleetplan import HostInfo, HostState
 from lycheelug.jobservice.interfaces import (
     Advice,
     Configuration,
     ExecutorGateway,
     HostAnswer,
     HostControl,
-    HostInfo,
-    HostState,
     LookFailure,
     PoolPolicy,
     Route,
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -6,13 +6,11 @@
 
 from lycheelug.fleetplan import (
     FleetPlanner,
+    HostInfo,
     HostLoad,
+    HostState,
     PlanRecord,
     SummaryRecord,
-)
-from lycheelug.jobservice.interfaces import (
-    HostInfo,
-    HostState,
     UpkeepWave,
 )
 from lycheelug.workloads import Resources
