Count a task as away when its executor's last list is old or missing

By reading: a task on an executor that had just fallen silent counted as at work, by its last list. Ruled out by the same reading: an order for a task whose others were in their startup (they show less than 100). Change: only a list of the last 1.4 s shows that a task is at work. Test: test_task_on_a_silent_executor_counts_as_away, two cases failed before.

--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -254,7 +254,7 @@
         for view in list(self.executors.values()):
             self._expire(view, now, verified_at)
             if view.cordon_order or view.info.draining:
-                mark_relocations(view, self.executors)
+                mark_relocations(view, self.executors, now)
             orders.extend(self._stops(view, now))
             for run in plan_pace(view):
                 run.pace = view.pace
--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -21,10 +21,12 @@
 
 # A lasting task that shows this much has finished its startup.
 AT_WORK_PERCENT: Final = 100
+# An executor is looked at each second; an older list may hide a crash.
+FRESH_S: Final = 1.4
 
 
 def mark_relocations(
-    view: ExecutorView, executors: Mapping[str, ExecutorView]
+    view: ExecutorView, executors: Mapping[str, ExecutorView], now: float
 ) -> None:
     """Mark an executor's lasting runs to be stopped that may leave now."""
     for run in view.runs.values():
@@ -33,14 +35,16 @@
             continue
         if run.phase is not RunPhase.RUNNING or task.job.is_final:
             continue
-        if _count_away(task, executors) >= max(1, task.step.may_miss):
+        if _count_away(task, executors, now) >= max(1, task.step.may_miss):
             continue
         run.phase = RunPhase.STOPPING
         run.why_stopped = "its host is to be emptied"
 
 
-def _count_away(task: Task, executors: Mapping[str, ExecutorView]) -> int:
-    """Return how many other tasks of a step are not at work."""
+def _count_away(
+    task: Task, executors: Mapping[str, ExecutorView], now: float
+) -> int:
+    """Return how many other tasks of a step may not be at work."""
     away = 0
     for other in task.job.gang(task):
         if other is task:
@@ -48,9 +52,16 @@
         view = executors.get(other.executor_id)
         run = view.runs.get((other.name, other.run)) if view else None
         is_at_work = (
-            run is not None
+            view is not None
+            and run is not None
+            and _is_fresh(view, now)
             and run.phase is RunPhase.RUNNING
             and run.percent >= AT_WORK_PERCENT
         )
         away += not is_at_work
     return away
+
+
+def _is_fresh(view: ExecutorView, now: float) -> bool:
+    """Whether an executor's last list tells what works there now."""
+    return view.heard_at is not None and now - view.heard_at <= FRESH_S
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -308,3 +308,42 @@
     view2.cordon_order = "1.2"
     assert len(world.stops()) == moves
     assert not view.is_vacated
+
+
+@pytest.mark.parametrize(
+    ("silent", "moves"),
+    [
+        # All executors have just listed their tasks.
+        ("no", 1),
+        # Another task's executor did not answer its last look.
+        ("lost", 0),
+        # Its last list is too old to tell what works there now.
+        ("old", 0),
+    ],
+)
+def test_task_on_a_silent_executor_counts_as_away(
+    silent: str, moves: int
+) -> None:
+    """A host crashed while another was emptied; seen on a hunted day."""
+    world = PoolWorld()
+    step = StepSpec(
+        count=3, cpu_millis=100, lasts=True, may_miss=1, max_per_executor=1
+    )
+    for name in ("x", "y", "z"):
+        world.add_executor(name)
+    world.add_job([step])
+    orders = world.starts()
+    for order in orders:
+        world.answer(order)
+        running = [(order.task.name, order.run)]
+        world.hear(order.executor_id, running=running, percent=100)
+    views = [world.schedule.executors[each.executor_id] for each in orders]
+    views[0].cordon_order = "1.1"
+    if silent == "lost":
+        views[1].heard_at = None
+    if silent == "old":
+        world.now += 1.6
+        for order in (orders[0], orders[2]):
+            running = [(order.task.name, order.run)]
+            world.hear(order.executor_id, running=running, percent=100)
+    assert len(world.stops()) == moves
