Name the owner's row once; drop state of the job service that nothing reads

Found by reading the whole change: the owner's row was named in three modules; the store's client kept its own health beside the relay's, which is the one that is asked; runs and tasks kept times that no decision used.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -14,7 +14,7 @@
 import msgspec
 from returns.result import Failure, Success
 
-from lycheelug.jobservice.tables import FLEET_PART
+from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import (
     DAEMONS_TABLE,
@@ -47,7 +47,6 @@
 SETTLED_BEATS: Final = 3
 # A daemon whose turn it is has this long to claim a duty.
 TURN_S: Final = 0.6
-OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
 
 
 class DutyHolder(Protocol):
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -24,9 +24,8 @@
     decode_summary,
 )
 from lycheelug.jobservice.interfaces import HostAnswer
-from lycheelug.jobservice.tables import FLEET_PART
+from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
 from lycheelug.logs import log_change, log_fault
-from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
 from lycheelug.store.mirror import TableMirror
 from lycheelug.store.rows import RowConflict, RowName
 
@@ -51,7 +50,6 @@
 # Summaries are gathered for this long between two calls to the feed.
 GATHER_S: Final = 0.1
 PLAN_ROW: Final = RowName(PLANS_TABLE, PLAN_KEY)
-OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
 
 
 class FleetOwner:
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -19,11 +19,11 @@
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     JOB_PREFIX,
+    OWNER_ROW,
     PROGRESS_TABLE,
     jobs_table,
 )
 from lycheelug.logs import log_change, log_fault
-from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
 from lycheelug.store.rows import RowConflict, RowName
 
 if TYPE_CHECKING:
@@ -44,7 +44,6 @@
 GATHER_S: Final = 0.02
 # The pool's summary is stored at most this often.
 SUMMARY_S: Final = 0.15
-OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
 SUMMARY_ROW: Final = RowName(SUMMARIES_TABLE, SUMMARY_KEY)
 
 
--- a/lycheelug/jobservice/tables.py
+++ b/lycheelug/jobservice/tables.py
@@ -13,12 +13,15 @@
 
 import msgspec
 
+from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
+from lycheelug.store.rows import RowName
 from lycheelug.workloads import JobRecord, ProgressRecord
 
 __all__ = [
     "CANCEL_PREFIX",
     "FLEET_PART",
     "JOB_PREFIX",
+    "OWNER_ROW",
     "PROGRESS_TABLE",
     "CancelRecord",
     "decode_job",
@@ -27,6 +30,8 @@
 ]
 
 PROGRESS_TABLE: Final = "progress"
+# The row that says who holds a duty, in the duty's own part.
+OWNER_ROW: Final = RowName(OWNERS_TABLE, OWNER_KEY)
 # The part, and the name, of the fleet planner's duty.
 FLEET_PART: Final = "~fleet"
 JOB_PREFIX: Final = "job/"
--- a/lycheelug/platform/store.py
+++ b/lycheelug/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final, TypeVar
 from urllib.parse import urlencode
 
@@ -63,7 +62,7 @@
 class PlatformRows(RowStore):
     """A client of the platform's store."""
 
-    __slots__ = ("_client", "_headers", "answered_at", "failing_since")
+    __slots__ = ("_client", "_headers")
 
     def __init__(self, address: str) -> None:
         self._client = HttpClient(
@@ -73,10 +72,6 @@
             (b"host", address.encode()),
             (b"content-type", b"application/json"),
         ]
-        # Loop time of the last good answer, and of the first failure
-        # since then.
-        self.answered_at = 0.0
-        self.failing_since: float | None = None
 
     async def commit(
         self,
@@ -218,26 +213,13 @@
             headers = [*headers, (b"content-length", length)]
         request = Request(method, target.encode(), headers, body)
         result = await self._client.request(request, timeout_s, REUSE_IDLE_S)
-        now = asyncio.get_running_loop().time()
         if isinstance(result, Success):
-            answer = result.unwrap()
-            if answer.status < 429 or answer.status == 507:
-                self.answered_at = now
-                self.failing_since = None
-            else:
-                self._note_failure(now)
-            return Success(answer)
+            return Success(result.unwrap())
         fault = result.failure()
-        self._note_failure(now)
         code = PLATFORM_UNKNOWN if fault.sent else PLATFORM_UNREACHABLE
         detail = f"{fault.code.name}: {fault.detail}"
         return Failure(self._fault(code, fault.step, detail))
 
-    def _note_failure(self, now: float) -> None:
-        """Remember since when the store has not answered."""
-        if self.failing_since is None:
-            self.failing_since = now
-
     def _refusal(self, answer: Answer, step: Step) -> Fault:
         """Return the fault of a call that the store has refused."""
         detail = f"status {answer.status}"
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -183,10 +183,8 @@
         "checkpoint",
         "confirmed_at",
         "load",
-        "ordered_at",
         "pace",
         "percent",
-        "percent_at",
         "phase",
         "room",
         "run",
@@ -209,7 +207,6 @@
         self.task_name = task_name
         self.run = run
         self.room = room
-        self.ordered_at = ordered_at
         # None for a run that nobody here wants.
         self.task = task
         self.phase = RunPhase.STARTING
@@ -217,8 +214,6 @@
         self.confirmed_at: float | None = None
         self.checkpoint = ""
         self.percent = 0
-        # Local time at which `percent` last rose.
-        self.percent_at = ordered_at
         # Local time at which its start was given up as unanswered.
         self.unknown_at = ordered_at
         # What its executor last told of its load, and its ordered pace.
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -53,7 +53,6 @@
         "job",
         "last_run",
         "name",
-        "placed_at",
         "ready_at",
         "run",
         "state",
@@ -74,9 +73,8 @@
         self.avoided_executor = ""
         # It is not started before this local time.
         self.held_until = 0.0
-        # Local times since which it waits, and at which it was placed.
+        # Local time since which it waits.
         self.ready_at = 0.0
-        self.placed_at = 0.0
 
     def next_run(self, term: int) -> int:
         """Return the number of the next run, above all earlier ones."""
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -106,7 +106,6 @@
         return
     if answer is StartAnswer.STARTED:
         run.confirmed_at = now
-        run.percent_at = now
         run.phase = RunPhase.RUNNING
         task.job.has_started = True
         return
@@ -180,8 +179,6 @@
         run.confirmed_at = now
     if run.task is not None:
         run.task.job.has_started = True
-    if entry.percent > run.percent:
-        run.percent_at = now
     run.percent = entry.percent
     run.load = entry.load
     run.checkpoint = entry.checkpoint
@@ -215,7 +212,6 @@
     task.executor_id = view.executor_id
     task.run = entry.run
     task.last_run = entry.run
-    task.placed_at = now
     return run
 
 
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -93,11 +93,6 @@
         # Known runs of each task, wanted or not.
         self._run_counts: Counter[TaskName] = Counter()
 
-    @property
-    def ready_tasks(self) -> list[Task]:
-        """The tasks that wait for a place."""
-        return list(self._ready.values())
-
     # --- Jobs.
 
     def add_job(
@@ -380,7 +375,6 @@
         task.executor_id = view.executor_id
         task.run = run
         task.last_run = run
-        task.placed_at = now
         self._ready.pop(task.name, None)
         view.add_run(Run(task.name, run, task.step.room, now, task))
         view.note_deadline(now, self.lease_s)
