Notice a silent daemon within 1.2 s; name a successor when a duty is given back

Jobs of a surge have about 2 s to spare.

Ruled out: shorter leases (the gap is the detection, not the recovery: pool-recovered follows the claim within 20 ms).

Change: heartbeats each 0.4 s in parts of their own, followed by the feed; a daemon is silent after 1.2 s plus twice the store's own delay; a duty that is given back names who takes it, and giving back is tried again. Tests: the three of test_job_service that name takeover and slow store.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -9,24 +9,22 @@
 
 import asyncio
 from typing import TYPE_CHECKING, Final, Protocol
-from zlib import crc32
 
 import msgspec
 from returns.result import Failure, Success
 
+from lycheelug.jobservice.heartbeats import Heartbeats
 from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import (
-    DAEMONS_TABLE,
     OWNER_KEY,
     OWNERS_TABLE,
-    BeatRecord,
-    Liveness,
     OwnerRecord,
     choose_claims,
+    choose_successor,
 )
 from lycheelug.store.mirror import TableMirror
-from lycheelug.store.rows import RowCommit, RowName
+from lycheelug.store.rows import RowCommit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,17 +34,14 @@
 
 __all__ = ["Duties", "DutyHolder"]
 
-BEAT_S: Final = 1.0
-# The pause after a look that the store did not answer.
-BEAT_RETRY_S: Final = 0.3
-# After a pause of this long between two looks at the heartbeats, all
-# daemons get the benefit of the doubt once.
-GAP_S: Final = 2.0
 # A new daemon waits for the others to show up before it claims anything.
 SETTLE_S: Final = 1.2
-SETTLED_BEATS: Final = 3
 # A daemon whose turn it is has this long to claim a duty.
-TURN_S: Final = 0.6
+TURN_S: Final = 0.4
+# Giving a duty back is tried again while the store does not answer: an
+# owner that is gone without it is missed only by its heartbeat.
+GIVE_BACK_TRIES: Final = 6
+GIVE_BACK_RETRY_S: Final = 0.2
 
 
 class DutyHolder(Protocol):
@@ -84,15 +79,11 @@
     """The duties of one daemon."""
 
     __slots__ = (
-        "_address",
-        "_beat",
-        "_beats_seen",
         "_clock",
         "_free_since",
         "_held",
         "_incarnation",
         "_leaving",
-        "_liveness",
         "_make_holder",
         "_mirror",
         "_name",
@@ -102,7 +93,7 @@
         "_store",
         "_tasks",
         "_wake",
-        "_zone",
+        "heartbeats",
     )
 
     def __init__(
@@ -120,10 +111,6 @@
         self._clock = clock
         self._name = name
         self._incarnation = incarnation
-        self._zone = zone
-        # Where other daemons reach this one; empty for nowhere.
-        self._address = address
-        self._beats_seen: dict[str, BeatRecord] = {}
         # The pools that need an owner.
         self._pools = pools
         # Makes the holder of a duty from its name, term and row version.
@@ -132,13 +119,14 @@
         # Local times since which duties were seen without a holder.
         self._free_since: dict[str, float] = {}
         self._owners: dict[str, tuple[OwnerRecord, int]] = {}
-        self._liveness = Liveness()
         self._held: dict[str, _Held] = {}
-        self._beat = 0
         self._leaving = False
         self._started_at = clock.now()
         self._tasks: list[asyncio.Task[None]] = []
         self._wake = asyncio.Event()
+        self.heartbeats = Heartbeats(
+            store, clock, name, incarnation, zone, address, self._wake.set
+        )
 
     @property
     def held(self) -> dict[str, DutyHolder]:
@@ -150,31 +138,22 @@
         """Who holds which duty, as far as is known."""
         return {duty: record for duty, (record, _) in self._owners.items()}
 
-    def peers(self) -> list[str]:
-        """Return the addresses of the other daemons, the nearest first.
-
-        While no heartbeats can be read, the last ones count.
-        """
-        found: list[tuple[bool, int, str]] = []
-        for name, beat in self._beats_seen.items():
-            if name == self._name or not beat.address or beat.leaving:
-                continue
-            rank = crc32(f"{self._name}\0{name}".encode())
-            found.append((beat.zone != self._zone, rank, beat.address))
-        return [address for _, _, address in sorted(found)]
-
     def start(self) -> None:
         """Begin to show that this daemon lives, and to claim duties."""
         loop = asyncio.get_running_loop()
-        for work in (self._mirror.run(), self._beats(), self._claims()):
+        for work in (
+            self._mirror.run(),
+            self.heartbeats.beat(),
+            self.heartbeats.follow(),
+            self._claims(),
+        ):
             self._tasks.append(loop.create_task(work))
 
     async def release(self) -> None:
         """Give all duties back, and say that this daemon leaves."""
         self._leaving = True
-        for duty in list(self._held):
-            await self._give_back(duty)
-        await self._write_beat()
+        returns = [self._give_back(duty) for duty in list(self._held)]
+        await asyncio.gather(*returns, self.heartbeats.leave())
 
     async def stop(self) -> None:
         """End everything at once."""
@@ -183,63 +162,6 @@
         for task in self._tasks:
             task.cancel()
 
-    # --- Heartbeats.
-
-    async def _beats(self) -> None:
-        """Write this daemon's heartbeat, and read the others'."""
-        while True:
-            began = self._clock.now()
-            if not self._leaving:
-                await self._write_beat()
-            is_read = await self._read_beats()
-            self._wake.set()
-            if not is_read:
-                await asyncio.sleep(BEAT_RETRY_S)
-                continue
-            spent_s = self._clock.now() - began
-            await asyncio.sleep(max(0.1, BEAT_S - spent_s))
-
-    async def _write_beat(self) -> None:
-        """Write the heartbeat row."""
-        self._beat += 1
-        record = BeatRecord(
-            self._incarnation,
-            self._zone,
-            self._address,
-            self._beat,
-            self._leaving,
-        )
-        name = RowName(DAEMONS_TABLE, self._name)
-        await self._store.commit("", {}, {name: msgspec.json.encode(record)})
-
-    async def _read_beats(self) -> bool:
-        """Read all heartbeat rows; False where that failed."""
-        read = await self._store.read(DAEMONS_TABLE, "")
-        if isinstance(read, Failure):
-            return False
-        now = self._clock.now()
-        self._liveness.note_look(now, GAP_S)
-        seen = read.unwrap().rows
-        gone = set(self._beats_seen).difference(row.key for row in seen)
-        for name in gone:
-            del self._beats_seen[name]
-        for row in seen:
-            try:
-                beat = msgspec.json.decode(row.value or b"", type=BeatRecord)
-            except msgspec.DecodeError:
-                log_change("row-unreadable", table=row.table, key=row.key)
-                continue
-            self._beats_seen[row.key] = beat
-            self._liveness.note(
-                row.key,
-                beat.incarnation,
-                row.version,
-                now,
-                beat.leaving,
-                beat.beat >= SETTLED_BEATS,
-            )
-        return True
-
     # --- Claims.
 
     def _on_owner(self, row: StoredRow) -> None:
@@ -276,18 +198,18 @@
                 continue
             if not self._mirror.loaded.is_set():
                 continue
-            if not self._liveness.is_current(now, GAP_S):
+            if not self.heartbeats.is_current:
                 continue
             pools = self._pools()
             if not pools:
                 continue
-            self._liveness.keep(self._name, self._incarnation, now)
+            self.heartbeats.keep_own()
             duties = [*pools, FLEET_PART]
             wanted = choose_claims(
                 self._name,
                 duties,
                 self._carried_out(),
-                self._liveness,
+                self.heartbeats.liveness,
                 now,
                 self._turns(duties, now),
             )
@@ -301,7 +223,7 @@
         owners = self._carried_out()
         for duty in duties:
             owner = owners.get(duty)
-            if owner is not None and self._liveness.is_alive(
+            if owner is not None and self.heartbeats.liveness.is_alive(
                 owner.holder, owner.incarnation, now
             ):
                 self._free_since.pop(duty, None)
@@ -359,19 +281,37 @@
         self._held[duty] = _Held(holder, record, outcome.version, task)
 
     async def _give_back(self, duty: str) -> None:
-        """Give a duty back, so that another daemon claims it at once."""
+        """Give a duty back, so that its successor claims it at once."""
         held = self._held.pop(duty)
         await held.holder.hand_over()
         held.task.cancel()
-        record = OwnerRecord("", "", held.record.term)
-        result = await self._store.commit(
+        successor = choose_successor(
+            self._name,
             duty,
-            {OWNER_ROW: held.version},
-            {OWNER_ROW: msgspec.json.encode(record)},
+            self.owners,
+            self.heartbeats.liveness,
+            self._clock.now(),
         )
+        record = OwnerRecord("", "", held.record.term, successor)
+        # Further duties given back go elsewhere, if they can.
+        self._owners[duty] = (record, held.version)
+        is_stored = False
+        for _ in range(GIVE_BACK_TRIES):
+            result = await self._store.commit(
+                duty,
+                {OWNER_ROW: held.version},
+                {OWNER_ROW: msgspec.json.encode(record)},
+            )
+            # After a conflict either an earlier try took effect, or the
+            # duty has another holder already.
+            is_stored = isinstance(result, Success)
+            if is_stored:
+                break
+            await asyncio.sleep(GIVE_BACK_RETRY_S)
         log_change(
             "duty-given-back",
             duty=duty,
             term=held.record.term,
-            stored=isinstance(result, Success),
+            successor=successor,
+            stored=is_stored,
         )
--- /dev/null
+++ b/lycheelug/jobservice/heartbeats.py
@@ -0,0 +1,177 @@
+"""Shows that this daemon lives, and follows the others' heartbeats.
+
+Each daemon rewrites one row of its own; all follow the table's feed.  What
+is known of the others also tells where they can be reached.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+from zlib import crc32
+
+import msgspec
+
+from lycheelug.logs import log_change
+from lycheelug.ownership import DAEMONS_TABLE, BeatRecord, Liveness
+from lycheelug.store.mirror import TableMirror
+from lycheelug.store.rows import RowName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.jobservice.clock import Clock
+    from lycheelug.store.rows import RowStore, StoredRow
+
+__all__ = ["BEAT_S", "Heartbeats"]
+
+BEAT_S: Final = 0.4
+# After a pause of this long between two looks at the heartbeats, all
+# daemons get the benefit of the doubt once.
+GAP_S: Final = 1.2
+# Changes are gathered for this long between two calls to the feed.
+GATHER_S: Final = 0.25
+# The feed answers at least this often: a connection may have gone silent.
+FEED_WAIT_S: Final = 0.5
+# Heartbeats after which a daemon is known to the others.
+SETTLED_BEATS: Final = 6
+
+
+class Heartbeats:
+    """This daemon's heartbeat, and what the others' tell."""
+
+    __slots__ = (
+        "_address",
+        "_beat",
+        "_clock",
+        "_incarnation",
+        "_is_leaving",
+        "_mirror",
+        "_name",
+        "_on_look",
+        "_records",
+        "_store",
+        "_zone",
+        "liveness",
+    )
+
+    def __init__(
+        self,
+        store: RowStore,
+        clock: Clock,
+        name: str,
+        incarnation: str,
+        zone: str,
+        address: str,
+        on_look: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._name = name
+        self._incarnation = incarnation
+        self._zone = zone
+        # Where other daemons reach this one; empty for nowhere.
+        self._address = address
+        # Called after each look at the others.
+        self._on_look = on_look
+        self._records: dict[str, BeatRecord] = {}
+        self._beat = 0
+        self._is_leaving = False
+        self.liveness = Liveness()
+        self._mirror = TableMirror(
+            store,
+            DAEMONS_TABLE,
+            self._on_row,
+            pause_s=GATHER_S,
+            wait_s=FEED_WAIT_S,
+            on_answer=self._on_answer,
+        )
+
+    @property
+    def is_current(self) -> bool:
+        """Whether the others were looked at lately."""
+        return self.liveness.is_current(self._clock.now(), GAP_S)
+
+    def peers(self) -> list[str]:
+        """Return the addresses of the other daemons, the nearest first.
+
+        While no heartbeats can be read, the last ones count.
+        """
+        found: list[tuple[bool, int, str]] = []
+        for name, beat in self._records.items():
+            if name == self._name or not beat.address or beat.leaving:
+                continue
+            rank = crc32(f"{self._name}\0{name}".encode())
+            found.append((beat.zone != self._zone, rank, beat.address))
+        return [address for _, _, address in sorted(found)]
+
+    def address_of(self, name: str, incarnation: str) -> str:
+        """Return where a life of a daemon is reached; empty for nowhere."""
+        beat = self._records.get(name)
+        if beat is None or beat.incarnation != incarnation:
+            return ""
+        return beat.address
+
+    async def follow(self) -> None:
+        """Follow the others' heartbeats until cancelled."""
+        await self._mirror.run()
+
+    async def beat(self) -> None:
+        """Write this daemon's heartbeat until cancelled."""
+        while True:
+            began = self._clock.now()
+            if not self._is_leaving:
+                await self._write()
+            spent_s = self._clock.now() - began
+            self.liveness.note_delay(spent_s)
+            await asyncio.sleep(max(BEAT_S / 4, BEAT_S - spent_s))
+
+    async def leave(self) -> None:
+        """Tell the others that this daemon stops."""
+        self._is_leaving = True
+        await self._write()
+
+    def keep_own(self) -> None:
+        """Take in that this daemon lives, whatever its row says."""
+        self.liveness.keep(self._name, self._incarnation, self._clock.now())
+
+    async def _write(self) -> None:
+        """Write the heartbeat row; a lost write is made up for by the next."""
+        self._beat += 1
+        record = BeatRecord(
+            self._incarnation,
+            self._zone,
+            self._address,
+            self._beat,
+            self._is_leaving,
+        )
+        name = RowName(DAEMONS_TABLE, self._name)
+        await self._store.commit(
+            self._name, {}, {name: msgspec.json.encode(record)}
+        )
+
+    def _on_row(self, row: StoredRow) -> None:
+        """Take in one heartbeat."""
+        if row.value is None:
+            self._records.pop(row.key, None)
+            self.liveness.drop(row.key)
+            return
+        try:
+            beat = msgspec.json.decode(row.value, type=BeatRecord)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            log_change("row-unreadable", table=row.table, key=row.key)
+            return
+        self._records[row.key] = beat
+        self.liveness.note(
+            row.key,
+            beat.incarnation,
+            row.version,
+            self._clock.now(),
+            beat.leaving,
+            beat.beat >= SETTLED_BEATS,
+        )
+
+    def _on_answer(self) -> None:
+        """Take in that the feed has answered."""
+        self.liveness.note_look(self._clock.now(), GAP_S)
+        self._on_look()
--- a/lycheelug/ownership/__init__.py
+++ b/lycheelug/ownership/__init__.py
@@ -1,6 +1,6 @@
 """Who owns a pool or a fleet duty, and which daemons are alive; no I/O."""
 
-from lycheelug.ownership.assignment import choose_claims
+from lycheelug.ownership.assignment import choose_claims, choose_successor
 from lycheelug.ownership.liveness import Liveness
 from lycheelug.ownership.records import (
     DAEMONS_TABLE,
@@ -18,4 +18,5 @@
     "Liveness",
     "OwnerRecord",
     "choose_claims",
+    "choose_successor",
 ]
--- a/lycheelug/ownership/assignment.py
+++ b/lycheelug/ownership/assignment.py
@@ -3,7 +3,8 @@
 All daemons see nearly the same rows and compute the same choice, so as a
 rule only one of them writes.  Where views differ, the conditional write
 decides.  A duty stays with its holder while that lives: each change of
-hands costs a recovery.
+hands costs a recovery.  A holder that gives a duty back names its
+successor, so that nobody has to wait for a heartbeat to choose.
 """
 
 from __future__ import annotations
@@ -17,7 +18,7 @@
     from lycheelug.ownership.liveness import Liveness
     from lycheelug.ownership.records import OwnerRecord
 
-__all__ = ["choose_claims"]
+__all__ = ["choose_claims", "choose_successor"]
 
 
 def choose_claims(
@@ -50,8 +51,11 @@
     claims: list[str] = []
     for duty in free:
         turn = (passed_over or {}).get(duty, 0) % len(alive)
+        owner = owners.get(duty)
+        named = owner.successor if owner is not None else ""
         ranked = sorted(
-            alive, key=lambda name: (held[name], _rank(duty, name))
+            alive,
+            key=lambda name: (name != named, held[name], _rank(duty, name)),
         )
         best = ranked[turn]
         held[best] += 1
@@ -60,6 +64,27 @@
     return claims
 
 
+def choose_successor(
+    me: str,
+    duty: str,
+    owners: Mapping[str, OwnerRecord],
+    liveness: Liveness,
+    now: float,
+) -> str:
+    """Return who is to take a duty that `me` gives back; empty for none.
+
+    Duties that are on their way to a successor count as held by it.
+    """
+    held = {name: 0 for name in liveness.alive(now) if name != me}
+    for record in owners.values():
+        holder = record.holder or record.successor
+        if holder in held:
+            held[holder] += 1
+    if not held:
+        return ""
+    return min(held, key=lambda name: (held[name], _rank(duty, name)))
+
+
 def _rank(duty: str, daemon: str) -> int:
     """Return a rank that spreads duties over daemons evenly."""
     return crc32(f"{duty}\0{daemon}".encode())
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -12,12 +12,16 @@
 __all__ = ["GRACE_S", "SILENT_S", "Liveness"]
 
 # A daemon whose heartbeat stood still for this long is taken as dead:
-# two and a half heartbeat periods.
-SILENT_S: Final = 2.5
+# three heartbeat periods.
+SILENT_S: Final = 1.2
+
+# Heartbeats of others are as slow as this daemon's own: its last write and
+# read come to this many times on top.
+DELAYS: Final = 2.0
 
 # Who lives writes its heartbeat within this time of the store's return:
 # a heartbeat period and a call.
-GRACE_S: Final = 1.3
+GRACE_S: Final = 0.8
 
 
 class _Peer:
@@ -55,12 +59,17 @@
     (True, False)
     >>> peers.is_alive("e1", "a", now=14.0)
     False
+    >>> peers.note_delay(2.0)
+    >>> peers.is_alive("e1", "a", now=14.0)
+    True
     """
 
-    __slots__ = ("_looked_at", "_peers")
+    __slots__ = ("_delay_s", "_looked_at", "_peers")
 
     def __init__(self) -> None:
         self._peers: dict[str, _Peer] = {}
+        # How long the store last took for this daemon's heartbeat.
+        self._delay_s = 0.0
         # Local time of the last successful look at all rows.
         self._looked_at: float | None = None
 
@@ -91,6 +100,10 @@
         if peer is not None and peer.incarnation == incarnation:
             peer.changed_at = now
 
+    def note_delay(self, delay_s: float) -> None:
+        """Take in how long the store took for this daemon's heartbeat."""
+        self._delay_s = max(delay_s, self._delay_s / 2)
+
     def note_look(self, now: float, gap_s: float) -> None:
         """Take in that all rows were read now.
 
@@ -102,7 +115,7 @@
         self._looked_at = now
         if last is None or now - last <= gap_s:
             return
-        blamed_at = now - SILENT_S + GRACE_S
+        blamed_at = now - self._silent_s() + GRACE_S
         for peer in self._peers.values():
             peer.changed_at = max(peer.changed_at, blamed_at)
 
@@ -119,20 +132,25 @@
         peer = self._peers.get(name)
         if peer is None or peer.incarnation != incarnation:
             return False
-        return now - peer.changed_at < SILENT_S
+        return now - peer.changed_at < self._silent_s()
 
     def alive(self, now: float) -> list[str]:
         """Return the daemons that may be given duties, sorted."""
         settled: list[str] = []
         found: list[str] = []
+        silent_s = self._silent_s()
         for name, peer in self._peers.items():
-            if peer.leaving or now - peer.changed_at >= SILENT_S:
+            if peer.leaving or now - peer.changed_at >= silent_s:
                 continue
             found.append(name)
             if peer.is_settled:
                 settled.append(name)
         return sorted(settled or found)
 
+    def _silent_s(self) -> float:
+        """Return how long a living daemon's row may stand still."""
+        return SILENT_S + DELAYS * self._delay_s
+
     def stale(self, now: float, age_s: float) -> list[str]:
         """Return the daemons that have been silent for `age_s`."""
         found: list[str] = []
--- a/lycheelug/ownership/records.py
+++ b/lycheelug/ownership/records.py
@@ -1,6 +1,8 @@
 """The rows by which daemons know each other and divide the pools.
 
-`daemons` has one row a daemon, rewritten while it lives.  `owners` has one
+`daemons` has one row a daemon, rewritten while it lives, in a part of its
+own: a part takes its writes one after the other, so that on a slow store
+shared heartbeats would hold each other up.  `owners` has one
 row a duty (a pool, or the fleet's moves and upkeep), in the duty's own
 part: who holds it, and under which term.  The term rises with each change
 of hands and is the fencing token of all orders.
@@ -44,3 +46,5 @@
     holder: str
     incarnation: str
     term: int
+    # Who is to take a duty that was given back; empty for anybody.
+    successor: str = ""
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -171,7 +171,7 @@
 
     def _peers(self) -> list[str]:
         """Return the addresses of the other daemons."""
-        return self._service.duties.peers()
+        return self._service.duties.heartbeats.peers()
 
     def _is_store_away(self) -> bool:
         """Whether no way to the store has worked for a moment."""
--- a/lycheelug/store/mirror.py
+++ b/lycheelug/store/mirror.py
@@ -41,9 +41,11 @@
     __slots__ = (
         "_is_lost",
         "_listener",
+        "_on_answer",
         "_pause_s",
         "_rows",
         "_store",
+        "_wait_s",
         "loaded",
         "part",
         "table",
@@ -57,9 +59,15 @@
         listener: Listener,
         part: str | None = None,
         pause_s: float = 0.0,
+        wait_s: float = FEED_WAIT_S,
+        on_answer: Callable[[], None] | None = None,
     ) -> None:
         self._store = store
         self._listener = listener
+        # How long the store may hold a call back until something changes.
+        self._wait_s = wait_s
+        # Called after each answer of the store, with its changes taken in.
+        self._on_answer = on_answer
         self.table = table
         # None for all parts.
         self.part = part
@@ -95,6 +103,8 @@
                 continue
             retry_s = RETRY_S
             self._note_regained()
+            if self._on_answer is not None:
+                self._on_answer()
             if self._pause_s and result.unwrap():
                 await asyncio.sleep(self._pause_s)
 
@@ -142,7 +152,7 @@
 
     async def _follow(self) -> Result[bool, Fault]:
         """Take the next changes; True where there were some."""
-        result = await self._store.feed(self.table, self.version, FEED_WAIT_S)
+        result = await self._store.feed(self.table, self.version, self._wait_s)
         match result:
             case Success(HistoryGone()):
                 log_change(
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -69,7 +69,13 @@
 class FaultyRows(MemoryRows):
     """One daemon's way to the shared store."""
 
-    __slots__ = ("down", "known_away", "lose_answers", "shared")
+    __slots__ = (
+        "down",
+        "known_away",
+        "lose_answers",
+        "shared",
+        "write_s",
+    )
 
     def __init__(self, shared: MemoryRows) -> None:
         super().__init__()
@@ -79,6 +85,8 @@
         self.known_away = False
         # Submissions that take effect and are not answered.
         self.lose_answers = 0
+        # How long a commit takes.
+        self.write_s = 0.008
 
     async def commit(
         self,
@@ -86,7 +94,7 @@
         expected: Mapping[RowName, int],
         writes: Mapping[RowName, bytes | None],
     ) -> Result[RowCommit | RowConflict, Fault]:
-        await asyncio.sleep(0.008)
+        await asyncio.sleep(self.write_s)
         if self.down:
             return Failure(_fault())
         result = await self.shared.commit(part, expected, writes)
@@ -116,7 +124,9 @@
         await asyncio.sleep(0.004)
         if self.down:
             return Failure(_fault())
-        return await self.shared.feed(table, after, wait_s)
+        result = await self.shared.feed(table, after, wait_s)
+        # A call that was waiting when the way was lost brings nothing.
+        return Failure(_fault()) if self.down else result
 
 
 class FakeRun:
--- a/tests/test_job_service.py
+++ b/tests/test_job_service.py
@@ -109,6 +109,43 @@
     run_virtual(run())
 
 
+def test_silent_owner_is_replaced_before_callers_lose_their_jobs() -> None:
+    """A surge's jobs have some two seconds to spare, so less is allowed."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        world.ways[owner].down = True
+        began = asyncio.get_running_loop().time()
+        await until(lambda: len(world.holders()) == 2)
+        assert asyncio.get_running_loop().time() - began < 2.0
+        await world.stop()
+
+    run_virtual(run())
+
+
+def test_slow_store_makes_no_living_owner_look_dead() -> None:
+    """Load pattern: the store's answers take sixty times as long."""
+
+    async def run() -> None:
+        world = JobWorld()
+        await settled(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        term = world.daemons[owner].duties.owners[POOL].term
+        for way in world.ways.values():
+            way.write_s = 0.5
+        await asyncio.sleep(6.0)
+        for way in world.ways.values():
+            way.write_s = 0.008
+        await asyncio.sleep(3.0)
+        assert world.holders() == [owner]
+        assert world.daemons[owner].duties.owners[POOL].term == term
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_owner_without_the_store_is_fenced_by_the_next() -> None:
     """Two owners at once: nothing runs twice, and only one writes."""
 
@@ -237,10 +274,12 @@
         other = next(name for name in world.daemons if name != owner)
         await world.submit(other, 1, [StepSpec(count=3, cpu_millis=1000)])
         await until(lambda: len(world.fleet.began) == 3)
-        await world.daemons[owner].drain()
         began = asyncio.get_running_loop().time()
+        leaving = asyncio.create_task(world.daemons[owner].drain())
         await until(lambda: world.holders() not in ([], [owner]))
-        assert asyncio.get_running_loop().time() - began < 1.0
+        # A write to give it back, one to claim it, a feed between them.
+        assert asyncio.get_running_loop().time() - began < 0.15
+        await leaving
         await world.daemons.pop(owner).stop()
         await wait_state(world, other, 1, JobState.COMPLETED)
         assert len(world.fleet.began) == 3
