Order by what can still be in time, from learned run times

Change: a fitted line from estimates to run times for each queue, handed on in the pool's summary; tasks are ordered by what their job can still earn, begun jobs first; rooms that have no place are looked for once a round.

--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -69,6 +69,8 @@
     spread: int = 0
     # Accepted jobs without a started task, by queue.
     waiting: dict[str, int] = {}
+    # What the owner has learned of run times, by queue.
+    run_times: dict[str, list[float]] = {}
     # Confirmed orders: order numbers by host.
     vacated: dict[str, str] = {}
 
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -255,6 +255,7 @@
         if row.key != SUMMARY_KEY or summary is None:
             return
         self.writer.note_summary_version(row.version)
+        self.schedule.run_times.restore(summary.run_times)
         for host, load in summary.hosts.items():
             if not load.address or host in summary.vacated:
                 continue
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -17,6 +17,7 @@
 def summarize(schedule: PoolSchedule, now: float) -> SummaryRecord:
     """Return a pool's load."""
     summary = SummaryRecord(schedule.term)
+    summary.run_times = schedule.run_times.export()
     for view in schedule.executors.values():
         host = view.info.host or view.executor_id
         is_gone = not view.is_listed and view.is_fenced and not view.runs
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -10,16 +10,13 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
-from lycheelug.workloads.model import (
-    JobState,
-    TaskName,
-    is_lasting,
-    longest_chain_s,
-)
+from lycheelug.workloads.model import JobState, TaskName, is_lasting
+from lycheelug.workloads.outlook import Outlook
 from lycheelug.workloads.progress import ProgressRecord, step_key, task_key
 
 if TYPE_CHECKING:
     from lycheelug.workloads.model import JobRecord, QueuePolicy, StepSpec
+    from lycheelug.workloads.runtimes import RunTimes
 
 __all__ = ["Job", "Task", "TaskState"]
 
@@ -85,6 +82,7 @@
     """One accepted job."""
 
     __slots__ = (
+        "_outlooks",
         "begin_is_stored",
         "cancelled",
         "due_ms",
@@ -130,6 +128,7 @@
         # Steps with unfinished tasks, by occurrence.
         self.open_steps: dict[int, set[int]] = {}
         self.due_ms: dict[int, int] = {}
+        self._outlooks: dict[int, Outlook] = {}
 
     @property
     def is_final(self) -> bool:
@@ -242,14 +241,18 @@
 
     # --- Objectives.
 
-    def objective_at_ms(self, occurrence: int) -> float:
-        """Return the Unix time at which an occurrence becomes late."""
-        estimates = [step.estimate_ms / 1000 for step in self.record.steps]
-        chain_s = longest_chain_s(self.record.steps, estimates)
-        policy = self.policy
-        allowed_s = policy.stretch * chain_s + policy.objective_s
-        due_ms = self.due_ms.get(occurrence, self.record.accepted_ms)
-        return due_ms + allowed_s * 1000
+    def outlook(self, occurrence: int, run_times: RunTimes) -> Outlook:
+        """Return what is expected of an occurrence.
+
+        It is kept until a step ends, so that the order of waiting tasks
+        does not change with each run that others end.
+        """
+        found = self._outlooks.get(occurrence)
+        if found is None:
+            due_ms = self.due_ms.get(occurrence, self.record.accepted_ms)
+            found = Outlook(self.record, self.policy, run_times, due_ms)
+            self._outlooks[occurrence] = found
+        return found
 
     # --- Parts.
 
@@ -302,6 +305,7 @@
         self, number: int, position: int, unix_ms: int, now: float
     ) -> list[Task]:
         """Close a step; return what it makes ready."""
+        self._outlooks.pop(number, None)
         open_steps = self.open_steps[number]
         open_steps.discard(position)
         if open_steps:
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -231,6 +231,7 @@
     task.last_run = max(task.last_run, end.run)
     job.has_started = True
     if end.kind is EndKind.DONE:
+        _note_run_time(schedule, task, run, now)
         _take_done(schedule, task, now, unix_ms)
         return
     if end.kind is EndKind.FAILED:
@@ -246,6 +247,19 @@
         schedule.free_task(run, view, now)
 
 
+def _note_run_time(
+    schedule: PoolSchedule, task: Task, run: Run | None, now: float
+) -> None:
+    """Learn from a run that was seen from its start to its end."""
+    if run is None or run.confirmed_at is None or task.checkpoint:
+        return
+    schedule.run_times.note(
+        task.job.policy.name,
+        task.step.estimate_ms / 1000,
+        now - run.confirmed_at,
+    )
+
+
 def _take_done(
     schedule: PoolSchedule, task: Task, now: float, unix_ms: int
 ) -> None:
--- a/lycheelug/workloads/orders.py
+++ b/lycheelug/workloads/orders.py
@@ -6,11 +6,13 @@
 
 from lycheelug.workloads.executors import RunPhase
 from lycheelug.workloads.jobs import TaskState
+from lycheelug.workloads.outlook import Prospect
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Task
     from lycheelug.workloads.model import TaskName
+    from lycheelug.workloads.runtimes import RunTimes
 
 __all__ = [
     "PaceOrder",
@@ -69,23 +71,27 @@
 
 
 def urgency(
-    task: Task, unix_ms: int
-) -> tuple[int, bool, bool, float, TaskName]:
+    task: Task, unix_ms: int, run_times: RunTimes
+) -> tuple[int, bool, Prospect, bool, float, TaskName]:
     """Return the order in which tasks are placed: the smallest first.
 
     A lasting task earns from the moment that it works, so it goes before
-    what has until its objective.  A job that is late already goes after
-    those that can still be in time: served in order of objectives alone, a
-    surge would make each job late by as much as the one before.
+    what has until its objective.  A job that can't be in time any more goes
+    after those that can: served in order of objectives alone, a surge would
+    make each job late by as much as the one before.  A job that has begun
+    goes before one that has not, as less of its work is left to do.
     """
     job = task.job
-    objective = job.objective_at_ms(task.name.occurrence)
-    is_late = not job.is_lasting and unix_ms > objective
+    outlook = job.outlook(task.name.occurrence, run_times)
+    prospect = Prospect.IN_TIME
+    if not job.is_lasting:
+        prospect = outlook.prospect(task.name.step, unix_ms)
     return (
         job.policy.priority,
         not job.is_lasting,
-        is_late,
-        objective,
+        prospect,
+        not job.has_started,
+        outlook.objective_ms,
         task.name,
     )
 
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -18,10 +18,11 @@
     from lycheelug.workloads.advice import AdviceBook
     from lycheelug.workloads.executors import ExecutorView
     from lycheelug.workloads.jobs import Task
+    from lycheelug.workloads.model import Resources
 
     Policy = Callable[[Task, list[ExecutorView]], ExecutorView]
 
-__all__ = ["PLACEMENTS", "find_place", "may_take"]
+__all__ = ["PLACEMENTS", "FullRooms", "find_place", "may_take"]
 
 PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
 
@@ -72,6 +73,41 @@
     return PLACEMENTS.get(policy)(task, allowed)
 
 
+class FullRooms:
+    """Rooms for which no executor had space in one round of placing.
+
+    What asks for as much or more has no place either, so a long queue costs
+    no look at each executor for each task.
+    """
+
+    __slots__ = ("_rooms",)
+
+    def __init__(self) -> None:
+        self._rooms: list[Resources] = []
+
+    def covers(self, room: Resources) -> bool:
+        """Whether a room is known to have no place."""
+        for full in self._rooms:
+            if (
+                full.cpu_millis <= room.cpu_millis
+                and full.memory_mb <= room.memory_mb
+                and full.gpus <= room.gpus
+            ):
+                return True
+        return False
+
+    def note(self, task: Task) -> None:
+        """Take in that a task has found no place.
+
+        Only where nothing but its room can have been the reason.
+        """
+        step = task.step
+        if step.required_label or step.max_per_executor:
+            return
+        if not self.covers(step.room):
+            self._rooms.append(step.room)
+
+
 def _same_step_runs(view: ExecutorView, task: Task) -> int:
     """Return how many tasks of a task's step an executor has."""
     count = 0
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -30,12 +30,12 @@
     PaceOrder,
     StartOrder,
     StopOrder,
-    urgency,
     why_stop,
 )
 from lycheelug.workloads.pacing import plan_pace
-from lycheelug.workloads.placement import find_place
 from lycheelug.workloads.relocation import mark_relocations
+from lycheelug.workloads.runtimes import RunTimes
+from lycheelug.workloads.starts import plan_starts
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorInfo
@@ -46,8 +46,6 @@
 
 # An executor that refused a start gets none for this long.
 SHUN_S: Final = 0.5
-# A lasting task's wait after a failure, longer with each.
-RESTART_WAIT_S: Final = 0.1
 
 
 class PoolSchedule:
@@ -56,8 +54,6 @@
     __slots__ = (
         "_ended_lives",
         "_fenced_out_at",
-        "_ready",
-        "_run_counts",
         "advice",
         "advice_wanted",
         "executors",
@@ -65,6 +61,9 @@
         "lease_s",
         "placement",
         "pool",
+        "ready",
+        "run_counts",
+        "run_times",
         "term",
     )
 
@@ -82,16 +81,18 @@
         self.placement = placement
         # Local time after which no earlier owner's lease can hold.
         self._fenced_out_at = fenced_out_at
+        self.run_times = RunTimes()
         self.advice = AdviceBook()
         # Steps that wait for advice, with the executors to ask for.
         self.advice_wanted: dict[StepName, list[str]] = {}
         self.jobs: dict[str, Job] = {}
         self.executors: dict[str, ExecutorView] = {}
-        self._ready: dict[TaskName, Task] = {}
+        # Tasks that wait for a place.
+        self.ready: dict[TaskName, Task] = {}
         # Lives known to be over: when they began, by executor.
         self._ended_lives: dict[str, int] = {}
         # Known runs of each task, wanted or not.
-        self._run_counts: Counter[TaskName] = Counter()
+        self.run_counts: Counter[TaskName] = Counter()
 
     # --- Jobs.
 
@@ -116,7 +117,7 @@
     def open_due(self, job: Job, unix_ms: int, now: float) -> None:
         """Open a job's occurrences that are due."""
         for task in job.open_due(unix_ms, now):
-            self._ready[task.name] = task
+            self.ready[task.name] = task
 
     def cancel_job(self, job_id: str, unix_ms: int) -> Job | None:
         """Take in a cancel; what runs is stopped by the next plan."""
@@ -130,7 +131,7 @@
     def drop_final(self, job: Job) -> None:
         """Withdraw the waiting tasks of a job that is over."""
         for task in job.tasks():
-            self._ready.pop(task.name, None)
+            self.ready.pop(task.name, None)
 
     def forget_job(self, job_id: str) -> None:
         """Drop a job that is over and that nobody asks for any more."""
@@ -152,7 +153,7 @@
     def jobs_to_begin(self) -> list[Job]:
         """Return waiting jobs that lack the mark of having begun."""
         found: dict[str, Job] = {}
-        for task in self._ready.values():
+        for task in self.ready.values():
             if not task.job.progress.begun_term:
                 found[task.job.job_id] = task.job
         return list(found.values())
@@ -166,16 +167,16 @@
         task.run = 0
         task.ready_at = now
         if not task.job.is_final:
-            self._ready[task.name] = task
+            self.ready[task.name] = task
 
     def make_ready(self, tasks: list[Task]) -> None:
         """Queue tasks whose turn has come."""
         for task in tasks:
-            self._ready[task.name] = task
+            self.ready[task.name] = task
 
     def settle(self, task: Task) -> None:
         """Take a task that is done or exhausted out of the queue."""
-        self._ready.pop(task.name, None)
+        self.ready.pop(task.name, None)
 
     # --- Executors.
 
@@ -183,7 +184,7 @@
         """Take in an executor's entry."""
         view = self.executors.get(info.executor_id)
         if view is None:
-            view = ExecutorView(info, self._fenced_out_at, self._run_counts)
+            view = ExecutorView(info, self._fenced_out_at, self.run_counts)
             self.executors[info.executor_id] = view
             return view
         view.info = info
@@ -258,7 +259,7 @@
                         view.executor_id, run.task_name, run.run, run.pace
                     )
                 )
-        orders.extend(self._starts(now, unix_ms))
+        orders.extend(plan_starts(self, now, unix_ms))
         return orders
 
     def _expire(
@@ -296,76 +297,6 @@
             )
         return stops
 
-    def _starts(self, now: float, unix_ms: int) -> list[StartOrder]:
-        """Return the starts for which there is room, most urgent first."""
-        if not self._ready:
-            return []
-        orders: list[StartOrder] = []
-        is_settled = self._is_settled(now)
-        waiting = sorted(
-            self._ready.values(), key=lambda task: urgency(task, unix_ms)
-        )
-        for task in waiting:
-            job = task.job
-            if not job.is_begun or job.is_final:
-                continue
-            if job.progress.begun_term != self.term and not is_settled:
-                # A run of an earlier owner may not have been seen yet.
-                continue
-            if now < task.held_until or task.name in self._run_counts:
-                # A run that is not wanted has not ended yet.
-                continue
-            if task.step.is_gang:
-                orders.extend(self._start_gang(task, now))
-                continue
-            if task.failures and task.step.lasts:
-                wait_s = RESTART_WAIT_S * min(task.failures, 10)
-                if now - task.ready_at < wait_s:
-                    continue
-            view = self._find_place(task, now)
-            if view is not None:
-                orders.append(self.place(task, view, now))
-        return orders
-
-    def _find_place(self, task: Task, now: float) -> ExecutorView | None:
-        """Return an executor for a task; note what advice is missing."""
-        views = self.executors.values()
-        if not task.job.policy.needs_advice:
-            return find_place(task, views, now, self.placement)
-        view = find_place(task, views, now, self.placement, self.advice)
-        if view is None:
-            step = StepName.of(task.name)
-            wanted = self.advice.to_ask(step, views, now)
-            if wanted:
-                self.advice_wanted[step] = wanted
-        return view
-
-    def _start_gang(self, task: Task, now: float) -> list[StartOrder]:
-        """Start all members of a gang, or none."""
-        members = task.job.gang(task)
-        for member in members:
-            is_running = member.name in self._run_counts
-            if member.state is not TaskState.READY or is_running:
-                return []
-        orders: list[StartOrder] = []
-        run = max(member.next_run(self.term) for member in members)
-        checkpoint = task.checkpoint
-        for member in members:
-            view = self._find_place(member, now)
-            if view is None:
-                for order in orders:
-                    self._unplace(order, now)
-                return []
-            member.checkpoint = checkpoint
-            orders.append(self.place(member, view, now, run))
-        return orders
-
-    def _unplace(self, order: StartOrder, now: float) -> None:
-        """Take back a placement whose start was not sent."""
-        view = self.executors[order.executor_id]
-        view.drop_run((order.task.name, order.run))
-        self.requeue(order.task, now)
-
     def place(
         self, task: Task, view: ExecutorView, now: float, run: int = 0
     ) -> StartOrder:
@@ -375,7 +306,7 @@
         task.executor_id = view.executor_id
         task.run = run
         task.last_run = run
-        self._ready.pop(task.name, None)
+        self.ready.pop(task.name, None)
         view.add_run(Run(task.name, run, task.step.room, now, task))
         view.note_deadline(now, self.lease_s)
         ticket = ""
@@ -384,7 +315,7 @@
             ticket = self.advice.ticket(step, view.executor_id, now) or ""
         return StartOrder(view.executor_id, task, run, ticket)
 
-    def _is_settled(self, now: float) -> bool:
+    def is_settled(self, now: float) -> bool:
         """Whether no run of an earlier owner can be unseen."""
         if now >= self._fenced_out_at:
             return True
