Avoid executors that fail, stall or fall silent; leases of 3.5 s

Ruled out: shorter waits for lasting tasks in a takeover (a lease of less than the detection, 1.5 s, after a look 0.8 s old would lapse in it).

Change: leases 5 to 3.5 s, looks each 0.8 s with 0.5 s to spare; an order behind an unanswered one is not sent; a task that may have two runs gets its second one at once when its executor is silent; runs without progress are stopped and go elsewhere; an executor with failures of several jobs is left alone for 3 s.

--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -19,9 +19,10 @@
 
 __all__ = ["LEASE_S", "OwnerContext"]
 
-# Leases outlast a takeover (silence of 2.5 s and its recovery), and are
-# short enough that tasks of a lost executor soon start elsewhere.
-LEASE_S: Final = 5.0
+# Leases outlast a takeover (1.2 s of silence, 0.3 s until it is seen, the
+# recovery) from the last look 0.8 s before it, and are short enough that
+# tasks of a lost executor soon start elsewhere.
+LEASE_S: Final = 3.5
 
 
 class OwnerContext:
--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -29,7 +29,7 @@
 
 # How long an executor may hold a look back; leases are renewed at this
 # pace.
-LOOK_WAIT_S: Final = 1.0
+LOOK_WAIT_S: Final = 0.8
 # The pause after a look that brought nothing.
 RETRY_S: Final = 0.15
 RETRY_MAX_S: Final = 0.6
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -64,7 +64,7 @@
 __all__ = ["VERIFY_S", "PoolOwner"]
 
 # Without proof of its ownership for this long an owner extends nothing.
-# With a lease more, what runs outlasts an outage of the store of 9 s.
+# With a lease more, what runs outlasts an outage of the store of 6 s.
 VERIFY_S: Final = 4.0
 # Submissions are gathered for this long between two calls to the feed.
 GATHER_S: Final = 0.03
--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -47,9 +47,12 @@
 
 EXECUTORS_TABLE: Final = "servers"
 
-ORDER_TIMEOUT_S: Final = 0.8
-LOOK_MARGIN_S: Final = 0.8
-CONNECT_TIMEOUT_S: Final = 0.6
+# Executors answer orders within some milliseconds.  One that does not is
+# taken for silent until it answers a look.
+ORDER_TIMEOUT_S: Final = 0.5
+# Added to the time that a look may wait for an end.
+LOOK_MARGIN_S: Final = 0.5
+CONNECT_TIMEOUT_S: Final = 0.4
 # Executors close connections that are idle for longer.
 REUSE_IDLE_S: Final = 8.0
 # The advice service takes calls in turn, each for some milliseconds an
@@ -106,13 +109,15 @@
 class _Link:
     """The connections to one executor."""
 
-    __slots__ = ("client", "orders")
+    __slots__ = ("client", "orders", "silences")
 
     def __init__(self, address: str) -> None:
         self.client = HttpClient(
             address, Peer.UPSTREAM, connect_s=CONNECT_TIMEOUT_S
         )
         self.orders = asyncio.Semaphore(ORDERS_AT_ONCE)
+        # How many orders were not answered.
+        self.silences = 0
 
 
 class PlatformExecutors(ExecutorGateway):
@@ -292,10 +297,21 @@
     async def _order(
         self, info: ExecutorInfo, path: bytes, body: dict[str, Any]
     ) -> tuple[Answer | None, bool]:
-        """Send an order within the bound of orders at once."""
+        """Send an order within the bound of orders at once.
+
+        What waits behind an order that is not answered is not sent.
+        """
         link = self._link(info)
+        silences = link.silences
         async with link.orders:
-            return await self._call(link, info, path, body, ORDER_TIMEOUT_S)
+            if link.silences != silences:
+                return None, False
+            answer, sent = await self._call(
+                link, info, path, body, ORDER_TIMEOUT_S
+            )
+            if answer is None:
+                link.silences += 1
+            return answer, sent
 
     async def _call(
         self,
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -16,6 +16,8 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.health import ExecutorHealth
+
 if TYPE_CHECKING:
     from lycheelug.workloads.jobs import Task
     from lycheelug.workloads.model import Resources, TaskName
@@ -34,8 +36,8 @@
 
 # An executor's clock may run this much too slow (the platform's figure).
 CLOCK_DRIFT: Final = 0.02
-# An executor that was silent for longer gets no new tasks.
-SILENT_S: Final = 2.5
+# An executor that was silent for longer gets no new tasks: two looks.
+SILENT_S: Final = 1.6
 
 
 class EndKind(Enum):
@@ -186,6 +188,7 @@
         "pace",
         "percent",
         "phase",
+        "progressed_at",
         "room",
         "run",
         "stop_answered_at",
@@ -214,6 +217,8 @@
         self.confirmed_at: float | None = None
         self.checkpoint = ""
         self.percent = 0
+        # Local time at which a list last showed that it had gone on.
+        self.progressed_at = ordered_at
         # Local time at which its start was given up as unanswered.
         self.unknown_at = ordered_at
         # What its executor last told of its load, and its ordered pace.
@@ -240,6 +245,8 @@
         "clock_at",
         "clock_ms",
         "cordon_order",
+        "doubted_at",
+        "health",
         "heard_at",
         "info",
         "is_fenced",
@@ -297,6 +304,9 @@
         self.shunned_until = 0.0
         # The planner's order to empty its host; empty for none.
         self.cordon_order = ""
+        # Local time of the last start that it did not answer.
+        self.doubted_at = 0.0
+        self.health = ExecutorHealth()
 
     @property
     def executor_id(self) -> str:
@@ -324,6 +334,8 @@
             return False
         if not self.is_listed or self.info.draining:
             return False
+        if self.doubted_at > self.asked_at:
+            return False
         return self.heard_at is not None and now - self.heard_at <= SILENT_S
 
     def add_run(self, run: Run) -> None:
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -112,7 +112,7 @@
     if answer is StartAnswer.NO_ANSWER:
         run.phase = RunPhase.UNKNOWN
         run.unknown_at = now
-        view.shunned_until = max(view.shunned_until, now + SHUN_S)
+        view.doubted_at = now
         return
     if answer is StartAnswer.BAD_TICKET:
         schedule.advice.reject(StepName.of(task.name), view.executor_id)
@@ -179,6 +179,8 @@
         run.confirmed_at = now
     if run.task is not None:
         run.task.job.has_started = True
+    if entry.percent != run.percent or entry.checkpoint != run.checkpoint:
+        run.progressed_at = now
     run.percent = entry.percent
     run.load = entry.load
     run.checkpoint = entry.checkpoint
@@ -231,11 +233,13 @@
     task.last_run = max(task.last_run, end.run)
     job.has_started = True
     if end.kind is EndKind.DONE:
+        view.health.note_done(now)
         _note_run_time(schedule, task, run, now)
         _take_done(schedule, task, now, unix_ms)
         return
     if end.kind is EndKind.FAILED:
         task.avoided_executor = view.executor_id
+        view.health.note_failed(task.name.job, now)
         job.note_failed(task, unix_ms)
     if end.checkpoint:
         job.note_checkpoint(task, end.checkpoint)
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -33,6 +33,8 @@
         return False
     if view.cordon_order or view.shunned_until > now:
         return False
+    if view.health.is_shunned(now):
+        return False
     step = task.step
     if step.required_label and step.required_label not in view.info.labels:
         return False
@@ -62,7 +64,8 @@
         step = StepName.of(task.name)
         if advice and not advice.ticket(step, view.executor_id, now):
             continue
-        if view.executor_id == task.avoided_executor:
+        is_doubtful = task.failures and view.health.is_doubtful(now)
+        if view.executor_id == task.avoided_executor or is_doubtful:
             avoided.append(view)
             continue
         allowed.append(view)
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -35,6 +35,7 @@
 from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.relocation import mark_relocations
 from lycheelug.workloads.runtimes import RunTimes
+from lycheelug.workloads.stalls import STALLED, doubtful_runs, stalled_runs
 from lycheelug.workloads.starts import plan_starts
 
 if TYPE_CHECKING:
@@ -249,6 +250,16 @@
         orders: list[StartOrder | StopOrder | PaceOrder] = []
         for view in list(self.executors.values()):
             self._expire(view, now, verified_at)
+            for run in doubtful_runs(view):
+                # A second run may race the one that can't be seen.
+                self.free_task(run, view, now)
+                run.task = None
+            for run in stalled_runs(view, self.run_times, now):
+                view.health.note_stalled(now)
+                run.phase = RunPhase.STOPPING
+                run.why_stopped = STALLED
+                if run.task is not None:
+                    run.task.avoided_executor = view.executor_id
             if view.cordon_order or view.info.draining:
                 mark_relocations(view, self.executors, now)
             orders.extend(self._stops(view, now))
@@ -286,6 +297,9 @@
                 run.why_stopped = run.why_stopped or why
             if run.phase is not RunPhase.STOPPING or run.stop_sent:
                 continue
+            if run.task is None and view.heard_at is None:
+                # A duplicate; it is stopped once its executor is back.
+                continue
             run.stop_sent = True
             stops.append(
                 StopOrder(
--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -21,8 +21,8 @@
 
 # A lasting task that shows this much has finished its startup.
 AT_WORK_PERCENT: Final = 100
-# An executor is looked at each second; an older list may hide a crash.
-FRESH_S: Final = 1.4
+# An executor is looked at each 0.8 s; an older list may hide a crash.
+FRESH_S: Final = 1.2
 
 
 def mark_relocations(
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -60,7 +60,9 @@
     if job.progress.begun_term != schedule.term and not is_settled:
         # A run of an earlier owner may not have been seen yet.
         return False
-    if now < task.held_until or task.name in schedule.run_counts:
+    if now < task.held_until:
+        return False
+    if task.name in schedule.run_counts and not task.step.may_duplicate:
         # A run that is not wanted has not ended yet.
         return False
     if task.failures and task.step.lasts and not task.step.is_gang:
