Let a pool's owner store its submissions, many in one transaction

Ruled out: gathering at the accepting daemon (eight daemons still take turns at the part, and the owner's progress waits behind them).

Change: a submission goes to the pool's owner, which stores it together with its mark of having begun, up to 16 in one transaction; without an owner that answers, the accepting daemon stores it itself as before. What the owner could not decide stays undecided for the caller.

--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -34,6 +34,7 @@
         "executors",
         "gateway",
         "hosts",
+        "is_store_away",
         "lease_s",
         "metrics",
         "store",
@@ -49,6 +50,7 @@
         configuration: Callable[[], Configuration | None],
         executors: Callable[[str], list[ExecutorInfo]],
         lease_s: float = LEASE_S,
+        is_store_away: Callable[[], bool] = lambda: False,
     ) -> None:
         self.store = store
         self.gateway = gateway
@@ -60,3 +62,5 @@
         self.executors = executors
         # How long a run may go on without word of its owner.
         self.lease_s = lease_s
+        # Whether no way to the store has worked for a moment.
+        self.is_store_away = is_store_away
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -138,6 +138,14 @@
         """Who holds which duty, as far as is known."""
         return {duty: record for duty, (record, _) in self._owners.items()}
 
+    def owner_address(self, duty: str) -> str:
+        """Return where a duty's holder is reached; empty for nowhere."""
+        owner = self._owners.get(duty)
+        if owner is None or owner[0].holder == self._name:
+            return ""
+        record = owner[0]
+        return self.heartbeats.address_of(record.holder, record.incarnation)
+
     def start(self) -> None:
         """Begin to show that this daemon lives, and to claim duties."""
         loop = asyncio.get_running_loop()
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -19,6 +19,7 @@
     from lycheelug.fleetplan import HostInfo
     from lycheelug.workloads import (
         ExecutorInfo,
+        JobRecord,
         ListReport,
         StartAnswer,
         StepName,
@@ -31,7 +32,9 @@
     "ExecutorGateway",
     "HostAnswer",
     "HostControl",
+    "IntakeAnswer",
     "LookFailure",
+    "PoolIntake",
     "PoolPolicy",
     "Route",
     "StopAnswer",
@@ -167,6 +170,29 @@
         """Tell the operator how far a wave is; False where that failed."""
 
 
+class IntakeAnswer(Enum):
+    """What a pool's owner says of a submission."""
+
+    # It is stored, and was not before.
+    STORED = auto()
+    # It was stored before.
+    KNOWN = auto()
+    # Nothing was done: no owner is known, or it can't take it.
+    NOT_TAKEN = auto()
+    # It may have been stored, or may be later.
+    UNDECIDED = auto()
+
+
+class PoolIntake(ABC):
+    """The way for submissions to the owners of pools."""
+
+    @abstractmethod
+    async def submit(
+        self, pool: str, job_id: str, record: JobRecord
+    ) -> IntakeAnswer:
+        """Let a pool's owner store a submission."""
+
+
 class Route:
     """A queue as callers address it."""
 
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -15,51 +15,43 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from returns.result import Failure, Success
-
 from lycheelug.fleetplan import (
     PLAN_KEY,
     PLANS_TABLE,
-    SUMMARIES_TABLE,
-    SUMMARY_KEY,
     decode_plan,
-    decode_summary,
 )
 from lycheelug.jobservice.executor_loop import ExecutorLoop
+from lycheelug.jobservice.intake import Intake
+from lycheelug.jobservice.interfaces import IntakeAnswer
 from lycheelug.jobservice.order_sender import OrderSender
 from lycheelug.jobservice.pool_chores import (
     find_ended_lives,
     sweep_finished,
 )
+from lycheelug.jobservice.pool_recovery import recover_pool
 from lycheelug.jobservice.progress_writer import ProgressWriter
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     FLEET_PART,
     JOB_PREFIX,
-    PROGRESS_TABLE,
     decode_job,
-    decode_progress,
     jobs_table,
 )
-from lycheelug.logs import log_change, log_fault
+from lycheelug.logs import log_change
 from lycheelug.store.mirror import TableMirror
 from lycheelug.workloads import (
-    ExecutorInfo,
     PoolSchedule,
     QueuePolicy,
-    Resources,
 )
 from lycheelug.workloads.executors import CLOCK_DRIFT
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from returns.result import Result
-
-    from lycheelug.errors import Fault
     from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.intake import Submission
     from lycheelug.store.rows import StoredRow
-    from lycheelug.workloads import Job, ProgressRecord
+    from lycheelug.workloads import Job, JobRecord, ProgressRecord
 
 __all__ = ["VERIFY_S", "PoolOwner"]
 
@@ -70,7 +62,6 @@
 GATHER_S: Final = 0.03
 # The schedule is looked at this often even if nothing happened.
 TICK_S: Final = 0.1
-RECOVER_RETRY_S: Final = 0.3
 
 
 class PoolOwner:
@@ -82,14 +73,15 @@
         "_mirror",
         "_plan_mirror",
         "_sender",
-        "_stored_progress",
         "_tasks",
         "_vacate",
         "_wake",
+        "intake",
         "lost",
         "owner_version",
         "pool",
         "schedule",
+        "stored_progress",
         "term",
         "verified_at",
         "writer",
@@ -115,6 +107,7 @@
         self.schedule = PoolSchedule(
             pool, term, context.lease_s, fenced_out_at
         )
+        self.intake = Intake(pool, term)
         self.writer = ProgressWriter(context, self)
         self._sender = OrderSender(context, self)
         self._mirror = TableMirror(
@@ -129,7 +122,8 @@
         )
         # The planner's orders to empty hosts: numbers by host.
         self._vacate: dict[str, str] = {}
-        self._stored_progress: dict[str, tuple[ProgressRecord, int]] = {}
+        # Progress that a former owner stored, until its job is known.
+        self.stored_progress: dict[str, tuple[ProgressRecord, int]] = {}
         self._loops: dict[str, ExecutorLoop] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
@@ -144,7 +138,7 @@
     async def run(self) -> None:
         """Own the pool until it is lost or this is cancelled."""
         try:
-            if not await self._recover_in_time():
+            if not await recover_pool(self._context, self):
                 return
             self.spawn(self._plan_mirror.run())
             self.spawn(self._mirror.run())
@@ -159,9 +153,11 @@
         """Send nothing more, and store what is known."""
         self.lost.set()
         await self.writer.flush()
+        self.intake.close()
 
     def stop(self) -> None:
         """End all that runs for the pool here."""
+        self.intake.close()
         for task in self._tasks:
             task.cancel()
         for loop in self._loops.values():
@@ -200,72 +196,41 @@
             log_change("defect", pool=self.pool, error=repr(error))
             self.lose("defect")
 
-    # --- Recovery and intake.
+    # --- Submissions from callers.
+
+    async def submit(self, job_id: str, record: JobRecord) -> IntakeAnswer:
+        """Store a submission with the next transaction."""
+        if job_id in self.schedule.jobs:
+            return IntakeAnswer.KNOWN
+        if not self._mirror.loaded.is_set() or self.lost.is_set():
+            return IntakeAnswer.NOT_TAKEN
+        if not self.is_verified or self._context.is_store_away():
+            return IntakeAnswer.NOT_TAKEN
+        submission = self.intake.add(job_id, record)
+        self.writer.wake_if_needed()
+        return await asyncio.shield(submission.answer)
 
-    async def _recover_in_time(self) -> bool:
-        """Recover, however long the store is away; False once lost.
+    def accept(self, submission: Submission, version: int) -> None:
+        """Take in a submission that was stored here.
 
-        A new claim would only raise the term and begin the wait anew.
+        The table's feed may have told of it first, without its mark.
         """
-        while not self.lost.is_set():
-            recovered = await self._recover()
-            if not isinstance(recovered, Failure):
-                return True
-            log_fault(
-                "pool-not-recovered",
-                recovered.failure(),
-                pool=self.pool,
-                term=self.term,
-            )
-            await asyncio.sleep(RECOVER_RETRY_S)
-        return False
-
-    async def _recover(self) -> Result[None, Fault]:
-        """Read progress; the jobs follow through the mirror."""
-        read = await self._context.store.read(PROGRESS_TABLE, self.pool)
-        if isinstance(read, Failure):
-            return Failure(read.failure())
-        for row in read.unwrap().rows:
-            progress = decode_progress(row.value or b"")
-            if progress is None:
-                log_change("row-unreadable", table=row.table, key=row.key)
-                self._context.metrics.count("rows-unreadable")
-                continue
-            self._stored_progress[row.key] = (progress, row.version)
-        summary = await self._context.store.read(SUMMARIES_TABLE, self.pool)
-        if isinstance(summary, Failure):
-            return Failure(summary.failure())
-        for row in summary.unwrap().rows:
-            self._recall_executors(row)
-        log_change(
-            "pool-recovered",
-            pool=self.pool,
-            term=self.term,
-            jobs=len(self._stored_progress),
+        clock = self._context.clock
+        job_id = submission.job_id
+        job = self.schedule.add_job(
+            job_id,
+            submission.record,
+            self._policy(submission.record.queue),
+            submission.progress,
+            clock.unix_ms(),
+            clock.now(),
         )
-        return Success(None)
-
-    def _recall_executors(self, row: StoredRow) -> None:
-        """Take in the executors that the last owner used.
+        if submission.progress is not None:
+            job.note_begin_stored(self.term, version)
+        self._cancel_if_told(job)
+        submission.tell(IntakeAnswer.STORED)
 
-        The store may lack the entry of one that is alive: entries lapse
-        while the store, or the way to it, is away.
-        """
-        summary = decode_summary(row.value or b"")
-        if row.key != SUMMARY_KEY or summary is None:
-            return
-        self.writer.note_summary_version(row.version)
-        self.schedule.run_times.restore(summary.run_times)
-        for host, load in summary.hosts.items():
-            if not load.address or host in summary.vacated:
-                continue
-            room = Resources(load.capacity_cpu, load.capacity_memory, 0)
-            view = self.schedule.observe_executor(
-                ExecutorInfo(
-                    load.executor, self.pool, load.address, room, host=host
-                )
-            )
-            view.is_listed = False
+    # --- The store's rows.
 
     def _on_row(self, row: StoredRow) -> None:
         """Take in a submission or a cancel."""
@@ -287,7 +252,7 @@
             log_change("row-unreadable", table=row.table, key=row.key)
             self._context.metrics.count("rows-unreadable")
             return
-        progress, version = self._stored_progress.pop(job_id, (None, 0))
+        progress, version = self.stored_progress.pop(job_id, (None, 0))
         job = self.schedule.add_job(
             job_id,
             record,
--- /dev/null
+++ b/lycheelug/jobservice/pool_recovery.py
@@ -0,0 +1,99 @@
+"""Reads what a pool's last owner has left, before it is driven on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from returns.result import Failure, Success
+
+from lycheelug.fleetplan import (
+    SUMMARIES_TABLE,
+    SUMMARY_KEY,
+    decode_summary,
+)
+from lycheelug.jobservice.tables import PROGRESS_TABLE, decode_progress
+from lycheelug.logs import log_change, log_fault
+from lycheelug.workloads import ExecutorInfo, Resources
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from lycheelug.errors import Fault
+    from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.pool_owner import PoolOwner
+    from lycheelug.store.rows import StoredRow
+
+__all__ = ["recover_pool"]
+
+RECOVER_RETRY_S: Final = 0.3
+
+
+async def recover_pool(context: OwnerContext, owner: PoolOwner) -> bool:
+    """Recover a pool, however long the store is away; False once lost.
+
+    A new claim would only raise the term and begin the wait anew.
+    """
+    while not owner.lost.is_set():
+        recovered = await _recover(context, owner)
+        if not isinstance(recovered, Failure):
+            return True
+        log_fault(
+            "pool-not-recovered",
+            recovered.failure(),
+            pool=owner.pool,
+            term=owner.term,
+        )
+        await asyncio.sleep(RECOVER_RETRY_S)
+    return False
+
+
+async def _recover(
+    context: OwnerContext, owner: PoolOwner
+) -> Result[None, Fault]:
+    """Read progress and summary; the jobs follow through the mirror."""
+    read = await context.store.read(PROGRESS_TABLE, owner.pool)
+    if isinstance(read, Failure):
+        return Failure(read.failure())
+    for row in read.unwrap().rows:
+        progress = decode_progress(row.value or b"")
+        if progress is None:
+            log_change("row-unreadable", table=row.table, key=row.key)
+            context.metrics.count("rows-unreadable")
+            continue
+        owner.stored_progress[row.key] = (progress, row.version)
+    summary = await context.store.read(SUMMARIES_TABLE, owner.pool)
+    if isinstance(summary, Failure):
+        return Failure(summary.failure())
+    for row in summary.unwrap().rows:
+        _recall(owner, row)
+    log_change(
+        "pool-recovered",
+        pool=owner.pool,
+        term=owner.term,
+        jobs=len(owner.stored_progress),
+    )
+    return Success(None)
+
+
+def _recall(owner: PoolOwner, row: StoredRow) -> None:
+    """Take in what the last owner learned, and the executors it used.
+
+    The store may lack the entry of one that is alive: entries lapse while
+    the store, or the way to it, is away.
+    """
+    summary = decode_summary(row.value or b"")
+    if row.key != SUMMARY_KEY or summary is None:
+        return
+    owner.writer.note_summary_version(row.version)
+    owner.schedule.run_times.restore(summary.run_times)
+    for host, load in summary.hosts.items():
+        if not load.address or host in summary.vacated:
+            continue
+        room = Resources(load.capacity_cpu, load.capacity_memory, 0)
+        view = owner.schedule.observe_executor(
+            ExecutorInfo(
+                load.executor, owner.pool, load.address, room, host=host
+            )
+        )
+        view.is_listed = False
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -29,13 +29,16 @@
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
     from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.intake import Submission
     from lycheelug.jobservice.pool_owner import PoolOwner
     from lycheelug.workloads import ExecutorView, Job
 
 __all__ = ["ProgressWriter"]
 
-# The store takes at most 100 entries, conditions and writes together.
+# The store takes at most 100 entries, conditions and writes together.  A
+# submission takes as many as two jobs.
 JOBS_MAX: Final = 45
+SUBMISSIONS_MAX: Final = 16
 # Ownership is proved at least this often, by an empty transaction if
 # there is nothing to write.
 PROVE_S: Final = 1.5
@@ -55,6 +58,7 @@
         "is_whole",
         "jobs",
         "seen",
+        "submissions",
         "summary",
         "writes",
     )
@@ -63,6 +67,7 @@
         self.expected: dict[RowName, int] = {}
         self.writes: dict[RowName, bytes | None] = {}
         self.jobs: list[Job] = []
+        self.submissions: list[Submission] = []
         self.summary = b""
         # Executors, their lives, and the ends that were taken in.
         self.seen: list[tuple[ExecutorView, int, int]] = []
@@ -114,7 +119,7 @@
             if not self._has_work():
                 await self._wait()
             self._wake.clear()
-            if not self._owner.schedule.jobs_to_begin():
+            if not self._is_urgent():
                 await asyncio.sleep(GATHER_S)
             async with self._writing:
                 is_stored = await self._write()
@@ -162,7 +167,7 @@
     def _has_work(self) -> bool:
         """Whether something waits to be written or acknowledged."""
         schedule = self._owner.schedule
-        if schedule.jobs_to_begin():
+        if self._is_urgent():
             return True
         for job in schedule.jobs.values():
             if job.is_dirty:
@@ -172,6 +177,11 @@
                 return True
         return self._is_summary_due()
 
+    def _is_urgent(self) -> bool:
+        """Whether a caller, or a task that could start, waits."""
+        owner = self._owner
+        return owner.intake.has_work or bool(owner.schedule.jobs_to_begin())
+
     def _changed_summary(self) -> bytes:
         """Return the pool's summary if it has changed."""
         now = self._context.clock.now()
@@ -200,10 +210,12 @@
         if isinstance(result, Failure):
             for job in batch.jobs:
                 job.is_dirty = True
+            owner.intake.take_failure(batch.submissions, result.failure())
             self._note_failure(result.failure())
             return False
         outcome = result.unwrap()
         if isinstance(outcome, RowConflict):
+            owner.intake.take_conflict(batch.submissions, outcome)
             self._take_conflict(outcome, batch.jobs)
             return False
         self._note_success()
@@ -220,10 +232,16 @@
             job.begin(owner.term)
         batch = _Batch()
         batch.expected[OWNER_ROW] = owner.owner_version
+        batch.submissions = owner.intake.take(SUBMISSIONS_MAX)
+        for submission in batch.submissions:
+            for name, value in owner.intake.rows(submission).items():
+                batch.expected[name] = 0
+                batch.writes[name] = value
+        jobs_max = JOBS_MAX - 2 * len(batch.submissions)
         for job in schedule.jobs.values():
             if not job.is_dirty:
                 continue
-            if len(batch.jobs) >= JOBS_MAX:
+            if len(batch.jobs) >= jobs_max:
                 batch.is_whole = False
                 break
             job.is_dirty = False
@@ -244,6 +262,8 @@
         if batch.summary:
             self._summary = batch.summary
             self._summary_version = version
+        for submission in batch.submissions:
+            self._owner.accept(submission, version)
         for job in batch.jobs:
             job.row_version = version
             if job.progress.begun_term:
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -8,6 +8,7 @@
 from lycheelug.jobservice.context import OwnerContext
 from lycheelug.jobservice.duties import Duties
 from lycheelug.jobservice.fleet_owner import FleetOwner
+from lycheelug.jobservice.interfaces import IntakeAnswer, PoolIntake
 from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.jobservice.submissions import Submissions
 from lycheelug.jobservice.tables import FLEET_PART
@@ -15,7 +16,7 @@
 from lycheelug.metrics import Metrics
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from lycheelug.fleetplan import UpkeepWave
     from lycheelug.jobservice.clock import Clock
@@ -26,12 +27,16 @@
         HostControl,
     )
     from lycheelug.store.rows import RowStore
-    from lycheelug.workloads import ExecutorInfo
+    from lycheelug.workloads import ExecutorInfo, JobRecord
+
+    RemoteSubmit = Callable[
+        [str, str, str, JobRecord], Awaitable[IntakeAnswer]
+    ]
 
 __all__ = ["JobService"]
 
 
-class JobService:
+class JobService(PoolIntake):
     """What one daemon knows and does for jobs."""
 
     __slots__ = (
@@ -39,6 +44,7 @@
         "_executors",
         "_hosts",
         "_name",
+        "_remote",
         "_upkeep_s",
         "configuration",
         "duties",
@@ -58,7 +64,8 @@
         lease_s: float,
         upkeep_s: float,
         address: str = "",
-        is_store_away: Callable[[], bool] | None = None,
+        is_store_away: Callable[[], bool] = lambda: False,
+        remote: RemoteSubmit | None = None,
     ) -> None:
         self._upkeep_s = upkeep_s
         self._name = name
@@ -67,8 +74,10 @@
         self.configuration: Configuration | None = None
         self.waves: dict[int, UpkeepWave] = {}
         self._executors: dict[str, ExecutorInfo] = {}
+        # Passes a submission to an owner's address.
+        self._remote = remote
         self.submissions = Submissions(
-            store, clock, self.metrics, is_store_away
+            store, clock, self.metrics, self, is_store_away
         )
         self._context = OwnerContext(
             store,
@@ -79,6 +88,7 @@
             lambda: self.configuration,
             self.executors_of,
             lease_s,
+            is_store_away,
         )
         incarnation = secrets.token_hex(8)
         self.duties = Duties(
@@ -109,6 +119,28 @@
         """End everything."""
         await self.duties.stop()
 
+    # --- Submissions on their way to the pools' owners.
+
+    async def submit(
+        self, pool: str, job_id: str, record: JobRecord
+    ) -> IntakeAnswer:
+        """Let a pool's owner store a submission, wherever it is."""
+        if pool in self.duties.held or self._remote is None:
+            return await self.take_submission(pool, job_id, record)
+        address = self.duties.owner_address(pool)
+        if not address:
+            return IntakeAnswer.NOT_TAKEN
+        return await self._remote(address, pool, job_id, record)
+
+    async def take_submission(
+        self, pool: str, job_id: str, record: JobRecord
+    ) -> IntakeAnswer:
+        """Store a submission if its pool is owned here."""
+        holder = self.duties.held.get(pool)
+        if not isinstance(holder, PoolOwner):
+            return IntakeAnswer.NOT_TAKEN
+        return await holder.submit(job_id, record)
+
     # --- What the outside world tells.
 
     def take_configuration(self, configuration: Configuration) -> None:
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -20,6 +20,7 @@
     SUMMARY_KEY,
     decode_summary,
 )
+from lycheelug.jobservice.interfaces import IntakeAnswer
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     JOB_PREFIX,
@@ -39,7 +40,11 @@
 
     from lycheelug.errors import Fault
     from lycheelug.jobservice.clock import Clock
-    from lycheelug.jobservice.interfaces import Configuration, Route
+    from lycheelug.jobservice.interfaces import (
+        Configuration,
+        PoolIntake,
+        Route,
+    )
     from lycheelug.metrics import Metrics
     from lycheelug.store.rows import RowSet, RowStore
     from lycheelug.workloads import JobRecord
@@ -90,6 +95,7 @@
     __slots__ = (
         "_clock",
         "_final",
+        "_intake",
         "_is_store_away",
         "_metrics",
         "_pools_of",
@@ -101,11 +107,14 @@
         store: RowStore,
         clock: Clock,
         metrics: Metrics,
+        intake: PoolIntake,
         is_store_away: Callable[[], bool] | None = None,
     ) -> None:
         # Whether calls to the store have failed for a while: then callers
         # are refused at once, and nothing is sent for them.
         self._is_store_away = is_store_away or _never
+        # The way to the owners of pools.
+        self._intake = intake
         self._store = store
         self._clock = clock
         self._metrics = metrics
@@ -125,10 +134,15 @@
     async def submit(
         self, route: Route, job_id: str, record: JobRecord
     ) -> Reply:
-        """Store a submission; a repeated one is the same job."""
-        if self._is_store_away():
+        """Store a submission; a repeated one is the same job.
+
+        The pool's owner does it if it can be reached: it may have a way to
+        the store where this daemon has none.
+        """
+        former = self._pools_of.get(route.name, [])[1:]
+        if former and self._is_store_away():
             return self._refuse_away("submission", job_id)
-        for pool in self._pools_of.get(route.name, [])[1:]:
+        for pool in former:
             found = await self._read_one(
                 jobs_table(pool), pool, JOB_PREFIX + job_id
             )
@@ -136,9 +150,24 @@
                 return self._refuse("submission", job_id, found.failure())
             if found.unwrap().rows:
                 return Reply(ReplyKind.OK)
+        answer = await self._intake.submit(route.pool, job_id, record)
+        if answer in (IntakeAnswer.STORED, IntakeAnswer.KNOWN):
+            return self._accept(
+                route, job_id, record, answer is IntakeAnswer.STORED
+            )
+        may_be_done = answer is IntakeAnswer.UNDECIDED
+        if self._is_store_away():
+            if may_be_done:
+                return self._leave_undecided(job_id, "the store is away")
+            return self._refuse_away("submission", job_id)
+        return await self._submit_here(route, job_id, record, may_be_done)
+
+    async def _submit_here(
+        self, route: Route, job_id: str, record: JobRecord, may_be_done: bool
+    ) -> Reply:
+        """Store a submission without the pool's owner."""
         name = RowName(jobs_table(route.pool), JOB_PREFIX + job_id)
         value = msgspec.json.encode(record)
-        may_be_done = False
         for _ in range(WRITE_TRIES):
             result = await self._store.commit(
                 route.pool, {name: 0}, {name: value}
@@ -146,18 +175,7 @@
             match result:
                 case Success(outcome):
                     is_new = isinstance(outcome, RowCommit)
-                    self._metrics.count(
-                        "jobs-accepted" if is_new else "jobs-repeated"
-                    )
-                    log_change(
-                        "job-accepted",
-                        job=job_id,
-                        queue=route.name,
-                        pool=route.pool,
-                        steps=len(record.steps),
-                        known=not is_new,
-                    )
-                    return Reply(ReplyKind.OK)
+                    return self._accept(route, job_id, record, is_new)
                 case Failure(fault):
                     pass
             if fault.code is PLATFORM_UNREACHABLE:
@@ -167,7 +185,26 @@
             may_be_done = True
             if self._is_store_away():
                 break
-        log_fault("submission-undecided", fault, job=job_id)
+        return self._leave_undecided(job_id, str(fault))
+
+    def _accept(
+        self, route: Route, job_id: str, record: JobRecord, is_new: bool
+    ) -> Reply:
+        """Tell a caller that its job is stored."""
+        self._metrics.count("jobs-accepted" if is_new else "jobs-repeated")
+        log_change(
+            "job-accepted",
+            job=job_id,
+            queue=route.name,
+            pool=route.pool,
+            steps=len(record.steps),
+            known=not is_new,
+        )
+        return Reply(ReplyKind.OK)
+
+    def _leave_undecided(self, job_id: str, reason: str) -> Reply:
+        """Tell a caller that its job may have been stored."""
+        log_change("submission-undecided", job=job_id, reason=reason)
         self._metrics.count("jobs-undecided")
         return Reply(ReplyKind.UNDECIDED)
 
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -36,7 +36,7 @@
 from lycheelug.platform.ingress import Ingress
 from lycheelug.platform.settings import SETTINGS_VARIABLE, read_settings
 from lycheelug.platform.store import PlatformRows
-from lycheelug.relay import RelayedRows, RelayServer
+from lycheelug.relay import RelayedRows, RelayServer, RemoteIntake
 from lycheelug.store.mirror import TableMirror
 
 if TYPE_CHECKING:
@@ -96,6 +96,7 @@
     __slots__ = (
         "_callers",
         "_clock",
+        "_owners",
         "_probes",
         "_relay",
         "_service",
@@ -112,6 +113,7 @@
         own = PlatformRows(settings.platform.address)
         self._relay = RelayServer(own)
         self._store = RelayedRows(own, self._peers, clock.now)
+        self._owners = RemoteIntake(clock.now)
         self._service = JobService(
             settings.node_name,
             settings.zone,
@@ -123,7 +125,9 @@
             settings.bounds.maintenance_s,
             self._relay_address(),
             self._is_store_away,
+            self._owners.submit,
         )
+        self._relay.take_submission = self._service.take_submission
         limits = ServerLimits(max_body_bytes=BODY_BYTES_MAX)
         ingress = Ingress(self._service, clock)
         self._callers = HttpServer(ingress.handle, limits)
@@ -234,6 +238,7 @@
         await self._service.stop()
         await self._relay.stop()
         self._store.close()
+        self._owners.close()
         for task in self._tasks:
             task.cancel()
         log_change("stopped", requests_cut=cut)
--- a/lycheelug/relay/__init__.py
+++ b/lycheelug/relay/__init__.py
@@ -1,6 +1,7 @@
-"""The peer package for other daemons that reach the store."""
+"""The peer package for other daemons: calls to the store, submissions."""
 
+from lycheelug.relay.intake import RemoteIntake
 from lycheelug.relay.rows import RelayedRows
 from lycheelug.relay.server import RelayServer
 
-__all__ = ["RelayServer", "RelayedRows"]
+__all__ = ["RelayServer", "RelayedRows", "RemoteIntake"]
--- /dev/null
+++ b/lycheelug/relay/intake.py
@@ -0,0 +1,73 @@
+"""Passes a submission to the daemon that owns its pool."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from lycheelug.jobservice.interfaces import IntakeAnswer
+from lycheelug.logs import log_change
+from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
+from lycheelug.relay.messages import SubmitCall, SubmitReply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lycheelug.workloads import JobRecord
+
+__all__ = ["SUBMIT", "RemoteIntake"]
+
+SUBMIT: Final = "/lycheelug.Relay/Submit"
+# An owner answers after two transactions at most: one under way, and the
+# one with the submission.  Callers wait 3 s in all.
+SUBMIT_TIMEOUT_S: Final = 0.9
+# An owner that did not answer is passed over for this long.
+AVOID_S: Final = 1.0
+
+
+class RemoteIntake:
+    """Submissions to owners on other daemons."""
+
+    __slots__ = ("_avoided_until", "_channels", "_now")
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._channels = PeerChannels()
+        self._now = now
+        self._avoided_until: dict[str, float] = {}
+
+    async def submit(
+        self, address: str, pool: str, job_id: str, record: JobRecord
+    ) -> IntakeAnswer:
+        """Let the owner at an address store a submission."""
+        if self._now() < self._avoided_until.get(address, 0.0):
+            return IntakeAnswer.NOT_TAKEN
+        call = SubmitCall(pool, job_id, msgspec.json.encode(record))
+        try:
+            async with asyncio.timeout(SUBMIT_TIMEOUT_S):
+                reply = await self._channels.call(
+                    address, SUBMIT, call, SubmitReply
+                )
+        except CALL_ERRORS as error:
+            self._channels.drop(address)
+            self._avoided_until[address] = self._now() + AVOID_S
+            log_change(
+                "owner-not-reached",
+                peer=address,
+                pool=pool,
+                job=job_id,
+                error=str(error) or type(error).__name__,
+            )
+            if isinstance(error, ConnectionRefusedError):
+                return IntakeAnswer.NOT_TAKEN
+            return IntakeAnswer.UNDECIDED
+        try:
+            return IntakeAnswer[reply.answer]
+        except KeyError:
+            log_change("reply-unreadable", peer=address, answer=reply.answer)
+            return IntakeAnswer.UNDECIDED
+
+    def close(self) -> None:
+        """Close the connections to owners."""
+        self._channels.close()
--- a/lycheelug/relay/messages.py
+++ b/lycheelug/relay/messages.py
@@ -18,6 +18,8 @@
     "ReadCall",
     "RowMessage",
     "StoreReply",
+    "SubmitCall",
+    "SubmitReply",
     "pack_rows",
 ]
 
@@ -88,6 +90,21 @@
     wait_s: float
 
 
+class SubmitCall(msgspec.Struct):
+    """A submission for the daemon that owns its pool."""
+
+    pool: str
+    job_id: str
+    # The job's row as it is to be stored.
+    record: bytes
+
+
+class SubmitReply(msgspec.Struct):
+    """What the owner says: the name of an `IntakeAnswer`."""
+
+    answer: str
+
+
 class StoreReply(msgspec.Struct, omit_defaults=True):
     """What the store answered to the daemon that made the call."""
 
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -13,11 +13,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
-from grpclib.client import Channel, UnaryUnaryMethod
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from returns.result import Failure, Success
 
-from lycheelug.entries.codec import MessagePackCodec
 from lycheelug.errors import (
     CODES,
     PLATFORM_UNKNOWN,
@@ -27,6 +24,7 @@
     Step,
 )
 from lycheelug.logs import log_change
+from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
 from lycheelug.relay.messages import (
     CommitCall,
     FeedCall,
@@ -78,7 +76,6 @@
     __slots__ = (
         "_avoided_until",
         "_channels",
-        "_codec",
         "_now",
         "_own",
         "_own_lost",
@@ -100,8 +97,7 @@
         self._now = now
         # Peers that did not answer, and until when they are passed over.
         self._avoided_until: dict[str, float] = {}
-        self._codec = MessagePackCodec()
-        self._channels: dict[str, Channel] = {}
+        self._channels = PeerChannels()
         # Set while the own way fails.
         self._own_lost = asyncio.Event()
         self._probe: asyncio.Task[None] | None = None
@@ -191,9 +187,7 @@
         """Close the connections to peers."""
         if self._probe is not None:
             self._probe.cancel()
-        for channel in self._channels.values():
-            channel.close()
-        self._channels.clear()
+        self._channels.close()
 
     # --- The choice of the way.
 
@@ -279,21 +273,11 @@
         """Let one peer make a call."""
         try:
             async with asyncio.timeout(wait_s + CALL_MARGIN_S):
-                method: UnaryUnaryMethod[Any, StoreReply] = UnaryUnaryMethod(
-                    self._channel(address), path, type(message), StoreReply
+                reply = await self._channels.call(
+                    address, path, message, StoreReply
                 )
-                reply = await method(message)
-        except (
-            OSError,
-            TimeoutError,
-            ValueError,
-            GRPCError,
-            StreamTerminatedError,
-            ProtocolError,
-        ) as error:
-            channel = self._channels.pop(address, None)
-            if channel is not None:
-                channel.close()
+        except CALL_ERRORS as error:
+            self._channels.drop(address)
             detail = str(error) or type(error).__name__
             code = PLATFORM_UNKNOWN
             if isinstance(error, ConnectionRefusedError):
@@ -314,12 +298,3 @@
             if now >= self._avoided_until.get(address, 0.0):
                 return address
         return ""
-
-    def _channel(self, address: str) -> Channel:
-        """Return the connection to a peer."""
-        channel = self._channels.get(address)
-        if channel is None:
-            host, _, port = address.rpartition(":")
-            channel = Channel(host, int(port), codec=self._codec)
-            self._channels[address] = channel
-        return channel
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -1,7 +1,7 @@
-"""Makes calls to the store for daemons that the store turns away.
+"""Answers other daemons: calls to the store, submissions to pools.
 
-Only the daemon's own way to the store is used: a relayed call is never
-relayed again.
+For a call to the store only the daemon's own way is used: a relayed call is
+never relayed again.  Submissions are taken for pools that are owned here.
 """
 
 from __future__ import annotations
@@ -15,12 +15,17 @@
 from returns.result import Failure, Success
 
 from lycheelug.entries.codec import MessagePackCodec
+from lycheelug.jobservice.interfaces import IntakeAnswer
+from lycheelug.jobservice.tables import decode_job
+from lycheelug.relay.intake import SUBMIT
 from lycheelug.relay.messages import (
     CommitCall,
     FeedCall,
     PartsCall,
     ReadCall,
     StoreReply,
+    SubmitCall,
+    SubmitReply,
     pack_rows,
 )
 from lycheelug.store.rows import HistoryGone, RowConflict, RowName
@@ -33,6 +38,9 @@
 
     from lycheelug.errors import Fault
     from lycheelug.store.rows import RowSet, RowStore
+    from lycheelug.workloads import JobRecord
+
+    TakeSubmission = Callable[[str, str, JobRecord], Awaitable[IntakeAnswer]]
 
 __all__ = ["COMMIT", "FEED", "PARTS", "READ", "RelayServer"]
 
@@ -43,15 +51,18 @@
 FEED: Final = _SERVICE + "Feed"
 
 Q = TypeVar("Q")
+R = TypeVar("R")
 
 
 class RelayServer:
     """Listens for other daemons' calls."""
 
-    __slots__ = ("_server", "_store", "port")
+    __slots__ = ("_server", "_store", "port", "take_submission")
 
     def __init__(self, store: RowStore) -> None:
         self._store = store
+        # Takes a submission for a pool, if that is owned here.
+        self.take_submission: TakeSubmission | None = None
         self._server: Server | None = None
         # The bound port, after `start`.
         self.port = 0
@@ -76,8 +87,17 @@
             READ: _unary(self._read, ReadCall),
             PARTS: _unary(self._parts, PartsCall),
             FEED: _unary(self._feed, FeedCall),
+            SUBMIT: _unary(self._submit, SubmitCall, SubmitReply),
         }
 
+    async def _submit(self, call: SubmitCall) -> SubmitReply:
+        """Let this daemon's owner of a pool take a submission."""
+        answer = IntakeAnswer.NOT_TAKEN
+        record = decode_job(call.record)
+        if record is not None and self.take_submission is not None:
+            answer = await self.take_submission(call.pool, call.job_id, record)
+        return SubmitReply(answer.name)
+
     async def _commit(self, call: CommitCall) -> StoreReply:
         """Make a commit."""
         expected: dict[RowName, int] = {}
@@ -121,7 +141,9 @@
 
 
 def _unary(
-    function: Callable[[Q], Awaitable[StoreReply]], request: type[Q]
+    function: Callable[[Q], Awaitable[R]],
+    request: type[Q],
+    reply: type[Any] = StoreReply,
 ) -> Handler:
     """Return grpclib's handler of a method with one message each way."""
 
@@ -131,7 +153,7 @@
             raise GRPCError(Status.INVALID_ARGUMENT, "no message")
         await stream.send_message(await function(message))
 
-    return Handler(run, Cardinality.UNARY_UNARY, request, StoreReply)
+    return Handler(run, Cardinality.UNARY_UNARY, request, reply)
 
 
 def _rows_reply(result: Result[RowSet, Fault]) -> StoreReply:
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -147,6 +147,13 @@
             self.progress.state = JobState.RUNNING
         self.is_dirty = True
 
+    def note_begin_stored(self, term: int, version: int) -> None:
+        """Take in that the store has the mark of having begun."""
+        if not self.progress.begun_term:
+            self.begin(term)
+        self.begin_is_stored = True
+        self.row_version = max(self.row_version, version)
+
     def next_due_ms(self) -> int | None:
         """Return when the next occurrence is due; None for none."""
         schedule = self.record.schedule
