--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -14,6 +14,8 @@
 from lycheelug.fleetplan.hosts import HostState
 from lycheelug.fleetplan.records import HostOrder, PlanRecord, VacateOrder
 from lycheelug.fleetplan.sizing import SIZINGS, usual_room
+from lycheelug.fleetplan.waves import plan_wave
+from lycheelug.fleetplan.zones import troubled_zones
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -25,10 +27,12 @@
 
 # A surplus is given back after it has lasted for this long.
 SURPLUS_S: Final = 0.8
-# Upkeep of a pool's hosts hurries once this share of the time is gone.
-HURRY_SHARE: Final = 0.6
-# Hosts of one pool that are emptied for upkeep at once in a hurry.
-HURRIED_HOSTS: Final = 2
+# Nothing is given back for this long after a day's first work: its first
+# surge may be about to begin anywhere.
+FIRST_HOLD_S: Final = 3.0
+# A host whose executor its pool's owner does not know after this long is cut
+# off: entries come within a second.
+UNSEEN_S: Final = 3.0
 
 
 class FleetPlanner:
@@ -36,7 +40,9 @@
 
     __slots__ = (
         "_arriving",
-        "_has_seen_work",
+        "_first_work_at",
+        "_lives",
+        "_now",
         "_number",
         "_surplus_since",
         "_upkeep_ends",
@@ -73,7 +79,10 @@
         self.standby = ""
         self._number = 0
         # Without any work seen, nothing tells which hosts are too many.
-        self._has_seen_work = False
+        self._first_work_at: float | None = None
+        self._now = 0.0
+        # Present lives of hosts, and the local times they were first seen.
+        self._lives: dict[str, tuple[str, float]] = {}
         self._surplus_since: dict[str, float] = {}
         # Hosts that were sent to a pool and have not shown up in it.
         self._arriving: dict[str, tuple[str, float]] = {}
@@ -91,6 +100,10 @@
     def take_hosts(self, hosts: Mapping[str, HostInfo], now: float) -> None:
         """Take in the list of hosts."""
         self.hosts = dict(hosts)
+        for name, listed in hosts.items():
+            life = self._lives.get(name)
+            if life is None or life[0] != listed.executor_id:
+                self._lives[name] = (listed.executor_id, now)
         for name, (pool, until) in list(self._arriving.items()):
             host = self.hosts.get(name)
             is_there = (
@@ -134,6 +147,7 @@
 
     def decide(self, now: float) -> None:
         """Change the plan's orders to what is wanted now."""
+        self._now = now
         for wave in self.waves.values():
             self._wave_seen_at.setdefault(wave.number, now)
         self._drop_void()
@@ -145,12 +159,12 @@
     def sizes(self) -> dict[str, tuple[int, int]]:
         """Return how many hosts each pool has, and should have."""
         wanted = self._wanted_sizes()
-        return {pool: (self._count(pool), wanted[pool]) for pool in wanted}
+        return {pool: (self.count(pool), wanted[pool]) for pool in wanted}
 
     def due_calls(self) -> list[HostOrder]:
         """Return the calls whose hosts are confirmed to be empty."""
         due: list[HostOrder] = []
-        busy = self._in_upkeep()
+        busy = self.in_upkeep()
         for name, order in self.plan.orders.items():
             host = self.hosts.get(name)
             is_up = host is not None and host.state is HostState.UP
@@ -176,13 +190,13 @@
         for number, wave in self.waves.items():
             if number in self.plan.completed:
                 continue
-            if self.hosts and not self._left(wave):
+            if self.hosts and not self.left(wave):
                 found.append(number)
         return found
 
     # --- Parts.
 
-    def _left(self, wave: UpkeepWave) -> list[str]:
+    def left(self, wave: UpkeepWave) -> list[str]:
         """Return a wave's hosts that stay and lack their upkeep."""
         done = self.plan.maintained.get(str(wave.number), [])
         return [
@@ -198,7 +212,7 @@
             summary is not None and summary.vacated.get(name) == order.number
         )
 
-    def _in_upkeep(self) -> int:
+    def in_upkeep(self) -> int:
         """Return how many hosts are, or may be, in upkeep."""
         names = set(self._upkeep_ends)
         for name, host in self.hosts.items():
@@ -226,14 +240,14 @@
         for pool in self.pools:
             summary = self.summaries.get(pool)
             if summary is None:
-                wanted[pool] = self._count(pool)
+                wanted[pool] = self.count(pool)
                 continue
             wanted[pool] = policy(summary, host_cpu, host_memory)
-            if summary.short_cpu > 0:
-                self._has_seen_work = True
+            if summary.short_cpu > 0 and self._first_work_at is None:
+                self._first_work_at = self._now
         return wanted
 
-    def _members(self, pool: str) -> list[str]:
+    def members(self, pool: str) -> list[str]:
         """Return a pool's hosts that are up and are to stay."""
         found: list[str] = []
         for name, host in self.hosts.items():
@@ -246,15 +260,18 @@
     def _is_usable(self, name: str) -> bool:
         """Whether a host takes tasks, or is too new for its owner's word."""
         host = self.hosts[name]
+        if host.pool == self.standby:
+            return True
         summary = self.summaries.get(host.pool)
         load = summary.hosts.get(name) if summary is not None else None
         if load is None or load.executor != host.executor_id:
-            return True
+            _, since = self._lives.get(name, ("", self._now))
+            return self._now - since < UNSEEN_S
         return load.is_usable
 
-    def _count(self, pool: str) -> int:
+    def count(self, pool: str) -> int:
         """Return a pool's hosts, with those that are on their way."""
-        count = len(self._members(pool))
+        count = len(self.members(pool))
         for name, host in self.hosts.items():
             if host.pool == pool and host.state in (
                 HostState.MOVING,
@@ -273,10 +290,10 @@
         for name, order in list(self.plan.orders.items()):
             if order.sent or order.wave or order.pool == self.standby:
                 continue
-            if wanted.get(order.pool, 0) > self._count(order.pool):
+            if wanted.get(order.pool, 0) > self.count(order.pool):
                 del self.plan.orders[name]
 
-    def _order(self, name: str, target: str = "", wave: int = 0) -> None:
+    def order(self, name: str, target: str = "", wave: int = 0) -> None:
         """Add an order with a number of its own."""
         self._number += 1
         host = self.hosts[name]
@@ -289,55 +306,8 @@
         for wave in self.waves.values():
             if wave.number in self.plan.completed:
                 continue
-            self._plan_wave(wave, wanted, now)
-
-    def _plan_wave(
-        self, wave: UpkeepWave, wanted: dict[str, int], now: float
-    ) -> None:
-        """Order the upkeep of one wave's hosts."""
-        age_s = now - self._wave_seen_at[wave.number]
-        in_hurry = age_s > wave.deadline_s * HURRY_SHARE
-        room = wave.at_once - self._in_upkeep()
-        by_pool: dict[str, int] = {}
-        for order in self.plan.orders.values():
-            if order.wave and not order.sent:
-                by_pool[order.pool] = by_pool.get(order.pool, 0) + 1
-                room -= 1
-        for name in self._by_load(self._left(wave)):
-            host = self.hosts[name]
-            if room <= 0:
-                return
-            if name in self.plan.orders or host.state is not HostState.UP:
-                continue
-            if host.pool != self.standby:
-                at_once = HURRIED_HOSTS if in_hurry else 1
-                if by_pool.get(host.pool, 0) >= at_once:
-                    continue
-                if not in_hurry and not self._can_spare(host.pool, wanted):
-                    continue
-            self._order(name, wave=wave.number)
-            by_pool[host.pool] = by_pool.get(host.pool, 0) + 1
-            room -= 1
-
-    def _can_spare(self, pool: str, wanted: dict[str, int]) -> bool:
-        """Whether a pool does well without one of its hosts for a while."""
-        return len(self._members(pool)) > wanted[pool] or (
-            wanted[pool] <= max(2, self._count(pool) // 2)
-        )
-
-    def _by_load(self, names: list[str]) -> list[str]:
-        """Return hosts in standby first, then the emptiest."""
-
-        def load(name: str) -> tuple[bool, int, int, str]:
-            pool = self.hosts[name].pool
-            summary = self.summaries.get(pool)
-            known = summary.hosts.get(name) if summary is not None else None
-            in_use = pool != self.standby
-            if known is None:
-                return (in_use, 0, 0, name)
-            return (in_use, known.lasting_runs, known.used_cpu, name)
-
-        return sorted(names, key=load)
+            age_s = now - self._wave_seen_at[wave.number]
+            plan_wave(self, wave, wanted, age_s)
 
     def _plan_moves(self, wanted: dict[str, int], now: float) -> None:
         """Order moves to pools in need, and of lasting surplus."""
@@ -346,10 +316,10 @@
         missing: list[str] = []
         surplus: list[str] = []
         for pool in self.pools:
-            spare = self._count(pool) - wanted[pool]
+            spare = self.count(pool) - wanted[pool]
             if spare < 0:
                 missing.extend([pool] * -spare)
-            if spare <= 0 or not self._has_seen_work:
+            if spare <= 0 or self._is_first_hold(now):
                 self._surplus_since.pop(pool, None)
                 continue
             since = self._surplus_since.setdefault(pool, now)
@@ -360,11 +330,16 @@
         reserve = self._reserve()
         for pool in missing:
             if surplus:
-                self._order(surplus.pop(0), target=pool)
+                self.order(surplus.pop(0), target=pool)
             elif reserve:
-                self._order(reserve.pop(0), target=pool)
+                self.order(reserve.pop(0), target=pool)
         for name in surplus:
-            self._order(name, target=self.standby)
+            self.order(name, target=self.standby)
+
+    def _is_first_hold(self, now: float) -> bool:
+        """Whether the first work came too lately to tell where it goes."""
+        first_at = self._first_work_at
+        return first_at is None or now - first_at < FIRST_HOLD_S
 
     def _idle(self, pool: str) -> list[str]:
         """Return a pool's hosts without lasting tasks, emptiest first."""
@@ -373,7 +348,7 @@
             return []
         due = self._due_for_upkeep()
         found: list[tuple[int, bool, str]] = []
-        for name in self._members(pool):
+        for name in self.members(pool):
             load = summary.hosts.get(name)
             if load is None or load.lasting_runs:
                 continue
@@ -381,17 +356,29 @@
         return [name for _, _, name in sorted(found)]
 
     def _reserve(self) -> list[str]:
-        """Return standby hosts that may move, those with upkeep first."""
+        """Return standby hosts that may move, the best first.
+
+        Hosts in a zone that is cut off would not show up in their pool.
+        """
         due = self._due_for_upkeep()
-        found: list[tuple[bool, str]] = []
-        for name in self._members(self.standby):
-            found.append((name in due, name))
-        return [name for _, name in sorted(found)]
+        cut = troubled_zones(self.hosts, self.summaries, self.plan.orders)
+        found: list[tuple[bool, bool, str]] = []
+        for name in self.members(self.standby):
+            is_cut = self.hosts[name].zone in cut
+            found.append((is_cut, name in due, name))
+        return [name for _, _, name in sorted(found)]
+
+    def standby_beyond(self, wanted: Mapping[str, int]) -> int:
+        """Return how many standby hosts no pool needs now."""
+        missing = 0
+        for pool in self.pools:
+            missing += max(0, wanted[pool] - self.count(pool))
+        return len(self.members(self.standby)) - missing
 
     def _due_for_upkeep(self) -> set[str]:
         """Return the hosts that lack the upkeep of an open wave."""
         due: set[str] = set()
         for wave in self.waves.values():
             if wave.number not in self.plan.completed:
-                due.update(self._left(wave))
+                due.update(self.left(wave))
         return due
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -60,6 +60,10 @@
     # Tasks that could run now, had they a place.
     ready_cpu: int = 0
     ready_memory: int = 0
+    # The part of it whose jobs are late already.
+    late_cpu: int = 0
+    # By how much the arriving work grows until a host could come.
+    growing_cpu: int = 0
     # Tasks that wait for earlier steps.
     blocked_cpu: int = 0
     running_cpu: int = 0
--- a/lycheelug/fleetplan/sizing.py
+++ b/lycheelug/fleetplan/sizing.py
@@ -29,6 +29,8 @@
 PACKED_SHARE: Final = 0.9
 # Share of the blocked tasks' room that is wanted before their turn.
 BLOCKED_SHARE: Final = 0.3
+# Share of the room of late jobs that hosts are wanted for: they pay little.
+LATE_SHARE: Final = 0.5
 HOSTS_MIN: Final = 1
 
 
@@ -44,8 +46,12 @@
 def size_by_demand(
     summary: SummaryRecord, host_cpu: int, host_memory: int
 ) -> int:
-    """Return the hosts that all runnable tasks would fill at once."""
-    cpu = summary.running_cpu + summary.ready_cpu
+    """Return the hosts that all runnable tasks would fill at once.
+
+    Work that arrives faster and faster counts as what it will have become.
+    """
+    cpu = summary.running_cpu + summary.ready_cpu + summary.growing_cpu
+    cpu -= int(summary.late_cpu * (1 - LATE_SHARE))
     cpu += int(summary.blocked_cpu * BLOCKED_SHARE)
     memory = summary.running_memory + summary.ready_memory
     by_cpu = math.ceil(cpu / (host_cpu * PACKED_SHARE)) if host_cpu else 0
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -35,7 +35,7 @@
 __all__ = ["Duties", "DutyHolder"]
 
 # A new daemon waits for the others to show up before it claims anything.
-SETTLE_S: Final = 1.2
+SETTLE_S: Final = 0.6
 # A daemon whose turn it is has this long to claim a duty.
 TURN_S: Final = 0.4
 # Giving a duty back is tried again while the store does not answer: an
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -184,8 +184,10 @@
 
     def _changed_summary(self) -> bytes:
         """Return the pool's summary if it has changed."""
-        now = self._context.clock.now()
-        value = msgspec.json.encode(summarize(self._owner.schedule, now))
+        clock = self._context.clock
+        value = msgspec.json.encode(
+            summarize(self._owner.schedule, clock.now(), clock.unix_ms())
+        )
         return value if value != self._summary else b""
 
     def _is_summary_due(self) -> bool:
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -3,20 +3,29 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from lycheelug.fleetplan import HostLoad, SummaryRecord
 from lycheelug.workloads import TaskState
+from lycheelug.workloads.outlook import Prospect
 
 if TYPE_CHECKING:
-    from lycheelug.workloads import ExecutorView, PoolSchedule
+    from lycheelug.workloads import ExecutorView, Job, PoolSchedule, Task
 
 __all__ = ["summarize"]
 
 
-def summarize(schedule: PoolSchedule, now: float) -> SummaryRecord:
+# Steps in which growing work is told, so that noise causes no writes.
+GROWTH_STEP: Final = 4_000
+
+
+def summarize(
+    schedule: PoolSchedule, now: float, unix_ms: int
+) -> SummaryRecord:
     """Return a pool's load."""
     summary = SummaryRecord(schedule.term)
+    growth = int(schedule.arrivals.growth(now))
+    summary.growing_cpu = growth // GROWTH_STEP * GROWTH_STEP
     summary.run_times = schedule.run_times.export()
     for view in schedule.executors.values():
         host = view.info.host or view.executor_id
@@ -29,27 +38,44 @@
         if view.is_vacated:
             summary.vacated[host] = view.cordon_order
     for job in schedule.jobs.values():
-        if job.is_final:
-            continue
-        if not job.has_started:
-            queue = job.record.queue
-            summary.waiting[queue] = summary.waiting.get(queue, 0) + 1
-        for task in job.tasks():
-            room = task.step.room
-            if task.state is TaskState.READY:
-                summary.ready_cpu += room.cpu_millis
-                summary.ready_memory += room.memory_mb
-            elif task.state is TaskState.BLOCKED:
-                summary.blocked_cpu += room.cpu_millis
-            if task.step.lasts:
-                summary.lasting_cpu += room.cpu_millis
-        for step in job.record.steps:
-            if step.lasts and step.max_per_executor:
-                spread = math.ceil(step.count / step.max_per_executor)
-                summary.spread = max(summary.spread, spread)
+        if not job.is_final:
+            _add_job(summary, schedule, job, unix_ms)
     return summary
 
 
+def _add_job(
+    summary: SummaryRecord, schedule: PoolSchedule, job: Job, unix_ms: int
+) -> None:
+    """Add what a job's tasks take, want and wait for."""
+    if not job.has_started:
+        queue = job.record.queue
+        summary.waiting[queue] = summary.waiting.get(queue, 0) + 1
+    for task in job.tasks():
+        room = task.step.room
+        if task.state is TaskState.READY:
+            summary.ready_cpu += room.cpu_millis
+            summary.ready_memory += room.memory_mb
+            if _is_late(schedule, task, unix_ms):
+                summary.late_cpu += room.cpu_millis
+        elif task.state is TaskState.BLOCKED:
+            summary.blocked_cpu += room.cpu_millis
+        if task.step.lasts:
+            summary.lasting_cpu += room.cpu_millis
+    for step in job.record.steps:
+        if step.lasts and step.max_per_executor:
+            spread = math.ceil(step.count / step.max_per_executor)
+            summary.spread = max(summary.spread, spread)
+
+
+def _is_late(schedule: PoolSchedule, task: Task, unix_ms: int) -> bool:
+    """Whether a waiting task's job can't be in time any more."""
+    if task.step.lasts:
+        return False
+    outlook = task.job.outlook(task.name.occurrence, schedule.run_times)
+    prospect = outlook.prospect(task.name.step, unix_ms)
+    return prospect is not Prospect.IN_TIME
+
+
 def _load(view: ExecutorView, now: float) -> HostLoad:
     """Return the load of one host."""
     load = HostLoad(
--- /dev/null
+++ b/lycheelug/workloads/demand.py
@@ -0,0 +1,77 @@
+"""Tells how fast the work that arrives at a pool grows; no I/O.
+
+A host that is ordered now takes its first tasks two seconds later, so what
+runs and waits now says too little while a surge begins.  The work of the
+last second is compared with that of the second before; a rise that is no
+more than chance arrivals make is not counted.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.model import JobRecord
+    from lycheelug.workloads.runtimes import RunTimes
+
+__all__ = ["Arrivals", "work_of"]
+
+SPAN_S: Final = 1.0
+# From an order to a host's first tasks (a move, its entry, two rounds),
+# less half of what a job itself takes.
+LEAD_S: Final = 1.4
+# Rises below this many standard deviations are taken for chance.
+CHANCE: Final = 0.7
+
+
+class Arrivals:
+    """Work that arrived in the last two spans, in core-milliseconds.
+
+    >>> arrivals = Arrivals()
+    >>> for number in range(20):
+    ...     arrivals.note(1000.0, now=0.1 * number)
+    >>> arrivals.growth(now=2.0)
+    0.0
+    >>> for number in range(40):
+    ...     arrivals.note(1000.0, now=2.0 + 0.025 * number)
+    >>> arrivals.growth(now=2.99) > 20_000
+    True
+    """
+
+    __slots__ = ("_works",)
+
+    def __init__(self) -> None:
+        self._works: deque[tuple[float, float]] = deque()
+
+    def note(self, work: float, now: float) -> None:
+        """Take in a job's work."""
+        self._works.append((now, work))
+
+    def growth(self, now: float) -> float:
+        """Return by how much the work a second will have grown.
+
+        The result is in thousandths of a core.
+        """
+        works = self._works
+        while works and now - works[0][0] > 2 * SPAN_S:
+            works.popleft()
+        recent = earlier = squares = 0.0
+        for at, work in works:
+            squares += work * work
+            if now - at <= SPAN_S:
+                recent += work
+            else:
+                earlier += work
+        rise = recent - earlier - CHANCE * math.sqrt(squares)
+        return max(0.0, rise / SPAN_S * LEAD_S)
+
+
+def work_of(record: JobRecord, run_times: RunTimes) -> float:
+    """Return a job's expected work in core-milliseconds a second."""
+    work = 0.0
+    for step in record.steps:
+        expected_s = run_times.expect_s(record.queue, step.estimate_ms / 1000)
+        work += step.count * step.room.cpu_millis * expected_s
+    return work
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -24,6 +24,7 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.advice import AdviceBook, StepName
+from lycheelug.workloads.demand import Arrivals, work_of
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
 from lycheelug.workloads.jobs import Job, Task, TaskState
 from lycheelug.workloads.orders import (
@@ -57,6 +58,7 @@
         "_fenced_out_at",
         "advice",
         "advice_wanted",
+        "arrivals",
         "executors",
         "jobs",
         "lease_s",
@@ -83,6 +85,7 @@
         # Local time after which no earlier owner's lease can hold.
         self._fenced_out_at = fenced_out_at
         self.run_times = RunTimes()
+        self.arrivals = Arrivals()
         self.advice = AdviceBook()
         # Steps that wait for advice, with the executors to ask for.
         self.advice_wanted: dict[StepName, list[str]] = {}
@@ -111,6 +114,9 @@
         if known is not None:
             return known
         job = Job(job_id, record, policy, progress)
+        is_new = progress is None or progress.begun_term == self.term
+        if is_new and not job.is_lasting:
+            self.arrivals.note(work_of(record, self.run_times), now)
         self.jobs[job_id] = job
         self.open_due(job, unix_ms, now)
         return job
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from lycheelug.fleetplan import (
@@ -13,7 +15,9 @@
     SummaryRecord,
     UpkeepWave,
 )
+from lycheelug.fleetplan.sizing import size_by_demand
 from lycheelug.workloads import Resources
+from lycheelug.workloads.demand import Arrivals
 
 ROOM = Resources(1000, 1000, 0)
 
@@ -28,6 +32,8 @@
         self.planner.standby = "off"
         self.planner.summaries["a"] = SummaryRecord(1, ready_cpu=1)
         self.hosts: dict[str, HostInfo] = {}
+        # The day's first work came long ago.
+        self.planner.decide(0.0)
 
     def add(self, pool: str, *names: str, used: int = 0) -> None:
         summary = self.planner.summaries.setdefault(pool, SummaryRecord(1))
@@ -86,10 +92,12 @@
     assert len(world.targets) == 2
 
 
-def test_nothing_is_given_back_before_any_work_came() -> None:
+def test_nothing_is_given_back_until_work_has_come_for_a_while() -> None:
     """The first surge of a day finds the hosts where they are."""
     world = FleetWorld()
-    world.planner.summaries.clear()
+    world.planner = FleetPlanner(3, None, 2.0)
+    world.planner.pools = ["a", "b"]
+    world.planner.standby = "off"
     world.add("a", "a1", "a2", "a3")
     world.add("b", "b1")
     world.decide()
@@ -98,6 +106,9 @@
     world.planner.summaries["b"].ready_cpu = 10
     world.decide()
     world.decide(1.0)
+    assert world.targets == {}
+    world.decide(2.0)
+    world.decide(1.0)
     assert len(world.targets) == 2
 
 
@@ -191,3 +202,102 @@
     world.planner.summaries["a"].hosts["a2"].is_usable = is_usable
     world.decide()
     assert world.targets == ({} if is_usable else {"s1": "a"})
+
+
+def test_wave_leaves_standby_hosts_to_a_surge_until_time_presses() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", used=900)
+    world.add("b", "b1", used=900)
+    world.add("off", "s1", "s2")
+    world.planner.summaries["a"].ready_cpu = 1700
+    world.wave("s1", "s2")
+    world.decide()
+    assert world.targets == {"s1": "a", "s2": "a"}
+    world = FleetWorld()
+    world.add("a", "a1", used=900)
+    world.add("b", "b1", used=900)
+    world.add("off", "s1", "s2")
+    world.wave("s1", "s2")
+    world.decide()
+    world.planner.plan.orders.clear()
+    world.planner.summaries["a"].ready_cpu = 1700
+    world.decide(13.0)
+    assert set(world.targets.values()) == {"wave 1"}
+
+
+def test_reserve_comes_from_zones_that_are_not_cut_off() -> None:
+    """A cut zone's hosts never showed up in their pool; seen on a day."""
+    world = FleetWorld()
+    world.add("a", "a1", "a2", "a3", used=900)
+    world.add("b", "b1")
+    world.add("off", "s1", "s2")
+    for name in ("a1", "a2", "s1"):
+        world.hosts[name].zone = "cut"
+    for name in ("a1", "a2"):
+        world.planner.summaries["a"].hosts[name].is_usable = False
+    world.planner.summaries["a"].ready_cpu = 1
+    world.planner.summaries["a"].running_cpu = 1700
+    world.decide()
+    assert world.targets == {"s2": "a"}
+
+
+def test_host_that_its_owner_never_sees_counts_no_more() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", used=900)
+    world.add("b", "b1")
+    world.add("off", "s1")
+    world.hosts["a2"] = HostInfo(
+        "a2", "a", HostState.UP, capacity=ROOM, executor_id="a2"
+    )
+    world.planner.summaries["a"].ready_cpu = 800
+    world.decide()
+    assert world.targets == {}
+    world.decide(4.0)
+    assert world.targets == {"s1": "a"}
+
+
+def play_surge(foresight: bool) -> int:
+    """Return how many host-seconds a surge's work lacks.
+
+    Load pattern: a pool's work rises from next to nothing to twelve hosts'
+    within four seconds; a host takes its first tasks two seconds after its
+    order.
+    """
+    arrivals = Arrivals()
+    ordered: list[int] = []
+    lacking = 0
+    for tick in range(60):
+        now = tick * 0.1
+        rate = min(12_000.0, 3_000.0 * now)
+        for _ in range(2):
+            arrivals.note(rate * 0.1 / 2, now)
+        wanted = rate
+        if foresight:
+            wanted += arrivals.growth(now)
+        ordered.append(size_by_demand(summary_of(wanted), 1000, 1000))
+        have = ordered[max(0, tick - 20)]
+        lacking += max(0, round(rate) - have * 1000)
+    return lacking
+
+
+def summary_of(cpu: float) -> SummaryRecord:
+    return SummaryRecord(1, running_cpu=int(cpu))
+
+
+def test_growing_work_finds_more_hosts_than_work_that_waits() -> None:
+    assert play_surge(foresight=True) < 0.75 * play_surge(foresight=False)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_steady_work_is_hardly_taken_for_growth(seed: int) -> None:
+    """Thirty jobs a second by chance: the hosts ordered in vain are few."""
+    source = random.Random(seed)
+    arrivals = Arrivals()
+    now = 0.0
+    samples: list[float] = []
+    for _ in range(600):
+        now += source.expovariate(30.0)
+        arrivals.note(1000.0, now)
+        if now > 2.0:
+            samples.append(arrivals.growth(now))
+    assert sum(samples) / len(samples) < 0.2 * 30_000
