--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -27,9 +27,6 @@
 
 # A surplus is given back after it has lasted for this long.
 SURPLUS_S: Final = 0.8
-# Nothing is given back for this long after a day's first work: its first
-# surge may be about to begin anywhere.
-FIRST_HOLD_S: Final = 3.0
 # A host whose executor its pool's owner does not know after this long is cut
 # off: entries come within a second.
 UNSEEN_S: Final = 3.0
@@ -40,7 +37,7 @@
 
     __slots__ = (
         "_arriving",
-        "_first_work_at",
+        "_has_seen_work",
         "_lives",
         "_now",
         "_number",
@@ -79,7 +76,7 @@
         self.standby = ""
         self._number = 0
         # Without any work seen, nothing tells which hosts are too many.
-        self._first_work_at: float | None = None
+        self._has_seen_work = False
         self._now = 0.0
         # Present lives of hosts, and the local times they were first seen.
         self._lives: dict[str, tuple[str, float]] = {}
@@ -243,8 +240,8 @@
                 wanted[pool] = self.count(pool)
                 continue
             wanted[pool] = policy(summary, host_cpu, host_memory)
-            if summary.short_cpu > 0 and self._first_work_at is None:
-                self._first_work_at = self._now
+            if summary.short_cpu > 0:
+                self._has_seen_work = True
         return wanted
 
     def members(self, pool: str) -> list[str]:
@@ -319,7 +316,7 @@
             spare = self.count(pool) - wanted[pool]
             if spare < 0:
                 missing.extend([pool] * -spare)
-            if spare <= 0 or self._is_first_hold(now):
+            if spare <= 0 or not self._has_seen_work:
                 self._surplus_since.pop(pool, None)
                 continue
             since = self._surplus_since.setdefault(pool, now)
@@ -336,11 +333,6 @@
         for name in surplus:
             self.order(name, target=self.standby)
 
-    def _is_first_hold(self, now: float) -> bool:
-        """Whether the first work came too lately to tell where it goes."""
-        first_at = self._first_work_at
-        return first_at is None or now - first_at < FIRST_HOLD_S
-
     def _idle(self, pool: str) -> list[str]:
         """Return a pool's hosts without lasting tasks, emptiest first."""
         summary = self.summaries.get(pool)
