Run jobs with steps in processes: a stand-in platform, proofs, make run

Ports of 0 work in the settings. One path for all relayed calls: own way, peers, and the own way again if it came back meanwhile.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -61,12 +61,12 @@
 
     __slots__ = ()
 
-    async def _spawn(
-        self, words: tuple[str, ...]
+    async def spawn(
+        self, words: tuple[str, ...], **variables: str
     ) -> asyncio.subprocess.Process:
         if words[0] == "lycheelug.main" and Path(words[1]).stem != PLAIN:
             words = ("bench.counted_daemon", *words[1:])
-        return await super()._spawn(words)
+        return await super().spawn(words, **variables)
 
 
 class IdleFigures:
--- a/lycheelug/fleetplan/sizing.py
+++ b/lycheelug/fleetplan/sizing.py
@@ -26,7 +26,7 @@
 SIZINGS: Final[Registry[Sizing]] = Registry("sizing policy")
 
 # Tasks of uneven sizes fill a host to about this share.
-PACKED_SHARE: Final = 0.9
+PACKED_SHARE: Final = 0.95
 # Share of the blocked tasks' room that is wanted before their turn.
 BLOCKED_SHARE: Final = 0.3
 # Share of the room of late jobs that hosts are wanted for: they pay little.
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -103,7 +103,6 @@
         name: str,
         incarnation: str,
         zone: str,
-        address: str,
         pools: Callable[[], list[str]],
         make_holder: Callable[[str, int, int], DutyHolder],
     ) -> None:
@@ -125,7 +124,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._wake = asyncio.Event()
         self.heartbeats = Heartbeats(
-            store, clock, name, incarnation, zone, address, self._wake.set
+            store, clock, name, incarnation, zone, self._wake.set
         )
 
     @property
--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -41,7 +41,6 @@
     """This daemon's heartbeat, and what the others' tell."""
 
     __slots__ = (
-        "_address",
         "_beat",
         "_clock",
         "_incarnation",
@@ -52,6 +51,7 @@
         "_records",
         "_store",
         "_zone",
+        "address",
         "liveness",
     )
 
@@ -62,7 +62,6 @@
         name: str,
         incarnation: str,
         zone: str,
-        address: str,
         on_look: Callable[[], None],
     ) -> None:
         self._store = store
@@ -71,7 +70,7 @@
         self._incarnation = incarnation
         self._zone = zone
         # Where other daemons reach this one; empty for nowhere.
-        self._address = address
+        self.address = ""
         # Called after each look at the others.
         self._on_look = on_look
         self._records: dict[str, BeatRecord] = {}
@@ -141,7 +140,7 @@
         record = BeatRecord(
             self._incarnation,
             self._zone,
-            self._address,
+            self.address,
             self._beat,
             self._is_leaving,
         )
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -63,7 +63,6 @@
         clock: Clock,
         lease_s: float,
         upkeep_s: float,
-        address: str = "",
         is_store_away: Callable[[], bool] = lambda: False,
         remote: RemoteSubmit | None = None,
     ) -> None:
@@ -97,7 +96,6 @@
             name,
             incarnation,
             zone,
-            address,
             self._pools,
             self._make_holder,
         )
@@ -107,8 +105,9 @@
         """Whether a configuration is in force."""
         return self.configuration is not None
 
-    def start(self) -> None:
-        """Begin to take part."""
+    def start(self, address: str = "") -> None:
+        """Begin to take part; other daemons reach this one at `address`."""
+        self.duties.heartbeats.address = address
         self.duties.start()
 
     async def drain(self) -> None:
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -123,7 +123,6 @@
             clock,
             min(LEASE_S, settings.bounds.hold_max_ms / 1000),
             settings.bounds.maintenance_s,
-            self._relay_address(),
             self._is_store_away,
             self._owners.submit,
         )
@@ -162,14 +161,15 @@
         log_change(
             "started",
             zone=self._settings.zone,
-            callers=addresses.frontend_addr,
+            callers=f"{self._settings.ip}:{self._callers.port}",
+            probes=f"{self._settings.ip}:{self._probes.port}",
             store=self._settings.platform.address,
         )
         self._follow(OPERATOR_TABLE, self._on_operator_row)
         self._follow(
             EXECUTORS_TABLE, self._on_executor_row, GATHER_EXECUTORS_S
         )
-        self._service.start()
+        self._service.start(self._relay_address())
         await self._stopping.wait()
         return await self._stop()
 
@@ -184,17 +184,17 @@
 
     def _relay_address(self) -> str:
         """Return where other daemons reach this one; empty for nowhere."""
-        ports = self._settings.internal_ports
-        return f"{self._settings.ip}:{ports[0]}" if ports else ""
+        port = self._relay.port
+        return f"{self._settings.ip}:{port}" if port else ""
 
     async def _start_relay(self) -> bool:
         """Listen for other daemons; False where that fails."""
-        address = self._relay_address()
-        if not address:
+        ports = self._settings.internal_ports
+        if not ports:
             return True
-        host, _, port = address.rpartition(":")
+        address = f"{self._settings.ip}:{ports[0]}"
         try:
-            await self._relay.start(host, int(port))
+            await self._relay.start(self._settings.ip, ports[0])
         except OSError as error:
             log_change(
                 "cannot-listen",
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -51,8 +51,9 @@
 
 T = TypeVar("T")
 
-# Added to the time that a relayed call may take by itself.
-CALL_MARGIN_S: Final = 0.8
+# Added to the time that a relayed call may take by itself; a transaction
+# on a store that is sixty times as slow as usual takes as long.
+CALL_MARGIN_S: Final = 0.5
 # A relayed feed waits no longer for a change: the own way may be back.
 RELAYED_WAIT_S: Final = 0.4
 # A peer that did not answer is passed over for this long.
@@ -117,71 +118,49 @@
         writes: Mapping[RowName, bytes | None],
     ) -> Result[RowCommit | RowConflict, Fault]:
         """Write rows if the expected ones have these versions."""
-        result: Result[RowCommit | RowConflict, Fault] | None = None
-        if not self._own_lost.is_set():
-            result = await self._own.commit(part, expected, writes)
-            if not self._may_relay(result):
-                return result
-        call = CommitCall.of(part, expected, writes)
-        reply = await self._relay(COMMIT, call, Step.WRITE, 0.0)
-        if isinstance(reply, Failure):
-            fault = reply.failure()
-            if result is None or fault.code is PLATFORM_UNKNOWN:
-                # The peer may have done it, whatever the own way said.
-                return Failure(fault)
-            return result
-        told = reply.unwrap()
-        if told.is_conflict:
-            return Success(RowConflict([row.to_row() for row in told.rows]))
-        return Success(RowCommit(told.version))
+        return await self._through(
+            lambda: self._own.commit(part, expected, writes),
+            COMMIT,
+            CommitCall.of(part, expected, writes),
+            Step.WRITE,
+            _unpack_commit,
+        )
 
     async def read(
         self, table: str, part: str, first: str = "", end: str = ""
     ) -> Result[RowSet, Fault]:
         """Return all rows of a part from key `first` to before `end`."""
-        result: Result[RowSet, Fault] | None = None
-        if not self._own_lost.is_set():
-            result = await self._try_own(
-                self._own.read(table, part, first, end)
-            )
-            if result is not None and not self._may_relay(result):
-                return result
-        call = ReadCall(table, part, first, end)
-        reply = await self._relay(READ, call, Step.READ, 0.0)
-        if isinstance(reply, Failure):
-            return Failure(reply.failure()) if result is None else result
-        return Success(reply.unwrap().to_set())
+        return await self._through(
+            lambda: self._own.read(table, part, first, end),
+            READ,
+            ReadCall(table, part, first, end),
+            Step.READ,
+            StoreReply.to_set,
+        )
 
     async def parts(self, table: str) -> Result[list[str], Fault]:
         """Return the parts of a table that have rows."""
-        result: Result[list[str], Fault] | None = None
-        if not self._own_lost.is_set():
-            result = await self._try_own(self._own.parts(table))
-            if result is not None and not self._may_relay(result):
-                return result
-        reply = await self._relay(PARTS, PartsCall(table), Step.READ, 0.0)
-        if isinstance(reply, Failure):
-            return Failure(reply.failure()) if result is None else result
-        return Success(reply.unwrap().parts)
+        return await self._through(
+            lambda: self._own.parts(table),
+            PARTS,
+            PartsCall(table),
+            Step.READ,
+            lambda reply: reply.parts,
+        )
 
     async def feed(
         self, table: str, after: int, wait_s: float
     ) -> Result[RowSet | HistoryGone, Fault]:
         """Return a table's changes; wait for the first one."""
-        result: Result[RowSet | HistoryGone, Fault] | None = None
-        if not self._own_lost.is_set():
-            result = await self._try_own(self._own.feed(table, after, wait_s))
-            if result is not None and not self._may_relay(result):
-                return result
-        wait_s = min(wait_s, RELAYED_WAIT_S)
-        call = FeedCall(table, after, wait_s)
-        reply = await self._relay(FEED, call, Step.READ, wait_s)
-        if isinstance(reply, Failure):
-            return Failure(reply.failure()) if result is None else result
-        told = reply.unwrap()
-        if told.is_history_gone:
-            return Success(HistoryGone())
-        return Success(told.to_set())
+        relayed_wait_s = min(wait_s, RELAYED_WAIT_S)
+        return await self._through(
+            lambda: self._own.feed(table, after, wait_s),
+            FEED,
+            FeedCall(table, after, relayed_wait_s),
+            Step.READ,
+            _unpack_feed,
+            relayed_wait_s,
+        )
 
     def close(self) -> None:
         """Close the connections to peers."""
@@ -191,6 +170,36 @@
 
     # --- The choice of the way.
 
+    async def _through(
+        self,
+        own: Callable[[], Coroutine[Any, Any, Result[T, Fault]]],
+        path: str,
+        message: Any,
+        step: Step,
+        unpack: Callable[[StoreReply], T],
+        wait_s: float = 0.0,
+    ) -> Result[T, Fault]:
+        """Make a call the own way, or through a peer while that is lost."""
+        result: Result[T, Fault] | None = None
+        if not self._own_lost.is_set():
+            if step is Step.WRITE:
+                result = await own()
+            else:
+                result = await self._try_own(own())
+            if result is not None and not self._may_relay(result):
+                return result
+        reply = await self._relay(path, message, step, wait_s)
+        if isinstance(reply, Success):
+            return Success(unpack(reply.unwrap()))
+        fault = reply.failure()
+        if step is Step.WRITE and fault.code is PLATFORM_UNKNOWN:
+            # The peer may have done it, whatever the own way said.
+            return Failure(fault)
+        if not self._own_lost.is_set():
+            # It came back while peers were asked.
+            return await own()
+        return Failure(fault) if result is None else result
+
     async def _try_own(
         self, call: Coroutine[Any, Any, Result[T, Fault]]
     ) -> Result[T, Fault] | None:
@@ -259,6 +268,8 @@
                     continue
                 return result
             self._avoided_until[address] = self._now() + TURNED_AWAY_S
+            if not self._own_lost.is_set():
+                return result
         self._peers_retry_at = self._now() + PEERS_PAUSE_S
         return result
 
@@ -298,3 +309,15 @@
             if now >= self._avoided_until.get(address, 0.0):
                 return address
         return ""
+
+
+def _unpack_commit(reply: StoreReply) -> RowCommit | RowConflict:
+    """Return what a peer's commit brought."""
+    if reply.is_conflict:
+        return RowConflict([row.to_row() for row in reply.rows])
+    return RowCommit(reply.version)
+
+
+def _unpack_feed(reply: StoreReply) -> RowSet | HistoryGone:
+    """Return what a peer's feed brought."""
+    return HistoryGone() if reply.is_history_gone else reply.to_set()
--- a/lycheelug/workloads/demand.py
+++ b/lycheelug/workloads/demand.py
@@ -20,8 +20,8 @@
 
 SPAN_S: Final = 1.0
 # From an order to a host's first tasks (a move, its entry, two rounds),
-# less half of what a job itself takes.
-LEAD_S: Final = 1.4
+# less what a short job itself takes: what waits now counts already.
+LEAD_S: Final = 0.8
 # Rises below this many standard deviations are taken for chance.
 CHANCE: Final = 0.7
 
@@ -34,8 +34,8 @@
     ...     arrivals.note(1000.0, now=0.1 * number)
     >>> arrivals.growth(now=2.0)
     0.0
-    >>> for number in range(40):
-    ...     arrivals.note(1000.0, now=2.0 + 0.025 * number)
+    >>> for number in range(60):
+    ...     arrivals.note(1000.0, now=2.0 + 0.016 * number)
     >>> arrivals.growth(now=2.99) > 20_000
     True
     """
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -3,7 +3,9 @@
 Starts the stand-in platform, six upstreams and two entry daemons, applies
 a morning sheet, sends requests of three tenants, moves a host by a second
 sheet under load, prints answers and histograms, and stops everything
-gracefully.  Run it with `make run`.
+gracefully.  Then two schedulers run a job with steps on the stand-in for the
+users' platform, and the pool's owner is killed meanwhile.  Run it with
+`make run`.
 """
 
 from __future__ import annotations
@@ -13,9 +15,12 @@
 import sys
 import tempfile
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 from lycheelug.store import HostEntry
+from standins.processes import until
+from standins.schedulers import SchedulerFleet
+from standins.task_platform import POOL
 from standins.world import Reply, World
 
 __all__ = ["main"]
@@ -33,6 +38,13 @@
 REQUESTS: Final = 300
 IN_PARALLEL: Final = 12
 HOSTS: Final = 6
+EXECUTORS: Final = 3
+TASK_MS: Final = 600
+JOB: Final = "5c0e7a21d94b36f8"
+STEPS: Final[list[dict[str, Any]]] = [
+    {"count": 3, "cpu": 500, "estimate_ms": TASK_MS},
+    {"count": 2, "cpu": 500, "estimate_ms": TASK_MS, "depends_on": [0]},
+]
 TENANTS: Final = ("chaguanas", "san-fernando", "arima")
 
 
@@ -122,10 +134,42 @@
             say(f"{daemon.name} stopped with code {await daemon.stop()}")
 
 
+async def show_steps(directory: Path) -> None:
+    """Run a job with steps, and kill the owner of its pool meanwhile."""
+    async with SchedulerFleet(directory) as fleet:
+        await fleet.start_base(executors=EXECUTORS, work_ms=TASK_MS)
+        first = await fleet.start_scheduler("e1")
+        second = await fleet.start_scheduler("e2")
+        schedulers = (first, second)
+        say(f"\n{EXECUTORS} executors and 2 schedulers run as processes")
+        await until(lambda: any(each.owns(POOL) for each in schedulers))
+        owner, other = schedulers
+        if second.owns(POOL):
+            owner, other = second, first
+        status = await other.submit(JOB, STEPS)
+        say(f"job {JOB} handed in at {other.name}: status {status}")
+        await owner.kill()
+        say(f"{owner.name}, which owned pool {POOL}, was killed")
+
+        async def is_done() -> bool:
+            return await other.state(JOB) == "completed"
+
+        await until(is_done)
+        say(f"state at {other.name}: {await other.state(JOB)}")
+        for run in await fleet.runs():
+            took_ms = 1000 * (run.ended - run.began)
+            say(
+                f"  {run.task} run {run.run} on {run.executor}: "
+                f"{run.how} after {took_ms:.0f} ms"
+            )
+        say(f"{other.name} stopped with code {await other.stop()}")
+
+
 def main() -> None:
     """Run the demonstration in a directory of its own."""
     with tempfile.TemporaryDirectory() as directory:
         asyncio.run(show_main_job(Path(directory)))
+        asyncio.run(show_steps(Path(directory)))
 
 
 if __name__ == "__main__":
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -169,10 +170,10 @@
 class Fleet:
     """All processes of one test; an asynchronous context manager."""
 
-    __slots__ = ("_directory", "daemons", "programs")
+    __slots__ = ("daemons", "directory", "programs")
 
     def __init__(self, directory: Path) -> None:
-        self._directory = directory
+        self.directory = directory
         self.programs: list[Program] = []
         self.daemons: dict[str, DaemonProcess] = {}
 
@@ -188,7 +189,7 @@
 
     async def start_program(self, name: str, *words: str) -> Program:
         """Start `python -m ...` and wait for its `listening` line."""
-        program = Program(name, await self._spawn(words))
+        program = Program(name, await self.spawn(words))
         self.programs.append(program)
         line = await program.wait_line("listening ")
         program.address = line.split()[-1]
@@ -210,7 +211,7 @@
         self, name: str, settings: dict[str, Any], wait: bool = True
     ) -> DaemonProcess:
         """Start an entry daemon with the given settings."""
-        path = self._directory / f"{name}.yaml"
+        path = self.directory / f"{name}.yaml"
         content: dict[str, Any] = {
             "name": name,
             "zone": "z1",
@@ -225,7 +226,7 @@
         # JSON is YAML.
         path.write_bytes(msgspec.json.encode(content))
         words = ("lycheelug.main", str(path))
-        daemon = DaemonProcess(name, await self._spawn(words))
+        daemon = DaemonProcess(name, await self.spawn(words))
         self.programs.append(daemon)
         self.daemons[name] = daemon
         if wait:
@@ -247,14 +248,16 @@
         assert process.returncode is not None
         return process.returncode, output.decode()
 
-    async def _spawn(
-        self, words: tuple[str, ...]
+    async def spawn(
+        self, words: tuple[str, ...], **variables: str
     ) -> asyncio.subprocess.Process:
+        """Start `python -m ...` with environment variables of its own."""
         return await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             *words,
             cwd=ROOT,
+            env={**os.environ, **variables},
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
--- /dev/null
+++ b/standins/schedulers.py
@@ -0,0 +1,119 @@
+"""Starts schedulers on the stand-in for the users' platform, as processes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from lycheelug.platform.settings import SETTINGS_VARIABLE
+from standins.processes import Fleet, Program, http_call, until
+from standins.task_executor import RunRecord
+from standins.task_platform import PREFIX
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+__all__ = ["Scheduler", "SchedulerFleet"]
+
+SETTINGS = """\
+node_name = "{name}"
+ip = "127.0.0.1"
+zone = "z1"
+internal_ports = [0, 0]
+[listen_addrs]
+frontend_addr = "127.0.0.1:0"
+readiness_addr = "127.0.0.1:0"
+[platform]
+address = "{platform}"
+[cloud_api]
+address = "{platform}"
+"""
+
+
+class Scheduler(Program):
+    """One scheduler with its addresses for callers and probes."""
+
+    __slots__ = ("callers", "probes")
+
+    async def wait_started(self) -> None:
+        """Wait until it listens, and until it is ready for callers."""
+        line = await self.wait_line('"event":"started"')
+        told = msgspec.json.decode(line)
+        self.callers: str = told["callers"]
+        self.probes: str = told["probes"]
+        await until(self.is_ready)
+
+    async def is_ready(self) -> bool:
+        """Whether it takes callers."""
+        answer = await http_call(self.probes, "GET", "/v1/readyz")
+        return answer.status == 200
+
+    async def submit(self, job_id: str, steps: list[dict[str, Any]]) -> int:
+        """Hand a job in; return the status."""
+        body = msgspec.json.encode({"spec": "demo", "steps": steps})
+        answer = await http_call(self.callers, "POST", PREFIX + job_id, body)
+        return answer.status
+
+    async def cancel(self, job_id: str) -> int:
+        """Cancel a job; return the status."""
+        answer = await http_call(self.callers, "DELETE", PREFIX + job_id)
+        return answer.status
+
+    async def state(self, job_id: str) -> str:
+        """Return a job's state; empty where it is not known."""
+        answer = await http_call(self.callers, "GET", PREFIX + job_id)
+        told = msgspec.json.decode(answer.body)
+        return str(told.get("state", ""))
+
+    def owns(self, pool: str) -> bool:
+        """Whether it has claimed a pool, by its log."""
+        for line in self.lines:
+            if '"event":"duty-claimed"' in line and f'"{pool}"' in line:
+                return True
+        return False
+
+
+class SchedulerFleet(Fleet):
+    """The stand-in platform and some schedulers."""
+
+    __slots__ = ("platform", "schedulers")
+
+    def __init__(self, directory: Path) -> None:
+        super().__init__(directory)
+        self.platform: Program | None = None
+        self.schedulers: dict[str, Scheduler] = {}
+
+    async def start_base(self, executors: int, work_ms: int) -> None:
+        """Start the stand-in platform with its executors."""
+        self.platform = await self.start_program(
+            "task-platform",
+            "standins.task_platform",
+            "--executors",
+            str(executors),
+            "--work-ms",
+            str(work_ms),
+        )
+
+    async def start_scheduler(self, name: str) -> Scheduler:
+        """Start a scheduler and wait until it is ready."""
+        assert self.platform is not None
+        path = self.directory / f"{name}.toml"
+        path.write_text(
+            SETTINGS.format(name=name, platform=self.platform.address),
+            encoding="utf-8",
+        )
+        process = await self.spawn(
+            ("lycheelug.platform.main",), **{SETTINGS_VARIABLE: str(path)}
+        )
+        scheduler = Scheduler(name, process)
+        self.programs.append(scheduler)
+        self.schedulers[name] = scheduler
+        await scheduler.wait_started()
+        return scheduler
+
+    async def runs(self) -> list[RunRecord]:
+        """Return all runs that executors have begun."""
+        assert self.platform is not None
+        answer = await http_call(self.platform.address, "GET", "/runs")
+        return msgspec.json.decode(answer.body, type=list[RunRecord])
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -408,7 +408,6 @@
             VirtualClock(),
             5.0,
             2.0,
-            address=name,
             is_store_away=lambda: way.known_away,
             remote=self.pass_on,
         )
@@ -417,7 +416,7 @@
         )
         for executor in self.fleet.executors.values():
             service.take_executor(executor.info.executor_id, executor.info)
-        service.start()
+        service.start(name)
         self.ways[name] = way
         self.daemons[name] = service
         return service
--- /dev/null
+++ b/tests/test_proof_jobs.py
@@ -0,0 +1,138 @@
+"""Jobs with steps, served by real processes on the platform's protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from standins.processes import until
+from standins.schedulers import Scheduler, SchedulerFleet
+from standins.task_platform import POOL
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from standins.task_executor import RunRecord
+
+STEPS: list[dict[str, Any]] = [
+    {"count": 3, "cpu": 500, "estimate_ms": 300},
+    {"count": 2, "cpu": 500, "estimate_ms": 300, "depends_on": [0]},
+]
+
+
+async def wait_done(scheduler: Scheduler, job_id: str) -> None:
+    """Wait until a job is completed."""
+
+    async def is_done() -> bool:
+        return await scheduler.state(job_id) == "completed"
+
+    await until(is_done)
+
+
+async def owner_of(fleet: SchedulerFleet) -> Scheduler:
+    """Return the scheduler that owns the pool."""
+    schedulers = list(fleet.schedulers.values())
+    await until(lambda: any(each.owns(POOL) for each in schedulers))
+    return next(each for each in schedulers if each.owns(POOL))
+
+
+def doubled(runs: list[RunRecord]) -> list[str]:
+    """Return the tasks that ran well more than once, or twice at a time."""
+    found: list[str] = []
+    good = Counter(run.task for run in runs if run.how == "done")
+    for task, count in good.items():
+        if count > 1:
+            found.append(task)
+    for first in runs:
+        for second in runs:
+            if first.task != second.task or first.run >= second.run:
+                continue
+            if not first.ended or second.began < first.ended:
+                found.append(first.task)
+    return found
+
+
+async def serves_and_counts(fleet: SchedulerFleet) -> None:
+    first, second = fleet.schedulers.values()
+    for number in range(6):
+        job_id = f"{number:016x}"
+        taker = (first, second)[number % 2]
+        assert await taker.submit(job_id, STEPS) == 200
+        # A repeat elsewhere is the same job.
+        other = (second, first)[number % 2]
+        assert await other.submit(job_id, STEPS) == 200
+    for number in range(6):
+        await wait_done(second, f"{number:016x}")
+    runs = await fleet.runs()
+    assert len(runs) == 6 * 5
+    assert doubled(runs) == []
+    first_step = [run.ended for run in runs if ".0.0." in run.task]
+    assert len(first_step) == 6 * 3
+
+
+async def survives_its_owner(fleet: SchedulerFleet) -> None:
+    owner = await owner_of(fleet)
+    other = next(each for each in fleet.schedulers.values() if each != owner)
+    job_id = "00000000000000aa"
+    assert await other.submit(job_id, STEPS) == 200
+
+    async def has_begun() -> bool:
+        return len(await fleet.runs()) >= 3
+
+    await until(has_begun)
+    await owner.kill()
+    await wait_done(other, job_id)
+    runs = await fleet.runs()
+    assert doubled(runs) == []
+    assert len({run.task for run in runs}) == 5
+
+
+async def hands_over_when_told_to_stop(fleet: SchedulerFleet) -> None:
+    owner = await owner_of(fleet)
+    other = next(each for each in fleet.schedulers.values() if each != owner)
+    job_id = "00000000000000bb"
+    assert await owner.submit(job_id, STEPS) == 200
+    stopping = asyncio.create_task(owner.stop())
+    await wait_done(other, job_id)
+    assert await stopping == 0
+    runs = await fleet.runs()
+    assert len(runs) == 5
+    assert doubled(runs) == []
+
+
+async def cancels(fleet: SchedulerFleet) -> None:
+    first, second = fleet.schedulers.values()
+    job_id = "00000000000000cc"
+    steps = [{"count": 1, "cpu": 500, "long_running": True}]
+    assert await first.submit(job_id, steps) == 200
+    assert await second.cancel(job_id) == 200
+
+    async def is_cancelled() -> bool:
+        return await first.state(job_id) == "cancelled"
+
+    await until(is_cancelled)
+    assert await first.cancel("00000000000000dd") == 410
+
+
+@pytest.mark.parametrize(
+    "scenario",
+    [
+        serves_and_counts,
+        survives_its_owner,
+        hands_over_when_told_to_stop,
+        cancels,
+    ],
+    ids=lambda scenario: scenario.__name__,
+)
+def test_jobs_with_steps_in_processes(scenario: Any, tmp_path: Path) -> None:
+    async def run() -> None:
+        async with SchedulerFleet(tmp_path) as fleet:
+            await fleet.start_base(executors=3, work_ms=300)
+            await fleet.start_scheduler("e1")
+            await fleet.start_scheduler("e2")
+            await scenario(fleet)
+
+    asyncio.run(run())
