--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -14,7 +14,6 @@
 from lycheelug.workloads.advice import StepName
 from lycheelug.workloads.executors import EndKind, Run, RunPhase
 from lycheelug.workloads.jobs import TaskState
-from lycheelug.workloads.model import Resources
 from lycheelug.workloads.pool import SHUN_S
 
 if TYPE_CHECKING:
@@ -24,15 +23,14 @@
         ListReport,
         RunReport,
     )
-    from lycheelug.workloads.jobs import Task
-    from lycheelug.workloads.model import TaskName
+    from lycheelug.workloads.jobs import Job, Task
+    from lycheelug.workloads.model import Resources, TaskName
     from lycheelug.workloads.pool import PoolSchedule
 
 __all__ = ["StartAnswer", "note_start", "note_stop", "take_list"]
 
 # A task whose start was rejected waits this long for the next one.
 REJECTED_WAIT_S: Final = 0.05
-NO_ROOM: Final = Resources(0, 0, 0)
 
 
 class StartAnswer(Enum):
@@ -199,7 +197,7 @@
     """
     job = schedule.jobs.get(entry.task.job)
     task = job.find(entry.task) if job is not None else None
-    room = task.step.room if task is not None else NO_ROOM
+    room = _room_of(view, job, entry.task)
     run = Run(entry.task, entry.run, room, now, None)
     run.phase = RunPhase.RUNNING
     view.add_run(run)
@@ -217,6 +215,17 @@
     return run
 
 
+def _room_of(view: ExecutorView, job: Job | None, name: TaskName) -> Resources:
+    """Return what a listed run takes, also when its job is over.
+
+    It takes its room until it has ended.  Of a run that no job is known
+    for, the whole executor is assumed.
+    """
+    if job is None or not 0 <= name.step < len(job.record.steps):
+        return view.info.capacity
+    return job.record.steps[name.step].room
+
+
 def _take_end(
     schedule: PoolSchedule,
     view: ExecutorView,
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -347,3 +347,24 @@
             running = [(order.task.name, order.run)]
             world.hear(order.executor_id, running=running, percent=100)
     assert len(world.stops()) == moves
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_listed_run_takes_its_room_though_its_job_is_over(
+    known: bool,
+) -> None:
+    """An executor was filled over its room by a new owner."""
+    world = PoolWorld(term=2)
+    view = world.add_executor("x", heard=False)
+    if known:
+        world.add_job(
+            [StepSpec(count=2, cpu_millis=3000)],
+            progress=ProgressRecord(1, JobState.CANCELLED),
+        )
+    world.hear("x", running=[(TASK, 1001)])
+    # Of a job that nobody knows, nothing tells how much it takes.
+    assert view.used_cpu == (3000 if known else 4000)
+    world.add_job(
+        [StepSpec(count=1, cpu_millis=1500)], job_id="5c0e7a21d94b36f9"
+    )
+    assert world.starts() == []
