Ask the daemons that the settings name while no heartbeat was read

A daemon that the store refused from its start knew no peer to ask. The relay listens at the control address, which others have in their seeds. The planner looks each 0.06 s, not 0.1: a surge waits for its hosts. Test: joins_without_a_way_to_the_store in tests/test_proof_jobs.py.

--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -41,14 +41,14 @@
 
 __all__ = ["FleetOwner"]
 
-ROUND_S: Final = 0.1
+ROUND_S: Final = 0.06
 # Changed sizes of pools are logged at most this often.
 SIZES_S: Final = 1.0
 # The list of hosts is read this often, and more often while hosts move.
 HOSTS_IDLE_S: Final = 2.0
 HOSTS_BUSY_S: Final = 0.4
 # Summaries are gathered for this long between two calls to the feed.
-GATHER_S: Final = 0.1
+GATHER_S: Final = 0.05
 PLAN_ROW: Final = RowName(PLANS_TABLE, PLAN_KEY)
 
 
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -163,6 +163,7 @@
             zone=self._settings.zone,
             callers=f"{self._settings.ip}:{self._callers.port}",
             probes=f"{self._settings.ip}:{self._probes.port}",
+            peers=self._relay_address(),
             store=self._settings.platform.address,
         )
         self._follow(OPERATOR_TABLE, self._on_operator_row)
@@ -174,8 +175,15 @@
         return await self._stop()
 
     def _peers(self) -> list[str]:
-        """Return the addresses of the other daemons."""
-        return self._service.duties.heartbeats.peers()
+        """Return the addresses of the other daemons.
+
+        Until their heartbeats were read, those that the settings name.
+        """
+        known = self._service.duties.heartbeats.peers()
+        if known:
+            return known
+        own = self._relay_address()
+        return [seed for seed in self._settings.seeds if seed != own]
 
     def _is_store_away(self) -> bool:
         """Whether no way to the store has worked for a moment."""
@@ -189,16 +197,21 @@
 
     async def _start_relay(self) -> bool:
         """Listen for other daemons; False where that fails."""
-        ports = self._settings.internal_ports
-        if not ports:
+        setting = "listen_addrs.control"
+        address = self._settings.listen_addrs.control
+        if not address and self._settings.internal_ports:
+            setting = "internal_ports"
+            port = self._settings.internal_ports[0]
+            address = f"{self._settings.ip}:{port}"
+        if not address:
             return True
-        address = f"{self._settings.ip}:{ports[0]}"
+        host, _, port_text = address.rpartition(":")
         try:
-            await self._relay.start(self._settings.ip, ports[0])
+            await self._relay.start(host, int(port_text))
         except OSError as error:
             log_change(
                 "cannot-listen",
-                setting="internal_ports",
+                setting=setting,
                 address=address,
                 error=str(error),
             )
--- a/lycheelug/platform/settings.py
+++ b/lycheelug/platform/settings.py
@@ -62,6 +62,8 @@
     cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     internal_ports: list[int] = []
+    # Addresses of some daemons for others; they may be stale or down.
+    seeds: list[str] = []
     hint: str = ""
 
 
@@ -82,8 +84,10 @@
     except msgspec.ValidationError as error:
         return Failure(f"{path}: {error}; correct this field")
     addresses = settings.listen_addrs
-    for field in ("frontend_addr", "readiness_addr"):
+    for field in ("frontend_addr", "readiness_addr", "control"):
         address = getattr(addresses, field)
+        if field == "control" and not address:
+            continue
         if not address.rpartition(":")[2].isdigit():
             return Failure(
                 f"{path}: listen_addrs.{field}: {address!r}; give IP:PORT"
--- a/standins/schedulers.py
+++ b/standins/schedulers.py
@@ -20,10 +20,11 @@
 node_name = "{name}"
 ip = "127.0.0.1"
 zone = "z1"
-internal_ports = [0, 0]
+seeds = {seeds}
 [listen_addrs]
 frontend_addr = "127.0.0.1:0"
 readiness_addr = "127.0.0.1:0"
+control = "127.0.0.1:0"
 [platform]
 address = "{platform}"
 [cloud_api]
@@ -32,9 +33,9 @@
 
 
 class Scheduler(Program):
-    """One scheduler with its addresses for callers and probes."""
+    """One scheduler with its addresses for callers, probes and peers."""
 
-    __slots__ = ("callers", "probes")
+    __slots__ = ("callers", "peers", "probes")
 
     async def wait_started(self) -> None:
         """Wait until it listens, and until it is ready for callers."""
@@ -42,6 +43,7 @@
         told = msgspec.json.decode(line)
         self.callers: str = told["callers"]
         self.probes: str = told["probes"]
+        self.peers: str = told["peers"]
         await until(self.is_ready)
 
     async def is_ready(self) -> bool:
@@ -95,12 +97,24 @@
             str(work_ms),
         )
 
-    async def start_scheduler(self, name: str) -> Scheduler:
-        """Start a scheduler and wait until it is ready."""
+    async def start_scheduler(
+        self, name: str, platform: str = ""
+    ) -> Scheduler:
+        """Start a scheduler and wait until it is ready.
+
+        It is told the others' addresses, and may be given another way to
+        the platform than they have.
+        """
         assert self.platform is not None
+        platform = platform or self.platform.address
+        seeds = [each.peers for each in self.schedulers.values()]
         path = self.directory / f"{name}.toml"
         path.write_text(
-            SETTINGS.format(name=name, platform=self.platform.address),
+            SETTINGS.format(
+                name=name,
+                platform=platform,
+                seeds=msgspec.json.encode(seeds).decode(),
+            ),
             encoding="utf-8",
         )
         process = await self.spawn(
--- a/tests/test_proof_jobs.py
+++ b/tests/test_proof_jobs.py
@@ -117,6 +117,15 @@
     assert await first.cancel("00000000000000dd") == 410
 
 
+async def joins_without_a_way_to_the_store(fleet: SchedulerFleet) -> None:
+    """A daemon that the store refuses from its start asks the others."""
+    refused = await fleet.start_scheduler("e3", platform="127.0.0.1:1")
+    job_id = "00000000000000ee"
+    assert await refused.submit(job_id, STEPS) == 200
+    await wait_done(refused, job_id)
+    assert doubled(await fleet.runs()) == []
+
+
 @pytest.mark.parametrize(
     "scenario",
     [
@@ -124,6 +133,7 @@
         survives_its_owner,
         hands_over_when_told_to_stop,
         cancels,
+        joins_without_a_way_to_the_store,
     ],
     ids=lambda scenario: scenario.__name__,
 )
