Follow parts that are made while a table is first read

Cause: a mirror listed a table's parts, then took the version of a read made after that; a part made in between was in neither, and its rows came only with their next change. A daemon that started while a pool was first claimed never learned of the owner, and its own claims conflicted for ever.

Ruled out: the heartbeats (the other daemon held the planner's duty) and the claim itself (it answered 412 each time).

Change: the first read comes before the list of parts; a conflict on a claim teaches the owner's row.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -274,6 +274,10 @@
             return
         outcome = result.unwrap()
         if not isinstance(outcome, RowCommit):
+            # Somebody else was first: the answer tells who.
+            row = outcome.rows.get(OWNER_ROW)
+            if row is not None and row.version > version:
+                self._on_owner(row)
             return
         log_change(
             "duty-claimed",
--- a/lycheelug/store/mirror.py
+++ b/lycheelug/store/mirror.py
@@ -109,29 +109,31 @@
                 await asyncio.sleep(self._pause_s)
 
     async def _load(self) -> Result[bool, Fault]:
-        """Read everything; tell what differs from the copy."""
-        parts = [self.part] if self.part is not None else []
+        """Read everything; tell what differs from the copy.
+
+        The first read comes before the parts are listed: a part that is
+        made after the list has only rows that are newer than that read,
+        and the feed tells them.
+        """
+        first = await self._store.read(self.table, self.part or "")
+        if isinstance(first, Failure):
+            return Failure(first.failure())
+        version = first.unwrap().version
+        rows: dict[tuple[str, str], StoredRow] = {}
+        for row in first.unwrap().rows:
+            rows[row.part, row.key] = row
+        parts: list[str] = []
         if self.part is None:
             listed = await self._store.parts(self.table)
             if isinstance(listed, Failure):
                 return Failure(listed.failure())
-            parts = listed.unwrap()
-        version: int | None = None
-        rows: dict[tuple[str, str], StoredRow] = {}
+            parts = [part for part in listed.unwrap() if part]
         for part in parts:
             read = await self._store.read(self.table, part)
             if isinstance(read, Failure):
                 return Failure(read.failure())
-            found = read.unwrap()
-            for row in found.rows:
+            for row in read.unwrap().rows:
                 rows[row.part, row.key] = row
-            if version is None or found.version < version:
-                version = found.version
-        if version is None:
-            read = await self._store.read(self.table, self.part or "")
-            if isinstance(read, Failure):
-                return Failure(read.failure())
-            version = read.unwrap().version
         if version < self.version:
             detail = f"answer as of {version}, before {self.version}"
             return Failure(
