--- a/tests/test_surge_order.py
+++ b/tests/test_surge_order.py
@@ -19,62 +19,23 @@
     from lycheelug.workloads import Job, Task
 
 # One task a job, one second of work, four at once: four jobs a second.
-STEP = StepSpec(count=1, cpu_millis=1000, estimate_ms=1000)
-# stretch 1 x 1 s, and 1 s more.
-OBJECTIVE_MS = 2000
-TICK_MS = 250
-
-
-def play(arrivals: list[int], late_last: bool) -> int:
-    """Return how many jobs are done by their objective."""
-    world = PoolWorld()
-    world.add_executor("x")
-    running: list[tuple[int, Task, int]] = []
-    accepted: dict[str, int] = {}
-    in_time = 0
-    unix_ms = 0
-    for count in [*arrivals, *([0] * 60)]:
-        unix_ms += TICK_MS
-        world.now += TICK_MS / 1000
-        ended = []
-        for entry in list(running):
-            if unix_ms - entry[0] >= 1000:
-                running.remove(entry)
-                ended.append((entry[1].name, entry[2], EndKind.DONE))
-                began_ms = accepted[entry[1].name.job]
-                in_time += unix_ms - began_ms <= OBJECTIVE_MS
-        for _ in range(count):
-            job_id = f"{len(accepted):016x}"
-            accepted[job_id] = unix_ms
-            world.add_job([STEP], job_id=job_id, accepted_ms=unix_ms)
-        alive = [(each[1].name, each[2]) for each in running]
-        world.hear("x", running=alive, ended=ended)
-        world.unix_ms = unix_ms if late_last else 0
-        for order in world.starts():
-            world.answer(order)
-            running.append((unix_ms, order.task, order.run))
-    return in_time
-
-
-@pytest.mark.parametrize("surge", [2, 3, 5])
-def test_late_jobs_last_serve_more_of_a_surge_in_time(surge: int) -> None:
-    arrivals = [surge] * 16 + [0, 0, 0, 1] * 8
-    assert play(arrivals, late_last=True) > play(arrivals, late_last=False)
-
-
-# Two steps of one second each: a job needs two seconds of its four.
+WORK_MS = 1000
+STEP = StepSpec(count=1, cpu_millis=1000, estimate_ms=WORK_MS)
+# Two steps of one second each.
 CHAIN = [
-    StepSpec(count=1, cpu_millis=1000, estimate_ms=1000),
-    StepSpec(count=1, cpu_millis=1000, estimate_ms=1000, depends_on=[0]),
+    STEP,
+    StepSpec(count=1, cpu_millis=1000, estimate_ms=WORK_MS, depends_on=[0]),
 ]
-CHAIN_MS = 4000
+TICK_MS = 250
 
 
-def play_chains(arrivals: list[int], unix_known: bool) -> int:
-    """Return how many two-step jobs are done within `CHAIN_MS`.
+def play(
+    arrivals: list[int], steps: list[StepSpec], allowed_ms: int, known: bool
+) -> int:
+    """Return how many jobs are done within their allowed time.
 
-    Their objective is 2 s of work and 1 s more; with `unix_known` the
-    schedule knows the time, so jobs that can't be in time go last.
+    With `known` the schedule knows the time, so jobs that can't be in time
+    any more go last; else all are ordered by their objectives.
     """
     world = PoolWorld()
     world.add_executor("x")
@@ -88,30 +49,38 @@
         world.now += TICK_MS / 1000
         ended = []
         for entry in list(running):
-            if unix_ms - entry[0] >= 1000:
+            if unix_ms - entry[0] >= WORK_MS:
                 running.remove(entry)
                 ended.append((entry[1].name, entry[2], EndKind.DONE))
         for _ in range(count):
             job_id = f"{len(accepted):016x}"
             accepted[job_id] = unix_ms
             jobs[job_id] = world.add_job(
-                CHAIN, job_id=job_id, accepted_ms=unix_ms
+                steps, job_id=job_id, accepted_ms=unix_ms
             )
         alive = [(each[1].name, each[2]) for each in running]
         world.hear("x", running=alive, ended=ended)
         for job_id, job in jobs.items():
             if job.is_final:
                 ended_ms.setdefault(job_id, unix_ms)
-        world.unix_ms = unix_ms if unix_known else 0
+        world.unix_ms = unix_ms if known else 0
         for order in world.starts():
             world.answer(order)
             running.append((unix_ms, order.task, order.run))
     in_time = 0
     for job_id, began_ms in accepted.items():
-        in_time += ended_ms[job_id] - began_ms <= CHAIN_MS - 1000
+        in_time += ended_ms[job_id] - began_ms <= allowed_ms
     return in_time
 
 
+@pytest.mark.parametrize("surge", [2, 3, 5])
+def test_late_jobs_last_serve_more_of_a_surge_in_time(surge: int) -> None:
+    arrivals = [surge] * 16 + [0, 0, 0, 1] * 8
+    # stretch 1 x 1 s, and 1 s more.
+    known = play(arrivals, [STEP], 2000, known=True)
+    assert known > play(arrivals, [STEP], 2000, known=False)
+
+
 @pytest.mark.parametrize("surge", [1, 2, 3])
 def test_chains_that_can_be_in_time_are_finished_first(surge: int) -> None:
     """Load pattern: a surge of jobs with steps, twice to six times the room.
@@ -119,6 +88,6 @@
     A step that starts in time is of no use if the next one is too late.
     """
     arrivals = [surge] * 16 + [0, 0, 0, 1] * 4
-    known = play_chains(arrivals, unix_known=True)
-    blind = play_chains(arrivals, unix_known=False)
-    assert known > blind
+    # stretch 1 x 2 s, and 1 s more.
+    known = play(arrivals, CHAIN, 3000, known=True)
+    assert known > play(arrivals, CHAIN, 3000, known=False)
