--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -30,7 +30,7 @@
 # daemons get the benefit of the doubt once.
 GAP_S: Final = 1.2
 # Changes are gathered for this long between two calls to the feed.
-GATHER_S: Final = 0.25
+GATHER_S: Final = 0.3
 # The feed answers at least this often: a connection may have gone silent.
 FEED_WAIT_S: Final = 0.5
 # Heartbeats after which a daemon is known to the others.
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -105,6 +105,11 @@
         """Whether a configuration is in force."""
         return self.configuration is not None
 
+    @property
+    def owns_pools(self) -> bool:
+        """Whether this daemon owns any pool."""
+        return any(duty != FLEET_PART for duty in self.duties.held)
+
     def start(self, address: str = "") -> None:
         """Begin to take part; other daemons reach this one at `address`."""
         self.duties.heartbeats.address = address
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -70,8 +70,10 @@
 # risk that its next request is on its way.
 QUIET_S: Final = 0.5
 QUIET_POLL_S: Final = 0.02
-# Executors rewrite their entries all the time; changes are gathered.
+# Executors rewrite their entries all the time; changes are gathered, and
+# for longer while no pool is owned here.
 GATHER_EXECUTORS_S: Final = 0.25
+GATHER_UNOWNED_S: Final = 0.8
 BODY_BYTES_MAX: Final = 1024 * 1024
 
 
@@ -96,6 +98,7 @@
     __slots__ = (
         "_callers",
         "_clock",
+        "_executor_rows",
         "_owners",
         "_probes",
         "_relay",
@@ -131,6 +134,7 @@
         ingress = Ingress(self._service, clock)
         self._callers = HttpServer(ingress.handle, limits)
         self._probes = HttpServer(self._answer_probe)
+        self._executor_rows: TableMirror | None = None
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -167,7 +171,7 @@
             store=self._settings.platform.address,
         )
         self._follow(OPERATOR_TABLE, self._on_operator_row)
-        self._follow(
+        self._executor_rows = self._follow(
             EXECUTORS_TABLE, self._on_executor_row, GATHER_EXECUTORS_S
         )
         self._service.start(self._relay_address())
@@ -222,13 +226,14 @@
         table: str,
         listener: Callable[[StoredRow], None],
         pause_s: float = 0.0,
-    ) -> None:
+    ) -> TableMirror:
         """Follow one of the platform's tables."""
         mirror = TableMirror(
             self._store, table, listener, part="", pause_s=pause_s
         )
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(mirror.run()))
+        return mirror
 
     async def _stop(self) -> int:
         """Give the duties back, serve the last callers, end."""
@@ -287,6 +292,11 @@
 
     def _on_executor_row(self, row: StoredRow) -> None:
         """Take in an executor's entry."""
+        if self._executor_rows is not None:
+            owns_pools = self._service.owns_pools
+            self._executor_rows.pause_s = (
+                GATHER_EXECUTORS_S if owns_pools else GATHER_UNOWNED_S
+            )
         info = decode_executor(row)
         if info is None and row.value is not None:
             log_change("row-unreadable", table=row.table, key=row.key)
--- a/lycheelug/store/mirror.py
+++ b/lycheelug/store/mirror.py
@@ -42,12 +42,12 @@
         "_is_lost",
         "_listener",
         "_on_answer",
-        "_pause_s",
         "_rows",
         "_store",
         "_wait_s",
         "loaded",
         "part",
+        "pause_s",
         "table",
         "version",
     )
@@ -72,7 +72,7 @@
         # None for all parts.
         self.part = part
         # Changes are gathered for this long between two calls.
-        self._pause_s = pause_s
+        self.pause_s = pause_s
         self._rows: dict[tuple[str, str], StoredRow] = {}
         self._is_lost = False
         # The store's version that this copy is complete up to.
@@ -105,8 +105,8 @@
             self._note_regained()
             if self._on_answer is not None:
                 self._on_answer()
-            if self._pause_s and result.unwrap():
-                await asyncio.sleep(self._pause_s)
+            if result.unwrap():
+                await asyncio.sleep(self.pause_s)
 
     async def _load(self) -> Result[bool, Fault]:
         """Read everything; tell what differs from the copy.
