--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -25,11 +25,13 @@
 
 __all__ = ["BEAT_S", "Heartbeats"]
 
+# A third of the time after which a daemon counts as silent.
 BEAT_S: Final = 0.4
 # After a pause of this long between two looks at the heartbeats, all
 # daemons get the benefit of the doubt once.
 GAP_S: Final = 1.2
-# Changes are gathered for this long between two calls to the feed.
+# Changes are gathered for this long between two calls to the feed: less
+# than a heartbeat, so that each one is seen by itself.
 GATHER_S: Final = 0.3
 # The feed answers at least this often: a connection may have gone silent.
 FEED_WAIT_S: Final = 0.5
