A command line for the scheduler: the store's rows, and a job explained

lycheelug scheduler owners|daemons|pools|executors|waves|jobs|job|cancel|check read the platform's store as the daemons do; explain puts a job's log lines together with those of its owners and executors. Bad addresses, unknown jobs and a store that is away end with one line and the codes of the other commands. Test: is_shown_by_the_tool in tests/test_proof_jobs.py. The daemon is unchanged.

--- a/lycheelug/cli/app.py
+++ b/lycheelug/cli/app.py
@@ -10,6 +10,7 @@
     fleet_commands,
     job_commands,
     metric_commands,
+    scheduler_commands,
     sheet_commands,
     trace_commands,
 )
@@ -32,6 +33,7 @@
 config_commands.register(app)
 sheet_commands.register(app)
 trace_commands.register(app)
+scheduler_commands.register(app)
 
 
 def main() -> None:
--- /dev/null
+++ b/lycheelug/cli/scheduler_commands.py
@@ -0,0 +1,211 @@
+"""The commands `scheduler ...`: jobs of steps on the users' platform.
+
+They read the platform's store as the daemons do, and ask no daemon.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated, Any
+
+from cyclopts import App, Parameter
+from returns.result import Failure
+
+from lycheelug.cli.client import ExitCode, fail, read_file
+from lycheelug.cli.explain import explain
+from lycheelug.cli.output import Output, print_json, print_rows
+from lycheelug.errors import PLATFORM_UNKNOWN
+from lycheelug.jobservice.inspection import Inspection, JobView
+from lycheelug.platform.store import PlatformRows
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from returns.result import Result
+
+    from lycheelug.errors import Fault
+
+__all__ = ["register"]
+
+JOB_COLUMNS = (
+    "job",
+    "pool",
+    "queue",
+    "state",
+    "steps",
+    "begun_term",
+    "finished_tasks",
+    "failed_runs",
+    "is_cancelled",
+)
+
+StoreOption = Annotated[
+    str,
+    Parameter(
+        env_var="LYCHEELUG_STORE",
+        help="Address of the platform's store, ip:port.",
+    ),
+]
+OutputOption = Annotated[
+    Output, Parameter(help="A table, or JSON for programs.")
+]
+app = App(name="scheduler", help="Look after jobs on the users' platform.")
+
+
+def register(parent: App) -> None:
+    """Add the commands to the application."""
+    parent.command(app)
+
+
+@app.command(name="owners")
+def cmd_owners(
+    *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """Show who holds which duty, under which term."""
+    rows = _ask(store, lambda inspection: inspection.owners())
+    print_rows(rows, ("duty", "holder", "term", "version"), output)
+
+
+@app.command(name="daemons")
+def cmd_daemons(
+    *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """Show the daemons' last heartbeats."""
+    rows = _ask(store, lambda inspection: inspection.daemons())
+    columns = ("name", "zone", "address", "beat", "leaving")
+    print_rows(rows, columns, output)
+
+
+@app.command(name="pools")
+def cmd_pools(
+    *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """Show each pool's load; room in thousandths of a core."""
+    rows = _ask(store, lambda inspection: inspection.pools())
+    columns = (
+        "pool",
+        "term",
+        "hosts",
+        "usable_hosts",
+        "running_cpu",
+        "ready_cpu",
+        "lasting_cpu",
+        "waiting_jobs",
+    )
+    print_rows(rows, columns, output)
+
+
+@app.command(name="executors")
+def cmd_executors(
+    pool: str, *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """Show a pool's executors as its owner last told them."""
+    rows = _ask(store, lambda inspection: inspection.executors(pool))
+    columns = (
+        "executor",
+        "host",
+        "address",
+        "runs",
+        "used_cpu",
+        "capacity_cpu",
+        "is_usable",
+    )
+    print_rows(rows, columns, output)
+
+
+@app.command(name="waves")
+def cmd_waves(
+    *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """Show the waves of upkeep that have begun."""
+    rows = _ask(store, lambda inspection: inspection.waves())
+    columns = ("wave", "maintained", "under_way", "is_completed")
+    print_rows(rows, columns, output)
+
+
+@app.command(name="jobs")
+def cmd_jobs(
+    pool: str, *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """List a pool's jobs whose rows are kept."""
+    rows = _ask(store, lambda inspection: inspection.jobs(pool))
+    print_rows(rows, JOB_COLUMNS, output)
+
+
+@app.command(name="job")
+def cmd_job(
+    job: str, *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """Show one job."""
+    print_rows([_find(store, job)], JOB_COLUMNS, output)
+
+
+@app.command(name="cancel")
+def cmd_cancel(job: str, *, store: StoreOption) -> None:
+    """Cancel a job; its pool's owner stops what runs."""
+    view = _find(store, job)
+    unix_ms = int(time.time() * 1000)
+    is_new = _ask(store, lambda inspection: inspection.cancel(view, unix_ms))
+    print_json({"job": job, "cancelled": True, "new": is_new})
+
+
+@app.command(name="explain")
+def cmd_explain(
+    job: str, log: Path, *, output: OutputOption = Output.TABLE
+) -> None:
+    """Show what the daemons' collected logs say about a job."""
+    text = read_file(log).decode(errors="replace")
+    lines = explain(text.splitlines(), job)
+    if not lines:
+        fail(f"{log}: no line names job {job}", ExitCode.REFUSED)
+    print_rows(lines, ("time", "daemon", "event", "detail"), output)
+
+
+@app.command(name="check")
+def cmd_check(
+    *, store: StoreOption, output: OutputOption = Output.TABLE
+) -> None:
+    """Check that the store answers and that each pool has an owner."""
+    owners = _ask(store, lambda inspection: inspection.owners())
+    pools = _ask(store, lambda inspection: inspection.pools())
+    held = {owner.duty for owner in owners if owner.holder}
+    unowned = [pool.pool for pool in pools if pool.pool not in held]
+    if output is Output.JSON:
+        print_json({"owners": len(held), "unowned_pools": unowned})
+    if unowned:
+        fail(f"no owner: {', '.join(unowned)}", ExitCode.REFUSED)
+
+
+def _find(store: str, job: str) -> JobView:
+    """Return a job; end the tool where no pool has it."""
+    view: JobView | None = _ask(store, lambda inspection: inspection.job(job))
+    if view is None:
+        fail(f"no pool has job {job}", ExitCode.REFUSED)
+    return view
+
+
+def _ask(
+    store: str,
+    question: Callable[[Inspection], Awaitable[Result[Any, Fault]]],
+) -> Any:
+    """Return what the store answers; end the tool on a fault."""
+
+    async def ask() -> Result[Any, Fault]:
+        rows = PlatformRows(store)
+        try:
+            return await question(Inspection(rows))
+        finally:
+            rows.close()
+
+    if not store.rpartition(":")[2].isdigit():
+        fail(f"--store: {store!r}; give IP:PORT", ExitCode.USAGE)
+    result = asyncio.run(ask())
+    if isinstance(result, Failure):
+        fault = result.failure()
+        code = ExitCode.UNREACHABLE
+        if fault.code is PLATFORM_UNKNOWN:
+            code = ExitCode.UNKNOWN
+        fail(str(fault), code)
+    return result.unwrap()
--- /dev/null
+++ b/lycheelug/jobservice/inspection.py
@@ -0,0 +1,343 @@
+"""Reads what the job service keeps in the store, for operators.
+
+Nothing is written but a cancel, and no daemon is asked: the rows are the
+truth that owners go by themselves.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, TypeVar
+
+import msgspec
+from returns.result import Failure, Success
+
+from lycheelug.fleetplan import (
+    PLAN_KEY,
+    PLANS_TABLE,
+    SUMMARIES_TABLE,
+    SUMMARY_KEY,
+    decode_plan,
+    decode_summary,
+)
+from lycheelug.jobservice.tables import (
+    CANCEL_PREFIX,
+    FLEET_PART,
+    JOB_PREFIX,
+    PROGRESS_TABLE,
+    CancelRecord,
+    decode_job,
+    decode_progress,
+    jobs_table,
+)
+from lycheelug.ownership import (
+    DAEMONS_TABLE,
+    OWNER_KEY,
+    OWNERS_TABLE,
+    BeatRecord,
+    OwnerRecord,
+)
+from lycheelug.store.rows import RowCommit, RowName
+from lycheelug.workloads import JobState
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
+    from lycheelug.errors import Fault
+    from lycheelug.store.rows import RowStore, StoredRow
+
+__all__ = [
+    "DaemonView",
+    "ExecutorRow",
+    "Inspection",
+    "JobView",
+    "OwnerView",
+    "PoolView",
+    "WaveView",
+]
+
+T = TypeVar("T")
+
+
+class OwnerView(msgspec.Struct):
+    """Who holds a duty: a pool, or the fleet's planning."""
+
+    duty: str
+    # Empty where it was given back and not yet claimed.
+    holder: str
+    # The fencing token of the holder's orders.
+    term: int
+    version: int
+
+
+class DaemonView(msgspec.Struct):
+    """One daemon's last heartbeat."""
+
+    name: str
+    zone: str
+    address: str
+    beat: int
+    leaving: bool
+
+
+class PoolView(msgspec.Struct):
+    """A pool as its owner last told it; room in thousandths of a core."""
+
+    pool: str
+    term: int
+    hosts: int
+    usable_hosts: int
+    running_cpu: int
+    ready_cpu: int
+    lasting_cpu: int
+    waiting_jobs: int
+
+
+class ExecutorRow(msgspec.Struct):
+    """One executor as its pool's owner last told it."""
+
+    pool: str
+    executor: str
+    host: str
+    address: str
+    runs: int
+    used_cpu: int
+    capacity_cpu: int
+    is_usable: bool
+
+
+class WaveView(msgspec.Struct):
+    """A wave of upkeep: how many hosts had theirs, and whether it is told."""
+
+    wave: int
+    maintained: int
+    under_way: int
+    is_completed: bool
+
+
+class JobView(msgspec.Struct):
+    """One job's rows."""
+
+    job: str
+    pool: str
+    queue: str
+    state: str
+    steps: int
+    # Unix time in milliseconds at the daemon that accepted it.
+    accepted_ms: int
+    # The term of the owner that first meant to start it; 0 for none.
+    begun_term: int
+    finished_tasks: int
+    failed_runs: int
+    is_cancelled: bool
+
+
+class Inspection:
+    """The job service's rows, read once for each question."""
+
+    __slots__ = ("_store",)
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+
+    async def owners(self) -> Result[list[OwnerView], Fault]:
+        """Return who holds which duty."""
+        read = await self._all(OWNERS_TABLE)
+        if isinstance(read, Failure):
+            return Failure(read.failure())
+        found: list[OwnerView] = []
+        for row in read.unwrap():
+            if row.key != OWNER_KEY:
+                continue
+            record = _decode(row, OwnerRecord)
+            if record is not None:
+                found.append(
+                    OwnerView(
+                        row.part, record.holder, record.term, row.version
+                    )
+                )
+        return Success(found)
+
+    async def daemons(self) -> Result[list[DaemonView], Fault]:
+        """Return the daemons that have ever shown a heartbeat."""
+        read = await self._all(DAEMONS_TABLE)
+        if isinstance(read, Failure):
+            return Failure(read.failure())
+        found: list[DaemonView] = []
+        for row in read.unwrap():
+            beat = _decode(row, BeatRecord)
+            if beat is not None:
+                found.append(
+                    DaemonView(
+                        row.key,
+                        beat.zone,
+                        beat.address,
+                        beat.beat,
+                        beat.leaving,
+                    )
+                )
+        return Success(found)
+
+    async def pools(self) -> Result[list[PoolView], Fault]:
+        """Return the load of each pool."""
+        read = await self._all(SUMMARIES_TABLE)
+        if isinstance(read, Failure):
+            return Failure(read.failure())
+        found: list[PoolView] = []
+        for row in read.unwrap():
+            summary = decode_summary(row.value or b"")
+            if row.key != SUMMARY_KEY or summary is None:
+                continue
+            loads = summary.hosts.values()
+            found.append(
+                PoolView(
+                    row.part,
+                    summary.term,
+                    len(loads),
+                    sum(load.is_usable for load in loads),
+                    summary.running_cpu,
+                    summary.ready_cpu,
+                    summary.lasting_cpu,
+                    sum(summary.waiting.values()),
+                )
+            )
+        return Success(found)
+
+    async def executors(self, pool: str) -> Result[list[ExecutorRow], Fault]:
+        """Return the executors of a pool."""
+        read = await self._store.read(SUMMARIES_TABLE, pool)
+        if isinstance(read, Failure):
+            return Failure(read.failure())
+        found: list[ExecutorRow] = []
+        for row in read.unwrap().rows:
+            summary = decode_summary(row.value or b"")
+            if row.key != SUMMARY_KEY or summary is None:
+                continue
+            for host, load in sorted(summary.hosts.items()):
+                found.append(
+                    ExecutorRow(
+                        pool,
+                        load.executor,
+                        host,
+                        load.address,
+                        load.runs,
+                        load.used_cpu,
+                        load.capacity_cpu,
+                        load.is_usable,
+                    )
+                )
+        return Success(found)
+
+    async def waves(self) -> Result[list[WaveView], Fault]:
+        """Return the waves that the planner has begun."""
+        read = await self._store.read(PLANS_TABLE, FLEET_PART)
+        if isinstance(read, Failure):
+            return Failure(read.failure())
+        found: list[WaveView] = []
+        for row in read.unwrap().rows:
+            plan = decode_plan(row.value or b"")
+            if row.key != PLAN_KEY or plan is None:
+                continue
+            orders = [order.wave for order in plan.orders.values()]
+            numbers = {int(number) for number in plan.maintained}
+            numbers.update(plan.completed)
+            numbers.update(wave for wave in orders if wave)
+            for number in sorted(numbers):
+                found.append(
+                    WaveView(
+                        number,
+                        len(plan.maintained.get(str(number), ())),
+                        orders.count(number),
+                        number in plan.completed,
+                    )
+                )
+        return Success(found)
+
+    async def jobs(self, pool: str) -> Result[list[JobView], Fault]:
+        """Return all jobs of a pool whose rows are kept."""
+        submitted = await self._store.read(jobs_table(pool), pool)
+        if isinstance(submitted, Failure):
+            return Failure(submitted.failure())
+        progress = await self._store.read(PROGRESS_TABLE, pool)
+        if isinstance(progress, Failure):
+            return Failure(progress.failure())
+        by_key = {row.key: row for row in submitted.unwrap().rows}
+        stored = {row.key: row for row in progress.unwrap().rows}
+        found: list[JobView] = []
+        for key, row in by_key.items():
+            if not key.startswith(JOB_PREFIX):
+                continue
+            job_id = key[len(JOB_PREFIX) :]
+            is_cancelled = CANCEL_PREFIX + job_id in by_key
+            view = _job_view(pool, job_id, row, stored.get(job_id))
+            if view is not None:
+                view.is_cancelled = is_cancelled
+                found.append(view)
+        return Success(found)
+
+    async def job(self, job_id: str) -> Result[JobView | None, Fault]:
+        """Return one job, whichever pool has it; None where none has."""
+        owners = await self.owners()
+        if isinstance(owners, Failure):
+            return Failure(owners.failure())
+        for owner in owners.unwrap():
+            if owner.duty == FLEET_PART:
+                continue
+            jobs = await self.jobs(owner.duty)
+            if isinstance(jobs, Failure):
+                return Failure(jobs.failure())
+            for view in jobs.unwrap():
+                if view.job == job_id:
+                    return Success(view)
+        return Success(None)
+
+    async def cancel(self, view: JobView, unix_ms: int) -> Result[bool, Fault]:
+        """Cancel a job; False where it was cancelled before."""
+        name = RowName(jobs_table(view.pool), CANCEL_PREFIX + view.job)
+        value = msgspec.json.encode(CancelRecord(unix_ms))
+        done = await self._store.commit(view.pool, {name: 0}, {name: value})
+        if isinstance(done, Failure):
+            return Failure(done.failure())
+        return Success(isinstance(done.unwrap(), RowCommit))
+
+    async def _all(self, table: str) -> Result[list[StoredRow], Fault]:
+        """Return the rows of all parts of a table."""
+        parts = await self._store.parts(table)
+        if isinstance(parts, Failure):
+            return Failure(parts.failure())
+        found: list[StoredRow] = []
+        for part in parts.unwrap():
+            read = await self._store.read(table, part)
+            if isinstance(read, Failure):
+                return Failure(read.failure())
+            found.extend(read.unwrap().rows)
+        return Success(found)
+
+
+def _decode(row: StoredRow, kind: type[T]) -> T | None:
+    """Return a row's record; None for bytes that are none."""
+    try:
+        return msgspec.json.decode(row.value or b"", type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
+def _job_view(
+    pool: str, job_id: str, row: StoredRow, stored: StoredRow | None
+) -> JobView | None:
+    """Return a job from its two rows; None where it can't be read."""
+    record = decode_job(row.value or b"")
+    if record is None:
+        return None
+    progress = decode_progress(stored.value or b"") if stored else None
+    return JobView(
+        job_id,
+        pool,
+        record.queue,
+        progress.state if progress is not None else JobState.QUEUED,
+        len(record.steps),
+        record.accepted_ms,
+        progress.begun_term if progress is not None else 0,
+        sum(map(len, progress.done.values())) if progress is not None else 0,
+        sum(progress.failures.values()) if progress is not None else 0,
+        False,
+    )
--- a/standins/schedulers.py
+++ b/standins/schedulers.py
@@ -51,9 +51,11 @@
         answer = await http_call(self.probes, "GET", "/v1/readyz")
         return answer.status == 200
 
-    async def submit(self, job_id: str, steps: list[dict[str, Any]]) -> int:
+    async def submit(
+        self, job_id: str, steps: list[dict[str, Any]], spec: str = "demo"
+    ) -> int:
         """Hand a job in; return the status."""
-        body = msgspec.json.encode({"spec": "demo", "steps": steps})
+        body = msgspec.json.encode({"spec": spec, "steps": steps})
         answer = await http_call(self.callers, "POST", PREFIX + job_id, body)
         return answer.status
 
--- a/standins/task_executor.py
+++ b/standins/task_executor.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from lycheelug.http import Request
 
-__all__ = ["RunRecord", "TaskExecutor"]
+__all__ = ["LASTING", "RunRecord", "TaskExecutor"]
 
 TICK_S: Final = 0.02
 STATUS_OTHER_LIFE: Final = 421
@@ -30,11 +30,16 @@
     fencing_token: int = 0
     task: str = ""
     run: int = 0
+    spec: str = ""
     deadline_ms: int | None = None
     last_seen: int = 0
     wait_ms: int = 0
 
 
+# Tasks of jobs with this payload run until they are stopped.
+LASTING: Final = "lasting"
+
+
 class RunRecord(msgspec.Struct):
     """A run that really began."""
 
@@ -45,6 +50,7 @@
     began: float
     ended: float = 0.0
     how: str = ""
+    lasts: bool = False
 
 
 class TaskExecutor:
@@ -80,7 +86,7 @@
             for record in list(self._running.values()):
                 if self._clock_ms() > self._deadline_ms:
                     self._end(record, "lapsed")
-                elif time.time() - record.began >= self.work_s:
+                elif self._share(record) >= 1 and not record.lasts:
                     self._end(record, "done")
 
     async def start(self) -> None:
@@ -123,7 +129,13 @@
         if self._clock_ms() > (call.deadline_ms or 0):
             return self._refuse("late")
         self._highest[call.task] = call.run
-        record = RunRecord(call.task, call.run, self.executor_id, time.time())
+        record = RunRecord(
+            call.task,
+            call.run,
+            self.executor_id,
+            time.time(),
+            lasts=call.spec == LASTING,
+        )
         self._running[call.task] = record
         self._records.append(record)
         return self._told()
@@ -151,8 +163,8 @@
                 pass
         running: list[list[Any]] = []
         for record in self._running.values():
-            share = (time.time() - record.began) / self.work_s
-            percent = min(99, int(100 * share))
+            most = 100 if record.lasts else 99
+            percent = min(most, int(100 * self._share(record)))
             running.append([record.task, record.run, "", percent, 0])
         return self._told(running=running, ended=self._ended)
 
@@ -166,6 +178,10 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _share(self, record: RunRecord) -> float:
+        """Return how much of its time a run has had."""
+        return (time.time() - record.began) / self.work_s
+
     def _clock_ms(self) -> int:
         """Return its steady clock."""
         return int(time.monotonic() * 1000)
--- a/tests/test_proof_jobs.py
+++ b/tests/test_proof_jobs.py
@@ -6,10 +6,12 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import pytest
 
 from standins.processes import until
 from standins.schedulers import Scheduler, SchedulerFleet
+from standins.task_executor import LASTING
 from standins.task_platform import POOL
 
 if TYPE_CHECKING:
@@ -107,7 +109,7 @@
     first, second = fleet.schedulers.values()
     job_id = "00000000000000cc"
     steps = [{"count": 1, "cpu": 500, "long_running": True}]
-    assert await first.submit(job_id, steps) == 200
+    assert await first.submit(job_id, steps, LASTING) == 200
     assert await second.cancel(job_id) == 200
 
     async def is_cancelled() -> bool:
@@ -126,6 +128,58 @@
     assert doubled(await fleet.runs()) == []
 
 
+async def is_shown_by_the_tool(fleet: SchedulerFleet) -> None:
+    first, second = fleet.schedulers.values()
+    assert fleet.platform is not None
+    store = ("--store", fleet.platform.address)
+    job_id = "00000000000000ff"
+    steps = [{"count": 2, "cpu": 500, "long_running": True}]
+    assert await first.submit(job_id, steps, LASTING) == 200
+
+    async def tool(*words: str, code: int = 0) -> Any:
+        found, text = await fleet.run_tool("scheduler", *words)
+        assert found == code, text
+        return msgspec.json.decode(text) if code == 0 else text
+
+    as_json = ("--output", "json")
+
+    async def is_listed() -> bool:
+        return len(await fleet.runs()) == 2
+
+    await until(is_listed)
+    (job,) = await tool("job", job_id, *store, *as_json)
+    assert (job["state"], job["pool"]) == ("running", POOL)
+    assert job in await tool("jobs", POOL, *store, *as_json)
+    duties = await tool("owners", *store, *as_json)
+    assert {each["holder"] for each in duties} <= {"e1", "e2"}
+    names = [each["name"] for each in await tool("daemons", *store, *as_json)]
+    assert names == ["e1", "e2"]
+    (pool,) = await tool("pools", *store, *as_json)
+    assert pool["hosts"] == 3
+    rows = await tool("executors", POOL, *store, *as_json)
+    assert [each["executor"] for each in rows] == ["x0", "x1", "x2"]
+    assert await tool("waves", *store, *as_json) == []
+    checked = await tool("check", *store, *as_json)
+    assert checked["unowned_pools"] == []
+    assert (await tool("cancel", job_id, *store))["new"]
+    assert not (await tool("cancel", job_id, *store))["new"]
+
+    async def is_cancelled() -> bool:
+        return await second.state(job_id) == "cancelled"
+
+    await until(is_cancelled)
+    log = fleet.directory / "log.jsonl"
+    log.write_text("\n".join([*first.lines, *second.lines]))
+    lines = await tool("explain", job_id, str(log), *as_json)
+    events = [each["event"] for each in lines]
+    assert events[0] == "job-accepted"
+    assert "task-start" in events
+    assert "no pool has" in await tool("job", "0" * 16, *store, code=1)
+    assert "give IP:PORT" in await tool("pools", "--store", "x", code=2)
+    away = ("--store", "127.0.0.1:1")
+    assert "platform" in await tool("pools", *away, code=3)
+
+
 @pytest.mark.parametrize(
     "scenario",
     [
@@ -134,6 +188,7 @@
         hands_over_when_told_to_stop,
         cancels,
         joins_without_a_way_to_the_store,
+        is_shown_by_the_tool,
     ],
     ids=lambda scenario: scenario.__name__,
 )
