Count a failed run once, whoever owned the pool when it ended

A failure that the last owner had stored, and not yet acknowledged to its executor, was listed to the next owner and counted again.

Ruled out: the queue's policy (4 attempts in force), a lapse between the two.

Change: progress keeps the highest run that was counted for each task. Test: test_failure_that_the_last_owner_stored_is_counted_once.

--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -222,13 +222,18 @@
                 return []
         return self._finish_step(name.occurrence, name.step, unix_ms, now)
 
-    def note_failed(self, task: Task, unix_ms: int) -> None:
-        """Count a failed run; the job fails with its last attempt."""
-        task.failures += 1
+    def note_failed(self, task: Task, run: int, unix_ms: int) -> None:
+        """Count a failed run once; the job fails with its last attempt."""
+        key = task_key(*task.name[1:])
         if self.is_lasting or task.step.lasts:
+            task.failures += 1
+            return
+        if run <= self.progress.failed_runs.get(key, 0):
             return
+        task.failures += 1
         self.is_dirty = True
-        self.progress.failures[task_key(*task.name[1:])] = task.failures
+        self.progress.failures[key] = task.failures
+        self.progress.failed_runs[key] = run
         if task.failures < self.policy.max_attempts:
             return
         task.state = TaskState.EXHAUSTED
--- a/lycheelug/workloads/lists.py
+++ b/lycheelug/workloads/lists.py
@@ -250,7 +250,7 @@
     if end.kind is EndKind.FAILED:
         task.avoided_executor = view.executor_id
         view.health.note_failed(task.name.job, now)
-        job.note_failed(task, unix_ms)
+        job.note_failed(task, end.run, unix_ms)
     if end.checkpoint:
         job.note_checkpoint(task, end.checkpoint)
     if job.is_final:
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -24,6 +24,9 @@
     done: dict[str, list[int]] = {}
     # Failed runs by `occurrence.step.index`.
     failures: dict[str, int] = {}
+    # The highest run that was counted as failed, by the same: an end that was
+    # stored and not yet acknowledged is listed to the next owner once more.
+    failed_runs: dict[str, int] = {}
     # The newest checkpoint by `occurrence.step.index`.
     checkpoints: dict[str, str] = {}
     # Occurrences whose tasks are all done; they are left out of `done`.
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -396,3 +396,26 @@
     world.hear("x", running=[(second, 1001)], percent=100)
     # One is away: the other one stays.
     assert world.stops() == []
+
+
+def test_failure_that_the_last_owner_stored_is_counted_once() -> None:
+    """It had not acknowledged the end, so the executor lists it again.
+
+    Seen on a hunted day: LOST, a job failed one attempt too early.
+    """
+    before = PoolWorld()
+    before.add_executor("x")
+    job = before.add_job(ONE, max_attempts=2)
+    (order,) = before.starts()
+    before.answer(order)
+    before.hear("x", ended=[(TASK, order.run, EndKind.FAILED)])
+    assert job.progress.failures == {"0.0.0": 1}
+    after = PoolWorld(term=2)
+    after.add_executor("x", heard=False)
+    taken = after.add_job(ONE, progress=job.progress, max_attempts=2)
+    after.hear("x", ended=[(TASK, order.run, EndKind.FAILED)])
+    assert taken.progress.state == JobState.RUNNING
+    (retry,) = after.starts()
+    after.answer(retry)
+    after.hear("x", ended=[(TASK, retry.run, EndKind.FAILED)])
+    assert taken.progress.state == JobState.FAILED
