Look at a run's expected time only once it may stand still; drop dead code

Reading the change: stalled_runs worked out a logarithm and an exponential for each run in each plan, before the cheap check that rules nearly all out, and took a time that it did not use; Liveness.stale has no caller.

--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -150,11 +150,3 @@
     def _silent_s(self) -> float:
         """Return how long a living daemon's row may stand still."""
         return SILENT_S + DELAYS * self._delay_s
-
-    def stale(self, now: float, age_s: float) -> list[str]:
-        """Return the daemons that have been silent for `age_s`."""
-        found: list[str] = []
-        for name, peer in self._peers.items():
-            if now - peer.changed_at >= age_s:
-                found.append(name)
-        return found
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -264,7 +264,7 @@
                 # A second run may race the one that can't be seen.
                 self.free_task(run, view, now)
                 run.task = None
-            for run in stalled_runs(view, self.run_times, now):
+            for run in stalled_runs(view, self.run_times):
                 view.health.note_stalled(now)
                 run.phase = RunPhase.STOPPING
                 run.why_stopped = STALLED
--- a/lycheelug/workloads/stalls.py
+++ b/lycheelug/workloads/stalls.py
@@ -34,9 +34,7 @@
     return found
 
 
-def stalled_runs(
-    view: ExecutorView, run_times: RunTimes, now: float
-) -> list[Run]:
+def stalled_runs(view: ExecutorView, run_times: RunTimes) -> list[Run]:
     """Return the runs of an executor that stand still.
 
     Members of a gang wait for each other, so nothing is said of them, nor
@@ -58,12 +56,14 @@
             if run.percent < AT_WORK_PERCENT and still_s > STARTUP_S:
                 found.append(run)
             continue
+        if still_s <= STALL_S:
+            continue
         if run.percent >= AT_WORK_PERCENT or not step.estimate_ms:
             # It is about to end, or nothing tells how fast it should go.
             continue
         expected_s = run_times.expect_s(
             task.job.policy.name, step.estimate_ms / 1000
         )
-        if still_s > max(STALL_S, STALL_SHARE * expected_s):
+        if still_s > STALL_SHARE * expected_s:
             found.append(run)
     return found
