Log each daemon's load and every relayed call that fails

A call without an answer looked the same whether the event loop was late, the link full or the peer silent, and a relayed call that failed left no line at all. Each daemon now writes a line each two seconds with the delay of its event loop, its processor time and its bytes from and to the platform by table; a relayed call that fails names peer, call and reason. The counters are served with the others.

--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -23,6 +23,7 @@
 )
 from lycheelug.platform.wire import MachinesAnswer, OrderAnswer
 from lycheelug.store.rows import RowName
+from lycheelug.store.traffic import StoreTraffic
 from lycheelug.workloads import Resources
 
 if TYPE_CHECKING:
@@ -39,6 +40,8 @@
 CONNECT_TIMEOUT_S: Final = 0.7
 REUSE_IDLE_S: Final = 4.0
 STATUS_TABLE: Final = "status"
+# The name under which the bytes of the host list are counted.
+HOST_LIST: Final = "hosts"
 
 STATES_BY_NAME: Final = {
     "up": HostState.UP,
@@ -57,9 +60,15 @@
 class PlatformHosts(HostControl):
     """A client of the platform's host interface."""
 
-    __slots__ = ("_address", "_client", "_store")
+    __slots__ = ("_address", "_client", "_store", "_traffic")
 
-    def __init__(self, address: str, store: RowStore) -> None:
+    def __init__(
+        self,
+        address: str,
+        store: RowStore,
+        traffic: StoreTraffic | None = None,
+    ) -> None:
+        self._traffic = traffic or StoreTraffic()
         self._address = address
         self._client = HttpClient(
             address, Peer.PLATFORM, connect_s=CONNECT_TIMEOUT_S
@@ -78,9 +87,11 @@
                 request, CALL_TIMEOUT_S, REUSE_IDLE_S
             )
             if isinstance(result, Failure):
+                self._traffic.record(HOST_LIST, 0, None)
                 fault = result.failure()
                 return Failure(self._fault(f"{fault.code.name}"))
             answer = result.unwrap()
+            self._traffic.record(HOST_LIST, 0, len(answer.body))
             if answer.status != 200:
                 return Failure(self._fault(f"status {answer.status}"))
             try:
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -21,6 +21,7 @@
 from lycheelug.http import Answer, HttpServer, ServerLimits
 from lycheelug.jobservice.clock import Clock
 from lycheelug.jobservice.context import LEASE_S
+from lycheelug.jobservice.load_monitor import LoadMonitor
 from lycheelug.jobservice.service import JobService
 from lycheelug.logs import log_change, set_up_stdout_logs
 from lycheelug.platform.config import (
@@ -41,6 +42,7 @@
 from lycheelug.platform.store import PlatformRows
 from lycheelug.relay import RelayedRows, RelayServer, SubmissionForwarder
 from lycheelug.store.replica import TableReplica
+from lycheelug.store.traffic import StoreTraffic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -106,6 +108,7 @@
         "_clock",
         "_executor_rows",
         "_forwarder",
+        "_load_monitor",
         "_probes",
         "_relay",
         "_service",
@@ -119,7 +122,8 @@
         self._settings = settings
         clock = Clock()
         self._clock = clock
-        direct_rows = PlatformRows(settings.platform.address)
+        traffic = StoreTraffic()
+        direct_rows = PlatformRows(settings.platform.address, traffic)
         self._relay = RelayServer(direct_rows)
         self._store = RelayedRows(direct_rows, self._peers, clock.now)
         self._forwarder = SubmissionForwarder(clock.now)
@@ -128,7 +132,7 @@
             settings.zone,
             self._store,
             PlatformExecutors(settings.hint),
-            PlatformHosts(settings.cloud_api.address, self._store),
+            PlatformHosts(settings.cloud_api.address, self._store, traffic),
             clock,
             min(LEASE_S, settings.bounds.hold_max_ms / 1000),
             settings.bounds.maintenance_s,
@@ -136,6 +140,11 @@
             self._forwarder.submit,
         )
         self._relay.accept_submission = self._service.submit_locally
+        self._load_monitor = LoadMonitor(
+            traffic,
+            self._service.metrics,
+            lambda: sorted(self._service.duties.held),
+        )
         limits = ServerLimits(max_body_bytes=BODY_BYTES_MAX)
         ingress = Ingress(self._service, clock)
         self._callers = HttpServer(ingress.handle, limits)
@@ -181,6 +190,7 @@
             EXECUTORS_TABLE, self._on_executor_row, EXECUTOR_BATCH_S
         )
         self._service.start(self._relay_address())
+        self._tasks.append(loop.create_task(self._load_monitor.run()))
         await self._stopping.wait()
         return await self._stop()
 
--- a/lycheelug/platform/store.py
+++ b/lycheelug/platform/store.py
@@ -36,6 +36,7 @@
     RowStore,
     StoredRow,
 )
+from lycheelug.store.traffic import StoreTraffic
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -62,6 +63,9 @@
 # The store closes connections that are idle for longer than some seconds.
 REUSE_IDLE_S: Final = 4.0
 
+# Counts for a transaction without writes, which only proves ownership.
+OWNERSHIP_PROOF: Final = RowName("owners", "")
+
 STATUS_OK: Final = 200
 STATUS_GONE: Final = 410
 STATUS_CONFLICT: Final = 412
@@ -70,9 +74,12 @@
 class PlatformRows(RowStore):
     """A client of the platform's store."""
 
-    __slots__ = ("_client", "_headers")
+    __slots__ = ("_client", "_headers", "_traffic")
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, traffic: StoreTraffic | None = None
+    ) -> None:
+        self._traffic = traffic or StoreTraffic()
         self._client = HttpClient(
             address, Peer.PLATFORM, connect_s=CONNECT_TIMEOUT_S
         )
@@ -100,7 +107,8 @@
                 continue
             message.set_keys.append(row)
         body = msgspec.json.encode(message)
-        called = await self._call(b"POST", "/v1/rows-tx", body)
+        subject = next(iter(writes), OWNERSHIP_PROOF).table
+        called = await self._call(b"POST", "/v1/rows-tx", subject, body)
         if isinstance(called, Failure):
             return Failure(called.failure())
         answer = called.unwrap()
@@ -165,7 +173,7 @@
         }
         target = f"/v1/rows-feed?{urlencode(query)}"
         called = await self._call(
-            b"GET", target, timeout_s=wait_s + FEED_MARGIN_S
+            b"GET", target, table, timeout_s=wait_s + FEED_MARGIN_S
         )
         if isinstance(called, Failure):
             return Failure(called.failure())
@@ -195,9 +203,14 @@
         The first attempt may fail on a connection that the store has closed.
         """
         target = f"{path}?{urlencode(query)}"
-        called = await self._call(b"GET", target, timeout_s=READ_TIMEOUT_S)
+        table = query["table"]
+        called = await self._call(
+            b"GET", target, table, timeout_s=READ_TIMEOUT_S
+        )
         if isinstance(called, Failure):
-            called = await self._call(b"GET", target, timeout_s=READ_TIMEOUT_S)
+            called = await self._call(
+                b"GET", target, table, timeout_s=READ_TIMEOUT_S
+            )
         if isinstance(called, Failure):
             return Failure(called.failure())
         answer = called.unwrap()
@@ -214,10 +227,11 @@
         self,
         method: bytes,
         target: str,
+        table: str,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> Result[Answer, Fault]:
-        """Make one call.
+        """Make one call about a table.
 
         The fault's code is `PLATFORM_UNKNOWN` if the request may have been
         received, and `PLATFORM_UNREACHABLE` otherwise.
@@ -229,7 +243,10 @@
         request = Request(method, target.encode(), headers, body)
         result = await self._client.request(request, timeout_s, REUSE_IDLE_S)
         if isinstance(result, Success):
-            return Success(result.unwrap())
+            answer = result.unwrap()
+            self._traffic.record(table, len(body), len(answer.body))
+            return Success(answer)
+        self._traffic.record(table, len(body), None)
         fault = result.failure()
         code = PLATFORM_UNKNOWN if fault.maybe_sent else PLATFORM_UNREACHABLE
         detail = f"{fault.code.name}: {fault.detail}"
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -24,7 +24,7 @@
     Peer,
     Step,
 )
-from lycheelug.logs import log_change
+from lycheelug.logs import log_change, log_fault
 from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
 from lycheelug.relay.messages import (
     CommitCall,
@@ -305,7 +305,9 @@
             if isinstance(error, ConnectionRefusedError):
                 # No process listens at the address: nothing was sent.
                 code = PLATFORM_UNREACHABLE
-            return Failure(Fault(code, step, Peer.ENTRY, detail, address))
+            fault = Fault(code, step, Peer.ENTRY, detail, address)
+            log_fault("relayed-call-failed", fault, path=path)
+            return Failure(fault)
         if not reply.fault:
             return Success(reply)
         code = CODES.get(reply.fault, PLATFORM_UNKNOWN)
