--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -79,6 +79,7 @@
         "is_unresponsive",
         "locks",
         "lose_answers",
+        "refused_parts",
         "shared",
         "write_s",
     )
@@ -97,6 +98,8 @@
         self.down_after_loss = False
         # Whether the daemon has detected that the store is unreachable.
         self.is_known_unreachable = False
+        # The parts whose commits fail, while all other calls pass.
+        self.refused_parts: set[str] = set()
         # How many of the next submissions are stored but not answered.
         self.lose_answers = 0
         # The duration of a commit.
@@ -118,7 +121,7 @@
     ) -> Result[RowCommit | RowConflict, Fault]:
         async with self.locks.setdefault(part, asyncio.Lock()):
             await asyncio.sleep(self.write_s)
-        if self.down:
+        if self.down or part in self.refused_parts:
             return Failure(_fault())
         result = await self.shared.commit(part, expected, writes)
         is_submission = any(name.table.startswith("jobs-") for name in writes)
