Replace the holder of a duty that lives but can't do its work

Cause: liveness of the process stood for the ability to do the duty. The heartbeat has a part of its own, is small and is retried, so it passes on a full link or through slow peers when nothing else does.

A holder now observes its work (the owner's transactions; the fleet owner's rounds, with the age of the hosts and summaries they are based on) and names a duty that has failed for 1.2 s, plus twice the store's delay, in its heartbeat. Another daemon then claims it; the conditional write and the term decide as before. What fails for all daemons alike causes no change: the claim is a write to the same part. The limit doubles with each holder in a row that was replaced so. A stalled owner takes no further submissions, so that their senders store them at once.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -3,7 +3,8 @@
 A duty is the ownership of a pool or of the fleet plan.  A claim is a
 conditional write of the duty's owner row with a term that is one higher.
 Heartbeats only decide when a daemon attempts a claim; the conditional
-write decides who gets the duty.
+write decides who gets the duty.  A holder whose work fails while its
+heartbeat passes names the duty there, and another daemon claims it.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
     OWNER_KEY,
     OWNERS_TABLE,
     OwnerRecord,
+    WorkProgress,
     choose_claims,
     choose_successor,
 )
@@ -51,6 +53,10 @@
 class DutyHolder(Protocol):
     """Performs the work of a duty while this daemon holds it."""
 
+    @property
+    def work(self) -> WorkProgress:
+        """Since when the work has been failing."""
+
     async def run(self) -> None:
         """Perform the duty until it is lost."""
 
@@ -64,7 +70,7 @@
 class _HeldDuty:
     """A duty that this daemon holds."""
 
-    __slots__ = ("holder", "record", "task", "version")
+    __slots__ = ("holder", "is_stalled", "record", "task", "version")
 
     def __init__(
         self,
@@ -77,6 +83,8 @@
         self.record = record
         self.version = version
         self.task = task
+        # Whether the last heartbeat named it as stalled.
+        self.is_stalled = False
 
 
 class Duties:
@@ -108,7 +116,8 @@
         incarnation: str,
         zone: str,
         pools: Callable[[], list[str]],
-        make_holder: Callable[[str, int, int], DutyHolder],
+        make_holder: Callable[[str, OwnerRecord, int], DutyHolder],
+        weight: float = 1.0,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -116,7 +125,7 @@
         self._incarnation = incarnation
         # Returns the pools that need an owner.
         self._pools = pools
-        # Creates the holder of a duty from its name, term and row version.
+        # Creates the holder of a duty from its name, owner row and version.
         self._make_holder = make_holder
         self._replica = TableReplica(store, OWNERS_TABLE, self._on_owner_row)
         # Local times at which duties were first seen without a live holder.
@@ -128,7 +137,14 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._wake = asyncio.Event()
         self.heartbeats = Heartbeats(
-            store, clock, name, incarnation, zone, self._wake.set
+            store,
+            clock,
+            name,
+            incarnation,
+            zone,
+            self._wake.set,
+            self._stalled_duties,
+            weight,
         )
 
     @property
@@ -237,8 +253,8 @@
         owners = self._effective_owners()
         for duty in duties:
             owner = owners.get(duty)
-            if owner is not None and self.heartbeats.liveness.is_alive(
-                owner.holder, owner.incarnation, now
+            if owner is not None and self.heartbeats.liveness.is_serving(
+                owner.holder, owner.incarnation, duty, now
             ):
                 self._free_since.pop(duty, None)
                 continue
@@ -272,6 +288,10 @@
         term = known[0].term + 1 if known is not None else 1
         version = known[1] if known is not None else 0
         record = OwnerRecord(self._name, self._incarnation, term)
+        if known is not None and self.heartbeats.liveness.is_stalled(
+            known[0].holder, duty
+        ):
+            record.stalled_before = known[0].stalled_before + 1
         result = await self._store.commit(
             duty,
             {OWNER_ROW: version},
@@ -294,13 +314,35 @@
             duty=duty,
             term=term,
             former=known[0].holder if known is not None else "",
+            stalled_before=record.stalled_before,
         )
         self._owners[duty] = (record, outcome.version)
-        holder = self._make_holder(duty, term, outcome.version)
+        holder = self._make_holder(duty, record, outcome.version)
         task = asyncio.get_running_loop().create_task(holder.run())
         task.add_done_callback(lambda _: self._wake.set())
         self._held[duty] = _HeldDuty(holder, record, outcome.version, task)
 
+    def _stalled_duties(self) -> list[str]:
+        """Return the held duties whose work has failed for too long."""
+        now = self._clock.now()
+        delay_s = self.heartbeats.liveness.write_delay_s
+        found: list[str] = []
+        for duty, held in self._held.items():
+            work = held.holder.work
+            is_stalled = work.is_stalled(now, delay_s)
+            if is_stalled:
+                found.append(duty)
+            if is_stalled != held.is_stalled:
+                held.is_stalled = is_stalled
+                log_change(
+                    "duty-stalled" if is_stalled else "duty-works-again",
+                    duty=duty,
+                    term=held.record.term,
+                    failing_s=round(now - (work.since or now), 2),
+                    store_delay_s=round(delay_s, 2),
+                )
+        return found
+
     async def _release_duty(self, duty: str) -> None:
         """Release a duty so that its successor can claim it at once."""
         held = self._held.pop(duty)
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -26,6 +26,7 @@
 from lycheelug.jobservice.interfaces import HostAnswer
 from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
 from lycheelug.logs import log_change, log_fault
+from lycheelug.ownership import WorkProgress
 from lycheelug.store.replica import TableReplica
 from lycheelug.store.rows import RowConflict, RowName
 
@@ -48,6 +49,9 @@
 # moves or maintenance are in progress.
 HOSTS_READ_IDLE_S: Final = 2.0
 HOSTS_READ_BUSY_S: Final = 0.4
+# Hosts and summaries that were read longer ago are not current.  It covers the
+# interval of idle reads, and the time that the feed waits for a change.
+INPUT_AGE_MAX_S: Final = 3.0
 # The pause between two calls to the feed, so that one call returns several
 # changed summaries.
 FEED_PAUSE_S: Final = 0.05
@@ -72,9 +76,11 @@
         "_sizes",
         "_sizes_at",
         "_stored_plan",
+        "_summaries_at",
         "_summaries_replica",
         "_term",
         "_waves",
+        "work",
     )
 
     def __init__(
@@ -86,7 +92,10 @@
         owner_version: int,
         waves: Callable[[], dict[int, MaintenanceWave]],
         maintenance_s: float,
+        stalled_before: int = 0,
     ) -> None:
+        # Rounds of planning; one succeeds if what it needs is current.
+        self.work = WorkProgress(stalled_before)
         self._context = context
         self._hosts = hosts
         self._name = name
@@ -107,7 +116,10 @@
             SUMMARIES_TABLE,
             self._on_summary,
             pause_s=FEED_PAUSE_S,
+            on_answer=self._on_summaries,
         )
+        # Local time of the last answer of the feed of summaries.
+        self._summaries_at: float | None = None
         self._lost = asyncio.Event()
 
     async def run(self) -> None:
@@ -118,10 +130,11 @@
         try:
             is_recovered = False
             while not self._lost.is_set():
-                if is_recovered:
-                    await self._round()
-                else:
+                self.work.record_attempt(self._context.clock.now())
+                if not is_recovered:
                     is_recovered = await self._recover()
+                elif await self._round():
+                    self.work.record_success()
                 await asyncio.sleep(ROUND_S)
         finally:
             replica_task.cancel()
@@ -165,12 +178,17 @@
         )
         return True
 
-    async def _round(self) -> None:
-        """Plan once, store the plan and make the calls that are due."""
+    async def _round(self) -> bool:
+        """Plan once, store the plan and make the calls that are due.
+
+        Return False if the plan was based on old rows or was not stored.
+        """
         planner = self._planner
         configuration = self._context.configuration()
-        if configuration is None or not await self._read_hosts():
-            return
+        if configuration is None:
+            return True
+        if not await self._read_hosts():
+            return False
         planner.pools = [
             pool.name
             for pool in configuration.pools.values()
@@ -190,12 +208,25 @@
         for call in due:
             call.order.sent = True
         if not await self._store_plan():
-            return
+            return False
         loop = asyncio.get_running_loop()
         for call in due:
             task = loop.create_task(self._execute(call))
             self._calls[call.host] = task
         await self._publish_waves()
+        return self._is_current()
+
+    def _is_current(self) -> bool:
+        """Whether the hosts and the summaries were read lately."""
+        now = self._context.clock.now()
+        for read_at in (self._hosts_at, self._summaries_at):
+            if read_at is None or now - read_at > INPUT_AGE_MAX_S:
+                return False
+        return True
+
+    def _on_summaries(self) -> None:
+        """Record that the feed of summaries has answered."""
+        self._summaries_at = self._context.clock.now()
 
     def _log_sizes(self) -> None:
         """Log the actual and wanted host counts, at most once a second."""
--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -1,7 +1,8 @@
 """Writes this daemon's heartbeat and reads those of the other daemons.
 
 Each daemon rewrites one row of its own, and all follow the table's feed.
-A heartbeat also has the address at which its daemon can be reached.
+A heartbeat also has the address at which its daemon can be reached, the
+capacity of its host, and the duties that it holds but can't do the work of.
 """
 
 from __future__ import annotations
@@ -53,7 +54,9 @@
         "_records",
         "_replica",
         "_sequence",
+        "_stalled_duties",
         "_store",
+        "_weight",
         "_zone",
         "address",
         "liveness",
@@ -67,7 +70,12 @@
         incarnation: str,
         zone: str,
         on_update: Callable[[], None],
+        stalled_duties: Callable[[], list[str]],
+        weight: float = 1.0,
     ) -> None:
+        # Returns the duties whose work fails here.
+        self._stalled_duties = stalled_duties
+        self._weight = weight
         self._store = store
         self._clock = clock
         self._name = name
@@ -158,6 +166,8 @@
             self.address,
             self._sequence,
             self._is_leaving,
+            self._weight,
+            self._stalled_duties(),
         )
         name = RowName(DAEMONS_TABLE, self._name)
         await self._store.commit(
@@ -183,6 +193,8 @@
             self._clock.now(),
             heartbeat.leaving,
             heartbeat.beat >= SETTLED_HEARTBEATS,
+            heartbeat.weight,
+            heartbeat.stalled,
         )
 
     def _on_answer(self) -> None:
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -39,6 +39,7 @@
     jobs_table,
 )
 from lycheelug.logs import log_change
+from lycheelug.ownership import WorkProgress
 from lycheelug.store.replica import TableReplica
 from lycheelug.workloads import (
     PoolSchedule,
@@ -92,6 +93,7 @@
         "submission_queue",
         "term",
         "verified_at",
+        "work",
         "writer",
     )
 
@@ -101,9 +103,12 @@
         pool: str,
         term: int,
         owner_version: int,
+        stalled_before: int = 0,
     ) -> None:
         self._context = context
         self.pool = pool
+        # Attempts to read and to write the pool's rows.
+        self.work = WorkProgress(stalled_before)
         self.term = term
         # The version of the owner row, the condition of all writes.
         self.owner_version = owner_version
@@ -154,6 +159,7 @@
 
     async def run(self) -> None:
         """Recover the pool and run its schedule until it is lost."""
+        self.work.record_attempt(self._context.clock.now())
         try:
             if not await recover_pool(self._context, self):
                 return
@@ -225,6 +231,8 @@
             return SubmissionAnswer.NOT_TAKEN
         if not self.is_verified or self._context.is_store_unreachable():
             return SubmissionAnswer.NOT_TAKEN
+        if self.work.is_stalled(self._context.clock.now(), delay_s=0.0):
+            return SubmissionAnswer.NOT_TAKEN
         submission = self.submission_queue.add(job_id, record)
         self.writer.wake_if_needed()
         return await asyncio.shield(submission.answer)
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -213,6 +213,7 @@
         owner = self._owner
         batch = self._build_batch()
         requested_at = self._context.clock.now()
+        owner.work.record_attempt(requested_at)
         result = await self._context.store.commit(
             owner.pool, batch.expected, batch.writes
         )
@@ -231,6 +232,7 @@
             return False
         self._log_recovery()
         owner.verified_at = requested_at
+        owner.work.record_success()
         self._apply_commit(batch, outcome.version)
         owner.wake()
         return True
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -26,6 +26,7 @@
         ExecutorGateway,
         HostControl,
     )
+    from lycheelug.ownership import OwnerRecord
     from lycheelug.store.rows import RowStore
     from lycheelug.workloads import ExecutorInfo, JobRecord
 
@@ -65,6 +66,7 @@
         maintenance_s: float,
         is_store_unreachable: Callable[[], bool] = lambda: False,
         submit_remote: RemoteSubmit | None = None,
+        weight: float = 1.0,
     ) -> None:
         self._maintenance_s = maintenance_s
         self._name = name
@@ -98,6 +100,7 @@
             zone,
             self._pools,
             self._make_holder,
+            weight,
         )
 
     @property
@@ -212,16 +215,21 @@
                 found.append(pool.name)
         return found
 
-    def _make_holder(self, duty: str, term: int, version: int) -> DutyHolder:
+    def _make_holder(
+        self, duty: str, record: OwnerRecord, version: int
+    ) -> DutyHolder:
         """Create the holder of a duty."""
         if duty == FLEET_PART:
             return FleetOwner(
                 self._context,
                 self._hosts,
                 self._name,
-                term,
+                record.term,
                 version,
                 lambda: self.waves,
                 self._maintenance_s,
+                record.stalled_before,
             )
-        return PoolOwner(self._context, duty, term, version)
+        return PoolOwner(
+            self._context, duty, record.term, version, record.stalled_before
+        )
--- a/lycheelug/ownership/__init__.py
+++ b/lycheelug/ownership/__init__.py
@@ -1,6 +1,10 @@
 """Ownership of pools and the fleet plan, and daemon liveness; no I/O."""
 
-from lycheelug.ownership.assignment import choose_claims, choose_successor
+from lycheelug.ownership.assignment import (
+    choose_claims,
+    choose_successor,
+    duty_weight,
+)
 from lycheelug.ownership.liveness import Liveness
 from lycheelug.ownership.records import (
     DAEMONS_TABLE,
@@ -9,6 +13,7 @@
     HeartbeatRecord,
     OwnerRecord,
 )
+from lycheelug.ownership.stalls import WorkProgress
 
 __all__ = [
     "DAEMONS_TABLE",
@@ -17,6 +22,8 @@
     "HeartbeatRecord",
     "Liveness",
     "OwnerRecord",
+    "WorkProgress",
     "choose_claims",
     "choose_successor",
+    "duty_weight",
 ]
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -7,7 +7,10 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
 
 __all__ = ["GRACE_S", "HEARTBEAT_TIMEOUT_S", "Liveness"]
 
@@ -33,7 +36,9 @@
         "incarnation",
         "is_settled",
         "leaving",
+        "stalled",
         "version",
+        "weight",
     )
 
     def __init__(
@@ -43,12 +48,16 @@
         changed_at: float,
         leaving: bool,
         is_settled: bool,
+        weight: float,
+        stalled: Collection[str],
     ) -> None:
         self.incarnation = incarnation
         self.version = version
         self.changed_at = changed_at
         self.leaving = leaving
         self.is_settled = is_settled
+        self.weight = weight
+        self.stalled = frozenset(stalled)
 
 
 class Liveness:
@@ -75,6 +84,11 @@
         # Local time of the last successful read of all rows.
         self._read_at: float | None = None
 
+    @property
+    def write_delay_s(self) -> float:
+        """How long this daemon's heartbeat took to write lately."""
+        return self._delay_s
+
     def record_heartbeat(
         self,
         name: str,
@@ -83,17 +97,20 @@
         now: float,
         leaving: bool = False,
         is_settled: bool = True,
+        weight: float = 1.0,
+        stalled: Collection[str] = (),
     ) -> None:
         """Record one heartbeat row.
 
         A daemon is settled after some heartbeats.  Until then it claims
         no duties, and gets none while there are settled daemons.
+        `stalled` names the duties that it can't do the work of.
         """
         peer = self._peers.get(name)
         if peer is not None and peer.version >= version:
             return
         self._peers[name] = _Peer(
-            incarnation, version, now, leaving, is_settled
+            incarnation, version, now, leaving, is_settled, weight, stalled
         )
 
     def refresh(self, name: str, incarnation: str, now: float) -> None:
@@ -136,6 +153,24 @@
             return False
         return now - peer.changed_at < self._timeout_s()
 
+    def is_serving(
+        self, name: str, incarnation: str, duty: str, now: float
+    ) -> bool:
+        """Whether a holder is alive and not stalled on this duty."""
+        return self.is_alive(name, incarnation, now) and not self.is_stalled(
+            name, duty
+        )
+
+    def is_stalled(self, name: str, duty: str) -> bool:
+        """Whether a daemon says that it can't do the work of a duty."""
+        peer = self._peers.get(name)
+        return peer is not None and duty in peer.stalled
+
+    def weight(self, name: str) -> float:
+        """Return the capacity of a daemon's host for duties."""
+        peer = self._peers.get(name)
+        return peer.weight if peer is not None else 1.0
+
     def alive(self, now: float) -> list[str]:
         """Return the daemons that can get duties, sorted by name."""
         settled: list[str] = []
--- a/lycheelug/ownership/records.py
+++ b/lycheelug/ownership/records.py
@@ -37,6 +37,10 @@
     beat: int = 0
     # The daemon is stopping and takes no more duties.
     leaving: bool = False
+    # The capacity of its host for duties, relative to other hosts.
+    weight: float = 1.0
+    # The duties that it holds but whose work fails.
+    stalled: list[str] = []
 
 
 class OwnerRecord(msgspec.Struct, omit_defaults=True):
@@ -48,3 +52,5 @@
     term: int
     # The daemon that should claim a released duty; empty for any.
     successor: str = ""
+    # The number of holders in a row that were replaced as stalled.
+    stalled_before: int = 0
--- a/tests/test_stalled_holder.py
+++ b/tests/test_stalled_holder.py
@@ -90,9 +90,10 @@
         (holder,) = world.holders(FLEET_PART)
         await asyncio.sleep(2.0)
         world.stores[holder].refused_parts = {FLEET_PART}
-        world.fleet.add("x0")
-        wave = MaintenanceWave(1, ["h-x0"], 10.0, 1, 1)
+        executor = world.fleet.add("x0")
+        wave = MaintenanceWave(1, ["h-x0"], 1.0, 1, 1)
         for service in world.daemons.values():
+            service.update_executor("x0", executor.info)
             service.update_wave(wave)
         async with asyncio.timeout(MAX_REPLACE_S):
             while not world.fleet.host_orders:  # noqa: ASYNC110
