Give duties to the hosts with the most capacity left

Cause: duties were spread by a hash over all daemons alike.

Heartbeats now name the weight of their host: the smaller of its cores and its link, in units of a small host. Claims and successors are ranked by duties held per weight; equal hosts share as before.

--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -24,6 +24,7 @@
 from lycheelug.jobservice.load_monitor import LoadMonitor
 from lycheelug.jobservice.service import JobService
 from lycheelug.logs import log_change, set_up_stdout_logs
+from lycheelug.ownership import duty_weight
 from lycheelug.platform.config import (
     CONFIG_KEY,
     OPERATOR_TABLE,
@@ -138,6 +139,10 @@
             settings.bounds.maintenance_s,
             self._is_store_unreachable,
             self._forwarder.submit,
+            duty_weight(
+                settings.limits.cpu_share * settings.limits.cores,
+                settings.limits.link_mbps,
+            ),
         )
         self._relay.accept_submission = self._service.submit_locally
         self._load_monitor = LoadMonitor(
--- a/lycheelug/platform/settings.py
+++ b/lycheelug/platform/settings.py
@@ -51,6 +51,15 @@
     early_ms: int = 250
 
 
+class _Limits(msgspec.Struct):
+    """The capacity of this host; 0 if it is not given."""
+
+    # The share of one core, which is `cores` times as fast as a usual one.
+    cpu_share: float = 0.0
+    cores: float = 1.0
+    link_mbps: float = 0.0
+
+
 class PlatformSettings(msgspec.Struct):
     """The decoded settings file; unknown fields are ignored."""
 
@@ -61,6 +70,7 @@
     listen_addrs: _ListenAddresses
     cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     internal_ports: list[int] = []
     # The control addresses of some daemons, which may be stale or down.
     seeds: list[str] = []
