Answer counts of waiting jobs from the pool's owner, never from old rows

Cause: any daemon answered from the pool's stored summary without knowing its age. The owner was refused by the store for nine seconds, so the row was as old as that. Class: a stored belief taken for the present.

The daemon now asks the pool's owner, which counts in memory, and only if it has heard the feed of submissions lately. Without such an answer the question is refused with a time to come back.

--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -8,7 +8,7 @@
 
 from abc import ABC, abstractmethod
 from enum import Enum, auto
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -38,8 +38,13 @@
     "StopAnswer",
     "SubmissionAnswer",
     "SubmissionRouter",
+    "WaitingCount",
 ]
 
+# The number of a queue's accepted jobs that have not started; None if it is
+# not known.
+WaitingCount: TypeAlias = int | None
+
 
 class StopAnswer(Enum):
     """The result of an order to stop a run."""
@@ -186,7 +191,7 @@
 
 
 class SubmissionRouter(ABC):
-    """Passes submissions to the owners of pools."""
+    """Passes submissions and questions to the owners of pools."""
 
     @abstractmethod
     async def submit(
@@ -194,6 +199,10 @@
     ) -> SubmissionAnswer:
         """Let a pool's owner store a submission."""
 
+    @abstractmethod
+    async def count_waiting(self, pool: str, queue: str) -> WaitingCount:
+        """Let a pool's owner count a queue's jobs that have not started."""
+
 
 class Route:
     """The address and the scheduling policy of a queue."""
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -51,6 +51,7 @@
     from collections.abc import Coroutine
 
     from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.interfaces import WaitingCount
     from lycheelug.jobservice.submission_queue import Submission
     from lycheelug.store.rows import StoredRow
     from lycheelug.workloads import Job, JobRecord, ProgressRecord
@@ -69,6 +70,9 @@
 # The pause between two calls to the feed, so that one call returns several
 # submissions.
 FEED_PAUSE_S: Final = 0.03
+# The feed of submissions answers at least each two seconds.  An owner that has
+# not heard it for longer than this does not know how many jobs wait.
+JOBS_AGE_MAX_S: Final = 3.0
 # The schedule is planned at least this often, even without an event.
 TICK_S: Final = 0.1
 
@@ -79,6 +83,7 @@
     __slots__ = (
         "_context",
         "_drain_orders",
+        "_jobs_at",
         "_jobs_replica",
         "_loops",
         "_plan_replica",
@@ -137,7 +142,10 @@
             self._on_row,
             part=pool,
             pause_s=FEED_PAUSE_S,
+            on_answer=self._on_jobs_answer,
         )
+        # Local time of the last answer of the feed of submissions.
+        self._jobs_at = now
         self._plan_replica = TableReplica(
             context.store, PLANS_TABLE, self._on_plan, part=FLEET_PART
         )
@@ -237,6 +245,28 @@
         self.writer.wake_if_needed()
         return await asyncio.shield(submission.answer)
 
+    def count_waiting(self, queue: str) -> WaitingCount:
+        """Count a queue's accepted jobs that have not started.
+
+        None if this owner may not know all jobs that other daemons stored.
+        """
+        now = self._context.clock.now()
+        is_current = now - self._jobs_at < JOBS_AGE_MAX_S
+        if not self._jobs_replica.loaded.is_set() or not is_current:
+            return None
+        if self.lost.is_set():
+            return None
+        count = 0
+        for job in self.schedule.jobs.values():
+            if job.has_started or job.is_final:
+                continue
+            count += job.record.queue == queue
+        return count
+
+    def _on_jobs_answer(self) -> None:
+        """Record that the feed of submissions has answered."""
+        self._jobs_at = self._context.clock.now()
+
     def add_stored_submission(
         self, submission: Submission, version: int
     ) -> None:
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -25,6 +25,7 @@
         Configuration,
         ExecutorGateway,
         HostControl,
+        WaitingCount,
     )
     from lycheelug.ownership import OwnerRecord
     from lycheelug.store.rows import RowStore
@@ -33,6 +34,7 @@
     RemoteSubmit = Callable[
         [str, str, str, JobRecord], Awaitable[SubmissionAnswer]
     ]
+    RemoteCount = Callable[[str, str, str], Awaitable[WaitingCount]]
 
 __all__ = ["JobService"]
 
@@ -42,6 +44,7 @@
 
     __slots__ = (
         "_context",
+        "_count_remote",
         "_executors",
         "_hosts",
         "_maintenance_s",
@@ -67,6 +70,7 @@
         is_store_unreachable: Callable[[], bool] = lambda: False,
         submit_remote: RemoteSubmit | None = None,
         weight: float = 1.0,
+        count_remote: RemoteCount | None = None,
     ) -> None:
         self._maintenance_s = maintenance_s
         self._name = name
@@ -77,6 +81,8 @@
         self._executors: dict[str, ExecutorInfo] = {}
         # Sends a submission to the daemon at an address.
         self._submit_remote = submit_remote
+        # Asks the daemon at an address for a count.
+        self._count_remote = count_remote
         self.submissions = Submissions(
             store, clock, self.metrics, self, is_store_unreachable
         )
@@ -126,7 +132,7 @@
         """Cancel all tasks."""
         await self.duties.stop()
 
-    # --- Submissions to the pools' owners.
+    # --- Submissions and questions to the pools' owners.
 
     async def submit(
         self, pool: str, job_id: str, record: JobRecord
@@ -148,6 +154,22 @@
             return SubmissionAnswer.NOT_TAKEN
         return await holder.submit(job_id, record)
 
+    async def count_waiting(self, pool: str, queue: str) -> WaitingCount:
+        """Ask a pool's owner, here or on a peer, for a queue's count."""
+        if pool in self.duties.held or self._count_remote is None:
+            return self.count_locally(pool, queue)
+        address = self.duties.owner_address(pool)
+        if not address:
+            return None
+        return await self._count_remote(address, pool, queue)
+
+    def count_locally(self, pool: str, queue: str) -> WaitingCount:
+        """Count a queue's waiting jobs if this daemon owns its pool."""
+        holder = self.duties.held.get(pool)
+        if not isinstance(holder, PoolOwner):
+            return None
+        return holder.count_waiting(queue)
+
     # --- Updates from the platform.
 
     def apply_configuration(self, configuration: Configuration) -> None:
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
@@ -16,11 +17,6 @@
 from returns.result import Failure, Success
 
 from lycheelug.errors import PLATFORM_UNREACHABLE
-from lycheelug.fleetplan import (
-    SUMMARIES_TABLE,
-    SUMMARY_KEY,
-    decode_summary,
-)
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
@@ -55,6 +51,10 @@
 # Attempts of a write while its outcome is unknown, each with the store's
 # timeout.
 WRITE_ATTEMPTS: Final = 3
+# Questions to a pool's owner: attempts, and the pause between two.  A pool has
+# a new owner within some tenths of a second after the last one stopped.
+COUNT_ATTEMPTS: Final = 3
+COUNT_RETRY_S: Final = 0.3
 # How many final states are cached, so that queries need no read.
 FINAL_STATES_MAX: Final = 5_000
 # How long a caller should wait before it retries a refused request.
@@ -275,19 +275,23 @@
     async def pending(self, route: Route) -> Reply:
         """Return how many accepted jobs of a queue have not started.
 
-        The count comes from the stored summary of the queue's pool.
+        Only the pool's owner knows.  The summary that it has stored may be
+        older than callers are told that a count can be.
         """
-        if self._is_store_unreachable():
-            return self._refuse_unreachable("count", route.name)
-        read = await self._read_one(SUMMARIES_TABLE, route.pool, SUMMARY_KEY)
-        if isinstance(read, Failure):
-            return self._refuse("count", route.name, read.failure())
-        for row in read.unwrap().rows:
-            summary = decode_summary(row.value or b"")
-            if summary is not None:
-                count = summary.waiting.get(route.name, 0)
-                return Reply(ReplyKind.OK, pending=count)
-        return Reply(ReplyKind.OK)
+        for attempt in range(COUNT_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(COUNT_RETRY_S)
+            waiting = await self._router.count_waiting(route.pool, route.name)
+            if waiting is not None:
+                return Reply(ReplyKind.OK, pending=waiting)
+        log_change(
+            "count-refused",
+            subject=route.name,
+            pool=route.pool,
+            reason="the pool's owner has not given a current count",
+        )
+        self._metrics.count("refused-count")
+        return Reply(ReplyKind.REFUSED)
 
     async def _read_one(
         self, table: str, part: str, key: str
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -41,7 +41,12 @@
 from lycheelug.platform.ingress import Ingress
 from lycheelug.platform.settings import SETTINGS_VARIABLE, read_settings
 from lycheelug.platform.store import PlatformRows
-from lycheelug.relay import RelayedRows, RelayServer, SubmissionForwarder
+from lycheelug.relay import (
+    CountForwarder,
+    RelayedRows,
+    RelayServer,
+    SubmissionForwarder,
+)
 from lycheelug.store.replica import TableReplica
 from lycheelug.store.traffic import StoreTraffic
 
@@ -107,6 +112,7 @@
     __slots__ = (
         "_callers",
         "_clock",
+        "_counts",
         "_executor_rows",
         "_forwarder",
         "_load_monitor",
@@ -128,6 +134,7 @@
         self._relay = RelayServer(direct_rows)
         self._store = RelayedRows(direct_rows, self._peers, clock.now)
         self._forwarder = SubmissionForwarder(clock.now)
+        self._counts = CountForwarder()
         self._service = JobService(
             settings.node_name,
             settings.zone,
@@ -143,8 +150,10 @@
                 settings.limits.cpu_share * settings.limits.cores,
                 settings.limits.link_mbps,
             ),
+            self._counts.count,
         )
         self._relay.accept_submission = self._service.submit_locally
+        self._relay.count_waiting = self._service.count_locally
         self._load_monitor = LoadMonitor(
             traffic,
             self._service.metrics,
@@ -286,6 +295,7 @@
         await self._relay.stop()
         self._store.close()
         self._forwarder.close()
+        self._counts.close()
         for task in self._tasks:
             task.cancel()
         log_change("stopped", requests_cut=interrupted)
--- a/lycheelug/relay/__init__.py
+++ b/lycheelug/relay/__init__.py
@@ -1,7 +1,13 @@
-"""Calls between daemons: relayed store calls, and submissions to owners."""
+"""Calls between daemons: relayed store calls, and calls to pools' owners."""
 
+from lycheelug.relay.counts import CountForwarder
 from lycheelug.relay.rows import RelayedRows
 from lycheelug.relay.server import RelayServer
 from lycheelug.relay.submissions import SubmissionForwarder
 
-__all__ = ["RelayServer", "RelayedRows", "SubmissionForwarder"]
+__all__ = [
+    "CountForwarder",
+    "RelayServer",
+    "RelayedRows",
+    "SubmissionForwarder",
+]
--- /dev/null
+++ b/lycheelug/relay/counts.py
@@ -0,0 +1,55 @@
+"""Asks the daemons that own pools how many jobs wait there.
+
+Only the owner knows which jobs have started.  A count that it can't give in
+time is not replaced by an older one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.logs import log_change
+from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
+from lycheelug.relay.messages import CountCall, CountReply
+
+if TYPE_CHECKING:
+    from lycheelug.jobservice.interfaces import WaitingCount
+
+__all__ = ["COUNT", "CountForwarder"]
+
+COUNT: Final = "/lycheelug.Relay/Count"
+# An owner answers from memory.
+COUNT_TIMEOUT_S: Final = 0.4
+
+
+class CountForwarder:
+    """Asks owners on other daemons for counts of waiting jobs."""
+
+    __slots__ = ("_channels",)
+
+    def __init__(self) -> None:
+        self._channels = PeerChannels()
+
+    async def count(self, address: str, pool: str, queue: str) -> WaitingCount:
+        """Return the owner's count, or None if it has not given one."""
+        try:
+            async with asyncio.timeout(COUNT_TIMEOUT_S):
+                reply = await self._channels.call(
+                    address, COUNT, CountCall(pool, queue), CountReply
+                )
+        except CALL_ERRORS as error:
+            self._channels.drop(address)
+            log_change(
+                "owner-not-asked",
+                peer=address,
+                pool=pool,
+                queue=queue,
+                error=str(error) or type(error).__name__,
+            )
+            return None
+        return reply.waiting
+
+    def close(self) -> None:
+        """Close the connections to owners."""
+        self._channels.close()
--- a/lycheelug/relay/messages.py
+++ b/lycheelug/relay/messages.py
@@ -13,6 +13,8 @@
 
 __all__ = [
     "CommitCall",
+    "CountCall",
+    "CountReply",
     "FeedCall",
     "PartsCall",
     "ReadCall",
@@ -105,6 +107,19 @@
     answer: str
 
 
+class CountCall(msgspec.Struct):
+    """Asks a pool's owner how many jobs of a queue have not started."""
+
+    pool: str
+    queue: str
+
+
+class CountReply(msgspec.Struct):
+    """The owner's count; None if it does not know the current one."""
+
+    waiting: int | None = None
+
+
 class StoreReply(msgspec.Struct, omit_defaults=True):
     """The result of a relayed store call."""
 
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -1,7 +1,8 @@
 """Serves calls of other daemons: relayed store calls, and submissions.
 
 Relayed calls use only this daemon's direct access to the store, and are never
-relayed again.  Submissions are accepted for pools that this daemon owns.
+relayed again.  Submissions are accepted, and waiting jobs are counted, for
+pools that this daemon owns.
 """
 
 from __future__ import annotations
@@ -17,8 +18,11 @@
 from lycheelug.entries.codec import MessagePackCodec
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.jobservice.tables import decode_job
+from lycheelug.relay.counts import COUNT
 from lycheelug.relay.messages import (
     CommitCall,
+    CountCall,
+    CountReply,
     FeedCall,
     PartsCall,
     ReadCall,
@@ -37,12 +41,14 @@
     from returns.result import Result
 
     from lycheelug.errors import Fault
+    from lycheelug.jobservice.interfaces import WaitingCount
     from lycheelug.store.rows import RowSet, RowStore
     from lycheelug.workloads import JobRecord
 
     AcceptSubmission = Callable[
         [str, str, JobRecord], Awaitable[SubmissionAnswer]
     ]
+    CountWaiting = Callable[[str, str], WaitingCount]
 
 __all__ = ["COMMIT", "FEED", "PARTS", "READ", "RelayServer"]
 
@@ -59,12 +65,20 @@
 class RelayServer:
     """Serves the calls of other daemons."""
 
-    __slots__ = ("_server", "_store", "accept_submission", "port")
+    __slots__ = (
+        "_server",
+        "_store",
+        "accept_submission",
+        "count_waiting",
+        "port",
+    )
 
     def __init__(self, store: RowStore) -> None:
         self._store = store
         # Stores a submission if this daemon owns its pool.
         self.accept_submission: AcceptSubmission | None = None
+        # Counts a queue's waiting jobs if this daemon owns its pool.
+        self.count_waiting: CountWaiting | None = None
         self._server: Server | None = None
         # The bound port, after `start`.
         self.port = 0
@@ -90,6 +104,7 @@
             PARTS: _unary(self._parts, PartsCall),
             FEED: _unary(self._feed, FeedCall),
             SUBMIT: _unary(self._submit, SubmitCall, SubmitReply),
+            COUNT: _unary(self._count, CountCall, CountReply),
         }
 
     async def _submit(self, call: SubmitCall) -> SubmitReply:
@@ -102,6 +117,12 @@
             )
         return SubmitReply(answer.name)
 
+    async def _count(self, call: CountCall) -> CountReply:
+        """Return the count of a pool's owner in this daemon."""
+        if self.count_waiting is None:
+            return CountReply()
+        return CountReply(self.count_waiting(call.pool, call.queue))
+
     async def _commit(self, call: CommitCall) -> StoreReply:
         """Make a commit for another daemon."""
         expected: dict[RowName, int] = {}
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -53,6 +53,7 @@
 
     from returns.result import Result
 
+    from lycheelug.jobservice.interfaces import WaitingCount
     from lycheelug.jobservice.submissions import Reply
     from lycheelug.store.rows import (
         HistoryGone,
@@ -429,6 +430,7 @@
             2.0,
             is_store_unreachable=lambda: store.is_known_unreachable,
             submit_remote=self.forward,
+            count_remote=self.count,
         )
         service.apply_configuration(
             Configuration(1, [ROUTE], [PoolPolicy(POOL)])
@@ -450,6 +452,12 @@
             return SubmissionAnswer.NOT_TAKEN
         return await service.submit_locally(pool, job_id, record)
 
+    async def count(self, address: str, pool: str, queue: str) -> WaitingCount:
+        """Ask another daemon for a queue's waiting jobs."""
+        await asyncio.sleep(0.002)
+        service = self.daemons.get(address)
+        return service.count_locally(pool, queue) if service else None
+
     async def stop(self) -> None:
         for service in self.daemons.values():
             await service.stop()
--- a/tests/test_stalled_holder.py
+++ b/tests/test_stalled_holder.py
@@ -17,7 +17,7 @@
 from tests.virtual_time import run_virtual
 
 # What the platform allows a count of waiting jobs to lag behind.
-PENDING_LAG_S = 3.0 + 2.0
+PENDING_LAG_S = 2.0
 # Jobs of a surge have a slack of about two seconds.  Their pool's next owner
 # needs some of the rest to recover.
 MAX_REPLACE_S = 6.0
@@ -60,6 +60,27 @@
     run_virtual(run())
 
 
+# Guards against incident inc1, MIXED: the count of a pool whose owner can't be
+# asked is refused, not guessed from what was stored last.
+def test_count_is_refused_while_the_owner_can_not_be_asked() -> None:
+    async def run() -> None:
+        world, owner, other = await start(daemons=2)
+        for number in range(4):
+            await world.submit(other, number)
+        await asyncio.sleep(1.0)
+        reply = await world.daemons[other].submissions.pending(ROUTE)
+        assert (reply.kind, reply.pending) == (ReplyKind.OK, 4)
+        for store in world.stores.values():
+            store.refused_parts = {POOL}
+        await world.daemons.pop(owner).stop()
+        reply = await world.daemons[other].submissions.pending(ROUTE)
+        assert reply.kind is ReplyKind.REFUSED
+        assert reply.retry_after_s > 0
+        await world.stop()
+
+    run_virtual(run())
+
+
 # Guards against incident inc1, SHORT: a pool whose owner lives, and stores
 # nothing, until the store takes its writes again.
 def test_owner_that_can_not_store_progress_is_replaced() -> None:
