--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -7,18 +7,16 @@
 
 from returns.result import Failure, Result, Success
 
+from lycheelug.errors import CONNECT_FAILED, Peer, Step
 from lycheelug.http.client_connection import (
-    CONNECT_TIMEOUT_S,
     MAX_ANSWER_BYTES,
     ClientConnection,
     ExchangeFault,
-    open_connection,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheelug.errors import Peer
     from lycheelug.http.messages import Answer, Request
 
     ExchangeResult = Result[Answer, ExchangeFault]
@@ -29,6 +27,7 @@
 # peer may be about to close them.
 MAX_REUSE_IDLE_S: Final = 5.0
 MAX_IDLE_CONNECTIONS: Final = 64
+CONNECT_TIMEOUT_S: Final = 1.0
 
 
 class HttpClient:
@@ -83,7 +82,7 @@
         if connection is None:
             loop = asyncio.get_running_loop()
             started = loop.time()
-            opened = await open_connection(
+            opened = await _open_connection(
                 self._address,
                 self._peer,
                 min(timeout_s, self._connect_s),
@@ -122,3 +121,31 @@
                 continue
             return connection
         return None
+
+
+async def _open_connection(
+    address: str,
+    peer: Peer,
+    timeout_s: float,
+    max_answer_bytes: int,
+) -> Result[ClientConnection, ExchangeFault]:
+    """Connect to `ip:port`; if this fails, nothing was sent."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+
+    def make_connection() -> ClientConnection:
+        return ClientConnection(peer, address, max_answer_bytes)
+
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                make_connection, host.strip("[]"), int(port)
+            )
+    except (OSError, ValueError) as error:
+        detail = str(error) or "timed out"
+        return Failure(
+            ExchangeFault(
+                CONNECT_FAILED, Step.CONNECT, peer, detail, address, False
+            )
+        )
+    return Success(connection)
--- a/lycheelug/http/client_connection.py
+++ b/lycheelug/http/client_connection.py
@@ -23,7 +23,6 @@
     ANSWER_TIMEOUT,
     ANSWER_TOO_LARGE,
     ANSWER_TRUNCATED,
-    CONNECT_FAILED,
     SEND_FAILED,
     ErrorCode,
     Fault,
@@ -41,17 +40,14 @@
     ExchangeResult = Result[Answer, "ExchangeFault"]
 
 __all__ = [
-    "CONNECT_TIMEOUT_S",
     "MAX_ANSWER_BYTES",
     "ClientConnection",
     "ExchangeFault",
-    "open_connection",
 ]
 
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
 FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
 MAX_ANSWER_HEAD_BYTES: Final = 64 * 1024
-CONNECT_TIMEOUT_S: Final = 1.0
 # Events are immutable, so one object can be sent repeatedly.
 END_OF_MESSAGE: Final = h11.EndOfMessage()
 
@@ -345,31 +341,3 @@
         return ExchangeFault(
             code, step, self._peer, detail, self._peer_name, maybe_sent
         )
-
-
-async def open_connection(
-    address: str,
-    peer: Peer,
-    timeout_s: float = CONNECT_TIMEOUT_S,
-    max_answer_bytes: int = MAX_ANSWER_BYTES,
-) -> Result[ClientConnection, ExchangeFault]:
-    """Connect to `ip:port`; if this fails, nothing was sent."""
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-
-    def make_connection() -> ClientConnection:
-        return ClientConnection(peer, address, max_answer_bytes)
-
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                make_connection, host.strip("[]"), int(port)
-            )
-    except (OSError, ValueError) as error:
-        detail = str(error) or "timed out"
-        return Failure(
-            ExchangeFault(
-                CONNECT_FAILED, Step.CONNECT, peer, detail, address, False
-            )
-        )
-    return Success(connection)
