Limit the store's answers by their progress, not by their total time

Callers saw the fleet stand still: the fleet owner moved no host after its feed of the pools' summaries had ended in `answer-timeout` once.

Cause: an exchange had one limit for the whole answer. An answer that is longer than a slow or shared link carries in 0.5 s (reads, feeds after their wait) or 1.0 s (transactions) was discarded while it arrived, and the next feed asked for the same changes and more, which took longer still.

The timeout of a call to the store now ends at the first byte of the answer. From then on the exchange goes on as long as bytes arrive, with a limit without any byte and one on the whole answer. A connection that is cut in the middle of an answer fails by the first of the two: 1.0 s after the last byte, which can be later than the old limit of a read was. The limits are an argument of the client; calls to upstreams keep one limit for the whole exchange. Parts of an answer only note the time; the timer is set once for an answer that does not arrive at once.

--- a/lycheelug/http/__init__.py
+++ b/lycheelug/http/__init__.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 client and server, built on h11 and asyncio protocols."""
 
 from lycheelug.http.client import ClientConnection, ExchangeFault, HttpClient
+from lycheelug.http.limits import ProgressLimits
 from lycheelug.http.messages import (
     HOP_BY_HOP,
     Answer,
@@ -19,6 +20,7 @@
     "ExchangeFault",
     "HttpClient",
     "HttpServer",
+    "ProgressLimits",
     "RawHeaders",
     "Request",
     "ServerLimits",
--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lycheelug.http.limits import ProgressLimits
     from lycheelug.http.messages import Answer, Request
 
     ExchangeResult = Result[Answer, ExchangeFault]
@@ -76,8 +77,13 @@
         request: Request,
         timeout_s: float,
         reuse_idle_s: float = MAX_REUSE_IDLE_S,
+        progress: ProgressLimits | None = None,
     ) -> Result[Answer, ExchangeFault]:
-        """Send a request on an idle or a new connection; return its answer."""
+        """Send a request on an idle or a new connection; return its answer.
+
+        The timeout includes the time to connect.  It limits the time to the
+        complete answer or, with `progress`, to the answer's first byte.
+        """
         connection = self._take_idle(reuse_idle_s)
         if connection is None:
             loop = asyncio.get_running_loop()
@@ -95,7 +101,7 @@
                     return Failure(fault)
             timeout_s = max(0.001, timeout_s - (loop.time() - started))
         assert connection is not None
-        result = await connection.exchange(request, timeout_s)
+        result = await connection.exchange(request, timeout_s, progress)
         if connection.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append(connection)
         else:
--- a/lycheelug/http/client_connection.py
+++ b/lycheelug/http/client_connection.py
@@ -37,6 +37,8 @@
 )
 
 if TYPE_CHECKING:
+    from lycheelug.http.limits import ProgressLimits
+
     ExchangeResult = Result[Answer, "ExchangeFault"]
 
 __all__ = [
@@ -75,6 +77,7 @@
 
     __slots__ = (
         "_answer",
+        "_answer_ends_at",
         "_answer_size",
         "_chunks",
         "_close_announced",
@@ -83,9 +86,11 @@
         "_has_framing",
         "_headers",
         "_is_lost",
+        "_last_byte_at",
         "_max_answer",
         "_peer",
         "_peer_name",
+        "_progress",
         "_timer",
         "_transport",
         "_waiter",
@@ -110,6 +115,11 @@
         # fires, or if an exchange must end before the timer would fire.
         self._timer: asyncio.TimerHandle | None = None
         self._expires_at = 0.0
+        self._progress: ProgressLimits | None = None
+        # With progress limits, when the answer must be complete; None until
+        # its first byte.
+        self._answer_ends_at: float | None = None
+        self._last_byte_at = 0.0
         self._answer: h11.Response | None = None
         self._answer_size = 0
         self._chunks: list[bytes] = []
@@ -153,6 +163,8 @@
             return
         self._h11.receive_data(data)
         self._advance()
+        if self._progress is not None and not self._waiter.done():
+            self._note_progress(self._progress)
 
     def eof_received(self) -> bool:
         """Close the connection when the peer closes its sending side."""
@@ -161,10 +173,14 @@
     # --- The exchange.
 
     async def exchange(
-        self, request: Request, timeout_s: float
+        self,
+        request: Request,
+        timeout_s: float,
+        progress: ProgressLimits | None = None,
     ) -> Result[Answer, ExchangeFault]:
         """Send a request and return its complete answer.
 
+        With `progress`, the timeout ends at the first byte of the answer.
         If the exchange is cancelled, the connection is closed.
         """
         transport = self._transport
@@ -183,6 +199,8 @@
             )
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
+        self._progress = progress
+        self._answer_ends_at = None
         self._set_timer(loop, loop.time() + timeout_s)
         transport.write(data)
         try:
@@ -309,6 +327,19 @@
             timer.cancel()
         self._timer = loop.call_at(expires_at, self._on_timer)
 
+    def _note_progress(self, limits: ProgressLimits) -> None:
+        """Note the arrival of a part of an incomplete answer.
+
+        Only the first part sets the timer, which accounts for the others
+        when it fires.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self._last_byte_at = now
+        if self._answer_ends_at is None:
+            self._answer_ends_at = now + limits.answer_s
+            self._set_timer(loop, now + min(limits.idle_s, limits.answer_s))
+
     def _on_timer(self) -> None:
         """Fail the exchange in progress if it has timed out.
 
@@ -318,9 +349,13 @@
         if self._waiter is None or self._waiter.done():
             return
         loop = asyncio.get_running_loop()
-        if loop.time() < self._expires_at:
-            # The timer was set for an earlier exchange.
-            self._set_timer(loop, self._expires_at)
+        expires_at = self._expires_at
+        if self._progress is not None and self._answer_ends_at is not None:
+            idle_until = self._last_byte_at + self._progress.idle_s
+            expires_at = min(idle_until, self._answer_ends_at)
+        if loop.time() < expires_at:
+            # The timer was set for an earlier exchange or an earlier byte.
+            self._set_timer(loop, expires_at)
             return
         self._fail(ANSWER_TIMEOUT, "no complete answer before the timeout")
 
--- a/lycheelug/platform/store.py
+++ b/lycheelug/platform/store.py
@@ -20,7 +20,7 @@
     Peer,
     Step,
 )
-from lycheelug.http import HttpClient, Request
+from lycheelug.http import HttpClient, ProgressLimits, Request
 from lycheelug.platform.wire import (
     PartsAnswer,
     RowMessage,
@@ -50,6 +50,8 @@
 
 T = TypeVar("T")
 
+# Timeouts until the first byte of an answer.
+#
 # A transaction takes a few milliseconds, but may queue behind others of its
 # part for up to a second.  If there is no answer after that, the connection
 # is dead or the store unreachable.
@@ -59,6 +61,9 @@
 READ_TIMEOUT_S: Final = 0.5
 # Added to the time that a feed call waits for a change.
 FEED_MARGIN_S: Final = 0.5
+# A page of rows may hold 1 MB, and a feed's answer more, which a slow host
+# link that is shared by many calls carries in several seconds.
+ANSWER_LIMITS: Final = ProgressLimits(idle_s=1.0, answer_s=10.0)
 CONNECT_TIMEOUT_S: Final = 0.5
 # The store closes connections that are idle for longer than some seconds.
 REUSE_IDLE_S: Final = 4.0
@@ -241,7 +246,9 @@
             length = b"%d" % len(body)
             headers = [*headers, (b"content-length", length)]
         request = Request(method, target.encode(), headers, body)
-        result = await self._client.request(request, timeout_s, REUSE_IDLE_S)
+        result = await self._client.request(
+            request, timeout_s, REUSE_IDLE_S, ANSWER_LIMITS
+        )
         if isinstance(result, Success):
             answer = result.unwrap()
             self._traffic.record(table, len(body), len(answer.body))
