Receive a host list that arrives over a slow link

Callers would see what they see when the platform is gone: the fleet owner has no new host list and plans on the old one, or on none after a takeover.

Cause: a page of the host list had to arrive whole within 1.0 s, and was discarded and asked for again from the first page otherwise.

Evidence: a test with a server that sends a page of 2,000 hosts in 1.3 s failed before: "platform-unreachable at read: answer-timeout". It was not seen on a site; the cause is that of the feeds that were.

A page now has 1.0 s until its first byte and then goes on as long as bytes arrive. Orders to hosts keep one limit for the whole call.

--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -16,7 +16,7 @@
     Step,
 )
 from lycheelug.fleetplan import HostInfo, HostState
-from lycheelug.http import HttpClient, Request
+from lycheelug.http import HttpClient, ProgressLimits, Request
 from lycheelug.jobservice.interfaces import (
     HostAnswer,
     HostControl,
@@ -36,7 +36,11 @@
 
 __all__ = ["PlatformHosts"]
 
+# Timeout of an order, and of a page of the host list until its first byte.
 CALL_TIMEOUT_S: Final = 1.0
+# A page may list many hosts, which a slow host link that is shared by many
+# calls carries in several seconds.
+PAGE_LIMITS: Final = ProgressLimits(idle_s=1.0, answer_s=10.0)
 CONNECT_TIMEOUT_S: Final = 0.7
 REUSE_IDLE_S: Final = 4.0
 STATUS_TABLE: Final = "status"
@@ -84,7 +88,7 @@
             headers = [(b"host", self._address.encode())]
             request = Request(b"GET", f"/v1/machines{query}".encode(), headers)
             result = await self._client.request(
-                request, CALL_TIMEOUT_S, REUSE_IDLE_S
+                request, CALL_TIMEOUT_S, REUSE_IDLE_S, PAGE_LIMITS
             )
             if isinstance(result, Failure):
                 self._traffic.record(HOST_LIST, 0, None)
--- a/tests/test_slow_answers.py
+++ b/tests/test_slow_answers.py
@@ -8,7 +8,9 @@
 import msgspec
 import pytest
 
+from lycheelug.platform.hosts import PlatformHosts
 from lycheelug.platform.store import PlatformRows
+from lycheelug.store.memory_rows import MemoryRows
 from lycheelug.store.rows import RowName
 
 if TYPE_CHECKING:
@@ -31,6 +33,12 @@
     ],
     "row_version": 3,
 }
+MACHINES: Final = {
+    "machines": [
+        {"machine": f"m-{number}", "pool": "p", "state": "up"}
+        for number in range(2_000)
+    ]
+}
 
 
 async def with_slow_server(
@@ -93,3 +101,12 @@
         store.close()
 
     assert asyncio.run(with_slow_server(ROWS, use)) == 1
+
+
+# The fleet owner can't move hosts while the host list is discarded.
+def test_host_list_that_arrives_slowly_is_received_whole() -> None:
+    async def use(address: str) -> None:
+        hosts = PlatformHosts(address, MemoryRows())
+        assert len((await hosts.hosts()).unwrap()) == 2_000
+
+    assert asyncio.run(with_slow_server(MACHINES, use)) == 1
