Read a table's rows again when its changes don't arrive

Cause: a feed asks for all changes since the replica's version. For rows that are rewritten often the changes are far larger than the rows. An answer that does not fit into the time limit of a call, directly or through a peer, was asked for again, larger by the changes of the meantime; and on a link that carries less than what changes, each answered feed took longer than the one before.

After two consecutive feed calls without an answer, and when a feed call takes 2 s longer than its wait, the rows are read again with the existing load, which reports missing rows as removed and never goes back. The lag is bounded by two feed calls and one load; a feed call is always tried before the next load. `table-reread` tells the reason.

--- a/lycheelug/store/replica.py
+++ b/lycheelug/store/replica.py
@@ -4,6 +4,12 @@
 store has dropped the changes since the replica's version, it loads all rows
 again and reports missing rows as removed.  A row's version never decreases,
 even if an older answer arrives late.
+
+A feed's answer has all changes since the replica's version, so an answer
+that is too large for a slow link is larger when it is asked for again.  The
+rows themselves have a bounded size and arrive in pages.  They are read again
+after feed calls that were not answered, and instead of a feed call that takes
+longer than reading them.
 """
 
 from __future__ import annotations
@@ -13,7 +19,13 @@
 
 from returns.result import Failure, Success
 
-from lycheelug.errors import PLATFORM_INVALID, Fault, Peer, Step
+from lycheelug.errors import (
+    PLATFORM_INVALID,
+    PLATFORM_UNKNOWN,
+    Fault,
+    Peer,
+    Step,
+)
 from lycheelug.logs import log_change, log_fault
 from lycheelug.store.rows import HistoryGone, StoredRow
 
@@ -31,6 +43,11 @@
 # A feed call ends after this time even if nothing changed, so that a dead
 # connection delays changes by no more than this and the call's timeout.
 FEED_WAIT_S: Final = 2.0
+# How much longer than its wait a feed call may take.  Reading all rows may
+# take longer than this; then a feed call may take as long.
+FEED_EXTRA_S: Final = 2.0
+# All rows are read after this many consecutive feed calls without an answer.
+UNANSWERED_FEEDS_MAX: Final = 2
 RETRY_S: Final = 0.1
 RETRY_MAX_S: Final = 0.5
 
@@ -41,9 +58,11 @@
     __slots__ = (
         "_is_lost",
         "_listener",
+        "_load_s",
         "_on_answer",
         "_rows",
         "_store",
+        "_unanswered_feeds",
         "_wait_s",
         "loaded",
         "part",
@@ -75,6 +94,9 @@
         self.pause_s = pause_s
         self._rows: dict[tuple[str, str], StoredRow] = {}
         self._is_lost = False
+        # How long it took to read all rows the last time.
+        self._load_s = 0.0
+        self._unanswered_feeds = 0
         # The store's version that the replica is complete up to.
         self.version = 0
         self.loaded = asyncio.Event()
@@ -95,7 +117,7 @@
             if not self.loaded.is_set():
                 result = await self._load()
             else:
-                result = await self._apply_changes()
+                result = await self._catch_up()
             if isinstance(result, Failure):
                 self._log_lost(result.failure())
                 await asyncio.sleep(retry_s)
@@ -115,6 +137,8 @@
         after the list only has rows newer than that read, so the feed
         reports them.
         """
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         first = await self._store.read(self.table, self.part or "")
         if isinstance(first, Failure):
             return Failure(first.failure())
@@ -150,8 +174,45 @@
             self._apply(row)
         self.version = max(self.version, version)
         self.loaded.set()
+        self._load_s = loop.time() - began
         return Success(True)
 
+    async def _catch_up(self) -> Result[bool, Fault]:
+        """Apply the next changes, or read all rows if they don't arrive.
+
+        Refused calls don't count, because they say nothing of the size of
+        the answer, and reads would add to the load of the store.
+        """
+        limit_s = self._wait_s + max(FEED_EXTRA_S, self._load_s)
+        reason = f"a feed call took longer than {limit_s:.1f} s"
+        try:
+            async with asyncio.timeout(limit_s):
+                result = await self._apply_changes()
+        except TimeoutError:
+            pass
+        else:
+            if isinstance(result, Success):
+                self._unanswered_feeds = 0
+                return result
+            if result.failure().code is not PLATFORM_UNKNOWN:
+                return result
+            self._unanswered_feeds += 1
+            if self._unanswered_feeds < UNANSWERED_FEEDS_MAX:
+                return result
+            reason = f"{self._unanswered_feeds} feed calls were not answered"
+        # A feed call is next even if the read fails, since the changes may
+        # be fewer than the rows.
+        self._unanswered_feeds = 0
+        loaded = await self._load()
+        if isinstance(loaded, Success):
+            log_change(
+                "table-reread",
+                table=self.table,
+                version=self.version,
+                reason=reason,
+            )
+        return loaded
+
     async def _apply_changes(self) -> Result[bool, Fault]:
         """Apply the next changes; return whether there were any."""
         result = await self._store.feed(self.table, self.version, self._wait_s)
