--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -7,18 +7,17 @@
 
 from returns.result import Failure, Result, Success
 
+from lycheelug.errors import CONNECT_FAILED, Peer, Step
 from lycheelug.http.client_connection import (
-    CONNECT_TIMEOUT_S,
     MAX_ANSWER_BYTES,
     ClientConnection,
     ExchangeFault,
-    open_connection,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheelug.errors import Peer
+    from lycheelug.http.limits import ProgressLimits
     from lycheelug.http.messages import Answer, Request
 
     ExchangeResult = Result[Answer, ExchangeFault]
@@ -29,6 +28,7 @@
 # peer may be about to close them.
 MAX_REUSE_IDLE_S: Final = 5.0
 MAX_IDLE_CONNECTIONS: Final = 64
+CONNECT_TIMEOUT_S: Final = 1.0
 
 
 class HttpClient:
@@ -77,13 +77,18 @@
         request: Request,
         timeout_s: float,
         reuse_idle_s: float = MAX_REUSE_IDLE_S,
+        progress: ProgressLimits | None = None,
     ) -> Result[Answer, ExchangeFault]:
-        """Send a request on an idle or a new connection; return its answer."""
+        """Send a request on an idle or a new connection; return its answer.
+
+        The timeout includes the time to connect.  It limits the time to the
+        complete answer or, with `progress`, to the answer's first byte.
+        """
         connection = self._take_idle(reuse_idle_s)
         if connection is None:
             loop = asyncio.get_running_loop()
             started = loop.time()
-            opened = await open_connection(
+            opened = await _open_connection(
                 self._address,
                 self._peer,
                 min(timeout_s, self._connect_s),
@@ -96,7 +101,7 @@
                     return Failure(fault)
             timeout_s = max(0.001, timeout_s - (loop.time() - started))
         assert connection is not None
-        result = await connection.exchange(request, timeout_s)
+        result = await connection.exchange(request, timeout_s, progress)
         if connection.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
             self._idle.append(connection)
         else:
@@ -122,3 +127,31 @@
                 continue
             return connection
         return None
+
+
+async def _open_connection(
+    address: str,
+    peer: Peer,
+    timeout_s: float,
+    max_answer_bytes: int,
+) -> Result[ClientConnection, ExchangeFault]:
+    """Connect to `ip:port`; if this fails, nothing was sent."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+
+    def make_connection() -> ClientConnection:
+        return ClientConnection(peer, address, max_answer_bytes)
+
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                make_connection, host.strip("[]"), int(port)
+            )
+    except (OSError, ValueError) as error:
+        detail = str(error) or "timed out"
+        return Failure(
+            ExchangeFault(
+                CONNECT_FAILED, Step.CONNECT, peer, detail, address, False
+            )
+        )
+    return Success(connection)
--- a/lycheelug/http/client_connection.py
+++ b/lycheelug/http/client_connection.py
@@ -23,7 +23,6 @@
     ANSWER_TIMEOUT,
     ANSWER_TOO_LARGE,
     ANSWER_TRUNCATED,
-    CONNECT_FAILED,
     SEND_FAILED,
     ErrorCode,
     Fault,
@@ -38,20 +37,19 @@
 )
 
 if TYPE_CHECKING:
+    from lycheelug.http.limits import ProgressLimits
+
     ExchangeResult = Result[Answer, "ExchangeFault"]
 
 __all__ = [
-    "CONNECT_TIMEOUT_S",
     "MAX_ANSWER_BYTES",
     "ClientConnection",
     "ExchangeFault",
-    "open_connection",
 ]
 
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
 FRAMING_HEADERS: Final = frozenset({b"content-length", b"transfer-encoding"})
 MAX_ANSWER_HEAD_BYTES: Final = 64 * 1024
-CONNECT_TIMEOUT_S: Final = 1.0
 # Events are immutable, so one object can be sent repeatedly.
 END_OF_MESSAGE: Final = h11.EndOfMessage()
 
@@ -79,6 +77,7 @@
 
     __slots__ = (
         "_answer",
+        "_answer_ends_at",
         "_answer_size",
         "_chunks",
         "_close_announced",
@@ -87,9 +86,11 @@
         "_has_framing",
         "_headers",
         "_is_lost",
+        "_last_byte_at",
         "_max_answer",
         "_peer",
         "_peer_name",
+        "_progress",
         "_timer",
         "_transport",
         "_waiter",
@@ -114,6 +115,11 @@
         # fires, or if an exchange must end before the timer would fire.
         self._timer: asyncio.TimerHandle | None = None
         self._expires_at = 0.0
+        self._progress: ProgressLimits | None = None
+        # With progress limits, when the answer must be complete; None until
+        # its first byte.
+        self._answer_ends_at: float | None = None
+        self._last_byte_at = 0.0
         self._answer: h11.Response | None = None
         self._answer_size = 0
         self._chunks: list[bytes] = []
@@ -157,6 +163,8 @@
             return
         self._h11.receive_data(data)
         self._advance()
+        if self._progress is not None and not self._waiter.done():
+            self._note_progress(self._progress)
 
     def eof_received(self) -> bool:
         """Close the connection when the peer closes its sending side."""
@@ -165,10 +173,14 @@
     # --- The exchange.
 
     async def exchange(
-        self, request: Request, timeout_s: float
+        self,
+        request: Request,
+        timeout_s: float,
+        progress: ProgressLimits | None = None,
     ) -> Result[Answer, ExchangeFault]:
         """Send a request and return its complete answer.
 
+        With `progress`, the timeout ends at the first byte of the answer.
         If the exchange is cancelled, the connection is closed.
         """
         transport = self._transport
@@ -187,6 +199,8 @@
             )
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
+        self._progress = progress
+        self._answer_ends_at = None
         self._set_timer(loop, loop.time() + timeout_s)
         transport.write(data)
         try:
@@ -313,6 +327,19 @@
             timer.cancel()
         self._timer = loop.call_at(expires_at, self._on_timer)
 
+    def _note_progress(self, limits: ProgressLimits) -> None:
+        """Note the arrival of a part of an incomplete answer.
+
+        Only the first part sets the timer, which accounts for the others
+        when it fires.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        self._last_byte_at = now
+        if self._answer_ends_at is None:
+            self._answer_ends_at = now + limits.answer_s
+            self._set_timer(loop, now + min(limits.idle_s, limits.answer_s))
+
     def _on_timer(self) -> None:
         """Fail the exchange in progress if it has timed out.
 
@@ -322,9 +349,13 @@
         if self._waiter is None or self._waiter.done():
             return
         loop = asyncio.get_running_loop()
-        if loop.time() < self._expires_at:
-            # The timer was set for an earlier exchange.
-            self._set_timer(loop, self._expires_at)
+        expires_at = self._expires_at
+        if self._progress is not None and self._answer_ends_at is not None:
+            idle_until = self._last_byte_at + self._progress.idle_s
+            expires_at = min(idle_until, self._answer_ends_at)
+        if loop.time() < expires_at:
+            # The timer was set for an earlier exchange or an earlier byte.
+            self._set_timer(loop, expires_at)
             return
         self._fail(ANSWER_TIMEOUT, "no complete answer before the timeout")
 
@@ -345,31 +376,3 @@
         return ExchangeFault(
             code, step, self._peer, detail, self._peer_name, maybe_sent
         )
-
-
-async def open_connection(
-    address: str,
-    peer: Peer,
-    timeout_s: float = CONNECT_TIMEOUT_S,
-    max_answer_bytes: int = MAX_ANSWER_BYTES,
-) -> Result[ClientConnection, ExchangeFault]:
-    """Connect to `ip:port`; if this fails, nothing was sent."""
-    host, _, port = address.rpartition(":")
-    loop = asyncio.get_running_loop()
-
-    def make_connection() -> ClientConnection:
-        return ClientConnection(peer, address, max_answer_bytes)
-
-    try:
-        async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(
-                make_connection, host.strip("[]"), int(port)
-            )
-    except (OSError, ValueError) as error:
-        detail = str(error) or "timed out"
-        return Failure(
-            ExchangeFault(
-                CONNECT_FAILED, Step.CONNECT, peer, detail, address, False
-            )
-        )
-    return Success(connection)
