Store a pool's load at intervals, apart from its executors

On the grown deployments the links of the pools' owners and of the fleet owner filled with their own traffic, and callers' requests ended without an answer.

Cause: a pool's summary held one entry a host with address and capacity and was written whole with each transaction in which anything had changed, tens of times a second, and computed for each. The fleet owner's feed delivered each version.

Change: - `used-executors`, ten rows a pool, names the executors for a later owner. A row is written when its executors change. An executor is used only while a stored row names it, as before. While it is drained, no row names it, and it must be named again before its next use. The confirmed orders in the summary don't decide any more what a new owner restores: they may be older than the use of the host. - `summaries/hosts` has the loads of the hosts, as arrays without addresses and capacities.

--- a/lycheelug/fleetplan/__init__.py
+++ b/lycheelug/fleetplan/__init__.py
@@ -3,6 +3,7 @@
 from lycheelug.fleetplan.hosts import HostInfo, HostState, MaintenanceWave
 from lycheelug.fleetplan.planner import FleetPlanner
 from lycheelug.fleetplan.records import (
+    HOSTS_KEY,
     PLAN_KEY,
     PLANS_TABLE,
     SUMMARIES_TABLE,
@@ -10,13 +11,16 @@
     DrainOrder,
     HostCall,
     HostLoad,
+    HostsRecord,
     PlanRecord,
     SummaryRecord,
+    decode_hosts,
     decode_plan,
     decode_summary,
 )
 
 __all__ = [
+    "HOSTS_KEY",
     "PLANS_TABLE",
     "PLAN_KEY",
     "SUMMARIES_TABLE",
@@ -27,9 +31,11 @@
     "HostInfo",
     "HostLoad",
     "HostState",
+    "HostsRecord",
     "MaintenanceWave",
     "PlanRecord",
     "SummaryRecord",
+    "decode_hosts",
     "decode_plan",
     "decode_summary",
 ]
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -1,6 +1,7 @@
 """The stored records that pool owners and the fleet planner exchange.
 
-A pool's owner publishes the pool's load in its summary.  The planner
+A pool's owner publishes the pool's demand in its summary and the loads of
+its hosts in another row, which is larger and written less often.  The planner
 publishes drain orders for hosts, each with a unique number.  An owner places
 no new tasks on a host with an order, and confirms the order's number once
 nothing runs there and no start is in flight.  Only then may the planner move
@@ -17,6 +18,7 @@
 import msgspec
 
 __all__ = [
+    "HOSTS_KEY",
     "PLANS_TABLE",
     "PLAN_KEY",
     "SUMMARIES_TABLE",
@@ -24,40 +26,45 @@
     "DrainOrder",
     "HostCall",
     "HostLoad",
+    "HostsRecord",
     "PlanRecord",
     "SummaryRecord",
+    "decode_hosts",
     "decode_plan",
     "decode_summary",
 ]
 
 SUMMARIES_TABLE: Final = "summaries"
 SUMMARY_KEY: Final = "summary"
+HOSTS_KEY: Final = "hosts"
 PLANS_TABLE: Final = "plans"
 PLAN_KEY: Final = "plan"
 
 
-class HostLoad(msgspec.Struct, omit_defaults=True):
+class HostLoad(msgspec.Struct, array_like=True):
     """The load of one host as its pool's owner reports it."""
 
     executor: str
-    address: str = ""
-    # CPU in use by all runs and by long-running ones, in thousandths of a
-    # core.
+    # The host accepts tasks: it responds, is not draining and has no order.
+    is_usable: bool = False
+    # CPU in use by all runs, in thousandths of a core.
     used_cpu: int = 0
-    lasting_cpu: int = 0
     runs: int = 0
     lasting_runs: int = 0
-    # Total capacity as reported by the host's executor.
-    capacity_cpu: int = 0
-    capacity_memory: int = 0
-    # The host accepts tasks: it responds, is not draining and has no order.
-    is_usable: bool = False
+
+
+class HostsRecord(msgspec.Struct, omit_defaults=True):
+    """The loads of a pool's hosts."""
+
+    term: int
+    hosts: dict[str, HostLoad] = {}
 
 
 class SummaryRecord(msgspec.Struct, omit_defaults=True):
     """The load of a pool; all CPU figures are in thousandths of a core."""
 
     term: int
+    # Stored in a row of its own, the `HostsRecord`; readers join the two.
     hosts: dict[str, HostLoad] = {}
     # Tasks that only wait for free capacity.
     ready_cpu: int = 0
@@ -129,6 +136,14 @@
         return None
 
 
+def decode_hosts(value: bytes) -> HostsRecord | None:
+    """Return the decoded loads of hosts, or None if the value is invalid."""
+    try:
+        return msgspec.json.decode(value, type=HostsRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+
+
 def decode_plan(value: bytes) -> PlanRecord | None:
     """Return the decoded plan, or None if the value is invalid."""
     try:
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -15,11 +15,15 @@
 from returns.result import Failure
 
 from lycheelug.fleetplan import (
+    HOSTS_KEY,
     PLAN_KEY,
     PLANS_TABLE,
     SUMMARIES_TABLE,
     SUMMARY_KEY,
     FleetPlanner,
+    HostsRecord,
+    SummaryRecord,
+    decode_hosts,
     decode_plan,
     decode_summary,
 )
@@ -32,7 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheelug.fleetplan import HostCall, MaintenanceWave, SummaryRecord
+    from lycheelug.fleetplan import HostCall, MaintenanceWave
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.interfaces import (
         HostControl,
@@ -62,6 +66,7 @@
         "_context",
         "_hosts",
         "_hosts_at",
+        "_loads",
         "_lost",
         "_maintenance_s",
         "_name",
@@ -98,6 +103,8 @@
         self._plan_version = 0
         self._stored_plan = b""
         self._hosts_at: float | None = None
+        # The newest loads of the pools' hosts.
+        self._loads: dict[str, HostsRecord] = {}
         self._published: set[int] = set()
         self._sizes: dict[str, tuple[int, int]] = {}
         self._sizes_at = 0.0
@@ -302,14 +309,31 @@
                 log_change("wave-completed", wave=number)
 
     def _on_summary(self, row: StoredRow) -> None:
-        """Apply a changed pool summary, unless a newer term's is known."""
-        if row.key != SUMMARY_KEY or row.value is None:
+        """Apply a changed pool summary or list of loads.
+
+        One of an earlier term than the known one is ignored.
+        """
+        if row.value is None or row.key not in (SUMMARY_KEY, HOSTS_KEY):
             return
-        summary: SummaryRecord | None = decode_summary(row.value)
-        if summary is None:
+        record: SummaryRecord | HostsRecord | None
+        if row.key == SUMMARY_KEY:
+            record = decode_summary(row.value)
+        else:
+            record = decode_hosts(row.value)
+        if record is None:
             log_change("row-unreadable", table=row.table, part=row.part)
             return
-        known = self._planner.summaries.get(row.part)
-        if known is not None and known.term > summary.term:
-            return
-        self._planner.summaries[row.part] = summary
+        summary = self._planner.summaries.get(row.part)
+        loads = self._loads.get(row.part)
+        if isinstance(record, SummaryRecord):
+            if summary is not None and summary.term > record.term:
+                return
+            summary = record
+            self._planner.summaries[row.part] = record
+        else:
+            if loads is not None and loads.term > record.term:
+                return
+            loads = record
+            self._loads[row.part] = record
+        if summary is not None and loads is not None:
+            summary.hosts = loads.hosts
--- a/lycheelug/jobservice/inspection.py
+++ b/lycheelug/jobservice/inspection.py
@@ -15,10 +15,9 @@
     PLAN_KEY,
     PLANS_TABLE,
     SUMMARIES_TABLE,
-    SUMMARY_KEY,
     decode_plan,
-    decode_summary,
 )
+from lycheelug.jobservice.summary import join_summaries
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     FLEET_PART,
@@ -29,6 +28,11 @@
     decode_progress,
     jobs_table,
 )
+from lycheelug.jobservice.used_executors import (
+    USED_EXECUTORS_TABLE,
+    UsedExecutor,
+    decode_used_executors,
+)
 from lycheelug.ownership import (
     DAEMONS_TABLE,
     OWNER_KEY,
@@ -183,14 +187,11 @@
         if isinstance(read, Failure):
             return Failure(read.failure())
         found: list[PoolView] = []
-        for row in read.unwrap():
-            summary = decode_summary(row.value or b"")
-            if row.key != SUMMARY_KEY or summary is None:
-                continue
+        for pool, summary in join_summaries(read.unwrap()).items():
             loads = summary.hosts.values()
             found.append(
                 PoolView(
-                    row.part,
+                    pool,
                     summary.term,
                     len(loads),
                     sum(load.is_usable for load in loads),
@@ -207,21 +208,25 @@
         read = await self._store.read(SUMMARIES_TABLE, pool)
         if isinstance(read, Failure):
             return Failure(read.failure())
+        recorded = await self._store.read(USED_EXECUTORS_TABLE, pool)
+        if isinstance(recorded, Failure):
+            return Failure(recorded.failure())
+        used: dict[str, UsedExecutor] = {}
+        for row in recorded.unwrap().rows:
+            used.update(decode_used_executors(row.value or b"") or {})
         found: list[ExecutorRow] = []
-        for row in read.unwrap().rows:
-            summary = decode_summary(row.value or b"")
-            if row.key != SUMMARY_KEY or summary is None:
-                continue
+        for summary in join_summaries(read.unwrap().rows).values():
             for host, load in sorted(summary.hosts.items()):
+                known = used.get(load.executor)
                 found.append(
                     ExecutorRow(
                         pool,
                         load.executor,
                         host,
-                        load.address,
+                        known.address if known is not None else "",
                         load.runs,
                         load.used_cpu,
-                        load.capacity_cpu,
+                        known.capacity_cpu if known is not None else 0,
                         load.is_usable,
                     )
                 )
--- a/lycheelug/jobservice/pool_recovery.py
+++ b/lycheelug/jobservice/pool_recovery.py
@@ -13,8 +13,8 @@
     decode_summary,
 )
 from lycheelug.jobservice.tables import PROGRESS_TABLE, decode_progress
+from lycheelug.jobservice.used_executors import USED_EXECUTORS_TABLE
 from lycheelug.logs import log_change, log_fault
-from lycheelug.workloads import ExecutorInfo, Resources
 
 if TYPE_CHECKING:
     from returns.result import Result
@@ -52,7 +52,7 @@
 async def _recover(
     context: OwnerContext, owner: PoolOwner
 ) -> Result[None, Fault]:
-    """Read progress and summary; the jobs come from the replica."""
+    """Read all but the submissions; the jobs come from the replica."""
     read = await context.store.read(PROGRESS_TABLE, owner.pool)
     if isinstance(read, Failure):
         return Failure(read.failure())
@@ -68,6 +68,11 @@
         return Failure(summary.failure())
     for row in summary.unwrap().rows:
         _restore_summary(owner, row)
+    used = await context.store.read(USED_EXECUTORS_TABLE, owner.pool)
+    if isinstance(used, Failure):
+        return Failure(used.failure())
+    for row in used.unwrap().rows:
+        _restore_executors(owner, row)
     log_change(
         "pool-recovered",
         pool=owner.pool,
@@ -78,23 +83,29 @@
 
 
 def _restore_summary(owner: PoolOwner, row: StoredRow) -> None:
-    """Restore the last owner's run times and the executors it used.
-
-    An executor in the summary may be alive without an entry in the store:
-    entries expire while the executor can't reach the store.
-    """
+    """Restore the last owner's run times."""
+    owner.writer.load.restore(row)
+    if row.key != SUMMARY_KEY:
+        return
     summary = decode_summary(row.value or b"")
-    if row.key != SUMMARY_KEY or summary is None:
+    if summary is None:
+        log_change("row-unreadable", table=row.table, part=row.part)
         return
-    owner.writer.set_summary_version(row.version)
     owner.schedule.run_times.restore(summary.run_times)
-    for host, load in summary.hosts.items():
-        if not load.address or host in summary.vacated:
-            continue
-        capacity = Resources(load.capacity_cpu, load.capacity_memory, 0)
+
+
+def _restore_executors(owner: PoolOwner, row: StoredRow) -> None:
+    """Restore the executors that the last owner used.
+
+    One of them may be alive without an entry in the store: entries expire
+    while the executor can't reach the store.
+    """
+    executors = owner.writer.used_executors.restore(row)
+    if not executors and row.value not in (None, b"{}"):
+        log_change("row-unreadable", table=row.table, key=row.key)
+    for executor_id, used in executors.items():
         view = owner.schedule.observe_executor(
-            ExecutorInfo(
-                load.executor, owner.pool, load.address, capacity, host=host
-            )
+            used.info(executor_id, owner.pool)
         )
         view.has_entry = False
+        view.is_recorded = True
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -14,8 +14,7 @@
 import msgspec
 from returns.result import Failure
 
-from lycheelug.fleetplan import SUMMARIES_TABLE, SUMMARY_KEY
-from lycheelug.jobservice.summary import summarize
+from lycheelug.jobservice.published_load import PublishedLoad
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     JOB_PREFIX,
@@ -23,6 +22,7 @@
     PROGRESS_TABLE,
     jobs_table,
 )
+from lycheelug.jobservice.used_executors import UsedExecutors
 from lycheelug.logs import log_change, log_fault
 from lycheelug.store.rows import RowConflict, RowName
 
@@ -38,6 +38,7 @@
 # The store accepts at most 100 entries in a transaction, conditions and
 # writes together.  A submission needs as many entries as the progress of
 # two jobs.
+ENTRIES_MAX: Final = 100
 JOBS_MAX: Final = 45
 SUBMISSIONS_MAX: Final = 16
 # Ownership is proved at least this often, by a transaction without writes
@@ -47,10 +48,6 @@
 # Changes are collected for this long, so that ends at nearly the same time
 # share a transaction.
 BATCH_DELAY_S: Final = 0.02
-# The minimum time between two transactions that are only due to a changed
-# summary of the pool.
-SUMMARY_INTERVAL_S: Final = 0.15
-SUMMARY_ROW: Final = RowName(SUMMARIES_TABLE, SUMMARY_KEY)
 
 
 class _Batch:
@@ -62,7 +59,6 @@
         "is_complete",
         "jobs",
         "submissions",
-        "summary",
         "writes",
     )
 
@@ -71,7 +67,6 @@
         self.writes: dict[RowName, bytes | None] = {}
         self.jobs: list[Job] = []
         self.submissions: list[Submission] = []
-        self.summary = b""
         # Executors, their start times and the numbers of the last end
         # that was applied.
         self.applied_ends: list[tuple[ExecutorView, int, int]] = []
@@ -86,11 +81,10 @@
         "_context",
         "_is_failing",
         "_owner",
-        "_summary",
-        "_summary_at",
-        "_summary_version",
         "_wake",
         "_writing",
+        "load",
+        "used_executors",
     )
 
     def __init__(self, context: OwnerContext, owner: PoolOwner) -> None:
@@ -98,23 +92,20 @@
         self._owner = owner
         self._wake = asyncio.Event()
         self._writing = asyncio.Lock()
-        # The last stored summary, the time of the last check for a changed
-        # one, and the version of its row.
-        self._summary = b""
-        self._summary_at = 0.0
-        self._summary_version = 0
+        self.load = PublishedLoad(context.clock, owner.schedule)
+        self.used_executors = UsedExecutors(owner.schedule)
         self._is_failing = False
 
-    def set_summary_version(self, version: int) -> None:
-        """Set the row version of the last owner's summary."""
-        self._summary_version = version
-
     def verify_soon(self) -> None:
         """Prove the ownership at once: an executor has seen a newer owner."""
         self._wake.set()
 
     def wake_if_needed(self) -> None:
-        """Write soon if there is something to write."""
+        """Write soon if there is something to write.
+
+        It is called once the pool's jobs and executors are known.
+        """
+        self.load.mark_ready()
         if self._has_work():
             self._wake.set()
 
@@ -180,7 +171,7 @@
         for view in schedule.executors.values():
             if view.last_applied_end > view.last_acked_end:
                 return True
-        return self._is_summary_due()
+        return self.used_executors.is_due or self.load.is_due()
 
     def _is_urgent(self) -> bool:
         """Whether a caller or a job that can begin waits for a write."""
@@ -189,25 +180,6 @@
             owner.schedule.jobs_to_begin()
         )
 
-    def _changed_summary(self) -> bytes:
-        """Return the pool's summary if it has changed."""
-        clock = self._context.clock
-        value = msgspec.json.encode(
-            summarize(self._owner.schedule, clock.now(), clock.unix_ms())
-        )
-        return value if value != self._summary else b""
-
-    def _is_summary_due(self) -> bool:
-        """Whether a change of the summary needs a write of its own."""
-        now = self._context.clock.now()
-        for view in self._owner.schedule.executors.values():
-            if view.has_accepted_term and not view.is_recorded:
-                return True
-        if now - self._summary_at < SUMMARY_INTERVAL_S:
-            return False
-        self._summary_at = now
-        return bool(self._changed_summary())
-
     async def _write(self) -> bool:
         """Commit one batch; return False if it was not stored."""
         owner = self._owner
@@ -219,6 +191,8 @@
         if isinstance(result, Failure):
             for job in batch.jobs:
                 job.is_dirty = True
+            self.load.apply_failure()
+            self.used_executors.apply_failure()
             owner.submission_queue.apply_failure(
                 batch.submissions, result.failure()
             )
@@ -248,7 +222,15 @@
             for name, value in owner.submission_queue.rows(submission).items():
                 batch.expected[name] = 0
                 batch.writes[name] = value
-        jobs_max = JOBS_MAX - 2 * len(batch.submissions)
+        for changes in (
+            self.load.take_changes(),
+            self.used_executors.take_changes(),
+        ):
+            for name, (version, value) in changes.items():
+                batch.expected[name] = version
+                batch.writes[name] = value
+        entries = len(batch.expected) + len(batch.writes)
+        jobs_max = (ENTRIES_MAX - entries) // 2
         for job in schedule.jobs.values():
             if not job.is_dirty:
                 continue
@@ -260,10 +242,6 @@
             batch.jobs.append(job)
             batch.expected[name] = job.row_version
             batch.writes[name] = msgspec.json.encode(job.progress)
-        batch.summary = self._changed_summary()
-        if batch.summary:
-            batch.expected[SUMMARY_ROW] = self._summary_version
-            batch.writes[SUMMARY_ROW] = batch.summary
         for view in schedule.executors.values():
             batch.applied_ends.append(
                 (view, view.born_ms, view.last_applied_end)
@@ -272,9 +250,8 @@
 
     def _apply_commit(self, batch: _Batch, version: int) -> None:
         """Record that a batch has been stored."""
-        if batch.summary:
-            self._summary = batch.summary
-            self._summary_version = version
+        self.load.apply_commit(version)
+        self.used_executors.apply_commit(version)
         for submission in batch.submissions:
             self._owner.add_stored_submission(submission, version)
         for job in batch.jobs:
@@ -282,7 +259,6 @@
             if job.progress.begun_term:
                 job.begin_is_stored = True
         for view, born_ms, last_applied_end in batch.applied_ends:
-            view.is_recorded = True
             if batch.is_complete and view.born_ms == born_ms:
                 view.last_acked_end = max(
                     view.last_acked_end, last_applied_end
@@ -301,8 +277,8 @@
         if current is None or current.version != owner.owner_version:
             owner.revoke("the owner row has another holder")
             return
-        summary = conflict.rows.get(SUMMARY_ROW)
-        self._summary_version = summary.version if summary else 0
+        self.load.apply_conflict(conflict.rows)
+        self.used_executors.apply_conflict(conflict.rows)
         for job in jobs:
             job.is_dirty = True
             row = conflict.rows.get(RowName(PROGRESS_TABLE, job.job_id))
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -1,18 +1,29 @@
-"""Builds the summary of a pool that its owner stores for the planner."""
+"""Builds what a pool's owner publishes for the planner: demand and loads."""
 
 from __future__ import annotations
 
 import math
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.fleetplan import HostLoad, SummaryRecord
+from lycheelug.fleetplan import (
+    HOSTS_KEY,
+    SUMMARY_KEY,
+    HostLoad,
+    HostsRecord,
+    SummaryRecord,
+    decode_hosts,
+    decode_summary,
+)
 from lycheelug.workloads import TaskState
 from lycheelug.workloads.forecast import Feasibility
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lycheelug.store.rows import StoredRow
     from lycheelug.workloads import ExecutorView, Job, PoolSchedule, Task
 
-__all__ = ["summarize"]
+__all__ = ["host_of", "is_in_use", "join_summaries", "list_loads", "summarize"]
 
 
 # The growth of demand is rounded down to multiples of this (in thousandths of
@@ -23,23 +34,18 @@
 def summarize(
     schedule: PoolSchedule, now: float, unix_ms: int
 ) -> SummaryRecord:
-    """Return a pool's load and demand."""
+    """Return a pool's demand, without the loads of its hosts."""
     summary = SummaryRecord(schedule.term)
     growth = int(schedule.arrivals.growth(now))
     summary.growing_cpu = growth // GROWTH_STEP * GROWTH_STEP
     summary.run_times = schedule.run_times.export()
     for view in schedule.executors.values():
-        host = view.info.host or view.executor_id
-        is_removed = (
-            not view.has_entry and view.has_accepted_term and not view.runs
-        )
-        if is_removed:
+        if not is_in_use(view):
             continue
-        summary.hosts[host] = _host_load(view, now)
         summary.running_cpu += view.used_cpu
         summary.running_memory += view.used_memory
         if view.is_drained:
-            summary.vacated[host] = view.drain_order
+            summary.vacated[host_of(view)] = view.drain_order
     for job in schedule.jobs.values():
         if not job.is_final:
             _add_job(summary, schedule, job, unix_ms)
@@ -79,19 +85,53 @@
     return feasibility is not Feasibility.IN_TIME
 
 
+def list_loads(schedule: PoolSchedule, now: float) -> HostsRecord:
+    """Return the loads of a pool's hosts."""
+    record = HostsRecord(schedule.term)
+    for view in schedule.executors.values():
+        if is_in_use(view):
+            record.hosts[host_of(view)] = _host_load(view, now)
+    return record
+
+
+def is_in_use(view: ExecutorView) -> bool:
+    """Whether an executor may run tasks, or new ones may start there."""
+    return view.has_entry or not view.has_accepted_term or bool(view.runs)
+
+
+def host_of(view: ExecutorView) -> str:
+    """Return the name of an executor's host."""
+    return view.info.host or view.executor_id
+
+
+def join_summaries(rows: Iterable[StoredRow]) -> dict[str, SummaryRecord]:
+    """Return the readable summaries by pool, each with its hosts' loads."""
+    summaries: dict[str, SummaryRecord] = {}
+    loads: dict[str, HostsRecord] = {}
+    for row in rows:
+        if row.key == SUMMARY_KEY:
+            summary = decode_summary(row.value or b"")
+            if summary is not None:
+                summaries[row.part] = summary
+        elif row.key == HOSTS_KEY:
+            record = decode_hosts(row.value or b"")
+            if record is not None:
+                loads[row.part] = record
+    for pool, summary in summaries.items():
+        if pool in loads:
+            summary.hosts = loads[pool].hosts
+    return summaries
+
+
 def _host_load(view: ExecutorView, now: float) -> HostLoad:
     """Return the load of one host."""
     load = HostLoad(
         view.executor_id,
-        address=view.info.address,
+        is_usable=view.is_healthy(now) and not view.drain_order,
         used_cpu=view.used_cpu,
         runs=len(view.runs),
-        capacity_cpu=view.info.capacity.cpu_millis,
-        capacity_memory=view.info.capacity.memory_mb,
-        is_usable=view.is_healthy(now) and not view.drain_order,
     )
     for run in view.runs.values():
         if run.task is not None and run.task.step.lasts:
-            load.lasting_cpu += run.resources.cpu_millis
             load.lasting_runs += 1
     return load
