Follow the list of executors only while a pool is owned

On the grown deployments links of 2 to 10 Mbit/s filled, and calls ended without an answer.

Cause: each of the 42 daemons followed the table of executors' entries, which are rewritten each 1.5 s. Only owners of pools use it.

Change: `ExecutorList` follows the table from the moment a pool is won until no pool is held. The first read runs beside those of the pool's state, and the new owner waits for it before it plans, as an incomplete list would show executors as removed. When a pool is won again, the list is read again, and entries that are gone are reported as removed.

Evidence: in separate processes, the daemon without the pool received 5,281 bytes of entries of 4 executors by its first report of load, and now none; that test failed before. On virtual time, a new owner has the list within one read after the claim, and one whose list can't be read neither gives up nor repeats running tasks.

Owners still receive all entries, not only their pool's.

--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from lycheelug.jobservice.clock import Clock
     from lycheelug.jobservice.interfaces import (
@@ -39,6 +39,7 @@
         "lease_s",
         "metrics",
         "store",
+        "wait_for_executors",
     )
 
     def __init__(
@@ -52,6 +53,7 @@
         executors: Callable[[str], list[ExecutorInfo]],
         lease_s: float = LEASE_S,
         is_store_unreachable: Callable[[], bool] = lambda: False,
+        wait_for_executors: Callable[[], Awaitable[None]] | None = None,
     ) -> None:
         self.store = store
         self.gateway = gateway
@@ -65,3 +67,6 @@
         self.lease_s = lease_s
         # Whether calls to the store have failed on all paths for a while.
         self.is_store_unreachable = is_store_unreachable
+        # Waits until `executors` returns all executors; None if it always
+        # does.
+        self.wait_for_executors = wait_for_executors
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -329,10 +329,13 @@
         """Plan and send orders until the pool is lost.
 
         All jobs are loaded before the first poll of an executor, because
-        a reported run is matched to its job.
+        a reported run is matched to its job.  An executor that is missing
+        in an incomplete list would count as removed.
         """
         await self._jobs_replica.loaded.wait()
         await self._plan_replica.loaded.wait()
+        if self._context.wait_for_executors is not None:
+            await self._context.wait_for_executors()
         while not self.lost.is_set():
             self._sync_executors()
             self._open_due_occurrences()
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -21,6 +21,7 @@
     from lycheelug.fleetplan import MaintenanceWave
     from lycheelug.jobservice.clock import Clock
     from lycheelug.jobservice.duties import DutyHolder
+    from lycheelug.jobservice.executor_list import ExecutorList
     from lycheelug.jobservice.interfaces import (
         Configuration,
         ExecutorGateway,
@@ -41,6 +42,7 @@
 
     __slots__ = (
         "_context",
+        "_executor_list",
         "_executors",
         "_hosts",
         "_maintenance_s",
@@ -73,6 +75,8 @@
         self.configuration: Configuration | None = None
         self.waves: dict[int, MaintenanceWave] = {}
         self._executors: dict[str, ExecutorInfo] = {}
+        # None if the executors are set by `update_executor` alone.
+        self._executor_list: ExecutorList | None = None
         # Sends a submission to the daemon at an address.
         self._submit_remote = submit_remote
         self.submissions = Submissions(
@@ -88,6 +92,7 @@
             self.executors_of,
             lease_s,
             is_store_unreachable,
+            self._wait_for_executors,
         )
         incarnation = secrets.token_hex(8)
         self.duties = Duties(
@@ -162,6 +167,10 @@
             pools=len(configuration.pools),
         )
 
+    def follow_executors(self, executor_list: ExecutorList) -> None:
+        """Request this list of executors whenever a pool is won."""
+        self._executor_list = executor_list
+
     def update_executor(
         self, executor_id: str, info: ExecutorInfo | None
     ) -> None:
@@ -200,6 +209,11 @@
         """Return the executors of a pool that have an entry."""
         return [info for info in self._executors.values() if info.pool == pool]
 
+    async def _wait_for_executors(self) -> None:
+        """Wait until the list of executors is complete."""
+        if self._executor_list is not None:
+            await self._executor_list.wait_loaded()
+
     # --- Callbacks for the duties.
 
     def _pools(self) -> list[str]:
@@ -224,4 +238,7 @@
                 lambda: self.waves,
                 self._maintenance_s,
             )
+        if self._executor_list is not None:
+            # The list is read while the pool's state is.
+            self._executor_list.request()
         return PoolOwner(self._context, duty, term, version)
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -21,6 +21,7 @@
 from lycheelug.http import Answer, HttpServer, ServerLimits
 from lycheelug.jobservice.clock import Clock
 from lycheelug.jobservice.context import LEASE_S
+from lycheelug.jobservice.executor_list import ExecutorList
 from lycheelug.jobservice.load_monitor import LoadMonitor
 from lycheelug.jobservice.service import JobService
 from lycheelug.logs import log_change, set_up_stdout_logs
@@ -78,10 +79,6 @@
 # because a new request may otherwise be in flight.
 IDLE_CONNECTION_S: Final = 0.5
 IDLE_POLL_S: Final = 0.02
-# Executors rewrite their entries all the time, so changes are read in
-# batches at this interval, which is longer while this daemon owns no pool.
-EXECUTOR_BATCH_S: Final = 0.25
-UNOWNED_BATCH_S: Final = 0.8
 BODY_BYTES_MAX: Final = 1024 * 1024
 
 
@@ -106,7 +103,7 @@
     __slots__ = (
         "_callers",
         "_clock",
-        "_executor_rows",
+        "_executor_list",
         "_forwarder",
         "_load_monitor",
         "_probes",
@@ -149,7 +146,13 @@
         ingress = Ingress(self._service, clock)
         self._callers = HttpServer(ingress.handle, limits)
         self._probes = HttpServer(self._answer_probe)
-        self._executor_rows: TableReplica | None = None
+        self._executor_list = ExecutorList(
+            self._store,
+            EXECUTORS_TABLE,
+            self._on_executor_row,
+            lambda: self._service.owns_pools,
+        )
+        self._service.follow_executors(self._executor_list)
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -186,9 +189,7 @@
             store=self._settings.platform.address,
         )
         self._follow(OPERATOR_TABLE, self._on_operator_row)
-        self._executor_rows = self._follow(
-            EXECUTORS_TABLE, self._on_executor_row, EXECUTOR_BATCH_S
-        )
+        self._tasks.append(loop.create_task(self._executor_list.run()))
         self._service.start(self._relay_address())
         self._tasks.append(loop.create_task(self._load_monitor.run()))
         await self._stopping.wait()
@@ -244,18 +245,12 @@
         return True
 
     def _follow(
-        self,
-        table: str,
-        listener: Callable[[StoredRow], None],
-        pause_s: float = 0.0,
-    ) -> TableReplica:
+        self, table: str, listener: Callable[[StoredRow], None]
+    ) -> None:
         """Keep a replica of one of the platform's tables up to date."""
-        replica = TableReplica(
-            self._store, table, listener, part="", pause_s=pause_s
-        )
+        replica = TableReplica(self._store, table, listener, part="")
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(replica.run()))
-        return replica
 
     async def _stop(self) -> int:
         """Hand over the duties, serve the remaining callers and stop."""
@@ -320,11 +315,6 @@
 
     def _on_executor_row(self, row: StoredRow) -> None:
         """Apply a changed executor entry."""
-        if self._executor_rows is not None:
-            owns_pools = self._service.owns_pools
-            self._executor_rows.pause_s = (
-                EXECUTOR_BATCH_S if owns_pools else UNOWNED_BATCH_S
-            )
         info = decode_executor(row)
         if info is None and row.value is not None:
             log_change("row-unreadable", table=row.table, key=row.key)
