Read the list of hosts less often where it is long

On the grown deployments the links of the fleet owner and of the pools' owners filled, and their other calls ended without an answer.

Cause: the whole list (350 hosts, some 250 bytes each) was read each 0.4 s by the fleet owner while any host was moved or maintained, and each 0.5 s by each pool's owner while any executor was unresponsive. The platform offers no read of changes.

Change: the interval grows with the length of the list, so that reads take at most 80 KB/s at the fleet owner (20 KB/s while nothing moves) and 60 KB/s at a pool's owner. Up to 128 and 120 hosts nothing changes.

At 350 hosts the end of a maintenance is seen up to 1.1 s late instead of 0.4 s; what that costs a wave was not measured.

--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -27,6 +27,7 @@
     decode_plan,
     decode_summary,
 )
+from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.jobservice.interfaces import HostAnswer
 from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
 from lycheelug.logs import log_change, log_fault
@@ -48,10 +49,13 @@
 ROUND_S: Final = 0.06
 # The minimum time between two log lines about changed pool sizes.
 SIZE_LOG_INTERVAL_S: Final = 1.0
-# How often the list of hosts is read while no host changes, and while
-# moves or maintenance are in progress.
+# How often the list of hosts is read at most while no host changes, and
+# while moves or maintenance are in progress, and the bytes that these reads
+# may take a second.
 HOSTS_READ_IDLE_S: Final = 2.0
 HOSTS_READ_BUSY_S: Final = 0.4
+HOSTS_IDLE_BYTES_PER_S: Final = 20_000
+HOSTS_BUSY_BYTES_PER_S: Final = 80_000
 # The pause between two calls to the feed, so that one call returns several
 # changed summaries.
 FEED_PAUSE_S: Final = 0.05
@@ -217,9 +221,15 @@
     async def _read_hosts(self) -> bool:
         """Refresh the list of hosts; return False if none was ever read."""
         now = self._context.clock.now()
-        age_s = (
-            HOSTS_READ_BUSY_S if self._planner.is_busy else HOSTS_READ_IDLE_S
-        )
+        count = len(self._planner.hosts)
+        if self._planner.is_busy:
+            age_s = read_interval_s(
+                count, HOSTS_READ_BUSY_S, HOSTS_BUSY_BYTES_PER_S
+            )
+        else:
+            age_s = read_interval_s(
+                count, HOSTS_READ_IDLE_S, HOSTS_IDLE_BYTES_PER_S
+            )
         if self._hosts_at is not None and now - self._hosts_at < age_s:
             return True
         result = await self._hosts.hosts()
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure
 
+from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.logs import log_change, log_fault
 
 if TYPE_CHECKING:
@@ -15,8 +17,10 @@
 
 __all__ = ["remove_ended_incarnations", "remove_finished_jobs"]
 
-# How often the list of hosts is read while executors are unresponsive.
+# How often the list of hosts is read at most while executors are
+# unresponsive, and the bytes that these reads may take a second.
 HOST_CHECK_INTERVAL_S: Final = 0.5
+HOST_CHECK_BYTES_PER_S: Final = 60_000
 # How long the rows of finished jobs are kept for callers' queries.  The
 # platform requires 120 s; the rest covers clock differences of daemons.
 FINISHED_RETENTION_S: Final = 180
@@ -35,16 +39,23 @@
     old executor's entry still exists.  Only the list of hosts shows that
     the old incarnation has ended.
     """
+    interval_s = HOST_CHECK_INTERVAL_S
+    read_at = -math.inf
     while True:
         await asyncio.sleep(HOST_CHECK_INTERVAL_S)
         unresponsive = owner.schedule.unresponsive_executors()
-        if not unresponsive:
+        now = context.clock.now()
+        if not unresponsive or now - read_at < interval_s:
             continue
+        read_at = now
         result = await context.hosts.hosts()
         if isinstance(result, Failure):
             log_fault("hosts-not-read", result.failure(), pool=owner.pool)
             continue
         hosts = {host.name: host for host in result.unwrap()}
+        interval_s = read_interval_s(
+            len(hosts), HOST_CHECK_INTERVAL_S, HOST_CHECK_BYTES_PER_S
+        )
         for view in unresponsive:
             host = hosts.get(view.info.host)
             if host is None or not host.has_incarnation_ended(
