Store maintained hosts apart from the plan's orders

On the grown deployments each owner of a pool received the whole fleet plan with each of its changes, over links that were full; calls ended without an answer.

Cause: the plan's row held the hosts that were maintained, which only grow in number, and was written whole for each new, sent and ended order.

Change: `PlanStore` stores the open orders, as arrays, in `plans/plan` and the progress of each wave in a row of the table `waves`, which owners of pools don't follow.

--- a/lycheelug/fleetplan/__init__.py
+++ b/lycheelug/fleetplan/__init__.py
@@ -8,15 +8,18 @@
     PLANS_TABLE,
     SUMMARIES_TABLE,
     SUMMARY_KEY,
+    WAVES_TABLE,
     DrainOrder,
     HostCall,
     HostLoad,
     HostsRecord,
     PlanRecord,
     SummaryRecord,
+    WaveRecord,
     decode_hosts,
     decode_plan,
     decode_summary,
+    decode_wave_record,
 )
 
 __all__ = [
@@ -25,6 +28,7 @@
     "PLAN_KEY",
     "SUMMARIES_TABLE",
     "SUMMARY_KEY",
+    "WAVES_TABLE",
     "DrainOrder",
     "FleetPlanner",
     "HostCall",
@@ -35,7 +39,9 @@
     "MaintenanceWave",
     "PlanRecord",
     "SummaryRecord",
+    "WaveRecord",
     "decode_hosts",
     "decode_plan",
     "decode_summary",
+    "decode_wave_record",
 ]
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -23,15 +23,18 @@
     "PLAN_KEY",
     "SUMMARIES_TABLE",
     "SUMMARY_KEY",
+    "WAVES_TABLE",
     "DrainOrder",
     "HostCall",
     "HostLoad",
     "HostsRecord",
     "PlanRecord",
     "SummaryRecord",
+    "WaveRecord",
     "decode_hosts",
     "decode_plan",
     "decode_summary",
+    "decode_wave_record",
 ]
 
 SUMMARIES_TABLE: Final = "summaries"
@@ -39,6 +42,7 @@
 HOSTS_KEY: Final = "hosts"
 PLANS_TABLE: Final = "plans"
 PLAN_KEY: Final = "plan"
+WAVES_TABLE: Final = "waves"
 
 
 class HostLoad(msgspec.Struct, array_like=True):
@@ -95,7 +99,7 @@
         return wanted - self.lasting_cpu
 
 
-class DrainOrder(msgspec.Struct, omit_defaults=True):
+class DrainOrder(msgspec.Struct, array_like=True):
     """An order to drain a host before a move or maintenance."""
 
     number: str
@@ -112,12 +116,20 @@
 
     term: int
     orders: dict[str, DrainOrder] = {}
-    # The maintained hosts, by wave.
+    # Stored in a row for each wave, the `WaveRecord`: the maintained hosts by
+    # wave, and the waves that were published as completed.
     maintained: dict[str, list[str]] = {}
-    # The waves that were published as completed.
     completed: list[int] = []
 
 
+class WaveRecord(msgspec.Struct, omit_defaults=True):
+    """The progress of one maintenance wave."""
+
+    maintained: list[str] = []
+    # The wave was published as completed.
+    is_completed: bool = False
+
+
 class HostCall:
     """A call to move or maintain a host that is due now."""
 
@@ -150,3 +162,11 @@
         return msgspec.json.decode(value, type=PlanRecord)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
+
+
+def decode_wave_record(value: bytes) -> WaveRecord | None:
+    """Return the decoded progress of a wave, or None if it is invalid."""
+    try:
+        return msgspec.json.decode(value, type=WaveRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -11,28 +11,23 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-import msgspec
 from returns.result import Failure
 
 from lycheelug.fleetplan import (
     HOSTS_KEY,
-    PLAN_KEY,
-    PLANS_TABLE,
     SUMMARIES_TABLE,
     SUMMARY_KEY,
     FleetPlanner,
     HostsRecord,
     SummaryRecord,
     decode_hosts,
-    decode_plan,
     decode_summary,
 )
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.jobservice.interfaces import HostAnswer
-from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
+from lycheelug.jobservice.plan_store import PlanStore
 from lycheelug.logs import log_change, log_fault
 from lycheelug.store.replica import TableReplica
-from lycheelug.store.rows import RowConflict, RowName
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,7 +54,6 @@
 # The pause between two calls to the feed, so that one call returns several
 # changed summaries.
 FEED_PAUSE_S: Final = 0.05
-PLAN_ROW: Final = RowName(PLANS_TABLE, PLAN_KEY)
 
 
 class FleetOwner:
@@ -74,13 +68,11 @@
         "_lost",
         "_maintenance_s",
         "_name",
-        "_owner_version",
-        "_plan_version",
+        "_plan_store",
         "_planner",
         "_published",
         "_sizes",
         "_sizes_at",
-        "_stored_plan",
         "_summaries_replica",
         "_term",
         "_waves",
@@ -100,12 +92,10 @@
         self._hosts = hosts
         self._name = name
         self._term = term
-        self._owner_version = owner_version
         self._waves = waves
         self._maintenance_s = maintenance_s
         self._planner = FleetPlanner(term, None, maintenance_s)
-        self._plan_version = 0
-        self._stored_plan = b""
+        self._plan_store = PlanStore(context.store, owner_version)
         self._hosts_at: float | None = None
         # The newest loads of the pools' hosts.
         self._loads: dict[str, HostsRecord] = {}
@@ -157,16 +147,13 @@
 
     async def _recover(self) -> bool:
         """Read the plan that the last owner stored."""
-        read = await self._context.store.read(PLANS_TABLE, FLEET_PART)
-        if isinstance(read, Failure):
-            log_fault("plan-not-read", read.failure())
+        loaded = await self._plan_store.load(self._term)
+        if isinstance(loaded, Failure):
+            log_fault("plan-not-read", loaded.failure())
             return False
-        plan = None
-        for row in read.unwrap().rows:
-            if row.key == PLAN_KEY:
-                plan = decode_plan(row.value or b"")
-                self._plan_version = row.version
-        self._planner = FleetPlanner(self._term, plan, self._maintenance_s)
+        self._planner = FleetPlanner(
+            self._term, loaded.unwrap(), self._maintenance_s
+        )
         for summary_row in self._summaries_replica.rows:
             self._on_summary(summary_row)
         log_change(
@@ -200,7 +187,12 @@
         ]
         for call in due:
             call.order.sent = True
-        if not await self._store_plan():
+        is_stored = await self._plan_store.save(
+            planner.plan, self._context.clock.now()
+        )
+        if self._plan_store.is_lost:
+            self.revoke("the owner row has another holder")
+        if not is_stored:
             return
         loop = asyncio.get_running_loop()
         for call in due:
@@ -242,35 +234,6 @@
         )
         return True
 
-    async def _store_plan(self) -> bool:
-        """Store the plan if it has changed; return False if that failed."""
-        value = msgspec.json.encode(self._planner.plan)
-        if value == self._stored_plan:
-            return True
-        result = await self._context.store.commit(
-            FLEET_PART,
-            {
-                OWNER_ROW: self._owner_version,
-                PLAN_ROW: self._plan_version,
-            },
-            {PLAN_ROW: value},
-        )
-        if isinstance(result, Failure):
-            log_fault("plan-not-stored", result.failure())
-            return False
-        outcome = result.unwrap()
-        if not isinstance(outcome, RowConflict):
-            self._plan_version = outcome.version
-            self._stored_plan = value
-            return True
-        owner = outcome.rows.get(OWNER_ROW)
-        if owner is None or owner.version != self._owner_version:
-            self.revoke("the owner row has another holder")
-            return False
-        plan = outcome.rows.get(PLAN_ROW)
-        self._plan_version = plan.version if plan is not None else 0
-        return False
-
     async def _execute(self, call: HostCall) -> None:
         """Send the order to move or maintain one host."""
         order = call.order
--- a/lycheelug/jobservice/inspection.py
+++ b/lycheelug/jobservice/inspection.py
@@ -11,12 +11,8 @@
 import msgspec
 from returns.result import Failure, Success
 
-from lycheelug.fleetplan import (
-    PLAN_KEY,
-    PLANS_TABLE,
-    SUMMARIES_TABLE,
-    decode_plan,
-)
+from lycheelug.fleetplan import SUMMARIES_TABLE
+from lycheelug.jobservice.plan_store import PlanStore
 from lycheelug.jobservice.summary import join_summaries
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
@@ -234,27 +230,23 @@
 
     async def waves(self) -> Result[list[WaveView], Fault]:
         """Return the waves that the planner has begun."""
-        read = await self._store.read(PLANS_TABLE, FLEET_PART)
-        if isinstance(read, Failure):
-            return Failure(read.failure())
+        loaded = await PlanStore(self._store, 0).load(0)
+        if isinstance(loaded, Failure):
+            return Failure(loaded.failure())
+        plan = loaded.unwrap()
+        orders = [order.wave for order in plan.orders.values()]
+        numbers = {int(number) for number in plan.maintained}
+        numbers.update(wave for wave in orders if wave)
         found: list[WaveView] = []
-        for row in read.unwrap().rows:
-            plan = decode_plan(row.value or b"")
-            if row.key != PLAN_KEY or plan is None:
-                continue
-            orders = [order.wave for order in plan.orders.values()]
-            numbers = {int(number) for number in plan.maintained}
-            numbers.update(plan.completed)
-            numbers.update(wave for wave in orders if wave)
-            for number in sorted(numbers):
-                found.append(
-                    WaveView(
-                        number,
-                        len(plan.maintained.get(str(number), ())),
-                        orders.count(number),
-                        number in plan.completed,
-                    )
+        for number in sorted(numbers):
+            found.append(
+                WaveView(
+                    number,
+                    len(plan.maintained.get(str(number), ())),
+                    orders.count(number),
+                    number in plan.completed,
                 )
+            )
         return Success(found)
 
     async def jobs(self, pool: str) -> Result[list[JobView], Fault]:
