--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -11,29 +11,29 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-import msgspec
 from returns.result import Failure
 
 from lycheelug.fleetplan import (
-    PLAN_KEY,
-    PLANS_TABLE,
+    HOSTS_KEY,
     SUMMARIES_TABLE,
     SUMMARY_KEY,
     FleetPlanner,
-    decode_plan,
+    HostsRecord,
+    SummaryRecord,
+    decode_hosts,
     decode_summary,
 )
+from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.jobservice.interfaces import HostAnswer
-from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
+from lycheelug.jobservice.plan_store import PlanStore
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import WorkProgress
-from lycheelug.store.replica import TableReplica
-from lycheelug.store.rows import RowConflict, RowName
+from lycheelug.store.replica import FEED_WAIT_S, TableReplica
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lycheelug.fleetplan import HostCall, MaintenanceWave, SummaryRecord
+    from lycheelug.fleetplan import HostCall, MaintenanceWave
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.interfaces import (
         HostControl,
@@ -45,17 +45,19 @@
 ROUND_S: Final = 0.06
 # The minimum time between two log lines about changed pool sizes.
 SIZE_LOG_INTERVAL_S: Final = 1.0
-# How often the list of hosts is read while no host changes, and while
-# moves or maintenance are in progress.
+# How often the list of hosts is read at most while no host changes, and
+# while moves or maintenance are in progress, and the bytes that these reads
+# may take a second.
 HOSTS_READ_IDLE_S: Final = 2.0
 HOSTS_READ_BUSY_S: Final = 0.4
-# Hosts and summaries that were read longer ago are not current.  It covers the
-# interval of idle reads, and the time that the feed waits for a change.
-INPUT_AGE_MAX_S: Final = 3.0
+# How much older than the interval at which they are read hosts and summaries
+# may be before they aren't current.
+INPUT_LATE_S: Final = 1.0
+HOSTS_IDLE_BYTES_PER_S: Final = 40_000
+HOSTS_BUSY_BYTES_PER_S: Final = 120_000
 # The pause between two calls to the feed, so that one call returns several
 # changed summaries.
 FEED_PAUSE_S: Final = 0.05
-PLAN_ROW: Final = RowName(PLANS_TABLE, PLAN_KEY)
 
 
 class FleetOwner:
@@ -66,16 +68,15 @@
         "_context",
         "_hosts",
         "_hosts_at",
+        "_loads",
         "_lost",
         "_maintenance_s",
         "_name",
-        "_owner_version",
-        "_plan_version",
+        "_plan_store",
         "_planner",
         "_published",
         "_sizes",
         "_sizes_at",
-        "_stored_plan",
         "_summaries_at",
         "_summaries_replica",
         "_term",
@@ -100,13 +101,13 @@
         self._hosts = hosts
         self._name = name
         self._term = term
-        self._owner_version = owner_version
         self._waves = waves
         self._maintenance_s = maintenance_s
         self._planner = FleetPlanner(term, None, maintenance_s)
-        self._plan_version = 0
-        self._stored_plan = b""
+        self._plan_store = PlanStore(context.store, owner_version)
         self._hosts_at: float | None = None
+        # The newest loads of the pools' hosts.
+        self._loads: dict[str, HostsRecord] = {}
         self._published: set[int] = set()
         self._sizes: dict[str, tuple[int, int]] = {}
         self._sizes_at = 0.0
@@ -159,16 +160,13 @@
 
     async def _recover(self) -> bool:
         """Read the plan that the last owner stored."""
-        read = await self._context.store.read(PLANS_TABLE, FLEET_PART)
-        if isinstance(read, Failure):
-            log_fault("plan-not-read", read.failure())
+        loaded = await self._plan_store.load(self._term)
+        if isinstance(loaded, Failure):
+            log_fault("plan-not-read", loaded.failure())
             return False
-        plan = None
-        for row in read.unwrap().rows:
-            if row.key == PLAN_KEY:
-                plan = decode_plan(row.value or b"")
-                self._plan_version = row.version
-        self._planner = FleetPlanner(self._term, plan, self._maintenance_s)
+        self._planner = FleetPlanner(
+            self._term, loaded.unwrap(), self._maintenance_s
+        )
         for summary_row in self._summaries_replica.rows:
             self._on_summary(summary_row)
         log_change(
@@ -207,7 +205,12 @@
         ]
         for call in due:
             call.order.sent = True
-        if not await self._store_plan():
+        is_stored = await self._plan_store.save(
+            planner.plan, self._context.clock.now()
+        )
+        if self._plan_store.is_lost:
+            self.revoke("the owner row has another holder")
+        if not is_stored:
             return False
         loop = asyncio.get_running_loop()
         for call in due:
@@ -219,11 +222,26 @@
     def _is_current(self) -> bool:
         """Whether the hosts and the summaries were read lately."""
         now = self._context.clock.now()
-        for read_at in (self._hosts_at, self._summaries_at):
-            if read_at is None or now - read_at > INPUT_AGE_MAX_S:
+        inputs = (
+            (self._hosts_at, self._hosts_interval_s()),
+            (self._summaries_at, FEED_WAIT_S),
+        )
+        for read_at, interval_s in inputs:
+            if read_at is None or now - read_at > interval_s + INPUT_LATE_S:
                 return False
         return True
 
+    def _hosts_interval_s(self) -> float:
+        """Return how often the list of hosts is to be read now."""
+        count = len(self._planner.hosts)
+        if self._planner.is_busy:
+            return read_interval_s(
+                count, HOSTS_READ_BUSY_S, HOSTS_BUSY_BYTES_PER_S
+            )
+        return read_interval_s(
+            count, HOSTS_READ_IDLE_S, HOSTS_IDLE_BYTES_PER_S
+        )
+
     def _on_summaries(self) -> None:
         """Record that the feed of summaries has answered."""
         self._summaries_at = self._context.clock.now()
@@ -241,10 +259,10 @@
     async def _read_hosts(self) -> bool:
         """Refresh the list of hosts; return False if none was ever read."""
         now = self._context.clock.now()
-        age_s = (
-            HOSTS_READ_BUSY_S if self._planner.is_busy else HOSTS_READ_IDLE_S
-        )
-        if self._hosts_at is not None and now - self._hosts_at < age_s:
+        if (
+            self._hosts_at is not None
+            and now - self._hosts_at < self._hosts_interval_s()
+        ):
             return True
         result = await self._hosts.hosts()
         if isinstance(result, Failure):
@@ -256,35 +274,6 @@
         )
         return True
 
-    async def _store_plan(self) -> bool:
-        """Store the plan if it has changed; return False if that failed."""
-        value = msgspec.json.encode(self._planner.plan)
-        if value == self._stored_plan:
-            return True
-        result = await self._context.store.commit(
-            FLEET_PART,
-            {
-                OWNER_ROW: self._owner_version,
-                PLAN_ROW: self._plan_version,
-            },
-            {PLAN_ROW: value},
-        )
-        if isinstance(result, Failure):
-            log_fault("plan-not-stored", result.failure())
-            return False
-        outcome = result.unwrap()
-        if not isinstance(outcome, RowConflict):
-            self._plan_version = outcome.version
-            self._stored_plan = value
-            return True
-        owner = outcome.rows.get(OWNER_ROW)
-        if owner is None or owner.version != self._owner_version:
-            self.revoke("the owner row has another holder")
-            return False
-        plan = outcome.rows.get(PLAN_ROW)
-        self._plan_version = plan.version if plan is not None else 0
-        return False
-
     async def _execute(self, call: HostCall) -> None:
         """Send the order to move or maintain one host."""
         order = call.order
@@ -333,14 +322,31 @@
                 log_change("wave-completed", wave=number)
 
     def _on_summary(self, row: StoredRow) -> None:
-        """Apply a changed pool summary, unless a newer term's is known."""
-        if row.key != SUMMARY_KEY or row.value is None:
+        """Apply a changed pool summary or list of loads.
+
+        One of an earlier term than the known one is ignored.
+        """
+        if row.value is None or row.key not in (SUMMARY_KEY, HOSTS_KEY):
             return
-        summary: SummaryRecord | None = decode_summary(row.value)
-        if summary is None:
+        record: SummaryRecord | HostsRecord | None
+        if row.key == SUMMARY_KEY:
+            record = decode_summary(row.value)
+        else:
+            record = decode_hosts(row.value)
+        if record is None:
             log_change("row-unreadable", table=row.table, part=row.part)
             return
-        known = self._planner.summaries.get(row.part)
-        if known is not None and known.term > summary.term:
-            return
-        self._planner.summaries[row.part] = summary
+        summary = self._planner.summaries.get(row.part)
+        loads = self._loads.get(row.part)
+        if isinstance(record, SummaryRecord):
+            if summary is not None and summary.term > record.term:
+                return
+            summary = record
+            self._planner.summaries[row.part] = record
+        else:
+            if loads is not None and loads.term > record.term:
+                return
+            loads = record
+            self._loads[row.part] = record
+        if summary is not None and loads is not None:
+            summary.hosts = loads.hosts
--- a/lycheelug/jobservice/inspection.py
+++ b/lycheelug/jobservice/inspection.py
@@ -11,14 +11,9 @@
 import msgspec
 from returns.result import Failure, Success
 
-from lycheelug.fleetplan import (
-    PLAN_KEY,
-    PLANS_TABLE,
-    SUMMARIES_TABLE,
-    SUMMARY_KEY,
-    decode_plan,
-    decode_summary,
-)
+from lycheelug.fleetplan import SUMMARIES_TABLE
+from lycheelug.jobservice.plan_store import PlanStore
+from lycheelug.jobservice.summary import join_summaries
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     FLEET_PART,
@@ -29,6 +24,11 @@
     decode_progress,
     jobs_table,
 )
+from lycheelug.jobservice.used_executors import (
+    USED_EXECUTORS_TABLE,
+    UsedExecutor,
+    decode_used_executors,
+)
 from lycheelug.ownership import (
     DAEMONS_TABLE,
     OWNER_KEY,
@@ -183,14 +183,11 @@
         if isinstance(read, Failure):
             return Failure(read.failure())
         found: list[PoolView] = []
-        for row in read.unwrap():
-            summary = decode_summary(row.value or b"")
-            if row.key != SUMMARY_KEY or summary is None:
-                continue
+        for pool, summary in join_summaries(read.unwrap()).items():
             loads = summary.hosts.values()
             found.append(
                 PoolView(
-                    row.part,
+                    pool,
                     summary.term,
                     len(loads),
                     sum(load.is_usable for load in loads),
@@ -207,21 +204,25 @@
         read = await self._store.read(SUMMARIES_TABLE, pool)
         if isinstance(read, Failure):
             return Failure(read.failure())
+        recorded = await self._store.read(USED_EXECUTORS_TABLE, pool)
+        if isinstance(recorded, Failure):
+            return Failure(recorded.failure())
+        used: dict[str, UsedExecutor] = {}
+        for row in recorded.unwrap().rows:
+            used.update(decode_used_executors(row.value or b"") or {})
         found: list[ExecutorRow] = []
-        for row in read.unwrap().rows:
-            summary = decode_summary(row.value or b"")
-            if row.key != SUMMARY_KEY or summary is None:
-                continue
+        for summary in join_summaries(read.unwrap().rows).values():
             for host, load in sorted(summary.hosts.items()):
+                known = used.get(load.executor)
                 found.append(
                     ExecutorRow(
                         pool,
                         load.executor,
                         host,
-                        load.address,
+                        known.address if known is not None else "",
                         load.runs,
                         load.used_cpu,
-                        load.capacity_cpu,
+                        known.capacity_cpu if known is not None else 0,
                         load.is_usable,
                     )
                 )
@@ -229,27 +230,23 @@
 
     async def waves(self) -> Result[list[WaveView], Fault]:
         """Return the waves that the planner has begun."""
-        read = await self._store.read(PLANS_TABLE, FLEET_PART)
-        if isinstance(read, Failure):
-            return Failure(read.failure())
+        loaded = await PlanStore(self._store, 0).load(0)
+        if isinstance(loaded, Failure):
+            return Failure(loaded.failure())
+        plan = loaded.unwrap()
+        orders = [order.wave for order in plan.orders.values()]
+        numbers = {int(number) for number in plan.maintained}
+        numbers.update(wave for wave in orders if wave)
         found: list[WaveView] = []
-        for row in read.unwrap().rows:
-            plan = decode_plan(row.value or b"")
-            if row.key != PLAN_KEY or plan is None:
-                continue
-            orders = [order.wave for order in plan.orders.values()]
-            numbers = {int(number) for number in plan.maintained}
-            numbers.update(plan.completed)
-            numbers.update(wave for wave in orders if wave)
-            for number in sorted(numbers):
-                found.append(
-                    WaveView(
-                        number,
-                        len(plan.maintained.get(str(number), ())),
-                        orders.count(number),
-                        number in plan.completed,
-                    )
+        for number in sorted(numbers):
+            found.append(
+                WaveView(
+                    number,
+                    len(plan.maintained.get(str(number), ())),
+                    orders.count(number),
+                    number in plan.completed,
                 )
+            )
         return Success(found)
 
     async def jobs(self, pool: str) -> Result[list[JobView], Fault]:
--- a/lycheelug/store/replica.py
+++ b/lycheelug/store/replica.py
@@ -38,7 +38,7 @@
 
     Listener = Callable[[StoredRow], None]
 
-__all__ = ["TableReplica"]
+__all__ = ["FEED_WAIT_S", "TableReplica"]
 
 # A feed call ends after this time even if nothing changed, so that a dead
 # connection delays changes by no more than this and the call's timeout.
