Count each failed run of a task once, in whatever order it is listed

Cause: progress kept the highest run counted as failed, and the new owner heard run 1003 before 1001 and 1002, which then looked counted. Class: a high-water mark over facts that can arrive out of order. Ends per executor are numbered and listed in order, so their mark is right.

The runs that were counted are kept instead; their number is bounded by the attempts. Two of the three orders of the new test failed before.

--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -236,12 +236,13 @@
         if self.is_long_running or task.step.lasts:
             task.failures += 1
             return
-        if run <= self.progress.failed_runs.get(key, 0):
+        counted = self.progress.counted_runs.setdefault(key, [])
+        if run in counted:
             return
+        counted.append(run)
         task.failures += 1
         self.is_dirty = True
         self.progress.failures[key] = task.failures
-        self.progress.failed_runs[key] = run
         if task.failures < self.policy.max_attempts:
             return
         task.state = TaskState.EXHAUSTED
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -26,10 +26,11 @@
     done: dict[str, list[int]] = {}
     # Number of failed runs, keyed by `occurrence.step.index`.
     failures: dict[str, int] = {}
-    # Highest run number already counted as failed, with the same keys.  If
-    # the owner changes after an end was stored and before it was
-    # acknowledged, the executor reports that end again to the next owner.
-    failed_runs: dict[str, int] = {}
+    # The runs counted as failed, with the same keys.  If the owner changes
+    # after an end was stored and before it was acknowledged, the executor
+    # reports that end again to the next owner.  Executors report in any
+    # order, so a lower run may be reported after a higher one.
+    counted_runs: dict[str, list[int]] = {}
     # Newest checkpoint, keyed by `occurrence.step.index`.
     checkpoints: dict[str, str] = {}
     # Occurrences whose tasks are all done; they have no entries in `done`.
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -429,3 +429,22 @@
     after.answer(retry)
     after.report_tasks("x", ended=[(TASK, retry.run, EndKind.FAILED)])
     assert adopted.progress.state == JobState.FAILED
+
+
+# Guards against BUDGET: a fourth run of a task with three attempts, after a
+# new owner had dropped the failures that executors listed out of order.
+@pytest.mark.parametrize(
+    "order", [(1001, 1002, 1003), (1003, 1001, 1002), (1002, 1003, 1001)]
+)
+def test_failures_count_in_whatever_order_executors_list_them(
+    order: tuple[int, ...],
+) -> None:
+    world = PoolWorld(term=2)
+    for run in order:
+        world.add_executor(f"x{run}", has_reported=False)
+    progress = ProgressRecord(1, JobState.RUNNING)
+    job = world.add_job(ONE, progress=progress, max_attempts=3)
+    for run in order:
+        world.report_tasks(f"x{run}", ended=[(TASK, run, EndKind.FAILED)])
+    assert job.progress.state == JobState.FAILED
+    assert world.starts() == []
