Report a call that found no connection as certainly without effect

Callers saw a submission as undecided, and a commit as unknown, although the connection to the peer was never established: only a refused connection counted as certain. A commit with an unknown outcome is not repeated by `RelayedRows`, so an unreachable peer cost its caller the transaction.

Cause: the set-up of the connection and the call were one step, so a `TimeoutError` or an unreachable host did not say which of them failed.

`PeerChannels.call` now sets up the connection first and raises `NotSentError` if that fails. It maps to PLATFORM_UNREACHABLE (the next peer is tried) and to `NOT_TAKEN` (the sender stores the submission itself).

Test: `test_call_without_a_connection_certainly_had_no_effect`, a listener with a full backlog, failed before (UNDECIDED instead of NOT_TAKEN).

--- a/lycheelug/relay/channels.py
+++ b/lycheelug/relay/channels.py
@@ -17,7 +17,7 @@
 
 from lycheelug.entries.codec import MessagePackCodec
 
-__all__ = ["CALL_ERRORS", "PeerChannels"]
+__all__ = ["CALL_ERRORS", "NotSentError", "PeerChannels"]
 
 R = TypeVar("R")
 
@@ -32,6 +32,10 @@
 )
 
 
+class NotSentError(ConnectionError):
+    """No connection was established, so the call had no effect."""
+
+
 class _Connection:
     """One connection and the state of its calls."""
 
@@ -73,16 +77,22 @@
         reply: type[R],
         timeout_s: float,
     ) -> R:
-        """Make a call; raise one of `CALL_ERRORS` if it fails."""
+        """Make a call; raise one of `CALL_ERRORS` if it fails.
+
+        Only after a `NotSentError` the call certainly had no effect.
+        """
         connection = self._connection(address)
         method: UnaryUnaryMethod[Any, R] = UnaryUnaryMethod(
             connection.channel, path, type(message), reply
         )
         loop = asyncio.get_running_loop()
         began = loop.time()
+        is_connected = False
         connection.calls += 1
         try:
             async with asyncio.timeout(timeout_s):
+                await connection.channel.__connect__()
+                is_connected = True
                 result = await method(message)
             connection.answered_at = loop.time()
             return result
@@ -90,13 +100,16 @@
             # The peer has answered, with an error.
             connection.answered_at = loop.time()
             raise
-        except TimeoutError:
-            if not connection.has_answered_since(began):
+        except CALL_ERRORS as error:
+            is_timeout = isinstance(error, TimeoutError)
+            if not is_timeout or not connection.has_answered_since(began):
                 self._retire(address, connection)
-            raise
-        except CALL_ERRORS:
-            self._retire(address, connection)
-            raise
+            # A connection that was lost while idle is opened again within
+            # the call.
+            if is_connected and not isinstance(error, ConnectionRefusedError):
+                raise
+            detail = str(error) or type(error).__name__
+            raise NotSentError(detail) from error
         finally:
             connection.calls -= 1
             connection.close_if_unused()
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -25,7 +25,7 @@
     Step,
 )
 from lycheelug.logs import log_change, log_fault
-from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
+from lycheelug.relay.channels import CALL_ERRORS, NotSentError, PeerChannels
 from lycheelug.relay.messages import (
     CommitCall,
     FeedCall,
@@ -300,8 +300,7 @@
         except CALL_ERRORS as error:
             detail = str(error) or type(error).__name__
             code = PLATFORM_UNKNOWN
-            if isinstance(error, ConnectionRefusedError):
-                # No process listens at the address: nothing was sent.
+            if isinstance(error, NotSentError):
                 code = PLATFORM_UNREACHABLE
             fault = Fault(code, step, Peer.ENTRY, detail, address)
             log_fault("relayed-call-failed", fault, path=path)
--- a/lycheelug/relay/submissions.py
+++ b/lycheelug/relay/submissions.py
@@ -12,7 +12,7 @@
 
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.logs import log_change
-from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
+from lycheelug.relay.channels import CALL_ERRORS, NotSentError, PeerChannels
 from lycheelug.relay.messages import SubmitCall, SubmitReply
 
 if TYPE_CHECKING:
@@ -60,7 +60,7 @@
                 job=job_id,
                 error=str(error) or type(error).__name__,
             )
-            if isinstance(error, ConnectionRefusedError):
+            if isinstance(error, NotSentError):
                 return SubmissionAnswer.NOT_TAKEN
             return SubmissionAnswer.UNDECIDED
         try:
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
@@ -182,3 +183,30 @@
             channels.close()
 
     asyncio.run(run())
+
+
+# Guards against reporting an unknown outcome of a call that was never sent.
+def test_call_without_a_connection_certainly_had_no_effect() -> None:
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+            port = listener.getsockname()[1]
+            address = f"127.0.0.1:{port}"
+            # Fills the backlog, so that no further connection is set up.
+            fillers = [socket.socket() for _ in range(4)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", port))
+            async with Owner() as owner:
+                answer = await owner.forwarder.submit(
+                    address, POOL, "j", RECORD
+                )
+                assert answer is SubmissionAnswer.NOT_TAKEN
+            async with World() as world:
+                world.direct.down = True
+                world.first_peers.append(address)
+                done = await world.store.commit("p", {NAME: 0}, {NAME: b"v"})
+                assert isinstance(done, Success)
+            for filler in fillers:
+                filler.close()
+
+    asyncio.run(run())
