Give a relayed transaction the time that it may take at the peer

Callers of a refused daemon saw transactions end as unknown although they were stored a little later. The owner then repeats the whole batch, which conflicts with its own first write.

Cause: a relayed transaction had 0.5 s in all, but the peer itself waits up to 1 s for the store, where it may queue behind others of its part. A heartbeat has a part of its own and does not queue, so it passed while transactions did not.

A write with conditions now has 1.25 s, and the set-up of a connection at most 0.5 s of it. A write without conditions, the heartbeat, keeps 0.5 s: the next one replaces it, and a daemon counts as dead after 1.2 s.

Tests: `test_relayed_transaction_may_queue_in_the_store` (0.9 s at the peer) failed before with platform-unknown. `test_write_without_a_condition_moves_on_from_a_silent_peer` passed before and holds the limit that stays.

--- a/lycheelug/relay/channels.py
+++ b/lycheelug/relay/channels.py
@@ -21,6 +21,9 @@
 
 R = TypeVar("R")
 
+# Time limit of the set-up of a connection, within that of the call.
+CONNECT_TIMEOUT_S: Final = 0.5
+
 # The exceptions that a failed call to a peer raises.
 CALL_ERRORS: Final = (
     OSError,
@@ -91,7 +94,8 @@
         connection.calls += 1
         try:
             async with asyncio.timeout(timeout_s):
-                await connection.channel.__connect__()
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    await connection.channel.__connect__()
                 is_connected = True
                 result = await method(message)
             connection.answered_at = loop.time()
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -53,8 +53,11 @@
 T = TypeVar("T")
 
 # Timeout of a relayed call, in addition to its wait for changes.  Covers a
-# transaction on a store that is sixty times slower than usual.
+# read on a store that is sixty times slower than usual.
 CALL_MARGIN_S: Final = 0.5
+# Timeout of a relayed transaction with conditions.  It may queue behind
+# others of its part, for up to the peer's own timeout of 1 s.
+TRANSACTION_TIMEOUT_S: Final = 1.25
 # Maximum wait of a relayed feed for a change.  It is short because direct
 # access may work again.
 RELAYED_WAIT_S: Final = 0.4
@@ -121,12 +124,16 @@
         writes: Mapping[RowName, bytes | None],
     ) -> Result[RowCommit | RowConflict, Fault]:
         """Write rows if the expected rows have the given versions."""
+        # A write without conditions doesn't queue and is soon replaced by the
+        # next one: a heartbeat.
+        timeout_s = TRANSACTION_TIMEOUT_S if expected else CALL_MARGIN_S
         return await self._call_store(
             lambda: self._direct_store.commit(part, expected, writes),
             COMMIT,
             CommitCall.of(part, expected, writes),
             Step.WRITE,
             _unpack_commit,
+            timeout_s,
         )
 
     async def read(
@@ -162,7 +169,7 @@
             FeedCall(table, after, relayed_wait_s),
             Step.READ,
             _unpack_feed,
-            relayed_wait_s,
+            relayed_wait_s + CALL_MARGIN_S,
         )
 
     def close(self) -> None:
@@ -180,7 +187,7 @@
         message: Any,
         step: Step,
         unpack: Callable[[StoreReply], T],
-        wait_s: float = 0.0,
+        timeout_s: float = CALL_MARGIN_S,
     ) -> Result[T, Fault]:
         """Make a call directly, or through a peer if direct access fails."""
         result: Result[T, Fault] | None = None
@@ -191,7 +198,7 @@
                 result = await self._read_directly(direct_call())
             if result is not None and not self._should_relay(result, step):
                 return result
-        reply = await self._relay(path, message, step, wait_s)
+        reply = await self._relay(path, message, step, timeout_s)
         if isinstance(reply, Success):
             return Success(unpack(reply.unwrap()))
         fault = reply.failure()
@@ -252,7 +259,7 @@
         return step is Step.READ or fault.code is not PLATFORM_UNKNOWN
 
     async def _relay(
-        self, path: str, message: Any, step: Step, wait_s: float
+        self, path: str, message: Any, step: Step, timeout_s: float
     ) -> Result[StoreReply, Fault]:
         """Relay a call through a peer; try the next one if it fails too."""
         result: Result[StoreReply, Fault] = Failure(
@@ -268,7 +275,7 @@
             if not address:
                 return result
             result = await self._relay_through(
-                address, path, message, step, wait_s
+                address, path, message, step, timeout_s
             )
             if isinstance(result, Success):
                 self.failing_since = None
@@ -290,12 +297,12 @@
         path: str,
         message: Any,
         step: Step,
-        wait_s: float,
+        timeout_s: float,
     ) -> Result[StoreReply, Fault]:
         """Relay a call through one peer."""
         try:
             reply = await self._channels.call(
-                address, path, message, StoreReply, wait_s + CALL_MARGIN_S
+                address, path, message, StoreReply, timeout_s
             )
         except CALL_ERRORS as error:
             detail = str(error) or type(error).__name__
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -7,9 +7,11 @@
 from typing import TYPE_CHECKING
 
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
+from lycheelug.errors import PLATFORM_UNKNOWN
 from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.ownership.liveness import HEARTBEAT_TIMEOUT_S
 from lycheelug.relay import RelayServer, SubmissionForwarder
 from lycheelug.relay.channels import PeerChannels
 from lycheelug.relay.messages import SubmitCall, SubmitReply
@@ -210,3 +212,33 @@
                 filler.close()
 
     asyncio.run(run())
+
+
+# Guards against giving up a transaction that queues behind others of its
+# part in the store, before the peer gives up itself.
+def test_relayed_transaction_may_queue_in_the_store() -> None:
+    async def run() -> None:
+        async with World() as world:
+            world.direct.down = True
+            world.peer.write_s = 0.9
+            done = await world.store.commit("p", {NAME: 0}, {NAME: b"v"})
+            assert isinstance(done, Success)
+
+    asyncio.run(run())
+
+
+# Guards against a daemon that counts as dead because its heartbeat, which
+# has no condition, waits for a silent peer.
+def test_write_without_a_condition_moves_on_from_a_silent_peer() -> None:
+    async def run() -> None:
+        async with World() as world:
+            world.direct.down = True
+            world.peer.write_s = JOIN_S * 2
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            done = await world.store.commit("p", {}, {NAME: b"v"})
+            assert isinstance(done, Failure)
+            assert done.failure().code is PLATFORM_UNKNOWN
+            assert loop.time() - began < HEARTBEAT_TIMEOUT_S / 2
+
+    asyncio.run(run())
