Keep calling a peer that was slow to answer one relayed call

Cause: one call without an answer in time barred its peer for 4 s for all calls; a read that failed at three peers stopped all relayed calls for 0.5 s.

A peer whose connection answered other calls in the meantime is now a last resort for 0.5 s: it is called if no other peer can be. Only one that answered nothing is barred for 4 s, and the pause follows only failures of that kind, or peers without access. The choice is a module of its own.

--- a/lycheelug/relay/channels.py
+++ b/lycheelug/relay/channels.py
@@ -118,6 +118,10 @@
             connection.calls -= 1
             connection.close_if_unused()
 
+    def is_connected(self, address: str) -> bool:
+        """Return whether the last connection to a peer was not retired."""
+        return address in self._connections
+
     def close(self) -> None:
         """Close all connections."""
         for connection in self._connections.values():
--- /dev/null
+++ b/lycheelug/relay/peer_choice.py
@@ -0,0 +1,82 @@
+"""Chooses the peer through which a call to the store is relayed.
+
+The first peer that may be called is preferred.  A peer that answers nothing,
+or had no direct access, is not called for a while.  One that is slow is a
+last resort for a while: it is called if no other peer can be.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Container
+
+__all__ = ["PeerChoice"]
+
+# A peer is not called for this long after nothing on its connection was
+# answered.
+AVOID_SILENT_S: Final = 4.0
+# The same after its own direct access failed.
+AVOID_WITHOUT_ACCESS_S: Final = 1.0
+# How long a peer is a last resort that was slow to answer one call, but
+# answered others.
+SLOW_S: Final = 0.5
+
+
+class PeerChoice:
+    """Tracks which peers may be called.
+
+    >>> choice = PeerChoice(lambda: ["a", "b"], lambda: 0.0)
+    >>> choice.record_slow("a")
+    >>> choice.choose(()), choice.choose(("b",))
+    ('b', 'a')
+    """
+
+    __slots__ = (
+        "_avoided_until",
+        "_last_resort_until",
+        "_now",
+        "_peers",
+    )
+
+    def __init__(
+        self, peers: Callable[[], list[str]], now: Callable[[], float]
+    ) -> None:
+        # Returns the addresses of other daemons, preferred ones first.
+        self._peers = peers
+        self._now = now
+        # By address of a peer that failed: until when it is not called.
+        self._avoided_until: dict[str, float] = {}
+        # By address of a slow peer: until when it is a last resort.
+        self._last_resort_until: dict[str, float] = {}
+
+    def choose(self, tried: Container[str]) -> str:
+        """Return the next peer, not one of those tried; empty for none."""
+        now = self._now()
+        last_resort = ""
+        for address in self._peers():
+            if address in tried or now < self._avoided_until.get(address, 0.0):
+                continue
+            if now < self._last_resort_until.get(address, 0.0):
+                last_resort = last_resort or address
+                continue
+            return address
+        return last_resort
+
+    def record_success(self, address: str) -> None:
+        """Record that a peer has relayed a call."""
+        self._avoided_until.pop(address, None)
+        self._last_resort_until.pop(address, None)
+
+    def record_no_access(self, address: str) -> None:
+        """Record that a peer's own call to the store failed."""
+        self._avoided_until[address] = self._now() + AVOID_WITHOUT_ACCESS_S
+
+    def record_slow(self, address: str) -> None:
+        """Record that a peer answered other calls, but not one in time."""
+        self._last_resort_until[address] = self._now() + SLOW_S
+
+    def record_silent(self, address: str) -> None:
+        """Record that a peer has answered nothing."""
+        self._avoided_until[address] = self._now() + AVOID_SILENT_S
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -33,6 +33,7 @@
     ReadCall,
     StoreReply,
 )
+from lycheelug.relay.peer_choice import PeerChoice
 from lycheelug.relay.server import COMMIT, FEED, PARTS, READ
 from lycheelug.store.rows import (
     HistoryGone,
@@ -61,18 +62,15 @@
 # Maximum wait of a relayed feed for a change.  It is short because direct
 # access may work again.
 RELAYED_WAIT_S: Final = 0.4
-# A peer is not called for this long after it did not answer.
-AVOID_S: Final = 4.0
 # The pause between two probes of direct access.
 PROBE_S: Final = 0.2
 # A probe reads a part that has no rows.
 PROBE_TABLE: Final = "owners"
 PROBE_PART: Final = "~probe"
-# Maximum number of peers that one call tries, and how long a peer is not
-# called after its direct access failed.
+# Maximum number of peers that one call tries.
 PEERS_MAX: Final = 3
-AVOID_WITHOUT_ACCESS_S: Final = 1.0
-# No peer is called for this long after PEERS_MAX peers failed.
+# No peer is called for this long after one call has tried as many, unless
+# some of them were only slow.
 PEERS_PAUSE_S: Final = 0.5
 
 
@@ -80,12 +78,11 @@
     """The row store, accessed directly or through a peer."""
 
     __slots__ = (
-        "_avoided_until",
         "_channels",
+        "_choice",
         "_direct_lost",
         "_direct_store",
         "_now",
-        "_peers",
         "_peers_retry_at",
         "_probe",
         "failing_since",
@@ -98,11 +95,8 @@
         now: Callable[[], float],
     ) -> None:
         self._direct_store = direct_store
-        # Returns the addresses of other daemons, preferred ones first.
-        self._peers = peers
         self._now = now
-        # By address of a peer that failed: until when it is not called.
-        self._avoided_until: dict[str, float] = {}
+        self._choice = PeerChoice(peers, now)
         self._channels = PeerChannels()
         # Set while direct access fails.
         self._direct_lost = asyncio.Event()
@@ -270,28 +264,46 @@
                 "no peer is available",
             )
         )
-        for _ in range(PEERS_MAX):
-            address = self._choose_peer()
+        tried: list[str] = []
+        is_any_slow = False
+        while len(tried) < PEERS_MAX:
+            if self._now() < self._peers_retry_at:
+                return result
+            address = self._choice.choose(tried)
             if not address:
                 return result
-            result = await self._relay_through(
+            tried.append(address)
+            called = await self._call_peer(
                 address, path, message, step, timeout_s
             )
-            if isinstance(result, Success):
-                self.failing_since = None
-                return result
-            if result.failure().code is PLATFORM_UNKNOWN:
-                self._avoided_until[address] = self._now() + AVOID_S
-                if step is Step.READ:
-                    continue
+            if isinstance(called, Failure):
+                result = Failure(called.failure())
+                if self._channels.is_connected(address):
+                    is_any_slow = True
+                    self._choice.record_slow(address)
+                else:
+                    self._choice.record_silent(address)
+            else:
+                reply = called.unwrap()
+                if not reply.fault:
+                    self._choice.record_success(address)
+                    self.failing_since = None
+                    return Success(reply)
+                self._choice.record_no_access(address)
+                code = CODES.get(reply.fault, PLATFORM_UNKNOWN)
+                result = Failure(
+                    Fault(code, step, Peer.ENTRY, reply.detail, address)
+                )
+            is_unknown = result.failure().code is PLATFORM_UNKNOWN
+            if is_unknown and step is Step.WRITE:
                 return result
-            self._avoided_until[address] = self._now() + AVOID_WITHOUT_ACCESS_S
-            if not self._direct_lost.is_set():
+            if not is_unknown and not self._direct_lost.is_set():
                 return result
-        self._peers_retry_at = self._now() + PEERS_PAUSE_S
+        if not is_any_slow:
+            self._peers_retry_at = self._now() + PEERS_PAUSE_S
         return result
 
-    async def _relay_through(
+    async def _call_peer(
         self,
         address: str,
         path: str,
@@ -299,7 +311,7 @@
         step: Step,
         timeout_s: float,
     ) -> Result[StoreReply, Fault]:
-        """Relay a call through one peer."""
+        """Call one peer; return its reply, which may have a fault."""
         try:
             reply = await self._channels.call(
                 address, path, message, StoreReply, timeout_s
@@ -312,20 +324,7 @@
             fault = Fault(code, step, Peer.ENTRY, detail, address)
             log_fault("relayed-call-failed", fault, path=path)
             return Failure(fault)
-        if not reply.fault:
-            return Success(reply)
-        code = CODES.get(reply.fault, PLATFORM_UNKNOWN)
-        return Failure(Fault(code, step, Peer.ENTRY, reply.detail, address))
-
-    def _choose_peer(self) -> str:
-        """Return the first peer that may be called now; empty for none."""
-        now = self._now()
-        if now < self._peers_retry_at:
-            return ""
-        for address in self._peers():
-            if now >= self._avoided_until.get(address, 0.0):
-                return address
-        return ""
+        return Success(reply)
 
 
 def _unpack_commit(reply: StoreReply) -> RowCommit | RowConflict:
