Look behind peers without access, and don't ask them first again

Callers of a refused daemon saw calls fail although peers with access were there: with a third of the fleet refused, the first three of a daemon's list may all be refused (`frontend-pos-a-8` has two of them in front). The call then failed, and no peer was called for 0.5 s. Each second the refused ones were asked first again, which also cost the store a refused, priced call.

Cause: a call tried three peers, whatever they said, and a peer's answer that it has no access was forgotten after 1 s.

A call now tries up to five peers, of which three may leave it unanswered. A peer without access is a last resort for 10 s, or until it relays a call.

Tests: `test_peer_with_access_is_found_behind_three_without` failed before (platform-unreachable), and so did `test_peer_without_access_is_a_last_resort` (it was asked a second time, 2 s later).

--- a/lycheelug/relay/peer_choice.py
+++ b/lycheelug/relay/peer_choice.py
@@ -1,7 +1,7 @@
 """Chooses the peer through which a call to the store is relayed.
 
-The first peer that may be called is preferred.  A peer that answers nothing,
-or had no direct access, is not called for a while.  One that is slow is a
+The first peer that may be called is preferred.  A peer that answers nothing
+is not called for a while.  One that is slow, or had no direct access, is a
 last resort for a while: it is called if no other peer can be.
 """
 
@@ -19,8 +19,10 @@
 AVOID_SILENT_S: Final = 4.0
 # The same after its own direct access failed.
 AVOID_WITHOUT_ACCESS_S: Final = 1.0
-# How long a peer is a last resort that was slow to answer one call, but
-# answered others.
+# How long a peer without direct access is a last resort, unless it relays a
+# call.
+WITHOUT_ACCESS_S: Final = 10.0
+# The same for a peer that was slow to answer one call, but answered others.
 SLOW_S: Final = 0.5
 
 
@@ -28,9 +30,9 @@
     """Tracks which peers may be called.
 
     >>> choice = PeerChoice(lambda: ["a", "b"], lambda: 0.0)
-    >>> choice.record_slow("a")
+    >>> choice.record_no_access("a")
     >>> choice.choose(()), choice.choose(("b",))
-    ('b', 'a')
+    ('b', '')
     """
 
     __slots__ = (
@@ -48,7 +50,8 @@
         self._now = now
         # By address of a peer that failed: until when it is not called.
         self._avoided_until: dict[str, float] = {}
-        # By address of a slow peer: until when it is a last resort.
+        # By address of a slow peer, or one without direct access: until when
+        # it is a last resort.
         self._last_resort_until: dict[str, float] = {}
 
     def choose(self, tried: Container[str]) -> str:
@@ -71,11 +74,15 @@
 
     def record_no_access(self, address: str) -> None:
         """Record that a peer's own call to the store failed."""
-        self._avoided_until[address] = self._now() + AVOID_WITHOUT_ACCESS_S
+        now = self._now()
+        self._avoided_until[address] = now + AVOID_WITHOUT_ACCESS_S
+        self._last_resort_until[address] = now + WITHOUT_ACCESS_S
 
     def record_slow(self, address: str) -> None:
         """Record that a peer answered other calls, but not one in time."""
-        self._last_resort_until[address] = self._now() + SLOW_S
+        until = self._now() + SLOW_S
+        known = self._last_resort_until.get(address, 0.0)
+        self._last_resort_until[address] = max(known, until)
 
     def record_silent(self, address: str) -> None:
         """Record that a peer has answered nothing."""
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -67,8 +67,11 @@
 # A probe reads a part that has no rows.
 PROBE_TABLE: Final = "owners"
 PROBE_PART: Final = "~probe"
-# Maximum number of peers that one call tries.
-PEERS_MAX: Final = 3
+# Maximum number of peers that one call tries.  Most of those without direct
+# access say so at once.
+PEERS_MAX: Final = 5
+# Maximum number of them that do not answer.
+NO_ANSWERS_MAX: Final = 3
 # No peer is called for this long after one call has tried as many, unless
 # some of them were only slow.
 PEERS_PAUSE_S: Final = 0.5
@@ -265,8 +268,9 @@
             )
         )
         tried: list[str] = []
+        no_answers = 0
         is_any_slow = False
-        while len(tried) < PEERS_MAX:
+        while len(tried) < PEERS_MAX and no_answers < NO_ANSWERS_MAX:
             if self._now() < self._peers_retry_at:
                 return result
             address = self._choice.choose(tried)
@@ -277,6 +281,7 @@
                 address, path, message, step, timeout_s
             )
             if isinstance(called, Failure):
+                no_answers += 1
                 result = Failure(called.failure())
                 if self._channels.is_connected(address):
                     is_any_slow = True
--- a/tests/test_relay_peers.py
+++ b/tests/test_relay_peers.py
@@ -88,3 +88,34 @@
             assert isinstance(await fleet.commit(), Success)
 
     asyncio.run(run())
+
+
+# Guards against giving up, and then calling nobody for 0.5 s, while peers
+# that were not tried have access.
+def test_peer_with_access_is_found_behind_three_without() -> None:
+    async def run() -> None:
+        async with Fleet(peers=5) as fleet:
+            for peer in fleet.peers[:4]:
+                peer.down = True
+            assert isinstance(await fleet.commit(), Success)
+
+    asyncio.run(run())
+
+
+# Guards against asking the peers without access again every second, before
+# the one that relays calls.
+def test_peer_without_access_is_a_last_resort() -> None:
+    async def run() -> None:
+        async with Fleet(peers=2) as fleet:
+            first, second = fleet.peers
+            first.down = True
+            assert isinstance(await fleet.commit(), Success)
+            refused = first.commits
+            fleet.clock_offset_s = 2.0
+            assert isinstance(await fleet.commit(), Success)
+            assert first.commits == refused
+            first.down = False
+            second.down = True
+            assert isinstance(await fleet.commit(), Success)
+
+    asyncio.run(run())
