Spread relayed calls over three peers

All relayed calls of a daemon, feeds and transactions, went through the first peer of its list. One late peer delayed everything.

The first three peers that may be called now take turns.

Test: `test_relayed_calls_are_spread_over_several_peers` failed before (all 12 transactions at the first peer).

--- a/lycheelug/relay/peer_choice.py
+++ b/lycheelug/relay/peer_choice.py
@@ -1,8 +1,9 @@
 """Chooses the peer through which a call to the store is relayed.
 
-The first peer that may be called is preferred.  A peer that answers nothing
-is not called for a while.  One that is slow, or had no direct access, is a
-last resort for a while: it is called if no other peer can be.
+The preferred peers take turns, so that one slow peer delays only some of a
+daemon's calls.  A peer that answers nothing is not called for a while.  One
+that is slow, or had no direct access, is a last resort for a while: it is
+called if no other peer can be.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 
 __all__ = ["PeerChoice"]
 
+# How many of the peers that may be called take turns.
+TURNS: Final = 3
 # A peer is not called for this long after nothing on its connection was
 # answered.
 AVOID_SILENT_S: Final = 4.0
@@ -27,12 +30,14 @@
 
 
 class PeerChoice:
-    """Tracks which peers may be called.
+    """Tracks which peers may be called, and gives them turns.
 
     >>> choice = PeerChoice(lambda: ["a", "b"], lambda: 0.0)
-    >>> choice.record_no_access("a")
-    >>> choice.choose(()), choice.choose(("b",))
-    ('b', '')
+    >>> choice.choose(()), choice.choose(()), choice.choose(())
+    ('a', 'b', 'a')
+    >>> choice.record_no_access("b")
+    >>> choice.choose(()), choice.choose(("a",))
+    ('a', '')
     """
 
     __slots__ = (
@@ -40,6 +45,7 @@
         "_last_resort_until",
         "_now",
         "_peers",
+        "_turn",
     )
 
     def __init__(
@@ -53,10 +59,12 @@
         # By address of a slow peer, or one without direct access: until when
         # it is a last resort.
         self._last_resort_until: dict[str, float] = {}
+        self._turn = 0
 
     def choose(self, tried: Container[str]) -> str:
         """Return the next peer, not one of those tried; empty for none."""
         now = self._now()
+        preferred: list[str] = []
         last_resort = ""
         for address in self._peers():
             if address in tried or now < self._avoided_until.get(address, 0.0):
@@ -64,8 +72,13 @@
             if now < self._last_resort_until.get(address, 0.0):
                 last_resort = last_resort or address
                 continue
-            return address
-        return last_resort
+            preferred.append(address)
+            if len(preferred) == TURNS:
+                break
+        if not preferred:
+            return last_resort
+        self._turn += 1
+        return preferred[(self._turn - 1) % len(preferred)]
 
     def record_success(self, address: str) -> None:
         """Record that a peer has relayed a call."""
--- a/tests/test_relay_peers.py
+++ b/tests/test_relay_peers.py
@@ -119,3 +119,14 @@
             assert isinstance(await fleet.commit(), Success)
 
     asyncio.run(run())
+
+
+# Guards against incident inc1: all calls of a daemon went through one peer.
+def test_relayed_calls_are_spread_over_several_peers() -> None:
+    async def run() -> None:
+        async with Fleet(peers=4) as fleet:
+            for _ in range(12):
+                assert isinstance(await fleet.commit(), Success)
+            assert [peer.commits for peer in fleet.peers] == [4, 4, 4, 0]
+
+    asyncio.run(run())
