Give relayed feeds and whole parts connections of their own

A heartbeat or a transaction of a refused daemon ended as unknown while a large answer was on its way: on a link of 10 Mbit/s, 500 KB take 0.4 s.

Cause: all relayed calls to a peer shared one connection, and HTTP/2 streams share the order of its bytes: what the peer has written for a feed arrives before the answer of a transaction. (The flow control windows are not the cause: grpclib sets them to 4 MB on both sides.)

Feeds, lists of parts and reads of whole parts now use a second connection. Links share their rate between connections, so a small answer arrives soon.

Test: `test_transaction_does_not_wait_for_a_large_feed`, 900 KB over a link of 500 KB/s, failed before with platform-unknown.

--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -81,6 +81,7 @@
     """The row store, accessed directly or through a peer."""
 
     __slots__ = (
+        "_bulk_channels",
         "_channels",
         "_choice",
         "_direct_lost",
@@ -101,6 +102,9 @@
         self._now = now
         self._choice = PeerChoice(peers, now)
         self._channels = PeerChannels()
+        # Feeds and reads of whole parts have connections of their own: a
+        # transaction must not wait until a large answer has arrived.
+        self._bulk_channels = PeerChannels()
         # Set while direct access fails.
         self._direct_lost = asyncio.Event()
         self._probe: asyncio.Task[None] | None = None
@@ -174,6 +178,7 @@
         if self._probe is not None:
             self._probe.cancel()
         self._channels.close()
+        self._bulk_channels.close()
 
     # --- Direct and relayed calls.
 
@@ -267,6 +272,9 @@
                 "no peer is available",
             )
         )
+        channels = self._channels
+        if path in (FEED, PARTS) or (path == READ and not message.end):
+            channels = self._bulk_channels
         tried: list[str] = []
         no_answers = 0
         is_any_slow = False
@@ -277,13 +285,13 @@
             if not address:
                 return result
             tried.append(address)
-            called = await self._call_peer(
-                address, path, message, step, timeout_s
+            called = await _call_peer(
+                channels, address, path, message, step, timeout_s
             )
             if isinstance(called, Failure):
                 no_answers += 1
                 result = Failure(called.failure())
-                if self._channels.is_connected(address):
+                if channels.is_connected(address):
                     is_any_slow = True
                     self._choice.record_slow(address)
                 else:
@@ -308,28 +316,29 @@
             self._peers_retry_at = self._now() + PEERS_PAUSE_S
         return result
 
-    async def _call_peer(
-        self,
-        address: str,
-        path: str,
-        message: Any,
-        step: Step,
-        timeout_s: float,
-    ) -> Result[StoreReply, Fault]:
-        """Call one peer; return its reply, which may have a fault."""
-        try:
-            reply = await self._channels.call(
-                address, path, message, StoreReply, timeout_s
-            )
-        except CALL_ERRORS as error:
-            detail = str(error) or type(error).__name__
-            code = PLATFORM_UNKNOWN
-            if isinstance(error, NotSentError):
-                code = PLATFORM_UNREACHABLE
-            fault = Fault(code, step, Peer.ENTRY, detail, address)
-            log_fault("relayed-call-failed", fault, path=path)
-            return Failure(fault)
-        return Success(reply)
+
+async def _call_peer(
+    channels: PeerChannels,
+    address: str,
+    path: str,
+    message: Any,
+    step: Step,
+    timeout_s: float,
+) -> Result[StoreReply, Fault]:
+    """Call one peer; return its reply, which may have a fault."""
+    try:
+        reply = await channels.call(
+            address, path, message, StoreReply, timeout_s
+        )
+    except CALL_ERRORS as error:
+        detail = str(error) or type(error).__name__
+        code = PLATFORM_UNKNOWN
+        if isinstance(error, NotSentError):
+            code = PLATFORM_UNREACHABLE
+        fault = Fault(code, step, Peer.ENTRY, detail, address)
+        log_fault("relayed-call-failed", fault, path=path)
+        return Failure(fault)
+    return Success(reply)
 
 
 def _unpack_commit(reply: StoreReply) -> RowCommit | RowConflict:
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -12,11 +12,12 @@
 from lycheelug.errors import PLATFORM_UNKNOWN
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.ownership.liveness import HEARTBEAT_TIMEOUT_S
-from lycheelug.relay import RelayServer, SubmissionForwarder
+from lycheelug.relay import RelayedRows, RelayServer, SubmissionForwarder
 from lycheelug.relay.channels import PeerChannels
 from lycheelug.relay.messages import SubmitCall, SubmitReply
 from lycheelug.relay.submissions import SUBMIT
 from lycheelug.store.memory_rows import MemoryRows
+from lycheelug.store.rows import RowName
 from lycheelug.workloads import JobRecord
 from tests.test_relay import NAME, World
 
@@ -81,6 +82,7 @@
         # How many of the next connections are accepted, but carry nothing.
         self.silent_connections = 0
         self.connections = 0
+        self.forwarded_bytes = 0
         self.address = ""
 
     async def __aenter__(self) -> Link:
@@ -122,6 +124,7 @@
             if is_limited:
                 async with self._turn:
                     await asyncio.sleep(len(data) / self.bytes_per_s)
+                self.forwarded_bytes += len(data)
             writer.write(data)
             await writer.drain()
         writer.close()
@@ -214,6 +217,33 @@
     asyncio.run(run())
 
 
+# Guards against a heartbeat or a transaction that waits on a connection
+# until a large answer of a feed has arrived.
+def test_transaction_does_not_wait_for_a_large_feed() -> None:
+    async def run() -> None:
+        async with World() as world, Link(world.server.port) as link:
+            link.bytes_per_s = 500_000.0
+            store = RelayedRows(
+                world.direct,
+                lambda: [link.address],
+                lambda: asyncio.get_running_loop().time(),
+            )
+            world.direct.down = True
+            large = {RowName("t", "large"): bytes(900_000)}
+            assert isinstance(await world.peer.commit("p", {}, large), Success)
+            loop = asyncio.get_running_loop()
+            feed = loop.create_task(store.feed("t", 0, 0.4))
+            while link.forwarded_bytes < 4 * CHUNK_BYTES:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            done = await store.commit("p", {}, {NAME: b"v"})
+            assert isinstance(done, Success)
+            assert not feed.done()
+            feed.cancel()
+            store.close()
+
+    asyncio.run(run())
+
+
 # Guards against giving up a transaction that queues behind others of its
 # part in the store, before the peer gives up itself.
 def test_relayed_transaction_may_queue_in_the_store() -> None:
