Relay reads of parts of more than a megabyte

A refused daemon could not read a part of more than 1 MiB through any peer: each answered RESOURCE_EXHAUSTED, "message of 2700058 bytes is over the limit" for three rows of 900 KB.

Cause: the codec's default limit of 1 MiB, which is that of one answer of the store. A peer joins all pages of a part into one reply.

Both sides now allow 32 MiB. The time limit of the call and the windows of the connection bound what is in flight.

Test: `test_part_of_several_megabytes_is_relayed` failed before. That the incident had such a part is not shown by its record.

--- a/lycheelug/relay/channels.py
+++ b/lycheelug/relay/channels.py
@@ -17,10 +17,19 @@
 
 from lycheelug.entries.codec import MessagePackCodec
 
-__all__ = ["CALL_ERRORS", "NotSentError", "PeerChannels"]
+__all__ = [
+    "CALL_ERRORS",
+    "RELAY_MESSAGE_BYTES_MAX",
+    "NotSentError",
+    "PeerChannels",
+]
 
 R = TypeVar("R")
 
+# The size limit of a message between daemons.  A read of a whole part has all
+# of the store's pages in one answer, each of up to a megabyte.
+RELAY_MESSAGE_BYTES_MAX: Final = 32 << 20
+
 # Time limit of the set-up of a connection, within that of the call.
 CONNECT_TIMEOUT_S: Final = 0.5
 
@@ -69,7 +78,7 @@
     __slots__ = ("_codec", "_connections")
 
     def __init__(self) -> None:
-        self._codec = MessagePackCodec()
+        self._codec = MessagePackCodec(RELAY_MESSAGE_BYTES_MAX)
         self._connections: dict[str, _Connection] = {}
 
     async def call(
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -17,6 +17,7 @@
 from lycheelug.entries.codec import MessagePackCodec
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.jobservice.tables import decode_job
+from lycheelug.relay.channels import RELAY_MESSAGE_BYTES_MAX
 from lycheelug.relay.messages import (
     CommitCall,
     FeedCall,
@@ -74,7 +75,8 @@
         listener = socket.create_server((host, port))
         listener.setblocking(False)
         self.port = listener.getsockname()[1]
-        self._server = Server([self], codec=MessagePackCodec())
+        codec = MessagePackCodec(RELAY_MESSAGE_BYTES_MAX)
+        self._server = Server([self], codec=codec)
         await self._server.start(sock=listener)
 
     async def stop(self) -> None:
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -272,3 +272,18 @@
             assert loop.time() - began < HEARTBEAT_TIMEOUT_S / 2
 
     asyncio.run(run())
+
+
+# Guards against a part of more than a megabyte that no peer can relay, so
+# that a refused daemon can neither load its table nor recover its pool.
+def test_part_of_several_megabytes_is_relayed() -> None:
+    async def run() -> None:
+        async with World() as world:
+            world.direct.down = True
+            for number in range(3):
+                row = {RowName("t", f"k{number}"): bytes(900_000)}
+                await world.peer.commit("p", {}, row)
+            read = await world.store.read("t", "p")
+            assert len(read.unwrap().rows) == 3
+
+    asyncio.run(run())
