Reject submissions at once while their pool's owner is late

Each submission that an owner receives and its sender then stores is one more that conflicts in the owner's next transactions.

The owner's daemon now answers `NOT_TAKEN` while a submission of the pool waits whose sender has given up (0.9 s). It has not passed these on, so they are surely not stored, and their senders store them without a delay. A submission that was passed on stays counted until the owner answers it, also after its sender has reset the call. `owner-late` and `owner-in-time` log the change.

Test: `test_late_owner_rejects_submissions_at_once` failed before (UNDECIDED after 0.9 s instead of NOT_TAKEN).

--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -2,10 +2,13 @@
 
 Relayed calls use only this daemon's direct access to the store, and are never
 relayed again.  Submissions are accepted for pools that this daemon owns.
+While one waits whose sender has given up, later ones of its pool are rejected
+at once: their senders would only wait before they store them themselves.
 """
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
@@ -17,6 +20,7 @@
 from lycheelug.entries.codec import MessagePackCodec
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.jobservice.tables import decode_job
+from lycheelug.logs import log_change
 from lycheelug.relay.channels import RELAY_MESSAGE_BYTES_MAX
 from lycheelug.relay.messages import (
     CommitCall,
@@ -28,7 +32,7 @@
     SubmitReply,
     pack_rows,
 )
-from lycheelug.relay.submissions import SUBMIT
+from lycheelug.relay.submissions import SUBMIT, SUBMIT_TIMEOUT_S
 from lycheelug.store.rows import HistoryGone, RowConflict, RowName
 
 if TYPE_CHECKING:
@@ -60,13 +64,27 @@
 class RelayServer:
     """Serves the calls of other daemons."""
 
-    __slots__ = ("_server", "_store", "accept_submission", "port")
+    __slots__ = (
+        "_late_pools",
+        "_server",
+        "_store",
+        "_waiting",
+        "accept_submission",
+        "port",
+    )
 
     def __init__(self, store: RowStore) -> None:
         self._store = store
         # Stores a submission if this daemon owns its pool.
         self.accept_submission: AcceptSubmission | None = None
         self._server: Server | None = None
+        # By pool: the submissions that wait for its owner in this daemon,
+        # oldest first, and since when they do.
+        self._waiting: dict[
+            str, dict[asyncio.Task[SubmissionAnswer], float]
+        ] = {}
+        # Pools whose submissions are rejected at once.
+        self._late_pools: set[str] = set()
         # The bound port, after `start`.
         self.port = 0
 
@@ -84,6 +102,9 @@
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
+        for waiting in self._waiting.values():
+            for task in list(waiting):
+                task.cancel()
 
     def __mapping__(self) -> Mapping[str, Handler]:
         return {
@@ -95,15 +116,45 @@
         }
 
     async def _submit(self, call: SubmitCall) -> SubmitReply:
-        """Pass a submission to the owner of its pool in this daemon."""
-        answer = SubmissionAnswer.NOT_TAKEN
+        """Pass a submission to the owner of its pool in this daemon.
+
+        The owner may still store it after the sender has given up.
+        """
         record = decode_job(call.record)
-        if record is not None and self.accept_submission is not None:
-            answer = await self.accept_submission(
-                call.pool, call.job_id, record
-            )
+        if record is None or self.accept_submission is None:
+            return SubmitReply(SubmissionAnswer.NOT_TAKEN.name)
+        if self._is_late(call.pool):
+            return SubmitReply(SubmissionAnswer.NOT_TAKEN.name)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            self._accept(self.accept_submission, call, record)
+        )
+        waiting = self._waiting.setdefault(call.pool, {})
+        waiting[task] = loop.time()
+        task.add_done_callback(waiting.pop)
+        answer = await asyncio.shield(task)
         return SubmitReply(answer.name)
 
+    async def _accept(
+        self, accept: AcceptSubmission, call: SubmitCall, record: JobRecord
+    ) -> SubmissionAnswer:
+        """Let the owner store a submission."""
+        return await accept(call.pool, call.job_id, record)
+
+    def _is_late(self, pool: str) -> bool:
+        """Return whether a pool's oldest submission has waited too long."""
+        waiting = self._waiting.get(pool, {})
+        now = asyncio.get_running_loop().time()
+        since = next(iter(waiting.values()), now)
+        is_late = now - since > SUBMIT_TIMEOUT_S
+        if is_late and pool not in self._late_pools:
+            self._late_pools.add(pool)
+            log_change("owner-late", pool=pool, waiting=len(waiting))
+        if not is_late and pool in self._late_pools:
+            self._late_pools.remove(pool)
+            log_change("owner-in-time", pool=pool, waiting=len(waiting))
+        return is_late
+
     async def _commit(self, call: CommitCall) -> StoreReply:
         """Make a commit for another daemon."""
         expected: dict[RowName, int] = {}
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -42,6 +42,9 @@
         self.received: list[str] = []
         # Submissions of jobs that have no delay are answered at once.
         self.delays_s: dict[str, float] = {}
+        # Submissions wait until this is set.
+        self.is_in_time = asyncio.Event()
+        self.is_in_time.set()
         self.forwarder = SubmissionForwarder(
             lambda: asyncio.get_running_loop().time()
         )
@@ -65,6 +68,7 @@
         self, _pool: str, job_id: str, _record: JobRecord
     ) -> SubmissionAnswer:
         self.received.append(job_id)
+        await self.is_in_time.wait()
         await asyncio.sleep(self.delays_s.get(job_id, 0.0))
         return SubmissionAnswer.STORED
 
@@ -287,3 +291,30 @@
             assert len(read.unwrap().rows) == 3
 
     asyncio.run(run())
+
+
+# Guards against incident inc1: each sender waited 0.9 s for an owner that
+# had answered nobody for seconds, and then stored the submission itself.
+def test_late_owner_rejects_submissions_at_once() -> None:
+    async def run() -> None:
+        async with Owner() as owner:
+            owner.is_in_time.clear()
+            first = await owner.submit("first")
+            assert first is SubmissionAnswer.UNDECIDED
+            loop = asyncio.get_running_loop()
+            other_sender = SubmissionForwarder(loop.time)
+            second = await other_sender.submit(
+                owner.address, POOL, "second", RECORD
+            )
+            assert second is SubmissionAnswer.NOT_TAKEN
+            assert owner.received == ["first"]
+            owner.is_in_time.set()
+            answer = SubmissionAnswer.NOT_TAKEN
+            async with asyncio.timeout(JOIN_S):
+                while answer is not SubmissionAnswer.STORED:
+                    answer = await other_sender.submit(
+                        owner.address, POOL, "third", RECORD
+                    )
+            other_sender.close()
+
+    asyncio.run(run())
