--- a/lycheelug/relay/counts.py
+++ b/lycheelug/relay/counts.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.logs import log_change
@@ -34,12 +33,14 @@
     async def count(self, address: str, pool: str, queue: str) -> WaitingCount:
         """Return the owner's count, or None if it has not given one."""
         try:
-            async with asyncio.timeout(COUNT_TIMEOUT_S):
-                reply = await self._channels.call(
-                    address, COUNT, CountCall(pool, queue), CountReply
-                )
+            reply = await self._channels.call(
+                address,
+                COUNT,
+                CountCall(pool, queue),
+                CountReply,
+                COUNT_TIMEOUT_S,
+            )
         except CALL_ERRORS as error:
-            self._channels.drop(address)
             log_change(
                 "owner-not-asked",
                 peer=address,
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -25,7 +25,7 @@
     Step,
 )
 from lycheelug.logs import log_change, log_fault
-from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
+from lycheelug.relay.channels import CALL_ERRORS, NotSentError, PeerChannels
 from lycheelug.relay.messages import (
     CommitCall,
     FeedCall,
@@ -33,6 +33,7 @@
     ReadCall,
     StoreReply,
 )
+from lycheelug.relay.peer_choice import PeerChoice
 from lycheelug.relay.server import COMMIT, FEED, PARTS, READ
 from lycheelug.store.rows import (
     HistoryGone,
@@ -53,23 +54,26 @@
 T = TypeVar("T")
 
 # Timeout of a relayed call, in addition to its wait for changes.  Covers a
-# transaction on a store that is sixty times slower than usual.
+# read on a store that is sixty times slower than usual.
 CALL_MARGIN_S: Final = 0.5
+# Timeout of a relayed transaction with conditions.  It may queue behind
+# others of its part, for up to the peer's own timeout of 1 s.
+TRANSACTION_TIMEOUT_S: Final = 1.25
 # Maximum wait of a relayed feed for a change.  It is short because direct
 # access may work again.
 RELAYED_WAIT_S: Final = 0.4
-# A peer is not called for this long after it did not answer.
-AVOID_S: Final = 4.0
 # The pause between two probes of direct access.
 PROBE_S: Final = 0.2
 # A probe reads a part that has no rows.
 PROBE_TABLE: Final = "owners"
 PROBE_PART: Final = "~probe"
-# Maximum number of peers that one call tries, and how long a peer is not
-# called after its direct access failed.
-PEERS_MAX: Final = 3
-AVOID_WITHOUT_ACCESS_S: Final = 1.0
-# No peer is called for this long after PEERS_MAX peers failed.
+# Maximum number of peers that one call tries.  Most of those without direct
+# access say so at once.
+PEERS_MAX: Final = 5
+# Maximum number of them that do not answer.
+NO_ANSWERS_MAX: Final = 3
+# No peer is called for this long after one call has tried as many, unless
+# some of them were only slow.
 PEERS_PAUSE_S: Final = 0.5
 
 
@@ -77,12 +81,12 @@
     """The row store, accessed directly or through a peer."""
 
     __slots__ = (
-        "_avoided_until",
+        "_bulk_channels",
         "_channels",
+        "_choice",
         "_direct_lost",
         "_direct_store",
         "_now",
-        "_peers",
         "_peers_retry_at",
         "_probe",
         "failing_since",
@@ -95,12 +99,12 @@
         now: Callable[[], float],
     ) -> None:
         self._direct_store = direct_store
-        # Returns the addresses of other daemons, preferred ones first.
-        self._peers = peers
         self._now = now
-        # By address of a peer that failed: until when it is not called.
-        self._avoided_until: dict[str, float] = {}
+        self._choice = PeerChoice(peers, now)
         self._channels = PeerChannels()
+        # Feeds and reads of whole parts have connections of their own: a
+        # transaction must not wait until a large answer has arrived.
+        self._bulk_channels = PeerChannels()
         # Set while direct access fails.
         self._direct_lost = asyncio.Event()
         self._probe: asyncio.Task[None] | None = None
@@ -121,12 +125,16 @@
         writes: Mapping[RowName, bytes | None],
     ) -> Result[RowCommit | RowConflict, Fault]:
         """Write rows if the expected rows have the given versions."""
+        # A write without conditions doesn't queue and is soon replaced by the
+        # next one: a heartbeat.
+        timeout_s = TRANSACTION_TIMEOUT_S if expected else CALL_MARGIN_S
         return await self._call_store(
             lambda: self._direct_store.commit(part, expected, writes),
             COMMIT,
             CommitCall.of(part, expected, writes),
             Step.WRITE,
             _unpack_commit,
+            timeout_s,
         )
 
     async def read(
@@ -162,7 +170,7 @@
             FeedCall(table, after, relayed_wait_s),
             Step.READ,
             _unpack_feed,
-            relayed_wait_s,
+            relayed_wait_s + CALL_MARGIN_S,
         )
 
     def close(self) -> None:
@@ -170,6 +178,7 @@
         if self._probe is not None:
             self._probe.cancel()
         self._channels.close()
+        self._bulk_channels.close()
 
     # --- Direct and relayed calls.
 
@@ -180,7 +189,7 @@
         message: Any,
         step: Step,
         unpack: Callable[[StoreReply], T],
-        wait_s: float = 0.0,
+        timeout_s: float = CALL_MARGIN_S,
     ) -> Result[T, Fault]:
         """Make a call directly, or through a peer if direct access fails."""
         result: Result[T, Fault] | None = None
@@ -191,7 +200,7 @@
                 result = await self._read_directly(direct_call())
             if result is not None and not self._should_relay(result, step):
                 return result
-        reply = await self._relay(path, message, step, wait_s)
+        reply = await self._relay(path, message, step, timeout_s)
         if isinstance(reply, Success):
             return Success(unpack(reply.unwrap()))
         fault = reply.failure()
@@ -252,7 +261,7 @@
         return step is Step.READ or fault.code is not PLATFORM_UNKNOWN
 
     async def _relay(
-        self, path: str, message: Any, step: Step, wait_s: float
+        self, path: str, message: Any, step: Step, timeout_s: float
     ) -> Result[StoreReply, Fault]:
         """Relay a call through a peer; try the next one if it fails too."""
         result: Result[StoreReply, Fault] = Failure(
@@ -263,65 +272,73 @@
                 "no peer is available",
             )
         )
-        for _ in range(PEERS_MAX):
-            address = self._choose_peer()
+        channels = self._channels
+        if path in (FEED, PARTS) or (path == READ and not message.end):
+            channels = self._bulk_channels
+        tried: list[str] = []
+        no_answers = 0
+        is_any_slow = False
+        while len(tried) < PEERS_MAX and no_answers < NO_ANSWERS_MAX:
+            if self._now() < self._peers_retry_at:
+                return result
+            address = self._choice.choose(tried)
             if not address:
                 return result
-            result = await self._relay_through(
-                address, path, message, step, wait_s
+            tried.append(address)
+            called = await _call_peer(
+                channels, address, path, message, step, timeout_s
             )
-            if isinstance(result, Success):
-                self.failing_since = None
-                return result
-            if result.failure().code is PLATFORM_UNKNOWN:
-                self._avoided_until[address] = self._now() + AVOID_S
-                if step is Step.READ:
-                    continue
+            if isinstance(called, Failure):
+                no_answers += 1
+                result = Failure(called.failure())
+                if channels.is_connected(address):
+                    is_any_slow = True
+                    self._choice.record_slow(address)
+                else:
+                    self._choice.record_silent(address)
+            else:
+                reply = called.unwrap()
+                if not reply.fault:
+                    self._choice.record_success(address)
+                    self.failing_since = None
+                    return Success(reply)
+                self._choice.record_no_access(address)
+                code = CODES.get(reply.fault, PLATFORM_UNKNOWN)
+                result = Failure(
+                    Fault(code, step, Peer.ENTRY, reply.detail, address)
+                )
+            is_unknown = result.failure().code is PLATFORM_UNKNOWN
+            if is_unknown and step is Step.WRITE:
                 return result
-            self._avoided_until[address] = self._now() + AVOID_WITHOUT_ACCESS_S
-            if not self._direct_lost.is_set():
+            if not is_unknown and not self._direct_lost.is_set():
                 return result
-        self._peers_retry_at = self._now() + PEERS_PAUSE_S
+        if not is_any_slow:
+            self._peers_retry_at = self._now() + PEERS_PAUSE_S
         return result
 
-    async def _relay_through(
-        self,
-        address: str,
-        path: str,
-        message: Any,
-        step: Step,
-        wait_s: float,
-    ) -> Result[StoreReply, Fault]:
-        """Relay a call through one peer."""
-        try:
-            async with asyncio.timeout(wait_s + CALL_MARGIN_S):
-                reply = await self._channels.call(
-                    address, path, message, StoreReply
-                )
-        except CALL_ERRORS as error:
-            self._channels.drop(address)
-            detail = str(error) or type(error).__name__
-            code = PLATFORM_UNKNOWN
-            if isinstance(error, ConnectionRefusedError):
-                # No process listens at the address: nothing was sent.
-                code = PLATFORM_UNREACHABLE
-            fault = Fault(code, step, Peer.ENTRY, detail, address)
-            log_fault("relayed-call-failed", fault, path=path)
-            return Failure(fault)
-        if not reply.fault:
-            return Success(reply)
-        code = CODES.get(reply.fault, PLATFORM_UNKNOWN)
-        return Failure(Fault(code, step, Peer.ENTRY, reply.detail, address))
-
-    def _choose_peer(self) -> str:
-        """Return the first peer that may be called now; empty for none."""
-        now = self._now()
-        if now < self._peers_retry_at:
-            return ""
-        for address in self._peers():
-            if now >= self._avoided_until.get(address, 0.0):
-                return address
-        return ""
+
+async def _call_peer(
+    channels: PeerChannels,
+    address: str,
+    path: str,
+    message: Any,
+    step: Step,
+    timeout_s: float,
+) -> Result[StoreReply, Fault]:
+    """Call one peer; return its reply, which may have a fault."""
+    try:
+        reply = await channels.call(
+            address, path, message, StoreReply, timeout_s
+        )
+    except CALL_ERRORS as error:
+        detail = str(error) or type(error).__name__
+        code = PLATFORM_UNKNOWN
+        if isinstance(error, NotSentError):
+            code = PLATFORM_UNREACHABLE
+        fault = Fault(code, step, Peer.ENTRY, detail, address)
+        log_fault("relayed-call-failed", fault, path=path)
+        return Failure(fault)
+    return Success(reply)
 
 
 def _unpack_commit(reply: StoreReply) -> RowCommit | RowConflict:
--- a/lycheelug/relay/submissions.py
+++ b/lycheelug/relay/submissions.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.logs import log_change
-from lycheelug.relay.channels import CALL_ERRORS, PeerChannels
+from lycheelug.relay.channels import CALL_ERRORS, NotSentError, PeerChannels
 from lycheelug.relay.messages import SubmitCall, SubmitReply
 
 if TYPE_CHECKING:
@@ -49,12 +48,10 @@
             return SubmissionAnswer.NOT_TAKEN
         call = SubmitCall(pool, job_id, msgspec.json.encode(record))
         try:
-            async with asyncio.timeout(SUBMIT_TIMEOUT_S):
-                reply = await self._channels.call(
-                    address, SUBMIT, call, SubmitReply
-                )
+            reply = await self._channels.call(
+                address, SUBMIT, call, SubmitReply, SUBMIT_TIMEOUT_S
+            )
         except CALL_ERRORS as error:
-            self._channels.drop(address)
             self._avoided_until[address] = self._now() + AVOID_S
             log_change(
                 "owner-not-reached",
@@ -63,7 +60,7 @@
                 job=job_id,
                 error=str(error) or type(error).__name__,
             )
-            if isinstance(error, ConnectionRefusedError):
+            if isinstance(error, NotSentError):
                 return SubmissionAnswer.NOT_TAKEN
             return SubmissionAnswer.UNDECIDED
         try:
