Repeat the surge of the benchmark and print the best

Cause: on a busy machine two runs of the same code differ by up to 40 % (360 and 500 ms a second), more than a change may bring.

Change: bench.pool_schedule plays each surge three times (--repeat) and prints the one that used the least processor time.

--- a/bench/pool_schedule.py
+++ b/bench/pool_schedule.py
@@ -8,6 +8,8 @@
     python -m bench.pool_schedule
     python -m bench.pool_schedule --profile
 
+Without a profile, the best of `--repeat` surges is printed.
+
 The log lines of the owner are formatted and discarded.
 """
 
@@ -252,8 +254,32 @@
     return infos
 
 
-async def _surge(run_s: float, profile: cProfile.Profile | None) -> str:
-    """Play a surge; return a line of figures."""
+class _Figures:
+    """The figures of one surge."""
+
+    __slots__ = ("jobs", "starts", "used_s", "waiting")
+
+    def __init__(
+        self, used_s: float, jobs: int, starts: int, waiting: int
+    ) -> None:
+        self.used_s = used_s
+        self.jobs = jobs
+        self.starts = starts
+        self.waiting = waiting
+
+    def render(self) -> str:
+        """Return the figures as text."""
+        used_ms = 1000 * self.used_s
+        return (
+            f"{used_ms / SURGE_S:.0f} ms of processor time per second, "
+            f"{used_ms / self.jobs:.2f} ms per job, "
+            f"{used_ms / max(1, self.starts):.2f} ms per start; "
+            f"{self.starts} starts, {self.waiting} tasks waiting"
+        )
+
+
+async def _surge(run_s: float, profile: cProfile.Profile | None) -> _Figures:
+    """Play a surge."""
     rows = _Rows()
     gateway = _Gateway(run_s)
     infos = _infos()
@@ -307,11 +333,8 @@
     await asyncio.gather(*submissions)
     owner.lost.set()
     running.cancel()
-    return (
-        f"run time {run_s} s: {1000 * used_s / SURGE_S:.0f} ms of processor "
-        f"time per second, {1000 * used_s / len(submissions):.2f} ms per "
-        f"job, {1000 * used_s / max(1, starts):.2f} ms per start; "
-        f"{starts} starts, {len(owner.schedule.ready)} tasks waiting"
+    return _Figures(
+        used_s, len(submissions), starts, len(owner.schedule.ready)
     )
 
 
@@ -320,18 +343,28 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--profile", action="store_true")
     parser.add_argument("--sort", default="tottime")
+    parser.add_argument("--repeat", type=int, default=3)
     arguments = parser.parse_args()
     # The log lines go to standard output, as in the daemon.
     output = os.fdopen(os.dup(sys.stdout.fileno()), "w")
     os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
     set_up_stdout_logs("bench")
     for run_s in (KEEPING_UP_S, FALLING_BEHIND_S):
-        profile = cProfile.Profile() if arguments.profile else None
-        output.write(run_virtual(_surge(run_s, profile)) + "\n")
-        output.flush()
-        if profile is not None:
+        if arguments.profile:
+            profile = cProfile.Profile()
+            figures = run_virtual(_surge(run_s, profile))
+            output.write(f"run time {run_s} s: {figures.render()}\n")
             stats = pstats.Stats(profile, stream=output)
             stats.sort_stats(arguments.sort).print_stats(LINES)
+            continue
+        # The smallest figure is the one least disturbed by other processes.
+        best = run_virtual(_surge(run_s, None))
+        for _ in range(arguments.repeat - 1):
+            figures = run_virtual(_surge(run_s, None))
+            if figures.used_s < best.used_s:
+                best = figures
+        output.write(f"run time {run_s} s: {best.render()}\n")
+        output.flush()
 
 
 if __name__ == "__main__":
