Order waiting tasks by step, and place them with fewer scans

Cause: each plan computed a sort key for each waiting task, sorted all of them, and checked every executor with all of its constraints for each task.

Change: - ReadyQueue keeps the waiting tasks by step. A sort key is computed per step and kept until the forecast, the job's start or the feasibility changes; steps stay sorted between two plans. - PlacementRound checks once a plan which executors take tasks, leaves out those without room for the smallest waiting request, and reuses the last executor for the next task of a step where the policy would choose it again (the packing policies, no retry, no limit per executor). - jobs_to_begin looks at the jobs without the mark only. - Tasks that become ready after their job has ended are no longer queued; they were never started, but were looked at by each plan.

--- a/lycheelug/workloads/forecast.py
+++ b/lycheelug/workloads/forecast.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import IntEnum
 from typing import TYPE_CHECKING, Final
 
@@ -72,6 +73,20 @@
             return Feasibility.LATE
         return Feasibility.OVERDUE
 
+    def feasibility_until_ms(self, step: int, unix_ms: int) -> float:
+        """Return a Unix time in ms before which `feasibility` stays equal.
+
+        It is up to a millisecond early, to allow for rounding.
+        """
+        feasibility = self.feasibility(step, unix_ms)
+        if feasibility is Feasibility.OVERDUE:
+            return math.inf
+        factor = 1.0
+        if feasibility is Feasibility.LATE:
+            factor = LATE_LIMIT_FACTOR
+        latest_ms = self.due_ms + factor * self.allowed_s * 1000
+        return latest_ms - self.remaining_s[step] * 1000 - 1
+
 
 def _remaining_s(record: JobRecord, expected: Sequence[float]) -> list[float]:
     """Return the length of the critical path from each step on."""
--- a/lycheelug/workloads/orders.py
+++ b/lycheelug/workloads/orders.py
@@ -1,6 +1,6 @@
-"""Orders to executors, the placement order of tasks, and stop reasons.
+"""Orders to executors, and the reasons to stop a run.
 
-The functions only decide; `pool` combines the decisions into a plan.
+The function only decides; `pool` combines the decisions into a plan.
 """
 
 from __future__ import annotations
@@ -8,21 +8,18 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.executors import RunPhase
-from lycheelug.workloads.forecast import Feasibility
 from lycheelug.workloads.jobs import TaskState
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Task
     from lycheelug.workloads.model import TaskName
-    from lycheelug.workloads.runtimes import RunTimes
 
 __all__ = [
     "PaceOrder",
     "StartOrder",
     "StopOrder",
     "find_stop_reason",
-    "placement_key",
 ]
 
 # A run whose start wasn't answered is stopped once a report that was requested
@@ -73,33 +70,6 @@
         self.percent = percent
 
 
-def placement_key(
-    task: Task, unix_ms: int, run_times: RunTimes
-) -> tuple[int, bool, Feasibility, bool, float, TaskName]:
-    """Return the sort key by which waiting tasks are placed, lowest first.
-
-    Within a priority, long-running tasks go first: they are of value for as
-    long as they run, whereas other tasks have until their deadline.  Jobs
-    that can no longer meet their deadline go after those that can; ordered
-    by deadline alone, a surge would make each job as late as the one before
-    it.  Jobs that have started go before those that haven't, as less of
-    their work remains.
-    """
-    job = task.job
-    forecast = job.forecast(task.name.occurrence, run_times)
-    feasibility = Feasibility.IN_TIME
-    if not job.is_long_running:
-        feasibility = forecast.feasibility(task.name.step, unix_ms)
-    return (
-        job.policy.priority,
-        not job.is_long_running,
-        feasibility,
-        not job.has_started,
-        forecast.objective_ms,
-        task.name,
-    )
-
-
 def find_stop_reason(run: Run, view: ExecutorView, now: float) -> str:
     """Return why a run must be stopped, or an empty string if it needn't."""
     if run.phase is RunPhase.STARTING:
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -18,65 +18,127 @@
 
     from lycheelug.workloads.executors import ExecutorView
     from lycheelug.workloads.jobs import Task
-    from lycheelug.workloads.model import Resources
+    from lycheelug.workloads.model import Resources, StepSpec
     from lycheelug.workloads.placement_hints import PlacementHints
 
     Policy = Callable[[Task, list[ExecutorView]], ExecutorView]
 
-__all__ = ["PLACEMENTS", "UnplaceableRequests", "can_host", "choose_executor"]
+__all__ = ["PACKING", "PLACEMENTS", "PlacementRound", "UnplaceableRequests"]
 
 PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
+# The policies that choose the executor with the least free CPU.
+PACKING: Final = frozenset({"pack", "together"})
 
 
-def can_host(view: ExecutorView, task: Task, now: float) -> bool:
-    """Return whether an executor meets all hard constraints of a task."""
-    if not view.is_healthy(now):
-        return False
-    if view.drain_order or view.backoff_until > now:
-        return False
-    if view.health.is_quarantined(now):
-        return False
-    step = task.step
-    if step.required_label and step.required_label not in view.info.labels:
-        return False
-    if not view.fits(step.resources):
-        return False
-    return step.max_per_executor == 0 or (
-        _same_step_runs(view, task) < step.max_per_executor
-    )
-
-
-def choose_executor(
-    task: Task,
-    views: Iterable[ExecutorView],
-    now: float,
-    policy: str = "together",
-    hints: PlacementHints | None = None,
-) -> ExecutorView | None:
-    """Return the executor for a task, or None if there is none.
-
-    With placement hints, only executors with a valid ticket for the step
-    are considered.  A retry uses the executor of the last failed run, or
-    one with recent failures, only if there is no other.
+class PlacementRound:
+    """Chooses executors for the tasks that are placed at one moment.
+
+    Which executors take new tasks at all doesn't change within a round, so
+    that is checked once for each.  Executors without room for the smallest
+    waiting request are left out for the whole round, as placements only
+    take room, and an undone placement gives back only what it took.
     """
-    allowed: list[ExecutorView] = []
-    avoided: list[ExecutorView] = []
-    for view in views:
-        if not can_host(view, task, now):
-            continue
-        step = StepName.of(task.name)
-        if hints and not hints.ticket(step, view.executor_id, now):
-            continue
-        is_unreliable = task.failures and view.health.has_recent_failures(now)
-        if view.executor_id == task.avoided_executor or is_unreliable:
-            avoided.append(view)
-            continue
-        allowed.append(view)
-    if not allowed:
-        allowed = avoided
-    if not allowed:
-        return None
-    return PLACEMENTS.get(policy)(task, allowed)
+
+    __slots__ = ("_last_task", "_last_view", "_now", "_policy", "_views")
+
+    def __init__(
+        self,
+        views: Iterable[ExecutorView],
+        now: float,
+        policy: str = "together",
+        smallest: Resources | None = None,
+    ) -> None:
+        self._now = now
+        self._policy = policy
+        self._views: list[ExecutorView] = []
+        for view in views:
+            if smallest is not None and not view.fits(smallest):
+                continue
+            if _takes_tasks(view, now):
+                self._views.append(view)
+        # The last placed task and its executor, unless the next choice must
+        # consider all executors again.
+        self._last_task: Task | None = None
+        self._last_view: ExecutorView | None = None
+
+    def choose(
+        self, task: Task, hints: PlacementHints | None = None
+    ) -> ExecutorView | None:
+        """Return the executor for a task, or None if there is none.
+
+        With placement hints, only executors with a valid ticket for the
+        step are considered.  A retry uses the executor of the last failed
+        run, or one with recent failures, only if there is no other.
+
+        The caller places the task on the executor, or calls `reset`.
+        """
+        if self._can_reuse(task):
+            self._last_task = task
+            return self._last_view
+        view = self._choose(task, hints)
+        self._last_task = task if hints is None else None
+        self._last_view = view
+        return view
+
+    def reset(self) -> None:
+        """Consider all executors for the next task: one got room back."""
+        self._last_task = None
+
+    def _can_reuse(self, task: Task) -> bool:
+        """Return whether the policy would choose the last executor again.
+
+        The packing policies choose the executor with the least free CPU and
+        stay in the zone of the job's last task.  After a placement, this is
+        still the last executor, for a task of the same step that avoids
+        none.
+        """
+        last, view = self._last_task, self._last_view
+        if last is None or view is None or self._policy not in PACKING:
+            return False
+        if last.job is not task.job or last.name[:3] != task.name[:3]:
+            return False
+        for each in (last, task):
+            if each.failures or each.avoided_executor:
+                return False
+        return not task.step.max_per_executor and view.fits(
+            task.step.resources
+        )
+
+    def _choose(
+        self, task: Task, hints: PlacementHints | None
+    ) -> ExecutorView | None:
+        """Choose among all executors that meet the task's constraints."""
+        allowed: list[ExecutorView] = []
+        avoided: list[ExecutorView] = []
+        now = self._now
+        step = task.step
+        needed = step.resources
+        avoids_any = bool(task.failures or task.avoided_executor)
+        for view in self._views:
+            if not view.fits(needed):
+                continue
+            if (
+                step.required_label
+                and step.required_label not in view.info.labels
+            ):
+                continue
+            if (
+                step.max_per_executor
+                and _same_step_runs(view, task) >= step.max_per_executor
+            ):
+                continue
+            if hints is not None and not hints.ticket(
+                StepName.of(task.name), view.executor_id, now
+            ):
+                continue
+            if avoids_any and _is_avoided(view, task, now):
+                avoided.append(view)
+                continue
+            allowed.append(view)
+        candidates = allowed or avoided
+        if not candidates:
+            return None
+        return PLACEMENTS.get(self._policy)(task, candidates)
 
 
 class UnplaceableRequests:
@@ -102,18 +164,33 @@
                 return True
         return False
 
-    def record(self, task: Task) -> None:
-        """Record the request of a task that could not be placed.
+    def record(self, step: StepSpec) -> None:
+        """Record the request of a step whose task could not be placed.
 
         Ignored if another constraint than the request may be the reason.
         """
-        step = task.step
         if step.required_label or step.max_per_executor:
             return
         if not self.covers(step.resources):
             self._requests.append(step.resources)
 
 
+def _takes_tasks(view: ExecutorView, now: float) -> bool:
+    """Return whether an executor takes new tasks, if it has room."""
+    if not view.is_healthy(now):
+        return False
+    if view.drain_order or view.backoff_until > now:
+        return False
+    return not view.health.is_quarantined(now)
+
+
+def _is_avoided(view: ExecutorView, task: Task, now: float) -> bool:
+    """Return whether a retry prefers other executors."""
+    if view.executor_id == task.avoided_executor:
+        return True
+    return bool(task.failures) and view.health.has_recent_failures(now)
+
+
 def _same_step_runs(view: ExecutorView, task: Task) -> int:
     """Return the number of other tasks of the same step on an executor."""
     count = 0
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -20,7 +20,7 @@
   ended.
 
 Which executor a task gets, and in which order tasks are placed, is decided
-in `placement` and `orders`.
+in `placement` and `ready_queue`.
 """
 
 from __future__ import annotations
@@ -39,6 +39,7 @@
 )
 from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.placement_hints import PlacementHints, StepName
+from lycheelug.workloads.ready_queue import ReadyQueue
 from lycheelug.workloads.relocation import mark_relocations
 from lycheelug.workloads.runtimes import RunTimes
 from lycheelug.workloads.stalls import STALLED, runs_to_duplicate, stalled_runs
@@ -102,7 +103,7 @@
         self.jobs: dict[str, Job] = {}
         self.executors: dict[str, ExecutorView] = {}
         # Tasks waiting for an executor.
-        self.ready: dict[TaskName, Task] = {}
+        self.ready = ReadyQueue()
         # Start times of the incarnations known to have ended, by executor.
         self._ended_incarnations: dict[str, int] = {}
         # Number of known runs of each task, including superfluous ones.
@@ -133,8 +134,7 @@
 
     def open_due_occurrences(self, job: Job, unix_ms: int, now: float) -> None:
         """Open a job's due occurrences and queue their ready tasks."""
-        for task in job.open_due_occurrences(unix_ms, now):
-            self.ready[task.name] = task
+        self.make_ready(job.open_due_occurrences(unix_ms, now))
 
     def cancel_job(self, job_id: str, unix_ms: int) -> Job | None:
         """Cancel a job; the next plan stops its runs."""
@@ -147,8 +147,7 @@
 
     def dequeue_job(self, job: Job) -> None:
         """Remove the waiting tasks of a job that has ended."""
-        for task in job.tasks():
-            self.ready.pop(task.name, None)
+        self.ready.discard_job(job)
 
     def forget_job(self, job_id: str) -> None:
         """Remove a job that has ended and whose retention is over."""
@@ -169,11 +168,7 @@
 
     def jobs_to_begin(self) -> list[Job]:
         """Return jobs with waiting tasks and without the begun mark."""
-        found: dict[str, Job] = {}
-        for task in self.ready.values():
-            if not task.job.progress.begun_term:
-                found[task.job.job_id] = task.job
-        return list(found.values())
+        return self.ready.jobs_to_begin()
 
     def requeue(self, task: Task, now: float) -> None:
         """Return a placed task to the queue."""
@@ -184,16 +179,20 @@
         task.run = 0
         task.ready_at = now
         if not task.job.is_final:
-            self.ready[task.name] = task
+            self.ready.add(task)
 
     def make_ready(self, tasks: list[Task]) -> None:
-        """Queue tasks that have become ready."""
+        """Queue tasks that have become ready, unless their job has ended.
+
+        An ended job's running tasks may still be done and complete a step.
+        """
         for task in tasks:
-            self.ready[task.name] = task
+            if not task.job.is_final:
+                self.ready.add(task)
 
     def dequeue(self, task: Task) -> None:
         """Remove a task from the queue, if it is there."""
-        self.ready.pop(task.name, None)
+        self.ready.discard(task)
 
     # --- Executors.
 
@@ -340,7 +339,7 @@
         task.run = run
         task.last_run = run
         task.job.home_zone = view.info.zone
-        self.ready.pop(task.name, None)
+        self.ready.discard(task)
         view.add_run(Run(task.name, run, task.step.resources, now, task))
         view.record_lease(now, self.lease_s)
         ticket = ""
--- /dev/null
+++ b/lycheelug/workloads/ready_queue.py
@@ -0,0 +1,182 @@
+"""The tasks of a pool that wait for an executor, in their order.
+
+All waiting tasks of a step have the same place in the order except for
+their numbers, so the queue is ordered by step.  A step's sort key is kept
+until one of its parts changes, and the steps stay sorted between two plans,
+so that ordering a long queue again costs little.
+"""
+
+from __future__ import annotations
+
+from operator import attrgetter
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.workloads.forecast import Feasibility
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.forecast import DeadlineForecast
+    from lycheelug.workloads.jobs import Job, Task
+    from lycheelug.workloads.model import StepSpec
+    from lycheelug.workloads.runtimes import RunTimes
+
+    # Job, occurrence and step.
+    StepKey = tuple[str, int, int]
+    SortKey = tuple[int, bool, int, bool, float, StepKey]
+
+__all__ = ["ReadyQueue", "ReadyStep"]
+
+IN_TIME: Final = int(Feasibility.IN_TIME)
+
+
+class ReadyStep:
+    """The waiting tasks of one step of an occurrence."""
+
+    __slots__ = (
+        "_forecast",
+        "_had_started",
+        "_key_from_ms",
+        "_key_until_ms",
+        "job",
+        "name",
+        "sort_key",
+        "spec",
+        "tasks",
+    )
+
+    def __init__(self, job: Job, name: StepKey, spec: StepSpec) -> None:
+        self.job = job
+        self.name = name
+        self.spec = spec
+        # Keyed by the number in the step.
+        self.tasks: dict[int, Task] = {}
+        self.sort_key: SortKey = (0, False, 0, False, 0.0, name)
+        # What the sort key was computed from, and the Unix times in
+        # milliseconds between which it is valid.
+        self._forecast: DeadlineForecast | None = None
+        self._had_started = False
+        self._key_from_ms = 0
+        self._key_until_ms = 0.0
+
+    def in_order(self) -> list[Task]:
+        """Return the tasks in the order in which they are placed."""
+        return [self.tasks[number] for number in sorted(self.tasks)]
+
+    def update_sort_key(self, unix_ms: int, run_times: RunTimes) -> None:
+        """Compute the sort key by which steps are placed, lowest first.
+
+        Within a priority, long-running tasks go first: they are of value
+        for as long as they run, whereas other tasks have until their
+        deadline.  Jobs that can no longer meet their deadline go after
+        those that can; ordered by deadline alone, a surge would make each
+        job as late as the one before it.  Jobs that have started go before
+        those that haven't, as less of their work remains.
+        """
+        job = self.job
+        forecast = job.forecast(self.name[1], run_times)
+        if (
+            forecast is self._forecast
+            and job.has_started is self._had_started
+            and self._key_from_ms <= unix_ms < self._key_until_ms
+        ):
+            return
+        self._forecast = forecast
+        self._had_started = job.has_started
+        self._key_from_ms = unix_ms
+        feasibility = IN_TIME
+        self._key_until_ms = float("inf")
+        if not job.is_long_running:
+            feasibility = int(forecast.feasibility(self.name[2], unix_ms))
+            self._key_until_ms = forecast.feasibility_until_ms(
+                self.name[2], unix_ms
+            )
+        self.sort_key = (
+            job.policy.priority,
+            not job.is_long_running,
+            feasibility,
+            not job.has_started,
+            forecast.objective_ms,
+            self.name,
+        )
+
+
+class ReadyQueue:
+    """All waiting tasks of a pool."""
+
+    __slots__ = ("_order", "_steps", "_unbegun")
+
+    def __init__(self) -> None:
+        self._steps: dict[StepKey, ReadyStep] = {}
+        # The steps in the order of the last plan; those without tasks are
+        # dropped by the next one.
+        self._order: list[ReadyStep] = []
+        # Jobs that were added without the begun mark, oldest first.
+        self._unbegun: dict[str, Job] = {}
+
+    def __len__(self) -> int:
+        """Return the number of waiting tasks."""
+        return sum(len(step.tasks) for step in self._steps.values())
+
+    def __bool__(self) -> bool:
+        """Return whether any task waits."""
+        return bool(self._steps)
+
+    def add(self, task: Task) -> None:
+        """Add a task; does nothing if it is there."""
+        name = task.name
+        key = name[:3]
+        step = self._steps.get(key)
+        if step is None:
+            step = ReadyStep(task.job, key, task.step)
+            self._steps[key] = step
+            self._order.append(step)
+            if not task.job.progress.begun_term:
+                self._unbegun[name.job] = task.job
+        step.tasks[name.number] = task
+
+    def discard(self, task: Task) -> None:
+        """Remove a task, if it is there."""
+        key = task.name[:3]
+        step = self._steps.get(key)
+        if step is None:
+            return
+        step.tasks.pop(task.name.number, None)
+        if not step.tasks:
+            del self._steps[key]
+
+    def discard_job(self, job: Job) -> None:
+        """Remove all tasks of a job."""
+        self._unbegun.pop(job.job_id, None)
+        for occurrence, steps in job.occurrences.items():
+            for number in range(len(steps)):
+                step = self._steps.pop((job.job_id, occurrence, number), None)
+                if step is not None:
+                    step.tasks.clear()
+
+    def jobs_to_begin(self) -> list[Job]:
+        """Return the jobs with waiting tasks and without the begun mark."""
+        found: list[Job] = []
+        for job in list(self._unbegun.values()):
+            if job.progress.begun_term:
+                del self._unbegun[job.job_id]
+            elif self._has_tasks(job):
+                found.append(job)
+        return found
+
+    def ordered(self, unix_ms: int, run_times: RunTimes) -> list[ReadyStep]:
+        """Return the steps with waiting tasks, in the order of placement."""
+        order: list[ReadyStep] = []
+        for step in self._order:
+            if step.tasks:
+                step.update_sort_key(unix_ms, run_times)
+                order.append(step)
+        order.sort(key=attrgetter("sort_key"))
+        self._order = order
+        return list(order)
+
+    def _has_tasks(self, job: Job) -> bool:
+        """Return whether any task of a job waits."""
+        for occurrence, steps in job.occurrences.items():
+            for number in range(len(steps)):
+                if (job.job_id, occurrence, number) in self._steps:
+                    return True
+        return False
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -1,6 +1,6 @@
 """Decides which of a pool's waiting tasks to start where; no I/O.
 
-Tasks are placed greedily in the order of `placement_key`.  A task that
+Tasks are placed greedily in the order of `ready_queue`.  A task that
 can't be placed doesn't hold up those after it.  A gang is placed as a whole
 or not at all.
 """
@@ -10,14 +10,16 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.jobs import TaskState
-from lycheelug.workloads.orders import StartOrder, placement_key
-from lycheelug.workloads.placement import UnplaceableRequests, choose_executor
+from lycheelug.workloads.model import Resources
+from lycheelug.workloads.placement import PlacementRound, UnplaceableRequests
 from lycheelug.workloads.placement_hints import StepName
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView
-    from lycheelug.workloads.jobs import Task
+    from lycheelug.workloads.jobs import Job, Task
+    from lycheelug.workloads.orders import StartOrder
     from lycheelug.workloads.pool import PoolSchedule
+    from lycheelug.workloads.ready_queue import ReadyStep
 
 __all__ = ["plan_starts"]
 
@@ -34,41 +36,59 @@
         return []
     orders: list[StartOrder] = []
     earlier_runs_known = schedule.earlier_runs_known(now)
-    waiting = sorted(
-        schedule.ready.values(),
-        key=lambda task: placement_key(task, unix_ms, schedule.run_times),
+    waiting = schedule.ready.ordered(unix_ms, schedule.run_times)
+    placement = PlacementRound(
+        schedule.executors.values(),
+        now,
+        schedule.placement,
+        _smallest_request(waiting),
     )
     unplaceable = UnplaceableRequests()
-    for task in waiting:
-        if not _can_start(schedule, task, earlier_runs_known, now):
+    for step in waiting:
+        if not _may_start_job(schedule, step.job, earlier_runs_known):
             continue
-        if task.step.is_gang:
-            orders.extend(_start_gang(schedule, task, now))
+        needs_placement_hint = step.job.policy.needs_placement_hint
+        is_limited = not step.spec.is_gang and not needs_placement_hint
+        if is_limited and unplaceable.covers(step.spec.resources):
             continue
-        needs_placement_hint = task.job.policy.needs_placement_hint
-        if (
-            unplaceable.covers(task.step.resources)
-            and not needs_placement_hint
-        ):
-            continue
-        view = _choose_executor(schedule, task, now)
-        if view is not None:
-            orders.append(schedule.place(task, view, now))
-        elif not needs_placement_hint:
-            unplaceable.record(task)
+        for task in step.in_order():
+            if not _can_start(schedule, task, now):
+                continue
+            if step.spec.is_gang:
+                orders.extend(_start_gang(schedule, placement, task, now))
+                continue
+            if is_limited and unplaceable.covers(step.spec.resources):
+                break
+            view = _choose_executor(schedule, placement, task, now)
+            if view is not None:
+                orders.append(schedule.place(task, view, now))
+            elif is_limited:
+                unplaceable.record(step.spec)
     return orders
 
 
-def _can_start(
-    schedule: PoolSchedule, task: Task, earlier_runs_known: bool, now: float
+def _smallest_request(steps: list[ReadyStep]) -> Resources:
+    """Return an amount that is at most each waiting task's request."""
+    requests = {step.spec.resources for step in steps}
+    return Resources(
+        min(request.cpu_millis for request in requests),
+        min(request.memory_mb for request in requests),
+        min(request.gpus for request in requests),
+    )
+
+
+def _may_start_job(
+    schedule: PoolSchedule, job: Job, earlier_runs_known: bool
 ) -> bool:
-    """Return whether a waiting task may be started now."""
-    job = task.job
+    """Return whether tasks of a job may be started now."""
     if not job.is_begun or job.is_final:
         return False
-    if job.progress.begun_term != schedule.term and not earlier_runs_known:
-        # An earlier owner's run of this task may not be reported yet.
-        return False
+    # Otherwise an earlier owner's run of a task may not be reported yet.
+    return job.progress.begun_term == schedule.term or earlier_runs_known
+
+
+def _can_start(schedule: PoolSchedule, task: Task, now: float) -> bool:
+    """Return whether a waiting task of a startable job may be started."""
     if now < task.not_before:
         return False
     if task.name in schedule.run_counts and not task.step.may_duplicate:
@@ -81,25 +101,30 @@
 
 
 def _choose_executor(
-    schedule: PoolSchedule, task: Task, now: float
+    schedule: PoolSchedule,
+    placement: PlacementRound,
+    task: Task,
+    now: float,
 ) -> ExecutorView | None:
     """Choose an executor for a task, or request missing placement hints."""
-    views = schedule.executors.values()
     if not task.job.policy.needs_placement_hint:
-        return choose_executor(task, views, now, schedule.placement)
-    view = choose_executor(
-        task, views, now, schedule.placement, schedule.placement_hints
-    )
+        return placement.choose(task)
+    view = placement.choose(task, schedule.placement_hints)
     if view is None:
         step = StepName.of(task.name)
-        wanted = schedule.placement_hints.executors_to_query(step, views, now)
+        wanted = schedule.placement_hints.executors_to_query(
+            step, schedule.executors.values(), now
+        )
         if wanted:
             schedule.hint_requests[step] = wanted
     return view
 
 
 def _start_gang(
-    schedule: PoolSchedule, task: Task, now: float
+    schedule: PoolSchedule,
+    placement: PlacementRound,
+    task: Task,
+    now: float,
 ) -> list[StartOrder]:
     """Place all members of a gang, or none; return the start orders."""
     members = task.job.step_tasks(task)
@@ -111,8 +136,9 @@
     run = max(member.next_run_number(schedule.term) for member in members)
     checkpoint = task.checkpoint
     for member in members:
-        view = _choose_executor(schedule, member, now)
+        view = _choose_executor(schedule, placement, member, now)
         if view is None:
+            placement.reset()
             for order in orders:
                 _undo_placement(schedule, order, now)
             return []
