--- a/lycheelug/workloads/orders.py
+++ b/lycheelug/workloads/orders.py
@@ -1,4 +1,4 @@
-"""Orders to executors, the placement order of tasks, and stop reasons.
+"""Orders to executors, and the reasons to stop a run.
 
 The functions only decide; `pool` combines the decisions into a plan.
 """
@@ -8,27 +8,31 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.executors import RunPhase
-from lycheelug.workloads.forecast import Feasibility
 from lycheelug.workloads.jobs import TaskState
+from lycheelug.workloads.stalls import STALL_S
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Task
     from lycheelug.workloads.model import TaskName
-    from lycheelug.workloads.runtimes import RunTimes
 
 __all__ = [
     "PaceOrder",
     "StartOrder",
     "StopOrder",
     "find_stop_reason",
-    "placement_key",
+    "is_undisturbed",
 ]
 
 # A run whose start wasn't answered is stopped once a report that was requested
 # afterwards doesn't list it, or after this long without such a report.
 UNKNOWN_WAIT_S: Final = 1.5
 
+# The access to a member of an enumeration is too slow for each run.
+STARTING: Final = RunPhase.STARTING
+RUNNING: Final = RunPhase.RUNNING
+DONE: Final = TaskState.DONE
+
 
 class StartOrder:
     """Start a run of a task on an executor."""
@@ -73,33 +77,6 @@
         self.percent = percent
 
 
-def placement_key(
-    task: Task, unix_ms: int, run_times: RunTimes
-) -> tuple[int, bool, Feasibility, bool, float, TaskName]:
-    """Return the sort key by which waiting tasks are placed, lowest first.
-
-    Within a priority, long-running tasks go first: they are of value for as
-    long as they run, whereas other tasks have until their deadline.  Jobs
-    that can no longer meet their deadline go after those that can; ordered
-    by deadline alone, a surge would make each job as late as the one before
-    it.  Jobs that have started go before those that haven't, as less of
-    their work remains.
-    """
-    job = task.job
-    forecast = job.forecast(task.name.occurrence, run_times)
-    feasibility = Feasibility.IN_TIME
-    if not job.is_long_running:
-        feasibility = forecast.feasibility(task.name.step, unix_ms)
-    return (
-        job.policy.priority,
-        not job.is_long_running,
-        feasibility,
-        not job.has_started,
-        forecast.objective_ms,
-        task.name,
-    )
-
-
 def find_stop_reason(run: Run, view: ExecutorView, now: float) -> str:
     """Return why a run must be stopped, or an empty string if it needn't."""
     if run.phase is RunPhase.STARTING:
@@ -119,3 +96,28 @@
     if was_polled_since or now - run.unknown_at > UNKNOWN_WAIT_S:
         return "start was not answered"
     return ""
+
+
+def is_undisturbed(view: ExecutorView, now: float) -> bool:
+    """Return whether nothing is to be decided about an executor's runs.
+
+    That holds for nearly all executors at any time.  It is a cheap check:
+    False only means that each decision has to be made.
+    """
+    if view.last_report_at is None or now >= view.leases_end_at:
+        return False
+    if view.drain_order or view.info.draining:
+        return False
+    for run in view.runs.values():
+        if run.phase is STARTING:
+            continue
+        task = run.task
+        if run.phase is not RUNNING or task is None:
+            return False
+        if task.state is DONE or task.step.fills:
+            return False
+        if view.last_report_at - run.progressed_at > STALL_S:
+            return False
+        if task.job.is_final:
+            return False
+    return True
