Keep an owner storing while senders give up on its queue

Cause, found by the review of the relay: a sender waits 0.9 s for the owner, then stores its submission itself; the submission stayed in the owner's queue, first in, first out, and each later batch that held one conflicted as a whole, with the pool's progress and summary in it. At 100 submissions a second and transactions of 0.3 s every batch was of that kind. Class: a queue that serves first those who have already left.

Submissions that will be too old when the next transaction is carried out are now rejected, so that their senders store them at once, and one whose row the feed shows leaves the queue. A conflict is retried without a pause, with the rows' current versions; its unchanged owner row proves ownership.

--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -244,7 +244,9 @@
             return SubmissionAnswer.NOT_TAKEN
         if self.work.is_stalled(self._context.clock.now(), delay_s=0.0):
             return SubmissionAnswer.NOT_TAKEN
-        submission = self.submission_queue.add(job_id, record)
+        submission = self.submission_queue.add(
+            job_id, record, self._context.clock.now()
+        )
         self.writer.wake_if_needed()
         return await asyncio.shield(submission.answer)
 
@@ -315,6 +317,7 @@
             log_change("row-unreadable", table=row.table, key=row.key)
             self._context.metrics.count("rows-unreadable")
             return
+        self.submission_queue.settle(job_id)
         progress, version = self.stored_progress.pop(job_id, (None, 0))
         job = self.schedule.add_job(
             job_id,
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -181,7 +181,10 @@
         )
 
     async def _write(self) -> bool:
-        """Commit one batch; return False if it was not stored."""
+        """Commit one batch; return False to retry it after a pause.
+
+        After a conflict, the next batch has the rows' current versions.
+        """
         owner = self._owner
         batch = self._build_batch()
         requested_at = self._context.clock.now()
@@ -189,6 +192,9 @@
         result = await self._context.store.commit(
             owner.pool, batch.expected, batch.writes
         )
+        owner.submission_queue.commit_s = (
+            self._context.clock.now() - requested_at
+        )
         if isinstance(result, Failure):
             for job in batch.jobs:
                 job.is_dirty = True
@@ -202,8 +208,8 @@
         outcome = result.unwrap()
         if isinstance(outcome, RowConflict):
             owner.submission_queue.apply_conflict(batch.submissions, outcome)
-            self._handle_conflict(outcome, batch.jobs)
-            return False
+            self._handle_conflict(outcome, batch, requested_at)
+            return not owner.lost.is_set()
         self._log_recovery()
         owner.verified_at = requested_at
         owner.work.record_success()
@@ -219,7 +225,9 @@
             job.mark_begun(owner.term)
         batch = _Batch()
         batch.expected[OWNER_ROW] = owner.owner_version
-        batch.submissions = owner.submission_queue.take_batch(SUBMISSIONS_MAX)
+        batch.submissions = owner.submission_queue.take_batch(
+            SUBMISSIONS_MAX, self._context.clock.now()
+        )
         for submission in batch.submissions:
             for name, value in owner.submission_queue.rows(submission).items():
                 batch.expected[name] = 0
@@ -268,11 +276,15 @@
         if batch.is_complete:
             self._owner.on_progress_stored()
 
-    def _handle_conflict(self, conflict: RowConflict, jobs: list[Job]) -> None:
+    def _handle_conflict(
+        self, conflict: RowConflict, batch: _Batch, requested_at: float
+    ) -> None:
         """Detect a lost pool; otherwise adopt the stored row versions.
 
         Without another owner, the conflict comes from an earlier write
-        that took effect without an answer.
+        that took effect without an answer, or from a submission that its
+        sender has stored.  The unchanged owner row then proves the
+        ownership as a successful write does.
         """
         owner = self._owner
         current = conflict.rows.get(OWNER_ROW)
@@ -281,15 +293,18 @@
             return
         self.load.apply_conflict(conflict.rows)
         self.used_executors.apply_conflict(conflict.rows)
-        for job in jobs:
+        owner.verified_at = requested_at
+        for job in batch.jobs:
             job.is_dirty = True
             row = conflict.rows.get(RowName(PROGRESS_TABLE, job.job_id))
             job.row_version = row.version if row is not None else 0
         log_change(
             "progress-rewritten",
             pool=owner.pool,
-            jobs=len(jobs),
-            reason="an earlier write without an answer took effect",
+            jobs=len(batch.jobs),
+            submissions=len(batch.submissions),
+            conflicts=len(conflict.rows),
+            reason="rows were stored meanwhile",
         )
 
     def _log_failure(self, fault: Fault) -> None:
--- a/lycheelug/jobservice/submission_queue.py
+++ b/lycheelug/jobservice/submission_queue.py
@@ -5,7 +5,8 @@
 store, concurrent submissions share a transaction instead of waiting for
 each other.  Each submission is written once: a definite failure is
 reported as such, and after an unknown outcome the condition on the row
-decides when the caller or another daemon retries it.
+decides when the caller or another daemon retries it.  A submission that its
+sender has stored, or will have stored, meanwhile leaves the queue.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
     PROGRESS_TABLE,
     jobs_table,
 )
+from lycheelug.logs import log_change
 from lycheelug.store.rows import RowName
 from lycheelug.workloads import JobRecord, JobState, ProgressRecord
 
@@ -29,7 +31,12 @@
     from lycheelug.errors import Fault
     from lycheelug.store.rows import RowConflict
 
-__all__ = ["Submission", "SubmissionQueue"]
+__all__ = ["SUBMIT_TIMEOUT_S", "Submission", "SubmissionQueue"]
+
+# How long a sender waits for the owner's answer before it stores its
+# submission itself.  An owner answers after at most two transactions: one in
+# progress, and the one that stores the submission.  Callers wait 3 s in total.
+SUBMIT_TIMEOUT_S: Final = 0.9
 
 # The size limit of the submissions in one transaction.  The store accepts
 # one megabyte in all.
@@ -39,9 +46,19 @@
 class Submission:
     """One submission that is not yet stored."""
 
-    __slots__ = ("answer", "job_id", "progress", "record", "value")
-
-    def __init__(self, job_id: str, record: JobRecord, term: int) -> None:
+    __slots__ = (
+        "answer",
+        "job_id",
+        "progress",
+        "queued_at",
+        "record",
+        "value",
+    )
+
+    def __init__(
+        self, job_id: str, record: JobRecord, term: int, queued_at: float
+    ) -> None:
+        self.queued_at = queued_at
         self.job_id = job_id
         self.record = record
         self.value = msgspec.json.encode(record)
@@ -62,29 +79,32 @@
 class SubmissionQueue:
     """The queue of submissions at one pool's owner."""
 
-    __slots__ = ("_pool", "_table", "_term", "_waiting")
+    __slots__ = ("_pool", "_table", "_term", "_waiting", "commit_s")
 
     def __init__(self, pool: str, term: int) -> None:
         self._pool = pool
         self._table = jobs_table(pool)
         self._term = term
         self._waiting: dict[str, Submission] = {}
+        # How long the last transaction took.
+        self.commit_s = 0.0
 
     @property
     def has_work(self) -> bool:
         """Whether any submission waits to be stored."""
         return bool(self._waiting)
 
-    def add(self, job_id: str, record: JobRecord) -> Submission:
+    def add(self, job_id: str, record: JobRecord, now: float) -> Submission:
         """Queue a submission; return the queued one for a duplicate."""
         known = self._waiting.get(job_id)
         if known is None:
-            known = Submission(job_id, record, self._term)
+            known = Submission(job_id, record, self._term, now)
             self._waiting[job_id] = known
         return known
 
-    def take_batch(self, max_count: int) -> list[Submission]:
+    def take_batch(self, max_count: int, now: float) -> list[Submission]:
         """Dequeue the submissions that fit into the next transaction."""
+        self._reject_late(now)
         batch: list[Submission] = []
         size = 0
         for submission in self._waiting.values():
@@ -96,6 +116,38 @@
             del self._waiting[submission.job_id]
         return batch
 
+    def _reject_late(self, now: float) -> None:
+        """Reject the submissions whose senders will have stored them.
+
+        Their rows would make the whole transaction conflict.  A sender that
+        still waits stores its submission at once.
+        """
+        latest_s = SUBMIT_TIMEOUT_S - self.commit_s / 2
+        rejected = 0
+        for submission in list(self._waiting.values()):
+            if now - submission.queued_at <= latest_s:
+                continue
+            del self._waiting[submission.job_id]
+            submission.resolve(SubmissionAnswer.NOT_TAKEN)
+            rejected += 1
+        if rejected:
+            log_change(
+                "submissions-late",
+                pool=self._pool,
+                rejected=rejected,
+                waiting=len(self._waiting),
+                transaction_s=round(self.commit_s, 3),
+            )
+
+    def settle(self, job_id: str) -> None:
+        """Answer a queued submission whose row was stored by another daemon.
+
+        Left in the queue, it would make the next transaction conflict.
+        """
+        known = self._waiting.pop(job_id, None)
+        if known is not None:
+            known.resolve(SubmissionAnswer.KNOWN)
+
     def row_name(self, submission: Submission) -> RowName:
         """Return the name of a submission's row."""
         return RowName(self._table, JOB_PREFIX + submission.job_id)
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -20,6 +20,7 @@
 
 from lycheelug.entries.codec import MessagePackCodec
 from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.jobservice.submission_queue import SUBMIT_TIMEOUT_S
 from lycheelug.jobservice.tables import decode_job
 from lycheelug.logs import log_change
 from lycheelug.relay.channels import RELAY_MESSAGE_BYTES_MAX
@@ -36,7 +37,7 @@
     SubmitReply,
     pack_rows,
 )
-from lycheelug.relay.submissions import SUBMIT, SUBMIT_TIMEOUT_S
+from lycheelug.relay.submissions import SUBMIT
 from lycheelug.store.rows import HistoryGone, RowConflict, RowName
 
 if TYPE_CHECKING:
--- a/lycheelug/relay/submissions.py
+++ b/lycheelug/relay/submissions.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.jobservice.submission_queue import SUBMIT_TIMEOUT_S
 from lycheelug.logs import log_change
 from lycheelug.relay.channels import CALL_ERRORS, NotSentError, PeerChannels
 from lycheelug.relay.messages import SubmitCall, SubmitReply
@@ -23,9 +24,6 @@
 __all__ = ["SUBMIT", "SubmissionForwarder"]
 
 SUBMIT: Final = "/lycheelug.Relay/Submit"
-# An owner answers after at most two transactions: one in progress, and the one
-# that stores the submission.  Callers wait 3 s in total.
-SUBMIT_TIMEOUT_S: Final = 0.9
 # No submission is sent to an owner for this long after it did not answer.
 AVOID_S: Final = 1.0
 
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -34,6 +34,7 @@
 )
 from lycheelug.jobservice.service import JobService
 from lycheelug.store.memory_rows import MemoryRows
+from lycheelug.store.rows import RowCommit
 from lycheelug.workloads import (
     EndKind,
     EndReport,
@@ -57,7 +58,6 @@
     from lycheelug.jobservice.submissions import Reply
     from lycheelug.store.rows import (
         HistoryGone,
-        RowCommit,
         RowConflict,
         RowName,
         RowSet,
@@ -82,6 +82,8 @@
         "lose_answers",
         "refused_parts",
         "shared",
+        "stored_at",
+        "transit_s",
         "write_s",
     )
 
@@ -103,6 +105,10 @@
         self.refused_parts: set[str] = set()
         # How many of the next submissions are stored but not answered.
         self.lose_answers = 0
+        # How long a conditional commit takes to the store and back, and the
+        # times at which such commits were found to have been stored.
+        self.transit_s = 0.0
+        self.stored_at: list[float] = []
         # The duration of a commit.
         self.write_s = 0.008
         # Calls hang until they time out.
@@ -120,11 +126,18 @@
         expected: Mapping[RowName, int],
         writes: Mapping[RowName, bytes | None],
     ) -> Result[RowCommit | RowConflict, Fault]:
+        transit_s = self.transit_s / 2 if expected else 0.0
+        if transit_s:
+            await asyncio.sleep(transit_s)
         async with self.locks.setdefault(part, asyncio.Lock()):
             await asyncio.sleep(self.write_s)
         if self.down or part in self.refused_parts:
             return Failure(_fault())
         result = await self.shared.commit(part, expected, writes)
+        if transit_s:
+            await asyncio.sleep(transit_s)
+        if expected and isinstance(result.unwrap(), RowCommit):
+            self.stored_at.append(asyncio.get_running_loop().time())
         is_submission = any(name.table.startswith("jobs-") for name in writes)
         if is_submission and self.lose_answers:
             self.lose_answers -= 1
@@ -410,6 +423,8 @@
         self.locks: dict[str, asyncio.Lock] = {}
         self.stores: dict[str, FaultyRows] = {}
         self.daemons: dict[str, JobService] = {}
+        # How long a daemon waits for the owner's answer to a submission.
+        self.forward_timeout_s: float | None = None
         self._fleet_task: asyncio.Task[None] | None = None
 
     def start_fleet(self) -> None:
@@ -445,12 +460,16 @@
     async def forward(
         self, address: str, pool: str, job_id: str, record: JobRecord
     ) -> SubmissionAnswer:
-        """Pass a submission to another daemon."""
+        """Pass a submission to another daemon, which may answer late."""
         await asyncio.sleep(0.002)
         service = self.daemons.get(address)
         if service is None:
             return SubmissionAnswer.NOT_TAKEN
-        return await service.submit_locally(pool, job_id, record)
+        try:
+            async with asyncio.timeout(self.forward_timeout_s):
+                return await service.submit_locally(pool, job_id, record)
+        except TimeoutError:
+            return SubmissionAnswer.UNDECIDED
 
     async def count(self, address: str, pool: str, queue: str) -> WaitingCount:
         """Ask another daemon for a queue's waiting jobs."""
