Keep an index of the jobs that are unstored, periodic or unfinished

Cause: a pool keeps finished jobs for 180 s. Each plan looked through all of them for due occurrences, each check for work and each transaction for unstored changes.

Change: JobIndex holds the dirty jobs, those with a schedule and those that haven't ended; a job reports its own changes to it. A transaction takes the dirty jobs in the order in which they were added, as before. The unfinished ones are there for the summary, which still looks through all jobs.

tests/test_same_decisions.py compares the index with all jobs after each random step; two deliberate faults made it fail.

--- a/bench/pool_schedule.py
+++ b/bench/pool_schedule.py
@@ -77,7 +77,7 @@
 # Executors of other pools, which the daemon knows too.
 OTHER_EXECUTORS: Final = 1200
 # Jobs that finished before the surge and are still kept.
-FINISHED_JOBS: Final = 1000
+FINISHED_JOBS: Final = 5000
 CAPACITY: Final = Resources(8000, 16384, 0)
 # Runtimes of a task with which the executors keep up with the surge, and with
 # which they serve about half of it.
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -393,8 +393,8 @@
     def _open_due_occurrences(self) -> None:
         """Open the due occurrences of jobs with a schedule."""
         unix_ms = self._context.clock.unix_ms()
-        for job in self.schedule.jobs.values():
-            due_ms = job.next_due_ms() if job.record.schedule else None
+        for job in self.schedule.job_index.periodic.values():
+            due_ms = job.next_due_ms()
             if due_ms is not None and due_ms <= unix_ms:
                 self.schedule.open_due_occurrences(
                     job, unix_ms, self._context.clock.now()
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -174,9 +174,8 @@
         schedule = self._owner.schedule
         if self._is_urgent():
             return True
-        for job in schedule.jobs.values():
-            if job.is_dirty:
-                return True
+        if schedule.job_index.dirty:
+            return True
         for view in schedule.executors.values():
             if view.last_applied_end > view.last_acked_end:
                 return True
@@ -249,9 +248,7 @@
                 batch.expected[name] = 0
                 batch.writes[name] = value
         jobs_max = JOBS_MAX - 2 * len(batch.submissions)
-        for job in schedule.jobs.values():
-            if not job.is_dirty:
-                continue
+        for job in schedule.job_index.dirty_in_order():
             if len(batch.jobs) >= jobs_max:
                 batch.is_complete = False
                 break
--- /dev/null
+++ b/lycheelug/workloads/job_index.py
@@ -0,0 +1,51 @@
+"""The jobs of a pool that are often looked for.
+
+A pool keeps its finished jobs for a while, so most of its jobs need no
+attention.  The jobs report their own changes to the index.
+"""
+
+from __future__ import annotations
+
+from operator import attrgetter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.jobs import Job
+
+__all__ = ["JobIndex"]
+
+
+class JobIndex:
+    """Some of a pool's jobs, by id."""
+
+    __slots__ = ("_count", "dirty", "periodic", "unfinished")
+
+    def __init__(self) -> None:
+        self._count = 0
+        # Jobs whose progress record has unstored changes.
+        self.dirty: dict[str, Job] = {}
+        # Jobs with a schedule.
+        self.periodic: dict[str, Job] = {}
+        # Jobs without a final state, in the order in which they were added.
+        self.unfinished: dict[str, Job] = {}
+
+    def add(self, job: Job) -> None:
+        """Add a job."""
+        self._count += 1
+        job.sequence = self._count
+        if job.is_dirty:
+            self.dirty[job.job_id] = job
+        if job.record.schedule is not None:
+            self.periodic[job.job_id] = job
+        if not job.is_final:
+            self.unfinished[job.job_id] = job
+
+    def remove(self, job: Job) -> None:
+        """Remove a job."""
+        self.dirty.pop(job.job_id, None)
+        self.periodic.pop(job.job_id, None)
+        self.unfinished.pop(job.job_id, None)
+
+    def dirty_in_order(self) -> list[Job]:
+        """Return the jobs to be stored, in the order they were added."""
+        return sorted(self.dirty.values(), key=attrgetter("sequence"))
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -17,6 +17,7 @@
 from lycheelug.workloads.progress import ProgressRecord, step_key, task_key
 
 if TYPE_CHECKING:
+    from lycheelug.workloads.job_index import JobIndex
     from lycheelug.workloads.model import JobRecord, QueuePolicy, StepSpec
     from lycheelug.workloads.runtimes import RunTimes
 
@@ -86,12 +87,13 @@
 
     __slots__ = (
         "_forecasts",
+        "_index",
+        "_is_dirty",
         "begin_is_stored",
         "cancelled",
         "due_ms",
         "has_started",
         "home_zone",
-        "is_dirty",
         "is_long_running",
         "job_id",
         "occurrences",
@@ -100,6 +102,7 @@
         "progress",
         "record",
         "row_version",
+        "sequence",
     )
 
     def __init__(
@@ -124,8 +127,10 @@
         # Whether the begun mark (`begun_term`) is stored.
         self.begin_is_stored = self.progress.begun_term > 0
         self.cancelled = self.progress.state == JobState.CANCELLED
-        # Whether the progress record has changes that aren't stored yet.
-        self.is_dirty = False
+        self._is_dirty = False
+        self._index: JobIndex | None = None
+        # Its place among the jobs of the pool, in the order they were added.
+        self.sequence = 0
         self.is_long_running = is_long_running(record.steps)
         # Tasks by occurrence and step, for occurrences that are due and
         # unfinished.
@@ -137,6 +142,21 @@
         self.home_zone = ""
         self._forecasts: dict[int, DeadlineForecast] = {}
 
+    @property
+    def is_dirty(self) -> bool:
+        """Whether the progress record has changes that aren't stored yet."""
+        return self._is_dirty
+
+    @is_dirty.setter
+    def is_dirty(self, is_dirty: bool) -> None:
+        self._is_dirty = is_dirty
+        if self._index is None:
+            return
+        if is_dirty:
+            self._index.dirty[self.job_id] = self
+        else:
+            self._index.dirty.pop(self.job_id, None)
+
     @property
     def is_final(self) -> bool:
         """Whether the job has ended, so that none of its tasks may run."""
@@ -161,6 +181,14 @@
         self.begin_is_stored = True
         self.row_version = max(self.row_version, version)
 
+    def set_index(self, index: JobIndex | None) -> None:
+        """Keep an index of jobs up to date from now on; None for no index."""
+        if self._index is not None:
+            self._index.remove(self)
+        self._index = index
+        if index is not None:
+            index.add(self)
+
     def next_due_ms(self) -> int | None:
         """Return when the next occurrence is due, or None if none is left."""
         schedule = self.record.schedule
@@ -351,3 +379,5 @@
         self.progress.state = state
         self.progress.final_ms = unix_ms
         self.is_dirty = True
+        if self._index is not None:
+            self._index.unfinished.pop(self.job_id, None)
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -30,6 +30,7 @@
 
 from lycheelug.workloads.demand import Arrivals, expected_work
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
+from lycheelug.workloads.job_index import JobIndex
 from lycheelug.workloads.jobs import Job, Task, TaskState
 from lycheelug.workloads.orders import (
     PaceOrder,
@@ -68,6 +69,7 @@
         "arrivals",
         "executors",
         "hint_requests",
+        "job_index",
         "jobs",
         "lease_s",
         "placement",
@@ -102,6 +104,7 @@
         # Steps that need placement hints, with the executors to query.
         self.hint_requests: dict[StepName, list[str]] = {}
         self.jobs: dict[str, Job] = {}
+        self.job_index = JobIndex()
         self.executors: dict[str, ExecutorView] = {}
         # Tasks waiting for an executor.
         self.ready = ReadyQueue()
@@ -130,6 +133,7 @@
         if is_new and not job.is_long_running:
             self.arrivals.record(expected_work(record, self.run_times), now)
         self.jobs[job_id] = job
+        job.set_index(self.job_index)
         self.open_due_occurrences(job, unix_ms, now)
         return job
 
@@ -155,6 +159,7 @@
         self.placement_hints.forget_job(job_id)
         job = self.jobs.pop(job_id, None)
         if job is not None:
+            job.set_index(None)
             self.dequeue_job(job)
 
     def finished_before(self, unix_ms: int) -> list[Job]:
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -134,6 +134,7 @@
                 self.report(executor_id)
         self.answer_orders()
         self.begin_jobs()
+        self.compare_index()
         self.compare_plans()
 
     def add_job(self) -> None:
@@ -325,6 +326,20 @@
 
         self.apply(begin)
 
+    def compare_index(self) -> None:
+        """Compare the index of jobs with all jobs, and store some."""
+        schedule = self.schedules[0]
+        jobs = list(schedule.jobs.values())
+        index = schedule.job_index
+        dirty = [job for job in jobs if job.is_dirty]
+        assert index.dirty_in_order() == dirty
+        unfinished = [job for job in jobs if not job.is_final]
+        assert list(index.unfinished.values()) == unfinished
+        periodic = [job for job in jobs if job.record.schedule is not None]
+        assert list(index.periodic.values()) == periodic
+        for job in dirty[: self.rng.randint(0, 4)]:
+            job.is_dirty = False
+
     def compare_plans(self) -> None:
         waiting = waiting_tasks(self.schedules[0])
         assert len(self.schedules[0].ready) == len(waiting)
