Apply the limit of log lines before a line is made

Cause: a daemon writes at most 400 lines a second. In a surge a pool's owner logs some 2,300, and loguru made each record and formatted it before it was dropped. The text that loguru formatted was never used either.

Change: log_change and log_fault ask the limit first; what is written and what is counted as dropped stays the same.

--- a/lycheelug/logs.py
+++ b/lycheelug/logs.py
@@ -29,10 +29,52 @@
 MAX_BURST_LINES: Final = 800.0
 
 
+class _LineLimit:
+    """Limits the rate of lines and counts those that are dropped.
+
+    It applies before a line is made, because making one costs much more.
+    """
+
+    __slots__ = ("_allowance", "_refilled_at", "dropped", "is_enabled")
+
+    def __init__(self) -> None:
+        self.is_enabled = False
+        # The number of lines dropped since the last one that was written.
+        self.dropped = 0
+        self._allowance = MAX_BURST_LINES
+        self._refilled_at = time.monotonic()
+
+    def enable(self, is_enabled: bool) -> None:
+        """Set whether there is a limit; begin with the full allowance."""
+        self.is_enabled = is_enabled
+        self.dropped = 0
+        self._allowance = MAX_BURST_LINES
+        self._refilled_at = time.monotonic()
+
+    def admit(self) -> bool:
+        """Return whether a line may be written, or count it as dropped."""
+        if not self.is_enabled:
+            return True
+        now = time.monotonic()
+        refill = (now - self._refilled_at) * LINES_PER_S
+        self._refilled_at = now
+        self._allowance = min(MAX_BURST_LINES, self._allowance + refill)
+        if self._allowance < 1:
+            self.dropped += 1
+            return False
+        self._allowance -= 1
+        return True
+
+
+# The limit of this process, as the logger is one for the process too.
+_line_limit = _LineLimit()
+
+
 def set_up_logs(settings: LogSettings, daemon: str) -> None:
     """Write logs to standard error in the configured format."""
     logger.remove()
     logger.configure(extra={"daemon": daemon})
+    _line_limit.enable(False)
     if settings.format == "json":
         logger.add(_write_json, level=settings.level)
         return
@@ -45,50 +87,46 @@
     """Write JSON lines to standard output, rate-limited and non-blocking."""
     logger.remove()
     logger.configure(extra={"daemon": daemon})
+    _line_limit.enable(True)
     os.set_blocking(sys.stdout.fileno(), False)
-    logger.add(_RateLimitedWriter(sys.stdout.fileno()).write, level="INFO")
+    # The writer makes the line itself; the format is only kept short.
+    logger.add(
+        _Writer(sys.stdout.fileno()).write, level="INFO", format="{message}"
+    )
 
 
-class _RateLimitedWriter:
-    """Writes records to a file descriptor and drops those above a rate."""
+class _Writer:
+    """Writes records to a file descriptor, without blocking."""
 
-    __slots__ = ("_allowance", "_descriptor", "_dropped", "_refilled_at")
+    __slots__ = ("_descriptor",)
 
     def __init__(self, descriptor: int) -> None:
         self._descriptor = descriptor
-        self._allowance = MAX_BURST_LINES
-        self._refilled_at = time.monotonic()
-        self._dropped = 0
 
     def write(self, message: Message) -> None:
         """Write a record, or count it as dropped."""
-        now = time.monotonic()
-        refill = (now - self._refilled_at) * LINES_PER_S
-        self._refilled_at = now
-        self._allowance = min(MAX_BURST_LINES, self._allowance + refill)
-        if self._allowance < 1:
-            self._dropped += 1
-            return
-        self._allowance -= 1
         line = _json_line(message.record)
-        if self._dropped:
-            line["lines_dropped"] = self._dropped
+        if _line_limit.dropped:
+            line["lines_dropped"] = _line_limit.dropped
         data = msgspec.json.encode(line) + b"\n"
         try:
             os.write(self._descriptor, data)
         except BlockingIOError:
-            self._dropped += 1
+            _line_limit.dropped += 1
             return
-        self._dropped = 0
+        _line_limit.dropped = 0
 
 
 def log_change(event: str, **fields: Any) -> None:
     """Log a change of state."""
-    logger.bind(fields=fields).info(event)
+    if _line_limit.admit():
+        logger.bind(fields=fields).info(event)
 
 
 def log_fault(event: str, fault: Fault, **fields: Any) -> None:
     """Log a state change caused by a fault, with its step and peer."""
+    if not _line_limit.admit():
+        return
     fields["code"] = fault.code.name
     fields["step"] = str(fault.step)
     fields["peer"] = f"{fault.peer} {fault.peer_name}".strip()
