Repeat a read without an answer in shorter pages

A new owner waits for the list of executors. Over a slow link it would wait for good.

Cause, worked out and not measured: a page of the 350 entries of a grown deployment has some 150 KB and takes 0.6 s on a link of 2 Mbit/s. The time limit of a read is 0.5 s. The answer was thrown away, and the whole page was asked for again.

Change: the repeated read asks for 100 rows, and so do those of the pages after it. Reads that are answered, and those the store rejects, are as before.

Evidence: on a stand-in that takes the time limit for 250 rows, a table of 350 rows is read in five calls; the test failed before, as no read ended.

--- a/lycheelug/platform/store.py
+++ b/lycheelug/platform/store.py
@@ -71,6 +71,10 @@
 # Counts for a transaction without writes, which only proves ownership.
 OWNERSHIP_PROOF: Final = RowName("owners", "")
 
+# The rows of a page after a read without an answer.  On a link of 2 Mbit/s, a
+# page of the 500 rows that the store returns at most exceeds the time limit.
+SHORT_PAGE_ROWS: Final = 100
+
 STATUS_OK: Final = 200
 STATUS_GONE: Final = 410
 STATUS_CONFLICT: Final = 412
@@ -134,13 +138,14 @@
         """Return all rows of a part from key `first` to before `end`."""
         found: list[StoredRow] = []
         version: int | None = None
+        short = {"limit": str(SHORT_PAGE_ROWS)}
+        query = {"table": table, "part": part}
         while True:
-            query = {"table": table, "part": part}
             if first:
                 query["from"] = first
             if end:
                 query["to"] = end
-            read = await self._get("/v1/rows-get", query, RowsAnswer)
+            read = await self._get("/v1/rows-get", query, RowsAnswer, short)
             if isinstance(read, Failure):
                 return Failure(read.failure())
             page = read.unwrap()
@@ -150,6 +155,8 @@
             version = page.row_version if version is None else version
             if not page.has_more or not page.rows:
                 return Success(RowSet(found, version))
+            if len(page.rows) <= SHORT_PAGE_ROWS:
+                query.update(short)
             first = page.rows[-1].key + "\0"
 
     async def parts(self, table: str) -> Result[list[str], Fault]:
@@ -201,11 +208,17 @@
     # --- Calls.
 
     async def _get(
-        self, path: str, query: dict[str, str], kind: type[T]
+        self,
+        path: str,
+        query: dict[str, str],
+        kind: type[T],
+        repeated: dict[str, str] | None = None,
     ) -> Result[T, Fault]:
         """Send a read and decode its answer; repeat it once if it fails.
 
-        The first attempt may fail on a connection that the store has closed.
+        The first attempt may fail on a connection that the store has closed,
+        or because its answer is too long for the link.  The second one adds
+        the parameters in `repeated`.
         """
         target = f"{path}?{urlencode(query)}"
         table = query["table"]
@@ -213,6 +226,7 @@
             b"GET", target, table, timeout_s=READ_TIMEOUT_S
         )
         if isinstance(called, Failure):
+            target = f"{path}?{urlencode({**query, **(repeated or {})})}"
             called = await self._call(
                 b"GET", target, table, timeout_s=READ_TIMEOUT_S
             )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from urllib.parse import parse_qsl
 
 import pytest
 from returns.result import Failure, Success
@@ -14,7 +15,7 @@
 from lycheelug.platform.executors import decode_executor
 from lycheelug.platform.ingress import decode_job_message
 from lycheelug.platform.settings import read_settings
-from lycheelug.platform.store import PlatformRows
+from lycheelug.platform.store import READ_TIMEOUT_S, PlatformRows
 from lycheelug.store.rows import (
     HistoryGone,
     RowCommit,
@@ -220,6 +221,39 @@
     asyncio.run(with_store(handler, use))
 
 
+# Guards against a table that is never read over a slow link: each answer was
+# thrown away at the time limit and asked for again.
+def test_read_without_answer_is_repeated_in_shorter_pages() -> None:
+    keys = [f"k{number:03d}" for number in range(350)]
+    targets: list[str] = []
+
+    async def handler(request: Request) -> Answer:
+        target = request.target.decode()
+        targets.append(target)
+        query = dict(parse_qsl(target.partition("?")[2]))
+        limit = int(query.get("limit", "500"))
+        left = [key for key in keys if key >= query.get("from", "")]
+        page = left[:limit]
+        # A link that takes 250 rows in the time limit.
+        await asyncio.sleep(READ_TIMEOUT_S * len(page) / 250)
+        rows = [
+            {"table": "t", "part": "p", "key": key, "row_version": 3}
+            for key in page
+        ]
+        has_more = len(left) > limit
+        return json_answer(
+            200, {"rows": rows, "has_more": has_more, "row_version": 8}
+        )
+
+    async def use(store: PlatformRows) -> None:
+        result = await store.read("t", "p")
+        assert [row.key for row in result.unwrap().rows] == keys
+        # One without an answer and four pages.
+        assert len(targets) == 5
+
+    asyncio.run(with_store(handler, use))
+
+
 def test_feed_reports_removed_rows_and_dropped_history() -> None:
     async def handler(request: Request) -> Answer:
         if b"depends_on=1&" in request.target:
