Confirm a drained executor without an entry only while it is in use

Cause: the check for unconfirmed drain orders counted executors whose entry was removed, which the summary leaves out, so the pool's summary was written with each change of a run. Both now use one function. The new test failed before.

--- a/lycheelug/jobservice/published_load.py
+++ b/lycheelug/jobservice/published_load.py
@@ -14,7 +14,11 @@
 import msgspec
 
 from lycheelug.fleetplan import HOSTS_KEY, SUMMARIES_TABLE, SUMMARY_KEY
-from lycheelug.jobservice.summary import host_of, list_loads, summarize
+from lycheelug.jobservice.summary import (
+    confirmed_orders,
+    list_loads,
+    summarize,
+)
 from lycheelug.store.rows import RowName
 
 if TYPE_CHECKING:
@@ -152,10 +156,8 @@
 
     def _has_new_confirmation(self) -> bool:
         """Whether a drain order's confirmation is not stored yet."""
-        for view in self._schedule.executors.values():
-            if not view.drain_order or not view.is_drained:
-                continue
-            if self._vacated.get(host_of(view)) != view.drain_order:
+        for host, number in confirmed_orders(self._schedule).items():
+            if self._vacated.get(host) != number:
                 return True
         return False
 
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -23,7 +23,14 @@
     from lycheelug.store.rows import StoredRow
     from lycheelug.workloads import ExecutorView, Job, PoolSchedule, Task
 
-__all__ = ["host_of", "is_in_use", "join_summaries", "list_loads", "summarize"]
+__all__ = [
+    "confirmed_orders",
+    "host_of",
+    "is_in_use",
+    "join_summaries",
+    "list_loads",
+    "summarize",
+]
 
 
 # The growth of demand is rounded down to multiples of this (in thousandths of
@@ -44,8 +51,7 @@
             continue
         summary.running_cpu += view.used_cpu
         summary.running_memory += view.used_memory
-        if view.is_drained:
-            summary.vacated[host_of(view)] = view.drain_order
+    summary.vacated = confirmed_orders(schedule)
     for job in schedule.jobs.values():
         if not job.is_final:
             _add_job(summary, schedule, job, unix_ms)
@@ -94,6 +100,15 @@
     return record
 
 
+def confirmed_orders(schedule: PoolSchedule) -> dict[str, str]:
+    """Return the numbers of the confirmed drain orders by host."""
+    found: dict[str, str] = {}
+    for view in schedule.executors.values():
+        if view.drain_order and view.is_drained and is_in_use(view):
+            found[host_of(view)] = view.drain_order
+    return found
+
+
 def is_in_use(view: ExecutorView) -> bool:
     """Whether an executor may run tasks, or new ones may start there."""
     return view.has_entry or not view.has_accepted_term or bool(view.runs)
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
 import pytest
 
 from lycheelug.fleetplan import SUMMARIES_TABLE
+from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.jobservice.summary import join_summaries
 from lycheelug.jobservice.tables import PROGRESS_TABLE
 from lycheelug.store.memory_rows import MemoryRows
@@ -192,6 +194,33 @@
     run_virtual(run())
 
 
+# Guards against a summary that is written with each change of a run because
+# a drained executor, whose entry was removed, seems to be unconfirmed.
+def test_drained_executor_without_entry_causes_no_writes() -> None:
+    async def run() -> None:
+        world = LoadedWorld(60)
+        daemon = await world.settle()
+        service = world.daemons[daemon]
+        owner = service.duties.held[POOL]
+        assert isinstance(owner, PoolOwner)
+        view = owner.schedule.executors["machine-000.incarnation-01"]
+        # Keeps the view after its entry was removed.
+        view.leases_end_at = math.inf
+        view.drain_order = "1.1"
+        service.update_executor(view.executor_id, None)
+        await world.load(daemon, jobs_per_s=75, seconds=1.0)
+        world.counted.take_total()
+        await world.load(daemon, jobs_per_s=75, seconds=2.0)
+        assert view.is_drained
+        rate = world.counted.take_total() / 2.0
+        print(f"drained: {rate:.0f} B/s")
+        # The share of 60 hosts in the bound for 130.
+        assert rate < LOADED_BYTES_PER_S * 60 / 130
+        await world.stop()
+
+    run_virtual(run())
+
+
 async def stored_demand(world: JobWorld) -> int:
     """Return the CPU of running and waiting tasks as stored."""
     rows = (await world.rows.read(SUMMARIES_TABLE, POOL)).unwrap().rows
