Repeat a lost claim at once, and claim only what was chosen

A claim whose answer was lost names its claimant in the owner row, so all other daemons see a live holder. The claimant now repeats it without waiting for its turn, and keeps the number of stalled holders. Claims that wait for others no longer adopt the rows of faster claimants as their condition. The limit of a stall is the usual one again after a minute of successful work.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -104,6 +104,7 @@
         "_started_at",
         "_store",
         "_tasks",
+        "_undecided",
         "_wake",
         "heartbeats",
     )
@@ -132,6 +133,8 @@
         self._free_since: dict[str, float] = {}
         self._owners: dict[str, tuple[OwnerRecord, int]] = {}
         self._held: dict[str, _HeldDuty] = {}
+        # Duties whose claim may have taken effect without an answer.
+        self._undecided: set[str] = set()
         self._leaving = False
         self._started_at = clock.now()
         self._tasks: list[asyncio.Task[None]] = []
@@ -243,9 +246,28 @@
                 now,
                 self._count_turns(duties, now),
             )
+            claims = list(dict.fromkeys([*self._won_claims(duties), *claims]))
+            # A claim may take seconds, so the rows that the choice is based
+            # on are the conditions of all of them.
+            known = {duty: self._owners.get(duty) for duty in claims}
             for duty in claims:
                 if duty not in self._held:
-                    await self._claim(duty)
+                    await self._claim(duty, known[duty])
+
+    def _won_claims(self, duties: list[str]) -> list[str]:
+        """Return the duties whose unanswered claim has taken effect.
+
+        To the other daemons they have a live holder, so nobody else claims
+        them, and there are no turns to wait for.
+        """
+        found: list[str] = []
+        for duty in duties:
+            owner = self._owners.get(duty)
+            if owner is None or duty not in self._undecided:
+                continue
+            if owner[0].incarnation == self._incarnation:
+                found.append(duty)
+        return found
 
     def _count_turns(self, duties: list[str], now: float) -> dict[str, int]:
         """Count the claim turns that have passed for each free duty."""
@@ -282,16 +304,27 @@
             if held.task.done():
                 del self._held[duty]
 
-    async def _claim(self, duty: str) -> None:
-        """Claim a duty by a conditional write of its owner row."""
-        known = self._owners.get(duty)
+    def _count_stalled(self, duty: str, former: OwnerRecord) -> int:
+        """Return how many holders in a row were replaced as stalled."""
+        if former.incarnation == self._incarnation:
+            # It repeats its own claim.
+            return former.stalled_before
+        if self.heartbeats.liveness.is_stalled(former.holder, duty):
+            return former.stalled_before + 1
+        return 0
+
+    async def _claim(
+        self, duty: str, known: tuple[OwnerRecord, int] | None
+    ) -> None:
+        """Claim a duty by a conditional write of its owner row.
+
+        `known` is that row and its version.
+        """
         term = known[0].term + 1 if known is not None else 1
         version = known[1] if known is not None else 0
         record = OwnerRecord(self._name, self._incarnation, term)
-        if known is not None and self.heartbeats.liveness.is_stalled(
-            known[0].holder, duty
-        ):
-            record.stalled_before = known[0].stalled_before + 1
+        if known is not None:
+            record.stalled_before = self._count_stalled(duty, known[0])
         result = await self._store.commit(
             duty,
             {OWNER_ROW: version},
@@ -301,7 +334,9 @@
             # If the write took effect, the feed delivers the row, and the
             # next claim replaces it with a higher term.
             log_fault("claim-undecided", result.failure(), duty=duty)
+            self._undecided.add(duty)
             return
+        self._undecided.discard(duty)
         outcome = result.unwrap()
         if not isinstance(outcome, RowCommit):
             # Another daemon was faster; the answer has its row.
--- a/lycheelug/ownership/stalls.py
+++ b/lycheelug/ownership/stalls.py
@@ -23,8 +23,10 @@
 # The limit is extended by the store's delay times this factor, for the call
 # in progress and the one that failed before it.
 DELAY_FACTOR: Final = 2.0
-# The limit doubles with each stalled holder in a row, up to this number.
+# The limit doubles with each stalled holder in a row, up to this number, until
+# a holder's work has succeeded for `RECOVERED_S`.
 DOUBLINGS_MAX: Final = 3
+RECOVERED_S: Final = 60.0
 
 
 class WorkProgress:
@@ -44,17 +46,23 @@
     False
     """
 
-    __slots__ = ("_limit_s", "since")
+    __slots__ = ("_began", "_limit_s", "since")
 
     def __init__(self, stalled_before: int) -> None:
         # Local time of the first attempt since the last success.
         self.since: float | None = None
+        # Local time of the first attempt.
+        self._began: float | None = None
         self._limit_s = STALL_S * (1 << min(stalled_before, DOUBLINGS_MAX))
 
     def record_attempt(self, now: float) -> None:
         """Record that work is attempted, unless an attempt is pending."""
+        if self._began is None:
+            self._began = now
         if self.since is None:
             self.since = now
+        if self.since - self._began >= RECOVERED_S:
+            self._limit_s = STALL_S
 
     def record_success(self) -> None:
         """Record that the work attempted last has succeeded."""
