Prove the ownership of the fleet plan before an order is repeated

A changed plan is stored on condition of the owner row before its calls are made. An unchanged one was not, so a replaced owner went on repeating calls without an answer, beside its successor.

--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -205,8 +205,10 @@
         ]
         for call in due:
             call.order.sent = True
+        # The platform may not check fencing tokens, so an order is repeated
+        # only by an owner that was not replaced.
         is_stored = await self._plan_store.save(
-            planner.plan, self._context.clock.now()
+            planner.plan, self._context.clock.now(), needs_proof=bool(due)
         )
         if self._plan_store.is_lost:
             self.revoke("the owner row has another holder")
--- a/lycheelug/jobservice/plan_store.py
+++ b/lycheelug/jobservice/plan_store.py
@@ -83,21 +83,27 @@
                     self._stored[row.name] = row.value
         return Success(plan)
 
-    async def save(self, plan: PlanRecord, now: float) -> bool:
+    async def save(
+        self, plan: PlanRecord, now: float, needs_proof: bool = False
+    ) -> bool:
         """Store what has changed; return False if that failed.
 
-        True doesn't mean that the ends of orders are stored.
+        True doesn't mean that the ends of orders are stored.  With
+        `needs_proof` it means that the plan has no other owner, because a
+        transaction is made even if nothing has changed.
         """
         changed: dict[RowName, bytes] = {}
         for name, value in _rows(plan).items():
             if self._stored.get(name) != value:
                 changed[name] = value
-        if not changed:
-            return True
-        is_early = now - self._written_at < ENDED_INTERVAL_S
-        if is_early and not self._is_urgent(plan):
-            return True
-        self._written_at = now
+        if not needs_proof:
+            if not changed:
+                return True
+            is_early = now - self._written_at < ENDED_INTERVAL_S
+            if is_early and not self._is_urgent(plan):
+                return True
+        if changed:
+            self._written_at = now
         orders = _orders_of(plan)
         expected = {OWNER_ROW: self._owner_version}
         for name in changed:
