Keep the duties with their holders after an outage of the store

A holder whose work had failed during the outage named its duties as stalled in its first heartbeat after it, and others claimed them, although the work succeeded some tenths of a second later. Work that fails while heartbeats fail too now has the whole limit again, once, and the first feed call after a failure doesn't wait for a change.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -147,6 +147,7 @@
             zone,
             self._wake.set,
             self._stalled_duties,
+            self._excuse_work,
             weight,
         )
 
@@ -357,14 +358,24 @@
         task.add_done_callback(lambda _: self._wake.set())
         self._held[duty] = _HeldDuty(holder, record, outcome.version, task)
 
-    def _stalled_duties(self) -> list[str]:
-        """Return the held duties whose work has failed for too long."""
+    def _excuse_work(self) -> None:
+        """Restart the limits of failing work: heartbeats pass again."""
+        for held in self._held.values():
+            held.holder.work.excuse(self._clock.now())
+
+    def _stalled_duties(self, is_gap: bool) -> list[str]:
+        """Return the held duties whose work has failed for too long.
+
+        `is_gap` says that this daemon's heartbeats have not passed either.
+        """
         now = self._clock.now()
         delay_s = self.heartbeats.liveness.write_delay_s
         found: list[str] = []
         for duty, held in self._held.items():
             work = held.holder.work
             is_stalled = work.is_stalled(now, delay_s)
+            if is_gap and not work.is_excused:
+                is_stalled = False
             if is_stalled:
                 found.append(duty)
             if is_stalled != held.is_stalled:
--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -12,6 +12,7 @@
 from zlib import crc32
 
 import msgspec
+from returns.result import Failure
 
 from lycheelug.logs import log_change
 from lycheelug.ownership import DAEMONS_TABLE, HeartbeatRecord, Liveness
@@ -40,6 +41,9 @@
 # After this many heartbeats a new daemon counts as settled, because the
 # others have seen it by then.
 SETTLED_HEARTBEATS: Final = 6
+# If no heartbeat has passed for this long, failing work does not show that
+# another daemon could do it.
+PASS_GAP_S: Final = 1.0
 
 
 class Heartbeats:
@@ -50,7 +54,9 @@
         "_incarnation",
         "_is_leaving",
         "_name",
+        "_on_gap_end",
         "_on_update",
+        "_passed_at",
         "_records",
         "_replica",
         "_sequence",
@@ -70,11 +76,17 @@
         incarnation: str,
         zone: str,
         on_update: Callable[[], None],
-        stalled_duties: Callable[[], list[str]],
+        stalled_duties: Callable[[bool], list[str]],
+        on_gap_end: Callable[[], None],
         weight: float = 1.0,
     ) -> None:
-        # Returns the duties whose work fails here.
+        # Returns the duties whose work fails here, and is told whether
+        # heartbeats have not passed for a while.
         self._stalled_duties = stalled_duties
+        # Called when the first heartbeat has passed after that.
+        self._on_gap_end = on_gap_end
+        # Local time of the last heartbeat that passed.
+        self._passed_at = clock.now()
         self._weight = weight
         self._store = store
         self._clock = clock
@@ -160,6 +172,7 @@
         The next heartbeat replaces it.
         """
         self._sequence += 1
+        is_gap = self._clock.now() - self._passed_at > PASS_GAP_S
         record = HeartbeatRecord(
             self._incarnation,
             self._zone,
@@ -167,12 +180,17 @@
             self._sequence,
             self._is_leaving,
             self._weight,
-            self._stalled_duties(),
+            self._stalled_duties(is_gap),
         )
         name = RowName(DAEMONS_TABLE, self._name)
-        await self._store.commit(
+        result = await self._store.commit(
             self._name, {}, {name: msgspec.json.encode(record)}
         )
+        if isinstance(result, Failure):
+            return
+        self._passed_at = self._clock.now()
+        if is_gap:
+            self._on_gap_end()
 
     def _on_row(self, row: StoredRow) -> None:
         """Record one heartbeat."""
--- a/lycheelug/ownership/stalls.py
+++ b/lycheelug/ownership/stalls.py
@@ -6,9 +6,10 @@
 observes its own work.  One that has failed for too long says so in its
 heartbeat, and another daemon claims the duty.
 
-What fails for all daemons alike is no reason for a change of holder: a
-claim is a write to the duty's own part, so it fails there too.  The limit
-also grows with the store's delay and with each holder in a row that was
+What fails for all daemons alike is no reason for a change of holder.  While
+the store is unreachable, a claim, which is a write to the duty's own part,
+fails too.  After that, the work has the whole limit again to succeed.  The
+limit also grows with the store's delay and with each holder in a row that was
 replaced for this reason.
 """
 
@@ -46,11 +47,13 @@
     False
     """
 
-    __slots__ = ("_began", "_limit_s", "since")
+    __slots__ = ("_began", "_limit_s", "is_excused", "since")
 
     def __init__(self, stalled_before: int) -> None:
         # Local time of the first attempt since the last success.
         self.since: float | None = None
+        # Whether the limit was restarted since the last success.
+        self.is_excused = False
         # Local time of the first attempt.
         self._began: float | None = None
         self._limit_s = STALL_S * (1 << min(stalled_before, DOUBLINGS_MAX))
@@ -67,6 +70,13 @@
     def record_success(self) -> None:
         """Record that the work attempted last has succeeded."""
         self.since = None
+        self.is_excused = False
+
+    def excuse(self, now: float) -> None:
+        """Restart the limit once: until now, heartbeats didn't pass either."""
+        if self.since is not None and not self.is_excused:
+            self.since = now
+            self.is_excused = True
 
     def is_stalled(self, now: float, delay_s: float) -> bool:
         """Whether no attempt has succeeded for too long.
--- a/lycheelug/store/replica.py
+++ b/lycheelug/store/replica.py
@@ -215,7 +215,9 @@
 
     async def _apply_changes(self) -> Result[bool, Fault]:
         """Apply the next changes; return whether there were any."""
-        result = await self._store.feed(self.table, self.version, self._wait_s)
+        # The first call after a failure shows at once that calls pass again.
+        wait_s = 0.0 if self._is_lost else self._wait_s
+        result = await self._store.feed(self.table, self.version, wait_s)
         match result:
             case Success(HistoryGone()):
                 log_change(
