Replace the owner of a pool whose feeds fail while its writes pass

An empty transaction that proves the ownership counted as work done. So an owner that received no submissions and no drain orders, or was still waiting for its first read of them, kept its pool. A transaction now counts only if the schedule runs and both feeds have answered lately.

--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -70,9 +70,10 @@
 # The pause between two calls to the feed, so that one call returns several
 # submissions.
 FEED_PAUSE_S: Final = 0.03
-# The feed of submissions answers at least each two seconds.  An owner that has
-# not heard it for longer than this does not know how many jobs wait.
-JOBS_AGE_MAX_S: Final = 3.0
+# The feeds of submissions and of the plan answer at least each two seconds.
+# An owner that has not heard them for longer than this does not know how many
+# jobs wait, and which hosts to drain.
+FEED_AGE_MAX_S: Final = 3.0
 # The schedule is planned at least this often, even without an event.
 TICK_S: Final = 0.1
 # The minimum pause after a plan.  Events that arrive within it share the
@@ -86,9 +87,11 @@
     __slots__ = (
         "_context",
         "_drain_orders",
+        "_is_scheduling",
         "_jobs_at",
         "_jobs_replica",
         "_loops",
+        "_plan_at",
         "_plan_replica",
         "_sender",
         "_tasks",
@@ -115,7 +118,8 @@
     ) -> None:
         self._context = context
         self.pool = pool
-        # Attempts to read and to write the pool's rows.
+        # Attempts to write the pool's rows; one succeeds if what the schedule
+        # is based on is current.
         self.work = WorkProgress(stalled_before)
         self.term = term
         # The version of the owner row, the condition of all writes.
@@ -150,8 +154,16 @@
         # Local time of the last answer of the feed of submissions.
         self._jobs_at = now
         self._plan_replica = TableReplica(
-            context.store, PLANS_TABLE, self._on_plan, part=FLEET_PART
+            context.store,
+            PLANS_TABLE,
+            self._on_plan,
+            part=FLEET_PART,
+            on_answer=self._on_plan_answer,
         )
+        # Local time of the last answer of the feed of the plan.
+        self._plan_at = now
+        # Whether all that the schedule needs was read.
+        self._is_scheduling = False
         # The planner's orders to drain hosts: order numbers by host.
         self._drain_orders: dict[str, str] = {}
         # Progress that a former owner stored, until its job's submission
@@ -168,6 +180,13 @@
         """Whether the last proof of ownership is still valid."""
         return self._context.clock.now() - self.verified_at < OWNERSHIP_VALID_S
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the schedule runs on submissions and orders read lately."""
+        oldest_at = min(self._jobs_at, self._plan_at)
+        age_s = self._context.clock.now() - oldest_at
+        return self._is_scheduling and age_s < FEED_AGE_MAX_S
+
     async def run(self) -> None:
         """Recover the pool and run its schedule until it is lost."""
         self.work.record_attempt(self._context.clock.now())
@@ -254,7 +273,7 @@
         None if this owner may not know all jobs that other daemons stored.
         """
         now = self._context.clock.now()
-        is_current = now - self._jobs_at < JOBS_AGE_MAX_S
+        is_current = now - self._jobs_at < FEED_AGE_MAX_S
         if not self._jobs_replica.loaded.is_set() or not is_current:
             return None
         if self.lost.is_set():
@@ -268,7 +287,17 @@
 
     def _on_jobs_answer(self) -> None:
         """Record that the feed of submissions has answered."""
+        was_current = self.is_current
         self._jobs_at = self._context.clock.now()
+        if not was_current:
+            self.writer.verify_soon()
+
+    def _on_plan_answer(self) -> None:
+        """Record that the feed of the plan has answered."""
+        was_current = self.is_current
+        self._plan_at = self._context.clock.now()
+        if not was_current:
+            self.writer.verify_soon()
 
     def add_stored_submission(
         self, submission: Submission, version: int
@@ -377,6 +406,8 @@
         await self._plan_replica.loaded.wait()
         if self._context.wait_for_executors is not None:
             await self._context.wait_for_executors()
+        self._is_scheduling = True
+        self.writer.verify_soon()
         while not self.lost.is_set():
             self._sync_executors()
             self._open_due_occurrences()
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -206,7 +206,8 @@
             return False
         self._log_recovery()
         owner.verified_at = requested_at
-        owner.work.record_success()
+        if owner.is_current:
+            owner.work.record_success()
         self._apply_commit(batch, outcome.version)
         owner.wake()
         return True
