--- a/tests/test_review_count_age.py
+++ b/tests/test_review_count_age.py
@@ -83,7 +83,7 @@
         loop = asyncio.get_running_loop()
         accepted: list[float] = []
         # The first answer has one job; those of the surge are in the next.
-        for number in range(100):
+        for number in range(140):
             if number < SURGE_JOBS:
                 reply = await world.submit(other, number)
                 assert reply.kind is ReplyKind.OK
