--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -74,6 +74,10 @@
 # An owner that has not heard them for longer than this does not know how many
 # jobs wait, and which hosts to drain.
 FEED_AGE_MAX_S: Final = 3.0
+# The maximum age of the submissions of which jobs are counted.  An answer with
+# changes may have been made up to two seconds before the call ended, and the
+# next one arrives two seconds later.
+COUNT_AGE_MAX_S: Final = 4.5
 # The schedule is planned at least this often, even without an event.
 TICK_S: Final = 0.1
 # The minimum pause after a plan.  Events that arrive within it share the
@@ -273,7 +277,8 @@
         None if this owner may not know all jobs that other daemons stored.
         """
         now = self._context.clock.now()
-        is_current = now - self._jobs_at < FEED_AGE_MAX_S
+        age_s = now - self._jobs_at + self._jobs_replica.lag_s
+        is_current = age_s < COUNT_AGE_MAX_S
         if not self._jobs_replica.loaded.is_set() or not is_current:
             return None
         if self.lost.is_set():
--- a/lycheelug/store/replica.py
+++ b/lycheelug/store/replica.py
@@ -64,6 +64,7 @@
         "_store",
         "_unanswered_feeds",
         "_wait_s",
+        "lag_s",
         "loaded",
         "part",
         "pause_s",
@@ -97,6 +98,8 @@
         # How long it took to read all rows the last time.
         self._load_s = 0.0
         self._unanswered_feeds = 0
+        # The maximum age of the last answer's rows when they arrived.
+        self.lag_s = 0.0
         # The store's version that the replica is complete up to.
         self.version = 0
         self.loaded = asyncio.Event()
@@ -175,6 +178,7 @@
         self.version = max(self.version, version)
         self.loaded.set()
         self._load_s = loop.time() - began
+        self.lag_s = self._load_s
         return Success(True)
 
     async def _catch_up(self) -> Result[bool, Fault]:
@@ -217,6 +221,8 @@
         """Apply the next changes; return whether there were any."""
         # The first call after a failure shows at once that calls pass again.
         wait_s = 0.0 if self._is_lost else self._wait_s
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         result = await self._store.feed(self.table, self.version, wait_s)
         match result:
             case Success(HistoryGone()):
@@ -237,6 +243,8 @@
             if self.part is None or row.part == self.part:
                 self._apply(row)
         self.version = max(self.version, changes.version)
+        # An answer without rows is small, and was made after the wait.
+        self.lag_s = loop.time() - began if changes.rows else 0.0
         return Success(bool(changes.rows))
 
     def _apply(self, row: StoredRow) -> None:
