Bound the bytes of a transaction of progress

A pool whose wide jobs changed together stored no progress any more.

One above a megabyte is rejected by the store, and repeated as it was for ever. Class: a limit on one measure of what two measures bound.

A batch now ends before its values exceed 650,000 bytes, as the batches of submissions do at their limit. test_progress_of_many_wide_jobs_is_stored failed before.

--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -41,6 +41,9 @@
 ENTRIES_MAX: Final = 100
 JOBS_MAX: Final = 45
 SUBMISSIONS_MAX: Final = 16
+# The size limit of the values in one transaction.  The store accepts one
+# megabyte of them in base64, with their names.
+BATCH_BYTES_MAX: Final = 650_000
 # Ownership is proved at least this often, by a transaction without writes
 # if nothing has changed.
 PROOF_INTERVAL_S: Final = 1.5
@@ -241,15 +244,21 @@
                 batch.writes[name] = value
         entries = len(batch.expected) + len(batch.writes)
         jobs_max = (ENTRIES_MAX - entries) // 2
+        size = sum(len(value or b"") for value in batch.writes.values())
         for job in schedule.job_index.dirty_in_order():
             if len(batch.jobs) >= jobs_max:
                 batch.is_complete = False
                 break
+            value = msgspec.json.encode(job.progress)
+            size += len(value)
+            if batch.jobs and size > BATCH_BYTES_MAX:
+                batch.is_complete = False
+                break
             job.is_dirty = False
             name = RowName(PROGRESS_TABLE, job.job_id)
             batch.jobs.append(job)
             batch.expected[name] = job.row_version
-            batch.writes[name] = msgspec.json.encode(job.progress)
+            batch.writes[name] = value
         for view in schedule.executors.values():
             batch.applied_ends.append(
                 (view, view.born_ms, view.last_applied_end)
