Replace an owner that hears none of its executors

Its work now counts as done only if any executor answers, where there are three or more. If all have really gone, the changes of holders slow down as for any stall. test_owner_that_reaches_no_executor_is_replaced failed before.

--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -78,6 +78,9 @@
 # changes may have been made up to two seconds before the call ended, and the
 # next one arrives two seconds later.
 COUNT_AGE_MAX_S: Final = 4.5
+# An owner that hears none of its executors is cut off from them only if there
+# are at least as many.
+CUT_OFF_EXECUTORS_MIN: Final = 3
 # The schedule is planned at least this often, even without an event.
 TICK_S: Final = 0.1
 # The minimum pause after a plan.  Events that arrive within it share the
@@ -186,10 +189,25 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the schedule runs on submissions and orders read lately."""
+        """Whether the schedule runs on what was read lately."""
         oldest_at = min(self._jobs_at, self._plan_at)
         age_s = self._context.clock.now() - oldest_at
-        return self._is_scheduling and age_s < FEED_AGE_MAX_S
+        is_fresh = self._is_scheduling and age_s < FEED_AGE_MAX_S
+        return is_fresh and self._reaches_executors()
+
+    def _reaches_executors(self) -> bool:
+        """Whether any executor answers, unless there are only a few.
+
+        The few of a small pool may all be moved or in maintenance at once.
+        """
+        listed = 0
+        for view in self.schedule.executors.values():
+            if not view.has_entry or view.info.draining:
+                continue
+            if view.last_report_at is not None:
+                return True
+            listed += 1
+        return listed < CUT_OFF_EXECUTORS_MIN
 
     async def run(self) -> None:
         """Recover the pool and run its schedule until it is lost."""
