--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -41,6 +41,9 @@
 ENTRIES_MAX: Final = 100
 JOBS_MAX: Final = 45
 SUBMISSIONS_MAX: Final = 16
+# The size limit of the progress in one transaction, beside its submissions.
+# The store accepts one megabyte in all, in which values are base64.
+PROGRESS_BYTES_MAX: Final = 150_000
 # Ownership is proved at least this often, by a transaction without writes
 # if nothing has changed.
 PROOF_INTERVAL_S: Final = 1.5
@@ -234,17 +237,20 @@
                 batch.writes[name] = value
         entries = len(batch.expected) + len(batch.writes)
         jobs_max = (ENTRIES_MAX - entries) // 2
+        size = 0
         for job in schedule.jobs.values():
             if not job.is_dirty:
                 continue
-            if len(batch.jobs) >= jobs_max:
+            if len(batch.jobs) >= jobs_max or size > PROGRESS_BYTES_MAX:
                 batch.is_complete = False
                 break
             job.is_dirty = False
             name = RowName(PROGRESS_TABLE, job.job_id)
             batch.jobs.append(job)
             batch.expected[name] = job.row_version
-            batch.writes[name] = msgspec.json.encode(job.progress)
+            value = msgspec.json.encode(job.progress)
+            batch.writes[name] = value
+            size += len(value)
         for view in schedule.executors.values():
             batch.applied_ends.append(
                 (view, view.born_ms, view.last_applied_end)
