--- a/tests/test_review_pool_inputs.py
+++ b/tests/test_review_pool_inputs.py
@@ -17,6 +17,7 @@
 from lycheelug.jobservice.tables import jobs_table
 from lycheelug.workloads.model import JobState
 from tests.job_world import POOL, ROUTE, FaultyRows, JobWorld, until
+from tests.test_executor_list import ListedWorld
 from tests.virtual_time import run_virtual
 
 if TYPE_CHECKING:
@@ -123,3 +124,19 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against incident inc1, SHORT: the owner learned of none of the
+# executors that joined its pool for the surge.
+def test_owner_that_receives_no_list_of_executors_is_replaced() -> None:
+    async def run() -> None:
+        world = ListedWorld()
+        owner = await world.begin(executors=2, daemons=3)
+        await asyncio.sleep(3.0)
+        world.lists[owner].down = True
+        await asyncio.sleep(MAX_REPLACE_S)
+        assert world.holders()
+        assert owner not in world.holders()
+        await world.end()
+
+    run_virtual(run())
