--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -30,6 +30,7 @@
     """The dependencies of a pool owner or the fleet owner."""
 
     __slots__ = (
+        "are_executors_current",
         "clock",
         "configuration",
         "executors",
@@ -54,6 +55,7 @@
         lease_s: float = LEASE_S,
         is_store_unreachable: Callable[[], bool] = lambda: False,
         wait_for_executors: Callable[[], Awaitable[None]] | None = None,
+        are_executors_current: Callable[[], bool] = lambda: True,
     ) -> None:
         self.store = store
         self.gateway = gateway
@@ -70,3 +72,5 @@
         # Waits until `executors` returns all executors; None if it always
         # does.
         self.wait_for_executors = wait_for_executors
+        # Whether `executors` returns what was read lately.
+        self.are_executors_current = are_executors_current
--- a/lycheelug/jobservice/executor_list.py
+++ b/lycheelug/jobservice/executor_list.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.store.replica import TableReplica
@@ -25,12 +26,15 @@
 FEED_PAUSE_S: Final = 0.25
 # How often is checked whether this daemon still owns a pool.
 RELEASE_CHECK_S: Final = 1.0
+# The feed answers at least each two seconds.  A list of which it has not for
+# longer than this may lack executors.
+LIST_AGE_MAX_S: Final = 3.0
 
 
 class ExecutorList:
     """Keeps a daemon's list of executors up to date while it is needed."""
 
-    __slots__ = ("_is_needed", "_replica", "_requested")
+    __slots__ = ("_answered_at", "_is_needed", "_replica", "_requested")
 
     def __init__(
         self,
@@ -40,12 +44,25 @@
         is_needed: Callable[[], bool],
     ) -> None:
         self._replica = TableReplica(
-            store, table, listener, part="", pause_s=FEED_PAUSE_S
+            store,
+            table,
+            listener,
+            part="",
+            pause_s=FEED_PAUSE_S,
+            on_answer=self._on_answer,
         )
+        # Time of the last answer of the store.
+        self._answered_at = -math.inf
         # Whether this daemon owns any pool.
         self._is_needed = is_needed
         self._requested = asyncio.Event()
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the list was read lately."""
+        age_s = asyncio.get_running_loop().time() - self._answered_at
+        return age_s < LIST_AGE_MAX_S
+
     def request(self) -> None:
         """Follow the list from now on, as a pool was won."""
         self._requested.set()
@@ -69,3 +86,7 @@
             # The next owner of a pool has to read the whole list again.
             self._replica.loaded.clear()
             self._requested.clear()
+
+    def _on_answer(self) -> None:
+        """Record that the store has answered."""
+        self._answered_at = asyncio.get_running_loop().time()
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -186,7 +186,9 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the schedule runs on submissions and orders read lately."""
+        """Whether the schedule runs on what was read lately."""
+        if not self._context.are_executors_current():
+            return False
         oldest_at = min(self._jobs_at, self._plan_at)
         age_s = self._context.clock.now() - oldest_at
         return self._is_scheduling and age_s < FEED_AGE_MAX_S
@@ -292,17 +294,11 @@
 
     def _on_jobs_answer(self) -> None:
         """Record that the feed of submissions has answered."""
-        was_current = self.is_current
         self._jobs_at = self._context.clock.now()
-        if not was_current:
-            self.writer.verify_soon()
 
     def _on_plan_answer(self) -> None:
         """Record that the feed of the plan has answered."""
-        was_current = self.is_current
         self._plan_at = self._context.clock.now()
-        if not was_current:
-            self.writer.verify_soon()
 
     def add_stored_submission(
         self, submission: Submission, version: int
@@ -412,8 +408,12 @@
         if self._context.wait_for_executors is not None:
             await self._context.wait_for_executors()
         self._is_scheduling = True
-        self.writer.verify_soon()
+        was_current = False
         while not self.lost.is_set():
+            is_current = self.is_current
+            if is_current and not was_current:
+                self.writer.verify_soon()
+            was_current = is_current
             self._sync_executors()
             self._open_due_occurrences()
             self.writer.wake_if_needed()
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -101,6 +101,7 @@
             lease_s,
             is_store_unreachable,
             self._wait_for_executors,
+            self._are_executors_current,
         )
         incarnation = secrets.token_hex(8)
         self.duties = Duties(
@@ -239,6 +240,10 @@
         if self._executor_list is not None:
             await self._executor_list.wait_loaded()
 
+    def _are_executors_current(self) -> bool:
+        """Whether the list of executors was read lately."""
+        return self._executor_list is None or self._executor_list.is_current
+
     # --- Callbacks for the duties.
 
     def _pools(self) -> list[str]:
