--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -20,7 +20,7 @@
 # How often the list of hosts is read at most while executors are
 # unresponsive, and the bytes that these reads may take a second.
 HOST_CHECK_INTERVAL_S: Final = 0.5
-HOST_CHECK_BYTES_PER_S: Final = 100_000
+HOST_CHECK_BYTES_PER_S: Final = 60_000
 # How long the rows of finished jobs are kept for callers' queries.  The
 # platform requires 120 s; the rest covers clock differences of daemons.
 FINISHED_RETENTION_S: Final = 180
