Split the feeds from the pool's owner, and held duties from duties

No logic changes: PoolFeeds has the two replicas, their ages and what their rows do to the schedule; held_duty has the protocol of holders and the record of a held duty.

--- a/bench/pool_schedule.py
+++ b/bench/pool_schedule.py
@@ -328,7 +328,7 @@
         job = owner.schedule.add_job(
             f"e{number:015x}",
             JobRecord("quick", "", STEPS),
-            owner._policy("quick"),
+            owner.feeds.policy("quick"),
             None,
             clock.unix_ms(),
             clock.now(),
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -10,19 +10,19 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 from returns.result import Failure, Success
 
 from lycheelug.jobservice.heartbeats import Heartbeats
+from lycheelug.jobservice.held_duty import HeldDuty
 from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import (
     OWNER_KEY,
     OWNERS_TABLE,
     OwnerRecord,
-    WorkProgress,
     choose_claims,
     choose_successor,
 )
@@ -33,9 +33,10 @@
     from collections.abc import Callable
 
     from lycheelug.jobservice.clock import Clock
+    from lycheelug.jobservice.held_duty import DutyHolder
     from lycheelug.store.rows import RowStore, StoredRow
 
-__all__ = ["Duties", "DutyHolder"]
+__all__ = ["Duties"]
 
 # A new daemon claims nothing before it has had time to read the heartbeats
 # of the others.
@@ -50,43 +51,6 @@
 RELEASE_RETRY_S: Final = 0.2
 
 
-class DutyHolder(Protocol):
-    """Performs the work of a duty while this daemon holds it."""
-
-    @property
-    def work(self) -> WorkProgress:
-        """Since when the work has been failing."""
-
-    async def run(self) -> None:
-        """Perform the duty until it is lost."""
-
-    def revoke(self, reason: str) -> None:
-        """Stop because the duty has another holder."""
-
-    async def hand_over(self) -> None:
-        """Store unwritten state before the duty is released."""
-
-
-class _HeldDuty:
-    """A duty that this daemon holds."""
-
-    __slots__ = ("holder", "is_stalled", "record", "task", "version")
-
-    def __init__(
-        self,
-        holder: DutyHolder,
-        record: OwnerRecord,
-        version: int,
-        task: asyncio.Task[None],
-    ) -> None:
-        self.holder = holder
-        self.record = record
-        self.version = version
-        self.task = task
-        # Whether the last heartbeat named it as stalled.
-        self.is_stalled = False
-
-
 class Duties:
     """Tracks the owners of all duties and manages those of one daemon."""
 
@@ -132,7 +96,7 @@
         # Local times at which duties were first seen without a live holder.
         self._free_since: dict[str, float] = {}
         self._owners: dict[str, tuple[OwnerRecord, int]] = {}
-        self._held: dict[str, _HeldDuty] = {}
+        self._held: dict[str, HeldDuty] = {}
         # Duties whose claim may have taken effect without an answer.
         self._undecided: set[str] = set()
         self._leaving = False
@@ -356,7 +320,7 @@
         holder = self._make_holder(duty, record, outcome.version)
         task = asyncio.get_running_loop().create_task(holder.run())
         task.add_done_callback(lambda _: self._wake.set())
-        self._held[duty] = _HeldDuty(holder, record, outcome.version, task)
+        self._held[duty] = HeldDuty(holder, record, outcome.version, task)
 
     def _excuse_work(self) -> None:
         """Restart the limits of failing work: heartbeats pass again."""
--- /dev/null
+++ b/lycheelug/jobservice/held_duty.py
@@ -0,0 +1,49 @@
+"""A duty that a daemon holds, and what its holder has to offer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    import asyncio
+
+    from lycheelug.ownership import OwnerRecord, WorkProgress
+
+__all__ = ["DutyHolder", "HeldDuty"]
+
+
+class DutyHolder(Protocol):
+    """Performs the work of a duty while this daemon holds it."""
+
+    @property
+    def work(self) -> WorkProgress:
+        """Since when the work has been failing."""
+
+    async def run(self) -> None:
+        """Perform the duty until it is lost."""
+
+    def revoke(self, reason: str) -> None:
+        """Stop because the duty has another holder."""
+
+    async def hand_over(self) -> None:
+        """Store unwritten state before the duty is released."""
+
+
+class HeldDuty:
+    """A duty that this daemon holds."""
+
+    __slots__ = ("holder", "is_stalled", "record", "task", "version")
+
+    def __init__(
+        self,
+        holder: DutyHolder,
+        record: OwnerRecord,
+        version: int,
+        task: asyncio.Task[None],
+    ) -> None:
+        self.holder = holder
+        self.record = record
+        self.version = version
+        self.task = task
+        # Whether the last heartbeat named it as stalled.
+        self.is_stalled = False
--- /dev/null
+++ b/lycheelug/jobservice/pool_feeds.py
@@ -0,0 +1,249 @@
+"""What a pool's owner follows in the store: its jobs, and the fleet plan.
+
+Submissions and cancels arrive in the pool's part of a table, drain orders
+in the row of the fleet plan.  Both are applied to the pool's schedule.  How
+old they may be is observed here, as an owner that no longer receives them
+can't do its work.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.fleetplan import (
+    PLAN_KEY,
+    PLANS_TABLE,
+    decode_plan,
+)
+from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.jobservice.tables import (
+    CANCEL_PREFIX,
+    FLEET_PART,
+    JOB_PREFIX,
+    decode_job,
+    jobs_table,
+)
+from lycheelug.logs import log_change
+from lycheelug.store.replica import TableReplica
+from lycheelug.workloads import QueuePolicy
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from lycheelug.jobservice.context import OwnerContext
+    from lycheelug.jobservice.interfaces import WaitingCount
+    from lycheelug.jobservice.submission_queue import (
+        Submission,
+        SubmissionQueue,
+    )
+    from lycheelug.store.rows import StoredRow
+    from lycheelug.workloads import Job, PoolSchedule, ProgressRecord
+
+__all__ = ["PoolFeeds"]
+
+# The pause between two calls to the feed, so that one call returns several
+# submissions.
+FEED_PAUSE_S: Final = 0.03
+# The feeds of submissions and of the plan answer at least each two seconds.
+# An owner that has not heard them for longer than this does not know how many
+# jobs wait, and which hosts to drain.
+FEED_AGE_MAX_S: Final = 3.0
+# The maximum age of the submissions of which jobs are counted.  An answer with
+# changes may have been made up to two seconds before the call ended, and the
+# next one arrives two seconds later.
+COUNT_AGE_MAX_S: Final = 4.5
+
+
+class PoolFeeds:
+    """The feeds of one pool's owner."""
+
+    __slots__ = (
+        "_context",
+        "_jobs_at",
+        "_jobs_replica",
+        "_on_change",
+        "_plan_at",
+        "_plan_replica",
+        "_queue",
+        "_schedule",
+        "drain_orders",
+        "stored_progress",
+    )
+
+    def __init__(
+        self,
+        context: OwnerContext,
+        schedule: PoolSchedule,
+        queue: SubmissionQueue,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._schedule = schedule
+        self._queue = queue
+        # Called after a change of the schedule's inputs.
+        self._on_change = on_change
+        self._jobs_replica = TableReplica(
+            context.store,
+            jobs_table(schedule.pool),
+            self._on_row,
+            part=schedule.pool,
+            pause_s=FEED_PAUSE_S,
+            on_answer=self._on_jobs_answer,
+        )
+        self._plan_replica = TableReplica(
+            context.store,
+            PLANS_TABLE,
+            self._on_plan,
+            part=FLEET_PART,
+            on_answer=self._on_plan_answer,
+        )
+        # Local times of the last answers.
+        self._jobs_at = context.clock.now()
+        self._plan_at = self._jobs_at
+        # The planner's orders to drain hosts: order numbers by host.
+        self.drain_orders: dict[str, str] = {}
+        # Progress that a former owner stored, until its job's submission
+        # is read.
+        self.stored_progress: dict[str, tuple[ProgressRecord, int]] = {}
+
+    @property
+    def has_jobs(self) -> bool:
+        """Whether all submissions were read."""
+        return self._jobs_replica.loaded.is_set()
+
+    @property
+    def is_fresh(self) -> bool:
+        """Whether both feeds have answered lately."""
+        oldest_at = min(self._jobs_at, self._plan_at)
+        return self._context.clock.now() - oldest_at < FEED_AGE_MAX_S
+
+    def works(self) -> list[Coroutine[None, None, None]]:
+        """Return the coroutines that follow the feeds."""
+        return [self._plan_replica.run(), self._jobs_replica.run()]
+
+    async def wait_loaded(self) -> None:
+        """Wait until all submissions and the plan were read."""
+        await self._jobs_replica.loaded.wait()
+        await self._plan_replica.loaded.wait()
+
+    def count_waiting(self, queue: str) -> WaitingCount:
+        """Count a queue's accepted jobs that have not started.
+
+        None if this owner may not know all jobs that other daemons stored.
+        """
+        now = self._context.clock.now()
+        age_s = now - self._jobs_at + self._jobs_replica.lag_s
+        is_current = age_s < COUNT_AGE_MAX_S
+        if not self.has_jobs or not is_current:
+            return None
+        count = 0
+        for job in self._schedule.jobs.values():
+            if job.has_started or job.is_final:
+                continue
+            count += job.record.queue == queue
+        return count
+
+    def add_stored_submission(
+        self, submission: Submission, version: int
+    ) -> None:
+        """Add the job of a submission that this owner has stored.
+
+        The table's feed may have delivered the submission before, but
+        without its progress record.
+        """
+        clock = self._context.clock
+        job_id = submission.job_id
+        job = self._schedule.add_job(
+            job_id,
+            submission.record,
+            self.policy(submission.record.queue),
+            submission.progress,
+            clock.unix_ms(),
+            clock.now(),
+        )
+        if submission.progress is not None:
+            job.record_begin_stored(self._schedule.term, version)
+        self._apply_stored_cancel(job)
+        submission.resolve(SubmissionAnswer.STORED)
+
+    def policy(self, queue: str) -> QueuePolicy:
+        """Return a queue's policy; a removed queue gets the defaults."""
+        configuration = self._context.configuration()
+        route = configuration.find_queue(queue) if configuration else None
+        if route is None:
+            return QueuePolicy(queue, self._schedule.pool)
+        return QueuePolicy(
+            queue,
+            self._schedule.pool,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            stretch=route.stretch,
+            objective_s=route.objective_s,
+            needs_placement_hint=route.needs_placement_hint,
+        )
+
+    def _on_jobs_answer(self) -> None:
+        """Record that the feed of submissions has answered."""
+        self._jobs_at = self._context.clock.now()
+
+    def _on_plan_answer(self) -> None:
+        """Record that the feed of the plan has answered."""
+        self._plan_at = self._context.clock.now()
+
+    def _on_row(self, row: StoredRow) -> None:
+        """Apply a row of a submission or a cancel."""
+        clock = self._context.clock
+        if row.value is None:
+            return
+        if row.key.startswith(CANCEL_PREFIX):
+            job = self._schedule.cancel_job(
+                row.key[len(CANCEL_PREFIX) :], clock.unix_ms()
+            )
+            if job is not None:
+                self._on_change()
+            return
+        if not row.key.startswith(JOB_PREFIX):
+            return
+        job_id = row.key[len(JOB_PREFIX) :]
+        record = decode_job(row.value)
+        if record is None:
+            log_change("row-unreadable", table=row.table, key=row.key)
+            self._context.metrics.count("rows-unreadable")
+            return
+        self._queue.settle(job_id)
+        progress, version = self.stored_progress.pop(job_id, (None, 0))
+        job = self._schedule.add_job(
+            job_id,
+            record,
+            self.policy(record.queue),
+            progress,
+            clock.unix_ms(),
+            clock.now(),
+        )
+        job.row_version = max(job.row_version, version)
+        self._apply_stored_cancel(job)
+        self._on_change()
+
+    def _apply_stored_cancel(self, job: Job) -> None:
+        """Apply a cancel whose row arrived before the job's."""
+        if self._jobs_replica.has(
+            self._schedule.pool, CANCEL_PREFIX + job.job_id
+        ):
+            self._schedule.cancel_job(
+                job.job_id, self._context.clock.unix_ms()
+            )
+
+    def _on_plan(self, row: StoredRow) -> None:
+        """Apply the fleet plan's orders to drain hosts of this pool."""
+        if row.key != PLAN_KEY:
+            return
+        plan = decode_plan(row.value or b"")
+        if plan is None:
+            log_change("row-unreadable", table=row.table, key=row.key)
+            return
+        self.drain_orders = {
+            host: order.number
+            for host, order in plan.orders.items()
+            if order.pool == self._schedule.pool
+        }
+        self._on_change()
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -1,10 +1,10 @@
 """Owns one pool for one term and executes its schedule.
 
-One asyncio task follows submissions and cancels, one polls each executor,
-one writes progress, and one plans and sends orders.  All writes have the
-condition that the owner's row is unchanged, so an owner that was replaced
-can't write any more, even if it has not noticed that yet.  Its orders carry
-a lower fencing token than those of the new owner.
+Its feeds bring submissions, cancels and drain orders.  One asyncio task
+polls each executor, one writes progress, and one plans and sends orders.
+All writes have the condition that the owner's row is unchanged, so an owner
+that was replaced can't write any more, even if it has not noticed that yet.
+Its orders carry a lower fencing token than those of the new owner.
 
 While the last proof of ownership is older than `OWNERSHIP_VALID_S`, the
 owner extends no leases and starts nothing.  The next owner relies on that
@@ -16,11 +16,6 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.fleetplan import (
-    PLAN_KEY,
-    PLANS_TABLE,
-    decode_plan,
-)
 from lycheelug.jobservice.executor_loop import ExecutorLoop
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.jobservice.order_sender import OrderSender
@@ -28,23 +23,13 @@
     remove_ended_incarnations,
     remove_finished_jobs,
 )
+from lycheelug.jobservice.pool_feeds import PoolFeeds
 from lycheelug.jobservice.pool_recovery import recover_pool
 from lycheelug.jobservice.progress_writer import ProgressWriter
 from lycheelug.jobservice.submission_queue import SubmissionQueue
-from lycheelug.jobservice.tables import (
-    CANCEL_PREFIX,
-    FLEET_PART,
-    JOB_PREFIX,
-    decode_job,
-    jobs_table,
-)
 from lycheelug.logs import log_change
 from lycheelug.ownership import WorkProgress
-from lycheelug.store.replica import TableReplica
-from lycheelug.workloads import (
-    PoolSchedule,
-    QueuePolicy,
-)
+from lycheelug.workloads import PoolSchedule
 from lycheelug.workloads.executors import CLOCK_DRIFT
 
 if TYPE_CHECKING:
@@ -52,9 +37,7 @@
 
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.interfaces import WaitingCount
-    from lycheelug.jobservice.submission_queue import Submission
-    from lycheelug.store.rows import StoredRow
-    from lycheelug.workloads import Job, JobRecord, ProgressRecord
+    from lycheelug.workloads import JobRecord
 
 __all__ = ["OWNERSHIP_VALID_S", "PoolOwner"]
 
@@ -67,17 +50,6 @@
 # period (0.4 s) has passed, so at first the new owner would count too few
 # tasks of a step as unavailable and relocate too many at once.
 RELOCATE_AFTER_S: Final = 1.5
-# The pause between two calls to the feed, so that one call returns several
-# submissions.
-FEED_PAUSE_S: Final = 0.03
-# The feeds of submissions and of the plan answer at least each two seconds.
-# An owner that has not heard them for longer than this does not know how many
-# jobs wait, and which hosts to drain.
-FEED_AGE_MAX_S: Final = 3.0
-# The maximum age of the submissions of which jobs are counted.  An answer with
-# changes may have been made up to two seconds before the call ended, and the
-# next one arrives two seconds later.
-COUNT_AGE_MAX_S: Final = 4.5
 # An owner that hears none of its executors is cut off from them only if there
 # are at least as many.
 CUT_OFF_EXECUTORS_MIN: Final = 3
@@ -93,21 +65,16 @@
 
     __slots__ = (
         "_context",
-        "_drain_orders",
         "_is_scheduling",
-        "_jobs_at",
-        "_jobs_replica",
         "_loops",
-        "_plan_at",
-        "_plan_replica",
         "_sender",
         "_tasks",
         "_wake",
+        "feeds",
         "lost",
         "owner_version",
         "pool",
         "schedule",
-        "stored_progress",
         "submission_queue",
         "term",
         "verified_at",
@@ -150,32 +117,11 @@
         self.submission_queue = SubmissionQueue(pool, term)
         self.writer = ProgressWriter(context, self)
         self._sender = OrderSender(context, self)
-        self._jobs_replica = TableReplica(
-            context.store,
-            jobs_table(pool),
-            self._on_row,
-            part=pool,
-            pause_s=FEED_PAUSE_S,
-            on_answer=self._on_jobs_answer,
+        self.feeds = PoolFeeds(
+            context, self.schedule, self.submission_queue, self.wake
         )
-        # Local time of the last answer of the feed of submissions.
-        self._jobs_at = now
-        self._plan_replica = TableReplica(
-            context.store,
-            PLANS_TABLE,
-            self._on_plan,
-            part=FLEET_PART,
-            on_answer=self._on_plan_answer,
-        )
-        # Local time of the last answer of the feed of the plan.
-        self._plan_at = now
         # Whether all that the schedule needs was read.
         self._is_scheduling = False
-        # The planner's orders to drain hosts: order numbers by host.
-        self._drain_orders: dict[str, str] = {}
-        # Progress that a former owner stored, until its job's submission
-        # is read.
-        self.stored_progress: dict[str, tuple[ProgressRecord, int]] = {}
         self._loops: dict[str, ExecutorLoop] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._wake = asyncio.Event()
@@ -192,9 +138,7 @@
         """Whether the schedule runs on what was read lately."""
         if not self._context.are_executors_current():
             return False
-        oldest_at = min(self._jobs_at, self._plan_at)
-        age_s = self._context.clock.now() - oldest_at
-        is_fresh = self._is_scheduling and age_s < FEED_AGE_MAX_S
+        is_fresh = self._is_scheduling and self.feeds.is_fresh
         return is_fresh and self._reaches_executors()
 
     def _reaches_executors(self) -> bool:
@@ -217,8 +161,8 @@
         try:
             if not await recover_pool(self._context, self):
                 return
-            self.spawn(self._plan_replica.run())
-            self.spawn(self._jobs_replica.run())
+            for work in self.feeds.works():
+                self.spawn(work)
             self.spawn(self.writer.run())
             self.spawn(remove_ended_incarnations(self._context, self))
             self.spawn(remove_finished_jobs(self._context, self))
@@ -281,7 +225,7 @@
         """Store a submission with the next transaction."""
         if job_id in self.schedule.jobs:
             return SubmissionAnswer.KNOWN
-        if not self._jobs_replica.loaded.is_set() or self.lost.is_set():
+        if not self.feeds.has_jobs or self.lost.is_set():
             return SubmissionAnswer.NOT_TAKEN
         if not self.is_verified or self._context.is_store_unreachable():
             return SubmissionAnswer.NOT_TAKEN
@@ -294,126 +238,10 @@
         return await asyncio.shield(submission.answer)
 
     def count_waiting(self, queue: str) -> WaitingCount:
-        """Count a queue's accepted jobs that have not started.
-
-        None if this owner may not know all jobs that other daemons stored.
-        """
-        now = self._context.clock.now()
-        age_s = now - self._jobs_at + self._jobs_replica.lag_s
-        is_current = age_s < COUNT_AGE_MAX_S
-        if not self._jobs_replica.loaded.is_set() or not is_current:
-            return None
+        """Count a queue's accepted jobs that have not started."""
         if self.lost.is_set():
             return None
-        count = 0
-        for job in self.schedule.jobs.values():
-            if job.has_started or job.is_final:
-                continue
-            count += job.record.queue == queue
-        return count
-
-    def _on_jobs_answer(self) -> None:
-        """Record that the feed of submissions has answered."""
-        self._jobs_at = self._context.clock.now()
-
-    def _on_plan_answer(self) -> None:
-        """Record that the feed of the plan has answered."""
-        self._plan_at = self._context.clock.now()
-
-    def add_stored_submission(
-        self, submission: Submission, version: int
-    ) -> None:
-        """Add the job of a submission that this owner has stored.
-
-        The table's feed may have delivered the submission before, but
-        without its progress record.
-        """
-        clock = self._context.clock
-        job_id = submission.job_id
-        job = self.schedule.add_job(
-            job_id,
-            submission.record,
-            self._policy(submission.record.queue),
-            submission.progress,
-            clock.unix_ms(),
-            clock.now(),
-        )
-        if submission.progress is not None:
-            job.record_begin_stored(self.term, version)
-        self._apply_stored_cancel(job)
-        submission.resolve(SubmissionAnswer.STORED)
-
-    # --- The store's rows.
-
-    def _on_row(self, row: StoredRow) -> None:
-        """Apply a row of a submission or a cancel."""
-        clock = self._context.clock
-        if row.value is None:
-            return
-        if row.key.startswith(CANCEL_PREFIX):
-            job = self.schedule.cancel_job(
-                row.key[len(CANCEL_PREFIX) :], clock.unix_ms()
-            )
-            if job is not None:
-                self.wake()
-            return
-        if not row.key.startswith(JOB_PREFIX):
-            return
-        job_id = row.key[len(JOB_PREFIX) :]
-        record = decode_job(row.value)
-        if record is None:
-            log_change("row-unreadable", table=row.table, key=row.key)
-            self._context.metrics.count("rows-unreadable")
-            return
-        self.submission_queue.settle(job_id)
-        progress, version = self.stored_progress.pop(job_id, (None, 0))
-        job = self.schedule.add_job(
-            job_id,
-            record,
-            self._policy(record.queue),
-            progress,
-            clock.unix_ms(),
-            clock.now(),
-        )
-        job.row_version = max(job.row_version, version)
-        self._apply_stored_cancel(job)
-        self.wake()
-
-    def _apply_stored_cancel(self, job: Job) -> None:
-        """Apply a cancel whose row arrived before the job's."""
-        if self._jobs_replica.has(self.pool, CANCEL_PREFIX + job.job_id):
-            self.schedule.cancel_job(job.job_id, self._context.clock.unix_ms())
-
-    def _on_plan(self, row: StoredRow) -> None:
-        """Apply the fleet plan's orders to drain hosts of this pool."""
-        if row.key != PLAN_KEY:
-            return
-        plan = decode_plan(row.value or b"")
-        if plan is None:
-            log_change("row-unreadable", table=row.table, key=row.key)
-            return
-        self._drain_orders = {
-            host: order.number
-            for host, order in plan.orders.items()
-            if order.pool == self.pool
-        }
-        self.wake()
-
-    def _policy(self, queue: str) -> QueuePolicy:
-        """Return a queue's policy; a removed queue gets the defaults."""
-        configuration = self._context.configuration()
-        route = configuration.find_queue(queue) if configuration else None
-        if route is None:
-            return QueuePolicy(queue, self.pool)
-        return QueuePolicy(
-            queue,
-            self.pool,
-            priority=route.priority,
-            max_attempts=route.max_attempts,
-            stretch=route.stretch,
-            objective_s=route.objective_s,
-            needs_placement_hint=route.needs_placement_hint,
-        )
+        return self.feeds.count_waiting(queue)
 
     # --- Orders.
 
@@ -424,8 +252,7 @@
         a reported run is matched to its job.  An executor that is missing
         in an incomplete list would count as removed.
         """
-        await self._jobs_replica.loaded.wait()
-        await self._plan_replica.loaded.wait()
+        await self.feeds.wait_loaded()
         if self._context.wait_for_executors is not None:
             await self._context.wait_for_executors()
         self._is_scheduling = True
@@ -475,7 +302,7 @@
                 continue
             listed.add(info.executor_id)
             view = self.schedule.observe_executor(info)
-            view.drain_order = self._drain_orders.get(info.host, "")
+            view.drain_order = self.feeds.drain_orders.get(info.host, "")
         for executor_id in list(self.schedule.executors):
             if executor_id not in listed:
                 self.schedule.mark_entry_removed(executor_id)
--- a/lycheelug/jobservice/pool_recovery.py
+++ b/lycheelug/jobservice/pool_recovery.py
@@ -62,7 +62,7 @@
             log_change("row-unreadable", table=row.table, key=row.key)
             context.metrics.count("rows-unreadable")
             continue
-        owner.stored_progress[row.key] = (progress, row.version)
+        owner.feeds.stored_progress[row.key] = (progress, row.version)
     summary = await context.store.read(SUMMARIES_TABLE, owner.pool)
     if isinstance(summary, Failure):
         return Failure(summary.failure())
@@ -77,7 +77,7 @@
         "pool-recovered",
         pool=owner.pool,
         term=owner.term,
-        jobs=len(owner.stored_progress),
+        jobs=len(owner.feeds.stored_progress),
     )
     return Success(None)
 
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -270,7 +270,7 @@
         self.load.apply_commit(version)
         self.used_executors.apply_commit(version)
         for submission in batch.submissions:
-            self._owner.add_stored_submission(submission, version)
+            self._owner.feeds.add_stored_submission(submission, version)
         for job in batch.jobs:
             job.row_version = version
             if job.progress.begun_term:
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -20,8 +20,8 @@
 
     from lycheelug.fleetplan import MaintenanceWave
     from lycheelug.jobservice.clock import Clock
-    from lycheelug.jobservice.duties import DutyHolder
     from lycheelug.jobservice.executor_list import ExecutorList
+    from lycheelug.jobservice.held_duty import DutyHolder
     from lycheelug.jobservice.interfaces import (
         Configuration,
         ExecutorGateway,
