Leave a slow store to the pool's owner in a surge

Cause: a sender that waited 0.9 s for the owner stored its submission itself. On a store that is 65 times as slow, a part takes two transactions a second, so these single writes filled the part's queue; the store answered 429 to what waited longer than a second, the owner's transactions among it. Class: a fallback that adds load where there is too much.

While a small write takes over 0.2 s, a submission that the owner has not taken is refused at once with a time to come back, and one whose outcome is unknown is told so; the same id may be sent again. The owner stores many in one transaction.

--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -88,7 +88,12 @@
         # Asks the daemon at an address for a count.
         self._count_remote = count_remote
         self.submissions = Submissions(
-            store, clock, self.metrics, self, is_store_unreachable
+            store,
+            clock,
+            self.metrics,
+            self,
+            is_store_unreachable,
+            lambda: self.duties.heartbeats.liveness.write_delay_s,
         )
         self._context = OwnerContext(
             store,
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -51,6 +51,10 @@
 # Attempts of a write while its outcome is unknown, each with the store's
 # timeout.
 WRITE_ATTEMPTS: Final = 3
+# The store is slow if a small write takes longer than this.  Usually it takes
+# some milliseconds.
+SLOW_STORE_S: Final = 0.2
+SLOW_RETRY_AFTER_S: Final = 2
 # Questions to a pool's owner: attempts, and the pause between two.  A pool has
 # a new owner within some tenths of a second after the last one stopped.
 COUNT_ATTEMPTS: Final = 3
@@ -102,6 +106,7 @@
         "_pools_of",
         "_router",
         "_store",
+        "_store_delay_s",
     )
 
     def __init__(
@@ -111,7 +116,10 @@
         metrics: Metrics,
         router: SubmissionRouter,
         is_store_unreachable: Callable[[], bool] | None = None,
+        store_delay_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        # Returns how long a small write to the store takes.
+        self._store_delay_s = store_delay_s
         # Whether calls to the store have failed for a while.  Requests
         # are then refused at once, without a call to the store.
         self._is_store_unreachable = is_store_unreachable or _assume_reachable
@@ -164,10 +172,24 @@
                     job_id, "the store is unreachable"
                 )
             return self._refuse_unreachable("submission", job_id)
+        if self._store_delay_s() > SLOW_STORE_S:
+            return self._reply_slow(job_id, may_be_stored)
         return await self._submit_directly(
             route, job_id, record, may_be_stored
         )
 
+    def _reply_slow(self, job_id: str, may_be_stored: bool) -> Reply:
+        """Leave a slow store to the owner, whose writes have many jobs.
+
+        Single writes would hold up the pool's part, and with it the owner.
+        """
+        reason = "the store is slow, and the owner has not stored it in time"
+        if may_be_stored:
+            return self._reply_undecided(job_id, reason)
+        log_change("submission-refused", subject=job_id, reason=reason)
+        self._metrics.count("refused-submission")
+        return Reply(ReplyKind.REFUSED, retry_after_s=SLOW_RETRY_AFTER_S)
+
     async def _submit_directly(
         self, route: Route, job_id: str, record: JobRecord, may_be_stored: bool
     ) -> Reply:
