--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -50,11 +50,11 @@
 # may take a second.
 HOSTS_READ_IDLE_S: Final = 2.0
 HOSTS_READ_BUSY_S: Final = 0.4
+HOSTS_IDLE_BYTES_PER_S: Final = 20_000
+HOSTS_BUSY_BYTES_PER_S: Final = 80_000
 # How much older than the interval at which they are read hosts and summaries
 # may be before they aren't current.
 INPUT_LATE_S: Final = 1.0
-HOSTS_IDLE_BYTES_PER_S: Final = 20_000
-HOSTS_BUSY_BYTES_PER_S: Final = 80_000
 # The pause between two calls to the feed, so that one call returns several
 # changed summaries.
 FEED_PAUSE_S: Final = 0.05
