Read the list of hosts as often as the reader's link bears

Cause: the interval grows with the list by the budget of a small host's link, also on a host with twenty times the link, where duties now are.

The budget now grows with the weight of the reader's host; that of a small host is as before. The new test failed before: 9 reads in 10 s.

--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -41,6 +41,7 @@
         "metrics",
         "store",
         "wait_for_executors",
+        "weight",
     )
 
     def __init__(
@@ -56,6 +57,7 @@
         is_store_unreachable: Callable[[], bool] = lambda: False,
         wait_for_executors: Callable[[], Awaitable[None]] | None = None,
         are_executors_current: Callable[[], bool] = lambda: True,
+        weight: float = 1.0,
     ) -> None:
         self.store = store
         self.gateway = gateway
@@ -74,3 +76,5 @@
         self.wait_for_executors = wait_for_executors
         # Whether `executors` returns what was read lately.
         self.are_executors_current = are_executors_current
+        # The capacity of this host, relative to a small one.
+        self.weight = weight
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -235,13 +235,14 @@
 
     def _hosts_interval_s(self) -> float:
         """Return how often the list of hosts is to be read now."""
-        count = len(self._planner.hosts)
+        shortest_s, bytes_per_s = HOSTS_READ_IDLE_S, HOSTS_IDLE_BYTES_PER_S
         if self._planner.is_busy:
-            return read_interval_s(
-                count, HOSTS_READ_BUSY_S, HOSTS_BUSY_BYTES_PER_S
-            )
+            shortest_s, bytes_per_s = HOSTS_READ_BUSY_S, HOSTS_BUSY_BYTES_PER_S
         return read_interval_s(
-            count, HOSTS_READ_IDLE_S, HOSTS_IDLE_BYTES_PER_S
+            len(self._planner.hosts),
+            shortest_s,
+            bytes_per_s,
+            self._context.weight,
         )
 
     def _on_summaries(self) -> None:
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -54,7 +54,10 @@
             continue
         hosts = {host.name: host for host in result.unwrap()}
         interval_s = read_interval_s(
-            len(hosts), HOST_CHECK_INTERVAL_S, HOST_CHECK_BYTES_PER_S
+            len(hosts),
+            HOST_CHECK_INTERVAL_S,
+            HOST_CHECK_BYTES_PER_S,
+            context.weight,
         )
         for view in unresponsive:
             host = hosts.get(view.info.host)
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -107,6 +107,7 @@
             is_store_unreachable,
             self._wait_for_executors,
             self._are_executors_current,
+            weight,
         )
         incarnation = secrets.token_hex(8)
         self.duties = Duties(
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -432,7 +432,7 @@
         loop = asyncio.get_running_loop()
         self._fleet_task = loop.create_task(self.fleet.run())
 
-    def start_daemon(self, name: str) -> JobService:
+    def start_daemon(self, name: str, weight: float = 1.0) -> JobService:
         store = FaultyRows(self.rows, self.locks)
         service = JobService(
             name,
@@ -445,6 +445,7 @@
             2.0,
             is_store_unreachable=lambda: store.is_known_unreachable,
             submit_remote=self.forward,
+            weight=weight,
             count_remote=self.count,
         )
         service.apply_configuration(
--- a/tests/test_host_reads.py
+++ b/tests/test_host_reads.py
@@ -92,7 +92,30 @@
     run_virtual(run())
 
 
-# Guards against the same at the owner of a pool of which a zone is cut off.
+# Guards against waves that end late because the end of each maintenance is
+# seen late, though the host's link would bear to look more often.
+def test_fleet_owner_on_a_large_host_reads_long_lists_in_time() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        fleet = ListedFleet(350)
+        world.fleet = fleet
+        service = world.start_daemon("e0", weight=4.0)
+        await until(lambda: len(world.holders(FLEET_PART)) == 1)
+        for number in range(350):
+            fleet.add(f"x{number}")
+            info = fleet.executors[f"x{number}"].info
+            service.update_executor(info.executor_id, info)
+        service.update_wave(MaintenanceWave(1, fleet.names, 60.0, 5, 1))
+        await asyncio.sleep(3.0)
+        fleet.reads = 0
+        await asyncio.sleep(10.0)
+        assert fleet.reads >= 20
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against a full link at the owner of a pool of which a zone is cut off.
 # The idle fleet owner reads the list too.
 @pytest.mark.parametrize(
     ("hosts", "expected_reads"),
