Publish a pool's demand while it always has progress to store

Cause: whether the summary is due was asked only when a pool had no other change to store. Class: work of low priority that is looked at only when there is no other.

It is now asked for each transaction.

--- a/lycheelug/jobservice/published_load.py
+++ b/lycheelug/jobservice/published_load.py
@@ -112,7 +112,13 @@
         return bool(self._due)
 
     def take_changes(self) -> dict[RowName, tuple[int, bytes]]:
-        """Return the rows to write, with their expected versions."""
+        """Return the rows to write, with their expected versions.
+
+        The check is made here too: a pool that always has progress to store
+        never asks whether this is due.
+        """
+        if not self.is_due():
+            return {}
         now = self._clock.now()
         values: dict[RowName, bytes] = {}
         if SUMMARY_ROW in self._due:
--- a/tests/test_control_traffic.py
+++ b/tests/test_control_traffic.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from lycheelug.fleetplan import SUMMARIES_TABLE
+from lycheelug.fleetplan import SUMMARIES_TABLE, SUMMARY_KEY
 from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.jobservice.summary import join_summaries
 from lycheelug.jobservice.tables import PROGRESS_TABLE
@@ -177,6 +177,27 @@
     run_virtual(run())
 
 
+# Guards against hosts that stay where no work is: while a pool always had
+# progress to store, its demand and its confirmations were not stored at all.
+def test_demand_is_published_while_progress_is_always_unstored() -> None:
+    async def run() -> None:
+        world = LoadedWorld(60)
+        daemon = await world.settle()
+        # A transaction takes long enough for the next changes to wait.
+        world.stores[daemon].write_s = 0.1
+        loading = asyncio.ensure_future(world.load(daemon, 75, 6.0))
+        await asyncio.sleep(1.0)
+        versions: list[int] = []
+        for _ in range(16):
+            versions.append(await summary_version(world))
+            await asyncio.sleep(0.25)
+        await loading
+        assert len(set(versions)) >= 4
+        await world.stop()
+
+    run_virtual(run())
+
+
 # Guards against counts of waiting jobs that lag behind by more than a second.
 def test_count_of_waiting_jobs_is_less_than_a_second_old() -> None:
     async def run() -> None:
@@ -221,6 +242,12 @@
     run_virtual(run())
 
 
+async def summary_version(world: JobWorld) -> int:
+    """Return the version of the stored summary."""
+    rows = (await world.rows.read(SUMMARIES_TABLE, POOL)).unwrap().rows
+    return next(row.version for row in rows if row.key == SUMMARY_KEY)
+
+
 async def stored_demand(world: JobWorld) -> int:
     """Return the CPU of running and waiting tasks as stored."""
     rows = (await world.rows.read(SUMMARIES_TABLE, POOL)).unwrap().rows
