--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -111,7 +111,7 @@
             zone,
             self._wake.set,
             self._stalled_duties,
-            self._excuse_work,
+            self._restart_limits,
             weight,
         )
 
@@ -322,10 +322,10 @@
         task.add_done_callback(lambda _: self._wake.set())
         self._held[duty] = HeldDuty(holder, record, outcome.version, task)
 
-    def _excuse_work(self) -> None:
+    def _restart_limits(self) -> None:
         """Restart the limits of failing work: heartbeats pass again."""
         for held in self._held.values():
-            held.holder.work.excuse(self._clock.now())
+            held.holder.work.restart_limit(self._clock.now())
 
     def _stalled_duties(self, is_gap: bool) -> list[str]:
         """Return the held duties whose work has failed for too long.
@@ -338,7 +338,7 @@
         for duty, held in self._held.items():
             work = held.holder.work
             is_stalled = work.is_stalled(now, delay_s)
-            if is_gap and not work.is_excused:
+            if is_gap and not work.has_restarted:
                 is_stalled = False
             if is_stalled:
                 found.append(duty)
--- a/lycheelug/ownership/stalls.py
+++ b/lycheelug/ownership/stalls.py
@@ -47,13 +47,13 @@
     False
     """
 
-    __slots__ = ("_began", "_limit_s", "is_excused", "since")
+    __slots__ = ("_began", "_limit_s", "has_restarted", "since")
 
     def __init__(self, stalled_before: int) -> None:
         # Local time of the first attempt since the last success.
         self.since: float | None = None
         # Whether the limit was restarted since the last success.
-        self.is_excused = False
+        self.has_restarted = False
         # Local time of the first attempt.
         self._began: float | None = None
         self._limit_s = STALL_S * (1 << min(stalled_before, DOUBLINGS_MAX))
@@ -70,13 +70,13 @@
     def record_success(self) -> None:
         """Record that the work attempted last has succeeded."""
         self.since = None
-        self.is_excused = False
+        self.has_restarted = False
 
-    def excuse(self, now: float) -> None:
+    def restart_limit(self, now: float) -> None:
         """Restart the limit once: until now, heartbeats didn't pass either."""
-        if self.since is not None and not self.is_excused:
+        if self.since is not None and not self.has_restarted:
             self.since = now
-            self.is_excused = True
+            self.has_restarted = True
 
     def is_stalled(self, now: float, delay_s: float) -> bool:
         """Whether no attempt has succeeded for too long.
