Limit what one job may ask for, and confine unexpected errors

Cause: a job of 90 bytes with a count of 1,000,000,000 was accepted and stored, and each owner that read it built one object a task and died; negative requests let an executor accept any number of tasks. An exception that one stored job caused ended the ownership, for each next owner again. Background tasks of the daemon ended silently on an exception.

Change: limits with units in the settings (job_limits), checked at the edge by field and again when an owner reads a stored job, which is then set aside as failed with a reason. Overlapping occurrences and the list of finished ones are bounded. Errors while a job is added, ordered, placed or reported on set aside that job only; rows, polls and background tasks go on or are restarted, with a log line and the counter 'defects'.

--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads import JobLimits
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -37,6 +39,7 @@
         "gateway",
         "hosts",
         "is_store_unreachable",
+        "job_limits",
         "lease_s",
         "metrics",
         "store",
@@ -58,6 +61,7 @@
         wait_for_executors: Callable[[], Awaitable[None]] | None = None,
         are_executors_current: Callable[[], bool] = lambda: True,
         weight: float = 1.0,
+        job_limits: JobLimits | None = None,
     ) -> None:
         self.store = store
         self.gateway = gateway
@@ -78,3 +82,5 @@
         self.are_executors_current = are_executors_current
         # The capacity of this host, relative to a small one.
         self.weight = weight
+        # What one job may ask for.
+        self.job_limits = job_limits or JobLimits()
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -28,12 +28,14 @@
 )
 from lycheelug.store.replica import TableReplica
 from lycheelug.store.rows import RowCommit
+from lycheelug.supervision import describe_error, supervise
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lycheelug.jobservice.clock import Clock
     from lycheelug.jobservice.held_duty import DutyHolder
+    from lycheelug.metrics import Metrics
     from lycheelug.store.rows import RowStore, StoredRow
 
 __all__ = ["Duties"]
@@ -61,6 +63,7 @@
         "_incarnation",
         "_leaving",
         "_make_holder",
+        "_metrics",
         "_name",
         "_owners",
         "_pools",
@@ -82,8 +85,10 @@
         zone: str,
         pools: Callable[[], list[str]],
         make_holder: Callable[[str, OwnerRecord, int], DutyHolder],
+        metrics: Metrics,
         weight: float = 1.0,
     ) -> None:
+        self._metrics = metrics
         self._store = store
         self._clock = clock
         self._name = name
@@ -139,13 +144,15 @@
     def start(self) -> None:
         """Start to write heartbeats and to claim duties."""
         loop = asyncio.get_running_loop()
-        for work in (
-            self._replica.run(),
-            self.heartbeats.write_periodically(),
-            self.heartbeats.follow_peers(),
-            self._claim_loop(),
+        for name, work in (
+            ("owners", self._replica.run),
+            ("heartbeat", self.heartbeats.write_periodically),
+            ("heartbeats", self.heartbeats.follow_peers),
+            ("claims", self._claim_loop),
         ):
-            self._tasks.append(loop.create_task(work))
+            self._tasks.append(
+                loop.create_task(supervise(name, work, self._metrics))
+            )
 
     async def release(self) -> None:
         """Release all duties and announce that this daemon is leaving."""
@@ -266,8 +273,13 @@
     def _remove_finished(self) -> None:
         """Remove the duties whose holder task has finished."""
         for duty, held in list(self._held.items()):
-            if held.task.done():
-                del self._held[duty]
+            if not held.task.done():
+                continue
+            del self._held[duty]
+            error = None if held.task.cancelled() else held.task.exception()
+            if error is not None:
+                log_change("defect", duty=duty, error=describe_error(error))
+                self._metrics.count("defects")
 
     def _count_stalled(self, duty: str, former: OwnerRecord) -> int:
         """Return how many holders in a row were replaced as stalled."""
--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -80,7 +80,7 @@
                 return
             self.info = view.info
             await self._wait_for_store(view)
-            if await self._poll(view):
+            if await self._poll_guarded(view):
                 retry_s = RETRY_S
                 continue
             await asyncio.sleep(retry_s)
@@ -97,6 +97,14 @@
         except TimeoutError:
             return
 
+    async def _poll_guarded(self, view: ExecutorView) -> bool:
+        """Poll once; an unexpected error ends only this poll."""
+        try:
+            return await self._poll(view)
+        except Exception as error:
+            self._owner.report_defect("executor-loop", error)
+            return False
+
     async def _poll(self, view: ExecutorView) -> bool:
         """Poll once; return False if there was no task report."""
         context = self._context
--- a/lycheelug/jobservice/pool_feeds.py
+++ b/lycheelug/jobservice/pool_feeds.py
@@ -25,7 +25,8 @@
 )
 from lycheelug.logs import log_change
 from lycheelug.store.replica import TableReplica
-from lycheelug.workloads import QueuePolicy
+from lycheelug.supervision import describe_error
+from lycheelug.workloads import QueuePolicy, find_error
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -37,7 +38,12 @@
         SubmissionQueue,
     )
     from lycheelug.store.rows import StoredRow
-    from lycheelug.workloads import Job, PoolSchedule, ProgressRecord
+    from lycheelug.workloads import (
+        Job,
+        JobRecord,
+        PoolSchedule,
+        ProgressRecord,
+    )
 
 __all__ = ["PoolFeeds"]
 
@@ -151,16 +157,8 @@
         The table's feed may have delivered the submission before, but
         without its progress record.
         """
-        clock = self._context.clock
         job_id = submission.job_id
-        job = self._schedule.add_job(
-            job_id,
-            submission.record,
-            self.policy(submission.record.queue),
-            submission.progress,
-            clock.unix_ms(),
-            clock.now(),
-        )
+        job = self._add_job(job_id, submission.record, submission.progress)
         if submission.progress is not None:
             job.record_begin_stored(self._schedule.term, version)
         self._apply_stored_cancel(job)
@@ -212,18 +210,53 @@
             return
         self._queue.settle(job_id)
         progress, version = self.stored_progress.pop(job_id, (None, 0))
-        job = self._schedule.add_job(
-            job_id,
-            record,
-            self.policy(record.queue),
-            progress,
-            clock.unix_ms(),
-            clock.now(),
-        )
+        job = self._add_job(job_id, record, progress)
         job.row_version = max(job.row_version, version)
         self._apply_stored_cancel(job)
         self._on_change()
 
+    def set_aside(self, job: Job, reason: str) -> None:
+        """Fail a job that can't be scheduled, and say why."""
+        log_change(
+            "job-set-aside",
+            job=job.job_id,
+            pool=self._schedule.pool,
+            queue=job.record.queue,
+            reason=reason,
+        )
+        self._context.metrics.count("jobs-set-aside")
+        self._schedule.set_aside_job(
+            job, reason, self._context.clock.unix_ms()
+        )
+        self._on_change()
+
+    def _add_job(
+        self, job_id: str, record: JobRecord, progress: ProgressRecord | None
+    ) -> Job:
+        """Add a stored job; set it aside if it can't be scheduled."""
+        clock = self._context.clock
+        schedule = self._schedule
+        error = find_error(record, self._context.job_limits)
+        reason = error.render() if error is not None else ""
+        policy = self.policy(record.queue)
+        if not reason:
+            try:
+                return schedule.add_job(
+                    job_id,
+                    record,
+                    policy,
+                    progress,
+                    clock.unix_ms(),
+                    clock.now(),
+                )
+            except Exception as defect:
+                self._context.metrics.count("defects")
+                reason = f"unexpected error: {describe_error(defect)}"
+        job = schedule.add_unscheduled_job(job_id, record, policy, progress)
+        if not job.is_final:
+            self.set_aside(job, reason)
+        return job
+
     def _apply_stored_cancel(self, job: Job) -> None:
         """Apply a cancel whose row arrived before the job's."""
         if self._jobs_replica.has(
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -29,6 +29,7 @@
 from lycheelug.jobservice.submission_queue import SubmissionQueue
 from lycheelug.logs import log_change
 from lycheelug.ownership import WorkProgress
+from lycheelug.supervision import describe_error
 from lycheelug.workloads import PoolSchedule
 from lycheelug.workloads.executors import CLOCK_DRIFT
 
@@ -37,7 +38,13 @@
 
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.interfaces import WaitingCount
-    from lycheelug.workloads import JobRecord
+    from lycheelug.workloads import (
+        Job,
+        JobRecord,
+        PaceOrder,
+        StartOrder,
+        StopOrder,
+    )
 
 __all__ = ["OWNERSHIP_VALID_S", "PoolOwner"]
 
@@ -216,9 +223,30 @@
             return
         error = task.exception()
         if error is not None:
-            log_change("defect", pool=self.pool, error=repr(error))
+            self.report_defect("owner", error)
             self.revoke("defect")
 
+    def report_defect(
+        self, task: str, error: BaseException, job: Job | None = None
+    ) -> None:
+        """Log an unexpected error and set aside the job that caused it.
+
+        The next owner would meet the same error with the same job.
+        """
+        job = job or self.schedule.handled_job
+        self.schedule.handled_job = None
+        reason = describe_error(error)
+        log_change(
+            "defect",
+            pool=self.pool,
+            task=task,
+            job=job.job_id if job is not None else "",
+            error=reason,
+        )
+        self._context.metrics.count("defects")
+        if job is not None:
+            self.feeds.set_aside(job, f"unexpected error: {reason}")
+
     # --- Submissions from callers.
 
     async def submit(self, job_id: str, record: JobRecord) -> SubmissionAnswer:
@@ -266,17 +294,26 @@
             self._open_due_occurrences()
             self.writer.wake_if_needed()
             if self.is_verified:
-                for order in self.schedule.plan(
-                    self._context.clock.now(),
-                    self.verified_at,
-                    self._context.clock.unix_ms(),
-                ):
+                for order in self._plan():
                     self._sender.send(order)
                 for step, executor_ids in self.schedule.hint_requests.items():
                     self._sender.request_placement_hint(step, executor_ids)
                 self.schedule.hint_requests.clear()
             await self._wait_for_wake()
 
+    def _plan(self) -> list[StartOrder | StopOrder | PaceOrder]:
+        """Return the orders to send now; set aside jobs that can't be run."""
+        schedule = self.schedule
+        orders = schedule.plan(
+            self._context.clock.now(),
+            self.verified_at,
+            self._context.clock.unix_ms(),
+        )
+        for job, error in schedule.ready.defects:
+            self.report_defect("plan", error, job)
+        schedule.ready.defects.clear()
+        return orders
+
     async def _wait_for_wake(self) -> None:
         """Wait for an event or the next tick, and for the minimum pause.
 
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -25,6 +25,7 @@
 from lycheelug.jobservice.used_executors import UsedExecutors
 from lycheelug.logs import log_change, log_fault
 from lycheelug.store.rows import RowConflict, RowName
+from lycheelug.workloads import ProgressRecord
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
@@ -44,6 +45,9 @@
 # The size limit of the values in one transaction.  The store accepts one
 # megabyte of them in base64, with their names.
 BATCH_BYTES_MAX: Final = 650_000
+# The size limit of one job's progress, as the store accepts rows of 65,536
+# bytes in base64.
+PROGRESS_BYTES_MAX: Final = 48_000
 # Ownership is proved at least this often, by a transaction without writes
 # if nothing has changed.
 PROOF_INTERVAL_S: Final = 1.5
@@ -249,7 +253,7 @@
             if len(batch.jobs) >= jobs_max:
                 batch.is_complete = False
                 break
-            value = msgspec.json.encode(job.progress)
+            value = self._encode_progress(job)
             size += len(value)
             if batch.jobs and size > BATCH_BYTES_MAX:
                 batch.is_complete = False
@@ -265,6 +269,30 @@
             )
         return batch
 
+    def _encode_progress(self, job: Job) -> bytes:
+        """Return a job's record; what doesn't fit into a row is left out.
+
+        Without its checkpoints a job's tasks start from their beginning.
+        """
+        value = msgspec.json.encode(job.progress)
+        if len(value) <= PROGRESS_BYTES_MAX:
+            return value
+        job.progress.checkpoints.clear()
+        value = msgspec.json.encode(job.progress)
+        if len(value) <= PROGRESS_BYTES_MAX:
+            return value
+        if not job.is_final:
+            reason = f"progress of {len(value)} bytes doesn't fit into a row"
+            self._owner.feeds.set_aside(job, reason)
+        return msgspec.json.encode(
+            ProgressRecord(
+                job.progress.begun_term,
+                job.progress.state,
+                final_ms=job.progress.final_ms,
+                reason=job.progress.reason,
+            )
+        )
+
     def _apply_commit(self, batch: _Batch, version: int) -> None:
         """Record that a batch has been stored."""
         self.load.apply_commit(version)
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -30,7 +30,7 @@
     )
     from lycheelug.ownership import OwnerRecord
     from lycheelug.store.rows import RowStore
-    from lycheelug.workloads import ExecutorInfo, JobRecord
+    from lycheelug.workloads import ExecutorInfo, JobLimits, JobRecord
 
     RemoteSubmit = Callable[
         [str, str, str, JobRecord], Awaitable[SubmissionAnswer]
@@ -73,6 +73,7 @@
         submit_remote: RemoteSubmit | None = None,
         weight: float = 1.0,
         count_remote: RemoteCount | None = None,
+        job_limits: JobLimits | None = None,
     ) -> None:
         self._maintenance_s = maintenance_s
         self._name = name
@@ -108,6 +109,7 @@
             self._wait_for_executors,
             self._are_executors_current,
             weight,
+            job_limits,
         )
         incarnation = secrets.token_hex(8)
         self.duties = Duties(
@@ -118,6 +120,7 @@
             zone,
             self._pools,
             self._make_holder,
+            self.metrics,
             weight,
         )
 
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -80,7 +80,7 @@
 class Reply:
     """A reply to a caller."""
 
-    __slots__ = ("kind", "pending", "retry_after_s", "state")
+    __slots__ = ("kind", "pending", "reason", "retry_after_s", "state")
 
     def __init__(
         self,
@@ -88,8 +88,11 @@
         state: str = "",
         pending: int = 0,
         retry_after_s: int = RETRY_AFTER_S,
+        reason: str = "",
     ) -> None:
         self.kind = kind
+        # Why a job is in its state, if it was not run as submitted.
+        self.reason = reason
         self.state = state
         self.pending = pending
         self.retry_after_s = retry_after_s
@@ -281,9 +284,11 @@
             progress = decode_progress(rows[0].value or b"") if rows else None
             if progress is None:
                 continue
-            if progress.state in JobState.FINAL:
+            if progress.state in JobState.FINAL and not progress.reason:
                 self._cache_final_state(job_id, progress.state)
-            return Reply(ReplyKind.OK, state=progress.state)
+            return Reply(
+                ReplyKind.OK, state=progress.state, reason=progress.reason
+            )
         for pool in pools:
             read = await self._read_one(
                 jobs_table(pool), pool, JOB_PREFIX + job_id
--- a/lycheelug/platform/ingress.py
+++ b/lycheelug/platform/ingress.py
@@ -17,7 +17,13 @@
 from lycheelug.jobservice.submissions import Reply, ReplyKind
 from lycheelug.logs import log_change
 from lycheelug.platform.wire import JobMessage
-from lycheelug.workloads import JobRecord, Occurrences, StepSpec
+from lycheelug.workloads import (
+    JobLimits,
+    JobRecord,
+    Occurrences,
+    StepSpec,
+    find_error,
+)
 
 if TYPE_CHECKING:
     from lycheelug.http import Request
@@ -36,18 +42,29 @@
 JOB_ID_LENGTH: Final = 16
 HEX_DIGITS: Final = frozenset(string.hexdigits)
 SPEC_BYTES_MAX: Final = 4_000
-STEPS_MAX: Final = 1_000
+# The callers' names of a job's fields, where they differ.
+CALLERS_NAMES: Final = {
+    "cpu_millis": "cpu",
+    "memory_mb": "mem_mb",
+    "gpus": "gpu",
+    "max_per_executor": "anti_affinity",
+    "occurrences": "repeats",
+    "first_ms": "start_at_ms",
+}
 NOT_CONFIGURED_RETRY_S: Final = 1
 
 
 class Ingress:
     """The handler of callers' requests about jobs and queues."""
 
-    __slots__ = ("_clock", "_service")
+    __slots__ = ("_clock", "_limits", "_service")
 
-    def __init__(self, service: JobService, clock: Clock) -> None:
+    def __init__(
+        self, service: JobService, clock: Clock, limits: JobLimits
+    ) -> None:
         self._service = service
         self._clock = clock
+        self._limits = limits
 
     async def handle(self, request: Request) -> Answer:
         """Answer one request before its caller's deadline."""
@@ -86,7 +103,10 @@
             return await self._submit(request, route, rest)
         if request.method == b"GET":
             reply = await self._service.submissions.state(route, rest)
-            return _answer(reply, {"state": reply.state})
+            content: dict[str, object] = {"state": reply.state}
+            if reply.reason:
+                content["reason"] = reply.reason
+            return _answer(reply, content)
         if request.method == b"DELETE":
             return _answer(
                 await self._service.submissions.cancel(route, rest), {}
@@ -105,7 +125,7 @@
     ) -> Answer:
         """Validate and submit a job."""
         decoded = decode_job_message(
-            request.body, route.name, self._clock.unix_ms()
+            request.body, route.name, self._clock.unix_ms(), self._limits
         )
         if isinstance(decoded, str):
             log_change("submission-invalid", job=job_id, reason=decoded)
@@ -116,7 +136,7 @@
 
 
 def decode_job_message(
-    body: bytes, queue: str, unix_ms: int
+    body: bytes, queue: str, unix_ms: int, limits: JobLimits | None = None
 ) -> JobRecord | str:
     """Return the submitted job, or an error message if it is invalid."""
     try:
@@ -125,12 +145,8 @@
         return f"the body is not a valid job: {error}"
     if len(message.spec.encode()) > SPEC_BYTES_MAX:
         return f"spec: over {SPEC_BYTES_MAX} bytes; shorten it"
-    if not 0 < len(message.steps) <= STEPS_MAX:
-        return f"steps: {len(message.steps)}; give 1 to {STEPS_MAX}"
     steps: list[StepSpec] = []
     for number, step in enumerate(message.steps):
-        if step.count < 1:
-            return f"steps[{number}].count: {step.count}; give 1 or more"
         for earlier in step.depends_on:
             if not 0 <= earlier < number:
                 return (
@@ -143,7 +159,11 @@
         schedule = Occurrences(
             message.repeats, message.start_at_ms, message.interval_ms
         )
-    return JobRecord(queue, message.spec, steps, unix_ms, schedule)
+    record = JobRecord(queue, message.spec, steps, unix_ms, schedule)
+    excess = find_error(record, limits or JobLimits())
+    if excess is not None:
+        return excess.render(CALLERS_NAMES.get(excess.field, ""))
+    return record
 
 
 def _to_step_spec(step: StepMessage) -> StepSpec:
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -50,9 +50,10 @@
 )
 from lycheelug.store.replica import TableReplica
 from lycheelug.store.traffic import StoreTraffic
+from lycheelug.supervision import supervise
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from lycheelug.http import Request
     from lycheelug.platform.settings import PlatformSettings
@@ -148,6 +149,7 @@
                 settings.limits.link_mbps,
             ),
             self._counts.count,
+            settings.job_limits,
         )
         self._relay.accept_submission = self._service.submit_locally
         self._relay.count_waiting = self._service.count_locally
@@ -157,7 +159,7 @@
             lambda: sorted(self._service.duties.held),
         )
         limits = ServerLimits(max_body_bytes=BODY_BYTES_MAX)
-        ingress = Ingress(self._service, clock)
+        ingress = Ingress(self._service, clock, settings.job_limits)
         self._callers = HttpServer(ingress.handle, limits)
         self._probes = HttpServer(self._answer_probe)
         self._executor_list = ExecutorList(
@@ -203,9 +205,9 @@
             store=self._settings.platform.address,
         )
         self._follow(OPERATOR_TABLE, self._on_operator_row)
-        self._tasks.append(loop.create_task(self._executor_list.run()))
+        self._supervise(EXECUTORS_TABLE, self._executor_list.run)
         self._service.start(self._relay_address())
-        self._tasks.append(loop.create_task(self._load_monitor.run()))
+        self._supervise("load-monitor", self._load_monitor.run)
         await self._stopping.wait()
         return await self._stop()
 
@@ -263,8 +265,16 @@
     ) -> None:
         """Keep a replica of one of the platform's tables up to date."""
         replica = TableReplica(self._store, table, listener, part="")
-        loop = asyncio.get_running_loop()
-        self._tasks.append(loop.create_task(replica.run()))
+        self._supervise(table, replica.run)
+
+    def _supervise(
+        self, name: str, work: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Run a background task until the daemon stops."""
+        task = asyncio.get_running_loop().create_task(
+            supervise(name, work, self._service.metrics)
+        )
+        self._tasks.append(task)
 
     async def _stop(self) -> int:
         """Hand over the duties, serve the remaining callers and stop."""
--- a/lycheelug/platform/settings.py
+++ b/lycheelug/platform/settings.py
@@ -9,6 +9,8 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lycheelug.workloads import JobLimits
+
 if TYPE_CHECKING:
     from returns.result import Result
 
@@ -71,6 +73,8 @@
     cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # What one job may ask for.
+    job_limits: JobLimits = msgspec.field(default_factory=JobLimits)
     internal_ports: list[int] = []
     # The control addresses of some daemons, which may be stale or down.
     seeds: list[str] = []
@@ -117,4 +121,7 @@
             return Failure(
                 f"{path}: listen_addrs.{field}: {address!r}; give IP:PORT"
             )
+    for name in settings.job_limits.__struct_fields__:
+        if getattr(settings.job_limits, name) < 1:
+            return Failure(f"{path}: job_limits.{name}: give 1 or more")
     return Success(settings)
--- a/lycheelug/store/replica.py
+++ b/lycheelug/store/replica.py
@@ -28,6 +28,7 @@
 )
 from lycheelug.logs import log_change, log_fault
 from lycheelug.store.rows import HistoryGone, StoredRow
+from lycheelug.supervision import describe_error
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -258,7 +259,18 @@
                 return
         else:
             self._rows[key] = row
-        self._listener(row)
+        try:
+            self._listener(row)
+        except Exception as error:
+            # One row must not keep the others from being read.
+            log_change(
+                "row-not-applied",
+                table=row.table,
+                part=row.part,
+                key=row.key,
+                version=row.version,
+                error=describe_error(error),
+            )
 
     def _log_lost(self, fault: Fault) -> None:
         """Log the first of consecutive failures."""
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -10,6 +10,7 @@
     RunReport,
     TaskReport,
 )
+from lycheelug.workloads.job_limits import JobError, JobLimits, find_error
 from lycheelug.workloads.jobs import Job, Task, TaskState
 from lycheelug.workloads.model import (
     JobRecord,
@@ -37,6 +38,8 @@
     "ExecutorInfo",
     "ExecutorView",
     "Job",
+    "JobError",
+    "JobLimits",
     "JobRecord",
     "JobState",
     "Occurrences",
@@ -60,4 +63,5 @@
     "apply_start_answer",
     "apply_stop_answer",
     "apply_task_report",
+    "find_error",
 ]
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -9,77 +9,27 @@
 
 from __future__ import annotations
 
-from enum import Enum, auto
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.forecast import DeadlineForecast
 from lycheelug.workloads.model import JobState, TaskName, is_long_running
-from lycheelug.workloads.progress import ProgressRecord, step_key, task_key
+from lycheelug.workloads.progress import (
+    FINISHED_MAX,
+    ProgressRecord,
+    step_key,
+    task_key,
+)
+from lycheelug.workloads.tasks import Task, TaskState
 
 if TYPE_CHECKING:
     from lycheelug.workloads.job_index import JobIndex
-    from lycheelug.workloads.model import JobRecord, QueuePolicy, StepSpec
+    from lycheelug.workloads.model import JobRecord, QueuePolicy
     from lycheelug.workloads.runtimes import RunTimes
 
 __all__ = ["Job", "Task", "TaskState"]
 
-# Size of a term's range of run numbers.  Ranges of later terms are higher,
-# so a new owner's first run has a higher number than any run it can't see.
-RUNS_PER_TERM = 1000
-
-
-class TaskState(Enum):
-    """Scheduling state of a task."""
-
-    # Waits for earlier steps.
-    BLOCKED = auto()
-    # Waits for an executor.
-    READY = auto()
-    # Has a run, or may have one whose start was not answered.
-    PLACED = auto()
-    DONE = auto()
-    # Has used up all attempts that its queue allows.
-    EXHAUSTED = auto()
-
-
-class Task:
-    """One task of an occurrence."""
-
-    __slots__ = (
-        "avoided_executor",
-        "checkpoint",
-        "executor_id",
-        "failures",
-        "job",
-        "last_run",
-        "name",
-        "not_before",
-        "ready_at",
-        "run",
-        "state",
-        "step",
-    )
-
-    def __init__(self, job: Job, name: TaskName, step: StepSpec) -> None:
-        self.job = job
-        self.name = name
-        self.step = step
-        self.state = TaskState.BLOCKED
-        self.executor_id = ""
-        self.run = 0
-        self.last_run = 0
-        self.failures = 0
-        self.checkpoint = ""
-        # Executor of the last failed or stalled run; a retry prefers others.
-        self.avoided_executor = ""
-        # Local time before which the task must not be started.
-        self.not_before = 0.0
-        # Local time at which the task last became ready.
-        self.ready_at = 0.0
-
-    def next_run_number(self, term: int) -> int:
-        """Return the next run number, higher than all earlier ones."""
-        return max(self.last_run + 1, term * RUNS_PER_TERM + 1)
+# The tasks of one job's overlapping occurrences that are kept in memory.
+OPEN_TASKS_MAX: Final = 5_000
 
 
 class Job:
@@ -96,6 +46,7 @@
         "home_zone",
         "is_long_running",
         "job_id",
+        "next_occurrence",
         "occurrences",
         "open_steps",
         "policy",
@@ -122,7 +73,7 @@
         self.has_started = bool(
             self.progress.done
             or self.progress.failures
-            or self.progress.finished
+            or self.progress.finished_count
         )
         # Whether the begun mark (`begun_term`) is stored.
         self.begin_is_stored = self.progress.begun_term > 0
@@ -132,11 +83,14 @@
         # Its place among the jobs of the pool, in the order they were added.
         self.sequence = 0
         self.is_long_running = is_long_running(record.steps)
+        # The first occurrence that was not opened yet.
+        self.next_occurrence = self.progress.finished_below
         # Tasks by occurrence and step, for occurrences that are due and
         # unfinished.
         self.occurrences: dict[int, list[list[Task]]] = {}
         # Numbers of the steps with unfinished tasks, by occurrence.
         self.open_steps: dict[int, set[int]] = {}
+        # Due times of the open occurrences.
         self.due_ms: dict[int, int] = {}
         # Zone of the executor on which a task was last placed.
         self.home_zone = ""
@@ -192,30 +146,34 @@
     def next_due_ms(self) -> int | None:
         """Return when the next occurrence is due, or None if none is left."""
         schedule = self.record.schedule
-        number = self._next_occurrence()
+        number = self.next_occurrence
         if schedule is None or number >= schedule.count or self.is_final:
             return None
         return schedule.first_ms + number * schedule.interval_ms
 
     def open_due_occurrences(self, unix_ms: int, now: float) -> list[Task]:
-        """Open all occurrences that are due; return their ready tasks."""
+        """Open the occurrences that are due; return their ready tasks.
+
+        While too many are open, the next one waits for one to finish.
+        """
         ready: list[Task] = []
         if self.is_final:
             return ready
         schedule = self.record.schedule
-        while True:
-            number = self._next_occurrence()
-            if number >= self.record.occurrences:
-                return ready
+        while self.next_occurrence < self.record.occurrences:
+            number = self.next_occurrence
             due_ms = self.record.accepted_ms
             if schedule is not None:
                 due_ms = schedule.first_ms + number * schedule.interval_ms
                 if due_ms > unix_ms:
-                    return ready
-            self.due_ms[number] = due_ms
-            if number in self.progress.finished:
-                continue
-            ready.extend(self._open(number, now))
+                    break
+            if not self.progress.has_finished(number):
+                if not self._may_open():
+                    break
+                self.due_ms[number] = due_ms
+                ready.extend(self._open(number, now))
+            self.next_occurrence += 1
+        return ready
 
     def find_task(self, name: TaskName) -> Task | None:
         """Return a task of an open occurrence, or None if there is none."""
@@ -276,6 +234,13 @@
         task.state = TaskState.EXHAUSTED
         self._enter_final_state(JobState.FAILED, unix_ms)
 
+    def set_aside(self, reason: str, unix_ms: int) -> None:
+        """Fail a job that can't be scheduled, so that others can be."""
+        if self.is_final:
+            return
+        self.progress.reason = reason
+        self._enter_final_state(JobState.FAILED, unix_ms)
+
     def record_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Record the newest checkpoint of a task."""
         if not checkpoint or checkpoint == task.checkpoint:
@@ -313,9 +278,14 @@
 
     # --- Implementation.
 
-    def _next_occurrence(self) -> int:
-        """Return the number of the first occurrence not yet opened."""
-        return len(self.due_ms)
+    def _may_open(self) -> bool:
+        """Return whether one more occurrence may be open."""
+        if not self.occurrences:
+            return True
+        if len(self.progress.finished) >= FINISHED_MAX:
+            return False
+        tasks = sum(step.count for step in self.record.steps)
+        return (len(self.occurrences) + 1) * tasks <= OPEN_TASKS_MAX
 
     def _open(self, number: int, now: float) -> list[Task]:
         """Create an occurrence's tasks and restore their recorded progress."""
@@ -369,9 +339,12 @@
             return self._unblock(number, now)
         for done_step in range(len(self.record.steps)):
             self.progress.done.pop(step_key(number, done_step), None)
-        self.progress.finished.append(number)
+        self.progress.record_finished(number)
         del self.occurrences[number]
-        if len(self.progress.finished) == self.record.occurrences:
+        self.due_ms.pop(number, None)
+        is_last = self.progress.finished_count == self.record.occurrences
+        # The last runs of a cancelled job may still be done.
+        if is_last and not self.is_final:
             self._enter_final_state(JobState.COMPLETED, unix_ms)
         return []
 
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -68,6 +68,7 @@
         "_relocate_after",
         "arrivals",
         "executors",
+        "handled_job",
         "hint_requests",
         "job_index",
         "jobs",
@@ -105,6 +106,9 @@
         self.hint_requests: dict[StepName, list[str]] = {}
         self.jobs: dict[str, Job] = {}
         self.job_index = JobIndex()
+        # The job of the task that is being reported on; after an unexpected
+        # error, the one that caused it.
+        self.handled_job: Job | None = None
         self.executors: dict[str, ExecutorView] = {}
         # Tasks waiting for an executor.
         self.ready = ReadyQueue()
@@ -137,6 +141,22 @@
         self.open_due_occurrences(job, unix_ms, now)
         return job
 
+    def add_unscheduled_job(
+        self,
+        job_id: str,
+        record: JobRecord,
+        policy: QueuePolicy,
+        progress: ProgressRecord | None,
+    ) -> Job:
+        """Add a job of which no occurrence is opened, or return it."""
+        known = self.jobs.get(job_id)
+        if known is not None:
+            return known
+        job = Job(job_id, record, policy, progress)
+        self.jobs[job_id] = job
+        job.set_index(self.job_index)
+        return job
+
     def open_due_occurrences(self, job: Job, unix_ms: int, now: float) -> None:
         """Open a job's due occurrences and queue their ready tasks."""
         self.make_ready(job.open_due_occurrences(unix_ms, now))
@@ -150,6 +170,11 @@
         self.dequeue_job(job)
         return job
 
+    def set_aside_job(self, job: Job, reason: str, unix_ms: int) -> None:
+        """Fail a job that can't be scheduled; the next plan stops its runs."""
+        job.set_aside(reason, unix_ms)
+        self.dequeue_job(job)
+
     def dequeue_job(self, job: Job) -> None:
         """Remove the waiting tasks of a job that has ended."""
         self.ready.discard_job(job)
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -8,11 +8,17 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import msgspec
 
 from lycheelug.workloads.model import JobState
 
-__all__ = ["ProgressRecord", "step_key", "task_key"]
+__all__ = ["FINISHED_MAX", "ProgressRecord", "step_key", "task_key"]
+
+# The finished occurrences that are listed one by one.  No occurrence is
+# opened while so many are finished above one that isn't.
+FINISHED_MAX: Final = 200
 
 
 class ProgressRecord(msgspec.Struct, omit_defaults=True):
@@ -35,8 +41,38 @@
     checkpoints: dict[str, str] = {}
     # Occurrences whose tasks are all done; they have no entries in `done`.
     finished: list[int] = []
+    # All occurrences below this one are finished too.
+    finished_below: int = 0
     # Unix time in milliseconds at which the state became final.
     final_ms: int = 0
+    # Why the job was set aside: it can't be scheduled.
+    reason: str = ""
+
+    @property
+    def finished_count(self) -> int:
+        """The number of occurrences whose tasks are all done."""
+        return self.finished_below + len(self.finished)
+
+    def has_finished(self, occurrence: int) -> bool:
+        """Return whether all tasks of an occurrence are done."""
+        return occurrence < self.finished_below or occurrence in self.finished
+
+    def record_finished(self, occurrence: int) -> None:
+        """Record that an occurrence is finished, in bounded space.
+
+        >>> progress = ProgressRecord(finished=list(range(1, FINISHED_MAX)))
+        >>> progress.record_finished(0)
+        >>> progress.finished_below, progress.finished
+        (200, [])
+        """
+        self.finished.append(occurrence)
+        if len(self.finished) < FINISHED_MAX:
+            return
+        finished = set(self.finished)
+        while self.finished_below in finished:
+            finished.remove(self.finished_below)
+            self.finished_below += 1
+        self.finished = sorted(finished)
 
 
 def step_key(occurrence: int, step: int) -> str:
--- a/lycheelug/workloads/ready_queue.py
+++ b/lycheelug/workloads/ready_queue.py
@@ -102,7 +102,7 @@
 class ReadyQueue:
     """All waiting tasks of a pool."""
 
-    __slots__ = ("_order", "_steps", "_unbegun")
+    __slots__ = ("_order", "_steps", "_unbegun", "defects")
 
     def __init__(self) -> None:
         self._steps: dict[StepKey, ReadyStep] = {}
@@ -111,6 +111,8 @@
         self._order: list[ReadyStep] = []
         # Jobs that were added without the begun mark, oldest first.
         self._unbegun: dict[str, Job] = {}
+        # Jobs that can't be scheduled, with the unexpected errors.
+        self.defects: list[tuple[Job, Exception]] = []
 
     def __len__(self) -> int:
         """Return the number of waiting tasks."""
@@ -166,9 +168,14 @@
         """Return the steps with waiting tasks, in the order of placement."""
         order: list[ReadyStep] = []
         for step in self._order:
-            if step.tasks:
+            if not step.tasks:
+                continue
+            try:
                 step.update_sort_key(unix_ms, run_times)
-                order.append(step)
+            except Exception as error:
+                self.defects.append((step.job, error))
+                continue
+            order.append(step)
         order.sort(key=attrgetter("sort_key"))
         self._order = order
         return list(order)
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -37,6 +37,8 @@
     orders: list[StartOrder] = []
     earlier_runs_known = schedule.earlier_runs_known(now)
     waiting = schedule.ready.ordered(unix_ms, schedule.run_times)
+    if not waiting:
+        return []
     placement = PlacementRound(
         schedule.executors.values(),
         now,
@@ -47,26 +49,42 @@
     for step in waiting:
         if not _may_start_job(schedule, step.job, earlier_runs_known):
             continue
-        needs_placement_hint = step.job.policy.needs_placement_hint
-        is_limited = not step.spec.is_gang and not needs_placement_hint
-        if is_limited and unplaceable.covers(step.spec.resources):
-            continue
-        for task in step.in_order():
-            if not _can_start(schedule, task, now):
-                continue
-            if step.spec.is_gang:
-                orders.extend(_start_gang(schedule, placement, task, now))
-                continue
-            if is_limited and unplaceable.covers(step.spec.resources):
-                break
-            view = _choose_executor(schedule, placement, task, now)
-            if view is not None:
-                orders.append(schedule.place(task, view, now))
-            elif is_limited:
-                unplaceable.record(step.spec)
+        try:
+            _place_step(schedule, placement, unplaceable, step, now, orders)
+        except Exception as error:
+            # The orders of the tasks that were placed are sent all the same.
+            schedule.ready.defects.append((step.job, error))
     return orders
 
 
+def _place_step(
+    schedule: PoolSchedule,
+    placement: PlacementRound,
+    unplaceable: UnplaceableRequests,
+    step: ReadyStep,
+    now: float,
+    orders: list[StartOrder],
+) -> None:
+    """Place the waiting tasks of a step; add their start orders."""
+    needs_placement_hint = step.job.policy.needs_placement_hint
+    is_limited = not step.spec.is_gang and not needs_placement_hint
+    if is_limited and unplaceable.covers(step.spec.resources):
+        return
+    for task in step.in_order():
+        if not _can_start(schedule, task, now):
+            continue
+        if step.spec.is_gang:
+            orders.extend(_start_gang(schedule, placement, task, now))
+            continue
+        if is_limited and unplaceable.covers(step.spec.resources):
+            break
+        view = _choose_executor(schedule, placement, task, now)
+        if view is not None:
+            orders.append(schedule.place(task, view, now))
+        elif is_limited:
+            unplaceable.record(step.spec)
+
+
 def _smallest_request(steps: list[ReadyStep]) -> Resources:
     """Return an amount that is at most each waiting task's request."""
     requests = {step.spec.resources for step in steps}
@@ -134,13 +152,15 @@
             return []
     orders: list[StartOrder] = []
     run = max(member.next_run_number(schedule.term) for member in members)
+    last_runs = [member.last_run for member in members]
     checkpoint = task.checkpoint
     for member in members:
         view = _choose_executor(schedule, placement, member, now)
         if view is None:
             placement.reset()
             for order in orders:
-                _undo_placement(schedule, order, now)
+                last_run = last_runs[order.task.name.number]
+                _undo_placement(schedule, order, last_run, now)
             return []
         member.checkpoint = checkpoint
         orders.append(schedule.place(member, view, now, run))
@@ -148,9 +168,13 @@
 
 
 def _undo_placement(
-    schedule: PoolSchedule, order: StartOrder, now: float
+    schedule: PoolSchedule, order: StartOrder, last_run: int, now: float
 ) -> None:
-    """Undo a placement whose start has not been sent."""
+    """Undo a placement whose start has not been sent.
+
+    Its run number is used again, because a term has only so many of them.
+    """
     view = schedule.executors[order.executor_id]
     view.drop_run((order.task.name, order.run))
     schedule.requeue(order.task, now)
+    order.task.last_run = last_run
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -84,6 +84,7 @@
     reported = set()
     for entry in report.running:
         reported.add((entry.task, entry.run))
+        schedule.handled_job = schedule.jobs.get(entry.task.job)
         _apply_running(schedule, view, entry, now)
     ends: list[EndReport] = []
     for end in report.ended:
@@ -91,11 +92,13 @@
             continue
         view.last_applied_end = end.number
         ends.append(end)
+        schedule.handled_job = schedule.jobs.get(end.task.job)
         _apply_end(schedule, view, end, now, unix_ms)
     for run in list(view.runs.values()):
         if run.key not in reported and _is_absent(run, polled_at):
             view.drop_run(run.key)
             schedule.free_task(run, view, now)
+    schedule.handled_job = None
     return ends
 
 
--- /dev/null
+++ b/lycheelug/workloads/tasks.py
@@ -0,0 +1,70 @@
+"""The state of one task of a job."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.model import StepSpec, TaskName
+
+__all__ = ["Task", "TaskState"]
+
+# Size of a term's range of run numbers.  Ranges of later terms are higher,
+# so a new owner's first run has a higher number than any run it can't see.
+RUNS_PER_TERM = 1000
+
+
+class TaskState(Enum):
+    """Scheduling state of a task."""
+
+    # Waits for earlier steps.
+    BLOCKED = auto()
+    # Waits for an executor.
+    READY = auto()
+    # Has a run, or may have one whose start was not answered.
+    PLACED = auto()
+    DONE = auto()
+    # Has used up all attempts that its queue allows.
+    EXHAUSTED = auto()
+
+
+class Task:
+    """One task of an occurrence."""
+
+    __slots__ = (
+        "avoided_executor",
+        "checkpoint",
+        "executor_id",
+        "failures",
+        "job",
+        "last_run",
+        "name",
+        "not_before",
+        "ready_at",
+        "run",
+        "state",
+        "step",
+    )
+
+    def __init__(self, job: Job, name: TaskName, step: StepSpec) -> None:
+        self.job = job
+        self.name = name
+        self.step = step
+        self.state = TaskState.BLOCKED
+        self.executor_id = ""
+        self.run = 0
+        self.last_run = 0
+        self.failures = 0
+        self.checkpoint = ""
+        # Executor of the last failed or stalled run; a retry prefers others.
+        self.avoided_executor = ""
+        # Local time before which the task must not be started.
+        self.not_before = 0.0
+        # Local time at which the task last became ready.
+        self.ready_at = 0.0
+
+    def next_run_number(self, term: int) -> int:
+        """Return the next run number, higher than all earlier ones."""
+        return max(self.last_run + 1, term * RUNS_PER_TERM + 1)
