--- a/tests/reference_schedule.py
+++ b/tests/reference_schedule.py
@@ -240,6 +240,7 @@
             return []
     orders: list[StartOrder] = []
     run = max(member.next_run_number(schedule.term) for member in members)
+    last_runs = [member.last_run for member in members]
     checkpoint = task.checkpoint
     for member in members:
         view = _choose(schedule, member, now)
@@ -248,6 +249,7 @@
                 placed_on = schedule.executors[order.executor_id]
                 placed_on.drop_run((order.task.name, order.run))
                 schedule.requeue(order.task, now)
+                order.task.last_run = last_runs[order.task.name.number]
             return []
         member.checkpoint = checkpoint
         orders.append(schedule.place(member, view, now, run))
