Let only a group of daemons write and read heartbeats

Change: the duty group, of about one and a half members a duty and at least eight, writes and reads heartbeats and claims duties; daemons with more capacity join first, and each zone has a member. Its census reaches the others with the table of owners that they follow anyway. They join when it shows too few members, or is not published. Surplus members leave. Rows of owners carry the holder's address. Peers for relayed calls come from a range of a table in the zone's part, whose size doesn't depend on the deployment; its reads also show whether the store answers.

Weighed: slower heartbeats (later takeovers), one row for all heartbeats (a part takes 150 transactions a second, two when slow), heartbeats read by range (no feed, more calls).

--- a/lycheelug/cli/scheduler_commands.py
+++ b/lycheelug/cli/scheduler_commands.py
@@ -72,7 +72,7 @@
 def cmd_daemons(
     *, store: StoreOption, output: OutputOption = Output.TABLE
 ) -> None:
-    """Show the last heartbeat of each daemon."""
+    """Show the daemons, with the heartbeats of the duty group."""
     rows = _query_store(store, lambda inspection: inspection.daemons())
     columns = ("name", "zone", "address", "beat", "leaving")
     print_rows(rows, columns, output)
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -13,20 +13,20 @@
 from typing import TYPE_CHECKING, Final
 
 import msgspec
-from returns.result import Failure, Success
+from returns.result import Failure
 
+from lycheelug.jobservice.duty_membership import DutyMembership
 from lycheelug.jobservice.heartbeats import Heartbeats
 from lycheelug.jobservice.held_duty import HeldDuty
+from lycheelug.jobservice.owner_table import OwnerTable
+from lycheelug.jobservice.peer_directory import PeerDirectory
 from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import (
-    OWNER_KEY,
-    OWNERS_TABLE,
     OwnerRecord,
     choose_claims,
     choose_successor,
 )
-from lycheelug.store.replica import TableReplica
 from lycheelug.store.rows import RowCommit
 from lycheelug.supervision import describe_error, supervise
 
@@ -36,7 +36,7 @@
     from lycheelug.jobservice.clock import Clock
     from lycheelug.jobservice.held_duty import DutyHolder
     from lycheelug.metrics import Metrics
-    from lycheelug.store.rows import RowStore, StoredRow
+    from lycheelug.store.rows import RowStore
 
 __all__ = ["Duties"]
 
@@ -46,11 +46,6 @@
 # How long the highest-ranked daemon has to claim a free duty before the
 # next one tries.
 CLAIM_TURN_S: Final = 0.4
-# Releasing a duty is retried while the store does not answer.  If all
-# attempts fail, the duty stays unowned until this daemon's heartbeat times
-# out.
-RELEASE_ATTEMPTS: Final = 6
-RELEASE_RETRY_S: Final = 0.2
 
 
 class Duties:
@@ -58,6 +53,7 @@
 
     __slots__ = (
         "_clock",
+        "_directory",
         "_free_since",
         "_held",
         "_incarnation",
@@ -67,13 +63,13 @@
         "_name",
         "_owners",
         "_pools",
-        "_replica",
         "_started_at",
         "_store",
         "_tasks",
         "_undecided",
         "_wake",
         "heartbeats",
+        "membership",
     )
 
     def __init__(
@@ -97,10 +93,8 @@
         self._pools = pools
         # Creates the holder of a duty from its name, owner row and version.
         self._make_holder = make_holder
-        self._replica = TableReplica(store, OWNERS_TABLE, self._on_owner_row)
         # Local times at which duties were first seen without a live holder.
         self._free_since: dict[str, float] = {}
-        self._owners: dict[str, tuple[OwnerRecord, int]] = {}
         self._held: dict[str, HeldDuty] = {}
         # Duties whose claim may have taken effect without an answer.
         self._undecided: set[str] = set()
@@ -119,6 +113,30 @@
             self._restart_limits,
             weight,
         )
+        self.membership = DutyMembership(
+            store,
+            clock,
+            name,
+            zone,
+            weight,
+            self.heartbeats,
+            lambda: len(pools()) + 1,
+            lambda: bool(self._held),
+        )
+        self._owners = OwnerTable(
+            store,
+            self._on_owner,
+            self.membership.record_census,
+            self.membership.record_owners_read,
+        )
+        self._directory = PeerDirectory(
+            store,
+            clock,
+            name,
+            zone,
+            lambda: self.heartbeats.is_member,
+            self.heartbeats.liveness.record_write_delay,
+        )
 
     @property
     def held(self) -> dict[str, DutyHolder]:
@@ -128,27 +146,32 @@
     @property
     def owners(self) -> dict[str, OwnerRecord]:
         """The last known owner record of each duty."""
-        return {duty: record for duty, (record, _) in self._owners.items()}
+        return self._owners.records
 
     def owner_address(self, duty: str) -> str:
         """Return the address of the other daemon that holds a duty.
 
         Empty if this daemon holds the duty, or the address is unknown.
         """
-        owner = self._owners.get(duty)
-        if owner is None or owner[0].holder == self._name:
-            return ""
-        record = owner[0]
-        return self.heartbeats.address_of(record.holder, record.incarnation)
-
-    def start(self) -> None:
-        """Start to write heartbeats and to claim duties."""
+        return self._owners.address(duty, self._name)
+
+    def peers(self) -> list[str]:
+        """Return addresses of other daemons, those of this zone first."""
+        return self._directory.peers(self.membership.member_addresses())
+
+    def start(self, address: str) -> None:
+        """Start to claim duties; other daemons reach this one at `address`."""
+        self.heartbeats.address = address
+        self._directory.address = address
         loop = asyncio.get_running_loop()
         for name, work in (
-            ("owners", self._replica.run),
+            ("owners", self._owners.replica.run),
             ("heartbeat", self.heartbeats.write_periodically),
             ("heartbeats", self.heartbeats.follow_peers),
             ("claims", self._claim_loop),
+            ("group", self.membership.run),
+            ("census", self.membership.publish_census),
+            ("peers", self._directory.run),
         ):
             self._tasks.append(
                 loop.create_task(supervise(name, work, self._metrics))
@@ -157,8 +180,11 @@
     async def release(self) -> None:
         """Release all duties and announce that this daemon is leaving."""
         self._leaving = True
+        self.membership.leave()
         releases = [self._release_duty(duty) for duty in list(self._held)]
-        await asyncio.gather(*releases, self.heartbeats.leave())
+        await asyncio.gather(
+            *releases, self.heartbeats.leave(), self._directory.leave()
+        )
 
     async def stop(self) -> None:
         """Cancel all tasks without releasing the duties."""
@@ -169,25 +195,10 @@
 
     # --- Claims.
 
-    def _on_owner_row(self, row: StoredRow) -> None:
-        """Apply a changed owner row."""
-        if row.key != OWNER_KEY or row.value is None:
-            return
-        try:
-            record = msgspec.json.decode(row.value, type=OwnerRecord)
-        except msgspec.DecodeError:
-            log_change("row-unreadable", table=row.table, part=row.part)
-            return
-        self._owners[row.part] = (record, row.version)
-        log_change(
-            "duty-seen",
-            duty=row.part,
-            holder=record.holder,
-            term=record.term,
-            version=row.version,
-        )
-        held = self._held.get(row.part)
-        if held is not None and row.version > held.version:
+    def _on_owner(self, duty: str, record: OwnerRecord, version: int) -> None:
+        """Act on a changed owner row."""
+        held = self._held.get(duty)
+        if held is not None and version > held.version:
             held.holder.revoke(f"held by {record.holder or 'nobody'}")
         self._wake.set()
 
@@ -201,7 +212,7 @@
             is_settled = now - self._started_at >= SETTLE_S
             if self._leaving or not is_settled:
                 continue
-            if not self._replica.loaded.is_set():
+            if not self._owners.is_loaded:
                 continue
             if not self.heartbeats.is_current:
                 continue
@@ -299,7 +310,12 @@
         """
         term = known[0].term + 1 if known is not None else 1
         version = known[1] if known is not None else 0
-        record = OwnerRecord(self._name, self._incarnation, term)
+        record = OwnerRecord(
+            self._name,
+            self._incarnation,
+            term,
+            address=self.heartbeats.address,
+        )
         if known is not None:
             record.stalled_before = self._count_stalled(duty, known[0])
         result = await self._store.commit(
@@ -319,7 +335,7 @@
             # Another daemon was faster; the answer has its row.
             row = outcome.rows.get(OWNER_ROW)
             if row is not None and row.version > version:
-                self._on_owner_row(row)
+                self._owners.apply(row)
             return
         log_change(
             "duty-claimed",
@@ -328,7 +344,7 @@
             former=known[0].holder if known is not None else "",
             stalled_before=record.stalled_before,
         )
-        self._owners[duty] = (record, outcome.version)
+        self._owners.put(duty, record, outcome.version)
         holder = self._make_holder(duty, record, outcome.version)
         task = asyncio.get_running_loop().create_task(holder.run())
         task.add_done_callback(lambda _: self._wake.set())
@@ -348,21 +364,8 @@
         delay_s = self.heartbeats.liveness.write_delay_s
         found: list[str] = []
         for duty, held in self._held.items():
-            work = held.holder.work
-            is_stalled = work.is_stalled(now, delay_s)
-            if is_gap and not work.has_restarted:
-                is_stalled = False
-            if is_stalled:
+            if held.check_stalled(duty, now, delay_s, is_gap):
                 found.append(duty)
-            if is_stalled != held.is_stalled:
-                held.is_stalled = is_stalled
-                log_change(
-                    "duty-stalled" if is_stalled else "duty-works-again",
-                    duty=duty,
-                    term=held.record.term,
-                    failing_s=round(now - (work.since or now), 2),
-                    store_delay_s=round(delay_s, 2),
-                )
         return found
 
     async def _release_duty(self, duty: str) -> None:
@@ -380,20 +383,10 @@
         record = OwnerRecord("", "", held.record.term, successor)
         # Count this duty for its successor, so that the next released
         # duty goes to a less loaded daemon.
-        self._owners[duty] = (record, held.version)
-        is_stored = False
-        for _ in range(RELEASE_ATTEMPTS):
-            result = await self._store.commit(
-                duty,
-                {OWNER_ROW: held.version},
-                {OWNER_ROW: msgspec.json.encode(record)},
-            )
-            # A conflict also ends the retries: an earlier attempt took
-            # effect, or the duty already has another holder.
-            is_stored = isinstance(result, Success)
-            if is_stored:
-                break
-            await asyncio.sleep(RELEASE_RETRY_S)
+        self._owners.put(duty, record, held.version)
+        is_stored = await self._owners.store_release(
+            duty, record, held.version
+        )
         log_change(
             "duty-given-back",
             duty=duty,
--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -1,15 +1,15 @@
-"""Writes this daemon's heartbeat and reads those of the other daemons.
+"""Writes this daemon's heartbeat and reads those of the duty group.
 
-Each daemon rewrites one row of its own, and all follow the table's feed.
-A heartbeat also has the address at which its daemon can be reached, the
-capacity of its host, and the duties that it holds but can't do the work of.
+Each member of the duty group rewrites one row of its own, and all members
+follow the table's feed.  A heartbeat also has the address at which its daemon
+can be reached, the capacity of its host, and the duties that it holds but
+can't do the work of.  A daemon outside the group does neither.
 """
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING, Final
-from zlib import crc32
 
 import msgspec
 from returns.result import Failure
@@ -35,12 +35,17 @@
 # The pause between two calls to the feed: less than a heartbeat period, so
 # that each heartbeat is seen separately.
 FEED_PAUSE_S: Final = 0.3
+# The same while this daemon decides whether to join the group: it must see
+# soon that others have joined.
+WATCH_PAUSE_S: Final = 0.05
 # The feed answers at least this often, so that a connection that has
 # stopped responding is detected.
 FEED_WAIT_S: Final = 0.5
 # After this many heartbeats a new daemon counts as settled, because the
 # others have seen it by then.
 SETTLED_HEARTBEATS: Final = 6
+# The rows of daemons that are silent for longer than this are removed.
+SILENT_REMOVE_S: Final = 60.0
 # If no heartbeat has passed for this long, failing work does not show that
 # another daemon could do it.
 PASS_GAP_S: Final = 1.0
@@ -51,8 +56,11 @@
 
     __slots__ = (
         "_clock",
+        "_feed",
+        "_followed",
         "_incarnation",
         "_is_leaving",
+        "_member",
         "_name",
         "_on_gap_end",
         "_on_update",
@@ -100,6 +108,12 @@
         self._records: dict[str, HeartbeatRecord] = {}
         self._sequence = 0
         self._is_leaving = False
+        # Set while the heartbeats are wanted, and while this daemon writes
+        # its own.
+        self._followed = asyncio.Event()
+        self._member = asyncio.Event()
+        # Reads the heartbeats.
+        self._feed: asyncio.Task[None] | None = None
         self.liveness = Liveness()
         self._replica = TableReplica(
             store,
@@ -115,39 +129,70 @@
         """Whether the heartbeats were read recently."""
         return self.liveness.is_current(self._clock.now(), READ_GAP_S)
 
-    def peers(self) -> list[str]:
-        """Return the other daemons' addresses, those of this zone first.
+    @property
+    def is_member(self) -> bool:
+        """Whether this daemon is in the duty group."""
+        return self._member.is_set()
 
-        While heartbeats can't be read, the last known ones are used.
-        """
-        found: list[tuple[bool, int, str]] = []
-        for name, heartbeat in self._records.items():
-            if (
-                name == self._name
-                or not heartbeat.address
-                or heartbeat.leaving
-            ):
-                continue
-            rank = crc32(f"{self._name}\0{name}".encode())
-            found.append(
-                (heartbeat.zone != self._zone, rank, heartbeat.address)
-            )
-        return [address for _, _, address in sorted(found)]
+    def zones(self, now: float) -> dict[str, str]:
+        """Return the zones of the duty group's live members by name."""
+        return {
+            name: self._records[name].zone
+            for name in self.liveness.members(now)
+        }
+
+    def weights(self) -> dict[str, float]:
+        """Return the capacity of all known members' hosts by name."""
+        return {name: each.weight for name, each in self._records.items()}
+
+    def addresses(self, now: float) -> list[tuple[str, str]]:
+        """Return the zone and address of each live member."""
+        found: list[tuple[str, str]] = []
+        for name in sorted(self.liveness.members(now)):
+            record = self._records[name]
+            found.append((record.zone, record.address))
+        return found
 
-    def address_of(self, name: str, incarnation: str) -> str:
-        """Return the address of a daemon's incarnation; empty for none."""
-        heartbeat = self._records.get(name)
-        if heartbeat is None or heartbeat.incarnation != incarnation:
-            return ""
-        return heartbeat.address
+    def follow(self, is_wanted: bool) -> None:
+        """Begin or stop to read the heartbeats."""
+        if is_wanted:
+            self._replica.pause_s = WATCH_PAUSE_S
+            self._followed.set()
+            return
+        self._followed.clear()
+        self._replica.loaded.clear()
+        if self._feed is not None:
+            self._feed.cancel()
+
+    def join(self) -> None:
+        """Write heartbeats from now on."""
+        self.follow(True)
+        self._replica.pause_s = FEED_PAUSE_S
+        self._member.set()
+
+    async def leave_group(self) -> None:
+        """Stop writing heartbeats, and tell the other members."""
+        self._member.clear()
+        self._sequence += 1
+        await self._commit(True)
 
     async def follow_peers(self) -> None:
-        """Follow the other daemons' heartbeats until cancelled."""
-        await self._replica.run()
+        """Follow the members' heartbeats whenever wanted, until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._followed.wait()
+            self._feed = loop.create_task(self._replica.run())
+            try:
+                await asyncio.wait([self._feed])
+            finally:
+                self._feed.cancel()
+            if not self._feed.cancelled():
+                self._feed.result()
 
     async def write_periodically(self) -> None:
-        """Write this daemon's heartbeat until cancelled."""
+        """Write this daemon's heartbeat while it is a member."""
         while True:
+            await self._member.wait()
             began = self._clock.now()
             if not self._is_leaving:
                 await self._write()
@@ -157,10 +202,26 @@
                 max(HEARTBEAT_PERIOD_S / 4, HEARTBEAT_PERIOD_S - spent_s)
             )
 
+    async def remove_silent(self) -> None:
+        """Remove the rows of daemons that have been silent for long."""
+        now = self._clock.now()
+        silent = self.liveness.silent(now, SILENT_REMOVE_S)
+        for row in self._replica.rows:
+            if row.key not in silent:
+                continue
+            name = RowName(DAEMONS_TABLE, row.key)
+            result = await self._store.commit(
+                row.part, {name: row.version}, {name: None}
+            )
+            if isinstance(result, Failure):
+                return
+            log_change("heartbeat-removed", daemon=row.key)
+
     async def leave(self) -> None:
         """Announce to the others that this daemon is stopping."""
         self._is_leaving = True
-        await self._write()
+        if self.is_member:
+            await self._write()
 
     def refresh_own(self) -> None:
         """Count this daemon as alive, even if its row is old."""
@@ -173,24 +234,33 @@
         """
         self._sequence += 1
         is_gap = self._clock.now() - self._passed_at > PASS_GAP_S
+        has_passed = await self._commit(
+            self._is_leaving, self._stalled_duties(is_gap)
+        )
+        if not has_passed:
+            return
+        self._passed_at = self._clock.now()
+        if is_gap:
+            self._on_gap_end()
+
+    async def _commit(
+        self, is_leaving: bool, stalled: list[str] | None = None
+    ) -> bool:
+        """Write the row once; return False if that failed."""
         record = HeartbeatRecord(
             self._incarnation,
             self._zone,
             self.address,
             self._sequence,
-            self._is_leaving,
+            is_leaving,
             self._weight,
-            self._stalled_duties(is_gap),
+            stalled or [],
         )
         name = RowName(DAEMONS_TABLE, self._name)
         result = await self._store.commit(
             self._name, {}, {name: msgspec.json.encode(record)}
         )
-        if isinstance(result, Failure):
-            return
-        self._passed_at = self._clock.now()
-        if is_gap:
-            self._on_gap_end()
+        return not isinstance(result, Failure)
 
     def _on_row(self, row: StoredRow) -> None:
         """Record one heartbeat."""
--- a/lycheelug/jobservice/held_duty.py
+++ b/lycheelug/jobservice/held_duty.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Protocol
 
+from lycheelug.logs import log_change
+
 if TYPE_CHECKING:
     import asyncio
 
@@ -47,3 +49,26 @@
         self.task = task
         # Whether the last heartbeat named it as stalled.
         self.is_stalled = False
+
+    def check_stalled(
+        self, duty: str, now: float, delay_s: float, is_gap: bool
+    ) -> bool:
+        """Return whether the work has failed for too long; log changes.
+
+        `delay_s` is how long this daemon's heartbeat takes to write.
+        `is_gap` says that its heartbeats have not passed either.
+        """
+        work = self.holder.work
+        is_stalled = work.is_stalled(now, delay_s)
+        if is_gap and not work.has_restarted:
+            is_stalled = False
+        if is_stalled != self.is_stalled:
+            self.is_stalled = is_stalled
+            log_change(
+                "duty-stalled" if is_stalled else "duty-works-again",
+                duty=duty,
+                term=self.record.term,
+                failing_s=round(now - (work.since or now), 2),
+                store_delay_s=round(delay_s, 2),
+            )
+        return is_stalled
--- a/lycheelug/jobservice/inspection.py
+++ b/lycheelug/jobservice/inspection.py
@@ -33,8 +33,10 @@
     DAEMONS_TABLE,
     OWNER_KEY,
     OWNERS_TABLE,
+    PEERS_TABLE,
     HeartbeatRecord,
     OwnerRecord,
+    PeerRecord,
 )
 from lycheelug.store.rows import RowCommit, RowName
 from lycheelug.workloads import JobState
@@ -70,11 +72,12 @@
 
 
 class DaemonView(msgspec.Struct):
-    """One daemon's last heartbeat."""
+    """One daemon, with its last heartbeat if it was in the duty group."""
 
     name: str
     zone: str
     address: str
+    # The number of the heartbeat; 0 if it has written none.
     beat: int
     leaving: bool
 
@@ -158,24 +161,27 @@
         return Success(found)
 
     async def daemons(self) -> Result[list[DaemonView], Fault]:
-        """Return the daemons that have ever written a heartbeat."""
-        read = await self._read_all(DAEMONS_TABLE)
-        if isinstance(read, Failure):
-            return Failure(read.failure())
-        found: list[DaemonView] = []
-        for row in read.unwrap():
+        """Return all daemons, with the heartbeats of the duty group."""
+        peers = await self._read_all(PEERS_TABLE)
+        if isinstance(peers, Failure):
+            return Failure(peers.failure())
+        beats = await self._read_all(DAEMONS_TABLE)
+        if isinstance(beats, Failure):
+            return Failure(beats.failure())
+        found: dict[str, DaemonView] = {}
+        for row in peers.unwrap():
+            peer = _decode(row, PeerRecord)
+            if peer is not None:
+                found[peer.name] = DaemonView(
+                    peer.name, row.part, peer.address, 0, False
+                )
+        for row in beats.unwrap():
             beat = _decode(row, HeartbeatRecord)
             if beat is not None:
-                found.append(
-                    DaemonView(
-                        row.key,
-                        beat.zone,
-                        beat.address,
-                        beat.beat,
-                        beat.leaving,
-                    )
+                found[row.key] = DaemonView(
+                    row.key, beat.zone, beat.address, beat.beat, beat.leaving
                 )
-        return Success(found)
+        return Success([found[name] for name in sorted(found)])
 
     async def pools(self) -> Result[list[PoolView], Fault]:
         """Return the load of each pool."""
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -136,8 +136,7 @@
 
     def start(self, address: str = "") -> None:
         """Start all tasks; other daemons reach this one at `address`."""
-        self.duties.heartbeats.address = address
-        self.duties.start()
+        self.duties.start(address)
 
     async def drain(self) -> None:
         """Release the duties; submissions are still accepted."""
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -171,6 +171,23 @@
         peer = self._peers.get(name)
         return peer.weight if peer is not None else 1.0
 
+    def members(self, now: float) -> list[str]:
+        """Return the daemons that are alive and not leaving."""
+        timeout_s = self._timeout_s()
+        return [
+            name
+            for name, peer in self._peers.items()
+            if not peer.leaving and now - peer.changed_at < timeout_s
+        ]
+
+    def silent(self, now: float, age_s: float) -> list[str]:
+        """Return the daemons whose heartbeat is older than `age_s`."""
+        return [
+            name
+            for name, peer in self._peers.items()
+            if now - peer.changed_at > age_s
+        ]
+
     def alive(self, now: float) -> list[str]:
         """Return the daemons that can get duties, sorted by name."""
         settled: list[str] = []
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -214,9 +214,9 @@
     def _peers(self) -> list[str]:
         """Return the addresses of the other daemons.
 
-        Until their heartbeats were read, these are the seeds in the settings.
+        Until these were read, they are the seeds in the settings.
         """
-        known = self._service.duties.heartbeats.peers()
+        known = self._service.duties.peers()
         if known:
             return known
         return self._settings.seed_addresses(self._relay.port)
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -432,11 +432,17 @@
         loop = asyncio.get_running_loop()
         self._fleet_task = loop.create_task(self.fleet.run())
 
-    def start_daemon(self, name: str, weight: float = 1.0) -> JobService:
-        store = FaultyRows(self.rows, self.locks)
+    def start_daemon(
+        self,
+        name: str,
+        weight: float = 1.0,
+        zone: str = "z1",
+        store_class: type[FaultyRows] = FaultyRows,
+    ) -> JobService:
+        store = store_class(self.rows, self.locks)
         service = JobService(
             name,
-            "z1",
+            zone,
             store,
             self.fleet,
             self.fleet,
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -63,7 +63,7 @@
 
 
 @pytest.mark.parametrize(
-    "method", ["write_periodically", "follow_peers", "peers"]
+    "method", ["write_periodically", "follow_peers", "zones"]
 )
 def test_daemon_survives_an_error_in_its_heartbeats(
     monkeypatch: pytest.MonkeyPatch, method: str
