Send large relayed replies in chunks, and limit the time between chunks

Change: replies to reads of whole parts, lists of parts and feeds are streams of 32 KB chunks; the first one is due within the call's limit, each further one within a second, all within ten.

test_large_part_is_relayed_over_a_slow_link failed before and passes now.

--- a/lycheelug/relay/channels.py
+++ b/lycheelug/relay/channels.py
@@ -10,12 +10,17 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Final, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
-from grpclib.client import Channel, UnaryUnaryMethod
+import msgspec
+from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from lycheelug.entries.codec import MessagePackCodec
+from lycheelug.relay.messages import ReplyChunk
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
 __all__ = [
     "CALL_ERRORS",
@@ -33,6 +38,10 @@
 # Time limit of the set-up of a connection, within that of the call.
 CONNECT_TIMEOUT_S: Final = 0.5
 
+# The time limits of a reply in chunks: until the next chunk, and in all.
+CHUNK_TIMEOUT_S: Final = 1.0
+BULK_TIMEOUT_S: Final = 10.0
+
 # The exceptions that a failed call to a peer raises.
 CALL_ERRORS: Final = (
     OSError,
@@ -41,6 +50,7 @@
     GRPCError,
     StreamTerminatedError,
     ProtocolError,
+    msgspec.MsgspecError,
 )
 
 
@@ -93,20 +103,65 @@
 
         Only after a `NotSentError` the call certainly had no effect.
         """
+
+        async def make(channel: Channel) -> R:
+            method: UnaryUnaryMethod[Any, R] = UnaryUnaryMethod(
+                channel, path, type(message), reply
+            )
+            return await method(message)
+
+        return await self._call(address, make, timeout_s, timeout_s)
+
+    async def call_bulk(
+        self,
+        address: str,
+        path: str,
+        message: Any,
+        reply: type[R],
+        timeout_s: float,
+    ) -> R:
+        """Make a call whose reply arrives in chunks; fail like `call`.
+
+        Only the first chunk must arrive within the time limit of the call.
+        """
+        loop = asyncio.get_running_loop()
+
+        async def make(channel: Channel) -> R:
+            method: UnaryStreamMethod[Any, ReplyChunk] = UnaryStreamMethod(
+                channel, path, type(message), ReplyChunk
+            )
+            data = bytearray()
+            async with asyncio.timeout(timeout_s) as limit:
+                async with method.open() as stream:
+                    await stream.send_message(message, end=True)
+                    async for chunk in stream:
+                        data += chunk.data
+                        limit.reschedule(loop.time() + CHUNK_TIMEOUT_S)
+            return msgspec.msgpack.decode(bytes(data), type=reply)
+
+        return await self._call(address, make, timeout_s, BULK_TIMEOUT_S)
+
+    async def _call(
+        self,
+        address: str,
+        make: Callable[[Channel], Awaitable[R]],
+        connect_timeout_s: float,
+        timeout_s: float,
+    ) -> R:
+        """Make a call on the connection to a peer, within a time limit."""
         connection = self._connection(address)
-        method: UnaryUnaryMethod[Any, R] = UnaryUnaryMethod(
-            connection.channel, path, type(message), reply
-        )
         loop = asyncio.get_running_loop()
         began = loop.time()
         is_connected = False
         connection.calls += 1
         try:
             async with asyncio.timeout(timeout_s):
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                async with asyncio.timeout(
+                    min(CONNECT_TIMEOUT_S, connect_timeout_s)
+                ):
                     await connection.channel.__connect__()
                 is_connected = True
-                result = await method(message)
+                result = await make(connection.channel)
             connection.answered_at = loop.time()
             return result
         except GRPCError:
--- a/lycheelug/relay/messages.py
+++ b/lycheelug/relay/messages.py
@@ -18,6 +18,7 @@
     "FeedCall",
     "PartsCall",
     "ReadCall",
+    "ReplyChunk",
     "RowMessage",
     "StoreReply",
     "SubmitCall",
@@ -120,6 +121,12 @@
     waiting: int | None = None
 
 
+class ReplyChunk(msgspec.Struct):
+    """A part of an encoded reply that is sent in several messages."""
+
+    data: bytes
+
+
 class StoreReply(msgspec.Struct, omit_defaults=True):
     """The result of a relayed store call."""
 
--- a/lycheelug/relay/rows.py
+++ b/lycheelug/relay/rows.py
@@ -34,7 +34,7 @@
     StoreReply,
 )
 from lycheelug.relay.peer_choice import PeerChoice
-from lycheelug.relay.server import COMMIT, FEED, PARTS, READ
+from lycheelug.relay.server import BULK_READ, COMMIT, FEED, PARTS, READ
 from lycheelug.store.rows import (
     HistoryGone,
     RowCommit,
@@ -67,6 +67,8 @@
 # A probe reads a part that has no rows.
 PROBE_TABLE: Final = "owners"
 PROBE_PART: Final = "~probe"
+# Calls with replies of any size.
+BULK_PATHS: Final = frozenset({BULK_READ, FEED, PARTS})
 # Maximum number of peers that one call tries.  Most of those without direct
 # access say so at once.
 PEERS_MAX: Final = 5
@@ -143,7 +145,7 @@
         """Return all rows of a part from key `first` to before `end`."""
         return await self._call_store(
             lambda: self._direct_store.read(table, part, first, end),
-            READ,
+            READ if end else BULK_READ,
             ReadCall(table, part, first, end),
             Step.READ,
             StoreReply.to_set,
@@ -272,9 +274,8 @@
                 "no peer is available",
             )
         )
-        channels = self._channels
-        if path in (FEED, PARTS) or (path == READ and not message.end):
-            channels = self._bulk_channels
+        is_bulk = path in BULK_PATHS
+        channels = self._bulk_channels if is_bulk else self._channels
         tried: list[str] = []
         no_answers = 0
         is_any_slow = False
@@ -326,10 +327,9 @@
     timeout_s: float,
 ) -> Result[StoreReply, Fault]:
     """Call one peer; return its reply, which may have a fault."""
+    call = channels.call_bulk if path in BULK_PATHS else channels.call
     try:
-        reply = await channels.call(
-            address, path, message, StoreReply, timeout_s
-        )
+        reply = await call(address, path, message, StoreReply, timeout_s)
     except CALL_ERRORS as error:
         detail = str(error) or type(error).__name__
         code = PLATFORM_UNKNOWN
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -13,6 +13,7 @@
 import socket
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
+import msgspec
 from grpclib.const import Cardinality, Handler, Status
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server
@@ -32,6 +33,7 @@
     FeedCall,
     PartsCall,
     ReadCall,
+    ReplyChunk,
     StoreReply,
     SubmitCall,
     SubmitReply,
@@ -56,13 +58,16 @@
     ]
     CountWaiting = Callable[[str, str], WaitingCount]
 
-__all__ = ["COMMIT", "FEED", "PARTS", "READ", "RelayServer"]
+__all__ = ["BULK_READ", "COMMIT", "FEED", "PARTS", "READ", "RelayServer"]
 
 _SERVICE: Final = "/lycheelug.Relay/"
 COMMIT: Final = _SERVICE + "Commit"
 READ: Final = _SERVICE + "Read"
-PARTS: Final = _SERVICE + "Parts"
-FEED: Final = _SERVICE + "Feed"
+# Calls whose replies may be large, and are sent in chunks.
+BULK_READ: Final = _SERVICE + "BulkRead"
+PARTS: Final = _SERVICE + "BulkParts"
+FEED: Final = _SERVICE + "BulkFeed"
+CHUNK_BYTES: Final = 32 * 1024
 
 Q = TypeVar("Q")
 R = TypeVar("R")
@@ -120,8 +125,9 @@
         return {
             COMMIT: _unary(self._commit, CommitCall),
             READ: _unary(self._read, ReadCall),
-            PARTS: _unary(self._parts, PartsCall),
-            FEED: _unary(self._feed, FeedCall),
+            BULK_READ: _chunked(self._read, ReadCall),
+            PARTS: _chunked(self._parts, PartsCall),
+            FEED: _chunked(self._feed, FeedCall),
             SUBMIT: _unary(self._submit, SubmitCall, SubmitReply),
             COUNT: _unary(self._count, CountCall, CountReply),
         }
@@ -230,6 +236,27 @@
     return Handler(run, Cardinality.UNARY_UNARY, request, reply)
 
 
+def _chunked(
+    function: Callable[[Q], Awaitable[StoreReply]], request: type[Q]
+) -> Handler:
+    """Return the grpclib handler of a method with a reply of any size.
+
+    The reply is sent in chunks, so that its receiver can tell a slow link
+    from a silent peer.
+    """
+
+    async def run(stream: Stream[Any, Any]) -> None:
+        message = await stream.recv_message()
+        if message is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "the call has no message")
+        reply = msgspec.msgpack.encode(await function(message))
+        for start in range(0, len(reply), CHUNK_BYTES):
+            chunk = ReplyChunk(reply[start : start + CHUNK_BYTES])
+            await stream.send_message(chunk)
+
+    return Handler(run, Cardinality.UNARY_STREAM, request, ReplyChunk)
+
+
 def _rows_reply(result: Result[RowSet, Fault]) -> StoreReply:
     """Convert the result of a read to a reply."""
     if isinstance(result, Failure):
