Maintain a share of each pool at once, and replace the hosts meanwhile

Hosts of a pool were drained one at a time until 60 % of the time had passed, then two, in rounds of 3.5 s; a pool whose size is set by its long-running tasks never counted as able to spare one. Ruled out: the wave's limit of 50 (never reached), drains (0.3 to 0.5 s where only long-running tasks were), refused calls (none).

Change: as many hosts of a pool at once as it takes to finish in time, up to a quarter of the pool, which gets as many hosts more for that time. Pools' shortages go first.

--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -4,8 +4,8 @@
 with the number that it has.  Pools that lack hosts get them from pools with
 a surplus and then from the standby pool; a surplus that persists returns to
 the standby pool.  The hosts of a maintenance wave that are in standby are
-maintained first because nothing runs on them, the others one at a time per
-pool, or several when the wave's deadline is close.
+maintained first because nothing runs on them, the others a share of a pool at
+a time.
 
 The planner does no I/O.  Its caller stores the plan and carries out the
 calls that are due.
@@ -16,10 +16,10 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.fleetplan.hosts import HostState
+from lycheelug.fleetplan.moves import plan_moves
 from lycheelug.fleetplan.records import DrainOrder, HostCall, PlanRecord
 from lycheelug.fleetplan.sizing import SIZINGS, typical_capacity
-from lycheelug.fleetplan.waves import plan_wave
-from lycheelug.fleetplan.zones import isolated_zones
+from lycheelug.fleetplan.waves import hosts_at_once, plan_wave
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -29,8 +29,6 @@
 
 __all__ = ["FleetPlanner"]
 
-# A pool's surplus must persist for this long before its hosts are released.
-SURPLUS_DELAY_S: Final = 0.8
 # A host counts as unreachable if its pool's owner has not reported its
 # executor after this time.  Executor entries normally arrive within a second.
 UNREPORTED_S: Final = 3.0
@@ -41,13 +39,12 @@
 
     __slots__ = (
         "_arriving",
-        "_has_seen_work",
         "_incarnations",
         "_last_order_number",
         "_maintenance_ends",
         "_now",
-        "_surplus_since",
         "_wave_seen_at",
+        "has_seen_work",
         "hosts",
         "maintenance_s",
         "plan",
@@ -55,6 +52,7 @@
         "sizing",
         "standby",
         "summaries",
+        "surplus_since",
         "term",
         "waves",
     )
@@ -80,12 +78,12 @@
         self.standby = ""
         self._last_order_number = 0
         # Until some pool has reported work, no host is considered surplus.
-        self._has_seen_work = False
+        self.has_seen_work = False
         self._now = 0.0
         # The current executor incarnation of each host and the local time at
         # which it was first listed.
         self._incarnations: dict[str, tuple[str, float]] = {}
-        self._surplus_since: dict[str, float] = {}
+        self.surplus_since: dict[str, float] = {}
         # Hosts whose move was accepted but that are not yet up in the target
         # pool: the pool and the local time at which waiting ends.
         self._arriving: dict[str, tuple[str, float]] = {}
@@ -158,8 +156,8 @@
         self._drop_stale_orders()
         wanted = self._wanted_sizes()
         self._cancel_unneeded_orders(wanted)
-        self._plan_waves(wanted, now)
-        self._plan_moves(wanted, now)
+        reserve = self._plan_waves(wanted, now)
+        plan_moves(self, wanted, reserve, now)
 
     def sizes(self) -> dict[str, tuple[int, int]]:
         """Return each pool's current and wanted number of hosts."""
@@ -230,6 +228,19 @@
                 names.add(name)
         return len(names)
 
+    def count_maintained_now(self, pool: str) -> int:
+        """Return how many hosts of a pool are drained for or in maintenance.
+
+        Hosts whose maintenance was accepted count until they are back.
+        """
+        count = 0
+        for order in self.plan.orders.values():
+            count += bool(order.wave) and order.pool == pool
+        for name in self._maintenance_ends:
+            host = self.hosts.get(name)
+            count += host is not None and host.pool == pool
+        return count
+
     def _drop_stale_orders(self) -> None:
         """Drop unsent orders for hosts that left the list or their pool."""
         for name, order in list(self.plan.orders.items()):
@@ -251,7 +262,7 @@
                 continue
             wanted[pool] = policy(summary, host_cpu, host_memory)
             if summary.finite_cpu > 0:
-                self._has_seen_work = True
+                self.has_seen_work = True
         return wanted
 
     def active_hosts(self, pool: str) -> list[str]:
@@ -312,73 +323,24 @@
             f"{self.term}.{self._last_order_number}", host.pool, target, wave
         )
 
-    def _plan_waves(self, wanted: dict[str, int], now: float) -> None:
-        """Add maintenance orders for the waves that are not completed."""
+    def _plan_waves(
+        self, wanted: dict[str, int], now: float
+    ) -> dict[str, int]:
+        """Add maintenance orders for the waves that are not completed.
+
+        Return the hosts that each pool needs besides, to replace those that
+        are maintained.
+        """
+        reserve: dict[str, int] = {}
         for wave in self.waves.values():
             if wave.number in self.plan.completed:
                 continue
             age_s = now - self._wave_seen_at[wave.number]
             plan_wave(self, wave, wanted, age_s)
-
-    def _plan_moves(self, wanted: dict[str, int], now: float) -> None:
-        """Add moves to pools that lack hosts and of persistent surplus."""
-        if not self.standby:
-            return
-        missing: list[str] = []
-        surplus: list[str] = []
-        for pool in self.pools:
-            spare = self.count_hosts(pool) - wanted[pool]
-            if spare < 0:
-                missing.extend([pool] * -spare)
-            if spare <= 0 or not self._has_seen_work:
-                self._surplus_since.pop(pool, None)
-                continue
-            since = self._surplus_since.setdefault(pool, now)
-            if now - since < SURPLUS_DELAY_S:
-                continue
-            for name in self._releasable_hosts(pool)[:spare]:
-                surplus.append(name)
-        candidates = self._standby_candidates()
-        for pool in missing:
-            if surplus:
-                self.add_order(surplus.pop(0), target=pool)
-            elif candidates:
-                self.add_order(candidates.pop(0), target=pool)
-        for name in surplus:
-            self.add_order(name, target=self.standby)
-
-    def _releasable_hosts(self, pool: str) -> list[str]:
-        """Return a pool's hosts without long-running tasks.
-
-        The least loaded hosts come first, and among equally loaded ones
-        those that are due for maintenance.
-        """
-        summary = self.summaries.get(pool)
-        if summary is None:
-            return []
-        due = self._due_for_maintenance()
-        found: list[tuple[int, bool, str]] = []
-        for name in self.active_hosts(pool):
-            load = summary.hosts.get(name)
-            if load is None or load.lasting_runs:
-                continue
-            found.append((load.used_cpu, name not in due, name))
-        return [name for _, _, name in sorted(found)]
-
-    def _standby_candidates(self) -> list[str]:
-        """Return the standby hosts in the order in which to move them.
-
-        Hosts in isolated zones come last because the owner of their new
-        pool could not reach them, and hosts due for maintenance come after
-        those that are not.
-        """
-        due = self._due_for_maintenance()
-        isolated = isolated_zones(self.hosts, self.summaries, self.plan.orders)
-        found: list[tuple[bool, bool, str]] = []
-        for name in self.active_hosts(self.standby):
-            is_isolated = self.hosts[name].zone in isolated
-            found.append((is_isolated, name in due, name))
-        return [name for _, _, name in sorted(found)]
+            for pool in self.pools:
+                at_once, _ = hosts_at_once(self, wave, pool, age_s)
+                reserve[pool] = reserve.get(pool, 0) + at_once
+        return reserve
 
     def count_spare_standby(self, wanted: Mapping[str, int]) -> int:
         """Return the standby hosts left after all pools' shortages.
@@ -390,7 +352,7 @@
             missing += max(0, wanted[pool] - self.count_hosts(pool))
         return len(self.active_hosts(self.standby)) - missing
 
-    def _due_for_maintenance(self) -> set[str]:
+    def due_for_maintenance(self) -> set[str]:
         """Return the hosts that an uncompleted wave has yet to maintain."""
         due: set[str] = set()
         for wave in self.waves.values():
--- a/lycheelug/fleetplan/waves.py
+++ b/lycheelug/fleetplan/waves.py
@@ -1,10 +1,12 @@
 """Selects the hosts of a maintenance wave to maintain next.
 
 Hosts in standby come first because nothing runs on them, but not while pools
-lack hosts: a surge usually ends before the wave's deadline.  The others are
-maintained one at a time per pool, and only if the pool can spare a host.
-When the deadline is close, hosts are maintained even if a pool lacks them,
-and up to `URGENT_HOSTS_PER_POOL` at a time per pool.
+lack hosts: a surge usually ends before the wave's deadline.  Of the hosts of
+a pool, as many are maintained at once as it takes to finish in time, up to a
+share of the pool.  They leave only if the pool can spare them, so for the
+time of the wave a pool gets as many hosts more.  If even the largest share
+finishes no sooner than the deadline, hosts are maintained although their pool
+lacks them.
 """
 
 from __future__ import annotations
@@ -20,7 +22,7 @@
     from lycheelug.fleetplan.hosts import MaintenanceWave
     from lycheelug.fleetplan.planner import FleetPlanner
 
-__all__ = ["plan_wave"]
+__all__ = ["hosts_at_once", "plan_wave"]
 
 # A wave becomes urgent after this share of the time until its deadline.
 URGENT_SHARE: Final = 0.6
@@ -29,9 +31,10 @@
 OVERHEAD_S: Final = 1.5
 # Reserved for a failover of the planner to another daemon.
 FAILOVER_MARGIN_S: Final = 4.0
-# The maximum number of hosts of one pool to drain at the same time for an
-# urgent wave.
-URGENT_HOSTS_PER_POOL: Final = 2
+# The share of a pool's hosts that are maintained at once at most; a small
+# pool may do without the minimum.
+POOL_SHARE_MAX: Final = 0.25
+POOL_HOSTS_MIN: Final = 2
 
 
 def plan_wave(
@@ -43,11 +46,10 @@
     """Add orders for the hosts of a wave whose maintenance can begin."""
     is_urgent = _is_urgent(planner, wave, age_s)
     remaining = wave.max_concurrent - planner.count_in_maintenance()
-    by_pool: dict[str, int] = {}
     for order in planner.plan.orders.values():
         if order.wave and not order.sent:
-            by_pool[order.pool] = by_pool.get(order.pool, 0) + 1
             remaining -= 1
+    allowed = _allowed_by_pool(planner, wave, wanted, age_s)
     spare_standby = planner.count_spare_standby(wanted)
     for name in _sort_by_load(planner, planner.pending_hosts(wave)):
         host = planner.hosts[name]
@@ -60,16 +62,60 @@
                 continue
             spare_standby -= 1
         else:
-            pool_limit = URGENT_HOSTS_PER_POOL if is_urgent else 1
-            if by_pool.get(host.pool, 0) >= pool_limit:
-                continue
-            if not is_urgent and not _can_spare(planner, host.pool, wanted):
+            if allowed.get(host.pool, 0) <= 0:
                 continue
+            allowed[host.pool] -= 1
         planner.add_order(name, wave=wave.number)
-        by_pool[host.pool] = by_pool.get(host.pool, 0) + 1
         remaining -= 1
 
 
+def hosts_at_once(
+    planner: FleetPlanner, wave: MaintenanceWave, pool: str, age_s: float
+) -> tuple[int, bool]:
+    """Return how many hosts of a pool to maintain at once.
+
+    Also return whether more than that would be needed to finish in time.
+    """
+    pending = 0
+    for name in planner.pending_hosts(wave):
+        pending += planner.hosts[name].pool == pool
+    round_s = planner.maintenance_s + OVERHEAD_S
+    rounds = int((wave.deadline_s - FAILOVER_MARGIN_S - age_s) / round_s)
+    needed = math.ceil(pending / max(1, rounds))
+    limit = max(
+        POOL_HOSTS_MIN, int(planner.count_hosts(pool) * POOL_SHARE_MAX)
+    )
+    return min(needed, limit), needed >= limit
+
+
+def _allowed_by_pool(
+    planner: FleetPlanner,
+    wave: MaintenanceWave,
+    wanted: Mapping[str, int],
+    age_s: float,
+) -> dict[str, int]:
+    """Return how many more hosts of each pool may be maintained now."""
+    allowed: dict[str, int] = {}
+    for pool in planner.pools:
+        at_once, is_late = hosts_at_once(planner, wave, pool, age_s)
+        left = at_once - planner.count_maintained_now(pool)
+        if not is_late:
+            left = min(left, _count_spare(planner, pool, wanted))
+        allowed[pool] = left
+    return allowed
+
+
+def _count_spare(
+    planner: FleetPlanner, pool: str, wanted: Mapping[str, int]
+) -> int:
+    """Return how many hosts a pool can do without for a while."""
+    active = len(planner.active_hosts(pool))
+    if active <= 1:
+        # Its only host is replaced before its maintenance.
+        return active
+    return active - wanted[pool]
+
+
 def _is_urgent(
     planner: FleetPlanner, wave: MaintenanceWave, age_s: float
 ) -> bool:
@@ -85,15 +131,6 @@
     return wave.deadline_s - age_s < needed_s
 
 
-def _can_spare(
-    planner: FleetPlanner, pool: str, wanted: Mapping[str, int]
-) -> bool:
-    """Return whether a pool can do without one host for a while."""
-    return len(planner.active_hosts(pool)) > wanted[pool] or (
-        wanted[pool] <= max(2, planner.count_hosts(pool) // 2)
-    )
-
-
 def _sort_by_load(planner: FleetPlanner, names: list[str]) -> list[str]:
     """Sort hosts: standby hosts first, then the others by load."""
 
