--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -148,17 +148,30 @@
 
     # --- Decisions.
 
-    def decide(self, now: float) -> None:
+    def decide(self, now: float, unix_ms: int = 0) -> None:
         """Update the plan's orders to the current demand and waves."""
         self._now = now
         for wave in self.waves.values():
-            self._wave_seen_at.setdefault(wave.number, now)
+            self._record_wave(wave, now, unix_ms)
         self._drop_stale_orders()
         wanted = self._wanted_sizes()
         self._cancel_unneeded_orders(wanted)
         reserve = self._plan_waves(wanted, now)
         plan_moves(self, wanted, reserve, now)
 
+    def _record_wave(
+        self, wave: MaintenanceWave, now: float, unix_ms: int
+    ) -> None:
+        """Record since when a wave is known, also to earlier planners."""
+        if wave.number in self._wave_seen_at:
+            return
+        seen_ms = self.plan.seen_ms.setdefault(str(wave.number), unix_ms)
+        age_s = (unix_ms - seen_ms) / 1000
+        # Clocks may differ and jump, but no wave is older than its deadline
+        # to any purpose.
+        age_s = min(max(0.0, age_s), wave.deadline_s)
+        self._wave_seen_at[wave.number] = now - age_s
+
     def sizes(self) -> dict[str, tuple[int, int]]:
         """Return each pool's current and wanted number of hosts."""
         wanted = self._wanted_sizes()
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -117,9 +117,11 @@
     term: int
     orders: dict[str, DrainOrder] = {}
     # Stored in a row for each wave, the `WaveRecord`: the maintained hosts by
-    # wave, and the waves that were published as completed.
+    # wave, the waves that were published as completed, and their ages.
     maintained: dict[str, list[str]] = {}
     completed: list[int] = []
+    # Unix times in milliseconds at which waves were first seen, by wave.
+    seen_ms: dict[str, int] = {}
 
 
 class WaveRecord(msgspec.Struct, omit_defaults=True):
@@ -128,6 +130,8 @@
     maintained: list[str] = []
     # The wave was published as completed.
     is_completed: bool = False
+    # Unix time in milliseconds at which it was first seen; 0 if unknown.
+    seen_ms: int = 0
 
 
 class HostCall:
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -196,7 +196,8 @@
             if pool.is_standby:
                 planner.standby = pool.name
         planner.waves = dict(self._waves())
-        planner.decide(self._context.clock.now())
+        clock = self._context.clock
+        planner.decide(clock.now(), clock.unix_ms())
         self._log_sizes()
         due = [
             call
--- a/lycheelug/jobservice/plan_store.py
+++ b/lycheelug/jobservice/plan_store.py
@@ -160,9 +160,12 @@
     rows = {PLAN_ROW: msgspec.json.encode(orders)}
     waves = set(plan.maintained)
     waves.update(str(number) for number in plan.completed)
+    waves.update(plan.seen_ms)
     for wave in waves:
         record = WaveRecord(
-            plan.maintained.get(wave, []), int(wave) in plan.completed
+            plan.maintained.get(wave, []),
+            int(wave) in plan.completed,
+            plan.seen_ms.get(wave, 0),
         )
         rows[RowName(WAVES_TABLE, wave)] = msgspec.json.encode(record)
     return rows
@@ -180,6 +183,8 @@
     if wave is None or not row.key.isdecimal():
         return False
     plan.maintained[row.key] = wave.maintained
+    if wave.seen_ms:
+        plan.seen_ms[row.key] = wave.seen_ms
     if wave.is_completed:
         plan.completed.append(int(row.key))
     return True
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -177,6 +177,28 @@
     assert world.planner.finished_waves() == [1]
 
 
+@pytest.mark.parametrize(
+    ("clock_jump_ms", "is_urgent"),
+    [(0, True), (-90_000, False), (3_600_000, True)],
+)
+def test_next_planner_knows_how_old_a_wave_is(
+    clock_jump_ms: int, is_urgent: bool
+) -> None:
+    before = FleetWorld()
+    before.wave("s1")
+    before.planner.decide(before.now, 1_000_000)
+    world = FleetWorld(before.planner.plan)
+    world.add("a", "a1", used=900)
+    world.add("b", "b1", used=900)
+    world.add("off", "s1")
+    world.planner.summaries["a"].ready_cpu = 1700
+    world.wave("s1")
+    world.planner.update_hosts(world.hosts, world.now)
+    world.planner.decide(world.now, 1_015_000 + clock_jump_ms)
+    wanted = {"s1": "wave 1"} if is_urgent else {"s1": "a"}
+    assert world.targets == wanted
+
+
 def test_sent_order_is_finished_by_the_next_planner() -> None:
     """A delayed call of the previous holder must not hit a host in use."""
     before = FleetWorld()
