Forecast demand that goes round the pools by turns

A host takes its first task 1.6 s after its order (1.52 to 1.67 s until it is listed, 0.03 s until it is heard, 0.03 s until a task starts, medians); the orders themselves come 1 to 1.5 s after the rise, as the size follows what waits. Ruled out: the owner and the plan (0.15 s from demand to order), the list of hosts, connections.

Change: the planner learns what a turn brings, how far apart turns begin and in which order. A pool whose turn begins gets hosts for a part of that at once; the next pool gets them shortly before. Turns are stored for the next planner.

--- a/lycheelug/fleetplan/__init__.py
+++ b/lycheelug/fleetplan/__init__.py
@@ -8,6 +8,8 @@
     PLANS_TABLE,
     SUMMARIES_TABLE,
     SUMMARY_KEY,
+    TURNS_KEY,
+    TURNS_TABLE,
     WAVES_TABLE,
     DrainOrder,
     HostCall,
@@ -15,12 +17,16 @@
     HostsRecord,
     PlanRecord,
     SummaryRecord,
+    Turn,
+    TurnsRecord,
     WaveRecord,
     decode_hosts,
     decode_plan,
     decode_summary,
+    decode_turns,
     decode_wave_record,
 )
+from lycheelug.fleetplan.turns import TurnForecast
 
 __all__ = [
     "HOSTS_KEY",
@@ -28,6 +34,8 @@
     "PLAN_KEY",
     "SUMMARIES_TABLE",
     "SUMMARY_KEY",
+    "TURNS_KEY",
+    "TURNS_TABLE",
     "WAVES_TABLE",
     "DrainOrder",
     "FleetPlanner",
@@ -39,9 +47,13 @@
     "MaintenanceWave",
     "PlanRecord",
     "SummaryRecord",
+    "Turn",
+    "TurnForecast",
+    "TurnsRecord",
     "WaveRecord",
     "decode_hosts",
     "decode_plan",
     "decode_summary",
+    "decode_turns",
     "decode_wave_record",
 ]
--- a/lycheelug/fleetplan/moves.py
+++ b/lycheelug/fleetplan/moves.py
@@ -15,12 +15,33 @@
 
     from lycheelug.fleetplan.planner import FleetPlanner
 
-__all__ = ["plan_moves"]
+__all__ = ["cancel_unneeded_moves", "drop_stale_orders", "plan_moves"]
 
 # A pool's surplus must persist for this long before its hosts are released.
 SURPLUS_DELAY_S: Final = 0.8
 
 
+def drop_stale_orders(planner: FleetPlanner) -> None:
+    """Drop unsent orders for hosts that left the list or their pool."""
+    for name, order in list(planner.plan.orders.items()):
+        host = planner.hosts.get(name)
+        if order.sent or not planner.hosts:
+            continue
+        if host is None or host.pool != order.pool:
+            del planner.plan.orders[name]
+
+
+def cancel_unneeded_moves(
+    planner: FleetPlanner, wanted: Mapping[str, int]
+) -> None:
+    """Cancel unsent moves of hosts that their pool needs again."""
+    for name, order in list(planner.plan.orders.items()):
+        if order.sent or order.wave or order.pool == planner.standby:
+            continue
+        if wanted.get(order.pool, 0) > planner.count_hosts(order.pool):
+            del planner.plan.orders[name]
+
+
 def plan_moves(
     planner: FleetPlanner,
     wanted: Mapping[str, int],
--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -16,9 +16,18 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.fleetplan.hosts import HostState
-from lycheelug.fleetplan.moves import plan_moves
+from lycheelug.fleetplan.moves import (
+    cancel_unneeded_moves,
+    drop_stale_orders,
+    plan_moves,
+)
 from lycheelug.fleetplan.records import DrainOrder, HostCall, PlanRecord
-from lycheelug.fleetplan.sizing import SIZINGS, typical_capacity
+from lycheelug.fleetplan.sizing import (
+    SIZINGS,
+    hosts_for_cpu,
+    typical_capacity,
+)
+from lycheelug.fleetplan.turns import FORECASTS
 from lycheelug.fleetplan.waves import hosts_at_once, plan_wave
 
 if TYPE_CHECKING:
@@ -39,10 +48,12 @@
 
     __slots__ = (
         "_arriving",
+        "_forecast",
         "_incarnations",
         "_last_order_number",
         "_maintenance_ends",
         "_now",
+        "_unix_ms",
         "_wave_seen_at",
         "has_seen_work",
         "hosts",
@@ -63,11 +74,13 @@
         plan: PlanRecord | None,
         maintenance_s: float,
         sizing: str = "demand",
+        forecast: str = "turns",
     ) -> None:
         self.term = term
         self.plan = plan or PlanRecord(term)
         self.plan.term = term
         self.sizing = sizing
+        self._forecast = FORECASTS.get(forecast)(self.plan.turns)
         # The minimum duration of a host's maintenance.
         self.maintenance_s = maintenance_s
         self.hosts: dict[str, HostInfo] = {}
@@ -80,6 +93,7 @@
         # Until some pool has reported work, no host is considered surplus.
         self.has_seen_work = False
         self._now = 0.0
+        self._unix_ms = 0
         # The current executor incarnation of each host and the local time at
         # which it was first listed.
         self._incarnations: dict[str, tuple[str, float]] = {}
@@ -151,11 +165,13 @@
     def decide(self, now: float, unix_ms: int = 0) -> None:
         """Update the plan's orders to the current demand and waves."""
         self._now = now
+        self._unix_ms = unix_ms
+        self._observe_arrivals()
         for wave in self.waves.values():
             self._record_wave(wave, now, unix_ms)
-        self._drop_stale_orders()
+        drop_stale_orders(self)
         wanted = self._wanted_sizes()
-        self._cancel_unneeded_orders(wanted)
+        cancel_unneeded_moves(self, wanted)
         reserve = self._plan_waves(wanted, now)
         plan_moves(self, wanted, reserve, now)
 
@@ -254,15 +270,6 @@
             count += host is not None and host.pool == pool
         return count
 
-    def _drop_stale_orders(self) -> None:
-        """Drop unsent orders for hosts that left the list or their pool."""
-        for name, order in list(self.plan.orders.items()):
-            host = self.hosts.get(name)
-            if order.sent or not self.hosts:
-                continue
-            if host is None or host.pool != order.pool:
-                del self.plan.orders[name]
-
     def _wanted_sizes(self) -> dict[str, int]:
         """Return the number of hosts that each pool should have."""
         host_cpu, host_memory = typical_capacity(self.hosts.values())
@@ -273,11 +280,33 @@
             if summary is None:
                 wanted[pool] = self.count_hosts(pool)
                 continue
-            wanted[pool] = policy(summary, host_cpu, host_memory)
+            expected_cpu = self._forecast.expected_cpu(
+                pool, summary.arriving_cpu, self._now, self._unix_ms
+            )
+            wanted[pool] = max(
+                policy(summary, host_cpu, host_memory),
+                hosts_for_cpu(expected_cpu + summary.lasting_cpu, host_cpu)
+                if expected_cpu
+                else 0,
+            )
             if summary.finite_cpu > 0:
                 self.has_seen_work = True
         return wanted
 
+    def _observe_arrivals(self) -> None:
+        """Let the forecast learn from what has arrived at the pools."""
+        for pool in self.pools:
+            summary = self.summaries.get(pool)
+            if summary is not None:
+                self._forecast.observe(
+                    pool,
+                    summary.arriving_cpu,
+                    summary.arriving_jobs,
+                    self._now,
+                    self._unix_ms,
+                )
+        self.plan.turns = self._forecast.export()
+
     def active_hosts(self, pool: str) -> list[str]:
         """Return a pool's usable hosts that no order removes from it."""
         found: list[str] = []
@@ -320,14 +349,6 @@
                 count += 1
         return count
 
-    def _cancel_unneeded_orders(self, wanted: dict[str, int]) -> None:
-        """Cancel unsent moves of hosts that their pool needs again."""
-        for name, order in list(self.plan.orders.items()):
-            if order.sent or order.wave or order.pool == self.standby:
-                continue
-            if wanted.get(order.pool, 0) > self.count_hosts(order.pool):
-                del self.plan.orders[name]
-
     def add_order(self, name: str, target: str = "", wave: int = 0) -> None:
         """Add an order with a unique number."""
         self._last_order_number += 1
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -23,6 +23,8 @@
     "PLAN_KEY",
     "SUMMARIES_TABLE",
     "SUMMARY_KEY",
+    "TURNS_KEY",
+    "TURNS_TABLE",
     "WAVES_TABLE",
     "DrainOrder",
     "HostCall",
@@ -30,10 +32,13 @@
     "HostsRecord",
     "PlanRecord",
     "SummaryRecord",
+    "Turn",
+    "TurnsRecord",
     "WaveRecord",
     "decode_hosts",
     "decode_plan",
     "decode_summary",
+    "decode_turns",
     "decode_wave_record",
 ]
 
@@ -43,6 +48,8 @@
 PLANS_TABLE: Final = "plans"
 PLAN_KEY: Final = "plan"
 WAVES_TABLE: Final = "waves"
+TURNS_TABLE: Final = "turns"
+TURNS_KEY: Final = "turns"
 
 
 class HostLoad(msgspec.Struct, array_like=True):
@@ -77,6 +84,10 @@
     late_cpu: int = 0
     # The expected increase of arriving work until a new host could start.
     growing_cpu: int = 0
+    # The work that arrived in the last second, and its jobs, without those
+    # that are long-running.
+    arriving_cpu: int = 0
+    arriving_jobs: int = 0
     # Tasks that wait for earlier steps of their job.
     blocked_cpu: int = 0
     running_cpu: int = 0
@@ -99,6 +110,23 @@
         return wanted - self.lasting_cpu
 
 
+class Turn(msgspec.Struct, array_like=True):
+    """One turn of a pool."""
+
+    pool: str
+    # Unix time in milliseconds, as clocks of planners on other hosts differ
+    # by less than turns do.
+    began_ms: int
+    # The largest work that arrived in a second, in thousandths of a core.
+    peak_cpu: int = 0
+
+
+class TurnsRecord(msgspec.Struct, omit_defaults=True):
+    """The last turns of all pools, as the planner has learned them."""
+
+    turns: list[Turn] = []
+
+
 class DrainOrder(msgspec.Struct, array_like=True):
     """An order to drain a host before a move or maintenance."""
 
@@ -122,6 +150,8 @@
     completed: list[int] = []
     # Unix times in milliseconds at which waves were first seen, by wave.
     seen_ms: dict[str, int] = {}
+    # Stored in a row of their own, the `TurnsRecord`.
+    turns: list[Turn] = []
 
 
 class WaveRecord(msgspec.Struct, omit_defaults=True):
@@ -174,3 +204,11 @@
         return msgspec.json.decode(value, type=WaveRecord)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
+
+
+def decode_turns(value: bytes) -> TurnsRecord | None:
+    """Return the decoded turns, or None if the value is invalid."""
+    try:
+        return msgspec.json.decode(value, type=TurnsRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
--- a/lycheelug/fleetplan/sizing.py
+++ b/lycheelug/fleetplan/sizing.py
@@ -21,7 +21,7 @@
 
     Sizing = Callable[[SummaryRecord, int, int], int]
 
-__all__ = ["SIZINGS", "size_by_demand", "typical_capacity"]
+__all__ = ["SIZINGS", "hosts_for_cpu", "size_by_demand", "typical_capacity"]
 
 SIZINGS: Final[Registry[Sizing]] = Registry("sizing policy")
 
@@ -43,6 +43,11 @@
     return 0, 0
 
 
+def hosts_for_cpu(cpu: int, host_cpu: int) -> int:
+    """Return the number of hosts that tasks of this CPU would fill."""
+    return math.ceil(cpu / (host_cpu * PACKING_SHARE)) if host_cpu else 0
+
+
 @SIZINGS.register("demand")
 def size_by_demand(
     summary: SummaryRecord, host_cpu: int, host_memory: int
@@ -55,7 +60,7 @@
     cpu -= int(summary.late_cpu * (1 - LATE_WORK_SHARE))
     cpu += int(summary.blocked_cpu * BLOCKED_WORK_SHARE)
     memory = summary.running_memory + summary.ready_memory
-    by_cpu = math.ceil(cpu / (host_cpu * PACKING_SHARE)) if host_cpu else 0
+    by_cpu = hosts_for_cpu(cpu, host_cpu)
     by_memory = (
         math.ceil(memory / (host_memory * PACKING_SHARE)) if host_memory else 0
     )
--- a/lycheelug/jobservice/plan_store.py
+++ b/lycheelug/jobservice/plan_store.py
@@ -20,10 +20,14 @@
 from lycheelug.fleetplan import (
     PLAN_KEY,
     PLANS_TABLE,
+    TURNS_KEY,
+    TURNS_TABLE,
     WAVES_TABLE,
     PlanRecord,
+    TurnsRecord,
     WaveRecord,
     decode_plan,
+    decode_turns,
     decode_wave_record,
 )
 from lycheelug.jobservice.tables import FLEET_PART, OWNER_ROW
@@ -39,6 +43,7 @@
 __all__ = ["PlanStore"]
 
 PLAN_ROW: Final = RowName(PLANS_TABLE, PLAN_KEY)
+TURNS_ROW: Final = RowName(TURNS_TABLE, TURNS_KEY)
 # The minimum time between two writes in which only orders have ended.
 ENDED_INTERVAL_S: Final = 0.4
 
@@ -71,7 +76,7 @@
     async def load(self, term: int) -> Result[PlanRecord, Fault]:
         """Return the plan that the last owner stored."""
         plan = PlanRecord(term)
-        for table in (PLANS_TABLE, WAVES_TABLE):
+        for table in (PLANS_TABLE, WAVES_TABLE, TURNS_TABLE):
             read = await self._store.read(table, FLEET_PART)
             if isinstance(read, Failure):
                 return Failure(read.failure())
@@ -79,7 +84,7 @@
                 self._versions[row.name] = row.version
                 if not _add_row(plan, row):
                     log_change("row-unreadable", table=table, key=row.key)
-                elif table == WAVES_TABLE and row.value is not None:
+                elif table != PLANS_TABLE and row.value is not None:
                     self._stored[row.name] = row.value
         return Success(plan)
 
@@ -168,6 +173,8 @@
             plan.seen_ms.get(wave, 0),
         )
         rows[RowName(WAVES_TABLE, wave)] = msgspec.json.encode(record)
+    if plan.turns:
+        rows[TURNS_ROW] = msgspec.json.encode(TurnsRecord(plan.turns))
     return rows
 
 
@@ -179,6 +186,12 @@
             return False
         plan.orders = stored.orders
         return True
+    if row.table == TURNS_TABLE:
+        turns = decode_turns(row.value or b"")
+        if turns is None:
+            return False
+        plan.turns = turns.turns
+        return True
     wave = decode_wave_record(row.value or b"")
     if wave is None or not row.key.isdecimal():
         return False
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -45,6 +45,8 @@
     summary = SummaryRecord(schedule.term)
     growth = int(schedule.arrivals.growth(now))
     summary.growing_cpu = growth // GROWTH_STEP * GROWTH_STEP
+    work, summary.arriving_jobs = schedule.arrivals.last_window(now)
+    summary.arriving_cpu = int(work) // GROWTH_STEP * GROWTH_STEP
     summary.run_times = schedule.run_times.export()
     for view in schedule.executors.values():
         if not is_in_use(view):
--- a/lycheelug/workloads/demand.py
+++ b/lycheelug/workloads/demand.py
@@ -53,6 +53,20 @@
         """Record the work of a job that has arrived."""
         self._arrived.append((now, work))
 
+    def last_window(self, now: float) -> tuple[float, int]:
+        """Return the work and the number of jobs of the last window.
+
+        As work a second, it is in thousandths of a core.
+        """
+        work = 0.0
+        jobs = 0
+        for at, each in reversed(self._arrived):
+            if now - at > WINDOW_S:
+                break
+            work += each
+            jobs += 1
+        return work / WINDOW_S, jobs
+
     def growth(self, now: float) -> float:
         """Return the expected growth of the load until a new host is ready.
 
