Let only members of the duty group claim duties

Daemons that had not joined the group found their own name there and claimed; the next one saw a holder without a heartbeat and claimed again: 9 terms of one pool within 0.6 s.

tests/test_duty_group.py::test_restart_of_all_changes_each_owner_once failed before and passes now.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -214,6 +214,9 @@
                 continue
             if not self._owners.is_loaded:
                 continue
+            # A row of this daemon's last life doesn't make it a member.
+            if not self.heartbeats.is_member:
+                continue
             if not self.heartbeats.is_current:
                 continue
             pools = self._pools()
--- a/tests/test_duty_group.py
+++ b/tests/test_duty_group.py
@@ -177,6 +177,39 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize("count", [3, 30])
+def test_restart_of_all_changes_each_owner_once(count: int) -> None:
+    """Rows of the daemons' last lives make them look like members."""
+
+    async def run() -> None:
+        world = JobWorld()
+        world.fleet.add("x0")
+        world.start_fleet()
+        start_daemons(world, count)
+        await asyncio.sleep(8.0)
+        before = owner_term(world)
+        for service in world.daemons.values():
+            await service.stop()
+        world.daemons.clear()
+        await asyncio.sleep(0.4)
+        start_daemons(world, count)
+        for _ in range(800):
+            await asyncio.sleep(0.01)
+            assert set(world.holders(POOL)) <= set(members(world))
+        assert len(world.holders(POOL)) == 1
+        assert owner_term(world) == before + 1
+        await world.stop()
+
+    run_virtual(run())
+
+
+def owner_term(world: JobWorld) -> int:
+    """Return the newest term of the pool's owner that any daemon knows."""
+    return max(
+        service.duties.owners[POOL].term for service in world.daemons.values()
+    )
+
+
 def test_daemons_that_leave_in_turn_are_replaced() -> None:
     async def run() -> None:
         world = JobWorld()
