Begin no turn in the tail of another, and keep standby hosts for the next

Change: no turn begins within 3 s of the end of the pool's last one; a wave that is not urgent leaves the hosts that the least known turn needs at once.

--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -379,11 +379,14 @@
     def count_spare_standby(self, wanted: Mapping[str, int]) -> int:
         """Return the standby hosts left after all pools' shortages.
 
-        The result is negative if the pools lack more hosts than there are.
+        Those that the next turn needs at once don't count.  The result is
+        negative if the pools lack more hosts than there are.
         """
         missing = 0
         for pool in self.pools:
             missing += max(0, wanted[pool] - self.count_hosts(pool))
+        host_cpu, _ = typical_capacity(self.hosts.values())
+        missing += hosts_for_cpu(self._forecast.next_cpu(), host_cpu)
         return len(self.active_hosts(self.standby)) - missing
 
     def due_for_maintenance(self) -> set[str]:
--- a/lycheelug/fleetplan/turns.py
+++ b/lycheelug/fleetplan/turns.py
@@ -18,6 +18,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING, Final
 
@@ -37,6 +38,8 @@
 # work is at least this share of a usual turn's.
 START_JOBS: Final = 3
 START_SHARE: Final = 0.12
+# The last jobs of a turn begin no other: none begins for this long after it.
+REST_S: Final = 3.0
 # While no turn is known, one begins when the work of a second is as many
 # times the average of the time before.
 START_RISE: Final = 4.0
@@ -67,6 +70,7 @@
     __slots__ = (
         "average",
         "blocked_until",
+        "ended_at",
         "is_confirmed",
         "jobs",
         "peak",
@@ -82,6 +86,8 @@
         # The turn in progress, and the local time at which it began.
         self.turn: Turn | None = None
         self.since = 0.0
+        # Local time at which the last turn has ended.
+        self.ended_at = -math.inf
         # Whether it has lasted for its rise, and the average jobs a second.
         self.is_confirmed = False
         self.jobs = 0.0
@@ -117,6 +123,10 @@
         if there is nothing to provide for but what waits.
         """
 
+    @abstractmethod
+    def next_cpu(self) -> int:
+        """Return the work for which hosts should be at hand."""
+
     @abstractmethod
     def export(self) -> list[Turn]:
         """Return what the next planner needs to know."""
@@ -142,6 +152,10 @@
         """Return that nothing is expected."""
         return 0
 
+    def next_cpu(self) -> int:
+        """Return that nothing is expected."""
+        return 0
+
     def export(self) -> list[Turn]:
         """Return that nothing is known."""
         return []
@@ -167,7 +181,8 @@
         state.updated = now
         turn = state.turn
         if turn is None:
-            if self._has_begun(state, pool, cpu, jobs):
+            is_rested = now - state.ended_at >= REST_S
+            if is_rested and self._has_begun(state, pool, cpu, jobs):
                 turn = Turn(pool, unix_ms)
                 state.begin(turn, now)
                 self.turns = [*self.turns[1 - TURNS_MAX :], turn]
@@ -189,6 +204,7 @@
         state.is_confirmed = True
         if cpu < END_SHARE * turn.peak_cpu:
             state.turn = None
+            state.ended_at = now
 
     def expected_cpu(
         self, pool: str, cpu: int, now: float, unix_ms: int
@@ -236,6 +252,13 @@
             return None
         return following, int(turns[-1].began_ms + mean)
 
+    def next_cpu(self) -> int:
+        """Return what is provided for the least of the known turns."""
+        peaks = [
+            turn.peak_cpu for pool in self._pools for turn in self._past(pool)
+        ]
+        return int(min(peaks, default=0) * PROVIDED_SHARE)
+
     def export(self) -> list[Turn]:
         """Return the turns, those in progress without a peak.
 
