Reject malformed reports and entries, and confine a malformed wave

Cause: an executor's report with null, a list or an infinite number in one entry raised TypeError or OverflowError in its poll; an address without a valid port was used; a wave whose deadline is not finite raised an error in each planning round of each owner of the fleet plan, so that no host was moved any more.

Change: such a report is invalid as a whole, since without one entry a run that goes on would look as if it had ended; such an entry names no executor; a wave that can't be planned is set aside with a log line, and a round of the fleet's owner that ends with an unexpected error is repeated after a pause.

--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -28,7 +28,7 @@
     typical_capacity,
 )
 from lycheelug.fleetplan.turns import FORECASTS
-from lycheelug.fleetplan.waves import hosts_at_once, plan_wave
+from lycheelug.fleetplan.waves import plan_waves
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -55,6 +55,7 @@
         "_now",
         "_unix_ms",
         "_wave_seen_at",
+        "broken_waves",
         "has_seen_work",
         "hosts",
         "maintenance_s",
@@ -104,6 +105,8 @@
         # The earliest local time at which a started maintenance can be over.
         self._maintenance_ends: dict[str, float] = {}
         self._wave_seen_at: dict[int, float] = {}
+        # The waves whose planning raised an unexpected error.
+        self.broken_waves: dict[int, Exception] = {}
 
     @property
     def is_busy(self) -> bool:
@@ -172,7 +175,7 @@
         drop_stale_orders(self)
         wanted = self._wanted_sizes()
         cancel_unneeded_moves(self, wanted)
-        reserve = self._plan_waves(wanted, now)
+        reserve = plan_waves(self, wanted)
         plan_moves(self, wanted, reserve, now)
 
     def _record_wave(
@@ -357,24 +360,9 @@
             f"{self.term}.{self._last_order_number}", host.pool, target, wave
         )
 
-    def _plan_waves(
-        self, wanted: dict[str, int], now: float
-    ) -> dict[str, int]:
-        """Add maintenance orders for the waves that are not completed.
-
-        Return the hosts that each pool needs besides, to replace those that
-        are maintained.
-        """
-        reserve: dict[str, int] = {}
-        for wave in self.waves.values():
-            if wave.number in self.plan.completed:
-                continue
-            age_s = now - self._wave_seen_at[wave.number]
-            plan_wave(self, wave, wanted, age_s)
-            for pool in self.pools:
-                at_once, _ = hosts_at_once(self, wave, pool, age_s)
-                reserve[pool] = reserve.get(pool, 0) + at_once
-        return reserve
+    def wave_age_s(self, wave: MaintenanceWave) -> float:
+        """Return how long a wave has been known, also to earlier planners."""
+        return self._now - self._wave_seen_at[wave.number]
 
     def count_spare_standby(self, wanted: Mapping[str, int]) -> int:
         """Return the standby hosts left after all pools' shortages.
--- a/lycheelug/fleetplan/waves.py
+++ b/lycheelug/fleetplan/waves.py
@@ -22,7 +22,7 @@
     from lycheelug.fleetplan.hosts import MaintenanceWave
     from lycheelug.fleetplan.planner import FleetPlanner
 
-__all__ = ["hosts_at_once", "plan_wave"]
+__all__ = ["plan_waves"]
 
 # A wave becomes urgent after this share of the time until its deadline.
 URGENT_SHARE: Final = 0.6
@@ -37,7 +37,31 @@
 POOL_HOSTS_MIN: Final = 2
 
 
-def plan_wave(
+def plan_waves(
+    planner: FleetPlanner, wanted: Mapping[str, int]
+) -> dict[str, int]:
+    """Add maintenance orders for the waves that are not completed.
+
+    Return the hosts that each pool needs besides, to replace those that are
+    maintained.
+    """
+    reserve: dict[str, int] = {}
+    for wave in planner.waves.values():
+        if wave.number in planner.plan.completed:
+            continue
+        age_s = planner.wave_age_s(wave)
+        try:
+            _plan_wave(planner, wave, wanted, age_s)
+            for pool in planner.pools:
+                at_once, _ = _hosts_at_once(planner, wave, pool, age_s)
+                reserve[pool] = reserve.get(pool, 0) + at_once
+        except Exception as error:
+            # The moves and the other waves are planned all the same.
+            planner.broken_waves[wave.number] = error
+    return reserve
+
+
+def _plan_wave(
     planner: FleetPlanner,
     wave: MaintenanceWave,
     wanted: Mapping[str, int],
@@ -69,7 +93,7 @@
         remaining -= 1
 
 
-def hosts_at_once(
+def _hosts_at_once(
     planner: FleetPlanner, wave: MaintenanceWave, pool: str, age_s: float
 ) -> tuple[int, bool]:
     """Return how many hosts of a pool to maintain at once.
@@ -97,7 +121,7 @@
     """Return how many more hosts of each pool may be maintained now."""
     allowed: dict[str, int] = {}
     for pool in planner.pools:
-        at_once, is_late = hosts_at_once(planner, wave, pool, age_s)
+        at_once, is_late = _hosts_at_once(planner, wave, pool, age_s)
         left = at_once - planner.count_maintained_now(pool)
         if not is_late:
             left = min(left, _count_spare(planner, pool, wanted))
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -29,6 +29,7 @@
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import WorkProgress
 from lycheelug.store.replica import FEED_WAIT_S, TableReplica
+from lycheelug.supervision import describe_error
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -43,6 +44,8 @@
 __all__ = ["FleetOwner"]
 
 ROUND_S: Final = 0.06
+# The pause after a round that ended with an unexpected error.
+DEFECT_PAUSE_S: Final = 0.5
 # The minimum time between two log lines about changed pool sizes.
 SIZE_LOG_INTERVAL_S: Final = 1.0
 # How often the list of hosts is read at most while no host changes, and
@@ -64,6 +67,7 @@
     """The owner of the fleet plan for one term."""
 
     __slots__ = (
+        "_broken_waves",
         "_calls",
         "_context",
         "_hosts",
@@ -109,6 +113,8 @@
         # The newest loads of the pools' hosts.
         self._loads: dict[str, HostsRecord] = {}
         self._published: set[int] = set()
+        # The waves that can't be planned, which were logged.
+        self._broken_waves: set[int] = set()
         self._sizes: dict[str, tuple[int, int]] = {}
         self._sizes_at = 0.0
         self._calls: dict[str, asyncio.Task[None]] = {}
@@ -132,10 +138,18 @@
             is_recovered = False
             while not self._lost.is_set():
                 self.work.record_attempt(self._context.clock.now())
-                if not is_recovered:
-                    is_recovered = await self._recover()
-                elif await self._round():
-                    self.work.record_success()
+                try:
+                    if not is_recovered:
+                        is_recovered = await self._recover()
+                    elif await self._round():
+                        self.work.record_success()
+                except Exception as error:
+                    # The next owner would meet the same error.
+                    log_change(
+                        "defect", duty="fleet", error=describe_error(error)
+                    )
+                    self._context.metrics.count("defects")
+                    await asyncio.sleep(DEFECT_PAUSE_S)
                 await asyncio.sleep(ROUND_S)
         finally:
             replica_task.cancel()
@@ -198,6 +212,13 @@
         planner.waves = dict(self._waves())
         clock = self._context.clock
         planner.decide(clock.now(), clock.unix_ms())
+        for number, error in planner.broken_waves.items():
+            if number not in self._broken_waves:
+                self._broken_waves.add(number)
+                log_change(
+                    "wave-set-aside", wave=number, error=describe_error(error)
+                )
+                self._context.metrics.count("defects")
         self._log_sizes()
         due = [
             call
--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -69,6 +69,8 @@
 INCARNATION_HEADER: Final = b"expected-instance"
 STATUS_OTHER_INCARNATION: Final = 421
 
+PORTS: Final = 65_536
+
 IS_DRAINING_BY_STATE: Final = {"ready": False, "draining": True}
 
 END_KINDS: Final = {kind.value: kind for kind in EndKind}
@@ -94,7 +96,10 @@
         entry = msgspec.json.decode(row.value, type=EntryMessage)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
-    if entry.state not in IS_DRAINING_BY_STATE or ":" not in entry.address:
+    _, separator, port = entry.address.rpartition(":")
+    if entry.state not in IS_DRAINING_BY_STATE or not separator:
+        return None
+    if not (port.isascii() and port.isdigit() and int(port) < PORTS):
         return None
     leaves_in_s = None
     if entry.remaining_ms is not None:
@@ -371,9 +376,13 @@
         msgspec.DecodeError,
         UnicodeDecodeError,
         ValueError,
+        TypeError,
+        OverflowError,
         IndexError,
         KeyError,
     ):
+        # Without one entry a run that goes on would look as if it had ended,
+        # so the whole report is invalid.
         return None
     return TaskReport(
         message.clock_ms,
