Count a claim until its holder's first heartbeat is due; poll at once after a silence

(2) An executor that was silent for half of its lease lost its tasks: the first poll after the silence extended no lease and waited up to 0.8 s for an end, after the calls under way had timed out.

Change: a claim that is newer than the heartbeat counts as a sign of life for the usual 1.2 s; new members wait 0.2 s and read heartbeats without a pause at first. The first poll after a silence doesn't wait.

--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -197,6 +197,10 @@
 
     def _on_owner(self, duty: str, record: OwnerRecord, version: int) -> None:
         """Act on a changed owner row."""
+        if record.holder:
+            self.heartbeats.liveness.record_claim(
+                record.holder, record.incarnation, version, self._clock.now()
+            )
         held = self._held.get(duty)
         if held is not None and version > held.version:
             held.holder.revoke(f"held by {record.holder or 'nobody'}")
@@ -210,14 +214,11 @@
             self._remove_finished()
             now = self._clock.now()
             is_settled = now - self._started_at >= SETTLE_S
-            if self._leaving or not is_settled:
-                continue
-            if not self._owners.is_loaded:
-                continue
             # A row of this daemon's last life doesn't make it a member.
-            if not self.heartbeats.is_member:
+            is_member = is_settled and self.membership.has_settled
+            if self._leaving or not is_member:
                 continue
-            if not self.heartbeats.is_current:
+            if not self._owners.is_loaded or not self.heartbeats.is_current:
                 continue
             pools = self._pools()
             if not pools:
--- a/lycheelug/jobservice/duty_membership.py
+++ b/lycheelug/jobservice/duty_membership.py
@@ -41,6 +41,9 @@
 IDLE_INTERVAL_S: Final = 0.5
 # A daemon that doesn't join stops reading the heartbeats after this time.
 WATCH_S: Final = 2.0
+# A new member claims nothing before this time, and sees the others' heartbeats
+# as soon as they are written meanwhile.
+JOIN_SETTLE_S: Final = 0.2
 # A member leaves the group no sooner than this after it has joined.
 STAY_MIN_S: Final = 10.0
 
@@ -98,6 +101,13 @@
         # Local time since when the heartbeats are read without joining.
         self._watched_since: float | None = None
 
+    @property
+    def has_settled(self) -> bool:
+        """Whether the other members have had time to see this one."""
+        if not self._heartbeats.is_member:
+            return False
+        return self._clock.now() - self._joined_at >= JOIN_SETTLE_S
+
     def member_addresses(self) -> list[tuple[str, str]]:
         """Return the zone and address of each member, as last known."""
         if self._heartbeats.is_member:
--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -119,7 +119,10 @@
         ):
             deadline_ms = clock_ms + int(context.lease_s * 1000)
             view.record_lease(polled_at, context.lease_s)
-        wait_s = POLL_WAIT_S if view.has_accepted_term else 0.0
+        # After a silence the next poll is to extend the lease, so this one
+        # doesn't wait.
+        is_regular = view.has_accepted_term and not self._is_unresponsive
+        wait_s = POLL_WAIT_S if is_regular else 0.0
         acknowledged = view.last_acked_end
         born_ms = view.born_ms
         result = await context.gateway.poll(
--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -55,6 +55,7 @@
     """Writes this daemon's heartbeat and tracks the other daemons."""
 
     __slots__ = (
+        "_beats",
         "_clock",
         "_feed",
         "_followed",
@@ -107,6 +108,8 @@
         self._on_update = on_update
         self._records: dict[str, HeartbeatRecord] = {}
         self._sequence = 0
+        # The heartbeats since this daemon has joined the group.
+        self._beats = 0
         self._is_leaving = False
         # Set while the heartbeats are wanted, and while this daemon writes
         # its own.
@@ -167,12 +170,12 @@
     def join(self) -> None:
         """Write heartbeats from now on."""
         self.follow(True)
-        self._replica.pause_s = FEED_PAUSE_S
         self._member.set()
 
     async def leave_group(self) -> None:
         """Stop writing heartbeats, and tell the other members."""
         self._member.clear()
+        self._beats = 0
         self._sequence += 1
         await self._commit(True)
 
@@ -233,6 +236,9 @@
         The next heartbeat replaces it.
         """
         self._sequence += 1
+        self._beats += 1
+        if self._beats >= SETTLED_HEARTBEATS:
+            self._replica.pause_s = FEED_PAUSE_S
         is_gap = self._clock.now() - self._passed_at > PASS_GAP_S
         has_passed = await self._commit(
             self._is_leaving, self._stalled_duties(is_gap)
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -74,10 +74,13 @@
     True
     """
 
-    __slots__ = ("_delay_s", "_peers", "_read_at")
+    __slots__ = ("_claims", "_delay_s", "_peers", "_read_at")
 
     def __init__(self) -> None:
         self._peers: dict[str, _Peer] = {}
+        # By daemon: the incarnation, version and local time of its last
+        # claim that was seen.
+        self._claims: dict[str, tuple[str, int, float]] = {}
         # How long this daemon's last heartbeat write took.  After a slow
         # write, the value at most halves with each further heartbeat.
         self._delay_s = 0.0
@@ -113,6 +116,17 @@
             incarnation, version, now, leaving, is_settled, weight, stalled
         )
 
+    def record_claim(
+        self, name: str, incarnation: str, version: int, now: float
+    ) -> None:
+        """Record that a daemon has claimed a duty.
+
+        Its row may arrive before the daemon's first heartbeat does.
+        """
+        known = self._claims.get(name)
+        if known is None or known[1] < version:
+            self._claims[name] = (incarnation, version, now)
+
     def refresh(self, name: str, incarnation: str, now: float) -> None:
         """Count a daemon as alive now, even if its row is old."""
         peer = self._peers.get(name)
@@ -147,10 +161,17 @@
         self._peers.pop(name, None)
 
     def is_alive(self, name: str, incarnation: str, now: float) -> bool:
-        """Whether this incarnation of a daemon is alive."""
+        """Whether this incarnation of a daemon is alive.
+
+        A heartbeat that is older than the daemon's claim says nothing of it.
+        """
         peer = self._peers.get(name)
         if peer is None or peer.incarnation != incarnation:
-            return False
+            claim = self._claims.get(name)
+            if claim is None or claim[0] != incarnation:
+                return False
+            is_claim_newer = peer is None or peer.version < claim[1]
+            return is_claim_newer and now - claim[2] < self._timeout_s()
         return now - peer.changed_at < self._timeout_s()
 
     def is_serving(
--- a/tests/test_duty_assignment.py
+++ b/tests/test_duty_assignment.py
@@ -99,3 +99,29 @@
     liveness = make_liveness({"a": 1.0, "b": 4.0, "c": 1.0})
     owners = {"quotes": OwnerRecord("a", "i", 1)}
     assert choose_successor("a", "quotes", owners, liveness, 0.5) == "b"
+
+
+@pytest.mark.parametrize(
+    ("heartbeat", "claim_version", "age_s", "is_alive"),
+    [
+        # Its heartbeat has not arrived yet.
+        (None, 7, 0.5, True),
+        (None, 7, 1.5, False),
+        # The only heartbeat is of its last life, and older than the claim.
+        (("old", 5), 7, 0.5, True),
+        (("old", 5), 7, 1.5, False),
+        # It was started again after the claim.
+        (("new", 9), 7, 0.1, False),
+    ],
+)
+def test_claim_counts_until_the_first_heartbeat_is_due(
+    heartbeat: tuple[str, int] | None,
+    claim_version: int,
+    age_s: float,
+    is_alive: bool,
+) -> None:
+    liveness = Liveness()
+    if heartbeat is not None:
+        liveness.record_heartbeat("e1", heartbeat[0], heartbeat[1], 10.0)
+    liveness.record_claim("e1", "claimant", claim_version, 10.0)
+    assert liveness.is_alive("e1", "claimant", 10.0 + age_s) is is_alive
