Await the census after an outage as long as usual

Cause: after an outage of the store of some seconds the census looked late to all daemons outside the duty group, which then read all heartbeat rows at once, just when the store returns.

tests/test_duty_group.py, test_outage_of_the_store_makes_nobody_else_read_ heartbeats, failed before.

--- a/lycheelug/jobservice/duty_membership.py
+++ b/lycheelug/jobservice/duty_membership.py
@@ -36,6 +36,8 @@
 # Without a census for this long, while the table in which it is published
 # can be read, no member may be left.
 CENSUS_LATE_S: Final = 4.5
+# The table is read at least each two seconds; a longer gap is an outage.
+READ_GAP_S: Final = 3.0
 # The intervals of the decision while the heartbeats are read, and otherwise.
 WATCH_INTERVAL_S: Final = 0.05
 IDLE_INTERVAL_S: Final = 0.5
@@ -126,8 +128,15 @@
         self._census_at = self._clock.now()
 
     def record_owners_read(self) -> None:
-        """Record that the table with the census was read."""
-        self._owners_read_at = self._clock.now()
+        """Record that the table with the census was read.
+
+        After a gap, the next census is awaited as long as usual: it could
+        not be published meanwhile.
+        """
+        now = self._clock.now()
+        if now - self._owners_read_at > READ_GAP_S:
+            self._census_at = now
+        self._owners_read_at = now
 
     def leave(self) -> None:
         """Neither join the group any more nor publish the census."""
--- a/tests/test_duty_group.py
+++ b/tests/test_duty_group.py
@@ -53,17 +53,17 @@
         self, table: str, part: str, first: str = "", end: str = ""
     ) -> Result[RowSet, Fault]:
         result = await super().read(table, part, first, end)
-        self._count(table, result.unwrap())
+        self._count(table, result.value_or(None))
         return result
 
     async def feed(
         self, table: str, after: int, wait_s: float
     ) -> Result[RowSet | HistoryGone, Fault]:
         result = await super().feed(table, after, wait_s)
-        self._count(table, result.unwrap())
+        self._count(table, result.value_or(None))
         return result
 
-    def _count(self, table: str, answer: RowSet | HistoryGone) -> None:
+    def _count(self, table: str, answer: object) -> None:
         self.calls[table] += 1
         self.bytes_read[table] += CALL_BYTES
         for row in getattr(answer, "rows", []):
@@ -210,6 +210,32 @@
     )
 
 
+def test_outage_of_the_store_makes_nobody_else_read_heartbeats() -> None:
+    """Otherwise all daemons would read all rows when the store returns."""
+
+    async def run() -> None:
+        world = JobWorld()
+        world.fleet.add("x0")
+        start_daemons(world, 30)
+        await asyncio.sleep(12.0)
+        inside = set(members(world))
+        for store in world.stores.values():
+            store.down = True
+        await asyncio.sleep(8.0)
+        for store in world.stores.values():
+            assert isinstance(store, CountingRows)
+            store.down = False
+            store.calls.clear()
+        await asyncio.sleep(6.0)
+        assert set(members(world)) == inside
+        for name, store in world.stores.items():
+            assert isinstance(store, CountingRows)
+            assert name in inside or not store.calls["daemons"]
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_daemons_that_leave_in_turn_are_replaced() -> None:
     async def run() -> None:
         world = JobWorld()
