Join the duty group before the former holders count as dead

Change: a member counts for the size of the group for 0.6 s without a heartbeat; a daemon with as much capacity as any known member has its turn at once. Claims still wait until a holder has been silent for 1.2 s.

tests/test_duty_group.py, test_duties_are_taken_as_soon_as_their_holders_ count_as_dead: 9 and 30 daemons failed before.

--- a/lycheelug/jobservice/duty_membership.py
+++ b/lycheelug/jobservice/duty_membership.py
@@ -199,7 +199,10 @@
             return
         zones = self._heartbeats.zones(now)
         duties = self._count_duties()
-        if self._group.should_join(zones, duties, now):
+        weights = self._heartbeats.weights().values()
+        if self._group.should_join(
+            zones, duties, now, max(weights, default=0)
+        ):
             self._watched_since = None
             self._joined_at = now
             self._heartbeats.join()
--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -44,6 +44,9 @@
 # After this many heartbeats a new daemon counts as settled, because the
 # others have seen it by then.
 SETTLED_HEARTBEATS: Final = 6
+# A member without a heartbeat for this long, a period and a half, does not
+# count for the size of the group.
+MEMBER_TIMEOUT_S: Final = 0.6
 # The rows of daemons that are silent for longer than this are removed.
 SILENT_REMOVE_S: Final = 60.0
 # If no heartbeat has passed for this long, failing work does not show that
@@ -138,10 +141,14 @@
         return self._member.is_set()
 
     def zones(self, now: float) -> dict[str, str]:
-        """Return the zones of the duty group's live members by name."""
+        """Return the zones of the duty group's live members by name.
+
+        A member counts for less time than the holder of a duty does: it
+        costs little to join a group that is complete.
+        """
         return {
             name: self._records[name].zone
-            for name in self.liveness.members(now)
+            for name in self.liveness.members(now, MEMBER_TIMEOUT_S)
         }
 
     def weights(self) -> dict[str, float]:
--- a/lycheelug/ownership/duty_group.py
+++ b/lycheelug/ownership/duty_group.py
@@ -27,7 +27,8 @@
 # and one for each two duties.
 STANDBYS: Final = 3
 # The time until a daemon's turn to join: a part that is shorter for hosts
-# with more capacity, and a part by the hash of its name.
+# with more capacity, and none for those with as much as any known member, and
+# a part by the hash of its name.
 TURN_S: Final = 0.4
 TURN_MAX_S: Final = 0.5
 TURN_SPREAD_S: Final = 0.3
@@ -54,15 +55,14 @@
     True
     """
 
-    __slots__ = ("_name", "_short_since", "_turn_s", "_zone")
+    __slots__ = ("_name", "_short_since", "_spread_s", "_weight", "_zone")
 
     def __init__(self, name: str, zone: str, weight: float) -> None:
         self._name = name
         self._zone = zone
-        spread = crc32(name.encode()) / 2**32
-        self._turn_s = (
-            min(TURN_MAX_S, TURN_S / weight) + spread * TURN_SPREAD_S
-        )
+        self._weight = weight
+        # The part of the time until its turn that tells daemons apart.
+        self._spread_s = crc32(name.encode()) / 2**32 * TURN_SPREAD_S
         # Local time since when the group has been too small.
         self._short_since: float | None = None
 
@@ -74,15 +74,32 @@
         return len(zones) < group_size(duties) or self._zone not in zones
 
     def should_join(
-        self, zones: Mapping[str, str], duties: int, now: float
+        self,
+        zones: Mapping[str, str],
+        duties: int,
+        now: float,
+        known_weight: float = 0.0,
     ) -> bool:
-        """Return whether to join now; `zones` are those of live members."""
+        """Return whether to join now; `zones` are those of live members.
+
+        `known_weight` is the largest capacity of any earlier member; 0 if
+        none is known.
+        """
         if not self.is_short(zones.values(), duties):
             self._short_since = None
             return False
         if self._short_since is None:
             self._short_since = now
-        return now - self._short_since >= self._turn_s
+        return now - self._short_since >= self._turn_s(known_weight)
+
+    def _turn_s(self, known_weight: float) -> float:
+        """Return the time until this daemon's turn to join."""
+        base_s = min(TURN_MAX_S, TURN_S / self._weight)
+        if known_weight:
+            # No member is expected that has more capacity.
+            lack = max(0.0, 1 - self._weight / known_weight)
+            base_s = min(base_s, TURN_S * lack)
+        return base_s + self._spread_s
 
     def should_leave(
         self,
--- a/lycheelug/ownership/liveness.py
+++ b/lycheelug/ownership/liveness.py
@@ -192,9 +192,11 @@
         peer = self._peers.get(name)
         return peer.weight if peer is not None else 1.0
 
-    def members(self, now: float) -> list[str]:
+    def members(
+        self, now: float, timeout_s: float = HEARTBEAT_TIMEOUT_S
+    ) -> list[str]:
         """Return the daemons that are alive and not leaving."""
-        timeout_s = self._timeout_s()
+        timeout_s += DELAY_FACTOR * self._delay_s
         return [
             name
             for name, peer in self._peers.items()
--- a/tests/test_duty_group.py
+++ b/tests/test_duty_group.py
@@ -14,6 +14,7 @@
 
 from lycheelug.jobservice.submissions import ReplyKind
 from lycheelug.ownership import DutyGroup, group_size
+from lycheelug.ownership.liveness import HEARTBEAT_TIMEOUT_S
 from lycheelug.workloads.model import JobState
 from tests.job_world import POOL, FaultyRows, JobWorld, until
 from tests.virtual_time import run_virtual
@@ -33,6 +34,8 @@
 # One pool, and the fleet plan.
 DUTIES = 2
 ZONES = 4
+# A read, a claim and the interval at which holders are polled in the test.
+CLAIM_S = 0.2
 # The time in which the stated recovery after a failure of all is to be done.
 RECOVERY_S = 15.0
 
@@ -236,6 +239,31 @@
     run_virtual(run())
 
 
+@pytest.mark.parametrize("count", [3, 9, 30])
+def test_duties_are_taken_as_soon_as_their_holders_count_as_dead(
+    count: int,
+) -> None:
+    """After a restart of all, joining the group costs no further time."""
+
+    async def run() -> None:
+        world = JobWorld()
+        world.fleet.add("x0")
+        start_daemons(world, count)
+        await asyncio.sleep(8.0)
+        for service in world.daemons.values():
+            await service.stop()
+        world.daemons.clear()
+        await asyncio.sleep(0.4)
+        start_daemons(world, count)
+        began = asyncio.get_running_loop().time()
+        await until(lambda: len(world.holders(POOL)) == 1, 5.0)
+        passed_s = asyncio.get_running_loop().time() - began
+        assert passed_s < HEARTBEAT_TIMEOUT_S + CLAIM_S
+        await world.stop()
+
+    run_virtual(run())
+
+
 def test_daemons_that_leave_in_turn_are_replaced() -> None:
     async def run() -> None:
         world = JobWorld()
