--- a/lycheelug/jobservice/peer_directory.py
+++ b/lycheelug/jobservice/peer_directory.py
@@ -3,8 +3,9 @@
 Each daemon writes its address to a row, once at its start and then rarely,
 and reads the rows of some daemons of its own zone: those after its own in
 the order of a hash.  So each daemon is known to a few others, and what one
-reads doesn't grow with the number of daemons.  The reads also show whether
-the store can be reached, and how fast it answers.
+reads doesn't grow with the number of daemons.  A daemon that writes no
+heartbeats reads its own row often, which shows whether the store can be
+reached, and how fast it answers.
 """
 
 from __future__ import annotations
@@ -29,10 +30,13 @@
 
 __all__ = ["PeerDirectory"]
 
-# How often the rows are read: by a daemon that writes heartbeats, and by one
-# for which these reads show whether the store answers.
-READ_MEMBER_S: Final = 5.0
-READ_S: Final = 1.0
+# How often the rows are read.
+READ_S: Final = 5.0
+# How often a daemon that writes no heartbeats reads its own row, to detect
+# that the store doesn't answer: as often as others write a heartbeat.
+PROBE_S: Final = 0.4
+# How much longer than a read a small write takes.
+WRITE_FACTOR: Final = 2.0
 WRITE_S: Final = 20.0
 # A row that was not written for this long belongs to no daemon any more.
 EXPIRY_S: Final = 100.0
@@ -51,7 +55,7 @@
         "_is_member",
         "_key",
         "_name",
-        "_on_read",
+        "_on_probe",
         "_peers",
         "_store",
         "_width",
@@ -67,7 +71,7 @@
         name: str,
         zone: str,
         is_member: Callable[[], bool],
-        on_read: Callable[[float], None],
+        on_probe: Callable[[float], None],
     ) -> None:
         self._store = store
         self._clock = clock
@@ -75,8 +79,8 @@
         self._zone = zone
         # Whether this daemon is in the duty group.
         self._is_member = is_member
-        # Told how long a read took, in seconds.
-        self._on_read = on_read
+        # Told how long a small write would take, in seconds.
+        self._on_probe = on_probe
         self._key = f"{crc32(name.encode()) % HASHES:03x}/{name}"
         # The width of the range of hashes that is read.
         self._width = HASHES // 8
@@ -110,11 +114,18 @@
 
     async def run(self) -> None:
         """Write and read until cancelled."""
+        read_at = -math.inf
         while True:
+            began = self._clock.now()
             if not self._is_leaving:
                 await self._write()
-                await self._read()
-            await asyncio.sleep(READ_MEMBER_S if self._is_member() else READ_S)
+                if began - read_at >= READ_S:
+                    is_enough = await self._read()
+                    read_at = began if is_enough else -math.inf
+                elif not self._is_member():
+                    await self._probe()
+            spent_s = self._clock.now() - began
+            await asyncio.sleep(max(PROBE_S / 4, PROBE_S - spent_s))
 
     async def leave(self) -> None:
         """Remove this daemon's row."""
@@ -135,12 +146,14 @@
         if not isinstance(result, Failure):
             self._written_at = now
 
-    async def _read(self) -> None:
-        """Read the rows of some daemons; the width adapts to their number."""
+    async def _read(self) -> bool:
+        """Read the rows of some daemons; the width adapts to their number.
+
+        Return whether the next read has time.
+        """
         own = int(self._key[:3], 16)
         first = max(0, min(own, HASHES - self._width))
         end = first + self._width
-        began = self._clock.now()
         result = await self._store.read(
             PEERS_TABLE,
             self._zone,
@@ -148,10 +161,9 @@
             f"{end:03x}" if end < HASHES else "~",
         )
         if isinstance(result, Failure):
-            return
-        if not self._is_member():
-            self._on_read(self._clock.now() - began)
+            return True
         rows = result.unwrap().rows
+        is_enough = len(rows) >= ROWS_MIN or self._width == HASHES
         if len(rows) < ROWS_MIN:
             self._width = min(HASHES, self._width * 2)
         elif len(rows) > ROWS_MAX:
@@ -159,6 +171,15 @@
         self._peers = {}
         for row in rows:
             await self._use_row(row)
+        return is_enough
+
+    async def _probe(self) -> None:
+        """Read this daemon's row; record how long a write would take."""
+        began = self._clock.now()
+        await self._store.read(
+            PEERS_TABLE, self._zone, self._key, self._key + "\0"
+        )
+        self._on_probe((self._clock.now() - began) * WRITE_FACTOR)
 
     async def _use_row(self, row: StoredRow) -> None:
         """Add a row's address, or remove the row if it is too old."""
