--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -34,6 +34,8 @@
 # the site of the large fleet states them.
 HOST_SECOND_PRICE = 0.023
 JOB_WORTH = 0.385
+# The stated limit of hosts used, as a multiple of what serves the same work.
+HOSTS_RATIO_MAX = 1.3
 SIZES = (0.4, 0.7, 1.0, 1.3, 1.6)
 
 
@@ -156,6 +158,18 @@
     assert extra * HOST_SECOND_PRICE < saved * JOB_WORTH
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_forecast_takes_few_hosts_more_than_the_work_fills(seed: int) -> None:
+    world = TurnWorld("turns", seed)
+    world.run(8)
+    needed = 0.0
+    for tick in range(int(8 * TURN_S / TICK_S)):
+        for pool in POOLS:
+            cpu = int(world.rate(pool, tick * TICK_S) * JOB_WORK)
+            needed += hosts_for_cpu(cpu, HOST_CPU) * TICK_S
+    assert sum(world.hosts.values()) < HOSTS_RATIO_MAX * needed
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_turn_that_does_not_come_costs_few_hosts(seed: int) -> None:
     skipped = frozenset({6})
