Log which runs are given up with an executor, and why

On-call could not tell from the logs why a task started again: an executor that was given up because another incarnation answered left no line, and no line named the runs that were lost or duplicated. Each path now records an executor-crashed event with its cause and tasks; no decision changes.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -19,7 +19,7 @@
 
 from lycheelug.jobservice.interfaces import PollFailure
 from lycheelug.logs import log_change
-from lycheelug.workloads import apply_task_report
+from lycheelug.workloads import LossCause, apply_task_report
 
 if TYPE_CHECKING:
     from lycheelug.jobservice.context import OwnerContext
@@ -190,5 +190,7 @@
             owner.writer.verify_soon()
             return
         if failure is PollFailure.GONE:
-            owner.schedule.remove_executor(self._executor_id, now)
+            owner.schedule.remove_executor(
+                self._executor_id, now, LossCause.REPLACED
+            )
             owner.wake()
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -9,6 +9,7 @@
 from lycheelug.jobservice.interfaces import StopAnswer
 from lycheelug.logs import log_change, log_fault
 from lycheelug.workloads import (
+    LossCause,
     PaceOrder,
     StartOrder,
     StopOrder,
@@ -104,7 +105,9 @@
             answer=answer.name.lower(),
         )
         if answer is StopAnswer.GONE:
-            self._owner.schedule.remove_executor(order.executor_id, now)
+            self._owner.schedule.remove_executor(
+                order.executor_id, now, LossCause.REPLACED
+            )
         elif answer is StopAnswer.FENCED:
             self._owner.writer.verify_soon()
         key = (order.task_name, order.run)
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -8,8 +8,10 @@
 
 from returns.result import Failure
 
+from lycheelug.fleetplan import HostState
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.logs import log_change, log_fault
+from lycheelug.workloads import LossCause
 
 if TYPE_CHECKING:
     from lycheelug.jobservice.context import OwnerContext
@@ -73,8 +75,11 @@
                 state=host.state.name.lower(),
                 present=host.executor_id,
             )
+            is_ordered = host.state in (HostState.MOVING, HostState.IN_UPKEEP)
             owner.schedule.remove_executor(
-                view.executor_id, context.clock.now()
+                view.executor_id,
+                context.clock.now(),
+                LossCause.HOST_ORDER if is_ordered else LossCause.NOT_LISTED,
             )
             owner.wake()
 
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -312,6 +312,9 @@
         for job, error in schedule.ready.defects:
             self.report_defect("plan", error, job)
         schedule.ready.defects.clear()
+        for event, fields in schedule.crashes.events:
+            log_change(event, pool=self.pool, term=self.term, **fields)
+        schedule.crashes.events.clear()
         return orders
 
     async def _wait_for_wake(self) -> None:
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -1,5 +1,6 @@
 """Job model, task placement and the schedule of one pool; no I/O."""
 
+from lycheelug.workloads.crashes import LossCause
 from lycheelug.workloads.executors import (
     EndKind,
     EndReport,
@@ -42,6 +43,7 @@
     "JobLimits",
     "JobRecord",
     "JobState",
+    "LossCause",
     "Occurrences",
     "PaceOrder",
     "PoolSchedule",
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -28,6 +28,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.crashes import CrashLedger, LossCause
 from lycheelug.workloads.demand import Arrivals, expected_work
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
 from lycheelug.workloads.job_index import JobIndex
@@ -67,6 +68,7 @@
         "_ended_incarnations",
         "_relocate_after",
         "arrivals",
+        "crashes",
         "executors",
         "handled_job",
         "hint_requests",
@@ -101,6 +103,7 @@
         self._earlier_leases_end_at = earlier_leases_end_at
         self.run_times = RunTimes()
         self.arrivals = Arrivals()
+        self.crashes = CrashLedger()
         self.placement_hints = PlacementHints()
         # Steps that need placement hints, with the executors to query.
         self.hint_requests: dict[StepName, list[str]] = {}
@@ -254,23 +257,28 @@
                 found.append(view)
         return found
 
-    def remove_executor(self, executor_id: str, now: float) -> list[Run]:
+    def remove_executor(
+        self, executor_id: str, now: float, cause: LossCause
+    ) -> list[Run]:
         """Remove an executor that has certainly ended; requeue its tasks."""
         view = self.executors.pop(executor_id, None)
         if view is None:
             return []
         born_ms = max(view.born_ms, view.info.born_ms)
         self._ended_incarnations[executor_id] = born_ms
-        return self.clear_runs(view, now)
+        return self.clear_runs(view, now, cause)
 
     def is_stale_entry(self, info: ExecutorInfo) -> bool:
         """Return whether an entry belongs to an ended incarnation."""
         ended_ms = self._ended_incarnations.get(info.executor_id)
         return ended_ms is not None and info.born_ms <= ended_ms
 
-    def clear_runs(self, view: ExecutorView, now: float) -> list[Run]:
+    def clear_runs(
+        self, view: ExecutorView, now: float, cause: LossCause
+    ) -> list[Run]:
         """Drop all runs of an executor and requeue their tasks."""
         cleared = list(view.runs.values())
+        self.crashes.record_loss(view, cleared, cause, now)
         for run in cleared:
             view.drop_run(run.key)
             self.free_task(run, view, now)
@@ -300,7 +308,9 @@
             if is_undisturbed(view, now):
                 continue
             self._free_expired(view, now, verified_at)
-            for run in runs_to_duplicate(view):
+            duplicated = runs_to_duplicate(view)
+            self.crashes.record_loss(view, duplicated, LossCause.SILENT, now)
+            for run in duplicated:
                 # The unobservable run goes on; its duplicate may race it.
                 self.free_task(run, view, now)
                 run.task = None
@@ -334,7 +344,7 @@
         """
         if now < view.leases_end_at or verified_at < view.leases_end_at:
             return
-        self.clear_runs(view, now)
+        self.clear_runs(view, now, LossCause.LEASE_ENDED)
         if not view.has_entry:
             self.executors.pop(view.executor_id, None)
 
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -14,6 +14,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.crashes import LossCause
 from lycheelug.workloads.executors import EndKind, Run, RunPhase
 from lycheelug.workloads.jobs import TaskState
 from lycheelug.workloads.placement_hints import StepName
@@ -164,15 +165,19 @@
     carried out the order.  So are runs confirmed after the report was
     requested.
     """
-    view.born_ms = born_ms
-    view.last_applied_end = 0
-    view.last_acked_end = 0
-    view.clock_ms = None
-    for run in list(view.runs.values()):
+    lost: list[Run] = []
+    for run in view.runs.values():
         if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
             continue
         if run.confirmed_at is not None and run.confirmed_at >= polled_at:
             continue
+        lost.append(run)
+    schedule.crashes.record_loss(view, lost, LossCause.RESTARTED, now)
+    view.born_ms = born_ms
+    view.last_applied_end = 0
+    view.last_acked_end = 0
+    view.clock_ms = None
+    for run in lost:
         view.drop_run(run.key)
         schedule.free_task(run, view, now)
 
