Find the task that crashes its executors, and give up its job

Cause: an executor's loss counted for none of the tasks that ran there. Each path that gives up runs (later incarnation, another incarnation's answer, list of hosts, last lease) requeued the tasks and kept nothing, and a silent executor's duplicable tasks were duplicated without any limit. The class: a retry without memory of what the tries before it cost.

Change: the pool keeps evidence, one record for each incarnation lost under a task, stored with the job's progress before the next start that depends on it. A first loss accuses the tasks that ran there; suspects run on executors reserved for their job, those started last first. A second loss of a reserved executor convicts the job, which fails with a reason that names the executors, and clears its neighbours; a run that goes on for longer, or is done, clears its task; several losses at about the same time accuse nobody. Three proved losses are the limit. A silent executor convicts nobody until its end is proved.

Why it works: a deadly task gets one start among others and one alone, so two crashes tell it from its neighbours, of which only the first crash costs runs.

The reference of the twin test plans by the same evidence in its plain form; the pool harness plans again after the records were stored, as an owner does after each write.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -178,6 +178,7 @@
         view.last_report_at = None
         if not self._is_unresponsive:
             self._is_unresponsive = True
+            owner.schedule.crashes.record_silence(owner.schedule, view, now)
             log_change(
                 "executor-lost",
                 pool=owner.pool,
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -301,6 +301,8 @@
             self._owner.feeds.add_stored_submission(submission, version)
         for job in batch.jobs:
             job.row_version = version
+            if not job.is_dirty:
+                job.has_unsaved_crashes = False
             if job.progress.begun_term:
                 job.begin_is_stored = True
         for view, born_ms, last_applied_end in batch.applied_ends:
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -1,8 +1,25 @@
-"""Records executors that were lost with the tasks that ran there; no I/O.
+"""Finds the tasks that crash the executors they run on; no I/O.
 
 An executor is lost when its runs are given up without having been reported
-as ended: a later incarnation reports, another one answers, the list of hosts
-names another one, or the last lease has ended.
+as ended.  One of its tasks may be to blame, and the others must not suffer
+for it.  The evidence is kept in the jobs' progress records, one record for
+each incarnation that was lost under a task, so that it survives a change of
+owner and no loss is counted twice.
+
+* The first loss accuses all tasks that ran there.  Until they are cleared,
+  they run on executors reserved for their job (see `isolation`), the ones
+  that were started last first.
+* A second loss of a reserved executor convicts its job, which fails.  The
+  loss is explained by that: it accuses no neighbour any more.
+* A task is cleared when it is done, or when a run has gone on for longer
+  than the one under which the executor was lost.
+* Losses of several executors at nearly the same time, as of a rack, accuse
+  nobody, except tasks that another loss has accused before.
+* After `CRASHES_MAX` losses a task is given up in any case.
+
+An executor that is only silent may be cut off.  Its loss counts as evidence
+for placement at once, but convicts nobody until it is proved.  Executors
+that announced their end, were moved or maintained accuse nobody.
 """
 
 from __future__ import annotations
@@ -10,11 +27,33 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
+from lycheelug.workloads.progress import CrashRecord, is_accused, task_key
+from lycheelug.workloads.tasks import TaskState
+
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView, Run
+    from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.model import TaskName
+    from lycheelug.workloads.pool import PoolSchedule
+    from lycheelug.workloads.tasks import Task
 
 __all__ = ["CrashLedger", "LossCause"]
 
+# Losses under a task after which its job fails: in isolation, and at most.
+CONVICTING_CRASHES: Final = 2
+CRASHES_MAX: Final = 3
+# Losses within this time of each other may have a cause in common, if at
+# least so many executors are lost.
+SHARED_WINDOW_S: Final = 1.0
+SHARED_MIN: Final = 3
+# How long a silence is remembered.
+SILENCE_MEMORY_S: Final = 30.0
+# A run clears its task once it has gone on for this many times as long as the
+# one under which the executor was lost, and for this much longer.
+CLEARING_FACTOR: Final = 1.5
+CLEARING_EXTRA_S: Final = 0.2
+# Assumed duration of a run whose start this owner has not seen.
+UNKNOWN_AGE_S: Final = 2.0
 # Tasks that one event names, for the logs.
 NAMED_MAX: Final = 20
 
@@ -36,40 +75,369 @@
     SILENT = "silent"
 
 
+# The causes that prove that an incarnation has ended.
+PROOFS: Final = frozenset(
+    {LossCause.RESTARTED, LossCause.REPLACED, LossCause.NOT_LISTED}
+)
+
+
 class CrashLedger:
-    """The lost executors of one pool."""
+    """The evidence against the tasks of one pool."""
 
-    __slots__ = ("events",)
+    __slots__ = ("_silences", "_trials", "events", "suspects")
 
     def __init__(self) -> None:
         # Name and fields of the events to log, oldest first.
         self.events: list[tuple[str, dict[str, Any]]] = []
+        # The jobs with crash records.
+        self.suspects: dict[str, Job] = {}
+        # When executors with runs became silent, and whether one was reserved
+        # for a suspect.
+        self._silences: dict[str, tuple[float, bool]] = {}
+        # Executors that an earlier owner had reserved: their start times and
+        # jobs.  Whether the jobs' tasks ran there is not known yet.
+        self._trials: dict[str, list[tuple[int, Job]]] = {}
+
+    def add_job(self, job: Job) -> None:
+        """Take over the evidence that an earlier owner stored."""
+        if not job.progress.crashes or job.is_final:
+            return
+        self.suspects[job.job_id] = job
+        for executor_id, born_ms in job.progress.reserved.items():
+            self._trials.setdefault(executor_id, []).append((born_ms, job))
+
+    # --- Evidence.
+
+    def record_silence(
+        self, schedule: PoolSchedule, view: ExecutorView, now: float
+    ) -> None:
+        """Record that an executor stopped answering.
+
+        A silent executor that was reserved for a job presumably crashed
+        under it, so the job's earlier neighbours need no isolation.
+        """
+        for executor_id, (silent_at, _) in list(self._silences.items()):
+            if now - silent_at > SILENCE_MEMORY_S:
+                del self._silences[executor_id]
+        if not view.runs or view.info.draining:
+            return
+        isolated = schedule.isolation.isolated_run(view)
+        self._silences[view.executor_id] = (now, isolated is not None)
+        if isolated is None or isolated.task is None:
+            return
+        job = isolated.task.job
+        for records in job.progress.crashes.values():
+            for record in records:
+                self._excuse_others(job, record)
+
+    def record_answer(self, view: ExecutorView) -> None:
+        """Record that a silent incarnation answers again: it was cut off."""
+        if self._silences.pop(view.executor_id, None) is None:
+            return
+        for job in list(self.suspects.values()):
+            for key, records in list(job.progress.crashes.items()):
+                kept = [
+                    record
+                    for record in records
+                    if record.is_proved or not _is_of(record, view)
+                ]
+                self._replace(job, key, kept)
 
     def record_loss(
         self,
+        schedule: PoolSchedule,
         view: ExecutorView,
         runs: list[Run],
         cause: LossCause,
         now: float,
     ) -> None:
         """Record that runs on an executor were given up."""
-        if not runs:
+        is_planned = cause is LossCause.HOST_ORDER or view.info.draining
+        is_gone = cause is LossCause.LEASE_ENDED and not view.has_entry
+        is_proved = cause in PROOFS or is_gone
+        silent_at, _ = self._silences.get(view.executor_id, (now, False))
+        is_shared = self._is_shared(view.executor_id, silent_at)
+        isolated = schedule.isolation.isolated_run(view)
+        if runs:
+            self._log_loss(
+                view, runs, cause, is_shared, now - silent_at, isolated
+            )
+        if is_planned:
+            self._trials.pop(view.executor_id, None)
             return
-        self.events.append(
-            (
-                "executor-crashed",
-                {
-                    "executor": view.executor_id,
-                    "host": view.info.host,
-                    "born_ms": view.born_ms,
-                    "cause": cause.value,
-                    "draining": view.info.draining,
-                    "silent_s": round(now - view.polled_at, 2),
-                    "runs": len(runs),
-                    "tasks": [
-                        f"{run.task_name.render()}/{run.run}"
-                        for run in runs[:NAMED_MAX]
-                    ],
-                },
+        for run in runs:
+            task = _find_task(schedule, run)
+            if task is None:
+                continue
+            is_isolated = (
+                isolated is not None
+                and run.is_isolated
+                and run.task_name.job == isolated.task_name.job
             )
-        )
+            is_beside = isolated is not None and not is_isolated
+            age_s = silent_at - run.ordered_at
+            if run.is_adopted:
+                age_s = UNKNOWN_AGE_S
+            self._add(
+                task.job,
+                task_key(*task.name[1:]),
+                CrashRecord(
+                    view.executor_id,
+                    view.born_ms,
+                    max(0, int(age_s * 1000)),
+                    is_shared=is_beside or is_shared,
+                    is_proved=is_proved,
+                    is_isolated=is_isolated,
+                ),
+            )
+        if is_proved:
+            self._prove(view)
+            self._end_trials(view.executor_id, {run.task_name for run in runs})
+
+    def resolve_trials(
+        self, schedule: PoolSchedule, view: ExecutorView | None = None
+    ) -> None:
+        """Settle what earlier owners had reserved.
+
+        An executor's first report shows what runs there.  Without `view`,
+        all executors that still exist have reported.
+        """
+        if view is None:
+            for executor_id in list(self._trials):
+                if executor_id not in schedule.executors:
+                    self._end_trials(executor_id, set())
+            return
+        for born_ms, _ in self._trials.get(view.executor_id, []):
+            if born_ms and view.born_ms > born_ms:
+                self._end_trials(view.executor_id, set())
+                return
+        self._trials.pop(view.executor_id, None)
+
+    def record_running(self, run: Run, task: Task, now: float) -> None:
+        """Clear a task whose run goes on for longer than the lost one."""
+        key = task_key(*task.name[1:])
+        records = task.job.progress.crashes.get(key)
+        if not records or task.run != run.run:
+            return
+        if len(records) >= CONVICTING_CRASHES and not task.step.lasts:
+            return
+        age_s = max(record.age_ms for record in records) / 1000
+        if now - run.ordered_at < age_s * CLEARING_FACTOR + CLEARING_EXTRA_S:
+            return
+        self._replace(task.job, key, [])
+        self._log_verdict(task.job, key, "cleared", records)
+
+    # --- Decisions.
+
+    def judge(self, schedule: PoolSchedule, unix_ms: int) -> None:
+        """Fail the jobs against which there is enough evidence."""
+        for job in list(self.suspects.values()):
+            if job.is_final or not job.progress.crashes:
+                del self.suspects[job.job_id]
+                continue
+            for key, records in list(job.progress.crashes.items()):
+                proved = [record for record in records if record.is_proved]
+                is_convicted = len(proved) >= CONVICTING_CRASHES and any(
+                    record.is_isolated for record in proved
+                )
+                if not is_convicted and len(proved) < CRASHES_MAX:
+                    continue
+                self._convict(schedule, job, key, proved, unix_ms)
+                break
+
+    def may_start(self, task: Task) -> bool:
+        """Return whether the evidence allows another start of a task now.
+
+        It must be stored first.  A task that two silent executors may have
+        crashed under waits until it is known whether they did.
+        """
+        job = task.job
+        if not job.progress.crashes:
+            return True
+        if job.has_unsaved_crashes:
+            return False
+        return not self.awaits_proof(task)
+
+    def awaits_proof(self, task: Task) -> bool:
+        """Return whether a task waits for the proof of a loss."""
+        key = task_key(*task.name[1:])
+        records = task.job.progress.crashes.get(key, [])
+        if len(records) < CONVICTING_CRASHES:
+            return False
+        return not all(record.is_proved for record in records)
+
+    def ordered_suspects(self) -> list[Job]:
+        """Return the accused jobs, the most suspicious ones first.
+
+        A crash is most likely the fault of what was started last.
+        """
+        found: list[tuple[int, str, Job]] = []
+        for job in self.suspects.values():
+            ages: list[int] = []
+            for records in job.progress.crashes.values():
+                if is_accused(records):
+                    ages.append(min(record.age_ms for record in records))
+            if ages and not job.is_final:
+                found.append((min(ages), job.job_id, job))
+        return [job for _, _, job in sorted(found, key=lambda each: each[:2])]
+
+    # --- Implementation.
+
+    def _convict(
+        self,
+        schedule: PoolSchedule,
+        job: Job,
+        key: str,
+        records: list[CrashRecord],
+        unix_ms: int,
+    ) -> None:
+        """Fail a job; its crashes accuse no other job any more."""
+        executors = ", ".join(record.executor for record in records)
+        reason = f"task {key} ran on executors that crashed: {executors}"
+        self._log_verdict(job, key, "given-up", records)
+        schedule.set_aside_job(job, reason, unix_ms)
+        for record in records:
+            self._excuse_others(job, record, is_explained=True)
+
+    def _excuse_others(
+        self, job: Job, record: CrashRecord, is_explained: bool = False
+    ) -> None:
+        """Weaken the only evidence against the neighbours of a suspect.
+
+        Of a task that was lost more than once, all records are kept.
+        """
+        for other in list(self.suspects.values()):
+            if other is job:
+                continue
+            for key, records in list(other.progress.crashes.items()):
+                if len(records) > 1 or not _is_same(records[0], record):
+                    continue
+                if is_explained:
+                    self._replace(other, key, [])
+                elif not records[0].is_shared:
+                    records[0].is_shared = True
+                    _mark_changed(other)
+
+    def _add(self, job: Job, key: str, record: CrashRecord) -> None:
+        """Add a record, or prove the one of the same incarnation."""
+        records = job.progress.crashes.setdefault(key, [])
+        self.suspects[job.job_id] = job
+        for known in records:
+            if _is_same(known, record):
+                known.is_proved = known.is_proved or record.is_proved
+                _mark_changed(job)
+                return
+        if records:
+            record.is_shared = False
+        records.append(record)
+        _mark_changed(job)
+
+    def _replace(self, job: Job, key: str, records: list[CrashRecord]) -> None:
+        """Replace a task's records, if any was dropped."""
+        if len(records) == len(job.progress.crashes.get(key, [])):
+            return
+        if records:
+            job.progress.crashes[key] = records
+        else:
+            job.progress.crashes.pop(key, None)
+        _mark_changed(job)
+
+    def _prove(self, view: ExecutorView) -> None:
+        """Record that the end of an incarnation is proved."""
+        for job in self.suspects.values():
+            for records in job.progress.crashes.values():
+                for record in records:
+                    if _is_of(record, view) and not record.is_proved:
+                        record.is_proved = True
+                        _mark_changed(job)
+
+    def _end_trials(self, executor_id: str, seen: set[TaskName]) -> None:
+        """Count the loss of an executor that an earlier owner reserved.
+
+        The suspects may have been started there.  As no report has shown
+        that, the loss convicts nobody by itself.
+        """
+        for born_ms, job in self._trials.pop(executor_id, []):
+            if job.is_final or any(name.job == job.job_id for name in seen):
+                continue
+            for key in list(job.progress.crashes):
+                age_ms = int(UNKNOWN_AGE_S * 1000)
+                self._add(job, key, CrashRecord(executor_id, born_ms, age_ms))
+
+    def _is_shared(self, executor_id: str, silent_at: float) -> bool:
+        """Return whether many executors were lost at about that time."""
+        count = 1
+        for other, (other_at, is_isolated) in self._silences.items():
+            if other == executor_id or is_isolated:
+                continue
+            count += abs(other_at - silent_at) <= SHARED_WINDOW_S
+        return count >= SHARED_MIN
+
+    def _log_loss(
+        self,
+        view: ExecutorView,
+        runs: list[Run],
+        cause: LossCause,
+        is_shared: bool,
+        silent_s: float,
+        isolated: Run | None,
+    ) -> None:
+        """Add the event of a loss."""
+        fields = {
+            "executor": view.executor_id,
+            "host": view.info.host,
+            "born_ms": view.born_ms,
+            "cause": cause.value,
+            "draining": view.info.draining,
+            "silent_s": round(silent_s, 2),
+            "is_shared": is_shared,
+            "reserved_for": isolated.task_name.job if isolated else "",
+            "runs": len(runs),
+            "tasks": [
+                f"{run.task_name.render()}/{run.run}"
+                for run in runs[:NAMED_MAX]
+            ],
+        }
+        self.events.append(("executor-crashed", fields))
+
+    def _log_verdict(
+        self, job: Job, key: str, verdict: str, records: list[CrashRecord]
+    ) -> None:
+        """Add the event of a decision about a suspect."""
+        fields = {
+            "job": job.job_id,
+            "task": f"{job.job_id}.{key}",
+            "verdict": verdict,
+            "crashes": [record.executor for record in records],
+            "ages_ms": [record.age_ms for record in records],
+        }
+        self.events.append(("crash-verdict", fields))
+
+
+def _mark_changed(job: Job) -> None:
+    """Let the evidence be stored before the next start depends on it."""
+    job.is_dirty = True
+    job.has_unsaved_crashes = True
+
+
+def _is_of(record: CrashRecord, view: ExecutorView) -> bool:
+    """Return whether a record is of an executor's incarnation."""
+    return (
+        record.executor == view.executor_id and record.born_ms == view.born_ms
+    )
+
+
+def _is_same(record: CrashRecord, other: CrashRecord) -> bool:
+    """Return whether two records are of the same incarnation."""
+    return (
+        record.executor == other.executor and record.born_ms == other.born_ms
+    )
+
+
+def _find_task(schedule: PoolSchedule, run: Run) -> Task | None:
+    """Return the unfinished task of a run, even if it has another run."""
+    job = schedule.jobs.get(run.task_name.job)
+    task = job.find_task(run.task_name) if job is not None else None
+    if task is None or task.job.is_final or task.state is TaskState.DONE:
+        return None
+    return task
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -191,7 +191,10 @@
     __slots__ = (
         "checkpoint",
         "confirmed_at",
+        "is_adopted",
+        "is_isolated",
         "load",
+        "ordered_at",
         "pace",
         "percent",
         "phase",
@@ -220,6 +223,12 @@
         # None for a run that this owner has no use for.
         self.task = task
         self.phase = RunPhase.STARTING
+        # Local time at which its start was ordered or, if an earlier owner
+        # did that, at which it was first reported.
+        self.ordered_at = ordered_at
+        self.is_adopted = False
+        # Whether its executor was reserved for its job at its start.
+        self.is_isolated = False
         # Local time of the first answer or report that confirmed the run.
         self.confirmed_at: float | None = None
         self.checkpoint = ""
--- /dev/null
+++ b/lycheelug/workloads/isolation.py
@@ -0,0 +1,220 @@
+"""Reserves executors for tasks that may crash them; no I/O.
+
+A suspect runs where no task of another job is started beside it, so that a
+crash has one possible cause and few victims.  Runs that were there before
+have gone on for a while, which makes them unlikely causes.  Reservations are
+stored with the job before its tasks start, so that a later owner knows where
+they may have run.
+
+At most half of the usable executors are reserved, so that suspects don't
+starve the pool; a gang, which must start at once, may take more if no other
+job has a reservation.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from lycheelug.workloads.placement import count_same_step, takes_tasks
+from lycheelug.workloads.placement_hints import StepName
+from lycheelug.workloads.tasks import TaskState
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.executors import ExecutorView, Run
+    from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.pool import PoolSchedule
+    from lycheelug.workloads.tasks import Task
+
+__all__ = ["Isolation"]
+
+# Runs of other jobs must have gone on for this long before a suspect starts
+# beside them.
+SETTLED_S: Final = 0.3
+RESERVED_SHARE: Final = 0.5
+
+
+class Isolation:
+    """The executors of one pool that are reserved for suspects."""
+
+    __slots__ = ("_jobs",)
+
+    def __init__(self) -> None:
+        # The job for which an executor is reserved, by executor.
+        self._jobs: dict[str, str] = {}
+
+    def __bool__(self) -> bool:
+        """Return whether any executor is reserved."""
+        return bool(self._jobs)
+
+    def job_on(self, executor_id: str) -> str:
+        """Return the job for which an executor is reserved, or nothing."""
+        return self._jobs.get(executor_id, "")
+
+    def isolated_run(self, view: ExecutorView) -> Run | None:
+        """Return a run that was started while its job had the executor."""
+        job_id = self.job_on(view.executor_id)
+        for run in view.runs.values():
+            if run.is_isolated and run.task_name.job == job_id:
+                return run
+        return None
+
+    def restore(self, executor_id: str, job_id: str) -> None:
+        """Reserve an executor again, as an earlier owner had."""
+        self._jobs.setdefault(executor_id, job_id)
+
+    def is_settled(self, view: ExecutorView, now: float) -> bool:
+        """Return whether the job of a reserved executor may start there."""
+        job_id = self.job_on(view.executor_id)
+        for run in view.runs.values():
+            if run.task_name.job == job_id or run.is_adopted:
+                continue
+            if now - run.ordered_at < SETTLED_S:
+                return False
+        return True
+
+    def plan(self, schedule: PoolSchedule, now: float) -> None:
+        """Release what is no longer needed, and reserve for who waits."""
+        if not self._jobs and not schedule.crashes.suspects:
+            return
+        self._release(schedule, now)
+        usable: list[ExecutorView] = []
+        for view in schedule.executors.values():
+            if takes_tasks(view, now):
+                usable.append(view)
+        for job in schedule.crashes.ordered_suspects():
+            waiting = _waiting_tasks(schedule, job)
+            if waiting:
+                self._reserve(schedule, job, waiting, usable, now)
+
+    def _release(self, schedule: PoolSchedule, now: float) -> None:
+        """Release the executors that their jobs no longer need."""
+        for executor_id, job_id in list(self._jobs.items()):
+            job = schedule.jobs.get(job_id)
+            view = schedule.executors.get(executor_id)
+            if job is not None and view is not None and job.is_suspect:
+                has_runs = _has_runs(view, job_id)
+                is_wanted = bool(_waiting_tasks(schedule, job))
+                if has_runs or (is_wanted and takes_tasks(view, now)):
+                    continue
+            del self._jobs[executor_id]
+            if job is not None and not job.is_final:
+                job.progress.reserved.pop(executor_id, None)
+                job.is_dirty = True
+
+    def _reserve(
+        self,
+        schedule: PoolSchedule,
+        job: Job,
+        waiting: list[Task],
+        usable: list[ExecutorView],
+        now: float,
+    ) -> None:
+        """Reserve executors for a job until its next start fits on them."""
+        own = [
+            view
+            for view in usable
+            if self.job_on(view.executor_id) == job.job_id
+        ]
+        free = [
+            view
+            for view in usable
+            if not self.job_on(view.executor_id)
+            and _may_host(schedule, view, waiting[0], now)
+        ]
+        limit = max(1, int(len(usable) * RESERVED_SHARE))
+        if waiting[0].step.is_gang and len(own) == len(self._jobs):
+            limit = len(usable)
+        free.sort(key=lambda view: _preference(view, waiting[0]))
+        while free and len(self._jobs) < limit:
+            if _has_room(own, waiting):
+                return
+            view = free.pop(0)
+            own.append(view)
+            self._jobs[view.executor_id] = job.job_id
+            job.progress.reserved[view.executor_id] = view.born_ms
+            job.is_dirty = True
+            job.has_unsaved_crashes = True
+            schedule.crashes.events.append(
+                (
+                    "executor-reserved",
+                    {
+                        "executor": view.executor_id,
+                        "job": job.job_id,
+                        "waiting": len(waiting),
+                        "runs": len(view.runs),
+                    },
+                )
+            )
+
+
+def _waiting_tasks(schedule: PoolSchedule, job: Job) -> list[Task]:
+    """Return the waiting tasks of a job that need a reserved executor."""
+    found: list[Task] = []
+    for task in job.tasks():
+        if task.state is not TaskState.READY or not task.needs_isolation:
+            continue
+        if not schedule.crashes.awaits_proof(task):
+            found.append(task)
+    return found
+
+
+def _has_runs(view: ExecutorView, job_id: str) -> bool:
+    """Return whether an executor has runs of a job."""
+    return any(run.task_name.job == job_id for run in view.runs.values())
+
+
+def _may_host(
+    schedule: PoolSchedule, view: ExecutorView, task: Task, now: float
+) -> bool:
+    """Return whether a task can run on an executor, now or later."""
+    label = task.step.required_label
+    if label and label not in view.info.labels:
+        return False
+    if task.job.policy.needs_placement_hint:
+        step = StepName.of(task.name)
+        if not schedule.placement_hints.ticket(step, view.executor_id, now):
+            return False
+    # Long-running tasks keep their room; the others end soon.
+    cpu_millis = task.step.resources.cpu_millis
+    memory_mb = task.step.resources.memory_mb
+    for run in view.runs.values():
+        if run.task is not None and run.task.step.lasts:
+            cpu_millis += run.resources.cpu_millis
+            memory_mb += run.resources.memory_mb
+    capacity = view.info.capacity
+    return (
+        cpu_millis <= capacity.cpu_millis and memory_mb <= capacity.memory_mb
+    )
+
+
+def _preference(view: ExecutorView, task: Task) -> tuple[bool, int, str]:
+    """Return the sort key of executors to reserve, the best one first."""
+    return (
+        not view.fits(task.step.resources),
+        len(view.runs),
+        view.executor_id,
+    )
+
+
+def _has_room(views: list[ExecutorView], waiting: list[Task]) -> bool:
+    """Return whether the next start fits: of a gang, or of one task."""
+    first = waiting[0]
+    if not first.step.is_gang:
+        for view in views:
+            limit = first.step.max_per_executor
+            if limit and count_same_step(view, first) >= limit:
+                continue
+            if view.fits(first.step.resources):
+                return True
+        return False
+    cpu_millis = 0
+    memory_mb = 0
+    for view in views:
+        cpu_millis += view.info.capacity.cpu_millis - view.used_cpu
+        memory_mb += view.info.capacity.memory_mb - view.used_memory
+    needed = first.step.resources
+    count = first.step.count
+    return (
+        cpu_millis >= needed.cpu_millis * count
+        and memory_mb >= needed.memory_mb * count
+    )
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -16,6 +16,7 @@
 from lycheelug.workloads.progress import (
     FINISHED_MAX,
     ProgressRecord,
+    is_accused,
     step_key,
     task_key,
 )
@@ -43,6 +44,7 @@
         "cancelled",
         "due_ms",
         "has_started",
+        "has_unsaved_crashes",
         "home_zone",
         "is_long_running",
         "job_id",
@@ -77,6 +79,8 @@
         )
         # Whether the begun mark (`begun_term`) is stored.
         self.begin_is_stored = self.progress.begun_term > 0
+        # Whether crash records or reservations aren't stored yet.
+        self.has_unsaved_crashes = False
         self.cancelled = self.progress.state == JobState.CANCELLED
         self._is_dirty = False
         self._index: JobIndex | None = None
@@ -116,6 +120,14 @@
         """Whether the job has ended, so that none of its tasks may run."""
         return self.cancelled or self.progress.state in JobState.FINAL
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether one of its tasks may have crashed an executor."""
+        for records in self.progress.crashes.values():
+            if is_accused(records):
+                return True
+        return False
+
     @property
     def is_begun(self) -> bool:
         """Whether it is stored that a task may have been started."""
@@ -207,6 +219,7 @@
         key = step_key(name.occurrence, name.step)
         self.progress.done.setdefault(key, []).append(name.number)
         self.progress.checkpoints.pop(task_key(*name[1:]), None)
+        self.progress.crashes.pop(task_key(*name[1:]), None)
         for other in self.step_tasks(task):
             if other.state is not TaskState.DONE:
                 return []
@@ -352,6 +365,7 @@
         """Set a final state and the time at which it was reached."""
         self.progress.state = state
         self.progress.final_ms = unix_ms
+        self.progress.reserved.clear()
         self.is_dirty = True
         if self._index is not None:
             self._index.unfinished.pop(self.job_id, None)
--- a/lycheelug/workloads/orders.py
+++ b/lycheelug/workloads/orders.py
@@ -22,6 +22,7 @@
     "StopOrder",
     "find_stop_reason",
     "is_undisturbed",
+    "plan_stops",
 ]
 
 # A run whose start wasn't answered is stopped once a report that was requested
@@ -98,6 +99,31 @@
     return ""
 
 
+def plan_stops(view: ExecutorView, now: float) -> list[StopOrder]:
+    """Return the stop orders to send to an executor."""
+    stops: list[StopOrder] = []
+    for run in view.runs.values():
+        reason = find_stop_reason(run, view, now)
+        if reason:
+            run.phase = RunPhase.STOPPING
+            run.stop_reason = run.stop_reason or reason
+        if run.phase is not RunPhase.STOPPING or run.stop_sent:
+            continue
+        if run.task is None and view.last_report_at is None:
+            # The duplicated run; stopped once its executor responds.
+            continue
+        run.stop_sent = True
+        stops.append(
+            StopOrder(
+                view.executor_id,
+                run.task_name,
+                run.run,
+                run.stop_reason,
+            )
+        )
+    return stops
+
+
 def is_undisturbed(view: ExecutorView, now: float) -> bool:
     """Return whether nothing is to be decided about an executor's runs.
 
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -17,13 +17,21 @@
     from collections.abc import Callable, Iterable
 
     from lycheelug.workloads.executors import ExecutorView
+    from lycheelug.workloads.isolation import Isolation
     from lycheelug.workloads.jobs import Task
     from lycheelug.workloads.model import Resources, StepSpec
     from lycheelug.workloads.placement_hints import PlacementHints
 
     Policy = Callable[[Task, list[ExecutorView]], ExecutorView]
 
-__all__ = ["PACKING", "PLACEMENTS", "PlacementRound", "UnplaceableRequests"]
+__all__ = [
+    "PACKING",
+    "PLACEMENTS",
+    "PlacementRound",
+    "UnplaceableRequests",
+    "count_same_step",
+    "takes_tasks",
+]
 
 PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
 # The policies that choose the executor with the least free CPU.
@@ -39,7 +47,14 @@
     take room, and an undone placement gives back only what it took.
     """
 
-    __slots__ = ("_last_task", "_last_view", "_now", "_policy", "_views")
+    __slots__ = (
+        "_last_task",
+        "_last_view",
+        "_now",
+        "_policy",
+        "_reserved",
+        "_views",
+    )
 
     def __init__(
         self,
@@ -47,15 +62,23 @@
         now: float,
         policy: str = "together",
         smallest: Resources | None = None,
+        isolation: Isolation | None = None,
     ) -> None:
         self._now = now
         self._policy = policy
         self._views: list[ExecutorView] = []
+        # Executors that are reserved for jobs, by job.
+        self._reserved: dict[str, list[ExecutorView]] = {}
         for view in views:
             if smallest is not None and not view.fits(smallest):
                 continue
-            if _takes_tasks(view, now):
+            if not takes_tasks(view, now):
+                continue
+            job_id = isolation.job_on(view.executor_id) if isolation else ""
+            if isolation is None or not job_id:
                 self._views.append(view)
+            elif isolation.is_settled(view, now):
+                self._reserved.setdefault(job_id, []).append(view)
         # The last placed task and its executor, unless the next choice must
         # consider all executors again.
         self._last_task: Task | None = None
@@ -97,6 +120,8 @@
             return False
         if last.job is not task.job or last.name[:3] != task.name[:3]:
             return False
+        if task.job.progress.crashes:
+            return False
         for each in (last, task):
             if each.failures or each.avoided_executor:
                 return False
@@ -114,7 +139,10 @@
         step = task.step
         needed = step.resources
         avoids_any = bool(task.failures or task.avoided_executor)
-        for view in self._views:
+        views = self._views
+        if task.needs_isolation:
+            views = self._reserved.get(task.name.job, [])
+        for view in views:
             if not view.fits(needed):
                 continue
             if (
@@ -124,7 +152,7 @@
                 continue
             if (
                 step.max_per_executor
-                and _same_step_runs(view, task) >= step.max_per_executor
+                and count_same_step(view, task) >= step.max_per_executor
             ):
                 continue
             if hints is not None and not hints.ticket(
@@ -175,7 +203,7 @@
             self._requests.append(step.resources)
 
 
-def _takes_tasks(view: ExecutorView, now: float) -> bool:
+def takes_tasks(view: ExecutorView, now: float) -> bool:
     """Return whether an executor takes new tasks, if it has room."""
     if not view.is_healthy(now):
         return False
@@ -191,7 +219,7 @@
     return bool(task.failures) and view.health.has_recent_failures(now)
 
 
-def _same_step_runs(view: ExecutorView, task: Task) -> int:
+def count_same_step(view: ExecutorView, task: Task) -> int:
     """Return the number of other tasks of the same step on an executor."""
     count = 0
     name = task.name
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -31,14 +31,15 @@
 from lycheelug.workloads.crashes import CrashLedger, LossCause
 from lycheelug.workloads.demand import Arrivals, expected_work
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
+from lycheelug.workloads.isolation import Isolation
 from lycheelug.workloads.job_index import JobIndex
 from lycheelug.workloads.jobs import Job, Task, TaskState
 from lycheelug.workloads.orders import (
     PaceOrder,
     StartOrder,
     StopOrder,
-    find_stop_reason,
     is_undisturbed,
+    plan_stops,
 )
 from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.placement_hints import PlacementHints, StepName
@@ -72,6 +73,8 @@
         "executors",
         "handled_job",
         "hint_requests",
+        "is_capacity_current",
+        "isolation",
         "job_index",
         "jobs",
         "lease_s",
@@ -104,6 +107,10 @@
         self.run_times = RunTimes()
         self.arrivals = Arrivals()
         self.crashes = CrashLedger()
+        self.isolation = Isolation()
+        # Whether the executors' capacities are current; nothing is started
+        # while they aren't.
+        self.is_capacity_current = True
         self.placement_hints = PlacementHints()
         # Steps that need placement hints, with the executors to query.
         self.hint_requests: dict[StepName, list[str]] = {}
@@ -141,6 +148,7 @@
             self.arrivals.record(expected_work(record, self.run_times), now)
         self.jobs[job_id] = job
         job.set_index(self.job_index)
+        self.crashes.add_job(job)
         self.open_due_occurrences(job, unix_ms, now)
         return job
 
@@ -278,7 +286,7 @@
     ) -> list[Run]:
         """Drop all runs of an executor and requeue their tasks."""
         cleared = list(view.runs.values())
-        self.crashes.record_loss(view, cleared, cause, now)
+        self.crashes.record_loss(self, view, cleared, cause, now)
         for run in cleared:
             view.drop_run(run.key)
             self.free_task(run, view, now)
@@ -296,7 +304,10 @@
     # --- Orders.
 
     def plan(
-        self, now: float, verified_at: float, unix_ms: int = 0
+        self,
+        now: float,
+        verified_at: float,
+        unix_ms: int = 0,
     ) -> list[StartOrder | StopOrder | PaceOrder]:
         """Return the orders to send now.
 
@@ -309,7 +320,10 @@
                 continue
             self._free_expired(view, now, verified_at)
             duplicated = runs_to_duplicate(view)
-            self.crashes.record_loss(view, duplicated, LossCause.SILENT, now)
+            if duplicated:
+                self.crashes.record_loss(
+                    self, view, duplicated, LossCause.SILENT, now
+                )
             for run in duplicated:
                 # The unobservable run goes on; its duplicate may race it.
                 self.free_task(run, view, now)
@@ -323,7 +337,7 @@
             is_leaving = view.drain_order or view.info.draining
             if is_leaving and now >= self._relocate_after:
                 mark_relocations(view, self.executors, now)
-            orders.extend(self._plan_stops(view, now))
+            orders.extend(plan_stops(view, now))
             for run in plan_pace(view):
                 run.pace = view.pace
                 orders.append(
@@ -331,7 +345,12 @@
                         view.executor_id, run.task_name, run.run, run.pace
                     )
                 )
-        orders.extend(plan_starts(self, now, unix_ms))
+        if self.earlier_runs_known(now):
+            self.crashes.resolve_trials(self)
+        self.crashes.judge(self, unix_ms)
+        self.isolation.plan(self, now)
+        if self.is_capacity_current:
+            orders.extend(plan_starts(self, now, unix_ms))
         return orders
 
     def _free_expired(
@@ -348,30 +367,6 @@
         if not view.has_entry:
             self.executors.pop(view.executor_id, None)
 
-    def _plan_stops(self, view: ExecutorView, now: float) -> list[StopOrder]:
-        """Return the stop orders to send to an executor."""
-        stops: list[StopOrder] = []
-        for run in view.runs.values():
-            reason = find_stop_reason(run, view, now)
-            if reason:
-                run.phase = RunPhase.STOPPING
-                run.stop_reason = run.stop_reason or reason
-            if run.phase is not RunPhase.STOPPING or run.stop_sent:
-                continue
-            if run.task is None and view.last_report_at is None:
-                # The duplicated run; stopped once its executor responds.
-                continue
-            run.stop_sent = True
-            stops.append(
-                StopOrder(
-                    view.executor_id,
-                    run.task_name,
-                    run.run,
-                    run.stop_reason,
-                )
-            )
-        return stops
-
     def place(
         self, task: Task, view: ExecutorView, now: float, run: int = 0
     ) -> StartOrder:
@@ -383,7 +378,11 @@
         task.last_run = run
         task.job.home_zone = view.info.zone
         self.ready.discard(task)
-        view.add_run(Run(task.name, run, task.step.resources, now, task))
+        added = Run(task.name, run, task.step.resources, now, task)
+        added.is_isolated = (
+            self.isolation.job_on(view.executor_id) == task.name.job
+        )
+        view.add_run(added)
         view.record_lease(now, self.lease_s)
         ticket = ""
         if task.job.policy.needs_placement_hint:
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -14,13 +14,37 @@
 
 from lycheelug.workloads.model import JobState
 
-__all__ = ["FINISHED_MAX", "ProgressRecord", "step_key", "task_key"]
+__all__ = [
+    "FINISHED_MAX",
+    "CrashRecord",
+    "ProgressRecord",
+    "is_accused",
+    "step_key",
+    "task_key",
+]
 
 # The finished occurrences that are listed one by one.  No occurrence is
 # opened while so many are finished above one that isn't.
 FINISHED_MAX: Final = 200
 
 
+class CrashRecord(msgspec.Struct, array_like=True):
+    """One executor incarnation that was lost while a task ran there."""
+
+    executor: str
+    # Unix time in milliseconds at which the incarnation started.
+    born_ms: int
+    # How long the run had gone on.
+    age_ms: int
+    # The loss may have another cause, which affected other executors or
+    # another suspect: it accuses the task only together with another one.
+    is_shared: bool = False
+    # The incarnation has ended; otherwise it may only be unreachable.
+    is_proved: bool = True
+    # The executor was reserved for the task's job.
+    is_isolated: bool = False
+
+
 class ProgressRecord(msgspec.Struct, omit_defaults=True):
     """The durable progress of one job."""
 
@@ -47,6 +71,10 @@
     final_ms: int = 0
     # Why the job was set aside: it can't be scheduled.
     reason: str = ""
+    # Executors that were lost under unfinished tasks, keyed like `failures`.
+    crashes: dict[str, list[CrashRecord]] = {}
+    # Executors reserved for the job, with their start times as above.
+    reserved: dict[str, int] = {}
 
     @property
     def finished_count(self) -> int:
@@ -75,6 +103,17 @@
         self.finished = sorted(finished)
 
 
+def is_accused(records: list[CrashRecord]) -> bool:
+    """Return whether losses of executors make a task a suspect.
+
+    >>> is_accused([CrashRecord("x", 1, 20, is_shared=True)])
+    False
+    >>> is_accused([CrashRecord("x", 1, 20)])
+    True
+    """
+    return len(records) > 1 or any(not each.is_shared for each in records)
+
+
 def step_key(occurrence: int, step: int) -> str:
     """Return the key of a step in a progress record."""
     return f"{occurrence}.{step}"
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -44,6 +44,7 @@
         now,
         schedule.placement,
         _smallest_request(waiting),
+        schedule.isolation if schedule.isolation else None,
     )
     unplaceable = UnplaceableRequests()
     for step in waiting:
@@ -67,7 +68,9 @@
 ) -> None:
     """Place the waiting tasks of a step; add their start orders."""
     needs_placement_hint = step.job.policy.needs_placement_hint
-    is_limited = not step.spec.is_gang and not needs_placement_hint
+    is_limited = not (
+        step.spec.is_gang or needs_placement_hint or step.job.progress.crashes
+    )
     if is_limited and unplaceable.covers(step.spec.resources):
         return
     for task in step.in_order():
@@ -112,6 +115,8 @@
     if task.name in schedule.run_counts and not task.step.may_duplicate:
         # A superfluous run of this task has not ended yet.
         return False
+    if not schedule.crashes.may_start(task):
+        return False
     if task.failures and task.step.lasts and not task.step.is_gang:
         wait_s = RESTART_WAIT_S * min(task.failures, 10)
         return now - task.ready_at >= wait_s
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -73,7 +73,9 @@
         _reset_incarnation(schedule, view, report.born_ms, polled_at, now)
     elif view.born_ms == 0:
         view.born_ms = report.born_ms
+    schedule.crashes.record_answer(view)
     if not view.has_accepted_term:
+        schedule.crashes.resolve_trials(schedule, view)
         # The executor now rejects earlier owners, so none of them can extend
         # a lease any more.
         view.has_accepted_term = True
@@ -172,7 +174,9 @@
         if run.confirmed_at is not None and run.confirmed_at >= polled_at:
             continue
         lost.append(run)
-    schedule.crashes.record_loss(view, lost, LossCause.RESTARTED, now)
+    schedule.crashes.record_loss(
+        schedule, view, lost, LossCause.RESTARTED, now
+    )
     view.born_ms = born_ms
     view.last_applied_end = 0
     view.last_acked_end = 0
@@ -198,6 +202,8 @@
         run.confirmed_at = now
     if run.task is not None:
         run.task.job.has_started = True
+    if run.task is not None and run.task.job.progress.crashes:
+        schedule.crashes.record_running(run, run.task, now)
     if entry.percent != run.percent or entry.checkpoint != run.checkpoint:
         run.progressed_at = now
     run.percent = entry.percent
@@ -221,6 +227,11 @@
     resources = _run_resources(view, job, entry.task)
     run = Run(entry.task, entry.run, resources, now, None)
     run.phase = RunPhase.RUNNING
+    run.is_adopted = True
+    if job is not None and job.is_suspect:
+        run.is_isolated = view.executor_id in job.progress.reserved
+        if run.is_isolated:
+            schedule.isolation.restore(view.executor_id, job.job_id)
     view.add_run(run)
     if task is None or job is None or job.is_final:
         return run
--- a/lycheelug/workloads/tasks.py
+++ b/lycheelug/workloads/tasks.py
@@ -5,6 +5,8 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
+from lycheelug.workloads.progress import is_accused, task_key
+
 if TYPE_CHECKING:
     from lycheelug.workloads.jobs import Job
     from lycheelug.workloads.model import StepSpec, TaskName
@@ -65,6 +67,20 @@
         # Local time at which the task last became ready.
         self.ready_at = 0.0
 
+    @property
+    def needs_isolation(self) -> bool:
+        """Whether it may start only on an executor reserved for its job.
+
+        A long-running job keeps running its tasks that aren't suspects; of
+        any other job, all waiting tasks are isolated together.
+        """
+        crashes = self.job.progress.crashes
+        if not crashes:
+            return False
+        if self.step.lasts:
+            return is_accused(crashes.get(task_key(*self.name[1:]), []))
+        return self.job.is_suspect
+
     def next_run_number(self, term: int) -> int:
         """Return the next run number, higher than all earlier ones."""
         return max(self.last_run + 1, term * RUNS_PER_TERM + 1)
--- a/tests/pool_world.py
+++ b/tests/pool_world.py
@@ -52,6 +52,8 @@
         # None if the ownership is verified at every plan.
         self.verified_at: float | None = None
         self.unix_ms = 0
+        # Whether records of lost executors are stored with each plan.
+        self.stores_crashes = True
         self.end_numbers: dict[str, int] = {}
 
     def add_executor(
@@ -112,7 +114,22 @@
         verified_at = (
             self.now if self.verified_at is None else self.verified_at
         )
-        return self.schedule.plan(self.now, verified_at, self.unix_ms)
+        orders = self.schedule.plan(self.now, verified_at, self.unix_ms)
+        if self.store_crashes():
+            # The owner plans again after each write.
+            orders += self.schedule.plan(self.now, verified_at, self.unix_ms)
+            self.store_crashes()
+        return orders
+
+    def store_crashes(self) -> bool:
+        """Let the next starts depend on the records of lost executors."""
+        if not self.stores_crashes:
+            return False
+        has_stored = False
+        for job in self.schedule.jobs.values():
+            has_stored = has_stored or job.has_unsaved_crashes
+            job.has_unsaved_crashes = False
+        return has_stored
 
     def starts(self) -> list[StartOrder]:
         return [each for each in self.plan() if isinstance(each, StartOrder)]
--- a/tests/reference_schedule.py
+++ b/tests/reference_schedule.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from lycheelug.workloads import (
+    LossCause,
     PaceOrder,
     PoolSchedule,
     Resources,
@@ -43,7 +44,12 @@
         orders: list[Order] = []
         for view in list(self.executors.values()):
             self._free_expired(view, now, verified_at)
-            for run in runs_to_duplicate(view):
+            duplicated = runs_to_duplicate(view)
+            if duplicated:
+                self.crashes.record_loss(
+                    self, view, duplicated, LossCause.SILENT, now
+                )
+            for run in duplicated:
                 self.free_task(run, view, now)
                 run.task = None
             for run in stalled_runs(view, self.run_times):
@@ -63,6 +69,10 @@
                         view.executor_id, run.task_name, run.run, run.pace
                     )
                 )
+        if self.earlier_runs_known(now):
+            self.crashes.resolve_trials(self)
+        self.crashes.judge(self, unix_ms)
+        self.isolation.plan(self, now)
         orders.extend(_starts(self, now, unix_ms))
         return orders
 
@@ -144,7 +154,8 @@
             continue
         needs_hint = task.job.policy.needs_placement_hint
         needed = task.step.resources
-        if not needs_hint and any(
+        is_suspect = bool(task.job.progress.crashes)
+        if not (needs_hint or is_suspect) and any(
             all(small <= big for small, big in zip(each, needed, strict=True))
             for each in failed
         ):
@@ -154,6 +165,7 @@
             orders.append(schedule.place(task, view, now))
         elif not (
             needs_hint
+            or is_suspect
             or task.step.required_label
             or task.step.max_per_executor
         ):
@@ -173,6 +185,8 @@
         return False
     if task.name in schedule.run_counts and not task.step.may_duplicate:
         return False
+    if not schedule.crashes.may_start(task):
+        return False
     if task.failures and task.step.lasts and not task.step.is_gang:
         wait_s = RESTART_WAIT_S * min(task.failures, 10)
         return now - task.ready_at >= wait_s
@@ -211,6 +225,11 @@
     for view in schedule.executors.values():
         if not _can_host(view, task, now):
             continue
+        job_id = schedule.isolation.job_on(view.executor_id)
+        if job_id != (task.name.job if task.needs_isolation else ""):
+            continue
+        if job_id and not schedule.isolation.is_settled(view, now):
+            continue
         if needs_hint and not hints.ticket(step, view.executor_id, now):
             continue
         is_unreliable = task.failures and view.health.has_recent_failures(now)
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -83,6 +83,12 @@
     return steps
 
 
+def store_crashes(schedule: PoolSchedule) -> None:
+    """Let the next starts depend on the crash records."""
+    for job in schedule.jobs.values():
+        job.has_unsaved_crashes = False
+
+
 class TwinWorld:
     """Two schedules that get the same random inputs at the same times."""
 
@@ -325,6 +331,8 @@
                 job.begin_is_stored = True
 
         self.apply(begin)
+        if self.rng.random() < 0.5:
+            self.apply(store_crashes)
 
     def compare_index(self) -> None:
         """Compare the index of jobs with all jobs, and store some."""
