Count only starts that may have been carried out as crash evidence

Change: an answer that rules the start out removes the record; a start without an answer counts for isolation, but two such crashes convict nobody; after five the job is given up, as another start might crash one more. Ruled out: a wrong executor in the record; the log has both.

--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -1,6 +1,6 @@
 """Job model, task placement and the schedule of one pool; no I/O."""
 
-from lycheelug.workloads.crashes import LossCause
+from lycheelug.workloads.crash_evidence import LossCause
 from lycheelug.workloads.executors import (
     EndKind,
     EndReport,
--- /dev/null
+++ b/lycheelug/workloads/crash_evidence.py
@@ -0,0 +1,123 @@
+"""What the loss of executors proves against the tasks that ran there."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, Any, Final
+
+if TYPE_CHECKING:
+    from lycheelug.workloads.executors import ExecutorView, Run
+    from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.progress import CrashRecord
+
+__all__ = [
+    "CONVICTING_CRASHES",
+    "PROOFS",
+    "LossCause",
+    "describe_loss",
+    "describe_verdict",
+    "is_convicting",
+    "is_of",
+    "is_same",
+]
+
+# Losses under a task after which its job fails: in isolation, and at most.
+CONVICTING_CRASHES: Final = 2
+CRASHES_MAX: Final = 3
+UNCERTAIN_CRASHES_MAX: Final = 5
+# Tasks that one event names, for the logs.
+NAMED_MAX: Final = 20
+
+
+class LossCause(Enum):
+    """Why the runs on an executor were given up."""
+
+    # A later incarnation with the same id reports.
+    RESTARTED = "restarted"
+    # Another incarnation answered at the executor's address.
+    REPLACED = "replaced"
+    # The list of hosts names another incarnation.
+    NOT_LISTED = "not-listed"
+    # The host is being moved or maintained.
+    HOST_ORDER = "host-order"
+    # It was silent until its last lease ended.
+    LEASE_ENDED = "lease-ended"
+    # It is silent, and second runs of its tasks are started.
+    SILENT = "silent"
+
+
+# The causes that prove that an incarnation has ended.
+PROOFS: Final = frozenset(
+    {LossCause.RESTARTED, LossCause.REPLACED, LossCause.NOT_LISTED}
+)
+
+
+def is_convicting(records: list[CrashRecord]) -> bool:
+    """Return whether the records of a task are enough to fail its job.
+
+    A task counts as the cause only if it surely ran on two of the executors,
+    unless there were so many that another start might crash one more.
+    """
+    proved = [record for record in records if record.is_proved]
+    if len(proved) >= UNCERTAIN_CRASHES_MAX:
+        return True
+    certain = [record for record in proved if record.is_certain]
+    if len(certain) < CONVICTING_CRASHES:
+        return False
+    if len(proved) >= CRASHES_MAX:
+        return True
+    return any(record.is_isolated for record in certain)
+
+
+def is_of(record: CrashRecord, view: ExecutorView) -> bool:
+    """Return whether a record is of an executor's incarnation."""
+    return (
+        record.executor == view.executor_id and record.born_ms == view.born_ms
+    )
+
+
+def is_same(record: CrashRecord, other: CrashRecord) -> bool:
+    """Return whether two records are of the same incarnation."""
+    return (
+        record.executor == other.executor and record.born_ms == other.born_ms
+    )
+
+
+def describe_loss(
+    view: ExecutorView,
+    runs: list[Run],
+    cause: LossCause,
+    is_shared: bool,
+    silent_s: float,
+    isolated: Run | None,
+) -> tuple[str, dict[str, Any]]:
+    """Return the event of a lost executor."""
+    fields = {
+        "executor": view.executor_id,
+        "host": view.info.host,
+        "born_ms": view.born_ms,
+        "cause": cause.value,
+        "draining": view.info.draining,
+        "silent_s": round(silent_s, 2),
+        "is_shared": is_shared,
+        "reserved_for": isolated.task_name.job if isolated else "",
+        "runs": len(runs),
+        "tasks": [
+            f"{run.task_name.render()}/{run.run}" for run in runs[:NAMED_MAX]
+        ],
+    }
+    return ("executor-crashed", fields)
+
+
+def describe_verdict(
+    job: Job, key: str, verdict: str, records: list[CrashRecord]
+) -> tuple[str, dict[str, Any]]:
+    """Return the event of a decision about a suspect."""
+    fields = {
+        "job": job.job_id,
+        "task": f"{job.job_id}.{key}",
+        "verdict": verdict,
+        "crashes": [record.executor for record in records],
+        "ages_ms": [record.age_ms for record in records],
+    }
+    return ("crash-verdict", fields)
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -15,7 +15,8 @@
   than the one under which the executor was lost.
 * Losses of several executors at nearly the same time, as of a rack, accuse
   nobody, except tasks that another loss has accused before.
-* After `CRASHES_MAX` losses a task is given up in any case.
+* After `CRASHES_MAX` losses a task is given up in any case; if it is not
+  certain that it ran on the executors, after `UNCERTAIN_CRASHES_MAX`.
 
 An executor that is only silent may be cut off.  Its loss counts as evidence
 for placement at once, but convicts nobody until it is proved.  Executors
@@ -24,9 +25,18 @@
 
 from __future__ import annotations
 
-from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
+from lycheelug.workloads.crash_evidence import (
+    CONVICTING_CRASHES,
+    PROOFS,
+    LossCause,
+    describe_loss,
+    describe_verdict,
+    is_convicting,
+    is_of,
+    is_same,
+)
 from lycheelug.workloads.progress import CrashRecord, is_accused, task_key
 from lycheelug.workloads.tasks import TaskState
 
@@ -37,11 +47,8 @@
     from lycheelug.workloads.pool import PoolSchedule
     from lycheelug.workloads.tasks import Task
 
-__all__ = ["CrashLedger", "LossCause"]
+__all__ = ["CrashLedger"]
 
-# Losses under a task after which its job fails: in isolation, and at most.
-CONVICTING_CRASHES: Final = 2
-CRASHES_MAX: Final = 3
 # Losses within this time of each other may have a cause in common, if at
 # least so many executors are lost.
 SHARED_WINDOW_S: Final = 1.0
@@ -54,31 +61,6 @@
 CLEARING_EXTRA_S: Final = 0.2
 # Assumed duration of a run whose start this owner has not seen.
 UNKNOWN_AGE_S: Final = 2.0
-# Tasks that one event names, for the logs.
-NAMED_MAX: Final = 20
-
-
-class LossCause(Enum):
-    """Why the runs on an executor were given up."""
-
-    # A later incarnation with the same id reports.
-    RESTARTED = "restarted"
-    # Another incarnation answered at the executor's address.
-    REPLACED = "replaced"
-    # The list of hosts names another incarnation.
-    NOT_LISTED = "not-listed"
-    # The host is being moved or maintained.
-    HOST_ORDER = "host-order"
-    # It was silent until its last lease ended.
-    LEASE_ENDED = "lease-ended"
-    # It is silent, and second runs of its tasks are started.
-    SILENT = "silent"
-
-
-# The causes that prove that an incarnation has ended.
-PROOFS: Final = frozenset(
-    {LossCause.RESTARTED, LossCause.REPLACED, LossCause.NOT_LISTED}
-)
 
 
 class CrashLedger:
@@ -139,7 +121,7 @@
                 kept = [
                     record
                     for record in records
-                    if record.is_proved or not _is_of(record, view)
+                    if record.is_proved or not is_of(record, view)
                 ]
                 self._replace(job, key, kept)
 
@@ -159,8 +141,10 @@
         is_shared = self._is_shared(view.executor_id, silent_at)
         isolated = schedule.isolation.isolated_run(view)
         if runs:
-            self._log_loss(
-                view, runs, cause, is_shared, now - silent_at, isolated
+            self.events.append(
+                describe_loss(
+                    view, runs, cause, is_shared, now - silent_at, isolated
+                )
             )
         if is_planned:
             self._trials.pop(view.executor_id, None)
@@ -188,6 +172,7 @@
                     is_shared=is_beside or is_shared,
                     is_proved=is_proved,
                     is_isolated=is_isolated,
+                    is_certain=run.confirmed_at is not None,
                 ),
             )
         if is_proved:
@@ -213,6 +198,16 @@
                 return
         self._trials.pop(view.executor_id, None)
 
+    def record_not_started(self, task: Task, view: ExecutorView) -> None:
+        """Record that a start on an executor was surely not carried out."""
+        key = task_key(*task.name[1:])
+        records = task.job.progress.crashes.get(key, [])
+        kept: list[CrashRecord] = []
+        for record in records:
+            if record.is_certain or not is_of(record, view):
+                kept.append(record)
+        self._replace(task.job, key, kept)
+
     def record_running(self, run: Run, task: Task, now: float) -> None:
         """Clear a task whose run goes on for longer than the lost one."""
         key = task_key(*task.name[1:])
@@ -225,7 +220,7 @@
         if now - run.ordered_at < age_s * CLEARING_FACTOR + CLEARING_EXTRA_S:
             return
         self._replace(task.job, key, [])
-        self._log_verdict(task.job, key, "cleared", records)
+        self.events.append(describe_verdict(task.job, key, "cleared", records))
 
     # --- Decisions.
 
@@ -236,13 +231,9 @@
                 del self.suspects[job.job_id]
                 continue
             for key, records in list(job.progress.crashes.items()):
-                proved = [record for record in records if record.is_proved]
-                is_convicted = len(proved) >= CONVICTING_CRASHES and any(
-                    record.is_isolated for record in proved
-                )
-                if not is_convicted and len(proved) < CRASHES_MAX:
+                if not is_convicting(records):
                     continue
-                self._convict(schedule, job, key, proved, unix_ms)
+                self._convict(schedule, job, key, records, unix_ms)
                 break
 
     def may_start(self, task: Task) -> bool:
@@ -294,7 +285,7 @@
         """Fail a job; its crashes accuse no other job any more."""
         executors = ", ".join(record.executor for record in records)
         reason = f"task {key} ran on executors that crashed: {executors}"
-        self._log_verdict(job, key, "given-up", records)
+        self.events.append(describe_verdict(job, key, "given-up", records))
         schedule.set_aside_job(job, reason, unix_ms)
         for record in records:
             self._excuse_others(job, record, is_explained=True)
@@ -310,7 +301,7 @@
             if other is job:
                 continue
             for key, records in list(other.progress.crashes.items()):
-                if len(records) > 1 or not _is_same(records[0], record):
+                if len(records) > 1 or not is_same(records[0], record):
                     continue
                 if is_explained:
                     self._replace(other, key, [])
@@ -323,8 +314,9 @@
         records = job.progress.crashes.setdefault(key, [])
         self.suspects[job.job_id] = job
         for known in records:
-            if _is_same(known, record):
+            if is_same(known, record):
                 known.is_proved = known.is_proved or record.is_proved
+                known.is_certain = known.is_certain or record.is_certain
                 _mark_changed(job)
                 return
         if records:
@@ -347,7 +339,7 @@
         for job in self.suspects.values():
             for records in job.progress.crashes.values():
                 for record in records:
-                    if _is_of(record, view) and not record.is_proved:
+                    if is_of(record, view) and not record.is_proved:
                         record.is_proved = True
                         _mark_changed(job)
 
@@ -362,7 +354,10 @@
                 continue
             for key in list(job.progress.crashes):
                 age_ms = int(UNKNOWN_AGE_S * 1000)
-                self._add(job, key, CrashRecord(executor_id, born_ms, age_ms))
+                record = CrashRecord(
+                    executor_id, born_ms, age_ms, is_certain=False
+                )
+                self._add(job, key, record)
 
     def _is_shared(self, executor_id: str, silent_at: float) -> bool:
         """Return whether many executors were lost at about that time."""
@@ -373,46 +368,6 @@
             count += abs(other_at - silent_at) <= SHARED_WINDOW_S
         return count >= SHARED_MIN
 
-    def _log_loss(
-        self,
-        view: ExecutorView,
-        runs: list[Run],
-        cause: LossCause,
-        is_shared: bool,
-        silent_s: float,
-        isolated: Run | None,
-    ) -> None:
-        """Add the event of a loss."""
-        fields = {
-            "executor": view.executor_id,
-            "host": view.info.host,
-            "born_ms": view.born_ms,
-            "cause": cause.value,
-            "draining": view.info.draining,
-            "silent_s": round(silent_s, 2),
-            "is_shared": is_shared,
-            "reserved_for": isolated.task_name.job if isolated else "",
-            "runs": len(runs),
-            "tasks": [
-                f"{run.task_name.render()}/{run.run}"
-                for run in runs[:NAMED_MAX]
-            ],
-        }
-        self.events.append(("executor-crashed", fields))
-
-    def _log_verdict(
-        self, job: Job, key: str, verdict: str, records: list[CrashRecord]
-    ) -> None:
-        """Add the event of a decision about a suspect."""
-        fields = {
-            "job": job.job_id,
-            "task": f"{job.job_id}.{key}",
-            "verdict": verdict,
-            "crashes": [record.executor for record in records],
-            "ages_ms": [record.age_ms for record in records],
-        }
-        self.events.append(("crash-verdict", fields))
-
 
 def _mark_changed(job: Job) -> None:
     """Let the evidence be stored before the next start depends on it."""
@@ -420,20 +375,6 @@
     job.has_unsaved_crashes = True
 
 
-def _is_of(record: CrashRecord, view: ExecutorView) -> bool:
-    """Return whether a record is of an executor's incarnation."""
-    return (
-        record.executor == view.executor_id and record.born_ms == view.born_ms
-    )
-
-
-def _is_same(record: CrashRecord, other: CrashRecord) -> bool:
-    """Return whether two records are of the same incarnation."""
-    return (
-        record.executor == other.executor and record.born_ms == other.born_ms
-    )
-
-
 def _find_task(schedule: PoolSchedule, run: Run) -> Task | None:
     """Return the unfinished task of a run, even if it has another run."""
     job = schedule.jobs.get(run.task_name.job)
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -28,7 +28,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.workloads.crashes import CrashLedger, LossCause
+from lycheelug.workloads.crash_evidence import LossCause
+from lycheelug.workloads.crashes import CrashLedger
 from lycheelug.workloads.demand import Arrivals, expected_work
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
 from lycheelug.workloads.isolation import Isolation
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -43,6 +43,9 @@
     is_proved: bool = True
     # The executor was reserved for the task's job.
     is_isolated: bool = False
+    # The run was known to be running there; otherwise its start was not
+    # answered.
+    is_certain: bool = True
 
 
 class ProgressRecord(msgspec.Struct, omit_defaults=True):
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -14,7 +14,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.workloads.crashes import LossCause
+from lycheelug.workloads.crash_evidence import LossCause
 from lycheelug.workloads.executors import EndKind, Run, RunPhase
 from lycheelug.workloads.jobs import TaskState
 from lycheelug.workloads.placement_hints import StepName
@@ -115,6 +115,8 @@
 ) -> None:
     """Apply the outcome of a start order."""
     run = view.runs.get((task.name, number))
+    if answer not in (StartAnswer.STARTED, StartAnswer.NO_ANSWER):
+        schedule.crashes.record_not_started(task, view)
     if run is None or run.phase not in (RunPhase.STARTING, RunPhase.UNKNOWN):
         return
     if answer is StartAnswer.STARTED:
