--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -32,6 +32,7 @@
     """The dependencies of a pool owner or the fleet owner."""
 
     __slots__ = (
+        "are_capacities_current",
         "are_executors_current",
         "clock",
         "configuration",
@@ -60,6 +61,7 @@
         is_store_unreachable: Callable[[], bool] = lambda: False,
         wait_for_executors: Callable[[], Awaitable[None]] | None = None,
         are_executors_current: Callable[[], bool] = lambda: True,
+        are_capacities_current: Callable[[], bool] = lambda: True,
         weight: float = 1.0,
         job_limits: JobLimits | None = None,
     ) -> None:
@@ -80,6 +82,8 @@
         self.wait_for_executors = wait_for_executors
         # Whether `executors` returns what was read lately.
         self.are_executors_current = are_executors_current
+        # Whether their capacities may be used for new starts.
+        self.are_capacities_current = are_capacities_current
         # The capacity of this host, relative to a small one.
         self.weight = weight
         # What one job may ask for.
--- a/lycheelug/jobservice/executor_list.py
+++ b/lycheelug/jobservice/executor_list.py
@@ -29,6 +29,10 @@
 # The feed answers at least each two seconds.  A list of which it has not for
 # longer than this may lack executors.
 LIST_AGE_MAX_S: Final = 3.0
+# A capacity in the list counts for new starts for as long as this.  It is
+# below the time (3 s, and one status report) in which a daemon has to know
+# that an executor's capacity has shrunk.
+CAPACITY_AGE_MAX_S: Final = 2.75
 
 
 class ExecutorList:
@@ -60,8 +64,12 @@
     @property
     def is_current(self) -> bool:
         """Whether the list was read lately."""
-        age_s = asyncio.get_running_loop().time() - self._answered_at
-        return age_s < LIST_AGE_MAX_S
+        return self._age_s() < LIST_AGE_MAX_S
+
+    @property
+    def are_capacities_current(self) -> bool:
+        """Whether the executors' capacities may be used for new starts."""
+        return self._age_s() < CAPACITY_AGE_MAX_S
 
     def request(self) -> None:
         """Follow the list from now on, as a pool was won."""
@@ -87,6 +95,10 @@
             self._replica.loaded.clear()
             self._requested.clear()
 
+    def _age_s(self) -> float:
+        """Return the time since the store's last answer."""
+        return asyncio.get_running_loop().time() - self._answered_at
+
     def _on_answer(self) -> None:
         """Record that the store has answered."""
         self._answered_at = asyncio.get_running_loop().time()
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -304,6 +304,14 @@
     def _plan(self) -> list[StartOrder | StopOrder | PaceOrder]:
         """Return the orders to send now; set aside jobs that can't be run."""
         schedule = self.schedule
+        is_current = self._context.are_capacities_current()
+        if is_current is not schedule.is_capacity_current:
+            schedule.is_capacity_current = is_current
+            log_change(
+                "starts-resumed" if is_current else "starts-held",
+                pool=self.pool,
+                reason="age of the list of executors",
+            )
         orders = schedule.plan(
             self._context.clock.now(),
             self.verified_at,
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -108,6 +108,7 @@
             is_store_unreachable,
             self._wait_for_executors,
             self._are_executors_current,
+            self._are_capacities_current,
             weight,
             job_limits,
         )
@@ -248,6 +249,11 @@
         if self._executor_list is not None:
             await self._executor_list.wait_loaded()
 
+    def _are_capacities_current(self) -> bool:
+        """Whether the executors' capacities may be used for new starts."""
+        known = self._executor_list
+        return known is None or known.are_capacities_current
+
     def _are_executors_current(self) -> bool:
         """Whether the list of executors was read lately."""
         return self._executor_list is None or self._executor_list.is_current
