Store crash evidence when an executor falls silent, not when it is back

And six deadly tasks of a surge, which crashed six executors within 0.6 s, were taken for one common cause.

Change: the runs on an executor that stops answering get unproved records at once; an answer of the same incarnation removes them, its proved end or its absence from all lists proves them, also for the next owner. A common cause is assumed only for executors that were lost within 0.1 s, as far as their last signs of life allow; all losses of such a group are weakened.

The test of the frozen owner failed before: its successor counted one crash.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -130,7 +130,10 @@
         )
         now = context.clock.now()
         if isinstance(result, Failure):
-            self._handle_failure(view, result.failure(), now)
+            is_timeout = now - polled_at >= wait_s
+            was_refused = result.failure() is PollFailure.REFUSED
+            alive_until = polled_at if is_timeout or was_refused else now
+            self._handle_failure(view, result.failure(), alive_until, now)
             return False
         report = result.unwrap()
         had_accepted_term = view.has_accepted_term
@@ -171,14 +174,20 @@
         return True
 
     def _handle_failure(
-        self, view: ExecutorView, failure: PollFailure, now: float
+        self,
+        view: ExecutorView,
+        failure: PollFailure,
+        alive_until: float,
+        now: float,
     ) -> None:
         """Mark the executor unresponsive and act on the failure."""
         owner = self._owner
         view.last_report_at = None
         if not self._is_unresponsive:
             self._is_unresponsive = True
-            owner.schedule.crashes.record_silence(owner.schedule, view, now)
+            owner.schedule.crashes.record_silence(
+                owner.schedule, view, alive_until, now
+            )
             log_change(
                 "executor-lost",
                 pool=owner.pool,
--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -5,20 +5,28 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Final
 
+from lycheelug.workloads.progress import is_accused, task_key
+
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Job
     from lycheelug.workloads.progress import CrashRecord
+    from lycheelug.workloads.tasks import Task
 
 __all__ = [
     "CONVICTING_CRASHES",
     "PROOFS",
     "LossCause",
+    "awaits_proof",
     "describe_loss",
     "describe_verdict",
     "is_convicting",
     "is_of",
     "is_same",
+    "order_suspects",
+    "unproved_executors",
 ]
 
 # Losses under a task after which its job fails: in isolation, and at most.
@@ -69,6 +77,42 @@
     return any(record.is_isolated for record in certain)
 
 
+def awaits_proof(task: Task) -> bool:
+    """Return whether a task waits for the proof of a loss."""
+    key = task_key(*task.name[1:])
+    records = task.job.progress.crashes.get(key, [])
+    if len(records) < CONVICTING_CRASHES:
+        return False
+    return not all(record.is_proved for record in records)
+
+
+def order_suspects(jobs: Iterable[Job]) -> list[Job]:
+    """Return the accused jobs, the most suspicious ones first.
+
+    A crash is most likely the fault of what was started last.
+    """
+    found: list[tuple[int, str, Job]] = []
+    for job in jobs:
+        ages: list[int] = []
+        for records in job.progress.crashes.values():
+            if is_accused(records):
+                ages.append(min(record.age_ms for record in records))
+        if ages and not job.is_final:
+            found.append((min(ages), job.job_id, job))
+    return [job for _, _, job in sorted(found, key=lambda each: each[:2])]
+
+
+def unproved_executors(jobs: Iterable[Job]) -> set[str]:
+    """Return the executors of which a loss is recorded but not proved."""
+    found: set[str] = set()
+    for job in jobs:
+        for records in job.progress.crashes.values():
+            for record in records:
+                if not record.is_proved:
+                    found.add(record.executor)
+    return found
+
+
 def is_of(record: CrashRecord, view: ExecutorView) -> bool:
     """Return whether a record is of an executor's incarnation."""
     return (
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -25,19 +25,23 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any, Final
 
 from lycheelug.workloads.crash_evidence import (
     CONVICTING_CRASHES,
     PROOFS,
     LossCause,
+    awaits_proof,
     describe_loss,
     describe_verdict,
     is_convicting,
     is_of,
     is_same,
+    unproved_executors,
 )
-from lycheelug.workloads.progress import CrashRecord, is_accused, task_key
+from lycheelug.workloads.progress import CrashRecord, task_key
+from lycheelug.workloads.silences import SHARED_MIN, Silence, Silences
 from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
@@ -49,12 +53,6 @@
 
 __all__ = ["CrashLedger"]
 
-# Losses within this time of each other may have a cause in common, if at
-# least so many executors are lost.
-SHARED_WINDOW_S: Final = 1.0
-SHARED_MIN: Final = 3
-# How long a silence is remembered.
-SILENCE_MEMORY_S: Final = 30.0
 # A run clears its task once it has gone on for this many times as long as the
 # one under which the executor was lost, and for this much longer.
 CLEARING_FACTOR: Final = 1.5
@@ -73,9 +71,7 @@
         self.events: list[tuple[str, dict[str, Any]]] = []
         # The jobs with crash records.
         self.suspects: dict[str, Job] = {}
-        # When executors with runs became silent, and whether one was reserved
-        # for a suspect.
-        self._silences: dict[str, tuple[float, bool]] = {}
+        self._silences = Silences()
         # Executors that an earlier owner had reserved: their start times and
         # jobs.  Whether the jobs' tasks ran there is not known yet.
         self._trials: dict[str, list[tuple[int, Job]]] = {}
@@ -91,20 +87,32 @@
     # --- Evidence.
 
     def record_silence(
-        self, schedule: PoolSchedule, view: ExecutorView, now: float
+        self,
+        schedule: PoolSchedule,
+        view: ExecutorView,
+        alive_until: float,
+        now: float,
     ) -> None:
         """Record that an executor stopped answering.
 
-        A silent executor that was reserved for a job presumably crashed
-        under it, so the job's earlier neighbours need no isolation.
+        It was surely alive until `alive_until`, in local time.  The evidence
+        is recorded now, because the proof may come seconds later and to a
+        later owner.  An executor that was reserved for a job presumably
+        crashed under it, so the job's earlier neighbours need no isolation.
         """
-        for executor_id, (silent_at, _) in list(self._silences.items()):
-            if now - silent_at > SILENCE_MEMORY_S:
-                del self._silences[executor_id]
         if not view.runs or view.info.draining:
             return
         isolated = schedule.isolation.isolated_run(view)
-        self._silences[view.executor_id] = (now, isolated is not None)
+        self._silences.add(
+            view.executor_id,
+            Silence(view.born_ms, alive_until, now, isolated is not None),
+        )
+        runs = list(view.runs.values())
+        together = self._silences.coinciding(view.executor_id)
+        is_shared = len(together) >= SHARED_MIN
+        self._add_runs(schedule, view, runs, now, is_shared, is_proved=False)
+        if is_shared:
+            self._weaken(together)
         if isolated is None or isolated.task is None:
             return
         job = isolated.task.job
@@ -112,9 +120,13 @@
             for record in records:
                 self._excuse_others(job, record)
 
-    def record_answer(self, view: ExecutorView) -> None:
-        """Record that a silent incarnation answers again: it was cut off."""
-        if self._silences.pop(view.executor_id, None) is None:
+    def record_answer(self, view: ExecutorView, is_first: bool) -> None:
+        """Record that an incarnation answers, maybe after a silence.
+
+        Silent executors that answer again were only cut off.
+        """
+        silence = self._silences.remove(view.executor_id)
+        if silence is None and not is_first:
             return
         for job in list(self.suspects.values()):
             for key, records in list(job.progress.crashes.items()):
@@ -124,6 +136,7 @@
                     if record.is_proved or not is_of(record, view)
                 ]
                 self._replace(job, key, kept)
+        self._prove(view.executor_id, born_before_ms=view.born_ms)
 
     def record_loss(
         self,
@@ -137,8 +150,11 @@
         is_planned = cause is LossCause.HOST_ORDER or view.info.draining
         is_gone = cause is LossCause.LEASE_ENDED and not view.has_entry
         is_proved = cause in PROOFS or is_gone
-        silent_at, _ = self._silences.get(view.executor_id, (now, False))
-        is_shared = self._is_shared(view.executor_id, silent_at)
+        silence = self._silences.get(view.executor_id)
+        silent_at = silence.until if silence is not None else now
+        is_shared = (
+            len(self._silences.coinciding(view.executor_id)) >= SHARED_MIN
+        )
         isolated = schedule.isolation.isolated_run(view)
         if runs:
             self.events.append(
@@ -148,35 +164,11 @@
             )
         if is_planned:
             self._trials.pop(view.executor_id, None)
+            self.record_answer(view, is_first=True)
             return
-        for run in runs:
-            task = _find_task(schedule, run)
-            if task is None:
-                continue
-            is_isolated = (
-                isolated is not None
-                and run.is_isolated
-                and run.task_name.job == isolated.task_name.job
-            )
-            is_beside = isolated is not None and not is_isolated
-            age_s = silent_at - run.ordered_at
-            if run.is_adopted:
-                age_s = UNKNOWN_AGE_S
-            self._add(
-                task.job,
-                task_key(*task.name[1:]),
-                CrashRecord(
-                    view.executor_id,
-                    view.born_ms,
-                    max(0, int(age_s * 1000)),
-                    is_shared=is_beside or is_shared,
-                    is_proved=is_proved,
-                    is_isolated=is_isolated,
-                    is_certain=run.confirmed_at is not None,
-                ),
-            )
+        self._add_runs(schedule, view, runs, silent_at, is_shared, is_proved)
         if is_proved:
-            self._prove(view)
+            self._prove(view.executor_id, born_before_ms=view.born_ms + 1)
             self._end_trials(view.executor_id, {run.task_name for run in runs})
 
     def resolve_trials(
@@ -188,8 +180,11 @@
         all executors that still exist have reported.
         """
         if view is None:
-            for executor_id in list(self._trials):
+            for executor_id in unproved_executors(
+                self.suspects.values()
+            ) | set(self._trials):
                 if executor_id not in schedule.executors:
+                    self._prove(executor_id)
                     self._end_trials(executor_id, set())
             return
         for born_ms, _ in self._trials.get(view.executor_id, []):
@@ -202,10 +197,11 @@
         """Record that a start on an executor was surely not carried out."""
         key = task_key(*task.name[1:])
         records = task.job.progress.crashes.get(key, [])
-        kept: list[CrashRecord] = []
-        for record in records:
-            if record.is_certain or not is_of(record, view):
-                kept.append(record)
+        kept = [
+            record
+            for record in records
+            if record.is_certain or not is_of(record, view)
+        ]
         self._replace(task.job, key, kept)
 
     def record_running(self, run: Run, task: Task, now: float) -> None:
@@ -247,30 +243,7 @@
             return True
         if job.has_unsaved_crashes:
             return False
-        return not self.awaits_proof(task)
-
-    def awaits_proof(self, task: Task) -> bool:
-        """Return whether a task waits for the proof of a loss."""
-        key = task_key(*task.name[1:])
-        records = task.job.progress.crashes.get(key, [])
-        if len(records) < CONVICTING_CRASHES:
-            return False
-        return not all(record.is_proved for record in records)
-
-    def ordered_suspects(self) -> list[Job]:
-        """Return the accused jobs, the most suspicious ones first.
-
-        A crash is most likely the fault of what was started last.
-        """
-        found: list[tuple[int, str, Job]] = []
-        for job in self.suspects.values():
-            ages: list[int] = []
-            for records in job.progress.crashes.values():
-                if is_accused(records):
-                    ages.append(min(record.age_ms for record in records))
-            if ages and not job.is_final:
-                found.append((min(ages), job.job_id, job))
-        return [job for _, _, job in sorted(found, key=lambda each: each[:2])]
+        return not awaits_proof(task)
 
     # --- Implementation.
 
@@ -309,6 +282,44 @@
                     records[0].is_shared = True
                     _mark_changed(other)
 
+    def _add_runs(
+        self,
+        schedule: PoolSchedule,
+        view: ExecutorView,
+        runs: list[Run],
+        silent_at: float,
+        is_shared: bool,
+        is_proved: bool,
+    ) -> None:
+        """Add a record for each unfinished task of some runs."""
+        isolated = schedule.isolation.isolated_run(view)
+        for run in runs:
+            task = _find_task(schedule, run)
+            if task is None:
+                continue
+            is_isolated = (
+                isolated is not None
+                and run.is_isolated
+                and run.task_name.job == isolated.task_name.job
+            )
+            is_beside = isolated is not None and not is_isolated
+            age_s = silent_at - run.ordered_at
+            if run.is_adopted:
+                age_s = UNKNOWN_AGE_S
+            self._add(
+                task.job,
+                task_key(*task.name[1:]),
+                CrashRecord(
+                    view.executor_id,
+                    view.born_ms,
+                    max(0, int(age_s * 1000)),
+                    is_shared=is_beside or is_shared,
+                    is_proved=is_proved,
+                    is_isolated=is_isolated,
+                    is_certain=run.confirmed_at is not None,
+                ),
+            )
+
     def _add(self, job: Job, key: str, record: CrashRecord) -> None:
         """Add a record, or prove the one of the same incarnation."""
         records = job.progress.crashes.setdefault(key, [])
@@ -334,15 +345,33 @@
             job.progress.crashes.pop(key, None)
         _mark_changed(job)
 
-    def _prove(self, view: ExecutorView) -> None:
-        """Record that the end of an incarnation is proved."""
+    def _prove(
+        self, executor_id: str, born_before_ms: float = math.inf
+    ) -> None:
+        """Record that the ends of an executor's incarnations are proved."""
         for job in self.suspects.values():
             for records in job.progress.crashes.values():
                 for record in records:
-                    if is_of(record, view) and not record.is_proved:
+                    if record.executor != executor_id or record.is_proved:
+                        continue
+                    if record.born_ms < born_before_ms:
                         record.is_proved = True
                         _mark_changed(job)
 
+    def _weaken(self, executor_ids: list[str]) -> None:
+        """Excuse tasks whose only loss is one of several at that time."""
+        for job in self.suspects.values():
+            for records in job.progress.crashes.values():
+                record = records[0]
+                if len(records) > 1 or record.is_shared:
+                    continue
+                silence = self._silences.get(record.executor)
+                if silence is None or record.executor not in executor_ids:
+                    continue
+                if record.born_ms == silence.born_ms:
+                    record.is_shared = True
+                    _mark_changed(job)
+
     def _end_trials(self, executor_id: str, seen: set[TaskName]) -> None:
         """Count the loss of an executor that an earlier owner reserved.
 
@@ -359,15 +388,6 @@
                 )
                 self._add(job, key, record)
 
-    def _is_shared(self, executor_id: str, silent_at: float) -> bool:
-        """Return whether many executors were lost at about that time."""
-        count = 1
-        for other, (other_at, is_isolated) in self._silences.items():
-            if other == executor_id or is_isolated:
-                continue
-            count += abs(other_at - silent_at) <= SHARED_WINDOW_S
-        return count >= SHARED_MIN
-
 
 def _mark_changed(job: Job) -> None:
     """Let the evidence be stored before the next start depends on it."""
--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -15,6 +15,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.crash_evidence import awaits_proof, order_suspects
 from lycheelug.workloads.placement import count_same_step, takes_tasks
 from lycheelug.workloads.placement_hints import StepName
 from lycheelug.workloads.tasks import TaskState
@@ -81,8 +82,8 @@
         for view in schedule.executors.values():
             if takes_tasks(view, now):
                 usable.append(view)
-        for job in schedule.crashes.ordered_suspects():
-            waiting = _waiting_tasks(schedule, job)
+        for job in order_suspects(schedule.crashes.suspects.values()):
+            waiting = _waiting_tasks(job)
             if waiting:
                 self._reserve(schedule, job, waiting, usable, now)
 
@@ -93,7 +94,7 @@
             view = schedule.executors.get(executor_id)
             if job is not None and view is not None and job.is_suspect:
                 has_runs = _has_runs(view, job_id)
-                is_wanted = bool(_waiting_tasks(schedule, job))
+                is_wanted = bool(_waiting_tasks(job))
                 if has_runs or (is_wanted and takes_tasks(view, now)):
                     continue
             del self._jobs[executor_id]
@@ -147,13 +148,13 @@
             )
 
 
-def _waiting_tasks(schedule: PoolSchedule, job: Job) -> list[Task]:
+def _waiting_tasks(job: Job) -> list[Task]:
     """Return the waiting tasks of a job that need a reserved executor."""
     found: list[Task] = []
     for task in job.tasks():
         if task.state is not TaskState.READY or not task.needs_isolation:
             continue
-        if not schedule.crashes.awaits_proof(task):
+        if not awaits_proof(task):
             found.append(task)
     return found
 
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -117,8 +117,7 @@
         self.hint_requests: dict[StepName, list[str]] = {}
         self.jobs: dict[str, Job] = {}
         self.job_index = JobIndex()
-        # The job of the task that is being reported on; after an unexpected
-        # error, the one that caused it.
+        # The job of the task that is being reported on, for errors.
         self.handled_job: Job | None = None
         self.executors: dict[str, ExecutorView] = {}
         # Tasks waiting for an executor.
@@ -305,10 +304,7 @@
     # --- Orders.
 
     def plan(
-        self,
-        now: float,
-        verified_at: float,
-        unix_ms: int = 0,
+        self, now: float, verified_at: float, unix_ms: int = 0
     ) -> list[StartOrder | StopOrder | PaceOrder]:
         """Return the orders to send now.
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -44,7 +44,7 @@
     schedule = world.schedule
     view = schedule.executors[executor_id]
     view.last_report_at = None
-    schedule.crashes.record_silence(schedule, view, world.now)
+    schedule.crashes.record_silence(schedule, view, world.now, world.now)
     world.now += silent_s
     schedule.remove_executor(executor_id, world.now, cause)
 
@@ -152,8 +152,8 @@
     schedule = world.schedule
     for view in schedule.executors.values():
         view.last_report_at = None
-        schedule.crashes.record_silence(schedule, view, world.now)
-        world.now += 0.1
+        schedule.crashes.record_silence(schedule, view, world.now, world.now)
+        world.now += 0.02
     world.now += 3.0
     for name in list(schedule.executors):
         schedule.remove_executor(name, world.now, LossCause.REPLACED)
@@ -221,7 +221,7 @@
     schedule = world.schedule
     view = schedule.executors[first.executor_id]
     view.last_report_at = None
-    schedule.crashes.record_silence(schedule, view, world.now)
+    schedule.crashes.record_silence(schedule, view, world.now, world.now)
     start_one(world)
     assert accused(job) == [first.executor_id]
     world.report_tasks(first.executor_id, [(TASK, first.run)])
@@ -241,7 +241,9 @@
         lost.append(order.executor_id)
         view = world.schedule.executors[order.executor_id]
         view.last_report_at = None
-        world.schedule.crashes.record_silence(world.schedule, view, world.now)
+        world.schedule.crashes.record_silence(
+            world.schedule, view, world.now, world.now
+        )
     assert world.starts() == []
     assert not job.is_final
     for name in lost:
@@ -298,6 +300,32 @@
         assert job.progress.state == JobState.FAILED
 
 
+# Guards against a crash that isn't counted, as its owner froze before the
+# executor's end was proved.
+def test_next_owner_counts_a_crash_that_its_predecessor_only_suspected() -> (
+    None
+):
+    world = PoolWorld()
+    view = world.add_executor("a")
+    job = world.add_job(ONE)
+    start_one(world)
+    view.last_report_at = None
+    world.schedule.crashes.record_silence(
+        world.schedule, view, world.now, world.now
+    )
+    assert job.is_dirty
+    later = PoolWorld(term=2)
+    for name in ("b", "c"):
+        later.add_executor(name)
+    job = later.add_job(ONE, progress=job.progress)
+    second = start_one(later)
+    (records,) = job.progress.crashes.values()
+    assert records[0].is_proved
+    lose(later, second.executor_id)
+    later.plan()
+    assert job.progress.state == JobState.FAILED
+
+
 def test_same_crash_is_counted_once_by_two_owners() -> None:
     world = PoolWorld()
     world.add_executor("a")
