Limit for how long a suspect keeps an executor to itself

Change: a running suspect keeps others away for 2 s at most; it is cleared as before. A run that went on for over 5 s is an unlikely cause, so its loss accuses only together with another one.

The new test failed before.

--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -18,9 +18,9 @@
 * After `CRASHES_MAX` losses a task is given up in any case; if it is not
   certain that it ran on the executors, after `UNCERTAIN_CRASHES_MAX`.
 
-An executor that is only silent may be cut off.  Its loss counts as evidence
-for placement at once, but convicts nobody until it is proved.  Executors
-that announced their end, were moved or maintained accuse nobody.
+An executor that is only silent may be cut off: its loss counts for placement
+at once, but convicts nobody until it is proved.  Executors that announced
+their end, were moved or maintained accuse nobody.
 """
 
 from __future__ import annotations
@@ -57,6 +57,8 @@
 # one under which the executor was lost, and for this much longer.
 CLEARING_FACTOR: Final = 1.5
 CLEARING_EXTRA_S: Final = 0.2
+# A run that went on for longer than this is an unlikely cause of a crash.
+UNLIKELY_AGE_S: Final = 5.0
 # Assumed duration of a run whose start this owner has not seen.
 UNKNOWN_AGE_S: Final = 2.0
 
@@ -157,11 +159,10 @@
         )
         isolated = schedule.isolation.isolated_run(view)
         if runs:
-            self.events.append(
-                describe_loss(
-                    view, runs, cause, is_shared, now - silent_at, isolated
-                )
+            event = describe_loss(
+                view, runs, cause, is_shared, now - silent_at, isolated
             )
+            self.events.append(event)
         if is_planned:
             self._trials.pop(view.executor_id, None)
             self.record_answer(view, is_first=True)
@@ -303,6 +304,7 @@
                 and run.task_name.job == isolated.task_name.job
             )
             is_beside = isolated is not None and not is_isolated
+            is_unlikely = silent_at - run.ordered_at > UNLIKELY_AGE_S
             age_s = silent_at - run.ordered_at
             if run.is_adopted:
                 age_s = UNKNOWN_AGE_S
@@ -313,7 +315,7 @@
                     view.executor_id,
                     view.born_ms,
                     max(0, int(age_s * 1000)),
-                    is_shared=is_beside or is_shared,
+                    is_shared=is_beside or is_shared or is_unlikely,
                     is_proved=is_proved,
                     is_isolated=is_isolated,
                     is_certain=run.confirmed_at is not None,
--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -6,9 +6,9 @@
 stored with the job before its tasks start, so that a later owner knows where
 they may have run.
 
-At most half of the usable executors are reserved, so that suspects don't
-starve the pool; a gang, which must start at once, may take more if no other
-job has a reservation.
+A suspect keeps others away for a limited time.  At most half of the usable
+executors are reserved, so that suspects don't starve the pool; a gang, which
+must start at once, may take more if no other job has a reservation.
 """
 
 from __future__ import annotations
@@ -32,6 +32,8 @@
 # beside them.
 SETTLED_S: Final = 0.3
 RESERVED_SHARE: Final = 0.5
+# The longest time for which a running suspect keeps others away.
+ISOLATION_MAX_S: Final = 2.0
 
 
 class Isolation:
@@ -93,7 +95,7 @@
             job = schedule.jobs.get(job_id)
             view = schedule.executors.get(executor_id)
             if job is not None and view is not None and job.is_suspect:
-                has_runs = _has_runs(view, job_id)
+                has_runs = _has_recent_runs(view, job_id, now)
                 is_wanted = bool(_waiting_tasks(job))
                 if has_runs or (is_wanted and takes_tasks(view, now)):
                     continue
@@ -159,9 +161,14 @@
     return found
 
 
-def _has_runs(view: ExecutorView, job_id: str) -> bool:
-    """Return whether an executor has runs of a job."""
-    return any(run.task_name.job == job_id for run in view.runs.values())
+def _has_recent_runs(view: ExecutorView, job_id: str, now: float) -> bool:
+    """Return whether runs of a job still have to be isolated."""
+    for run in view.runs.values():
+        if run.task_name.job != job_id:
+            continue
+        if now - run.ordered_at < ISOLATION_MAX_S:
+            return True
+    return False
 
 
 def _may_host(
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -36,8 +36,8 @@
     born_ms: int
     # How long the run had gone on.
     age_ms: int
-    # The loss may have another cause, which affected other executors or
-    # another suspect: it accuses the task only together with another one.
+    # The loss probably has another cause: it accuses the task only together
+    # with another loss.
     is_shared: bool = False
     # The incarnation has ended; otherwise it may only be unreachable.
     is_proved: bool = True
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -389,6 +389,31 @@
     assert states == [TaskState.PLACED] * 3
 
 
+# Guards against a suspect that keeps the only executor of a pool.
+@pytest.mark.parametrize("age_s", [1.0, 20.0])
+def test_long_running_suspect_does_not_starve_a_pool_of_one(
+    age_s: float,
+) -> None:
+    world = PoolWorld()
+    world.add_executor("a")
+    job = world.add_job([StepSpec(count=1, cpu_millis=1000, lasts=True)])
+    first = start_one(world)
+    world.now += age_s
+    lose(world, first.executor_id)
+    world.add_executor("b")
+    assert job.is_suspect is (age_s < 5.0)
+    second = start_one(world)
+    other = world.add_job(ONE, job_id(2))
+    held_s = 0.0
+    while not world.starts():
+        held_s += 0.2
+        assert held_s <= 2.0
+        world.now += 0.2
+        key = (second.task.name, second.run)
+        world.report_tasks("b", [key], percent=100)
+    assert not other.is_final
+
+
 def test_suspects_leave_half_of_the_executors_to_others() -> None:
     world = PoolWorld()
     for number in range(6):
