Skip finished tasks when choosing long-running runs to relocate

Planning raised KeyError for a draining executor with a second run of a task whose occurrence had finished meanwhile. A finished task needs no relocation; its run is stopped anyway.

--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.executors import RunPhase
+from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -38,6 +39,8 @@
             continue
         if run.phase is not RunPhase.RUNNING or task.job.is_final:
             continue
+        if task.state is TaskState.DONE:
+            continue
         if _count_unavailable(task, executors, now) >= max(
             1, task.step.may_miss
         ):
