--- a/lycheelug/cli/explain.py
+++ b/lycheelug/cli/explain.py
@@ -22,7 +22,12 @@
 )
 # Events in which an owner changed its view of an executor.
 EXECUTOR_EVENTS: Final = frozenset(
-    {"executor-lost", "executor-heard", "executor-ended"}
+    {
+        "executor-crashed",
+        "executor-ended",
+        "executor-heard",
+        "executor-lost",
+    }
 )
 
 
@@ -42,6 +47,9 @@
     >>> text = '{"time":"1","daemon":"e1","event":"job-accepted","job":"j"}'
     >>> [line.event for line in explain([text, "no line"], "j")]
     ['job-accepted']
+    >>> text = '{"time":"1","event":"executor-crashed","tasks":["j.0.0.1/2"]}'
+    >>> [line.event for line in explain([text], "j")]
+    ['executor-crashed']
     """
     records = _parse_records(lines)
     job_records = [record for record in records if _names_job(record, job_id)]
@@ -89,6 +97,9 @@
     """Return whether a log record names a job."""
     if job_id in (record.get("job"), record.get("subject")):
         return True
+    tasks = record.get("tasks", ())
+    if any(str(task).startswith(f"{job_id}.") for task in tasks):
+        return True
     return job_id in str(record.get("target", ""))
 
 
--- a/lycheelug/cli/scheduler_commands.py
+++ b/lycheelug/cli/scheduler_commands.py
@@ -39,6 +39,7 @@
     "finished_tasks",
     "failed_runs",
     "is_cancelled",
+    "reason",
 )
 
 StoreOption = Annotated[
--- a/lycheelug/jobservice/inspection.py
+++ b/lycheelug/jobservice/inspection.py
@@ -46,6 +46,7 @@
 
     from lycheelug.errors import Fault
     from lycheelug.store.rows import RowStore, StoredRow
+    from lycheelug.workloads import ProgressRecord
 
 __all__ = [
     "DaemonView",
@@ -132,6 +133,10 @@
     finished_tasks: int
     failed_runs: int
     is_cancelled: bool
+    # Why it was set aside or given up; empty otherwise.
+    reason: str = ""
+    # Executors that were lost under its unfinished tasks.
+    lost_executors: list[str] = []
 
 
 class Inspection:
@@ -343,4 +348,15 @@
         sum(map(len, progress.done.values())) if progress is not None else 0,
         sum(progress.failures.values()) if progress is not None else 0,
         False,
+        progress.reason if progress is not None else "",
+        _lost_executors(progress) if progress is not None else [],
     )
+
+
+def _lost_executors(progress: ProgressRecord) -> list[str]:
+    """Return the executors that were lost under a job's tasks."""
+    found: set[str] = set()
+    for records in progress.crashes.values():
+        for record in records:
+            found.add(record.executor)
+    return sorted(found)
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -322,6 +322,7 @@
         schedule.ready.defects.clear()
         for event, fields in schedule.crashes.events:
             log_change(event, pool=self.pool, term=self.term, **fields)
+            self._context.metrics.count(str(fields.get("verdict", event)))
         schedule.crashes.events.clear()
         return orders
 
