Don't retry a request after two connections broke under it

After two executors closed the connection without a complete answer it is answered with the fault; connects that fail, refusals and timeouts count as before. A table test covers it; no run of the program with such a request was made.

--- a/lycheelug/retries.py
+++ b/lycheelug/retries.py
@@ -44,6 +44,9 @@
 _DEFAULT_CAP_TOKENS: Final = 20.0
 _DEFAULT_DECAY_S: Final = 30.0
 _MAX_ATTEMPTS: Final = 4
+# Executors that may lose their connection while they run one request, before
+# it counts as the cause.
+_MAX_BROKEN: Final = 2
 _ROUNDING_ERROR: Final = 1e-9
 # Expected run times are multiplied by this before they are compared with the
 # remaining time, so that a retry that barely fits is not started.
@@ -177,6 +180,8 @@
 
     UNSAFE = "unsafe"
     ATTEMPTS = "attempts"
+    # It may crash the executors that run it.
+    BROKEN = "broken"
     DEADLINE = "deadline"
     BUDGET = "budget"
 
@@ -209,12 +214,14 @@
     deadline: float,
     expected_s: float,
     attempts: int,
+    broken: int = 0,
 ) -> Retry | Stop:
     """Decide whether to retry a request that failed `attempts` times.
 
     Call this after every failure, even if `safe` is false, because the budget
     counts failed first attempts.  A token is spent only if all other
-    conditions allow the retry.
+    conditions allow the retry.  `broken` is the number of attempts after
+    which the executor closed the connection without a complete answer.
 
     >>> should_retry(UnlimitedRetries(), True, 0.0, 2.9, 0.1, attempts=1)
     Retry()
@@ -229,6 +236,8 @@
         return Stop(StopReason.UNSAFE)
     if attempts >= _MAX_ATTEMPTS:
         return Stop(StopReason.ATTEMPTS)
+    if broken >= _MAX_BROKEN:
+        return Stop(StopReason.BROKEN)
     if now + expected_s * _SLACK_FACTOR >= deadline:
         return Stop(StopReason.DEADLINE)
     if not budget.try_spend(now):
--- a/lycheelug/runner.py
+++ b/lycheelug/runner.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Success
 
 from lycheelug.errors import (
+    ANSWER_TRUNCATED,
     CLAIM_LOST,
     CONNECT_FAILED,
     DEADLINE_PASSED,
@@ -84,6 +85,7 @@
 
     __slots__ = (
         "arrived_at",
+        "broken",
         "caller_request",
         "count",
         "deadline",
@@ -112,6 +114,8 @@
         self.deadline = arrived_at + caller_request.timeout_s
         self.may_start = may_start
         self.count = 0
+        # Attempts after which the connection ended without an answer.
+        self.broken = 0
         self.excluded: frozenset[str] = frozenset()
         self.may_have_run = False
         self.queue_s = 0.0
@@ -252,6 +256,7 @@
         self._record_fault(attempts, executor, fault, service_s)
         attempts.count += 1
         attempts.may_have_run = attempts.may_have_run or fault.maybe_sent
+        attempts.broken += fault.code is ANSWER_TRUNCATED
         attempts.excluded |= {executor.name}
         if self._may_retry(attempts, fault, executor):
             return None
@@ -309,6 +314,7 @@
             attempts.deadline,
             executor.latency_s or ASSUMED_RUN_TIME_S,
             attempts.count,
+            attempts.broken,
         )
         if not isinstance(decision, Retry):
             self._metrics.count(f"no-retry.{decision.reason.value}")
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -56,6 +56,17 @@
         assert decision.reason is reason
 
 
+# Guards against a request that crashes each executor on which it is retried.
+@pytest.mark.parametrize(
+    ("broken", "reason"), [(0, None), (1, None), (2, StopReason.BROKEN)]
+)
+def test_request_is_not_retried_after_two_broken_connections(
+    broken: int, reason: StopReason | None
+) -> None:
+    decision = should_retry(UnlimitedRetries(), True, 0.0, 2.9, 0.1, 2, broken)
+    assert getattr(decision, "reason", None) is reason
+
+
 def test_token_is_spent_only_on_a_retry_that_is_made() -> None:
     # Much less than one of the two tokens decays in 2.9 s.
     budget = FirstTriesBudget(ratio=1.0)
