--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from lycheelug.workloads.progress import is_accused, task_key
+from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.pool import PoolSchedule
     from lycheelug.workloads.progress import CrashRecord
     from lycheelug.workloads.tasks import Task
 
@@ -22,6 +24,7 @@
     "awaits_proof",
     "describe_loss",
     "describe_verdict",
+    "find_open_task",
     "is_convicting",
     "is_of",
     "is_same",
@@ -165,3 +168,12 @@
         "ages_ms": [record.age_ms for record in records],
     }
     return ("crash-verdict", fields)
+
+
+def find_open_task(schedule: PoolSchedule, run: Run) -> Task | None:
+    """Return the unfinished task of a run, even if it has another run."""
+    job = schedule.jobs.get(run.task_name.job)
+    task = job.find_task(run.task_name) if job is not None else None
+    if task is None or task.job.is_final or task.state is TaskState.DONE:
+        return None
+    return task
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -35,6 +35,7 @@
     awaits_proof,
     describe_loss,
     describe_verdict,
+    find_open_task,
     is_convicting,
     is_of,
     is_same,
@@ -42,7 +43,6 @@
 )
 from lycheelug.workloads.progress import CrashRecord, task_key
 from lycheelug.workloads.silences import SHARED_MIN, Silence, Silences
-from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView, Run
@@ -115,9 +115,9 @@
         self._add_runs(schedule, view, runs, now, is_shared, is_proved=False)
         if is_shared:
             self._weaken(together)
-        if isolated is None or isolated.task is None:
+        job = schedule.jobs.get(isolated.task_name.job) if isolated else None
+        if job is None:
             return
-        job = isolated.task.job
         for records in job.progress.crashes.values():
             for record in records:
                 self._excuse_others(job, record)
@@ -128,17 +128,9 @@
         Silent executors that answer again were only cut off.
         """
         silence = self._silences.remove(view.executor_id)
-        if silence is None and not is_first:
-            return
-        for job in list(self.suspects.values()):
-            for key, records in list(job.progress.crashes.items()):
-                kept = [
-                    record
-                    for record in records
-                    if record.is_proved or not is_of(record, view)
-                ]
-                self._replace(job, key, kept)
-        self._prove(view.executor_id, born_before_ms=view.born_ms)
+        if silence is not None or is_first:
+            self._withdraw(view)
+            self._prove(view.executor_id, born_before_ms=view.born_ms)
 
     def record_loss(
         self,
@@ -157,15 +149,16 @@
         is_shared = (
             len(self._silences.coinciding(view.executor_id)) >= SHARED_MIN
         )
-        isolated = schedule.isolation.isolated_run(view)
         if runs:
-            event = describe_loss(
-                view, runs, cause, is_shared, now - silent_at, isolated
+            isolated = schedule.isolation.isolated_run(view)
+            silent_s = now - silent_at
+            self.events.append(
+                describe_loss(view, runs, cause, is_shared, silent_s, isolated)
             )
-            self.events.append(event)
         if is_planned:
             self._trials.pop(view.executor_id, None)
-            self.record_answer(view, is_first=True)
+            self._silences.remove(view.executor_id)
+            self._withdraw(view)
             return
         self._add_runs(schedule, view, runs, silent_at, is_shared, is_proved)
         if is_proved:
@@ -181,9 +174,8 @@
         all executors that still exist have reported.
         """
         if view is None:
-            for executor_id in unproved_executors(
-                self.suspects.values()
-            ) | set(self._trials):
+            unproved = unproved_executors(self.suspects.values())
+            for executor_id in unproved | set(self._trials):
                 if executor_id not in schedule.executors:
                     self._prove(executor_id)
                     self._end_trials(executor_id, set())
@@ -295,7 +287,7 @@
         """Add a record for each unfinished task of some runs."""
         isolated = schedule.isolation.isolated_run(view)
         for run in runs:
-            task = _find_task(schedule, run)
+            task = find_open_task(schedule, run)
             if task is None:
                 continue
             is_isolated = (
@@ -337,6 +329,17 @@
         records.append(record)
         _mark_changed(job)
 
+    def _withdraw(self, view: ExecutorView) -> None:
+        """Drop the records of an incarnation that aren't proved."""
+        for job in list(self.suspects.values()):
+            for key, records in list(job.progress.crashes.items()):
+                kept = [
+                    record
+                    for record in records
+                    if record.is_proved or not is_of(record, view)
+                ]
+                self._replace(job, key, kept)
+
     def _replace(self, job: Job, key: str, records: list[CrashRecord]) -> None:
         """Replace a task's records, if any was dropped."""
         if len(records) == len(job.progress.crashes.get(key, [])):
@@ -395,12 +398,3 @@
     """Let the evidence be stored before the next start depends on it."""
     job.is_dirty = True
     job.has_unsaved_crashes = True
-
-
-def _find_task(schedule: PoolSchedule, run: Run) -> Task | None:
-    """Return the unfinished task of a run, even if it has another run."""
-    job = schedule.jobs.get(run.task_name.job)
-    task = job.find_task(run.task_name) if job is not None else None
-    if task is None or task.job.is_final or task.state is TaskState.DONE:
-        return None
-    return task
