--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -15,8 +15,8 @@
   than the one under which the executor was lost.
 * Losses of several executors at nearly the same time, as of a rack, accuse
   nobody, except tasks that another loss has accused before.
-* After `CRASHES_MAX` losses a task is given up in any case; if it is not
-  certain that it ran on the executors, after `UNCERTAIN_CRASHES_MAX`.
+* After `CRASHES_MAX` losses a task is given up in any case, or after
+  `UNCERTAIN_CRASHES_MAX` if it is not certain that it ran there.
 
 An executor that is only silent may be cut off: its loss counts for placement
 at once, but convicts nobody until it is proved.  Executors that announced
@@ -80,7 +80,7 @@
 
     def add_job(self, job: Job) -> None:
         """Take over the evidence that an earlier owner stored."""
-        if not job.progress.crashes or job.is_final:
+        if job.is_final or not job.progress.crashes:
             return
         self.suspects[job.job_id] = job
         for executor_id, born_ms in job.progress.reserved.items():
@@ -109,9 +109,9 @@
             view.executor_id,
             Silence(view.born_ms, alive_until, now, isolated is not None),
         )
-        runs = list(view.runs.values())
         together = self._silences.coinciding(view.executor_id)
         is_shared = len(together) >= SHARED_MIN
+        runs = list(view.runs.values())
         self._add_runs(schedule, view, runs, now, is_shared, is_proved=False)
         if is_shared:
             self._weaken(together)
@@ -206,7 +206,8 @@
         if len(records) >= CONVICTING_CRASHES and not task.step.lasts:
             return
         age_s = max(record.age_ms for record in records) / 1000
-        if now - run.ordered_at < age_s * CLEARING_FACTOR + CLEARING_EXTRA_S:
+        needed_s = age_s * CLEARING_FACTOR + CLEARING_EXTRA_S
+        if now - run.ordered_at < needed_s:
             return
         self._replace(task.job, key, [])
         self.events.append(describe_verdict(task.job, key, "cleared", records))
@@ -234,9 +235,7 @@
         job = task.job
         if not job.progress.crashes:
             return True
-        if job.has_unsaved_crashes:
-            return False
-        return not awaits_proof(task)
+        return not (job.has_unsaved_crashes or awaits_proof(task))
 
     # --- Implementation.
 
