--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -41,6 +41,7 @@
     is_same,
     unproved_executors,
 )
+from lycheelug.workloads.isolation import ISOLATION_MAX_S
 from lycheelug.workloads.progress import CrashRecord, task_key
 from lycheelug.workloads.silences import SHARED_MIN, Silence, Silences
 
@@ -57,8 +58,8 @@
 # one under which the executor was lost, and for this much longer.
 CLEARING_FACTOR: Final = 1.5
 CLEARING_EXTRA_S: Final = 0.2
-# A run that went on for longer than this is an unlikely cause of a crash.
-UNLIKELY_AGE_S: Final = 5.0
+# A run that went on for longer is an unlikely cause of a crash.
+UNLIKELY_AGE_S: Final = ISOLATION_MAX_S
 # Assumed duration of a run whose start this owner has not seen.
 UNKNOWN_AGE_S: Final = 2.0
 
@@ -205,12 +206,11 @@
             return
         if len(records) >= CONVICTING_CRASHES and not task.step.lasts:
             return
-        age_s = max(record.age_ms for record in records) / 1000
-        needed_s = age_s * CLEARING_FACTOR + CLEARING_EXTRA_S
-        if now - run.ordered_at < needed_s:
+        lost_s = max(record.age_ms for record in records) / 1000
+        if now - run.ordered_at < lost_s * CLEARING_FACTOR + CLEARING_EXTRA_S:
             return
-        self._replace(task.job, key, [])
         self.events.append(describe_verdict(task.job, key, "cleared", records))
+        self._replace(task.job, key, [])
 
     # --- Decisions.
 
--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -26,7 +26,7 @@
     from lycheelug.workloads.pool import PoolSchedule
     from lycheelug.workloads.tasks import Task
 
-__all__ = ["Isolation"]
+__all__ = ["ISOLATION_MAX_S", "Isolation"]
 
 # Runs of other jobs must have gone on for this long before a suspect starts
 # beside them.
