--- a/tests/interleavings.py
+++ b/tests/interleavings.py
@@ -145,6 +145,7 @@
         for job in self.schedule.jobs.values():
             if job.is_dirty:
                 job.is_dirty = False
+                job.has_unsaved_crashes = False
                 self.simulation.progress[job.job_id] = msgspec.json.encode(
                     job.progress
                 )
