Don't give up a long-running job for late losses of its executors

The limit of three losses didn't look at how long the runs had gone on.

Change: a loss after over 2 s, outside isolation, is no evidence for a verdict; five proved losses are still the limit, so a slow deadly task gets at most two starts after its third crash. The new test fails on the code before.

--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -36,6 +36,8 @@
 CONVICTING_CRASHES: Final = 2
 CRASHES_MAX: Final = 3
 UNCERTAIN_CRASHES_MAX: Final = 5
+# A run that went on for longer is an unlikely cause of a crash.
+LIKELY_AGE_MAX_MS: Final = 2_000
 # Tasks that one event names, for the logs.
 NAMED_MAX: Final = 20
 
@@ -72,10 +74,14 @@
     proved = [record for record in records if record.is_proved]
     if len(proved) >= UNCERTAIN_CRASHES_MAX:
         return True
-    certain = [record for record in proved if record.is_certain]
+    likely: list[CrashRecord] = []
+    for record in proved:
+        if record.is_isolated or record.age_ms <= LIKELY_AGE_MAX_MS:
+            likely.append(record)
+    certain = [record for record in likely if record.is_certain]
     if len(certain) < CONVICTING_CRASHES:
         return False
-    if len(proved) >= CRASHES_MAX:
+    if len(likely) >= CRASHES_MAX:
         return True
     return any(record.is_isolated for record in certain)
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -415,6 +415,24 @@
     assert not other.is_final
 
 
+# Guards against a long-running job that is given up for crashes of others.
+def test_long_running_task_survives_three_late_losses() -> None:
+    world = PoolWorld()
+    job = world.add_job([StepSpec(count=1, cpu_millis=1000, lasts=True)])
+    for number in range(3):
+        world.add_executor(f"x{number}")
+        order = None
+        while order is None:
+            world.now += 0.2
+            world.report_tasks(f"x{number}")
+            order = next(iter(world.starts()), None)
+        world.answer(order)
+        world.now += 14.0 - number
+        lose(world, order.executor_id)
+    world.plan()
+    assert not job.is_final
+
+
 def test_suspects_leave_half_of_the_executors_to_others() -> None:
     world = PoolWorld()
     for number in range(6):
