--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -55,9 +55,10 @@
 __all__ = ["CrashLedger"]
 
 # A run clears its task once it has gone on for this many times as long as the
-# one that was lost, and for this much longer.
+# one that was lost, and for this much longer, or for the maximum.
 CLEARING_FACTOR: Final = 1.5
 CLEARING_EXTRA_S: Final = 0.2
+CLEARING_MAX_S: Final = 60.0
 
 
 class CrashLedger:
@@ -189,7 +190,8 @@
         if len(records) >= CULPRIT_LOSSES and not task.step.lasts:
             return
         lost_s = max(record.age_ms for record in records) / 1000
-        if now - run.ordered_at < lost_s * CLEARING_FACTOR + CLEARING_EXTRA_S:
+        needed_s = lost_s * CLEARING_FACTOR + CLEARING_EXTRA_S
+        if now - run.ordered_at < min(CLEARING_MAX_S, needed_s):
             return
         self.events.append(
             describe_outcome("suspect-cleared", task.job, task.key)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -34,6 +34,17 @@
     return order
 
 
+def start_soon(world: PoolWorld, executor_id: str) -> StartOrder:
+    """Wait until the only executor gets a start, and answer it."""
+    for _ in range(10):
+        world.now += 0.2
+        world.report_tasks(executor_id)
+        for order in world.starts():
+            world.answer(order)
+            return order
+    raise AssertionError("nothing is started")
+
+
 def lose(
     world: PoolWorld,
     executor_id: str,
@@ -420,18 +431,30 @@
     job = world.add_job([StepSpec(count=1, cpu_millis=1000, lasts=True)])
     for number in range(3):
         world.add_executor(f"x{number}")
-        order = None
-        while order is None:
-            world.now += 0.2
-            world.report_tasks(f"x{number}")
-            order = next(iter(world.starts()), None)
-        world.answer(order)
+        order = start_soon(world, f"x{number}")
         world.now += 14.0 - number
         lose(world, order.executor_id)
     world.plan()
     assert not job.is_final
 
 
+# Guards against a long-running job that fails for the rare losses of months.
+def test_hosts_lost_once_a_day_never_fail_a_long_running_job() -> None:
+    world = PoolWorld()
+    job = world.add_job([StepSpec(count=1, cpu_millis=1000, lasts=True)])
+    for number in range(8):
+        name = f"x{number}"
+        world.add_executor(name)
+        order = start_soon(world, name)
+        # Each run is shorter than the one before.
+        world.now += 86_400 - 3_600 * number
+        world.report_tasks(name, [(order.task.name, order.run)], percent=100)
+        lose(world, name)
+        world.plan()
+    assert not job.is_final
+    assert len(lost_executors(job)) == 1
+
+
 def test_suspects_leave_half_of_the_executors_to_others() -> None:
     world = PoolWorld()
     for number in range(6):
