Case 2: a gang is never started again after a crash (LOST)

Cause: after a crash a gang runs on reserved executors only, and these are counted by the sum of their capacity, not by where the members fit.

--- a/review/testbed/fleet.py
+++ b/review/testbed/fleet.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
 from testbed.wire import Call, WireServer
@@ -46,17 +46,21 @@
 
 
 class _Run:
-    __slots__ = ("began", "run", "stops_at", "task", "work")
+    __slots__ = ("began", "came", "run", "stops_at", "task", "work")
 
     def __init__(self, task: str, run: int, work: Work) -> None:
         self.task = task
         self.run = run
         self.work = work
-        self.began = time.monotonic()
+        self.came = time.monotonic()
+        # When it began to work; None while its gang isn't complete.
+        self.began: float | None = self.came
         self.stops_at: float | None = None
 
     def percent(self, now: float) -> int:
         """Return how far it is; 100 for one that lasts and is at work."""
+        if self.began is None:
+            return 0
         if self.work.lasts:
             return min(100, int(100 * (now - self.began) / STARTUP_S))
         return min(99, int(100 * (now - self.began) / self.work.seconds))
@@ -100,6 +104,11 @@
         self._sequence = 0
         self._task: asyncio.Task[None] | None = None
         self.has_ended = False
+        # Handles calls in place of `answer`, to disturb them.
+        self.on_call: (
+            Callable[[Executor, Call], Awaitable[tuple[int, Any] | None]]
+            | None
+        ) = None
 
     @property
     def clock_ms(self) -> int:
@@ -122,9 +131,12 @@
         self._fleet.record.add(
             "executor-ends", executor=self.id, why=why, runs=len(self._runs)
         )
-        for run in self._runs.values():
-            self._fleet.on_end(self.id, run.task, run.run, "lost")
+        lost = list(self._runs.values())
         self._runs.clear()
+        for run in lost:
+            self._fleet.on_end(self.id, run.task, run.run, "lost")
+        for run in lost:
+            self._fleet.end_gang(run, "broken")
 
     @property
     def running(self) -> int:
@@ -143,6 +155,9 @@
                     self._finish(run, "lapsed")
                 elif run.stops_at is not None and now >= run.stops_at:
                     self._finish(run, "stopped")
+                elif run.began is None:
+                    if now - run.came >= self._fleet.gang_wait_s:
+                        self._finish(run, "alone")
                 elif now - run.began >= run.work.seconds:
                     self._finish(run, run.work.how)
             await asyncio.sleep(TICK_S)
@@ -169,15 +184,33 @@
             },
         )
 
+    def find(self, run: _Run) -> bool:
+        """Whether a run is here."""
+        return self._runs.get(run.task) is run
+
+    def finish(self, run: _Run, how: str) -> None:
+        """End a run that is here; its gang ends with it."""
+        self._finish(run, how)
+
     def _finish(self, run: _Run, how: str) -> None:
+        if self._runs.get(run.task) is not run:
+            return
         del self._runs[run.task]
         self._end_number += 1
         self._ended.append([self._end_number, run.task, run.run, how, ""])
         self._fleet.on_end(self.id, run.task, run.run, how)
         self._changed.set()
         self._changed = asyncio.Event()
+        if how != "alone":
+            self._fleet.end_gang(run, "done" if how == "done" else "broken")
 
     async def _handle(self, call: Call) -> tuple[int, Any] | None:
+        if self.on_call is not None:
+            return await self.on_call(self, call)
+        return await self.answer(call)
+
+    async def answer(self, call: Call) -> tuple[int, Any] | None:
+        """Answer a call."""
         if call.path == "/healthz":
             return 200, {}
         expected = call.headers.get("expected-instance")
@@ -210,8 +243,10 @@
             return self._reject("late")
         self._highest[task] = run
         work = self._fleet.worker(task, run, self.id)
-        self._runs[task] = _Run(task, run, work)
+        started = _Run(task, run, work)
+        self._runs[task] = started
         self._fleet.on_start(self.id, task, run, message["fencing_token"])
+        self._fleet.join_gang(self, started)
         return 200, self._content()
 
     def _stop_run(self, message: dict[str, Any]) -> tuple[int, Any]:
@@ -225,6 +260,9 @@
     async def _hold(self, message: dict[str, Any]) -> tuple[int, Any]:
         self._extend(message.get("deadline_ms"))
         seen = message.get("last_seen", 0)
+        for end in self._ended:
+            if end[0] <= seen:
+                self._fleet.on_seen(self.id, end[1], end[2])
         self._ended = [end for end in self._ended if end[0] > seen]
         wait_ms = min(2000, message.get("wait_ms", 0))
         if wait_ms and not self._ended:
@@ -290,6 +328,11 @@
         # The accepted orders about machines: time, machine, what, holder and
         # fence number.
         self.orders: list[tuple[float, str, str, str, int]] = []
+        # The number of members of the steps that are gangs, and the members
+        # that are there, by step and run.
+        self.gangs: dict[str, int] = {}
+        self.gang_wait_s = 3.0
+        self._members: dict[tuple[str, int], list[tuple[Executor, _Run]]] = {}
         self._executors = 0
         self._server = WireServer(self._handle, "machines")
         self._tasks: set[asyncio.Task[None]] = set()
@@ -355,6 +398,9 @@
             "start", task=task, run=run, executor=executor, fence=fence
         )
 
+    def on_seen(self, executor: str, task: str, run: int) -> None:
+        """Note that an end was taken note of."""
+
     def on_end(self, executor: str, task: str, run: int, how: str) -> None:
         """Note the end of a run."""
         for each in self.runs.get(task, []):
@@ -363,6 +409,27 @@
                 each[4] = how
         self.record.add("end", task=task, run=run, executor=executor, how=how)
 
+    def join_gang(self, executor: Executor, run: _Run) -> None:
+        """Let a member wait for the others; all begin together."""
+        step = run.task.rpartition(".")[0]
+        if step not in self.gangs:
+            return
+        run.began = None
+        members = self._members.setdefault((step, run.run), [])
+        members.append((executor, run))
+        present = [member for where, member in members if where.find(member)]
+        if len(present) == self.gangs[step]:
+            now = time.monotonic()
+            for member in present:
+                member.began = now
+
+    def end_gang(self, run: _Run, how: str) -> None:
+        """End the other members of a run's gang."""
+        key = (run.task.rpartition(".")[0], run.run)
+        for executor, member in self._members.pop(key, []):
+            if executor.find(member):
+                executor.finish(member, how)
+
     # --- The interface.
 
     async def _handle(self, call: Call) -> tuple[int, Any] | None:
--- a/review/testbed/store.py
+++ b/review/testbed/store.py
@@ -43,6 +43,8 @@
         # Called with a call before it is handled; True leaves it unanswered
         # (and, for a transaction, undone).
         self.on_call: Callable[[Call], bool] | None = None
+        # Says whether the answer to a transaction is lost.
+        self.loses_answer: Callable[[Call], bool] | None = None
         # Called after a transaction was applied, before it is answered.
         self.on_applied: Callable[[Call, dict[str, Any]], None] | None = None
 
@@ -123,6 +125,8 @@
             outcome = self._apply(message)
         if outcome[0] == 200 and self.on_applied is not None:
             self.on_applied(call, message)
+        if self.loses_answer is not None and self.loses_answer(call):
+            return None
         await asyncio.sleep(ANSWER_S * self.slow_x)
         return outcome
 
--- a/review/testbed/world.py
+++ b/review/testbed/world.py
@@ -70,6 +70,9 @@
         self.store = Store()
         self.fleet = Fleet(self.store, record)
         self.daemons: list[Daemon] = []
+        # The store's address for each daemon.
+        self._stores: dict[str, str] = {}
+        self._bounds: dict[str, Any] = {}
         # Whether the case's disruption is to be made.
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
@@ -83,12 +86,20 @@
             daemon = Daemon(number + 1, ports, self.directory, self.record)
             self.daemons.append(daemon)
             server = await self.store.add_port(daemon.name)
-            daemon.start(server.address, self.fleet.address, **bounds)
+            self._stores[daemon.name] = server.address
+            self._bounds = bounds
+            self.restart(daemon)
         for daemon in self.daemons:
             if not await daemon.wait_ready():
                 raise CaseFailedError(f"{daemon.name} is not ready")
         self.record.add("daemons-ready", count=daemons)
 
+    def restart(self, daemon: Daemon) -> None:
+        """Start a daemon that doesn't run."""
+        daemon.start(
+            self._stores[daemon.name], self.fleet.address, **self._bounds
+        )
+
     def configure(
         self,
         version: int,
