--- a/review/testbed/daemons.py
+++ b/review/testbed/daemons.py
@@ -211,7 +211,7 @@
     def send(self, number: signal.Signals) -> None:
         """Send the process a signal."""
         assert self._process is not None
-        self._process.send_signal(number)
+        os.kill(self._process.pid, number)
         self._record.add("signal", name=self.name, signal=number.name)
 
     @property
--- a/review/testbed/world.py
+++ b/review/testbed/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -186,6 +187,12 @@
     record = Record(folder / "record.txt")
     code = NOT_RUN
 
+    def end(number: int, frame: object) -> None:
+        """End what was started before this process ends."""
+        raise SystemExit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, end)
+
     async def run(directory: Path) -> bool:
         world = World(record, directory)
         try:
