Log what proved each loss of an executor, and why a job failed

Callers saw accepted jobs as failed, and the log could not tell whether executors had crashed under them, had only been silent, or another of the owner's reasons applied: job-given-up named executors and ages, nothing said that a lost incarnation was heard again, and a job that failed by its attempts left no line.

Each crash record now keeps what proved it, job-given-up lists that for each loss, loss-proved and loss-withdrawn report each change of belief, and job-failed names the cause of every failed job.

--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -329,8 +329,26 @@
             log_change(event, pool=self.pool, term=self.term, **fields)
             self._context.metrics.count(event)
         schedule.crashes.events.clear()
+        self._log_failed_jobs()
         return orders
 
+    def _log_failed_jobs(self) -> None:
+        """Log the jobs that have failed since the last plan, and why."""
+        failed = self.schedule.job_index.failed
+        for job, cause in failed:
+            log_change(
+                "job-failed",
+                pool=self.pool,
+                term=self.term,
+                job=job.job_id,
+                queue=job.record.queue,
+                cause=cause.value,
+                reason=job.progress.reason,
+                max_attempts=job.policy.max_attempts,
+            )
+            self._context.metrics.count("jobs-failed")
+        failed.clear()
+
     async def _wait_for_wake(self) -> None:
         """Wait for an event or the next tick, and for the minimum pause.
 
--- /dev/null
+++ b/lycheelug/workloads/crash_evidence.py
@@ -0,0 +1,167 @@
+"""The records of lost executors under the jobs of one pool; no I/O.
+
+Each record is part of its job's progress, so that a later owner finds it.
+What the records prove is decided in `crash_records`, and what follows from
+that in `crashes`.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from lycheelug.workloads.losses import describe_outcome
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Iterator
+
+    from lycheelug.workloads.crash_records import CrashRecord
+    from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.losses import Event
+    from lycheelug.workloads.silences import Silences
+
+__all__ = ["CrashEvidence"]
+
+
+class CrashEvidence:
+    """The jobs of one pool that have crash records, and the records."""
+
+    __slots__ = ("events", "jobs")
+
+    def __init__(self) -> None:
+        # The events to log, oldest first.
+        self.events: list[Event] = []
+        # The jobs with crash records.
+        self.jobs: dict[str, Job] = {}
+
+    @property
+    def unproved(self) -> Iterator[tuple[Job, CrashRecord]]:
+        """The records of losses that aren't proved, with their jobs."""
+        for job in self.jobs.values():
+            for records in job.progress.crashes.values():
+                for record in records:
+                    if not record.is_proved:
+                        yield job, record
+
+    def add(self, job: Job, key: str, record: CrashRecord) -> None:
+        """Add a record, or complete the one of the same incarnation."""
+        records = job.progress.crashes.setdefault(key, [])
+        self.jobs[job.job_id] = job
+        job.mark_crashes_changed()
+        for known in records:
+            if known.incarnation == record.incarnation:
+                known.proof = known.proof or record.proof
+                known.is_proved = known.is_proved or record.is_proved
+                known.is_certain = known.is_certain or record.is_certain
+                return
+        records.append(record)
+
+    def replace(self, job: Job, key: str, records: list[CrashRecord]) -> None:
+        """Replace a task's records, if any was dropped."""
+        if len(records) == len(job.progress.crashes.get(key, [])):
+            return
+        if records:
+            job.progress.crashes[key] = records
+        else:
+            job.progress.crashes.pop(key, None)
+        job.mark_crashes_changed()
+
+    def clear(self, job: Job, key: str) -> None:
+        """Drop a task's records, as it is not the cause of the losses."""
+        self.events.append(describe_outcome("suspect-cleared", job, key))
+        self.replace(job, key, [])
+
+    # --- Proofs.
+
+    def prove(
+        self, executor_id: str, proof: str, born_before_ms: float = math.inf
+    ) -> None:
+        """Record what proves that an executor's incarnations have ended."""
+        proved = 0
+        born_ms = 0
+        for job, record in self.unproved:
+            is_ended = record.born_ms < born_before_ms
+            if record.executor == executor_id and is_ended:
+                record.is_proved = True
+                record.proof = proof
+                job.mark_crashes_changed()
+                proved += 1
+                born_ms = record.born_ms
+        if proved:
+            self.events.append(
+                (
+                    "loss-proved",
+                    {
+                        "executor": executor_id,
+                        "born_ms": born_ms,
+                        "proof": proof,
+                        "tasks": proved,
+                    },
+                )
+            )
+
+    def withdraw_unproved(
+        self, incarnation: tuple[str, int], reason: str
+    ) -> None:
+        """Drop the records of an incarnation that aren't proved."""
+        dropped = 0
+        kept_proofs: set[str] = set()
+        for job in list(self.jobs.values()):
+            for key, records in list(job.progress.crashes.items()):
+                kept: list[CrashRecord] = []
+                for record in records:
+                    is_other = record.incarnation != incarnation
+                    if record.is_proved or is_other:
+                        kept.append(record)
+                        if not is_other:
+                            kept_proofs.add(record.proof)
+                dropped += len(records) - len(kept)
+                self.replace(job, key, kept)
+        if dropped or kept_proofs:
+            self.events.append(
+                (
+                    "loss-withdrawn",
+                    {
+                        "executor": incarnation[0],
+                        "born_ms": incarnation[1],
+                        "reason": reason,
+                        "tasks": dropped,
+                        "kept_proofs": sorted(kept_proofs),
+                    },
+                )
+            )
+
+    # --- Other explanations of a loss.
+
+    def discount_others(
+        self, job: Job, record: CrashRecord, is_explained: bool = False
+    ) -> None:
+        """Discount a loss for the tasks of all jobs but one.
+
+        All records of a task with several losses are kept.
+        """
+        for other in list(self.jobs.values()):
+            if other is job:
+                continue
+            for key, (first, *more) in list(other.progress.crashes.items()):
+                if more or first.incarnation != record.incarnation:
+                    continue
+                if is_explained:
+                    self.replace(other, key, [])
+                elif not first.is_discounted:
+                    first.is_discounted = True
+                    other.mark_crashes_changed()
+
+    def discount_group(
+        self, silences: Silences, executor_ids: Container[str]
+    ) -> None:
+        """Discount losses of executors at nearly the same time."""
+        for job in self.jobs.values():
+            for first, *more in job.progress.crashes.values():
+                silence = silences.get(first.executor)
+                if more or first.is_discounted or silence is None:
+                    continue
+                is_of_silence = first.born_ms == silence.born_ms
+                if is_of_silence and first.executor in executor_ids:
+                    first.is_discounted = True
+                    job.mark_crashes_changed()
--- a/lycheelug/workloads/crash_records.py
+++ b/lycheelug/workloads/crash_records.py
@@ -50,6 +50,9 @@
     # The run was known to be running there; otherwise its start was not
     # answered.
     is_certain: bool = True
+    # What proved the end; empty if nothing did, or if an earlier release
+    # stored the record.
+    proof: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -23,9 +23,9 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.crash_evidence import CrashEvidence
 from lycheelug.workloads.crash_records import (
     CULPRIT_LOSSES,
     SUSPECT_RUN_MAX_S,
@@ -38,13 +38,14 @@
     PROOFS,
     LossCause,
     describe_loss,
-    describe_outcome,
+    describe_verdict,
     find_open_task,
 )
+from lycheelug.workloads.model import FailureCause
 from lycheelug.workloads.silences import SHARED_MIN, Silence, Silences
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterator
+    from collections.abc import Container
 
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Job
@@ -59,23 +60,32 @@
 CLEARING_FACTOR: Final = 1.5
 CLEARING_EXTRA_S: Final = 0.2
 CLEARING_MAX_S: Final = 60.0
+# Proof of the end of an executor that no list names to a new owner.
+ABSENT: Final = "absent"
 
 
 class CrashLedger:
     """The losses of executors of one pool, and what follows from them."""
 
-    __slots__ = ("_reservations", "_silences", "events", "jobs")
+    __slots__ = ("_evidence", "_reservations", "_silences")
 
     def __init__(self) -> None:
-        # The events to log, oldest first.
-        self.events: list[Event] = []
-        # The jobs with crash records.
-        self.jobs: dict[str, Job] = {}
+        self._evidence = CrashEvidence()
         self._silences = Silences()
         # Executors that an earlier owner had reserved, with their start times
         # and jobs, until it is known what ran there.
         self._reservations: dict[str, list[tuple[int, Job]]] = {}
 
+    @property
+    def events(self) -> list[Event]:
+        """The events to log, oldest first."""
+        return self._evidence.events
+
+    @property
+    def jobs(self) -> dict[str, Job]:
+        """The jobs with crash records."""
+        return self._evidence.jobs
+
     def add_job(self, job: Job) -> None:
         """Take over what an earlier owner stored."""
         if job.is_final or not job.progress.crashes:
@@ -108,15 +118,15 @@
         together = self._silences.coinciding(view.executor_id)
         is_shared = len(together) >= SHARED_MIN
         runs = list(view.runs.values())
-        self._add_runs(schedule, view, runs, now, is_shared, is_proved=False)
+        self._add_runs(schedule, view, runs, now, is_shared, proof="")
         if is_shared:
-            self._discount_group(together)
+            self._evidence.discount_group(self._silences, together)
         job = schedule.jobs.get(isolated.task_name.job) if isolated else None
         if job is None:
             return
         for records in job.progress.crashes.values():
             for record in records:
-                self._discount_others(job, record)
+                self._evidence.discount_others(job, record)
 
     def record_answer(self, view: ExecutorView, is_first: bool) -> None:
         """Record that an executor reports, to this owner for the first time.
@@ -126,8 +136,12 @@
         silence = self._silences.remove(view.executor_id)
         if silence is None and not is_first:
             return
-        self._drop_unproved(view)
-        self._prove(view.executor_id, born_before_ms=view.born_ms)
+        self._evidence.withdraw_unproved(view.incarnation, "answered")
+        self._evidence.prove(
+            view.executor_id,
+            LossCause.RESTARTED.value,
+            born_before_ms=view.born_ms,
+        )
         if is_first:
             self._settle_reservations(view)
 
@@ -153,26 +167,29 @@
         if cause is LossCause.HOST_ORDER or view.info.draining:
             self._reservations.pop(view.executor_id, None)
             self._silences.remove(view.executor_id)
-            self._drop_unproved(view)
+            self._evidence.withdraw_unproved(view.incarnation, "drained")
             return
         is_gone = cause is LossCause.LEASE_ENDED and not view.has_entry
         is_proved = cause in PROOFS or is_gone
-        self._add_runs(schedule, view, runs, silent_at, is_shared, is_proved)
+        proof = cause.value if is_proved else ""
+        self._add_runs(schedule, view, runs, silent_at, is_shared, proof)
         if is_proved:
-            self._prove(view.executor_id, born_before_ms=view.born_ms + 1)
+            self._evidence.prove(
+                view.executor_id, proof, born_before_ms=view.born_ms + 1
+            )
             seen = {run.task_name.job for run in runs}
-            self._add_unseen_runs(view.executor_id, seen)
+            self._add_unseen_runs(view.executor_id, proof, seen)
 
     def record_absent_executors(self, executors: Container[str]) -> None:
         """Record the ends of executors that no list names any more.
 
         All others have reported to this owner, or their leases have ended.
         """
-        recorded = {record.executor for _, record in self._unproved()}
+        recorded = {record.executor for _, record in self._evidence.unproved}
         for executor_id in recorded | set(self._reservations):
             if executor_id not in executors:
-                self._prove(executor_id)
-                self._add_unseen_runs(executor_id, ())
+                self._evidence.prove(executor_id, ABSENT)
+                self._add_unseen_runs(executor_id, ABSENT, ())
 
     def record_not_started(self, task: Task, view: ExecutorView) -> None:
         """Record that a start on an executor was surely not carried out."""
@@ -180,7 +197,7 @@
         for record in task.crash_records:
             if record.is_certain or record.incarnation != view.incarnation:
                 kept.append(record)
-        self._replace(task.job, task.key, kept)
+        self._evidence.replace(task.job, task.key, kept)
 
     def record_running(self, run: Run, task: Task, now: float) -> None:
         """Clear a task whose run goes on for longer than the lost one."""
@@ -193,10 +210,7 @@
         needed_s = lost_s * CLEARING_FACTOR + CLEARING_EXTRA_S
         if now - run.ordered_at < min(CLEARING_MAX_S, needed_s):
             return
-        self.events.append(
-            describe_outcome("suspect-cleared", task.job, task.key)
-        )
-        self._replace(task.job, task.key, [])
+        self._evidence.clear(task.job, task.key)
 
     # --- Decisions.
 
@@ -247,41 +261,11 @@
         records = job.progress.crashes[key]
         executors = ", ".join(record.executor for record in records)
         reason = f"task {key} ran on executors that crashed: {executors}"
-        self.events.append(describe_outcome("job-given-up", job, key))
-        schedule.set_aside_job(job, reason, unix_ms)
+        self.events.append(describe_verdict(job, key))
+        job.set_aside(reason, unix_ms, FailureCause.CRASHES)
+        schedule.dequeue_job(job)
         for record in records:
-            self._discount_others(job, record, is_explained=True)
-
-    def _discount_others(
-        self, job: Job, record: CrashRecord, is_explained: bool = False
-    ) -> None:
-        """Discount a loss for the tasks of all jobs but one.
-
-        All records of a task with several losses are kept.
-        """
-        for other in list(self.jobs.values()):
-            if other is job:
-                continue
-            for key, (first, *more) in list(other.progress.crashes.items()):
-                if more or first.incarnation != record.incarnation:
-                    continue
-                if is_explained:
-                    self._replace(other, key, [])
-                elif not first.is_discounted:
-                    first.is_discounted = True
-                    other.mark_crashes_changed()
-
-    def _discount_group(self, executor_ids: list[str]) -> None:
-        """Discount losses of executors at nearly the same time."""
-        for job in self.jobs.values():
-            for first, *more in job.progress.crashes.values():
-                silence = self._silences.get(first.executor)
-                if more or first.is_discounted or silence is None:
-                    continue
-                is_of_silence = first.born_ms == silence.born_ms
-                if is_of_silence and first.executor in executor_ids:
-                    first.is_discounted = True
-                    job.mark_crashes_changed()
+            self._evidence.discount_others(job, record, is_explained=True)
 
     def _add_runs(
         self,
@@ -290,9 +274,12 @@
         runs: list[Run],
         silent_at: float,
         is_shared: bool,
-        is_proved: bool,
+        proof: str,
     ) -> None:
-        """Add a record for each unfinished task of some runs."""
+        """Add a record for each unfinished task of some runs.
+
+        `proof` is what proves that the executor has ended; empty for nothing.
+        """
         isolated = schedule.isolation.isolated_run(view)
         for run in runs:
             task = find_open_task(schedule, run)
@@ -307,32 +294,23 @@
             age_s = silent_at - run.ordered_at
             if run.is_adopted:
                 age_s = max(age_s, SUSPECT_RUN_MAX_S)
-            self._add(
+            self._evidence.add(
                 task.job,
                 task.key,
                 CrashRecord(
                     *view.incarnation,
                     max(0, int(age_s * 1000)),
                     is_discounted=is_beside or is_shared,
-                    is_proved=is_proved,
+                    is_proved=bool(proof),
                     is_isolated=is_isolated,
                     is_certain=run.confirmed_at is not None,
+                    proof=proof,
                 ),
             )
 
-    def _add(self, job: Job, key: str, record: CrashRecord) -> None:
-        """Add a record, or complete the one of the same incarnation."""
-        records = job.progress.crashes.setdefault(key, [])
-        self.jobs[job.job_id] = job
-        job.mark_crashes_changed()
-        for known in records:
-            if known.incarnation == record.incarnation:
-                known.is_proved = known.is_proved or record.is_proved
-                known.is_certain = known.is_certain or record.is_certain
-                return
-        records.append(record)
-
-    def _add_unseen_runs(self, executor_id: str, seen: Container[str]) -> None:
+    def _add_unseen_runs(
+        self, executor_id: str, proof: str, seen: Container[str]
+    ) -> None:
         """Add records for an executor that an earlier owner had reserved.
 
         Its jobs' suspects may have been started there, although no report
@@ -344,53 +322,20 @@
             age_ms = int(SUSPECT_RUN_MAX_S * 1000)
             for key in list(job.progress.crashes):
                 record = CrashRecord(
-                    executor_id, born_ms, age_ms, is_certain=False
+                    executor_id,
+                    born_ms,
+                    age_ms,
+                    is_certain=False,
+                    proof=proof,
                 )
-                self._add(job, key, record)
+                self._evidence.add(job, key, record)
 
     def _settle_reservations(self, view: ExecutorView) -> None:
         """Compare a first report with what an earlier owner reserved."""
         for born_ms, _ in self._reservations.get(view.executor_id, []):
             if born_ms and view.born_ms > born_ms:
-                self._add_unseen_runs(view.executor_id, ())
+                self._add_unseen_runs(
+                    view.executor_id, LossCause.RESTARTED.value, ()
+                )
                 return
         self._reservations.pop(view.executor_id, None)
-
-    def _drop_unproved(self, view: ExecutorView) -> None:
-        """Drop the records of an incarnation that aren't proved."""
-        for job in list(self.jobs.values()):
-            for key, records in list(job.progress.crashes.items()):
-                kept: list[CrashRecord] = []
-                for record in records:
-                    is_other = record.incarnation != view.incarnation
-                    if record.is_proved or is_other:
-                        kept.append(record)
-                self._replace(job, key, kept)
-
-    def _replace(self, job: Job, key: str, records: list[CrashRecord]) -> None:
-        """Replace a task's records, if any was dropped."""
-        if len(records) == len(job.progress.crashes.get(key, [])):
-            return
-        if records:
-            job.progress.crashes[key] = records
-        else:
-            job.progress.crashes.pop(key, None)
-        job.mark_crashes_changed()
-
-    def _prove(
-        self, executor_id: str, born_before_ms: float = math.inf
-    ) -> None:
-        """Record that the ends of an executor's incarnations are proved."""
-        for job, record in self._unproved():
-            is_ended = record.born_ms < born_before_ms
-            if record.executor == executor_id and is_ended:
-                record.is_proved = True
-                job.mark_crashes_changed()
-
-    def _unproved(self) -> Iterator[tuple[Job, CrashRecord]]:
-        """Yield the records of losses that aren't proved."""
-        for job in self.jobs.values():
-            for records in job.progress.crashes.values():
-                for record in records:
-                    if not record.is_proved:
-                        yield job, record
--- a/lycheelug/workloads/job_index.py
+++ b/lycheelug/workloads/job_index.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.model import FailureCause
 
 __all__ = ["JobIndex"]
 
@@ -18,7 +19,7 @@
 class JobIndex:
     """Some of a pool's jobs, by id."""
 
-    __slots__ = ("_count", "dirty", "periodic", "unfinished")
+    __slots__ = ("_count", "dirty", "failed", "periodic", "unfinished")
 
     def __init__(self) -> None:
         self._count = 0
@@ -26,6 +27,8 @@
         self.dirty: dict[str, Job] = {}
         # Jobs with a schedule.
         self.periodic: dict[str, Job] = {}
+        # Jobs that have failed since the owner last logged failures.
+        self.failed: list[tuple[Job, FailureCause]] = []
         # Jobs without a final state, in the order in which they were added.
         self.unfinished: dict[str, Job] = {}
 
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -13,7 +13,12 @@
 
 from lycheelug.workloads.crash_records import makes_suspect
 from lycheelug.workloads.forecast import DeadlineForecast
-from lycheelug.workloads.model import JobState, TaskName, is_long_running
+from lycheelug.workloads.model import (
+    FailureCause,
+    JobState,
+    TaskName,
+    is_long_running,
+)
 from lycheelug.workloads.progress import (
     FINISHED_MAX,
     ProgressRecord,
@@ -250,14 +255,18 @@
         if task.failures < self.policy.max_attempts:
             return
         task.state = TaskState.EXHAUSTED
-        self._enter_final_state(JobState.FAILED, unix_ms)
+        reason = f"task {key} has failed {task.failures} times"
+        self._fail(FailureCause.ATTEMPTS, reason, unix_ms)
 
-    def set_aside(self, reason: str, unix_ms: int) -> None:
+    def set_aside(
+        self,
+        reason: str,
+        unix_ms: int,
+        cause: FailureCause = FailureCause.SET_ASIDE,
+    ) -> None:
         """Fail a job that can't be scheduled, so that others can be."""
-        if self.is_final:
-            return
-        self.progress.reason = reason
-        self._enter_final_state(JobState.FAILED, unix_ms)
+        if not self.is_final:
+            self._fail(cause, reason, unix_ms)
 
     def record_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Record the newest checkpoint of a task."""
@@ -366,6 +375,13 @@
             self._enter_final_state(JobState.COMPLETED, unix_ms)
         return []
 
+    def _fail(self, cause: FailureCause, reason: str, unix_ms: int) -> None:
+        """Fail the job, and let the owner log why."""
+        self.progress.reason = reason
+        self._enter_final_state(JobState.FAILED, unix_ms)
+        if self._index is not None:
+            self._index.failed.append((self, cause))
+
     def _enter_final_state(self, state: str, unix_ms: int) -> None:
         """Set a final state and the time at which it was reached."""
         self.progress.state = state
--- a/lycheelug/workloads/losses.py
+++ b/lycheelug/workloads/losses.py
@@ -19,6 +19,7 @@
     "LossCause",
     "describe_loss",
     "describe_outcome",
+    "describe_verdict",
     "find_open_task",
 ]
 
@@ -94,6 +95,26 @@
     return (event, fields)
 
 
+def describe_verdict(job: Job, key: str) -> Event:
+    """Return the event of a job that fails for the losses under a task."""
+    event, fields = describe_outcome("job-given-up", job, key)
+    losses: list[dict[str, Any]] = []
+    for record in job.progress.crashes[key][:NAMED_MAX]:
+        losses.append(
+            {
+                "executor": record.executor,
+                "born_ms": record.born_ms,
+                "age_ms": record.age_ms,
+                "proof": record.proof,
+                "proved": record.is_proved,
+                "certain": record.is_certain,
+                "isolated": record.is_isolated,
+                "discounted": record.is_discounted,
+            }
+        )
+    return (event, fields | {"losses": losses})
+
+
 def find_open_task(schedule: PoolSchedule, run: Run) -> Task | None:
     """Return the unfinished task of a run, even if it has another run."""
     job = schedule.jobs.get(run.task_name.job)
--- a/lycheelug/workloads/model.py
+++ b/lycheelug/workloads/model.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from functools import cached_property
 from typing import NamedTuple
 
 import msgspec
 
 __all__ = [
+    "FailureCause",
     "JobRecord",
     "JobState",
     "Occurrences",
@@ -158,6 +160,17 @@
     FINAL = frozenset({COMPLETED, FAILED, CANCELLED})
 
 
+class FailureCause(Enum):
+    """Why a job was failed by its owner."""
+
+    # A task has failed as often as its queue allows.
+    ATTEMPTS = "attempts"
+    # Executors crashed under one of its tasks.
+    CRASHES = "crashes"
+    # It can't be scheduled or stored, or its handling raised an error.
+    SET_ASIDE = "set-aside"
+
+
 class TaskName(NamedTuple):
     """Identifies a task: job, occurrence, step, and number in the step.
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -16,7 +16,7 @@
     TaskName,
     TaskState,
 )
-from lycheelug.workloads.model import JobState
+from lycheelug.workloads.model import FailureCause, JobState
 from tests.pool_world import JOB, PoolWorld
 
 TASK = TaskName(JOB, 0, 0, 0)
@@ -508,3 +508,53 @@
     assert world.starts() == []
     world.schedule.is_capacity_current = True
     assert len(world.starts()) == 1
+
+
+# Guards against failed jobs whose log doesn't tell a crash from another cause.
+def test_each_failed_job_is_reported_with_its_cause() -> None:
+    world = PoolWorld()
+    for name in ("a", "b"):
+        world.add_executor(name)
+    failing = world.add_job(ONE, max_attempts=1)
+    order = start_one(world)
+    world.report_tasks(
+        order.executor_id, ended=[(TASK, order.run, EndKind.FAILED)]
+    )
+    crashing = world.add_job(ONE, job_id(2))
+    for _ in range(2):
+        world.now += 0.2
+        lose(world, start_one(world).executor_id)
+    world.plan()
+    unscheduled = world.add_job(ONE, job_id(3))
+    world.schedule.set_aside_job(unscheduled, "too large", 0)
+    assert world.schedule.job_index.failed == [
+        (failing, FailureCause.ATTEMPTS),
+        (crashing, FailureCause.CRASHES),
+        (unscheduled, FailureCause.SET_ASIDE),
+    ]
+    assert failing.progress.reason == "task 0.0.0 has failed 1 times"
+    events = world.schedule.crashes.events
+    (verdict,) = (fields for name, fields in events if name == "job-given-up")
+    proofs = {loss["proof"] for loss in verdict["losses"]}
+    assert proofs == {LossCause.REPLACED.value}
+
+
+# Guards against a log that doesn't show that a lost executor was alive.
+def test_answer_of_a_lost_executor_is_reported() -> None:
+    world = PoolWorld()
+    world.add_executor("a")
+    world.add_job(ONE)
+    order = start_one(world)
+    view = world.schedule.executors["a"]
+    world.schedule.crashes.record_silence(
+        world.schedule, view, world.now, world.now
+    )
+    world.report_tasks("a", [(TASK, order.run)])
+    (withdrawn,) = (
+        fields
+        for name, fields in world.schedule.crashes.events
+        if name == "loss-withdrawn"
+    )
+    assert withdrawn["executor"] == "a"
+    assert withdrawn["reason"] == "answered"
+    assert withdrawn["tasks"] == 1
