Don't take silence for the proof that an executor has crashed

Cause: a lease that had ended and an entry that was removed counted as the proof of a crash, and so did an executor that no list named to a new owner. A cut between the executor and the store or the owner causes all of these. The proof also stayed when the same incarnation answered again, so each cut of a pair of executors left one more loss under the tasks that ran there, until their job was given up.

Now only another observation than silence proves an end: a later incarnation, another one at the address, or the list of hosts, which is read while any loss is unproved (down, another executor, or twice missing; a host under an order was in operation, so the loss is dropped). An answer of the incarnation drops its records, whatever proved them, also if it was silent for longer than silences are remembered. Waits for a proof are bounded: 4 s after the last silence; from the fifth loss on until one is explained, 30 s at most, so that a task that does crash its executors is still started at most five times.

test_next_owner_counts_a_crash_that_its_predecessor_only_suspected asserted the false belief (absence proves); it now asserts that absence doesn't and that the list of hosts does, with the same verdict.

--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -8,15 +8,23 @@
 
 from returns.result import Failure
 
+from lycheelug.fleetplan import HostState
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.logs import log_change, log_fault
-from lycheelug.workloads import LossCause
+from lycheelug.workloads import HostEvidence, LossCause
 
 if TYPE_CHECKING:
+    from collections.abc import Container, Mapping
+
+    from lycheelug.fleetplan import HostInfo
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
 
-__all__ = ["remove_ended_incarnations", "remove_finished_jobs"]
+__all__ = [
+    "find_host_evidence",
+    "remove_ended_incarnations",
+    "remove_finished_jobs",
+]
 
 # How often the list of hosts is read at most while executors are
 # unresponsive, and the bytes that these reads may take a second.
@@ -42,11 +50,15 @@
     """
     interval_s = HOST_CHECK_INTERVAL_S
     read_at = -math.inf
+    missing: set[str] = set()
     while True:
         await asyncio.sleep(HOST_CHECK_INTERVAL_S)
         unresponsive = owner.schedule.unresponsive_executors()
+        silent = owner.schedule.crashes.unproved_executors()
         now = context.clock.now()
-        if not unresponsive or now - read_at < interval_s:
+        if not unresponsive and not silent:
+            continue
+        if now - read_at < interval_s:
             continue
         read_at = now
         result = await context.hosts.hosts()
@@ -82,6 +94,38 @@
                 else LossCause.NOT_LISTED,
             )
             owner.wake()
+        evidence = find_host_evidence(hosts, silent, missing)
+        missing = set(silent.values()) - set(hosts)
+        if evidence:
+            owner.schedule.crashes.record_hosts(evidence)
+            owner.wake()
+
+
+def find_host_evidence(
+    hosts: Mapping[str, HostInfo],
+    silent: Mapping[str, str],
+    missing_before: Container[str],
+) -> dict[str, HostEvidence]:
+    """Return what a list of hosts shows of silent executors.
+
+    `silent` has the host of each executor that was silent when the list was
+    requested; it may be empty for one that an earlier release recorded.  A
+    host counts as gone if two lists in a row lack it.
+    """
+    found: dict[str, HostEvidence] = {}
+    for executor_id, name in silent.items():
+        host = hosts.get(name)
+        if host is None:
+            if name and name in missing_before:
+                found[executor_id] = HostEvidence.ENDED
+            continue
+        if host.is_under_order:
+            found[executor_id] = HostEvidence.ENDED_BY_ORDER
+            continue
+        is_down = host.state is HostState.DOWN
+        if is_down or host.has_incarnation_ended(executor_id):
+            found[executor_id] = HostEvidence.ENDED
+    return found
 
 
 async def remove_finished_jobs(
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -12,7 +12,7 @@
 )
 from lycheelug.workloads.job_limits import JobError, JobLimits, find_error
 from lycheelug.workloads.jobs import Job, Task, TaskState
-from lycheelug.workloads.losses import LossCause
+from lycheelug.workloads.losses import HostEvidence, LossCause
 from lycheelug.workloads.model import (
     JobRecord,
     JobState,
@@ -38,6 +38,7 @@
     "EndReport",
     "ExecutorInfo",
     "ExecutorView",
+    "HostEvidence",
     "Job",
     "JobError",
     "JobLimits",
--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
-from lycheelug.workloads.losses import describe_outcome
+from lycheelug.workloads.losses import HostEvidence, describe_outcome
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterator
+    from collections.abc import Container, Iterator, Mapping
 
     from lycheelug.workloads.crash_records import CrashRecord
     from lycheelug.workloads.jobs import Job
@@ -22,17 +22,24 @@
 
 __all__ = ["CrashEvidence"]
 
+# After this time without a proof, and without an answer, it can't be told any
+# more why an executor fell silent, and the records of that are dropped.
+UNPROVED_MAX_S: Final = 30.0
+
 
 class CrashEvidence:
     """The jobs of one pool that have crash records, and the records."""
 
-    __slots__ = ("events", "jobs")
+    __slots__ = ("_unproved_since", "events", "jobs")
 
     def __init__(self) -> None:
         # The events to log, oldest first.
         self.events: list[Event] = []
         # The jobs with crash records.
         self.jobs: dict[str, Job] = {}
+        # Local times since which this owner knows of incarnations that are
+        # silent and not proved to have ended.
+        self._unproved_since: dict[tuple[str, int], float] = {}
 
     @property
     def unproved(self) -> Iterator[tuple[Job, CrashRecord]]:
@@ -100,36 +107,77 @@
                 )
             )
 
-    def withdraw_unproved(
-        self, incarnation: tuple[str, int], reason: str
-    ) -> None:
-        """Drop the records of an incarnation that aren't proved."""
+    def withdraw(self, incarnation: tuple[str, int], reason: str) -> None:
+        """Drop the records of an incarnation that was not lost, or may not be.
+
+        Proofs are dropped too: an incarnation that answers has not ended.
+        """
         dropped = 0
-        kept_proofs: set[str] = set()
+        proofs: set[str] = set()
         for job in list(self.jobs.values()):
             for key, records in list(job.progress.crashes.items()):
                 kept: list[CrashRecord] = []
                 for record in records:
-                    is_other = record.incarnation != incarnation
-                    if record.is_proved or is_other:
+                    if record.incarnation != incarnation:
                         kept.append(record)
-                        if not is_other:
-                            kept_proofs.add(record.proof)
+                    elif record.is_proved:
+                        proofs.add(record.proof)
                 dropped += len(records) - len(kept)
                 self.replace(job, key, kept)
-        if dropped or kept_proofs:
-            self.events.append(
-                (
-                    "loss-withdrawn",
-                    {
-                        "executor": incarnation[0],
-                        "born_ms": incarnation[1],
-                        "reason": reason,
-                        "tasks": dropped,
-                        "kept_proofs": sorted(kept_proofs),
-                    },
-                )
+        if not dropped:
+            return
+        self.events.append(
+            (
+                "loss-withdrawn",
+                {
+                    "executor": incarnation[0],
+                    "born_ms": incarnation[1],
+                    "reason": reason,
+                    "tasks": dropped,
+                    "proofs": sorted(proofs),
+                },
             )
+        )
+
+    def expire(self, now: float) -> None:
+        """Note since when losses are unproved; drop those of long ago."""
+        silent = {record.incarnation for _, record in self.unproved}
+        for incarnation in list(self._unproved_since):
+            if incarnation not in silent:
+                del self._unproved_since[incarnation]
+        for incarnation in silent:
+            since = self._unproved_since.setdefault(incarnation, now)
+            if now - since >= UNPROVED_MAX_S:
+                self.withdraw(incarnation, "undecided")
+
+    def unproved_since(
+        self, records: list[CrashRecord], now: float
+    ) -> float | None:
+        """Return since when the newest unproved loss is known, if any is."""
+        found: float | None = None
+        for record in records:
+            if record.is_proved:
+                continue
+            since = self._unproved_since.get(record.incarnation, now)
+            found = since if found is None else max(found, since)
+        return found
+
+    def apply_hosts(self, hosts: Mapping[str, HostEvidence]) -> None:
+        """Apply what the list of hosts shows of silent executors.
+
+        The list was requested after they fell silent.
+        """
+        found: dict[tuple[str, int], HostEvidence] = {}
+        for _, record in self.unproved:
+            evidence = hosts.get(record.executor)
+            if evidence is not None:
+                found[record.incarnation] = evidence
+        for incarnation, evidence in found.items():
+            executor_id, born_ms = incarnation
+            if evidence is HostEvidence.ENDED_BY_ORDER:
+                self.withdraw(incarnation, evidence.value)
+            else:
+                self.prove(executor_id, evidence.value, born_ms + 1)
 
     # --- Other explanations of a loss.
 
--- a/lycheelug/workloads/crash_records.py
+++ b/lycheelug/workloads/crash_records.py
@@ -13,9 +13,9 @@
 
 __all__ = [
     "CULPRIT_LOSSES",
+    "DOUBTFUL_LOSSES_MAX",
     "SUSPECT_RUN_MAX_S",
     "CrashRecord",
-    "awaits_proof",
     "is_culprit",
     "makes_suspect",
 ]
@@ -43,7 +43,8 @@
     # Another cause is likelier: executors were lost at the same time, or a
     # suspect of another job ran there.
     is_discounted: bool = False
-    # The incarnation has ended; otherwise it may only be unreachable.
+    # Something other than silence shows that the incarnation has ended;
+    # otherwise it may only be unreachable.
     is_proved: bool = True
     # The executor was reserved for the task's job.
     is_isolated: bool = False
@@ -53,6 +54,8 @@
     # What proved the end; empty if nothing did, or if an earlier release
     # stored the record.
     proof: str = ""
+    # The executor's host; empty if unknown.
+    host: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -83,8 +86,8 @@
 def is_culprit(records: list[CrashRecord]) -> bool:
     """Return whether a task is the cause, so that it must not be restarted.
 
-    Unless there were very many losses, it must surely have run on two of the
-    executors, shortly before they were lost.
+    Only proved losses count.  Unless there were very many, the task must
+    surely have run on two of the executors, shortly before they were lost.
     """
     proved = [record for record in records if record.is_proved]
     if len(proved) >= DOUBTFUL_LOSSES_MAX:
@@ -96,10 +99,3 @@
     if len(likely) >= LOSSES_MAX:
         return True
     return any(record.is_isolated for record in certain)
-
-
-def awaits_proof(records: list[CrashRecord]) -> bool:
-    """Return whether a task must wait for the proof of a loss."""
-    if len(records) < CULPRIT_LOSSES:
-        return False
-    return not all(record.is_proved for record in records)
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -28,9 +28,9 @@
 from lycheelug.workloads.crash_evidence import CrashEvidence
 from lycheelug.workloads.crash_records import (
     CULPRIT_LOSSES,
+    DOUBTFUL_LOSSES_MAX,
     SUSPECT_RUN_MAX_S,
     CrashRecord,
-    awaits_proof,
     is_culprit,
     makes_suspect,
 )
@@ -45,11 +45,11 @@
 from lycheelug.workloads.silences import SHARED_MIN, Silence, Silences
 
 if TYPE_CHECKING:
-    from collections.abc import Container
+    from collections.abc import Container, Mapping
 
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Job
-    from lycheelug.workloads.losses import Event
+    from lycheelug.workloads.losses import Event, HostEvidence
     from lycheelug.workloads.pool import PoolSchedule
     from lycheelug.workloads.tasks import Task
 
@@ -60,8 +60,8 @@
 CLEARING_FACTOR: Final = 1.5
 CLEARING_EXTRA_S: Final = 0.2
 CLEARING_MAX_S: Final = 60.0
-# Proof of the end of an executor that no list names to a new owner.
-ABSENT: Final = "absent"
+# How long a task waits for the proof of the last loss under it.
+PROOF_WAIT_S: Final = 4.0
 
 
 class CrashLedger:
@@ -133,10 +133,10 @@
 
         If it was silent, its incarnation was only cut off.
         """
-        silence = self._silences.remove(view.executor_id)
-        if silence is None and not is_first:
+        self._silences.remove(view.executor_id)
+        if view.last_report_at is not None and not is_first:
             return
-        self._evidence.withdraw_unproved(view.incarnation, "answered")
+        self._evidence.withdraw(view.incarnation, "answered")
         self._evidence.prove(
             view.executor_id,
             LossCause.RESTARTED.value,
@@ -167,10 +167,9 @@
         if cause is LossCause.HOST_ORDER or view.info.draining:
             self._reservations.pop(view.executor_id, None)
             self._silences.remove(view.executor_id)
-            self._evidence.withdraw_unproved(view.incarnation, "drained")
+            self._evidence.withdraw(view.incarnation, "drained")
             return
-        is_gone = cause is LossCause.LEASE_ENDED and not view.has_entry
-        is_proved = cause in PROOFS or is_gone
+        is_proved = cause in PROOFS
         proof = cause.value if is_proved else ""
         self._add_runs(schedule, view, runs, silent_at, is_shared, proof)
         if is_proved:
@@ -181,15 +180,26 @@
             self._add_unseen_runs(view.executor_id, proof, seen)
 
     def record_absent_executors(self, executors: Container[str]) -> None:
-        """Record the ends of executors that no list names any more.
+        """Record the loss of reserved executors that no list names any more.
 
         All others have reported to this owner, or their leases have ended.
+        Their entries are removed after a while of silence, so that does not
+        prove an end.
         """
-        recorded = {record.executor for _, record in self._evidence.unproved}
-        for executor_id in recorded | set(self._reservations):
+        for executor_id in list(self._reservations):
             if executor_id not in executors:
-                self._evidence.prove(executor_id, ABSENT)
-                self._add_unseen_runs(executor_id, ABSENT, ())
+                self._add_unseen_runs(executor_id, "", ())
+
+    def unproved_executors(self) -> dict[str, str]:
+        """Return the silent executors, with their hosts if known."""
+        found: dict[str, str] = {}
+        for _, record in self._evidence.unproved:
+            found[record.executor] = record.host
+        return found
+
+    def record_hosts(self, hosts: Mapping[str, HostEvidence]) -> None:
+        """Record what the list of hosts shows of silent executors."""
+        self._evidence.apply_hosts(hosts)
 
     def record_not_started(self, task: Task, view: ExecutorView) -> None:
         """Record that a start on an executor was surely not carried out."""
@@ -214,8 +224,9 @@
 
     # --- Decisions.
 
-    def fail_culprits(self, schedule: PoolSchedule, unix_ms: int) -> None:
+    def review(self, schedule: PoolSchedule, now: float, unix_ms: int) -> None:
         """Fail the jobs whose tasks are the cause of losses."""
+        self._evidence.expire(now)
         for job in list(self.jobs.values()):
             if job.is_final or not job.progress.crashes:
                 del self.jobs[job.job_id]
@@ -225,17 +236,32 @@
                     self._fail_job(schedule, job, key, unix_ms)
                     break
 
-    def may_start(self, task: Task) -> bool:
+    def may_start(self, task: Task, now: float) -> bool:
         """Return whether a task may be started, as far as losses go.
 
-        They must be stored first.  A task under which two executors fell
-        silent waits until it is known whether they ended.
+        They must be stored first.
         """
         if not task.job.progress.crashes:
             return True
-        return not (
-            task.job.has_unsaved_crashes or awaits_proof(task.crash_records)
-        )
+        if task.job.has_unsaved_crashes:
+            return False
+        return not self.awaits_proof(task.crash_records, now)
+
+    def awaits_proof(self, records: list[CrashRecord], now: float) -> bool:
+        """Return whether a task must wait for the proof of a loss.
+
+        If two executors fell silent under it, it waits for a limited time, as
+        they may only be cut off; if very many did, until that is known of one
+        of them.
+        """
+        if len(records) < CULPRIT_LOSSES:
+            return False
+        since = self._evidence.unproved_since(records, now)
+        if since is None:
+            return False
+        if len(records) >= DOUBTFUL_LOSSES_MAX:
+            return True
+        return now - since < PROOF_WAIT_S
 
     def ordered_suspects(self) -> list[Job]:
         """Return the suspected jobs, the most likely culprits first.
@@ -305,6 +331,7 @@
                     is_isolated=is_isolated,
                     is_certain=run.confirmed_at is not None,
                     proof=proof,
+                    host=view.info.host,
                 ),
             )
 
@@ -325,6 +352,7 @@
                     executor_id,
                     born_ms,
                     age_ms,
+                    is_proved=bool(proof),
                     is_certain=False,
                     proof=proof,
                 )
--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -15,7 +15,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.workloads.crash_records import SUSPECT_RUN_MAX_S, awaits_proof
+from lycheelug.workloads.crash_records import SUSPECT_RUN_MAX_S
 from lycheelug.workloads.placement import is_step_full, may_host, takes_tasks
 from lycheelug.workloads.tasks import TaskState
 
@@ -78,7 +78,7 @@
             if takes_tasks(view, now):
                 usable.append(view)
         for job in schedule.crashes.ordered_suspects():
-            waiting = _waiting_tasks(job)
+            waiting = _waiting_tasks(schedule, job, now)
             if waiting:
                 self._reserve(schedule, job, waiting, usable, now)
 
@@ -89,7 +89,7 @@
             view = schedule.executors.get(executor_id)
             if job is not None and view is not None and job.is_suspect:
                 has_runs = _has_recent_runs(view, job_id, now)
-                is_wanted = bool(_waiting_tasks(job))
+                is_wanted = bool(_waiting_tasks(schedule, job, now))
                 if has_runs or (is_wanted and takes_tasks(view, now)):
                     continue
             del self._jobs[executor_id]
@@ -145,13 +145,13 @@
             )
 
 
-def _waiting_tasks(job: Job) -> list[Task]:
+def _waiting_tasks(schedule: PoolSchedule, job: Job, now: float) -> list[Task]:
     """Return the waiting tasks of a job that need a reserved executor."""
     found: list[Task] = []
     for task in job.tasks():
         if task.state is not TaskState.READY or not task.needs_isolation:
             continue
-        if not awaits_proof(task.crash_records):
+        if not schedule.crashes.awaits_proof(task.crash_records, now):
             found.append(task)
     return found
 
--- a/lycheelug/workloads/losses.py
+++ b/lycheelug/workloads/losses.py
@@ -16,6 +16,7 @@
 __all__ = [
     "PROOFS",
     "Event",
+    "HostEvidence",
     "LossCause",
     "describe_loss",
     "describe_outcome",
@@ -47,6 +48,16 @@
     SILENT = "silent"
 
 
+class HostEvidence(Enum):
+    """What the list of hosts shows of an executor that fell silent."""
+
+    # Its host is down, is gone, or runs another executor.
+    ENDED = "not-listed"
+    # Its host was moved or maintained meanwhile, which only a host in
+    # operation can be: the executor had not crashed.
+    ENDED_BY_ORDER = "host-order"
+
+
 # The causes that prove that an incarnation has ended.
 PROOFS: Final = frozenset(
     {LossCause.RESTARTED, LossCause.REPLACED, LossCause.NOT_LISTED}
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -344,7 +344,7 @@
                 )
         if self.earlier_runs_known(now):
             self.crashes.record_absent_executors(self.executors)
-        self.crashes.fail_culprits(self, unix_ms)
+        self.crashes.review(self, now, unix_ms)
         self.isolation.plan(self, now)
         if self.is_capacity_current:
             orders.extend(plan_starts(self, now, unix_ms))
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -115,7 +115,7 @@
     if task.name in schedule.run_counts and not task.step.may_duplicate:
         # A superfluous run of this task has not ended yet.
         return False
-    if not schedule.crashes.may_start(task):
+    if not schedule.crashes.may_start(task, now):
         return False
     if task.failures and task.step.lasts and not task.step.is_gang:
         wait_s = RESTART_WAIT_S * min(task.failures, 10)
--- a/tests/reference_schedule.py
+++ b/tests/reference_schedule.py
@@ -71,7 +71,7 @@
                 )
         if self.earlier_runs_known(now):
             self.crashes.record_absent_executors(self.executors)
-        self.crashes.fail_culprits(self, unix_ms)
+        self.crashes.review(self, now, unix_ms)
         self.isolation.plan(self, now)
         orders.extend(_starts(self, now, unix_ms))
         return orders
@@ -185,7 +185,7 @@
         return False
     if task.name in schedule.run_counts and not task.step.may_duplicate:
         return False
-    if not schedule.crashes.may_start(task):
+    if not schedule.crashes.may_start(task, now):
         return False
     if task.failures and task.step.lasts and not task.step.is_gang:
         wait_s = RESTART_WAIT_S * min(task.failures, 10)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -7,6 +7,7 @@
 
 from lycheelug.workloads import (
     EndKind,
+    HostEvidence,
     Job,
     LossCause,
     ProgressRecord,
@@ -331,6 +332,10 @@
     job = later.add_job(ONE, progress=job.progress)
     second = start_one(later)
     (records,) = job.progress.crashes.values()
+    # Its absence from the list of executors proves nothing.
+    assert not records[0].is_proved
+    assert later.schedule.crashes.unproved_executors() == {"a": "h-a"}
+    later.schedule.crashes.record_hosts({"a": HostEvidence.ENDED})
     assert records[0].is_proved
     lose(later, second.executor_id)
     later.plan()
@@ -546,6 +551,7 @@
     world.add_job(ONE)
     order = start_one(world)
     view = world.schedule.executors["a"]
+    view.last_report_at = None
     world.schedule.crashes.record_silence(
         world.schedule, view, world.now, world.now
     )
--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,174 @@
+"""Tests of how long suspects wait for executors of their own."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheelug.fleetplan import HostInfo, HostState
+from lycheelug.jobservice.pool_cleanup import find_host_evidence
+from lycheelug.workloads import (
+    HostEvidence,
+    Job,
+    LossCause,
+    StartOrder,
+    StepSpec,
+    TaskState,
+)
+from tests.pool_world import PoolWorld
+
+OTHER = "00000000000000ff"
+# A task must run again within this time if there is room for it.
+RESTARTED_S = 3.0
+TICK_S = 0.1
+
+
+class SuspectWorld(PoolWorld):
+    """A pool whose executors fall silent and whose time goes on."""
+
+    def __init__(self, executors: int = 6) -> None:
+        super().__init__()
+        for number in range(executors):
+            self.add_executor(f"x{number}")
+
+    def start_all(self) -> list[StartOrder]:
+        """Plan, and let all starts succeed."""
+        orders = self.starts()
+        for order in orders:
+            self.answer(order)
+        return orders
+
+    def lose(self, executor_id: str) -> None:
+        """Let an executor fall silent until its last lease has ended."""
+        view = self.schedule.executors[executor_id]
+        view.last_report_at = None
+        self.schedule.crashes.record_silence(
+            self.schedule, view, self.now, self.now
+        )
+        self.plan()
+        self.pass_time(4.0, beside=executor_id)
+        view.has_entry = False
+        self.schedule.remove_executor(
+            executor_id, self.now, LossCause.LEASE_ENDED
+        )
+
+    def pass_time(
+        self, duration_s: float, beside: str = "", starts: bool = False
+    ) -> list[StartOrder]:
+        """Let executors report for a while; return the runs started."""
+        orders: list[StartOrder] = []
+        end = self.now + duration_s
+        while self.now < end:
+            self.now += TICK_S
+            for view in self.schedule.executors.values():
+                if view.executor_id != beside and view.last_report_at:
+                    view.record_lease(self.now, self.schedule.lease_s)
+                    self.report_tasks(
+                        view.executor_id, list(view.runs), percent=100
+                    )
+            if starts:
+                orders.extend(self.start_all())
+        return orders
+
+    def start_next(self) -> str:
+        """Return the executor on which the next task starts soon."""
+        for _ in range(int(RESTARTED_S / TICK_S)):
+            for order in self.pass_time(TICK_S, starts=True):
+                return order.executor_id
+        raise AssertionError("nothing is started")
+
+    def waiting(self, job: Job) -> int:
+        """Return how many tasks of a job wait."""
+        return sum(task.state is TaskState.READY for task in job.tasks())
+
+
+# Guards against a task that waits without end for the proof of losses.
+@pytest.mark.parametrize("lasts", [False, True])
+def test_task_of_silent_executors_starts_again(lasts: bool) -> None:
+    world = SuspectWorld(executors=8)
+    job = world.add_job([StepSpec(count=1, cpu_millis=500, lasts=lasts)])
+    for _ in range(4):
+        world.lose(world.start_next())
+    world.start_next()
+    assert not job.is_final
+
+
+# Guards against more starts of a deadly task than are allowed after three
+# crashes, while nothing can prove that its executors have ended.
+def test_task_of_five_silent_executors_waits_until_one_is_explained() -> None:
+    world = SuspectWorld(executors=8)
+    job = world.add_job([StepSpec(count=1, cpu_millis=500)])
+    lost: list[str] = []
+    for _ in range(5):
+        lost.append(world.start_next())
+        world.lose(lost[-1])
+    assert world.pass_time(5.0, starts=True) == []
+    assert not job.is_final
+    hosts = dict.fromkeys(lost[:1], HostEvidence.ENDED)
+    world.schedule.crashes.record_hosts(hosts)
+    world.pass_time(TICK_S, starts=True)
+    assert not job.is_final
+    hosts = dict.fromkeys(lost, HostEvidence.ENDED)
+    world.schedule.crashes.record_hosts(hosts)
+    world.pass_time(TICK_S, starts=True)
+    assert job.is_final
+
+
+# Guards against a job that waits for good if no proof ever comes.
+def test_unproved_losses_are_forgotten_after_a_while() -> None:
+    world = SuspectWorld(executors=8)
+    job = world.add_job([StepSpec(count=1, cpu_millis=500)])
+    for _ in range(5):
+        world.lose(world.start_next())
+    assert len(world.pass_time(30.0, starts=True)) == 1
+    assert not job.is_final
+
+
+@pytest.mark.parametrize(
+    ("evidence", "records"),
+    [
+        (HostEvidence.ENDED, 1),
+        # The host was in operation when it was moved or maintained.
+        (HostEvidence.ENDED_BY_ORDER, 0),
+    ],
+)
+def test_list_of_hosts_decides_about_a_silent_executor(
+    evidence: HostEvidence, records: int
+) -> None:
+    world = SuspectWorld()
+    job = world.add_job([StepSpec(count=1, cpu_millis=500)])
+    lost = world.start_all()[0].executor_id
+    world.lose(lost)
+    world.schedule.crashes.record_hosts({lost: evidence})
+    assert len(job.progress.crashes.get("0.0.0", [])) == records
+    for record in job.progress.crashes.get("0.0.0", []):
+        assert record.proof == evidence.value
+
+
+# Guards against a proof from a list of hosts that may be incomplete, and from
+# a host that only can't be reached.
+@pytest.mark.parametrize(
+    ("state", "present", "missing_before", "evidence"),
+    [
+        (HostState.UP, "lost", False, None),
+        (HostState.UP, "new", False, HostEvidence.ENDED),
+        (HostState.DOWN, "", False, HostEvidence.ENDED),
+        (HostState.MOVING, "", False, HostEvidence.ENDED_BY_ORDER),
+        (HostState.IN_UPKEEP, "", False, HostEvidence.ENDED_BY_ORDER),
+        (None, "", False, None),
+        (None, "", True, HostEvidence.ENDED),
+    ],
+)
+def test_evidence_of_the_list_of_hosts(
+    state: HostState | None,
+    present: str,
+    missing_before: bool,
+    evidence: HostEvidence | None,
+) -> None:
+    hosts: dict[str, HostInfo] = {}
+    if state is not None:
+        hosts["h"] = HostInfo("h", "quotes", state, executor_id=present)
+    found = find_host_evidence(
+        hosts, {"lost": "h"}, {"h"} if missing_before else set()
+    )
+    assert found.get("lost") is evidence
+    assert find_host_evidence(hosts, {"lost": ""}, {""}) == {}
