Bound the wait for isolation, and reserve what a suspect can start on

Cause: isolation was required without a limit in time. A job could wait for good on executors on which it never fits: for a gang the free capacity of the reserved executors was added up, so one large executor had room for members that max_per_executor or their size keep apart; and an executor where the step has as many tasks as it may was reserved for one more. An attempt to place a gang also reset the time for which it had waited.

A suspect now waits 2 s for an executor of its own and then starts on any; a lasting task that has waited for so long may end another job's reservation. Only executors on which a task of the step can start are reserved, and a gang is placed member by member to find that out.

--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -6,7 +6,8 @@
 stored with the job before its tasks start, so that a later owner knows where
 they may have run.
 
-A suspect keeps others away for a limited time.  At most half of the usable
+Isolation is preferred, not required: a suspect waits for it for a limited
+time, and keeps others away for a limited time.  At most half of the usable
 executors are reserved, so that suspects don't starve the pool; a gang, which
 must start at once, may take more if no other job has a reservation.
 """
@@ -16,7 +17,13 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.crash_records import SUSPECT_RUN_MAX_S
-from lycheelug.workloads.placement import is_step_full, may_host, takes_tasks
+from lycheelug.workloads.placement import (
+    count_step_tasks,
+    is_overdue,
+    is_step_full,
+    may_host,
+    takes_tasks,
+)
 from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
@@ -46,6 +53,10 @@
         """Return the job for which an executor is reserved, or nothing."""
         return self._jobs.get(executor_id, "")
 
+    def may_wait(self, task: Task, now: float) -> bool:
+        """Return whether a task starts only on a reserved executor."""
+        return task.needs_isolation and not is_overdue(task, now)
+
     def isolated_run(self, view: ExecutorView) -> Run | None:
         """Return a run that was started while its job had the executor."""
         job_id = self.job_on(view.executor_id)
@@ -54,6 +65,14 @@
                 return run
         return None
 
+    def release(self, schedule: PoolSchedule, executor_id: str) -> None:
+        """Release an executor: it is no longer alone with its job."""
+        job_id = self._jobs.pop(executor_id, "")
+        job = schedule.jobs.get(job_id)
+        if job is not None and not job.is_final:
+            job.progress.reserved.pop(executor_id, None)
+            job.is_dirty = True
+
     def restore(self, executor_id: str, job_id: str) -> None:
         """Reserve an executor again, as an earlier owner had."""
         self._jobs.setdefault(executor_id, job_id)
@@ -78,7 +97,7 @@
             if takes_tasks(view, now):
                 usable.append(view)
         for job in schedule.crashes.ordered_suspects():
-            waiting = _waiting_tasks(schedule, job, now)
+            waiting = self._waiting_tasks(schedule, job, now)
             if waiting:
                 self._reserve(schedule, job, waiting, usable, now)
 
@@ -89,13 +108,24 @@
             view = schedule.executors.get(executor_id)
             if job is not None and view is not None and job.is_suspect:
                 has_runs = _has_recent_runs(view, job_id, now)
-                is_wanted = bool(_waiting_tasks(schedule, job, now))
+                is_wanted = bool(self._waiting_tasks(schedule, job, now))
                 if has_runs or (is_wanted and takes_tasks(view, now)):
                     continue
-            del self._jobs[executor_id]
-            if job is not None and not job.is_final:
-                job.progress.reserved.pop(executor_id, None)
-                job.is_dirty = True
+            self.release(schedule, executor_id)
+
+    def _waiting_tasks(
+        self, schedule: PoolSchedule, job: Job, now: float
+    ) -> list[Task]:
+        """Return the waiting tasks of a job that need a reserved executor."""
+        found: list[Task] = []
+        for task in job.tasks():
+            if task.state is not TaskState.READY:
+                continue
+            if not self.may_wait(task, now):
+                continue
+            if not schedule.crashes.awaits_proof(task.crash_records, now):
+                found.append(task)
+        return found
 
     def _reserve(
         self,
@@ -118,6 +148,7 @@
             for view in usable
             if not self.job_on(view.executor_id)
             and may_host(view, waiting[0], hints, now)
+            and not is_step_full(view, waiting[0])
             and _will_have_room(view, waiting[0])
         ]
         limit = max(1, int(len(usable) * RESERVED_SHARE))
@@ -145,17 +176,6 @@
             )
 
 
-def _waiting_tasks(schedule: PoolSchedule, job: Job, now: float) -> list[Task]:
-    """Return the waiting tasks of a job that need a reserved executor."""
-    found: list[Task] = []
-    for task in job.tasks():
-        if task.state is not TaskState.READY or not task.needs_isolation:
-            continue
-        if not schedule.crashes.awaits_proof(task.crash_records, now):
-            found.append(task)
-    return found
-
-
 def _has_recent_runs(view: ExecutorView, job_id: str, now: float) -> bool:
     """Return whether runs of a job still have to be isolated."""
     for run in view.runs.values():
@@ -190,6 +210,24 @@
     )
 
 
+def _members_that_fit(view: ExecutorView, member: Task) -> int:
+    """Return how many members of a gang an executor has room for."""
+    needed = member.step.resources
+    capacity = view.info.capacity
+    fitting = member.step.count
+    limit = member.step.max_per_executor
+    if limit:
+        fitting = min(fitting, limit - count_step_tasks(view, member))
+    for free, each in (
+        (capacity.cpu_millis - view.used_cpu, needed.cpu_millis),
+        (capacity.memory_mb - view.used_memory, needed.memory_mb),
+        (capacity.gpus - view.used_gpus, needed.gpus),
+    ):
+        if each:
+            fitting = min(fitting, free // each)
+    return max(0, fitting)
+
+
 def _has_room(views: list[ExecutorView], waiting: list[Task]) -> bool:
     """Return whether the next start fits: of a gang, or of one task."""
     first = waiting[0]
@@ -199,14 +237,5 @@
             if has_room and not is_step_full(view, first):
                 return True
         return False
-    cpu_millis = 0
-    memory_mb = 0
-    for view in views:
-        cpu_millis += view.info.capacity.cpu_millis - view.used_cpu
-        memory_mb += view.info.capacity.memory_mb - view.used_memory
-    needed = first.step.resources
-    count = first.step.count
-    return (
-        cpu_millis >= needed.cpu_millis * count
-        and memory_mb >= needed.memory_mb * count
-    )
+    fitting = sum(_members_that_fit(view, first) for view in views)
+    return fitting >= first.step.count
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.registry import Registry
@@ -25,10 +26,13 @@
     Policy = Callable[[Task, list[ExecutorView]], ExecutorView]
 
 __all__ = [
+    "ISOLATION_WAIT_S",
     "PACKING",
     "PLACEMENTS",
     "PlacementRound",
     "UnplaceableRequests",
+    "count_step_tasks",
+    "is_overdue",
     "is_step_full",
     "may_host",
     "takes_tasks",
@@ -37,6 +41,9 @@
 PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
 # The policies that choose the executor with the least free CPU.
 PACKING: Final = frozenset({"pack", "together"})
+# For how long a task that is ready waits for an executor to itself, and a
+# long-running task for one that is not reserved.
+ISOLATION_WAIT_S: Final = 2.0
 
 
 class PlacementRound:
@@ -49,6 +56,7 @@
     """
 
     __slots__ = (
+        "_isolation",
         "_last_task",
         "_last_view",
         "_now",
@@ -65,6 +73,7 @@
         policy: str = "together",
         smallest: Resources | None = None,
     ) -> None:
+        self._isolation = isolation
         self._now = now
         self._policy = policy
         self._views: list[ExecutorView] = []
@@ -133,16 +142,46 @@
     def _choose(
         self, task: Task, hints: PlacementHints | None
     ) -> ExecutorView | None:
-        """Choose among all executors that meet the task's constraints."""
+        """Choose among all executors that meet the task's constraints.
+
+        A long-running task that has waited for too long may take one that is
+        reserved for another job, which ends the reservation.
+        """
+        own = self._reserved.get(task.name.job, [])
+        view = self._choose_among(own, task, hints)
+        if view is not None or self._isolation.may_wait(task, self._now):
+            return view
+        view = self._choose_among(self._views, task, hints)
+        if view is not None:
+            return view
+        if not task.step.lasts or not is_overdue(task, self._now):
+            return None
+        reserved = list(chain.from_iterable(self._reserved.values()))
+        view = self._choose_among(reserved, task, hints)
+        if view is not None:
+            self._end_reservation(view)
+        return view
+
+    def _end_reservation(self, view: ExecutorView) -> None:
+        """Let all tasks of this round use a reserved executor."""
+        for views in self._reserved.values():
+            if view in views:
+                views.remove(view)
+        self._views.append(view)
+
+    def _choose_among(
+        self,
+        views: list[ExecutorView],
+        task: Task,
+        hints: PlacementHints | None,
+    ) -> ExecutorView | None:
+        """Choose among some executors that meet the task's constraints."""
         allowed: list[ExecutorView] = []
         avoided: list[ExecutorView] = []
         now = self._now
         step = task.step
         needed = step.resources
         avoids_any = bool(task.failures or task.avoided_executor)
-        views = self._views
-        if task.needs_isolation:
-            views = self._reserved.get(task.name.job, [])
         for view in views:
             if not view.fits(needed) or is_step_full(view, task):
                 continue
@@ -201,6 +240,11 @@
     return not view.health.is_quarantined(now)
 
 
+def is_overdue(task: Task, now: float) -> bool:
+    """Return whether isolation must not delay a task any longer."""
+    return now - task.ready_at >= ISOLATION_WAIT_S
+
+
 def _is_avoided(view: ExecutorView, task: Task, now: float) -> bool:
     """Return whether a retry prefers other executors."""
     if view.executor_id == task.avoided_executor:
@@ -230,8 +274,11 @@
     The task itself doesn't count.
     """
     limit = task.step.max_per_executor
-    if not limit:
-        return False
+    return bool(limit) and count_step_tasks(view, task) >= limit
+
+
+def count_step_tasks(view: ExecutorView, task: Task) -> int:
+    """Return how many other tasks of a task's step run on an executor."""
     count = 0
     name = task.name
     for other, _ in view.runs:
@@ -242,7 +289,7 @@
             and other.number != name.number
         ):
             count += 1
-    return count >= limit
+    return count
 
 
 def _prefer_data_rack(
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -232,10 +232,6 @@
             if not task.job.is_final:
                 self.ready.add(task)
 
-    def dequeue(self, task: Task) -> None:
-        """Remove a task from the queue, if it is there."""
-        self.ready.discard(task)
-
     # --- Executors.
 
     def observe_executor(self, info: ExecutorInfo) -> ExecutorView:
@@ -376,9 +372,10 @@
         task.job.home_zone = view.info.zone
         self.ready.discard(task)
         added = Run(task.name, run, task.step.resources, now, task)
-        added.is_isolated = (
-            self.isolation.job_on(view.executor_id) == task.name.job
-        )
+        reserved_for = self.isolation.job_on(view.executor_id)
+        added.is_isolated = reserved_for == task.name.job
+        if reserved_for and not added.is_isolated:
+            self.isolation.release(self, view.executor_id)
         view.add_run(added)
         view.record_lease(now, self.lease_s)
         ticket = ""
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -68,8 +68,12 @@
 ) -> None:
     """Place the waiting tasks of a step; add their start orders."""
     needs_placement_hint = step.job.policy.needs_placement_hint
+    # The others may use more executors than most, or fewer.
     is_limited = not (
-        step.spec.is_gang or needs_placement_hint or step.job.progress.crashes
+        step.spec.is_gang
+        or step.spec.lasts
+        or needs_placement_hint
+        or step.job.progress.crashes
     )
     if is_limited and unplaceable.covers(step.spec.resources):
         return
@@ -178,8 +182,11 @@
     """Undo a placement whose start has not been sent.
 
     Its run number is used again, because a term has only so many of them.
+    The task has been waiting all the while.
     """
     view = schedule.executors[order.executor_id]
     view.drop_run((order.task.name, order.run))
+    ready_at = order.task.ready_at
     schedule.requeue(order.task, now)
+    order.task.ready_at = ready_at
     order.task.last_run = last_run
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -240,7 +240,7 @@
     if not is_wanted:
         return run
     run.task = task
-    schedule.dequeue(task)
+    schedule.ready.discard(task)
     task.state = TaskState.PLACED
     task.executor_id = view.executor_id
     job.home_zone = view.info.zone
@@ -289,7 +289,7 @@
     if end.checkpoint:
         job.record_checkpoint(task, end.checkpoint)
     if job.is_final:
-        schedule.dequeue(task)
+        schedule.ready.discard(task)
         schedule.dequeue_job(job)
         return
     if run is not None:
@@ -320,7 +320,7 @@
     job = task.job
     members = job.step_tasks(task) if task.step.is_gang else [task]
     for member in members:
-        schedule.dequeue(member)
+        schedule.ready.discard(member)
         schedule.make_ready(job.record_done(member, unix_ms, now))
 
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -81,6 +81,90 @@
         return sum(task.state is TaskState.READY for task in job.tasks())
 
 
+# Guards against a gang that waits for executors on which it never fits.
+@pytest.mark.parametrize(
+    "step",
+    [
+        StepSpec(count=3, cpu_millis=500, is_gang=True, max_per_executor=1),
+        StepSpec(count=3, cpu_millis=2500, is_gang=True),
+        StepSpec(count=3, cpu_millis=100, memory_mb=2500, is_gang=True),
+    ],
+    ids=["apart", "cpu", "memory"],
+)
+def test_suspected_gang_starts_again_after_a_crash(step: StepSpec) -> None:
+    world = SuspectWorld()
+    job = world.add_job([step])
+    first = world.start_all()
+    assert len(first) == step.count
+    world.lose(first[0].executor_id)
+    for view in list(world.schedule.executors.values()):
+        world.schedule.clear_runs(view, world.now, LossCause.HOST_ORDER)
+    assert job.is_suspect
+    orders = world.pass_time(1.0, starts=True)
+    assert len(orders) == step.count
+
+
+# Guards against a reservation of executors that have as many tasks of the
+# step as they may, so that the suspect never starts.
+def test_suspect_is_not_sent_where_its_siblings_run() -> None:
+    world = SuspectWorld(executors=3)
+    step = StepSpec(count=3, cpu_millis=500, lasts=True, max_per_executor=1)
+    job = world.add_job([step])
+    lost = world.start_all()[0].executor_id
+    # More tasks run on the only executor without one of the step.
+    world.add_executor("new", labels=("b", "r2"))
+    busy = StepSpec(count=2, cpu_millis=500, lasts=True, required_label="b")
+    world.add_job([busy], OTHER)
+    assert len(world.start_all()) == busy.count
+    world.lose(lost)
+    orders = world.pass_time(RESTARTED_S, starts=True)
+    assert [order.executor_id for order in orders] == ["new"]
+    assert not world.waiting(job)
+
+
+# Guards against a suspect that waits for isolation without end.
+@pytest.mark.parametrize("lasts", [False, True])
+def test_suspect_starts_without_isolation_if_all_is_reserved(
+    lasts: bool,
+) -> None:
+    world = SuspectWorld(executors=2)
+    step = StepSpec(count=1, cpu_millis=500, lasts=lasts)
+    job = world.add_job([step])
+    lost = world.start_all()[0].executor_id
+    world.lose(lost)
+    (left,) = world.schedule.executors
+    # Another job holds the only executor, and its task doesn't fit.
+    world.schedule.isolation.restore(left, OTHER)
+    other = world.add_job([StepSpec(count=1, cpu_millis=99_000)], OTHER)
+    other.progress.crashes = job.progress.crashes.copy()
+    world.schedule.crashes.add_job(other)
+    orders = world.pass_time(RESTARTED_S, starts=True)
+    assert [order.task.job for order in orders] == [job]
+
+
+# Guards against a long-running task that waits though a reserved executor has
+# room for it.
+def test_long_running_task_takes_a_reserved_executor_after_a_while() -> None:
+    world = SuspectWorld(executors=2)
+    step = StepSpec(count=1, cpu_millis=500, lasts=True)
+    suspect = world.add_job([step])
+    world.lose(world.start_all()[0].executor_id)
+    (order,) = world.pass_time(TICK_S, starts=True)
+    (left,) = world.schedule.executors.values()
+    job = world.add_job([step], OTHER)
+    started: list[StartOrder] = []
+    waited_s = 0.0
+    while not started:
+        # Its suspects follow one another.
+        left.runs[(order.task.name, order.run)].ordered_at = world.now
+        started = world.pass_time(TICK_S, starts=True)
+        waited_s += TICK_S
+        assert waited_s <= RESTARTED_S
+    assert [each.task.job for each in started] == [job]
+    assert not world.waiting(suspect)
+    assert not world.schedule.isolation.job_on(left.executor_id)
+
+
 # Guards against a task that waits without end for the proof of losses.
 @pytest.mark.parametrize("lasts", [False, True])
 def test_task_of_silent_executors_starts_again(lasts: bool) -> None:
@@ -172,3 +256,12 @@
     )
     assert found.get("lost") is evidence
     assert find_host_evidence(hosts, {"lost": ""}, {""}) == {}
+
+
+# Guards against a wait for isolation that begins anew with each attempt.
+def test_gang_that_finds_no_place_keeps_its_waiting_time() -> None:
+    world = SuspectWorld(executors=2)
+    job = world.add_job([StepSpec(count=3, cpu_millis=3000, is_gang=True)])
+    since = job.tasks()[0].ready_at
+    assert world.pass_time(3.0, starts=True) == []
+    assert {task.ready_at for task in job.tasks()} == {since}
