Give a long-running job up for more than a few ordinary crashes

Callers see a lasting job as failed after two or three ordinary crashes that happen to follow its restarts closely. A job that lasts meets crashes all its life, so verdicts that are rare for a short job add up for it: any two likely losses, one of them while it was isolated, were enough, and so were five late ones.

A long-running task now needs four likely losses with two of them isolated, or five likely ones; late losses don't count. Both stay within the limit of two starts after the third crash. Short jobs are judged as before.

test_job_is_given_up_for_proved_crashes_only and test_late_losses_never_fail_a_long_running_job failed before.

--- a/lycheelug/workloads/crash_records.py
+++ b/lycheelug/workloads/crash_records.py
@@ -27,6 +27,11 @@
 # The same for losses of which it is not certain or not likely that the task
 # had to do with them.
 DOUBTFUL_LOSSES_MAX: Final = 5
+# The same for a long-running task, which meets ordinary crashes again and
+# again; of the first number, so many must have been while it was isolated.
+LASTING_LOSSES: Final = 4
+LASTING_ISOLATED: Final = 2
+LASTING_LOSSES_MAX: Final = 5
 # A run that went on for longer is an unlikely cause of a loss, so it is not
 # isolated any more.
 SUSPECT_RUN_MAX_S: Final = 2.0
@@ -83,19 +88,26 @@
     return any(each.is_likely and not each.is_discounted for each in records)
 
 
-def is_culprit(records: list[CrashRecord]) -> bool:
+def is_culprit(records: list[CrashRecord], lasts: bool = False) -> bool:
     """Return whether a task is the cause, so that it must not be restarted.
 
     Only proved losses count.  Unless there were very many, the task must
-    surely have run on two of the executors, shortly before they were lost.
+    surely have run on several of the executors, shortly before they were
+    lost.  `lasts` tells that it is a long-running task.
     """
     proved = [record for record in records if record.is_proved]
-    if len(proved) >= DOUBTFUL_LOSSES_MAX:
-        return True
     likely = [record for record in proved if record.is_likely]
     certain = [record for record in likely if record.is_certain]
+    isolated = [record for record in certain if record.is_isolated]
+    if lasts:
+        if len(likely) >= LASTING_LOSSES_MAX:
+            return True
+        return (
+            len(certain) >= LASTING_LOSSES
+            and len(isolated) >= LASTING_ISOLATED
+        )
+    if len(proved) >= DOUBTFUL_LOSSES_MAX:
+        return True
     if len(certain) < CULPRIT_LOSSES:
         return False
-    if len(likely) >= LOSSES_MAX:
-        return True
-    return any(record.is_isolated for record in certain)
+    return len(likely) >= LOSSES_MAX or bool(isolated)
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -232,7 +232,7 @@
                 del self.jobs[job.job_id]
                 continue
             for key, records in list(job.progress.crashes.items()):
-                if is_culprit(records):
+                if is_culprit(records, job.is_long_running):
                     self._fail_job(schedule, job, key, unix_ms)
                     break
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -51,6 +51,12 @@
             executor_id, self.now, LossCause.LEASE_ENDED
         )
 
+    def prove(self, executor_id: str) -> None:
+        """Let the list of hosts show that an executor has ended."""
+        crashes = self.schedule.crashes
+        crashes.record_hosts({executor_id: HostEvidence.ENDED})
+        crashes.review(self.schedule, self.now, 0)
+
     def pass_time(
         self, duration_s: float, beside: str = "", starts: bool = False
     ) -> list[StartOrder]:
@@ -265,3 +271,37 @@
     since = job.tasks()[0].ready_at
     assert world.pass_time(3.0, starts=True) == []
     assert {task.ready_at for task in job.tasks()} == {since}
+
+
+# Guards against a long-running job that is given up for a few ordinary
+# crashes soon after its restarts, which an old job has met in any case.
+@pytest.mark.parametrize(
+    ("lasts", "crashes_max"),
+    # A task may be started twice more after three crashes.
+    [(False, 3), (True, 5)],
+)
+def test_job_is_given_up_for_proved_crashes_only(
+    lasts: bool, crashes_max: int
+) -> None:
+    world = SuspectWorld(executors=8)
+    job = world.add_job([StepSpec(count=1, cpu_millis=500, lasts=lasts)])
+    crashes = 0
+    while not job.is_final:
+        lost = world.start_next()
+        world.lose(lost)
+        world.prove(lost)
+        crashes += 1
+        assert crashes <= crashes_max
+    assert crashes >= (4 if lasts else 2)
+
+
+# Guards against late losses of a long-running task that add up over time.
+def test_late_losses_never_fail_a_long_running_job() -> None:
+    world = SuspectWorld(executors=12)
+    job = world.add_job([StepSpec(count=1, cpu_millis=500, lasts=True)])
+    for _ in range(10):
+        lost = world.start_next()
+        world.pass_time(2.5, starts=True)
+        world.lose(lost)
+        world.prove(lost)
+    assert not job.is_final
