--- a/tests/test_silent_executors.py
+++ b/tests/test_silent_executors.py
@@ -11,9 +11,11 @@
 
 import pytest
 
-from lycheelug.workloads import StepSpec
+from lycheelug.jobservice.pool_owner import PoolOwner
+from lycheelug.workloads import LossCause, StepSpec
 from lycheelug.workloads.model import JobState
-from tests.job_world import FakeExecutor, JobWorld, until
+from lycheelug.workloads.progress import task_key
+from tests.job_world import POOL, FakeExecutor, JobWorld, job_id, until
 from tests.virtual_time import run_virtual
 
 JOB = 1
@@ -159,3 +161,38 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against an answer that was on its way when its executor's end was
+# proved: it must not withdraw the proof, nor show runs that are gone.
+def test_answer_from_before_a_proved_end_is_ignored() -> None:
+    async def run() -> None:
+        world = CutOffWorld()
+        step = STEPS["lasting"]
+        await world.begin(step)
+        await asyncio.sleep(3.0)
+        (holder,) = world.holders()
+        owner = world.daemons[holder].duties.held[POOL]
+        assert isinstance(owner, PoolOwner)
+        (lost, *_) = world.busiest(1)
+        executor_id = lost.info.executor_id
+        job = owner.schedule.jobs[job_id(JOB)]
+        names = {
+            run.task_name
+            for run in owner.schedule.executors[executor_id].runs.values()
+        }
+        # A poll is not answered yet; the proof comes from elsewhere.
+        owner.schedule.executors[executor_id].last_report_at = None
+        owner.schedule.remove_executor(
+            executor_id,
+            asyncio.get_running_loop().time(),
+            LossCause.NOT_LISTED,
+        )
+        await asyncio.sleep(1.5)
+        assert executor_id not in owner.schedule.executors
+        for name in names:
+            records = job.progress.crashes.get(task_key(*name[1:]), [])
+            assert [record.is_proved for record in records] == [True]
+        await world.stop()
+
+    run_virtual(run())
