Tell executors that an order has ended from crashed ones

Callers could see a job as failed for executors that the fleet's planner had moved or maintained: the list of hosts is read at intervals, so a silent executor's host can be back with another executor before it is seen as moving, and that counted as the proof of a crash. A host that is in another pool, or has a drain order, has now ended its executor by an order. By reading only; test_evidence_of_the_list_of_hosts has the cases.

Unproved losses are checked for their age at intervals, not with each plan, as a wide job has thousands of records.

--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -72,6 +72,7 @@
             HOST_CHECK_BYTES_PER_S,
             context.weight,
         )
+        ordered = _hosts_under_order(owner, hosts)
         for view in unresponsive:
             host = hosts.get(view.info.host)
             if host is None or not host.has_incarnation_ended(
@@ -90,21 +91,37 @@
                 view.executor_id,
                 context.clock.now(),
                 LossCause.HOST_ORDER
-                if host.is_under_order
+                if host.name in ordered
                 else LossCause.NOT_LISTED,
             )
             owner.wake()
-        evidence = find_host_evidence(hosts, silent, missing)
+        evidence = find_host_evidence(hosts, silent, missing, ordered)
         missing = set(silent.values()) - set(hosts)
         if evidence:
             owner.schedule.crashes.record_hosts(evidence)
             owner.wake()
 
 
+def _hosts_under_order(
+    owner: PoolOwner, hosts: Mapping[str, HostInfo]
+) -> set[str]:
+    """Return the hosts whose executors end, or have ended, by an order.
+
+    A host that was moved is in another pool; one that is to be maintained
+    has a drain order until a new executor is there.
+    """
+    found = set(owner.feeds.drain_orders)
+    for host in hosts.values():
+        if host.is_under_order or host.pool != owner.pool:
+            found.add(host.name)
+    return found
+
+
 def find_host_evidence(
     hosts: Mapping[str, HostInfo],
     silent: Mapping[str, str],
     missing_before: Container[str],
+    under_order: Container[str],
 ) -> dict[str, HostEvidence]:
     """Return what a list of hosts shows of silent executors.
 
@@ -119,12 +136,12 @@
             if name and name in missing_before:
                 found[executor_id] = HostEvidence.ENDED
             continue
-        if host.is_under_order:
-            found[executor_id] = HostEvidence.ENDED_BY_ORDER
-            continue
         is_down = host.state is HostState.DOWN
-        if is_down or host.has_incarnation_ended(executor_id):
-            found[executor_id] = HostEvidence.ENDED
+        if not is_down and not host.has_incarnation_ended(executor_id):
+            continue
+        found[executor_id] = HostEvidence.ENDED
+        if name in under_order:
+            found[executor_id] = HostEvidence.ENDED_BY_ORDER
     return found
 
 
--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -25,12 +25,14 @@
 # After this time without a proof, and without an answer, it can't be told any
 # more why an executor fell silent, and the records of that are dropped.
 UNPROVED_MAX_S: Final = 30.0
+# The pause between two checks of all records for that.
+EXPIRY_INTERVAL_S: Final = 0.2
 
 
 class CrashEvidence:
     """The jobs of one pool that have crash records, and the records."""
 
-    __slots__ = ("_unproved_since", "events", "jobs")
+    __slots__ = ("_expired_at", "_unproved_since", "events", "jobs")
 
     def __init__(self) -> None:
         # The events to log, oldest first.
@@ -40,6 +42,8 @@
         # Local times since which this owner knows of incarnations that are
         # silent and not proved to have ended.
         self._unproved_since: dict[tuple[str, int], float] = {}
+        # Local time of the last check for expired records.
+        self._expired_at = -math.inf
 
     @property
     def unproved(self) -> Iterator[tuple[Job, CrashRecord]]:
@@ -139,14 +143,22 @@
             )
         )
 
+    def note_silence(self, incarnation: tuple[str, int], since: float) -> None:
+        """Note since when an incarnation is silent, for the first time."""
+        self._unproved_since.setdefault(incarnation, since)
+
     def expire(self, now: float) -> None:
         """Note since when losses are unproved; drop those of long ago."""
+        if now - self._expired_at < EXPIRY_INTERVAL_S:
+            return
+        self._expired_at = now
         silent = {record.incarnation for _, record in self.unproved}
         for incarnation in list(self._unproved_since):
             if incarnation not in silent:
                 del self._unproved_since[incarnation]
         for incarnation in silent:
-            since = self._unproved_since.setdefault(incarnation, now)
+            self.note_silence(incarnation, now)
+            since = self._unproved_since[incarnation]
             if now - since >= UNPROVED_MAX_S:
                 self.withdraw(incarnation, "undecided")
 
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -118,6 +118,7 @@
         together = self._silences.coinciding(view.executor_id)
         is_shared = len(together) >= SHARED_MIN
         runs = list(view.runs.values())
+        self._evidence.note_silence(view.incarnation, now)
         self._add_runs(schedule, view, runs, now, is_shared, proof="")
         if is_shared:
             self._evidence.discount_group(self._silences, together)
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -237,31 +237,38 @@
 # Guards against a proof from a list of hosts that may be incomplete, and from
 # a host that only can't be reached.
 @pytest.mark.parametrize(
-    ("state", "present", "missing_before", "evidence"),
+    ("state", "present", "missing_before", "is_ordered", "evidence"),
     [
-        (HostState.UP, "lost", False, None),
-        (HostState.UP, "new", False, HostEvidence.ENDED),
-        (HostState.DOWN, "", False, HostEvidence.ENDED),
-        (HostState.MOVING, "", False, HostEvidence.ENDED_BY_ORDER),
-        (HostState.IN_UPKEEP, "", False, HostEvidence.ENDED_BY_ORDER),
-        (None, "", False, None),
-        (None, "", True, HostEvidence.ENDED),
+        (HostState.UP, "lost", False, False, None),
+        (HostState.UP, "lost", False, True, None),
+        (HostState.UP, "new", False, False, HostEvidence.ENDED),
+        (HostState.UP, "new", False, True, HostEvidence.ENDED_BY_ORDER),
+        (HostState.DOWN, "", False, False, HostEvidence.ENDED),
+        (HostState.MOVING, "", False, True, HostEvidence.ENDED_BY_ORDER),
+        (HostState.IN_UPKEEP, "", False, True, HostEvidence.ENDED_BY_ORDER),
+        (None, "", False, False, None),
+        (None, "", True, False, HostEvidence.ENDED),
     ],
 )
 def test_evidence_of_the_list_of_hosts(
     state: HostState | None,
     present: str,
     missing_before: bool,
+    is_ordered: bool,
     evidence: HostEvidence | None,
 ) -> None:
     hosts: dict[str, HostInfo] = {}
     if state is not None:
         hosts["h"] = HostInfo("h", "quotes", state, executor_id=present)
+    known = {"h"}
     found = find_host_evidence(
-        hosts, {"lost": "h"}, {"h"} if missing_before else set()
+        hosts,
+        {"lost": "h"},
+        known if missing_before else set(),
+        known if is_ordered else set(),
     )
     assert found.get("lost") is evidence
-    assert find_host_evidence(hosts, {"lost": ""}, {""}) == {}
+    assert find_host_evidence(hosts, {"lost": ""}, {""}, set()) == {}
 
 
 # Guards against a wait for isolation that begins anew with each attempt.
