Don't trust stored losses of which nothing says what proved them

Callers would see accepted jobs as failed after an upgrade: earlier releases stored an ended lease as a proof, without a name. The next owner reads such a record as proved, and so a job with a few of them is given up at its first plan, although the reason for which they count was withdrawn.

A record without a named proof now counts as unproved when it is taken over.

test_stored_losses_without_a_proof_are_not_proved failed before: the job is final after one plan.

--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -91,6 +91,10 @@
         if job.is_final or not job.progress.crashes:
             return
         self.jobs[job.job_id] = job
+        for records in job.progress.crashes.values():
+            for record in records:
+                # An earlier release stored ended leases as proofs.
+                record.is_proved = bool(record.proof)
         for executor_id, born_ms in job.progress.reserved.items():
             known = self._reservations.setdefault(executor_id, [])
             known.append((born_ms, job))
