Name the host in each loss that can only be proved by the list of hosts

A crash of an executor that an earlier owner had reserved, and that never answered this owner, was recorded without its host. The list of hosts can't decide about such a record, so after 30 s it was dropped and its task was tried anew. The record of another task could also hide a host that was known.

The record is now made when the executor's last lease ends, from the view that was restored with its host.

test_unseen_loss_of_a_reserved_executor_names_its_host failed before with {'b': ''}, test_host_of_a_silent_executor_is_found with {'a': ''}.

--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -57,6 +57,7 @@
         job.mark_crashes_changed()
         for known in records:
             if known.incarnation == record.incarnation:
+                known.host = known.host or record.host
                 known.proof = known.proof or record.proof
                 known.is_proved = known.is_proved or record.is_proved
                 known.is_certain = known.is_certain or record.is_certain
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -180,8 +180,11 @@
             self._evidence.prove(
                 view.executor_id, proof, born_before_ms=view.born_ms + 1
             )
-            seen = {run.task_name.job for run in runs}
-            self._add_unseen_runs(view.executor_id, proof, seen)
+        seen = {run.task_name.job for run in runs}
+        if is_proved or not view.has_accepted_term:
+            self._add_unseen_runs(
+                view.executor_id, proof, seen, view.info.host
+            )
 
     def record_absent_executors(self, executors: Container[str]) -> None:
         """Record the loss of reserved executors that no list names any more.
@@ -192,13 +195,14 @@
         """
         for executor_id in list(self._reservations):
             if executor_id not in executors:
-                self._add_unseen_runs(executor_id, "", ())
+                self._add_unseen_runs(executor_id, "", (), "")
 
     def unproved_executors(self) -> dict[str, str]:
         """Return the silent executors, with their hosts if known."""
         found: dict[str, str] = {}
         for _, record in self._evidence.unproved:
-            found[record.executor] = record.host
+            if record.host or record.executor not in found:
+                found[record.executor] = record.host
         return found
 
     def record_hosts(self, hosts: Mapping[str, HostEvidence]) -> None:
@@ -340,7 +344,7 @@
             )
 
     def _add_unseen_runs(
-        self, executor_id: str, proof: str, seen: Container[str]
+        self, executor_id: str, proof: str, seen: Container[str], host: str
     ) -> None:
         """Add records for an executor that an earlier owner had reserved.
 
@@ -359,6 +363,7 @@
                     is_proved=bool(proof),
                     is_certain=False,
                     proof=proof,
+                    host=host,
                 )
                 self._evidence.add(job, key, record)
 
@@ -367,7 +372,10 @@
         for born_ms, _ in self._reservations.get(view.executor_id, []):
             if born_ms and view.born_ms > born_ms:
                 self._add_unseen_runs(
-                    view.executor_id, LossCause.RESTARTED.value, ()
+                    view.executor_id,
+                    LossCause.RESTARTED.value,
+                    (),
+                    view.info.host,
                 )
                 return
         self._reservations.pop(view.executor_id, None)
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 
 from lycheelug.workloads import ProgressRecord, StepSpec
 from lycheelug.workloads.crash_records import CrashRecord
@@ -47,3 +48,36 @@
     )
     world.plan()
     assert not job.is_final
+
+
+# Guards against a loss that no list of hosts can ever prove, as its record
+# doesn't name the host.
+def test_unseen_loss_of_a_reserved_executor_names_its_host() -> None:
+    progress = ProgressRecord(
+        begun_term=1, crashes={TASK: [proved("a")]}, reserved={"b": 1}
+    )
+    world = PoolWorld(term=2, earlier_leases_end_at=108.0)
+    world.add_executor("c")
+    view = world.add_executor("b", has_reported=False)
+    view.has_entry = False
+    world.add_job(ONE, progress=progress)
+    pass_time(world, 10.0)
+    assert "b" not in world.schedule.executors
+    assert world.schedule.crashes.unproved_executors() == {"b": "h-b"}
+
+
+# Guards against a host that is unknown as another record of the executor
+# doesn't name it.
+@pytest.mark.parametrize("hosts", [("h-a", ""), ("", "h-a")])
+def test_host_of_a_silent_executor_is_found(hosts: tuple[str, str]) -> None:
+    first, second = hosts
+    progress = ProgressRecord(
+        begun_term=1,
+        crashes={
+            TASK: [unproved("a", first)],
+            SIBLING: [unproved("a", second)],
+        },
+    )
+    world = PoolWorld(term=2)
+    world.add_job(TWO, progress=progress)
+    assert world.schedule.crashes.unproved_executors() == {"a": "h-a"}
