Keep the proved records of an incarnation when others are undecided

A loss may be proved under one task and unproved under another, which a later owner recorded. After 30 s all records of the incarnation were dropped, the proved crash among them, so a task that crashes executors was started more often than is allowed.

test_undecided_loss_takes_no_proved_one_with_it failed before with [] instead of ['0.0.0'].

--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -108,10 +108,16 @@
                 )
             )
 
-    def withdraw(self, incarnation: tuple[str, int], reason: str) -> None:
+    def withdraw(
+        self,
+        incarnation: tuple[str, int],
+        reason: str,
+        keeps_proved: bool = False,
+    ) -> None:
         """Drop the records of an incarnation that was not lost, or may not be.
 
-        Proofs are dropped too: an incarnation that answers has not ended.
+        Unless `keeps_proved`, proofs are dropped too: an incarnation that
+        answers has not ended.
         """
         dropped = 0
         proofs: set[str] = set()
@@ -119,7 +125,8 @@
             for key, records in list(job.progress.crashes.items()):
                 kept: list[CrashRecord] = []
                 for record in records:
-                    if record.incarnation != incarnation:
+                    is_kept = keeps_proved and record.is_proved
+                    if record.incarnation != incarnation or is_kept:
                         kept.append(record)
                     elif record.is_proved:
                         proofs.add(record.proof)
@@ -149,7 +156,7 @@
         for incarnation in silent:
             since = self._unproved_since.setdefault(incarnation, now)
             if now - since >= UNPROVED_MAX_S:
-                self.withdraw(incarnation, "undecided")
+                self.withdraw(incarnation, "undecided", keeps_proved=True)
 
     def unproved_since(
         self, records: list[CrashRecord], now: float
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -81,3 +81,15 @@
     world = PoolWorld(term=2)
     world.add_job(TWO, progress=progress)
     assert world.schedule.crashes.unproved_executors() == {"a": "h-a"}
+
+
+# Guards against a proved crash that is forgotten with another task's loss.
+def test_undecided_loss_takes_no_proved_one_with_it() -> None:
+    progress = ProgressRecord(
+        begun_term=1,
+        crashes={TASK: [proved("a")], SIBLING: [unproved("a")]},
+    )
+    world = PoolWorld(term=2)
+    job = world.add_job(TWO, progress=progress)
+    pass_time(world, 40.0)
+    assert list(job.progress.crashes) == [TASK]
