Take an executor's start time from its own report, not from its entry

The first report to an owner was compared by the start time of the entry. If that was later than the executor's own, the answer didn't withdraw the losses of the incarnation but proved them as restarted, and nothing withdrew that.

The first report now decides. An entry that is newer than the report changes nothing: the next report of the later incarnation resets the view.

test_answer_proves_no_loss_by_the_start_time_in_an_entry failed before: the record is there with is_proved=True, proof='restarted'.

--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -71,7 +71,8 @@
     """Apply an executor's task report; return the ends that are new."""
     if view.born_ms and report.born_ms > view.born_ms:
         _reset_incarnation(schedule, view, report.born_ms, polled_at, now)
-    elif view.born_ms == 0:
+    elif view.born_ms == 0 or not view.has_accepted_term:
+        # Its entry may be stale or wrong.
         view.born_ms = report.born_ms
     schedule.crashes.record_answer(view, not view.has_accepted_term)
     if not view.has_accepted_term:
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -93,3 +93,16 @@
     job = world.add_job(TWO, progress=progress)
     pass_time(world, 40.0)
     assert list(job.progress.crashes) == [TASK]
+
+
+# Guards against an entry with a wrong start time that turns an answer of an
+# executor into the proof that it has crashed.
+def test_answer_proves_no_loss_by_the_start_time_in_an_entry() -> None:
+    progress = ProgressRecord(begun_term=1, crashes={TASK: [unproved("a")]})
+    world = PoolWorld(term=2)
+    view = world.add_executor("a", has_reported=False)
+    view.info.born_ms = view.born_ms = 10**15
+    job = world.add_job(ONE, progress=progress)
+    world.report_tasks("a")
+    assert job.progress.crashes == {}
+    assert view.born_ms == 1
