--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -61,6 +61,7 @@
         job.mark_crashes_changed()
         for known in records:
             if known.incarnation == record.incarnation:
+                known.host = known.host or record.host
                 known.proof = known.proof or record.proof
                 known.is_proved = known.is_proved or record.is_proved
                 known.is_certain = known.is_certain or record.is_certain
@@ -111,10 +112,16 @@
                 )
             )
 
-    def withdraw(self, incarnation: tuple[str, int], reason: str) -> None:
+    def withdraw(
+        self,
+        incarnation: tuple[str, int],
+        reason: str,
+        keeps_proved: bool = False,
+    ) -> None:
         """Drop the records of an incarnation that was not lost, or may not be.
 
-        Proofs are dropped too: an incarnation that answers has not ended.
+        Unless `keeps_proved`, proofs are dropped too: an incarnation that
+        answers has not ended.
         """
         dropped = 0
         proofs: set[str] = set()
@@ -122,7 +129,8 @@
             for key, records in list(job.progress.crashes.items()):
                 kept: list[CrashRecord] = []
                 for record in records:
-                    if record.incarnation != incarnation:
+                    is_kept = keeps_proved and record.is_proved
+                    if record.incarnation != incarnation or is_kept:
                         kept.append(record)
                     elif record.is_proved:
                         proofs.add(record.proof)
@@ -160,7 +168,7 @@
             self.note_silence(incarnation, now)
             since = self._unproved_since[incarnation]
             if now - since >= UNPROVED_MAX_S:
-                self.withdraw(incarnation, "undecided")
+                self.withdraw(incarnation, "undecided", keeps_proved=True)
 
     def unproved_since(
         self, records: list[CrashRecord], now: float
