Send orders to hosts only on a recent proof of ownership

The platform carries such an order out where it checks no fencing tokens.

Cause: the fleet owner made a transaction that proved its ownership and then sent the due calls, whatever time had passed since the request of that transaction, and although ownership had been lost meanwhile. A process that was stopped in between sent its orders when it went on. Connecting, for up to 0.7 s, added to the gap. The successor, in turn, sent its orders as soon as its claim was answered, beside those of a predecessor whose heartbeats failed while its transactions passed.

Each permission now has the time at which its proof was requested. It is checked once the connection can be written, with nothing awaited before the write, and ends after 1.0 s or with the duty. The claim changes the row that each proof requires, so every earlier proof was requested before the claim was answered; the successor waits from then until these have expired and their last order has arrived (2.02 s), unless the plan was released, which ends the calls first. Only monotonic time that includes suspension is used.

What remains is stated in order_permit.py: a process that is stopped between the check and the write, and an order that is held back for over a second.

The fakes of the host interface take the permission as a new argument.

--- a/bench/pool_schedule.py
+++ b/bench/pool_schedule.py
@@ -60,7 +60,7 @@
 from tests.virtual_time import VirtualClock, run_virtual
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from returns.result import Result
 
@@ -228,12 +228,22 @@
         return Success([])
 
     async def move(
-        self, host: str, pool: str, holder: str, token: int
+        self,
+        host: str,
+        pool: str,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
         return HostAnswer.DONE
 
     async def maintain(
-        self, host: str, wave: int, holder: str, token: int
+        self,
+        host: str,
+        wave: int,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
         return HostAnswer.DONE
 
--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from lycheelug.errors import CONNECT_FAILED, Peer, Step
+from lycheelug.errors import CONNECT_FAILED, SEND_FAILED, Peer, Step
 from lycheelug.http.client_connection import (
     MAX_ANSWER_BYTES,
     ClientConnection,
@@ -78,15 +78,18 @@
         timeout_s: float,
         reuse_idle_s: float = MAX_REUSE_IDLE_S,
         progress: ProgressLimits | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[Answer, ExchangeFault]:
         """Send a request on an idle or a new connection; return its answer.
 
         The timeout includes the time to connect.  It limits the time to the
         complete answer or, with `progress`, to the answer's first byte.
+        `may_send` is asked when the request can be written at once; if it
+        returns False, nothing is sent and the connection is kept.
         """
+        loop = asyncio.get_running_loop()
         connection = self._take_idle(reuse_idle_s)
         if connection is None:
-            loop = asyncio.get_running_loop()
             started = loop.time()
             opened = await _open_connection(
                 self._address,
@@ -101,11 +104,12 @@
                     return Failure(fault)
             timeout_s = max(0.001, timeout_s - (loop.time() - started))
         assert connection is not None
+        if may_send is not None and not may_send():
+            connection.idle_since = (self._clock or loop.time)()
+            self._keep(connection)
+            return Failure(self._not_permitted())
         result = await connection.exchange(request, timeout_s, progress)
-        if connection.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            connection.close()
+        self._keep(connection)
         return result
 
     def close(self) -> None:
@@ -113,6 +117,24 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _keep(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next request if it can be reused."""
+        if connection.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _not_permitted(self) -> ExchangeFault:
+        """Return the fault of a request that may not be sent any more."""
+        return ExchangeFault(
+            SEND_FAILED,
+            Step.SEND,
+            self._peer,
+            "not permitted any more",
+            self._address,
+            False,
+        )
+
     def _take_idle(self, reuse_idle_s: float) -> ClientConnection | None:
         """Return the most recently used idle connection that is usable."""
         if not self._idle:
--- a/lycheelug/jobservice/duties.py
+++ b/lycheelug/jobservice/duties.py
@@ -314,14 +314,11 @@
         """
         term = known[0].term + 1 if known is not None else 1
         version = known[1] if known is not None else 0
-        record = OwnerRecord(
-            self._name,
-            self._incarnation,
-            term,
-            address=self.heartbeats.address,
-        )
+        record = OwnerRecord(self._name, self._incarnation, term)
+        record.address = self.heartbeats.address
         if known is not None:
             record.stalled_before = self._count_stalled(duty, known[0])
+            record.is_after_release = not known[0].holder
         result = await self._store.commit(
             duty,
             {OWNER_ROW: version},
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -3,7 +3,8 @@
 An order is stored before its host is drained, and marked as sent before
 the call to the platform.  After a takeover, the new owner repeats the
 orders that may be in progress under its own, higher fencing token.  So a
-late call of its predecessor can't affect a host that is in use again.
+late call of its predecessor can't affect a host that is in use again.  What
+keeps such calls apart from its own is described in `order_permit`.
 """
 
 from __future__ import annotations
@@ -25,6 +26,7 @@
 )
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.jobservice.interfaces import HostAnswer
+from lycheelug.jobservice.order_permit import ORDER_TRANSIT_S, OrderPermit
 from lycheelug.jobservice.plan_store import PlanStore
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import WorkProgress
@@ -76,6 +78,7 @@
         "_lost",
         "_maintenance_s",
         "_name",
+        "_permit",
         "_plan_store",
         "_planner",
         "_published",
@@ -98,6 +101,7 @@
         waves: Callable[[], dict[int, MaintenanceWave]],
         maintenance_s: float,
         stalled_before: int = 0,
+        awaits_predecessor: bool = False,
     ) -> None:
         # Rounds of planning; one succeeds if what it needs is current.
         self.work = WorkProgress(stalled_before)
@@ -128,6 +132,7 @@
         # Local time of the last answer of the feed of summaries.
         self._summaries_at: float | None = None
         self._lost = asyncio.Event()
+        self._permit = OrderPermit(context.clock, awaits_predecessor)
 
     async def run(self) -> None:
         """Plan until the duty is lost."""
@@ -162,13 +167,20 @@
             log_change(
                 "duty-lost", duty="fleet", term=self._term, reason=reason
             )
+        self._permit.revoke()
         self._lost.set()
 
     async def hand_over(self) -> None:
-        """Stop making calls; the next owner completes the sent orders."""
+        """End all calls; the next owner completes the sent orders."""
+        self._permit.revoke()
         self._lost.set()
-        if self._calls:
-            await asyncio.wait(self._calls.values(), timeout=1.0)
+        if not self._calls:
+            return
+        _, unfinished = await asyncio.wait(
+            self._calls.values(), timeout=ORDER_TRANSIT_S
+        )
+        for call in unfinished:
+            call.cancel()
 
     # --- Rounds.
 
@@ -220,22 +232,21 @@
                 )
                 self._context.metrics.count("defects")
         self._log_sizes()
-        due = [
-            call
-            for call in planner.due_calls()
-            if call.host not in self._calls
-        ]
+        due = [] if self._permit.is_held else self._due_calls()
         for call in due:
             call.order.sent = True
         # The platform may not check fencing tokens, so an order is repeated
         # only by an owner that was not replaced.
+        requested_at = clock.now()
         is_stored = await self._plan_store.save(
-            planner.plan, self._context.clock.now(), needs_proof=bool(due)
+            planner.plan, requested_at, needs_proof=bool(due)
         )
         if self._plan_store.is_lost:
             self.revoke("the owner row has another holder")
         if not is_stored:
             return False
+        if due:
+            self._permit.record_proof(requested_at)
         loop = asyncio.get_running_loop()
         for call in due:
             task = loop.create_task(self._execute(call))
@@ -243,6 +254,14 @@
         await self._publish_waves()
         return self._is_current()
 
+    def _due_calls(self) -> list[HostCall]:
+        """Return the calls that are due and not in progress."""
+        return [
+            call
+            for call in self._planner.due_calls()
+            if call.host not in self._calls
+        ]
+
     def _is_current(self) -> bool:
         """Whether the hosts and the summaries were read lately."""
         now = self._context.clock.now()
@@ -302,13 +321,14 @@
     async def _execute(self, call: HostCall) -> None:
         """Send the order to move or maintain one host."""
         order = call.order
+        may_send = self._permit.may_send
         if order.wave:
             answer = await self._hosts.maintain(
-                call.host, order.wave, self._name, self._term
+                call.host, order.wave, self._name, self._term, may_send
             )
         else:
             answer = await self._hosts.move(
-                call.host, order.target, self._name, self._term
+                call.host, order.target, self._name, self._term, may_send
             )
         log_change(
             "host-order",
@@ -319,6 +339,7 @@
             number=order.number,
             term=self._term,
             answer=answer.name.lower(),
+            proof_age_s=round(self._permit.age_s, 2),
         )
         self._context.metrics.count(f"host-orders-{answer.name.lower()}")
         del self._calls[call.host]
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from returns.result import Result
 
@@ -150,11 +150,17 @@
     REFUSED = auto()
     # The platform's rate limit was exceeded.
     THROTTLED = auto()
+    # No connection could be made, or the sender may not send any more.
+    NOT_SENT = auto()
     NO_ANSWER = auto()
 
 
 class HostControl(ABC):
-    """Moves hosts between pools and starts their maintenance."""
+    """Moves hosts between pools and starts their maintenance.
+
+    An order asks `may_send` immediately before it is written, after all
+    waits, and is not sent if the result is false.
+    """
 
     @abstractmethod
     async def hosts(self) -> Result[list[HostInfo], Fault]:
@@ -162,13 +168,23 @@
 
     @abstractmethod
     async def move(
-        self, host: str, pool: str, holder: str, token: int
+        self,
+        host: str,
+        pool: str,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
         """End all runs on a host and move it to another pool."""
 
     @abstractmethod
     async def maintain(
-        self, host: str, wave: int, holder: str, token: int
+        self,
+        host: str,
+        wave: int,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
         """End all runs on a host and begin its maintenance."""
 
--- a/lycheelug/jobservice/plan_store.py
+++ b/lycheelug/jobservice/plan_store.py
@@ -94,8 +94,8 @@
         """Store what has changed; return False if that failed.
 
         True doesn't mean that the ends of orders are stored.  With
-        `needs_proof` it means that the plan has no other owner, because a
-        transaction is made even if nothing has changed.
+        `needs_proof` it means that the plan had no other owner after the call
+        began, because a transaction is made even if nothing has changed.
         """
         changed: dict[RowName, bytes] = {}
         for name, value in _rows(plan).items():
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -279,6 +279,8 @@
                 lambda: self.waves,
                 self._maintenance_s,
                 record.stalled_before,
+                awaits_predecessor=record.term > 1
+                and not record.is_after_release,
             )
         if self._executor_list is not None:
             # The list is read while the pool's state is.
--- a/lycheelug/ownership/records.py
+++ b/lycheelug/ownership/records.py
@@ -86,3 +86,5 @@
     stalled_before: int = 0
     # The holder's `ip:port` for other daemons; empty for none.
     address: str = ""
+    # The former holder released the duty, and had ended its calls before.
+    is_after_release: bool = False
--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -21,12 +21,14 @@
     HostAnswer,
     HostControl,
 )
+from lycheelug.jobservice.order_permit import ORDER_TRANSIT_S
 from lycheelug.platform.wire import MachinesAnswer, OrderAnswer
 from lycheelug.store.rows import RowName
 from lycheelug.store.traffic import StoreTraffic
 from lycheelug.workloads import Resources
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from typing import Any
 
     from returns.result import Result
@@ -36,8 +38,8 @@
 
 __all__ = ["PlatformHosts"]
 
-# Timeout of an order, and of a page of the host list until its first byte.
-CALL_TIMEOUT_S: Final = 1.0
+# Timeout of a page of the host list until its first byte.
+PAGE_TIMEOUT_S: Final = 1.0
 # A page may list many hosts, which a slow host link that is shared by many
 # calls carries in several seconds.
 PAGE_LIMITS: Final = ProgressLimits(idle_s=1.0, answer_s=10.0)
@@ -88,7 +90,7 @@
             headers = [(b"host", self._address.encode())]
             request = Request(b"GET", f"/v1/machines{query}".encode(), headers)
             result = await self._client.request(
-                request, CALL_TIMEOUT_S, REUSE_IDLE_S, PAGE_LIMITS
+                request, PAGE_TIMEOUT_S, REUSE_IDLE_S, PAGE_LIMITS
             )
             if isinstance(result, Failure):
                 self._traffic.record(HOST_LIST, 0, None)
@@ -116,19 +118,31 @@
         return Success(found)
 
     async def move(
-        self, host: str, pool: str, holder: str, token: int
+        self,
+        host: str,
+        pool: str,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
         """Move a host to another pool, which ends all of its runs."""
         body = {"machine": host, "pool": pool}
-        return await self._send_order(b"/v1/machine-move", body, holder, token)
+        return await self._send_order(
+            b"/v1/machine-move", body, holder, token, may_send
+        )
 
     async def maintain(
-        self, host: str, wave: int, holder: str, token: int
+        self,
+        host: str,
+        wave: int,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
         """Begin the maintenance of a host, which ends all of its runs."""
         body = {"machine": host, "wave": wave}
         return await self._send_order(
-            b"/v1/machine-upkeep", body, holder, token
+            b"/v1/machine-upkeep", body, holder, token, may_send
         )
 
     async def publish_wave(self, wave: int, is_completed: bool) -> bool:
@@ -140,7 +154,12 @@
         return isinstance(result, Success)
 
     async def _send_order(
-        self, path: bytes, body: dict[str, Any], holder: str, token: int
+        self,
+        path: bytes,
+        body: dict[str, Any],
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
         """Send an order with the fencing token of the fleet plan's duty."""
         data = msgspec.json.encode(body)
@@ -153,10 +172,12 @@
         ]
         request = Request(b"POST", path, headers, data)
         result = await self._client.request(
-            request, CALL_TIMEOUT_S, REUSE_IDLE_S
+            request, ORDER_TRANSIT_S, REUSE_IDLE_S, may_send=may_send
         )
         if isinstance(result, Failure):
-            return HostAnswer.NO_ANSWER
+            if result.failure().maybe_sent:
+                return HostAnswer.NO_ANSWER
+            return HostAnswer.NOT_SENT
         answer = result.unwrap()
         if answer.status == 200:
             return HostAnswer.DONE
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -255,6 +255,8 @@
         self.allowed: set[str] = set()
         self.hint_calls = 0
         self.host_orders: list[tuple[str, str, int]] = []
+        # How long orders to hosts take to arrive, by fencing token.
+        self.host_order_transits: dict[int, float] = {}
 
     def add(self, executor_id: str, work_s: float = 1.0) -> FakeExecutor:
         executor = FakeExecutor(executor_id, work_s)
@@ -416,17 +418,44 @@
         )
 
     async def move(
-        self, host: str, pool: str, holder: str, token: int
+        self,
+        host: str,
+        pool: str,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
-        self.host_orders.append((host, pool, token))
+        if not may_send():
+            return HostAnswer.NOT_SENT
+        await self._deliver_host_order(host, pool, token)
         return HostAnswer.DONE
 
     async def maintain(
-        self, host: str, wave: int, holder: str, token: int
+        self,
+        host: str,
+        wave: int,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
-        self.host_orders.append((host, f"wave {wave}", token))
+        if not may_send():
+            return HostAnswer.NOT_SENT
+        await self._deliver_host_order(host, f"wave {wave}", token)
         return HostAnswer.DONE
 
+    async def _deliver_host_order(
+        self, host: str, what: str, token: int
+    ) -> None:
+        """Record an order as it arrives, even if its sender has stopped."""
+        transit_s = self.host_order_transits.get(token, 0.0)
+        order = (host, what, token)
+        if not transit_s:
+            self.host_orders.append(order)
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(transit_s, self.host_orders.append, order)
+        await asyncio.sleep(transit_s)
+
     async def publish_wave(self, wave: int, is_completed: bool) -> bool:
         return True
 
--- a/tests/test_plan_ownership.py
+++ b/tests/test_plan_ownership.py
@@ -18,6 +18,8 @@
 from tests.virtual_time import run_virtual
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from returns.result import Result
 
     from lycheelug.errors import Fault
@@ -36,9 +38,16 @@
         return sum(each[2] == token for each in self.host_orders)
 
     async def maintain(
-        self, host: str, wave: int, holder: str, token: int
+        self,
+        host: str,
+        wave: int,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
-        await super().maintain(host, wave, holder, token)
+        answer = await super().maintain(host, wave, holder, token, may_send)
+        if answer is HostAnswer.NOT_SENT:
+            return answer
         await asyncio.sleep(0.2)
         return self.answer
 
