Check a pool owner's proof again as each order is sent

A pool owner that was stopped between planning and sending started runs when it went on. Its successor relies on it that it starts nothing once its proof of ownership has expired, and gives up the runs of executors that it can't reach from then on, so a task could run twice (TWICE). Shown by a test, not seen by callers.

Cause: the proof was checked once before each plan. The orders are sent by tasks of their own that compute the lease from the time at which they run, so a start that was sent late had a full lease. Only the executor's fencing token stood against it, which an executor that the successor has not reached doesn't know. The same holds for stops and paces, and after the pool was lost or handed over.

The proof is now checked as the order is sent, and the lease of a start counts from the clock reading that precedes the check: a start that is delayed after it is rejected as late, or lapses before the successor relies on that. Polls were checked and computed in that way already.

--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -1,4 +1,11 @@
-"""Sends a pool owner's orders to executors and applies the answers."""
+"""Sends a pool owner's orders to executors and applies the answers.
+
+An order is planned while the proof of ownership is valid, and the proof is
+checked again once the order is sent, because the process may have been
+stopped in between.  A start that is delayed after that check is harmless:
+its lease counts from the check, so the executor rejects it as late, or ends
+the run before the next owner relies on that.
+"""
 
 from __future__ import annotations
 
@@ -11,6 +18,7 @@
 from lycheelug.workloads import (
     LossCause,
     PaceOrder,
+    StartAnswer,
     StartOrder,
     StopOrder,
     apply_start_answer,
@@ -20,7 +28,7 @@
 if TYPE_CHECKING:
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
-    from lycheelug.workloads import StepName
+    from lycheelug.workloads import StepName, TaskName
 
 __all__ = ["OrderSender"]
 
@@ -54,7 +62,19 @@
         view = self._owner.schedule.executors.get(order.executor_id)
         if view is None:
             return
-        clock_ms = view.estimate_clock_ms(context.clock.now())
+        checked_at = context.clock.now()
+        if not self._owner.is_verified:
+            self._log_withheld("start", order.executor_id, task.name)
+            apply_start_answer(
+                self._owner.schedule,
+                view,
+                task,
+                order.run,
+                StartAnswer.NOT_SENT,
+                checked_at,
+            )
+            return
+        clock_ms = view.estimate_clock_ms(checked_at)
         assert clock_ms is not None
         deadline_ms = clock_ms + int(context.lease_s * 1000)
         answer, executor_clock_ms = await context.gateway.start(
@@ -91,6 +111,11 @@
         view = self._owner.schedule.executors.get(order.executor_id)
         if view is None:
             return
+        key = (order.task_name, order.run)
+        if not self._owner.is_verified:
+            self._log_withheld("stop", order.executor_id, order.task_name)
+            apply_stop_answer(view, key, False, context.clock.now())
+            return
         answer = await context.gateway.stop(
             view.info, order.task_name, order.run, self._owner.term
         )
@@ -110,7 +135,6 @@
             )
         elif answer is StopAnswer.FENCED:
             self._owner.writer.verify_soon()
-        key = (order.task_name, order.run)
         apply_stop_answer(view, key, answer is StopAnswer.ANSWERED, now)
         if answer is StopAnswer.ANSWERED:
             self._owner.wake()
@@ -120,6 +144,12 @@
         view = self._owner.schedule.executors.get(order.executor_id)
         if view is None:
             return
+        run = view.runs.get((order.task_name, order.run))
+        if not self._owner.is_verified:
+            self._log_withheld("pace", order.executor_id, order.task_name)
+            if run is not None:
+                run.pace = PACE_UNKNOWN
+            return
         is_set = await self._context.gateway.pace(
             view.info,
             order.task_name,
@@ -139,6 +169,23 @@
             answered=is_set,
         )
 
+    def _log_withheld(
+        self, order: str, executor_id: str, task: TaskName
+    ) -> None:
+        """Log an order that is not sent as the proof of ownership expired."""
+        log_change(
+            "task-order-withheld",
+            order=order,
+            job=task.job,
+            task=task.render(),
+            executor=executor_id,
+            term=self._owner.term,
+            proof_age_s=round(
+                self._context.clock.now() - self._owner.verified_at, 2
+            ),
+        )
+        self._context.metrics.count("task-orders-withheld")
+
     def request_placement_hint(
         self, step: StepName, executor_ids: list[str]
     ) -> None:
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -142,7 +142,8 @@
     @property
     def is_verified(self) -> bool:
         """Whether the last proof of ownership is still valid."""
-        return self._context.clock.now() - self.verified_at < OWNERSHIP_VALID_S
+        age_s = self._context.clock.now() - self.verified_at
+        return age_s < OWNERSHIP_VALID_S and not self.lost.is_set()
 
     @property
     def is_current(self) -> bool:
--- a/tests/test_expired_permission.py
+++ b/tests/test_expired_permission.py
@@ -8,15 +8,33 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
+from lycheelug.jobservice.order_sender import OrderSender
 from lycheelug.jobservice.pool_owner import OWNERSHIP_VALID_S
-from lycheelug.workloads import StepSpec
+from lycheelug.workloads import StartOrder, StepSpec, StopOrder
 from lycheelug.workloads.executors import CLOCK_DRIFT
-from tests.job_world import POOL, JobWorld, until
+from tests.job_world import (
+    POOL,
+    ROUTE,
+    FakeFleet,
+    JobWorld,
+    job_id,
+    until,
+)
 from tests.virtual_time import VirtualClock, run_virtual
 
+if TYPE_CHECKING:
+    from lycheelug.jobservice.interfaces import StopAnswer
+    from lycheelug.workloads import (
+        ExecutorInfo,
+        PaceOrder,
+        StartAnswer,
+        TaskName,
+    )
+
 LEASE_S = 5.0
 # An order may be on its way, and a check is made each tenth of a second.
 TRANSIT_S = 0.2
@@ -92,3 +110,83 @@
         await world.stop()
 
     run_virtual(run())
+
+
+class RecordedFleet(FakeFleet):
+    """Executors with a record of the orders that reach them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.orders: list[type] = []
+
+    async def start(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        deadline_ms: int,
+        token: int,
+        ticket: str = "",
+    ) -> tuple[StartAnswer, int | None]:
+        self.orders.append(StartOrder)
+        return await super().start(
+            info, task, run, payload, checkpoint, deadline_ms, token, ticket
+        )
+
+    async def stop(
+        self, info: ExecutorInfo, task: TaskName, run: int, token: int
+    ) -> StopAnswer:
+        self.orders.append(StopOrder)
+        return await super().stop(info, task, run, token)
+
+
+# Guards against TWICE: an owner that is stopped after it has planned orders,
+# and sends them when a later owner relies on it that it starts nothing.
+@pytest.mark.parametrize("kind", [StartOrder, StopOrder])
+@pytest.mark.parametrize("is_lost", [False, True])
+def test_owner_that_was_paused_after_planning_sends_no_order(
+    monkeypatch: pytest.MonkeyPatch, kind: type, is_lost: bool
+) -> None:
+    async def run() -> int:
+        world = JobWorld()
+        fleet = RecordedFleet()
+        world.fleet = fleet
+        is_armed = False
+        paused_s = 0.0
+        before = 0
+        send = OrderSender.send
+
+        class PausedClock(VirtualClock):
+            __slots__ = ()
+
+            def now(self) -> float:
+                return asyncio.get_running_loop().time() + paused_s
+
+        def pause_and_send(
+            sender: OrderSender, order: StartOrder | StopOrder | PaceOrder
+        ) -> None:
+            nonlocal is_armed, paused_s, before
+            if is_armed and isinstance(order, kind):
+                is_armed = False
+                before = fleet.orders.count(kind)
+                world.stores["e0"].down = True
+                if is_lost:
+                    world.daemons["e0"].duties.held[POOL].revoke("by the test")
+                else:
+                    paused_s = OWNERSHIP_VALID_S
+            send(sender, order)
+
+        monkeypatch.setattr("tests.job_world.VirtualClock", PausedClock)
+        monkeypatch.setattr(OrderSender, "send", pause_and_send)
+        await start_busy_owner(world)
+        is_armed = True
+        if kind is StopOrder:
+            await world.daemons["e0"].submissions.cancel(ROUTE, job_id(1))
+        await until(lambda: not is_armed)
+        await asyncio.sleep(1.0)
+        await world.stop()
+        return fleet.orders.count(kind) - before
+
+    assert run_virtual(run()) == 0
