Keep a late write from replacing the published end of a wave

An operator may see a wave as running again after it was completed: a planner publishes a wave as running once in its term, without a condition. One that is stopped before that write, or whose write is carried out late, replaces what its successor has published, and nobody publishes the end again. Found by reading; shown by a test, not seen by callers.

That a wave is running is now only written if the row doesn't exist yet. The end of a wave is final, so it needs no condition. Of the other writes without a condition, the heartbeat and the address of a daemon have one writer, and the census is replaced each two seconds.

--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -146,11 +146,16 @@
         )
 
     async def publish_wave(self, wave: int, is_completed: bool) -> bool:
-        """Publish the progress of a wave; return False if that failed."""
+        """Publish the progress of a wave; return False if that failed.
+
+        That it is running is only written if nothing was published yet, so a
+        late write can't replace the end of the wave.
+        """
         state = "completed" if is_completed else "running"
         name = RowName(STATUS_TABLE, f"wave/{wave}")
         value = msgspec.json.encode({"state": state})
-        result = await self._store.commit("", {}, {name: value})
+        expected = {} if is_completed else {name: 0}
+        result = await self._store.commit("", expected, {name: value})
         return isinstance(result, Success)
 
     async def _send_order(
