Complete a wave only on lists of hosts that can show who has left

The hosts had joined 0.3 s before; the list of hosts was up to 2 s old.

Cause: hosts of a wave that the list lacks were passed over as having left, whatever the age of the list, and a wave without further hosts was published as completed for good. A list that was requested before the wave was read can't show who has left, and a single later one may be cut short, or precede the host.

A host has now left only once all lists of 4 s lack it that were requested after this planner has read this version of the wave; one list that has it starts the time anew, and so does the next planner. While hosts are awaited, the list is read at the busy interval (0.4 s), so that hosts that have just joined are maintained soon.

test_wave_is_finished_when_all_listed_hosts_are_maintained took a host for gone that a list lacked which was read before the wave. That was the fault, so the test now also asserts that the wave is not finished then, nor with one later list, and is finished after lists of the whole time.

--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -15,7 +15,9 @@
 
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.fleetplan.absences import HostAbsences
 from lycheelug.fleetplan.hosts import HostState
+from lycheelug.fleetplan.known_hosts import KnownHosts
 from lycheelug.fleetplan.moves import (
     cancel_unneeded_moves,
     drop_stale_orders,
@@ -47,11 +49,10 @@
     """The state and the decisions of the fleet planner during one term."""
 
     __slots__ = (
-        "_arriving",
+        "_absences",
         "_forecast",
-        "_incarnations",
+        "_known",
         "_last_order_number",
-        "_maintenance_ends",
         "_now",
         "_unix_ms",
         "_wave_seen_at",
@@ -84,7 +85,9 @@
         self._forecast = FORECASTS.get(forecast)(self.plan.turns)
         # The minimum duration of a host's maintenance.
         self.maintenance_s = maintenance_s
-        self.hosts: dict[str, HostInfo] = {}
+        self._known = KnownHosts()
+        # The hosts as known now.
+        self.hosts = self._known.listed
         self.summaries: dict[str, SummaryRecord] = {}
         self.waves: dict[int, MaintenanceWave] = {}
         # The pools that run tasks, and the pool of the unused hosts.
@@ -95,58 +98,43 @@
         self.has_seen_work = False
         self._now = 0.0
         self._unix_ms = 0
-        # The current executor incarnation of each host and the local time at
-        # which it was first listed.
-        self._incarnations: dict[str, tuple[str, float]] = {}
         self.surplus_since: dict[str, float] = {}
-        # Hosts whose move was accepted but that are not yet up in the target
-        # pool: the pool and the local time at which waiting ends.
-        self._arriving: dict[str, tuple[str, float]] = {}
-        # The earliest local time at which a started maintenance can be over.
-        self._maintenance_ends: dict[str, float] = {}
         self._wave_seen_at: dict[int, float] = {}
+        # The hosts of each wave that are missing in the lists requested after
+        # the wave was read, by its number and version.
+        self._absences: dict[tuple[int, int], HostAbsences] = {}
         # The waves whose planning raised an unexpected error.
         self.broken_waves: dict[int, Exception] = {}
 
     @property
     def is_busy(self) -> bool:
         """Whether any host is being drained, moved or maintained."""
-        return bool(
-            self.plan.orders or self._arriving or self._maintenance_ends
+        return bool(self.plan.orders) or self._known.is_changing
+
+    @property
+    def awaits_hosts(self) -> bool:
+        """Whether a wave has hosts that may yet be listed."""
+        return any(
+            self._awaited_hosts(wave)
+            for wave in self.waves.values()
+            if wave.number not in self.plan.completed
         )
 
     # --- Events.
 
     def update_hosts(self, hosts: Mapping[str, HostInfo], now: float) -> None:
-        """Replace the host list and end the waits that have completed."""
-        self.hosts = dict(hosts)
-        for name, listed in hosts.items():
-            incarnation = self._incarnations.get(name)
-            if incarnation is None or incarnation[0] != listed.executor_id:
-                self._incarnations[name] = (listed.executor_id, now)
-        for name, (pool, until) in list(self._arriving.items()):
-            host = self.hosts.get(name)
-            has_arrived = (
-                host is not None
-                and host.pool == pool
-                and host.state is HostState.UP
-            )
-            if has_arrived or now > until:
-                del self._arriving[name]
-        for name, ends_at in list(self._maintenance_ends.items()):
-            host = self.hosts.get(name)
-            is_up = host is None or host.state is HostState.UP
-            if is_up and now >= ends_at:
-                del self._maintenance_ends[name]
+        """Replace the host list, which was requested at `now`."""
+        self._known.update(hosts, now)
+        self.hosts = self._known.listed
+        for wave in self.waves.values():
+            absences = self._absences.get((wave.number, wave.version))
+            if absences is not None:
+                absences.record_list(wave.hosts, hosts, now)
 
     def record_move(self, host: str, pool: str, now: float) -> None:
         """Record that the platform accepted a move."""
         self.plan.orders.pop(host, None)
-        known = self.hosts.get(host)
-        if known is not None:
-            known.pool = pool
-            known.state = HostState.MOVING
-        self._arriving[host] = (pool, now + 6.0)
+        self._known.record_move(host, pool, now)
 
     def record_maintenance(self, host: str, wave: int, now: float) -> None:
         """Record that the platform accepted a host's maintenance."""
@@ -154,10 +142,7 @@
         done = self.plan.maintained.setdefault(str(wave), [])
         if host not in done:
             done.append(host)
-        known = self.hosts.get(host)
-        if known is not None:
-            known.state = HostState.IN_UPKEEP
-        self._maintenance_ends[host] = now + self.maintenance_s
+        self._known.record_maintenance(host, now, self.maintenance_s)
 
     def record_refusal(self, host: str) -> None:
         """Drop an order that the platform refused; the host is used again."""
@@ -182,6 +167,9 @@
         self, wave: MaintenanceWave, now: float, unix_ms: int
     ) -> None:
         """Record since when a wave is known, also to earlier planners."""
+        self._absences.setdefault(
+            (wave.number, wave.version), HostAbsences(now)
+        )
         if wave.number in self._wave_seen_at:
             return
         seen_ms = self.plan.seen_ms.setdefault(str(wave.number), unix_ms)
@@ -227,7 +215,9 @@
         for number, wave in self.waves.items():
             if number in self.plan.completed:
                 continue
-            if self.hosts and not self.pending_hosts(wave):
+            if not self.hosts or self.pending_hosts(wave):
+                continue
+            if not self._awaited_hosts(wave):
                 found.append(number)
         return found
 
@@ -242,6 +232,23 @@
             if name in self.hosts and name not in done
         ]
 
+    def unlisted_hosts(self, wave: MaintenanceWave) -> list[str]:
+        """Return a wave's hosts that were not maintained and not listed."""
+        done = self.plan.maintained.get(str(wave.number), [])
+        return [
+            name
+            for name in wave.hosts
+            if name not in self.hosts and name not in done
+        ]
+
+    def _awaited_hosts(self, wave: MaintenanceWave) -> list[str]:
+        """Return a wave's unlisted hosts that have not certainly left."""
+        unlisted = self.unlisted_hosts(wave)
+        absences = self._absences.get((wave.number, wave.version))
+        if absences is None:
+            return unlisted
+        return [name for name in unlisted if not absences.is_gone(name)]
+
     def _is_drained(self, name: str, order: DrainOrder) -> bool:
         """Return whether the pool's owner has confirmed this order."""
         summary = self.summaries.get(order.pool)
@@ -251,7 +258,7 @@
 
     def count_in_maintenance(self) -> int:
         """Return the number of hosts that are or may be in maintenance."""
-        names = set(self._maintenance_ends)
+        names = set(self._known.in_maintenance)
         for name, host in self.hosts.items():
             if host.state is HostState.IN_UPKEEP:
                 names.add(name)
@@ -268,7 +275,7 @@
         count = 0
         for order in self.plan.orders.values():
             count += bool(order.wave) and order.pool == pool
-        for name in self._maintenance_ends:
+        for name in self._known.in_maintenance:
             host = self.hosts.get(name)
             count += host is not None and host.pool == pool
         return count
@@ -332,8 +339,8 @@
         summary = self.summaries.get(host.pool)
         load = summary.hosts.get(name) if summary is not None else None
         if load is None or load.executor != host.executor_id:
-            _, since = self._incarnations.get(name, ("", self._now))
-            return self._now - since < UNREPORTED_S
+            since = self._known.listed_since(name)
+            return since is None or self._now - since < UNREPORTED_S
         return load.is_usable
 
     def count_hosts(self, pool: str) -> int:
@@ -345,7 +352,7 @@
                 HostState.IN_UPKEEP,
             ):
                 count += 1
-            elif name in self._arriving and self._arriving[name][0] == pool:
+            elif self._known.arriving_pool(name) == pool:
                 count += host.pool != pool
         for order in self.plan.orders.values():
             if order.target == pool:
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -28,6 +28,7 @@
 from lycheelug.jobservice.interfaces import HostAnswer
 from lycheelug.jobservice.order_permit import ORDER_TRANSIT_S, OrderPermit
 from lycheelug.jobservice.plan_store import PlanStore
+from lycheelug.jobservice.wave_status import WaveStatus
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import WorkProgress
 from lycheelug.store.replica import FEED_WAIT_S, TableReplica
@@ -51,7 +52,8 @@
 # The minimum time between two log lines about changed pool sizes.
 SIZE_LOG_INTERVAL_S: Final = 1.0
 # How often the list of hosts is read at most while no host changes, and
-# while moves or maintenance are in progress, and the bytes that these reads
+# while moves or maintenance are in progress or a wave names hosts that the
+# list doesn't have, and the bytes that these reads
 # may take a second.
 HOSTS_READ_IDLE_S: Final = 2.0
 HOSTS_READ_BUSY_S: Final = 0.4
@@ -81,12 +83,12 @@
         "_permit",
         "_plan_store",
         "_planner",
-        "_published",
         "_sizes",
         "_sizes_at",
         "_summaries_at",
         "_summaries_replica",
         "_term",
+        "_wave_status",
         "_waves",
         "work",
     )
@@ -116,7 +118,7 @@
         self._hosts_at: float | None = None
         # The newest loads of the pools' hosts.
         self._loads: dict[str, HostsRecord] = {}
-        self._published: set[int] = set()
+        self._wave_status = WaveStatus(hosts)
         # The waves that can't be planned, which were logged.
         self._broken_waves: set[int] = set()
         self._sizes: dict[str, tuple[int, int]] = {}
@@ -251,7 +253,7 @@
         for call in due:
             task = loop.create_task(self._execute(call))
             self._calls[call.host] = task
-        await self._publish_waves()
+        await self._wave_status.publish(planner)
         return self._is_current()
 
     def _due_calls(self) -> list[HostCall]:
@@ -277,7 +279,7 @@
     def _hosts_interval_s(self) -> float:
         """Return how often the list of hosts is to be read now."""
         shortest_s, bytes_per_s = HOSTS_READ_IDLE_S, HOSTS_IDLE_BYTES_PER_S
-        if self._planner.is_busy:
+        if self._planner.is_busy or self._planner.awaits_hosts:
             shortest_s, bytes_per_s = HOSTS_READ_BUSY_S, HOSTS_BUSY_BYTES_PER_S
         return read_interval_s(
             len(self._planner.hosts),
@@ -354,19 +356,6 @@
             self._planner.record_refusal(call.host)
             self._hosts_at = None
 
-    async def _publish_waves(self) -> None:
-        """Publish which maintenance waves have begun or completed."""
-        planner = self._planner
-        for number in planner.waves:
-            if number in self._published or number in planner.plan.completed:
-                continue
-            if await self._hosts.publish_wave(number, False):
-                self._published.add(number)
-        for number in planner.finished_waves():
-            if await self._hosts.publish_wave(number, True):
-                planner.plan.completed.append(number)
-                log_change("wave-completed", wave=number)
-
     def _on_summary(self, row: StoredRow) -> None:
         """Apply a changed pool summary or list of loads.
 
--- a/tests/test_fleet_planner.py
+++ b/tests/test_fleet_planner.py
@@ -15,6 +15,7 @@
     PlanRecord,
     SummaryRecord,
 )
+from lycheelug.fleetplan.absences import GONE_AFTER_S
 from lycheelug.fleetplan.sizing import size_by_demand
 from lycheelug.workloads import Resources
 from lycheelug.workloads.demand import Arrivals
@@ -174,6 +175,11 @@
     world.planner.record_maintenance("s1", 1, world.now)
     assert world.planner.finished_waves() == []
     world.planner.record_maintenance("s2", 1, world.now)
+    # The host that is not listed may yet be.
+    assert world.planner.finished_waves() == []
+    world.decide(0.1)
+    assert world.planner.finished_waves() == []
+    world.decide(GONE_AFTER_S)
     assert world.planner.finished_waves() == [1]
 
 
