Count a host that a list lacks as in maintenance

While one list of hosts lacks a host that is in maintenance, the planner counted one fewer, and could begin another maintenance beyond the limit of the wave (LIMIT).

Cause: a host that the list lacks was taken for one that is up again.

--- a/lycheelug/fleetplan/known_hosts.py
+++ b/lycheelug/fleetplan/known_hosts.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.fleetplan.absences import HostAbsences
 from lycheelug.fleetplan.hosts import HostState
 
 if TYPE_CHECKING:
@@ -21,6 +22,7 @@
     """The hosts as last listed, and those that are moved or maintained."""
 
     __slots__ = (
+        "_absences",
         "_arriving",
         "_incarnations",
         "_maintenance_ends",
@@ -35,8 +37,10 @@
         # Hosts whose move was accepted but that are not yet up in the target
         # pool: the pool and the local time at which waiting ends.
         self._arriving: dict[str, tuple[str, float]] = {}
-        # The earliest local time at which a started maintenance can be over.
+        # The earliest local time at which a started maintenance can be over,
+        # and the hosts in maintenance that are missing in the lists.
         self._maintenance_ends: dict[str, float] = {}
+        self._absences = HostAbsences()
 
     @property
     def is_changing(self) -> bool:
@@ -102,9 +106,16 @@
                 del self._arriving[name]
 
     def _end_maintenance(self, requested_at: float) -> None:
-        """End the maintenance of hosts that are up or not listed."""
+        """End the maintenance of hosts that are up or have left.
+
+        A host that is merely missing in a list counts as in maintenance.
+        """
+        self._absences.record_list(
+            self._maintenance_ends, self.listed, requested_at
+        )
         for name, ends_at in list(self._maintenance_ends.items()):
             host = self.listed.get(name)
-            is_up = host is None or host.state is HostState.UP
-            if is_up and requested_at >= ends_at:
+            is_up = host is not None and host.state is HostState.UP
+            is_over = is_up and requested_at >= ends_at
+            if is_over or self._absences.is_gone(name):
                 del self._maintenance_ends[name]
--- a/tests/test_wave_hosts.py
+++ b/tests/test_wave_hosts.py
@@ -158,3 +158,20 @@
     assert world.planner.finished_waves() == []
     world.decide(GONE_AFTER_S)
     assert world.planner.finished_waves() == [1]
+
+
+# Guards against LIMIT: a host in maintenance that is missing in one list and
+# no longer counted.
+def test_unlisted_host_counts_as_in_maintenance() -> None:
+    world = start_wave(["a1", "a2", "a3"], wave_of("a1", "a2", "a3"))
+    finish(world, "a1")
+    host = world.hosts.pop("a1")
+    world.decide(5.0)
+    assert world.planner.count_in_maintenance() == 1
+    world.hosts["a1"] = host
+    world.decide(0.1)
+    assert world.planner.count_in_maintenance() == 1
+    del world.hosts["a1"]
+    world.decide(0.1)
+    world.decide(GONE_AFTER_S)
+    assert world.planner.count_in_maintenance() == 0
