Keep an accepted call in view against a list requested before it

A list of hosts may take seconds to arrive. One that was requested before the platform accepted a move, and arrives after it, showed the host up in its former pool; the planner counted it there and could order it again. The former pool's owner confirms such an order at once, as nothing of its own runs there. Found by reading; shown by a test, not seen by callers.

Cause: each list replaced what was known of all hosts. The planner now keeps what it knows of a host until a list was requested after the last call for it was accepted. Waits for moved and maintained hosts already went by the time of the request.

--- a/lycheelug/fleetplan/known_hosts.py
+++ b/lycheelug/fleetplan/known_hosts.py
@@ -1,4 +1,8 @@
-"""The platform's list of hosts, and the hosts that are moved or maintained."""
+"""The platform's list of hosts, with the calls that it may not show yet.
+
+A list may have been requested before the platform accepted a move or a
+maintenance, and arrive after that.  It shows the host as it was.
+"""
 
 from __future__ import annotations
 
@@ -24,6 +28,7 @@
     __slots__ = (
         "_absences",
         "_arriving",
+        "_changed_at",
         "_incarnations",
         "_maintenance_ends",
         "listed",
@@ -41,6 +46,8 @@
         # and the hosts in maintenance that are missing in the lists.
         self._maintenance_ends: dict[str, float] = {}
         self._absences = HostAbsences()
+        # Local times at which the platform accepted the last calls.
+        self._changed_at: dict[str, float] = {}
 
     @property
     def is_changing(self) -> bool:
@@ -56,7 +63,13 @@
         self, hosts: Mapping[str, HostInfo], requested_at: float
     ) -> None:
         """Replace the list and end the waits that have completed."""
+        former = self.listed
         self.listed = dict(hosts)
+        for name, changed_at in list(self._changed_at.items()):
+            if changed_at < requested_at:
+                del self._changed_at[name]
+            elif name in former:
+                self.listed[name] = former[name]
         for name, host in self.listed.items():
             incarnation = self._incarnations.get(name)
             if incarnation is None or incarnation[0] != host.executor_id:
@@ -71,6 +84,7 @@
             host.pool = pool
             host.state = HostState.MOVING
         self._arriving[name] = (pool, now + ARRIVAL_MAX_S)
+        self._changed_at[name] = now
 
     def record_maintenance(
         self, name: str, now: float, duration_s: float
@@ -83,6 +97,7 @@
         if host is not None:
             host.state = HostState.IN_UPKEEP
         self._maintenance_ends[name] = now + duration_s
+        self._changed_at[name] = now
 
     def arriving_pool(self, name: str) -> str:
         """Return the pool in which a moved host is awaited, or ''."""
--- a/tests/test_wave_hosts.py
+++ b/tests/test_wave_hosts.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from lycheelug.fleetplan import MaintenanceWave
+from lycheelug.fleetplan import HostInfo, HostState, MaintenanceWave
 from lycheelug.fleetplan.absences import GONE_AFTER_S
 from lycheelug.jobservice.tables import FLEET_PART
 from tests.job_world import FakeFleet, JobWorld, until
@@ -175,3 +175,35 @@
     world.decide(0.1)
     world.decide(GONE_AFTER_S)
     assert world.planner.count_in_maintenance() == 0
+
+
+# Guards against a second order for a host that a list shows in the pool from
+# which it was moved after the list was requested.
+def test_list_requested_before_a_move_does_not_undo_it() -> None:
+    world = FleetWorld()
+    world.add("a", "a1", "a2")
+    world.add("b", "b1")
+    world.decide()
+    requested_at = world.now
+    listed = {name: copy_of(world, name) for name in world.hosts}
+    world.now += 0.5
+    world.planner.record_move("a1", "b", world.now)
+    world.planner.update_hosts(listed, requested_at)
+    assert world.planner.active_hosts("a") == ["a2"]
+    assert world.planner.count_hosts("b") == 2
+    listed = {name: copy_of(world, name) for name in world.hosts}
+    listed["a1"].pool = "b"
+    listed["a1"].state = HostState.UP
+    world.planner.update_hosts(listed, world.now + 0.1)
+    assert sorted(world.planner.active_hosts("b")) == ["a1", "b1"]
+
+
+def copy_of(world: FleetWorld, name: str) -> HostInfo:
+    host = world.hosts[name]
+    return HostInfo(
+        name,
+        host.pool,
+        HostState.UP,
+        capacity=host.capacity,
+        executor_id=host.executor_id,
+    )
