Discard an order that can't be delivered while its sender waits

An order to a host whose call had ended without an answer could still be delivered: closing the connection leaves the bytes to the system, which goes on sending them for minutes, also for a process that is stopped. Found by reading; not seen by callers, and a cut was not tried.

The connections to the host interface are now reset when they are closed (SO_LINGER of 0, also at the end of the process), and given up by the system once sent bytes were not acknowledged for 1.0 s (TCP_USER_TIMEOUT).

--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -35,7 +35,9 @@
     """A client of one address with a bounded set of idle connections.
 
     `reuse_idle_s` limits how long a reused connection may have been idle;
-    0 requires a new connection.
+    0 requires a new connection.  With `unsent_max_s`, bytes that the peer has
+    not received after that time, or when the connection is closed, are
+    discarded.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         "_idle",
         "_max_answer",
         "_peer",
+        "_unsent_max_s",
     )
 
     def __init__(
@@ -54,8 +57,10 @@
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         clock: Callable[[], float] | None = None,
         connect_s: float = CONNECT_TIMEOUT_S,
+        unsent_max_s: float = 0.0,
     ) -> None:
         self._connect_s = connect_s
+        self._unsent_max_s = unsent_max_s
         self._address = address
         self._peer = peer
         self._max_answer = max_answer_bytes
@@ -96,6 +101,7 @@
                 self._peer,
                 min(timeout_s, self._connect_s),
                 self._max_answer,
+                self._unsent_max_s,
             )
             match opened:
                 case Success(opened_connection):
@@ -156,13 +162,14 @@
     peer: Peer,
     timeout_s: float,
     max_answer_bytes: int,
+    unsent_max_s: float,
 ) -> Result[ClientConnection, ExchangeFault]:
     """Connect to `ip:port`; if this fails, nothing was sent."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
 
     def make_connection() -> ClientConnection:
-        return ClientConnection(peer, address, max_answer_bytes)
+        return ClientConnection(peer, address, max_answer_bytes, unsent_max_s)
 
     try:
         async with asyncio.timeout(timeout_s):
--- a/lycheelug/http/client_connection.py
+++ b/lycheelug/http/client_connection.py
@@ -35,6 +35,7 @@
     Request,
     lowercase_headers,
 )
+from lycheelug.http.sockets import discard_unsent
 
 if TYPE_CHECKING:
     from lycheelug.http.limits import ProgressLimits
@@ -93,6 +94,7 @@
         "_progress",
         "_timer",
         "_transport",
+        "_unsent_max_s",
         "_waiter",
         "idle_since",
     )
@@ -102,8 +104,10 @@
         peer: Peer,
         peer_name: str,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
+        unsent_max_s: float = 0.0,
     ) -> None:
         self._peer = peer
+        self._unsent_max_s = unsent_max_s
         self._peer_name = peer_name
         self._max_answer = max_answer_bytes
         self._h11 = h11.Connection(
@@ -146,6 +150,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = cast("asyncio.Transport", transport)
+        if self._unsent_max_s:
+            sock = transport.get_extra_info("socket")
+            discard_unsent(sock, self._unsent_max_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange in progress: its answer is incomplete."""
--- a/lycheelug/jobservice/order_permit.py
+++ b/lycheelug/jobservice/order_permit.py
@@ -12,13 +12,16 @@
 proofs have expired and the last order that rests on one has arrived.  An
 owner that releases the plan first ends its calls, so nothing is awaited.
 
+An order that can't be delivered for `ORDER_TRANSIT_S` is discarded, even if
+its process is stopped.
+
 What remains: a process that is stopped between the check and the write, and
-an order that is delayed on its way or in the platform for longer than
-`ORDER_TRANSIT_S`.  Such an order is refused where fencing tokens are checked.
-Elsewhere a repeated maintenance of a wave or move to the same pool has no
-effect, because the next owner completes all orders that were stored as sent
-before it uses their hosts; a move that arrives after the host has been moved
-on is carried out.
+an order that the platform, or a network that has taken it, delays for longer.
+Such an order is refused where fencing tokens are checked.  Elsewhere a
+repeated maintenance of a wave or move to the same pool has no effect, because
+the next owner completes all orders that were stored as sent before it uses
+their hosts; a move that arrives after the host has been moved on is carried
+out.
 """
 
 from __future__ import annotations
--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -77,7 +77,10 @@
         self._traffic = traffic or StoreTraffic()
         self._address = address
         self._client = HttpClient(
-            address, Peer.PLATFORM, connect_s=CONNECT_TIMEOUT_S
+            address,
+            Peer.PLATFORM,
+            connect_s=CONNECT_TIMEOUT_S,
+            unsent_max_s=ORDER_TRANSIT_S,
         )
         self._store = store
 
--- a/tests/test_order_permit.py
+++ b/tests/test_order_permit.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from typing import TYPE_CHECKING
 
 import pytest
 
+from lycheelug.errors import Peer
 from lycheelug.fleetplan import (
     PLAN_KEY,
     PLANS_TABLE,
     MaintenanceWave,
     decode_plan,
 )
+from lycheelug.http import ClientConnection
 from lycheelug.jobservice.interfaces import HostAnswer
 from lycheelug.jobservice.order_permit import (
     ORDER_TRANSIT_S,
@@ -287,3 +290,64 @@
     answers = asyncio.run(run())
     assert answers == [HostAnswer.NOT_SENT, HostAnswer.DONE]
     assert len(writers) == 1
+
+
+# Guards against ONE: an order that its sender has given up, and that the
+# system delivers once the platform can be reached again.
+def test_order_without_an_answer_is_not_delivered_later() -> None:
+    received: list[bytes] = []
+    resets = 0
+    ended = asyncio.Event()
+
+    async def handle(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal resets
+        try:
+            while data := await reader.read(10_000):
+                received.append(data)
+        except ConnectionResetError:
+            resets += 1
+        writer.close()
+        ended.set()
+
+    async def run() -> HostAnswer:
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        hosts = PlatformHosts(f"127.0.0.1:{port}", MemoryRows())
+        answer = await hosts.move("h1", "quotes", "e0", 3, lambda: True)
+        await ended.wait()
+        server.close()
+        await server.wait_closed()
+        return answer
+
+    assert asyncio.run(run()) is HostAnswer.NO_ANSWER
+    assert len(received) == 1
+    # A connection that is reset delivers nothing further.
+    assert resets == 1
+
+
+def test_system_gives_up_an_order_of_a_process_that_is_stopped() -> None:
+    async def run() -> int:
+        server = await asyncio.start_server(
+            lambda _, writer: writer.close(), "127.0.0.1", 0
+        )
+        host, port = server.sockets[0].getsockname()
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_connection(
+            lambda: ClientConnection(
+                Peer.PLATFORM, "", unsent_max_s=ORDER_TRANSIT_S
+            ),
+            host,
+            port,
+        )
+        sock = transport.get_extra_info("socket")
+        timeout_ms: int = sock.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+        )
+        transport.abort()
+        server.close()
+        await server.wait_closed()
+        return timeout_ms
+
+    assert asyncio.run(run()) == ORDER_TRANSIT_S * 1000
