--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from lycheelug.errors import CONNECT_FAILED, Peer, Step
+from lycheelug.errors import CONNECT_FAILED, SEND_FAILED, Peer, Step
 from lycheelug.http.client_connection import (
     MAX_ANSWER_BYTES,
     ClientConnection,
@@ -35,7 +35,9 @@
     """A client of one address with a bounded set of idle connections.
 
     `reuse_idle_s` limits how long a reused connection may have been idle;
-    0 requires a new connection.
+    0 requires a new connection.  With `unsent_max_s`, bytes that the peer has
+    not received after that time, or when the connection is closed, are
+    discarded.
     """
 
     __slots__ = (
@@ -45,6 +47,7 @@
         "_idle",
         "_max_answer",
         "_peer",
+        "_unsent_max_s",
     )
 
     def __init__(
@@ -54,8 +57,10 @@
         max_answer_bytes: int = MAX_ANSWER_BYTES,
         clock: Callable[[], float] | None = None,
         connect_s: float = CONNECT_TIMEOUT_S,
+        unsent_max_s: float = 0.0,
     ) -> None:
         self._connect_s = connect_s
+        self._unsent_max_s = unsent_max_s
         self._address = address
         self._peer = peer
         self._max_answer = max_answer_bytes
@@ -78,21 +83,25 @@
         timeout_s: float,
         reuse_idle_s: float = MAX_REUSE_IDLE_S,
         progress: ProgressLimits | None = None,
+        may_send: Callable[[], bool] | None = None,
     ) -> Result[Answer, ExchangeFault]:
         """Send a request on an idle or a new connection; return its answer.
 
         The timeout includes the time to connect.  It limits the time to the
         complete answer or, with `progress`, to the answer's first byte.
+        `may_send` is asked when the request can be written at once; if it
+        returns False, nothing is sent and the connection is kept.
         """
+        loop = asyncio.get_running_loop()
         connection = self._take_idle(reuse_idle_s)
         if connection is None:
-            loop = asyncio.get_running_loop()
             started = loop.time()
             opened = await _open_connection(
                 self._address,
                 self._peer,
                 min(timeout_s, self._connect_s),
                 self._max_answer,
+                self._unsent_max_s,
             )
             match opened:
                 case Success(opened_connection):
@@ -101,11 +110,12 @@
                     return Failure(fault)
             timeout_s = max(0.001, timeout_s - (loop.time() - started))
         assert connection is not None
+        if may_send is not None and not may_send():
+            connection.idle_since = (self._clock or loop.time)()
+            self._keep(connection)
+            return Failure(self._not_permitted())
         result = await connection.exchange(request, timeout_s, progress)
-        if connection.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            connection.close()
+        self._keep(connection)
         return result
 
     def close(self) -> None:
@@ -113,6 +123,24 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _keep(self, connection: ClientConnection) -> None:
+        """Keep a connection for the next request if it can be reused."""
+        if connection.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _not_permitted(self) -> ExchangeFault:
+        """Return the fault of a request that may not be sent any more."""
+        return ExchangeFault(
+            SEND_FAILED,
+            Step.SEND,
+            self._peer,
+            "not permitted any more",
+            self._address,
+            False,
+        )
+
     def _take_idle(self, reuse_idle_s: float) -> ClientConnection | None:
         """Return the most recently used idle connection that is usable."""
         if not self._idle:
@@ -134,13 +162,14 @@
     peer: Peer,
     timeout_s: float,
     max_answer_bytes: int,
+    unsent_max_s: float,
 ) -> Result[ClientConnection, ExchangeFault]:
     """Connect to `ip:port`; if this fails, nothing was sent."""
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
 
     def make_connection() -> ClientConnection:
-        return ClientConnection(peer, address, max_answer_bytes)
+        return ClientConnection(peer, address, max_answer_bytes, unsent_max_s)
 
     try:
         async with asyncio.timeout(timeout_s):
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -3,7 +3,8 @@
 An order is stored before its host is drained, and marked as sent before
 the call to the platform.  After a takeover, the new owner repeats the
 orders that may be in progress under its own, higher fencing token.  So a
-late call of its predecessor can't affect a host that is in use again.
+late call of its predecessor can't affect a host that is in use again.  What
+keeps such calls apart from its own is described in `order_permit`.
 """
 
 from __future__ import annotations
@@ -25,7 +26,9 @@
 )
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.jobservice.interfaces import HostAnswer
+from lycheelug.jobservice.order_permit import ORDER_TRANSIT_S, OrderPermit
 from lycheelug.jobservice.plan_store import PlanStore
+from lycheelug.jobservice.wave_status import WaveStatus
 from lycheelug.logs import log_change, log_fault
 from lycheelug.ownership import WorkProgress
 from lycheelug.store.replica import FEED_WAIT_S, TableReplica
@@ -49,7 +52,8 @@
 # The minimum time between two log lines about changed pool sizes.
 SIZE_LOG_INTERVAL_S: Final = 1.0
 # How often the list of hosts is read at most while no host changes, and
-# while moves or maintenance are in progress, and the bytes that these reads
+# while moves or maintenance are in progress or a wave names hosts that the
+# list doesn't have, and the bytes that these reads
 # may take a second.
 HOSTS_READ_IDLE_S: Final = 2.0
 HOSTS_READ_BUSY_S: Final = 0.4
@@ -76,14 +80,15 @@
         "_lost",
         "_maintenance_s",
         "_name",
+        "_permit",
         "_plan_store",
         "_planner",
-        "_published",
         "_sizes",
         "_sizes_at",
         "_summaries_at",
         "_summaries_replica",
         "_term",
+        "_wave_status",
         "_waves",
         "work",
     )
@@ -98,6 +103,7 @@
         waves: Callable[[], dict[int, MaintenanceWave]],
         maintenance_s: float,
         stalled_before: int = 0,
+        awaits_predecessor: bool = False,
     ) -> None:
         # Rounds of planning; one succeeds if what it needs is current.
         self.work = WorkProgress(stalled_before)
@@ -112,7 +118,7 @@
         self._hosts_at: float | None = None
         # The newest loads of the pools' hosts.
         self._loads: dict[str, HostsRecord] = {}
-        self._published: set[int] = set()
+        self._wave_status = WaveStatus(hosts)
         # The waves that can't be planned, which were logged.
         self._broken_waves: set[int] = set()
         self._sizes: dict[str, tuple[int, int]] = {}
@@ -128,6 +134,7 @@
         # Local time of the last answer of the feed of summaries.
         self._summaries_at: float | None = None
         self._lost = asyncio.Event()
+        self._permit = OrderPermit(context.clock, awaits_predecessor)
 
     async def run(self) -> None:
         """Plan until the duty is lost."""
@@ -162,13 +169,20 @@
             log_change(
                 "duty-lost", duty="fleet", term=self._term, reason=reason
             )
+        self._permit.revoke()
         self._lost.set()
 
     async def hand_over(self) -> None:
-        """Stop making calls; the next owner completes the sent orders."""
+        """End all calls; the next owner completes the sent orders."""
+        self._permit.revoke()
         self._lost.set()
-        if self._calls:
-            await asyncio.wait(self._calls.values(), timeout=1.0)
+        if not self._calls:
+            return
+        _, unfinished = await asyncio.wait(
+            self._calls.values(), timeout=ORDER_TRANSIT_S
+        )
+        for call in unfinished:
+            call.cancel()
 
     # --- Rounds.
 
@@ -220,29 +234,36 @@
                 )
                 self._context.metrics.count("defects")
         self._log_sizes()
-        due = [
-            call
-            for call in planner.due_calls()
-            if call.host not in self._calls
-        ]
+        due = [] if self._permit.is_held else self._due_calls()
         for call in due:
             call.order.sent = True
         # The platform may not check fencing tokens, so an order is repeated
         # only by an owner that was not replaced.
+        requested_at = clock.now()
         is_stored = await self._plan_store.save(
-            planner.plan, self._context.clock.now(), needs_proof=bool(due)
+            planner.plan, requested_at, needs_proof=bool(due)
         )
         if self._plan_store.is_lost:
             self.revoke("the owner row has another holder")
         if not is_stored:
             return False
+        if due:
+            self._permit.record_proof(requested_at)
         loop = asyncio.get_running_loop()
         for call in due:
             task = loop.create_task(self._execute(call))
             self._calls[call.host] = task
-        await self._publish_waves()
+        await self._wave_status.publish(planner)
         return self._is_current()
 
+    def _due_calls(self) -> list[HostCall]:
+        """Return the calls that are due and not in progress."""
+        return [
+            call
+            for call in self._planner.due_calls()
+            if call.host not in self._calls
+        ]
+
     def _is_current(self) -> bool:
         """Whether the hosts and the summaries were read lately."""
         now = self._context.clock.now()
@@ -258,7 +279,7 @@
     def _hosts_interval_s(self) -> float:
         """Return how often the list of hosts is to be read now."""
         shortest_s, bytes_per_s = HOSTS_READ_IDLE_S, HOSTS_IDLE_BYTES_PER_S
-        if self._planner.is_busy:
+        if self._planner.is_busy or self._planner.awaits_hosts:
             shortest_s, bytes_per_s = HOSTS_READ_BUSY_S, HOSTS_BUSY_BYTES_PER_S
         return read_interval_s(
             len(self._planner.hosts),
@@ -302,13 +323,14 @@
     async def _execute(self, call: HostCall) -> None:
         """Send the order to move or maintain one host."""
         order = call.order
+        may_send = self._permit.may_send
         if order.wave:
             answer = await self._hosts.maintain(
-                call.host, order.wave, self._name, self._term
+                call.host, order.wave, self._name, self._term, may_send
             )
         else:
             answer = await self._hosts.move(
-                call.host, order.target, self._name, self._term
+                call.host, order.target, self._name, self._term, may_send
             )
         log_change(
             "host-order",
@@ -319,6 +341,7 @@
             number=order.number,
             term=self._term,
             answer=answer.name.lower(),
+            proof_age_s=round(self._permit.age_s, 2),
         )
         self._context.metrics.count(f"host-orders-{answer.name.lower()}")
         del self._calls[call.host]
@@ -333,19 +356,6 @@
             self._planner.record_refusal(call.host)
             self._hosts_at = None
 
-    async def _publish_waves(self) -> None:
-        """Publish which maintenance waves have begun or completed."""
-        planner = self._planner
-        for number in planner.waves:
-            if number in self._published or number in planner.plan.completed:
-                continue
-            if await self._hosts.publish_wave(number, False):
-                self._published.add(number)
-        for number in planner.finished_waves():
-            if await self._hosts.publish_wave(number, True):
-                planner.plan.completed.append(number)
-                log_change("wave-completed", wave=number)
-
     def _on_summary(self, row: StoredRow) -> None:
         """Apply a changed pool summary or list of loads.
 
