--- a/lycheelug/claim_table.py
+++ b/lycheelug/claim_table.py
@@ -9,10 +9,10 @@
 
 from typing import TYPE_CHECKING, Final
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from lycheelug.claim_records import ClaimRow, StoredAnswer, object_name
+from lycheelug.decoding import decode_msgpack
 from lycheelug.errors import (
     CLAIM_LOST,
     PLATFORM_INVALID,
@@ -102,11 +102,10 @@
                 return Success(None)
             case Failure(fault):
                 return Failure(fault)
-        try:
-            answer = msgspec.msgpack.decode(data, type=StoredAnswer)
-        except msgspec.DecodeError as error:
-            return Failure(claim_fault(PLATFORM_INVALID, str(error)))
-        return Success(answer)
+        answer = decode_msgpack(data, StoredAnswer)
+        if isinstance(answer, Failure):
+            return Failure(claim_fault(PLATFORM_INVALID, answer.failure()))
+        return Success(answer.unwrap())
 
     async def store_answer(
         self, name: str, row: ClaimRow, data: bytes
@@ -127,10 +126,7 @@
     """Decode a claim's row; return None if it is invalid."""
     if row.value is None:
         return None
-    try:
-        return decode(row.value, ClaimRow)
-    except msgspec.DecodeError:
-        return None
+    return decode(row.value, ClaimRow).value_or(None)
 
 
 def claim_fault(code: ErrorCode, detail: str) -> Fault:
--- a/lycheelug/cli/client.py
+++ b/lycheelug/cli/client.py
@@ -12,8 +12,9 @@
 from typing import TYPE_CHECKING, Final, NoReturn, TypeVar
 
 import msgspec
-from returns.result import Success
+from returns.result import Failure, Success
 
+from lycheelug.decoding import decode_json
 from lycheelug.errors import Peer
 from lycheelug.http import Answer, HttpClient, RawHeaders, Request
 from lycheelug.settings_schema import split_address
@@ -81,11 +82,11 @@
 
     def get(self, target: str, kind: type[V]) -> V:
         """Return the decoded content of a resource."""
-        return self._decode(self.call("GET", target, b""), kind)
+        return self.decode(self.call("GET", target, b""), kind)
 
     def post(self, target: str, body: bytes, kind: type[V]) -> V:
         """Send a body and return the decoded reply."""
-        return self._decode(self.call("POST", target, body), kind)
+        return self.decode(self.call("POST", target, body), kind)
 
     def call(self, method: str, target: str, body: bytes) -> Answer:
         """Return a successful answer; end the tool on any other."""
@@ -126,10 +127,8 @@
 
     def _exit_with_fault(self, answer: Answer) -> NoReturn:
         """End the tool with the error that the daemon returned."""
-        try:
-            reply = msgspec.json.decode(answer.body, type=_FaultReply)
-        except msgspec.DecodeError:
-            reply = _FaultReply(code=f"status {answer.status}")
+        unknown = _FaultReply(code=f"status {answer.status}")
+        reply = decode_json(answer.body, _FaultReply).value_or(unknown)
         for line in reply.lines:
             sys.stderr.write(line + "\n")
         is_unknown = answer.status == TIMEOUT_STATUS
@@ -137,12 +136,13 @@
         text = f"{reply.code}: {reply.title} {reply.detail}"
         fail(text.strip(), code)
 
-    def _decode(self, answer: Answer, kind: type[V]) -> V:
+    def decode(self, answer: Answer, kind: type[V]) -> V:
         """Return the decoded content of an answer; end the tool if invalid."""
-        try:
-            return msgspec.json.decode(answer.body, type=kind)
-        except msgspec.MsgspecError as error:
+        decoded = decode_json(answer.body, kind)
+        if isinstance(decoded, Failure):
             fail(
-                f"daemon at {self._address}: invalid answer: {error}",
+                f"daemon at {self._address}: invalid answer: "
+                f"{decoded.failure()}",
                 ExitCode.UNREACHABLE,
             )
+        return decoded.unwrap()
--- a/lycheelug/cli/explain.py
+++ b/lycheelug/cli/explain.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from lycheelug.decoding import decode_json
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -84,9 +86,8 @@
         start = line.find("{")
         if start < 0:
             continue
-        try:
-            record = msgspec.json.decode(line[start:], type=dict[str, Any])
-        except msgspec.DecodeError:
+        record = decode_json(line[start:], dict[str, Any]).value_or(None)
+        if record is None:
             continue
         if "time" in record and "event" in record:
             found.append(record)
--- a/lycheelug/cli/sheet_commands.py
+++ b/lycheelug/cli/sheet_commands.py
@@ -7,7 +7,7 @@
 import time
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 from urllib.parse import quote
 
 import msgspec
@@ -70,7 +70,7 @@
     """
     common = common or Common()
     answer = common.client.call("POST", "/v1/sheet/plan", read_file(file))
-    content = msgspec.json.decode(answer.body)
+    content = common.client.decode(answer, dict[str, Any])
     if "outcome" in content:
         _exit_on_faults(file, msgspec.convert(content, SheetReply))
     plan = msgspec.convert(content, PlanView)
--- a/lycheelug/configuration.py
+++ b/lycheelug/configuration.py
@@ -232,20 +232,15 @@
     """Return the configuration in a stored row, or None if invalid."""
     if value is None:
         return Configuration()
-    try:
-        return decode(value, ConfigRow).configuration()
-    except msgspec.MsgspecError:
-        return None
+    row = decode(value, ConfigRow).value_or(None)
+    return row.configuration() if row is not None else None
 
 
 def read_log_row(value: bytes | None) -> ConfigLogRow | None:
     """Return the bucket in a stored row, or None if invalid."""
     if value is None:
         return ConfigLogRow()
-    try:
-        return decode(value, ConfigLogRow)
-    except msgspec.MsgspecError:
-        return None
+    return decode(value, ConfigLogRow).value_or(None)
 
 
 def config_value(configuration: Configuration) -> bytes:
--- a/lycheelug/entries/codec.py
+++ b/lycheelug/entries/codec.py
@@ -14,6 +14,9 @@
 from grpclib.const import Status
 from grpclib.encoding.base import CodecBase
 from grpclib.exceptions import GRPCError
+from returns.result import Failure
+
+from lycheelug.decoding import decode_with
 
 __all__ = ["MAX_MESSAGE_BYTES", "MessagePackCodec"]
 
@@ -43,10 +46,10 @@
         if decoder is None:
             decoder = msgspec.msgpack.Decoder(message_type)
             self._decoders[message_type] = decoder
-        try:
-            return decoder.decode(data)
-        except msgspec.MsgspecError as error:
-            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
+        decoded = decode_with(decoder.decode, data)
+        if isinstance(decoded, Failure):
+            raise GRPCError(Status.INVALID_ARGUMENT, decoded.failure())
+        return decoded.unwrap()
 
     def _check_size(self, data: bytes) -> None:
         if len(data) <= self._max_message_bytes:
--- a/lycheelug/entries/join.py
+++ b/lycheelug/entries/join.py
@@ -16,7 +16,6 @@
 
 from typing import TYPE_CHECKING, Final
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from lycheelug.errors import (
@@ -181,10 +180,10 @@
 def _decode_entry(row: Row | None) -> Result[EntryRow | None, Fault]:
     if row is None or row.value is None:
         return Success(None)
-    try:
-        return Success(decode(row.value, EntryRow))
-    except msgspec.MsgspecError as error:
-        return Failure(_fault(PLATFORM_INVALID, str(error)))
+    decoded = decode(row.value, EntryRow)
+    if isinstance(decoded, Failure):
+        return Failure(_fault(PLATFORM_INVALID, decoded.failure()))
+    return Success(decoded.unwrap())
 
 
 def _fault(code: ErrorCode, detail: str) -> Fault:
--- a/lycheelug/fleet.py
+++ b/lycheelug/fleet.py
@@ -11,8 +11,9 @@
 from typing import TYPE_CHECKING, Generic, TypeVar
 
 import msgspec
-from returns.result import Success
+from returns.result import Failure, Success
 
+from lycheelug.logs import log_change
 from lycheelug.records import (
     ENTRY_EPOCH_KEY,
     ENTRY_PREFIX,
@@ -148,7 +149,11 @@
         self.sheet_row = None
         if row.value is None:
             return
-        self.sheet_row = decode(row.value, SheetRow)
+        sheet_row = decode(row.value, SheetRow)
+        if isinstance(sheet_row, Failure):
+            _log_unreadable(row, sheet_row.failure())
+            return
+        self.sheet_row = sheet_row.unwrap()
         match parse_sheet(self.sheet_row.text):
             case Success(sheet):
                 self.sheet = sheet
@@ -246,4 +251,16 @@
     if row.value is None:
         rows.pop(name, None)
         return
-    rows[name] = Versioned(decode(row.value, kind), row.revision)
+    decoded = decode(row.value, kind)
+    if isinstance(decoded, Failure):
+        # The former row stays; writes that depend on it will conflict.
+        _log_unreadable(row, decoded.failure())
+        return
+    rows[name] = Versioned(decoded.unwrap(), row.revision)
+
+
+def _log_unreadable(row: Row, error: str) -> None:
+    """Log a row that can't be decoded."""
+    log_change(
+        "row-unreadable", key=row.key, revision=row.revision, error=error
+    )
--- a/lycheelug/fleet_sync.py
+++ b/lycheelug/fleet_sync.py
@@ -13,10 +13,12 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from returns.result import Failure
 
 from lycheelug.core import Phase
 from lycheelug.entries.messages import Digest, PoolLoad
 from lycheelug.leaving import LeavingSign
+from lycheelug.logs import log_change
 from lycheelug.records import ENTRY_PREFIX, EntryRow, decode
 from lycheelug.store import HostState
 
@@ -120,7 +122,15 @@
             if not row.key.startswith(ENTRY_PREFIX):
                 continue
             name = row.key.removeprefix(ENTRY_PREFIX)
-            entry = decode(row.value, EntryRow) if row.value else None
+            entry = None
+            if row.value:
+                decoded = decode(row.value, EntryRow)
+                if isinstance(decoded, Failure):
+                    log_change(
+                        "row-unreadable", key=row.key, error=decoded.failure()
+                    )
+                    continue
+                entry = decoded.unwrap()
             self._core.members.apply_row(name, entry, now)
         self._config.on_rows(rows)
         self.sync_pools()
--- a/lycheelug/fleet_view.py
+++ b/lycheelug/fleet_view.py
@@ -351,7 +351,4 @@
 
 
 def _decode_or_none(value: bytes, kind: type[S]) -> S | None:
-    try:
-        return decode(value, kind)
-    except msgspec.MsgspecError:
-        return None
+    return decode(value, kind).value_or(None)
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from lycheelug.decoding import Figure, Integer, decode_json
+
 __all__ = [
     "HOSTS_KEY",
     "PLANS_TABLE",
@@ -59,47 +61,47 @@
     # The host accepts tasks: it responds, is not draining and has no order.
     is_usable: bool = False
     # CPU in use by all runs, in thousandths of a core.
-    used_cpu: int = 0
-    runs: int = 0
-    lasting_runs: int = 0
+    used_cpu: Integer = 0
+    runs: Integer = 0
+    lasting_runs: Integer = 0
 
 
 class HostsRecord(msgspec.Struct, omit_defaults=True):
     """The loads of a pool's hosts."""
 
-    term: int
+    term: Integer
     hosts: dict[str, HostLoad] = {}
 
 
 class SummaryRecord(msgspec.Struct, omit_defaults=True):
     """The load of a pool; all CPU figures are in thousandths of a core."""
 
-    term: int
+    term: Integer
     # Stored in a row of its own, the `HostsRecord`; readers join the two.
     hosts: dict[str, HostLoad] = {}
     # Tasks that only wait for free capacity.
-    ready_cpu: int = 0
-    ready_memory: int = 0
+    ready_cpu: Integer = 0
+    ready_memory: Integer = 0
     # The part of `ready_cpu` whose jobs can no longer meet their deadline.
-    late_cpu: int = 0
+    late_cpu: Integer = 0
     # The expected increase of arriving work until a new host could start.
-    growing_cpu: int = 0
+    growing_cpu: Integer = 0
     # The work that arrived in the last second, and its jobs, without those
     # that are long-running.
-    arriving_cpu: int = 0
-    arriving_jobs: int = 0
+    arriving_cpu: Integer = 0
+    arriving_jobs: Integer = 0
     # Tasks that wait for earlier steps of their job.
-    blocked_cpu: int = 0
-    running_cpu: int = 0
-    running_memory: int = 0
-    lasting_cpu: int = 0
+    blocked_cpu: Integer = 0
+    running_cpu: Integer = 0
+    running_memory: Integer = 0
+    lasting_cpu: Integer = 0
     # The largest number of executors that a long-running step needs because
     # of its limit of tasks per executor.
-    spread: int = 0
+    spread: Integer = 0
     # The number of accepted jobs without a started task, by queue.
-    waiting: dict[str, int] = {}
+    waiting: dict[str, Integer] = {}
     # The owner's run time statistics, by queue.
-    run_times: dict[str, list[float]] = {}
+    run_times: dict[str, list[Figure]] = {}
     # The numbers of the confirmed orders, by host.
     vacated: dict[str, str] = {}
 
@@ -116,9 +118,9 @@
     pool: str
     # Unix time in milliseconds, as clocks of planners on other hosts differ
     # by less than turns do.
-    began_ms: int
+    began_ms: Integer
     # The largest work that arrived in a second, in thousandths of a core.
-    peak_cpu: int = 0
+    peak_cpu: Integer = 0
 
 
 class TurnsRecord(msgspec.Struct, omit_defaults=True):
@@ -134,7 +136,7 @@
     pool: str
     # The pool to move the host to; empty for maintenance.
     target: str = ""
-    wave: int = 0
+    wave: Integer = 0
     # The call may have been sent, so it must be retried until it is answered.
     sent: bool = False
 
@@ -142,14 +144,14 @@
 class PlanRecord(msgspec.Struct, omit_defaults=True):
     """The planner's open orders and the progress of maintenance waves."""
 
-    term: int
+    term: Integer
     orders: dict[str, DrainOrder] = {}
     # Stored in a row for each wave, the `WaveRecord`: the maintained hosts by
     # wave, the waves that were published as completed, and their ages.
     maintained: dict[str, list[str]] = {}
-    completed: list[int] = []
+    completed: list[Integer] = []
     # Unix times in milliseconds at which waves were first seen, by wave.
-    seen_ms: dict[str, int] = {}
+    seen_ms: dict[str, Integer] = {}
     # Stored in a row of their own, the `TurnsRecord`.
     turns: list[Turn] = []
 
@@ -161,7 +163,7 @@
     # The wave was published as completed.
     is_completed: bool = False
     # Unix time in milliseconds at which it was first seen; 0 if unknown.
-    seen_ms: int = 0
+    seen_ms: Integer = 0
 
 
 class HostCall:
@@ -176,39 +178,24 @@
 
 def decode_summary(value: bytes) -> SummaryRecord | None:
     """Return the decoded summary, or None if the value is invalid."""
-    try:
-        return msgspec.json.decode(value, type=SummaryRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, SummaryRecord).value_or(None)
 
 
 def decode_hosts(value: bytes) -> HostsRecord | None:
     """Return the decoded loads of hosts, or None if the value is invalid."""
-    try:
-        return msgspec.json.decode(value, type=HostsRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, HostsRecord).value_or(None)
 
 
 def decode_plan(value: bytes) -> PlanRecord | None:
     """Return the decoded plan, or None if the value is invalid."""
-    try:
-        return msgspec.json.decode(value, type=PlanRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, PlanRecord).value_or(None)
 
 
 def decode_wave_record(value: bytes) -> WaveRecord | None:
     """Return the decoded progress of a wave, or None if it is invalid."""
-    try:
-        return msgspec.json.decode(value, type=WaveRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, WaveRecord).value_or(None)
 
 
 def decode_turns(value: bytes) -> TurnsRecord | None:
     """Return the decoded turns, or None if the value is invalid."""
-    try:
-        return msgspec.json.decode(value, type=TurnsRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, TurnsRecord).value_or(None)
--- a/lycheelug/http/client.py
+++ b/lycheelug/http/client.py
@@ -147,7 +147,7 @@
             _, connection = await loop.create_connection(
                 make_connection, host.strip("[]"), int(port)
             )
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, OverflowError) as error:
         detail = str(error) or "timed out"
         return Failure(
             ExchangeFault(
--- a/lycheelug/job_recovery.py
+++ b/lycheelug/job_recovery.py
@@ -15,6 +15,7 @@
 
 from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
 from lycheelug.job_records import RUNNING_PREFIX
+from lycheelug.logs import log_change
 from lycheelug.records import ENTRY_PREFIX, EntryRow, decode
 
 if TYPE_CHECKING:
@@ -49,7 +50,16 @@
     for row in entries.rows:
         if row.value is None:
             continue
-        entry = decode(row.value, EntryRow)
+        decoded = decode(row.value, EntryRow)
+        if isinstance(decoded, Failure):
+            # Any of the daemon's runs may be alive.
+            name = row.key.removeprefix(ENTRY_PREFIX)
+            owners = {
+                owner for owner in owners if owner.rpartition(".")[0] != name
+            }
+            log_change("row-unreadable", key=row.key, error=decoded.failure())
+            continue
+        entry = decoded.unwrap()
         if entry.address:
             owners.discard(f"{entry.name}.{entry.run}")
     return Success(sorted(owners))
--- a/lycheelug/job_table.py
+++ b/lycheelug/job_table.py
@@ -10,9 +10,9 @@
 
 from typing import TYPE_CHECKING, Final
 
-import msgspec
 from returns.result import Failure, Result, Success
 
+from lycheelug.decoding import decode_msgpack
 from lycheelug.errors import (
     PLATFORM_INVALID,
     PLATFORM_UNKNOWN,
@@ -156,12 +156,11 @@
                 pass
             case Failure(fault):
                 return Failure(fault)
-        try:
-            request = msgspec.msgpack.decode(data, type=JobRequest)
-        except msgspec.DecodeError as error:
-            detail = str(error)
+        request = decode_msgpack(data, JobRequest)
+        if isinstance(request, Failure):
+            detail = request.failure()
             return Failure(job_fault(PLATFORM_INVALID, Step.READ, detail))
-        return Success(request)
+        return Success(request.unwrap())
 
     async def _back_off(self, attempt: int) -> None:
         delay_s = FIRST_BACKOFF_S * 2.0 ** (attempt - 1)
@@ -172,10 +171,7 @@
     """Return the decoded row of a job, or None if it is invalid."""
     if row.value is None:
         return None
-    try:
-        return decode(row.value, JobRow)
-    except msgspec.DecodeError:
-        return None
+    return decode(row.value, JobRow).value_or(None)
 
 
 def job_fault(code: ErrorCode, step: Step, detail: str) -> Fault:
--- a/lycheelug/job_views.py
+++ b/lycheelug/job_views.py
@@ -9,7 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from lycheelug.errors import REVISION_FORGOTTEN
@@ -140,16 +139,11 @@
 def _decode_waiting(row: Row) -> WaitingRow | None:
     if row.value is None:
         return None
-    try:
-        return decode(row.value, WaitingRow)
-    except msgspec.DecodeError:
-        return None
+    return decode(row.value, WaitingRow).value_or(None)
 
 
 def _is_cancelled(row: Row) -> bool:
     if row.value is None:
         return False
-    try:
-        return decode(row.value, RunningRow).cancel_wanted
-    except msgspec.DecodeError:
-        return False
+    running = decode(row.value, RunningRow).value_or(None)
+    return running is not None and running.cancel_wanted
--- a/lycheelug/jobs.py
+++ b/lycheelug/jobs.py
@@ -30,6 +30,7 @@
 
 from lycheelug import job_transitions
 from lycheelug.claim_records import StoredAnswer, unpack_headers
+from lycheelug.decoding import decode_msgpack
 from lycheelug.errors import (
     JOB_CONFLICT,
     PLATFORM_UNREACHABLE,
@@ -348,7 +349,4 @@
 
 
 def _decode_answer(data: bytes) -> StoredAnswer | None:
-    try:
-        return msgspec.msgpack.decode(data, type=StoredAnswer)
-    except msgspec.DecodeError:
-        return None
+    return decode_msgpack(data, StoredAnswer).value_or(None)
--- a/lycheelug/jobservice/duty_membership.py
+++ b/lycheelug/jobservice/duty_membership.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from lycheelug.decoding import decode_json
 from lycheelug.logs import log_change
 from lycheelug.ownership import (
     CENSUS_KEY,
@@ -118,13 +119,11 @@
 
     def record_census(self, row: StoredRow) -> None:
         """Apply a new census."""
-        try:
-            self._census = msgspec.json.decode(
-                row.value or b"", type=CensusRecord
-            )
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        census = decode_json(row.value or b"", CensusRecord).value_or(None)
+        if census is None:
             log_change("row-unreadable", table=row.table, part=row.part)
             return
+        self._census = census
         self._census_at = self._clock.now()
 
     def record_owners_read(self) -> None:
--- a/lycheelug/jobservice/heartbeats.py
+++ b/lycheelug/jobservice/heartbeats.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns.result import Failure
 
+from lycheelug.decoding import decode_json
 from lycheelug.logs import log_change
 from lycheelug.ownership import DAEMONS_TABLE, HeartbeatRecord, Liveness
 from lycheelug.store.replica import TableReplica
@@ -292,9 +293,8 @@
             self._records.pop(row.key, None)
             self.liveness.remove(row.key)
             return
-        try:
-            heartbeat = msgspec.json.decode(row.value, type=HeartbeatRecord)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        heartbeat = decode_json(row.value, HeartbeatRecord).value_or(None)
+        if heartbeat is None:
             log_change("row-unreadable", table=row.table, key=row.key)
             return
         self._records[row.key] = heartbeat
--- a/lycheelug/jobservice/inspection.py
+++ b/lycheelug/jobservice/inspection.py
@@ -11,6 +11,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lycheelug.decoding import decode_json
 from lycheelug.fleetplan import SUMMARIES_TABLE
 from lycheelug.jobservice.plan_store import PlanStore
 from lycheelug.jobservice.summary import join_summaries
@@ -322,10 +323,7 @@
 
 def _decode(row: StoredRow, kind: type[T]) -> T | None:
     """Decode a row's record; return None for invalid bytes."""
-    try:
-        return msgspec.json.decode(row.value or b"", type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(row.value or b"", kind).value_or(None)
 
 
 def _job_view(
--- a/lycheelug/jobservice/owner_table.py
+++ b/lycheelug/jobservice/owner_table.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Success
 
+from lycheelug.decoding import decode_json
 from lycheelug.jobservice.tables import OWNER_ROW
 from lycheelug.logs import log_change
 from lycheelug.ownership import (
@@ -111,9 +112,8 @@
             return
         if row.key != OWNER_KEY or row.value is None:
             return
-        try:
-            record = msgspec.json.decode(row.value, type=OwnerRecord)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        record = decode_json(row.value, OwnerRecord).value_or(None)
+        if record is None:
             log_change("row-unreadable", table=row.table, part=row.part)
             return
         self._known[row.part] = (record, row.version)
--- a/lycheelug/jobservice/peer_directory.py
+++ b/lycheelug/jobservice/peer_directory.py
@@ -18,6 +18,7 @@
 import msgspec
 from returns.result import Failure
 
+from lycheelug.decoding import decode_json
 from lycheelug.logs import log_change
 from lycheelug.ownership import PEERS_TABLE, PeerRecord
 from lycheelug.store.rows import RowName
@@ -185,9 +186,8 @@
         """Add a row's address, or remove the row if it is too old."""
         if row.key == self._key or row.value is None:
             return
-        try:
-            record = msgspec.json.decode(row.value, type=PeerRecord)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        record = decode_json(row.value, PeerRecord).value_or(None)
+        if record is None:
             log_change("row-unreadable", table=row.table, key=row.key)
             return
         if self._clock.unix_ms() - record.at_ms < EXPIRY_S * 1000:
--- a/lycheelug/jobservice/tables.py
+++ b/lycheelug/jobservice/tables.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from lycheelug.decoding import Integer, decode_json
 from lycheelug.ownership import OWNER_KEY, OWNERS_TABLE
 from lycheelug.store.rows import RowName
 from lycheelug.workloads import JobRecord, ProgressRecord
@@ -44,7 +45,7 @@
     """An acknowledged cancel of a job."""
 
     # Unix time in milliseconds at the daemon that accepted it.
-    at_ms: int = 0
+    at_ms: Integer = 0
 
 
 def jobs_table(pool: str) -> str:
@@ -58,15 +59,9 @@
 
 def decode_job(value: bytes) -> JobRecord | None:
     """Decode a submission; return None for invalid bytes."""
-    try:
-        return msgspec.json.decode(value, type=JobRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, JobRecord).value_or(None)
 
 
 def decode_progress(value: bytes) -> ProgressRecord | None:
     """Decode a progress record; return None for invalid bytes."""
-    try:
-        return msgspec.json.decode(value, type=ProgressRecord)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, ProgressRecord).value_or(None)
--- a/lycheelug/jobservice/used_executors.py
+++ b/lycheelug/jobservice/used_executors.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from lycheelug.decoding import Amount, decode_json
 from lycheelug.jobservice.summary import host_of, is_in_use
 from lycheelug.store.rows import RowName
 from lycheelug.workloads import ExecutorInfo, Resources
@@ -42,8 +43,8 @@
 
     host: str
     address: str
-    capacity_cpu: int
-    capacity_memory: int
+    capacity_cpu: Amount
+    capacity_memory: Amount
 
     def info(self, executor_id: str, pool: str) -> ExecutorInfo:
         """Return the executor as if it had an entry."""
@@ -155,10 +156,7 @@
 
 def decode_used_executors(value: bytes) -> dict[str, UsedExecutor] | None:
     """Return the decoded executors, or None if the value is invalid."""
-    try:
-        return msgspec.json.decode(value, type=dict[str, UsedExecutor])
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
+    return decode_json(value, dict[str, UsedExecutor]).value_or(None)
 
 
 def _is_to_record(view: ExecutorView) -> bool:
--- a/lycheelug/ownership/records.py
+++ b/lycheelug/ownership/records.py
@@ -17,6 +17,8 @@
 
 import msgspec
 
+from lycheelug.decoding import Integer  # noqa: TC001
+
 __all__ = [
     "CENSUS_KEY",
     "CENSUS_PART",
@@ -46,7 +48,7 @@
     zone: str = ""
     # `ip:port` at which other daemons reach it; empty for none.
     address: str = ""
-    beat: int = 0
+    beat: Integer = 0
     # The daemon is stopping and takes no more duties.
     leaving: bool = False
     # The capacity of its host for duties, relative to other hosts.
@@ -59,7 +61,7 @@
     """The live members of the duty group, as one of them sees it."""
 
     # Rises with each census of one member.
-    number: int
+    number: Integer
     # The zone and address of each member.
     members: list[tuple[str, str]] = []
 
@@ -70,7 +72,7 @@
     name: str
     address: str
     # Unix time in milliseconds at which the daemon last wrote the row.
-    at_ms: int = 0
+    at_ms: Integer = 0
 
 
 class OwnerRecord(msgspec.Struct, omit_defaults=True):
@@ -79,10 +81,10 @@
     # The holder's name and incarnation; empty after the duty was released.
     holder: str
     incarnation: str
-    term: int
+    term: Integer
     # The daemon that should claim a released duty; empty for any.
     successor: str = ""
     # The number of holders in a row that were replaced as stalled.
-    stalled_before: int = 0
+    stalled_before: Integer = 0
     # The holder's `ip:port` for other daemons; empty for none.
     address: str = ""
--- a/lycheelug/plan_submit.py
+++ b/lycheelug/plan_submit.py
@@ -16,6 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheelug.errors import (
+    PLATFORM_INVALID,
     PLATFORM_UNKNOWN,
     SHEET_IMPOSSIBLE,
     SHEET_INVALID,
@@ -146,7 +147,13 @@
         if based_on:
             return Failure(_race_refusal(None, None, fleet))
         return Success(None)
-    current = decode(row.value, SheetRow)
+    decoded = decode(row.value, SheetRow)
+    if isinstance(decoded, Failure):
+        fault = Fault(
+            PLATFORM_INVALID, Step.READ, Peer.PLATFORM, decoded.failure()
+        )
+        return Failure(SheetRefused(fault))
+    current = decoded.unwrap()
     if submission.nonce in (current.nonce, *current.recent_nonces):
         return Success(SheetAccepted(row.revision, is_repeat=True))
     if row.revision > based_on:
--- a/lycheelug/platform/config.py
+++ b/lycheelug/platform/config.py
@@ -4,8 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
+from lycheelug.decoding import decode_json
 from lycheelug.fleetplan import MaintenanceWave
 from lycheelug.jobservice.interfaces import (
     Configuration,
@@ -32,9 +31,8 @@
 
 def decode_configuration(value: bytes) -> Configuration | None:
     """Return the decoded configuration, or None if the value is invalid."""
-    try:
-        message = msgspec.json.decode(value, type=ConfigMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    message = decode_json(value, ConfigMessage).value_or(None)
+    if message is None:
         return None
     routes: list[Route] = []
     for route in message.routes:
@@ -61,9 +59,8 @@
 
 def decode_wave(row: StoredRow) -> MaintenanceWave | None:
     """Return the decoded maintenance wave, or None if the row is invalid."""
-    try:
-        message = msgspec.json.decode(row.value or b"", type=WaveMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    message = decode_json(row.value or b"", WaveMessage).value_or(None)
+    if message is None:
         return None
     return MaintenanceWave(
         message.wave,
--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -14,6 +14,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lycheelug.decoding import decode_json, is_address
 from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
 from lycheelug.http import HttpClient, Request
 from lycheelug.jobservice.interfaces import (
@@ -29,7 +30,6 @@
     PlacementHintAnswer,
 )
 from lycheelug.workloads import (
-    EndKind,
     EndReport,
     ExecutorInfo,
     Resources,
@@ -69,12 +69,8 @@
 INCARNATION_HEADER: Final = b"expected-instance"
 STATUS_OTHER_INCARNATION: Final = 421
 
-PORTS: Final = 65_536
-
 IS_DRAINING_BY_STATE: Final = {"ready": False, "draining": True}
 
-END_KINDS: Final = {kind.value: kind for kind in EndKind}
-
 START_ANSWERS: Final = {
     "fence": StartAnswer.FENCED,
     "old": StartAnswer.REJECTED,
@@ -88,18 +84,16 @@
     """Return the decoded executor entry.
 
     The result is None if the row was removed, the entry is invalid, or it
-    has an unknown state or no port.
+    has an unknown state or no valid address.
     """
     if row.value is None:
         return None
-    try:
-        entry = msgspec.json.decode(row.value, type=EntryMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    entry = decode_json(row.value, EntryMessage).value_or(None)
+    if entry is None:
         return None
-    _, separator, port = entry.address.rpartition(":")
-    if entry.state not in IS_DRAINING_BY_STATE or not separator:
+    if entry.state not in IS_DRAINING_BY_STATE:
         return None
-    if not (port.isascii() and port.isdigit() and int(port) < PORTS):
+    if not is_address(entry.address):
         return None
     leaves_in_s = None
     if entry.remaining_ms is not None:
@@ -281,12 +275,8 @@
         answer = result.unwrap()
         message = None
         if answer.status == 200:
-            try:
-                message = msgspec.json.decode(
-                    answer.body, type=PlacementHintAnswer
-                )
-            except (msgspec.DecodeError, UnicodeDecodeError):
-                message = None
+            decoded = decode_json(answer.body, PlacementHintAnswer)
+            message = decoded.value_or(None)
         if message is None:
             return Failure(
                 Fault(
@@ -360,64 +350,38 @@
 
 def _decode_order(answer: Answer) -> OrderAnswer:
     """Return the decoded answer to an order, or an empty one if invalid."""
-    try:
-        return msgspec.json.decode(answer.body, type=OrderAnswer)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return OrderAnswer()
+    return decode_json(answer.body, OrderAnswer).value_or(OrderAnswer())
 
 
 def _decode_report(body: bytes) -> TaskReport | None:
-    """Return the decoded task report, or None if it is invalid."""
-    try:
-        message = msgspec.json.decode(body, type=HoldAnswer)
-        running = [_decode_run(entry) for entry in message.running]
-        ended = [_decode_end(entry) for entry in message.ended]
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        ValueError,
-        TypeError,
-        OverflowError,
-        IndexError,
-        KeyError,
-    ):
-        # Without one entry a run that goes on would look as if it had ended,
-        # so the whole report is invalid.
-        return None
-    return TaskReport(
-        message.clock_ms,
-        message.born,
-        [run for run in running if run is not None],
-        [end for end in ended if end is not None],
-    )
+    """Return the decoded task report, or None if it is invalid.
 
-
-def _decode_run(values: list[Any]) -> RunReport | None:
-    """Decode a running entry: task, run, checkpoint, percent and load.
-
-    The load may be missing.  The result is None for an invalid task name.
+    Without one entry a run that goes on would look as if it had ended, so an
+    invalid entry makes the whole report invalid.  Runs with an invalid task
+    name are left out.
     """
-    task = TaskName.parse(str(values[0]))
-    if task is None:
+    message = decode_json(body, HoldAnswer).value_or(None)
+    if message is None:
         return None
-    load = int(values[4]) if len(values) > 4 else 0
-    return RunReport(
-        task, int(values[1]), str(values[2]), int(values[3]), load
-    )
-
-
-def _decode_end(values: list[Any]) -> EndReport | None:
-    """Decode an ended entry: number, task, run, kind and checkpoint.
-
-    The result is None for an invalid task name.
-    """
-    task = TaskName.parse(str(values[1]))
-    if task is None:
-        return None
-    return EndReport(
-        int(values[0]),
-        task,
-        int(values[2]),
-        END_KINDS[values[3]],
-        str(values[4]),
-    )
+    report = TaskReport(message.clock_ms, message.born, [], [])
+    for run in message.running:
+        task = TaskName.parse(run.task)
+        if task is None:
+            continue
+        report.running.append(
+            RunReport(
+                task,
+                run.run,
+                run.checkpoint,
+                int(run.percent),
+                int(run.load),
+            )
+        )
+    for end in message.ended:
+        task = TaskName.parse(end.task)
+        if task is None:
+            continue
+        report.ended.append(
+            EndReport(end.number, task, end.run, end.kind, end.checkpoint)
+        )
+    return report
--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lycheelug.decoding import decode_json
 from lycheelug.errors import (
     PLATFORM_INVALID,
     PLATFORM_UNREACHABLE,
@@ -21,7 +22,13 @@
     HostAnswer,
     HostControl,
 )
-from lycheelug.platform.wire import MachinesAnswer, OrderAnswer
+from lycheelug.logs import log_change
+from lycheelug.platform.wire import (
+    MachineMessage,
+    MachineName,
+    MachinesAnswer,
+    OrderAnswer,
+)
 from lycheelug.store.rows import RowName
 from lycheelug.store.traffic import StoreTraffic
 from lycheelug.workloads import Resources
@@ -31,7 +38,7 @@
 
     from returns.result import Result
 
-    from lycheelug.platform.wire import MachineMessage
+    from lycheelug.errors import ErrorCode
     from lycheelug.store.rows import RowStore
 
 __all__ = ["PlatformHosts"]
@@ -98,20 +105,19 @@
             self._traffic.record(HOST_LIST, 0, len(answer.body))
             if answer.status != 200:
                 return Failure(self._fault(f"status {answer.status}"))
-            try:
-                page = msgspec.json.decode(answer.body, type=MachinesAnswer)
-            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            decoded = decode_json(answer.body, MachinesAnswer)
+            if isinstance(decoded, Failure):
                 return Failure(
-                    Fault(
-                        PLATFORM_INVALID,
-                        Step.READ,
-                        Peer.PLATFORM,
-                        str(error),
-                        self._address,
-                    )
+                    self._fault(decoded.failure(), PLATFORM_INVALID)
                 )
-            for message in page.machines:
-                found.append(_decode_host(message))
+            page = decoded.unwrap()
+            for raw in page.machines:
+                host = _decode_host(raw)
+                if isinstance(host, Failure):
+                    return Failure(
+                        self._fault(host.failure(), PLATFORM_INVALID)
+                    )
+                found.append(host.unwrap())
             token = page.next_token or None
         return Success(found)
 
@@ -166,16 +172,17 @@
             return HostAnswer.REFUSED
         if answer.status != 409:
             return HostAnswer.NO_ANSWER
-        try:
-            reply = msgspec.json.decode(answer.body, type=OrderAnswer)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        reply = decode_json(answer.body, OrderAnswer).value_or(None)
+        if reply is None:
             return HostAnswer.NO_ANSWER
         return ANSWERS_BY_REASON.get(reply.reason, HostAnswer.NO_ANSWER)
 
-    def _fault(self, detail: str) -> Fault:
+    def _fault(
+        self, detail: str, code: ErrorCode = PLATFORM_UNREACHABLE
+    ) -> Fault:
         """Return the fault of a call that returned no host list."""
         return Fault(
-            PLATFORM_UNREACHABLE,
+            code,
             Step.READ,
             Peer.PLATFORM,
             detail,
@@ -183,18 +190,33 @@
         )
 
 
-def _decode_host(message: MachineMessage) -> HostInfo:
-    """Convert a host from the platform's representation."""
+def _decode_host(raw: bytes) -> Result[HostInfo, str]:
+    """Return a host of the platform's list, or why it can't be used.
+
+    Of an invalid entry, only the name is used: without the host, a wave that
+    includes it could look completed.
+    """
+    decoded = decode_json(raw, MachineMessage)
+    if isinstance(decoded, Failure):
+        name = decode_json(raw, MachineName)
+        if isinstance(name, Failure):
+            return Failure(name.failure())
+        host = name.unwrap().machine
+        log_change("host-unreadable", host=host, error=decoded.failure())
+        return Success(HostInfo(host, "", HostState.DOWN))
+    message = decoded.unwrap()
     capacity = None
     if message.capacity is not None:
         listed = message.capacity
         capacity = Resources(listed.cpu, listed.mem_mb, listed.gpu)
-    return HostInfo(
-        message.machine,
-        message.pool,
-        STATES_BY_NAME.get(message.state, HostState.DOWN),
-        zone=message.zone,
-        labels=tuple(message.labels),
-        capacity=capacity,
-        executor_id=message.id or "",
+    return Success(
+        HostInfo(
+            message.machine,
+            message.pool,
+            STATES_BY_NAME.get(message.state, HostState.DOWN),
+            zone=message.zone,
+            labels=tuple(message.labels),
+            capacity=capacity,
+            executor_id=message.id or "",
+        )
     )
--- a/lycheelug/platform/ingress.py
+++ b/lycheelug/platform/ingress.py
@@ -11,8 +11,13 @@
 import string
 from typing import TYPE_CHECKING, Final
 
-import msgspec
+from returns.result import Failure
 
+from lycheelug.decoding import (
+    DEPTH_MAX,
+    decode_json,
+    deepest_field,
+)
 from lycheelug.http import Answer, find_header, json_answer
 from lycheelug.jobservice.submissions import Reply, ReplyKind
 from lycheelug.logs import log_change
@@ -139,10 +144,13 @@
     body: bytes, queue: str, unix_ms: int, limits: JobLimits | None = None
 ) -> JobRecord | str:
     """Return the submitted job, or an error message if it is invalid."""
-    try:
-        message = msgspec.json.decode(body, type=JobMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return f"the body is not a valid job: {error}"
+    decoded = decode_json(body, JobMessage)
+    if isinstance(decoded, Failure):
+        field = deepest_field(body)
+        if field:
+            return f"{field}: nested too deeply; nest up to {DEPTH_MAX} levels"
+        return f"the body is not a valid job: {decoded.failure()}"
+    message = decoded.unwrap()
     if len(message.spec.encode()) > SPEC_BYTES_MAX:
         return f"spec: over {SPEC_BYTES_MAX} bytes; shorten it"
     steps: list[StepSpec] = []
--- a/lycheelug/platform/store.py
+++ b/lycheelug/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lycheelug.decoding import decode_json
 from lycheelug.errors import (
     PLATFORM_INVALID,
     PLATFORM_UNKNOWN,
@@ -123,7 +124,7 @@
         answer = called.unwrap()
         if answer.status not in (STATUS_OK, STATUS_CONFLICT):
             return Failure(self._rejected(answer, Step.WRITE))
-        rows = _decode(answer.body, RowsAnswer)
+        rows = decode_json(answer.body, RowsAnswer).value_or(None)
         if rows is None:
             return Failure(
                 self._fault(PLATFORM_UNKNOWN, Step.WRITE, "invalid answer")
@@ -194,7 +195,7 @@
             return Success(HistoryGone())
         if answer.status != STATUS_OK:
             return Failure(self._rejected(answer, Step.READ))
-        rows = _decode(answer.body, RowsAnswer)
+        rows = decode_json(answer.body, RowsAnswer).value_or(None)
         if rows is None:
             return Failure(
                 self._fault(PLATFORM_INVALID, Step.READ, "invalid answer")
@@ -235,7 +236,7 @@
         answer = called.unwrap()
         if answer.status != STATUS_OK:
             return Failure(self._rejected(answer, Step.READ))
-        message = _decode(answer.body, kind)
+        message = decode_json(answer.body, kind).value_or(None)
         if message is None:
             return Failure(
                 self._fault(PLATFORM_INVALID, Step.READ, "invalid answer")
@@ -283,14 +284,6 @@
         return Fault(code, step, Peer.PLATFORM, detail, self._client.address)
 
 
-def _decode(body: bytes, kind: type[T]) -> T | None:
-    """Return the decoded message, or None if it is invalid."""
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError):
-        return None
-
-
 def _to_rows(messages: list[RowMessage]) -> list[StoredRow]:
     """Convert rows, whose base64 values are already decoded."""
     rows: list[StoredRow] = []
--- a/lycheelug/platform/wire.py
+++ b/lycheelug/platform/wire.py
@@ -7,9 +7,19 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated, Final
 
 import msgspec
+from msgspec import Meta
+
+from lycheelug.decoding import (
+    Amount,  # noqa: TC001
+    DurationMs,  # noqa: TC001
+    Figure,  # noqa: TC001
+    Integer,  # noqa: TC001
+    UnixMs,  # noqa: TC001
+)
+from lycheelug.workloads import EndKind  # noqa: TC001
 
 __all__ = [
     "ConfigMessage",
@@ -17,6 +27,7 @@
     "HoldAnswer",
     "JobMessage",
     "MachineMessage",
+    "MachineName",
     "MachinesAnswer",
     "OrderAnswer",
     "PartsAnswer",
@@ -28,6 +39,16 @@
     "WaveMessage",
 ]
 
+# The longest name of a zone, pool, host or label.  Names are parts of rows
+# and of log lines.
+NAME_LENGTH_MAX: Final = 200
+LABELS_MAX: Final = 100
+# The longest address: a host name, a colon and a port.
+ADDRESS_LENGTH_MAX: Final = 260
+CHECKPOINT_LENGTH_MAX: Final = 4_000
+
+Name = Annotated[str, Meta(max_length=NAME_LENGTH_MAX)]
+
 
 class RowMessage(msgspec.Struct, omit_defaults=True):
     """One row, or the condition that a row has a given version."""
@@ -36,7 +57,7 @@
     part: str
     key: str
     value: bytes | None = None
-    row_version: int | None = None
+    row_version: Integer | None = None
     # The row was removed.
     tombstone: bool = False
 
@@ -56,9 +77,9 @@
     """
 
     rows: list[RowMessage] = []
-    row_version: int = 0
+    row_version: Integer = 0
     has_more: bool = False
-    now_ms: int = 0
+    now_ms: Integer = 0
 
 
 class PartsAnswer(msgspec.Struct):
@@ -71,41 +92,61 @@
 class CapacityMessage(msgspec.Struct):
     """The capacity of a host or executor."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
 
 
 class EntryMessage(msgspec.Struct):
     """An executor's entry in the store."""
 
-    service: str
-    address: str
+    service: Name
+    address: Annotated[str, Meta(max_length=ADDRESS_LENGTH_MAX)]
     state: str
     capacity: CapacityMessage
-    zone: str = ""
-    labels: list[str] = []
-    machine: str = ""
-    born: int = 0
-    remaining_ms: int | None = None
-    cold_left_ms: int = 0
-    clock_ms: int | None = None
+    zone: Name = ""
+    labels: Annotated[list[Name], Meta(max_length=LABELS_MAX)] = []
+    machine: Name = ""
+    born: UnixMs = 0
+    remaining_ms: DurationMs | None = None
+    cold_left_ms: DurationMs = 0
+    clock_ms: Integer | None = None
 
 
 class OrderAnswer(msgspec.Struct):
     """The answer to an order: a start, a stop, a move or maintenance."""
 
-    clock_ms: int | None = None
+    clock_ms: UnixMs | None = None
     reason: str = ""
 
 
+class RunMessage(msgspec.Struct, array_like=True):
+    """An active run in a task report; the load may be missing."""
+
+    task: Name
+    run: Integer
+    checkpoint: Annotated[str, Meta(max_length=CHECKPOINT_LENGTH_MAX)]
+    percent: Figure
+    load: Figure = 0.0
+
+
+class EndMessage(msgspec.Struct, array_like=True):
+    """An ended run in a task report."""
+
+    number: UnixMs
+    task: Name
+    run: Integer
+    kind: EndKind
+    checkpoint: Annotated[str, Meta(max_length=CHECKPOINT_LENGTH_MAX)]
+
+
 class HoldAnswer(msgspec.Struct):
-    """An executor's task report; its entries are arrays."""
+    """An executor's task report."""
 
-    clock_ms: int
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
-    born: int = 0
+    clock_ms: UnixMs
+    running: list[RunMessage] = []
+    ended: list[EndMessage] = []
+    born: UnixMs = 0
 
 
 class StepMessage(msgspec.Struct):
@@ -152,11 +193,11 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: int = 0
-    slo_ms: int = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: Integer = 0
+    slo_ms: Integer = 0
+    priority: Integer = 0
+    max_attempts: Integer = 1
+    stretch: Figure = 1.0
     hint: msgspec.Raw | None = None
 
 
@@ -171,7 +212,7 @@
 class ConfigMessage(msgspec.Struct):
     """The whole configuration."""
 
-    version: int
+    version: Integer
     routes: list[RouteMessage] = []
     services: list[ServiceMessage] = []
 
@@ -179,28 +220,34 @@
 class WaveMessage(msgspec.Struct):
     """A maintenance wave; `cap` limits the hosts maintained concurrently."""
 
-    wave: int
+    wave: Integer
     machines: list[str]
     deadline_s: float
-    cap: int
+    cap: Integer
 
 
 class MachineMessage(msgspec.Struct):
     """One host; `id` is the executor that currently runs on it."""
 
-    machine: str
-    pool: str
+    machine: Name
+    pool: Name
     state: str
-    zone: str = ""
-    labels: list[str] = []
+    zone: Name = ""
+    labels: Annotated[list[Name], Meta(max_length=LABELS_MAX)] = []
     capacity: CapacityMessage | None = None
-    id: str | None = None
+    id: Name | None = None
+
+
+class MachineName(msgspec.Struct):
+    """What is used of a host whose other fields are invalid."""
+
+    machine: Name
 
 
 class MachinesAnswer(msgspec.Struct):
-    """One page of hosts."""
+    """One page of hosts, each decoded separately."""
 
-    machines: list[MachineMessage]
+    machines: list[msgspec.Raw]
     next_token: str | None = None
 
 
@@ -208,4 +255,4 @@
     """The executors that may run a step, as pairs of id and ticket."""
 
     allowed: list[tuple[str, str]] = []
-    valid_ms: int = 0
+    valid_ms: DurationMs = 0
--- a/lycheelug/records.py
+++ b/lycheelug/records.py
@@ -8,10 +8,15 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import Final, TypeVar
+from typing import TYPE_CHECKING, Final, TypeVar
 
 import msgspec
 
+from lycheelug.decoding import decode_json
+
+if TYPE_CHECKING:
+    from returns.result import Result
+
 __all__ = [
     "CONFIG_KEY",
     "ENTRY_EPOCH_KEY",
@@ -176,6 +181,6 @@
     return msgspec.json.encode(row)
 
 
-def decode(data: bytes, kind: type[R]) -> R:
-    """Decode a stored row; raise msgspec.DecodeError if it is invalid."""
-    return msgspec.json.decode(data, type=kind)
+def decode(data: bytes, kind: type[R]) -> Result[R, str]:
+    """Return the decoded row, or the reason why it is invalid."""
+    return decode_json(data, kind)
--- a/lycheelug/relay/channels.py
+++ b/lycheelug/relay/channels.py
@@ -12,10 +12,12 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
-import msgspec
 from grpclib.client import Channel, UnaryStreamMethod, UnaryUnaryMethod
+from grpclib.const import Status
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from returns.result import Failure
 
+from lycheelug.decoding import decode_msgpack
 from lycheelug.entries.codec import MessagePackCodec
 from lycheelug.relay.messages import ReplyChunk
 
@@ -47,10 +49,10 @@
     OSError,
     TimeoutError,
     ValueError,
+    OverflowError,
     GRPCError,
     StreamTerminatedError,
     ProtocolError,
-    msgspec.MsgspecError,
 )
 
 
@@ -137,7 +139,10 @@
                     async for chunk in stream:
                         data += chunk.data
                         limit.reschedule(loop.time() + CHUNK_TIMEOUT_S)
-            return msgspec.msgpack.decode(bytes(data), type=reply)
+            decoded = decode_msgpack(bytes(data), reply)
+            if isinstance(decoded, Failure):
+                raise GRPCError(Status.DATA_LOSS, decoded.failure())
+            return decoded.unwrap()
 
         return await self._call(address, make, timeout_s, BULK_TIMEOUT_S)
 
--- a/lycheelug/runtime_config.py
+++ b/lycheelug/runtime_config.py
@@ -10,6 +10,9 @@
 
 import msgspec
 from msgspec import Meta
+from returns.result import Failure
+
+from lycheelug.decoding import decode_json
 
 if TYPE_CHECKING:
     from lycheelug.settings import Settings
@@ -43,10 +46,10 @@
     >>> validate_body(b'{"max_tries": 0}')
     'Expected `int` >= 1 - at `$.max_tries`'
     """
-    try:
-        config = msgspec.json.decode(body, type=RuntimeConfig)
-    except msgspec.MsgspecError as error:
-        return str(error)
+    decoded = decode_json(body, RuntimeConfig)
+    if isinstance(decoded, Failure):
+        return str(decoded.failure())
+    config = decoded.unwrap()
     default_s = config.default_deadline_s
     max_s = config.max_deadline_s
     if default_s is None or max_s is None or default_s <= max_s:
@@ -77,7 +80,7 @@
         """Apply a validated body to the settings."""
         config = self._base
         if body:
-            config = msgspec.json.decode(body, type=RuntimeConfig)
+            config = decode_json(body, RuntimeConfig).unwrap()
         limits = self._settings.limits
         limits.max_queued = _value_or(config.max_queued, self._base.max_queued)
         limits.default_deadline_s = _value_or(
--- a/lycheelug/store/codec.py
+++ b/lycheelug/store/codec.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from lycheelug.decoding import Amount, Integer  # noqa: TC001
 from lycheelug.errors import (
     HOST_NOT_DRAINED,
     REVISION_FORGOTTEN,
@@ -74,7 +75,7 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Integer
 
     @classmethod
     def of(cls, row: Row) -> RowMessage:
@@ -96,7 +97,7 @@
     """The answer to a read of a prefix."""
 
     rows: list[RowMessage]
-    revision: int
+    revision: Integer
 
     @classmethod
     def of(cls, delta: Delta) -> DeltaMessage:
@@ -113,7 +114,7 @@
     """One condition of a transaction."""
 
     key: str
-    revision: int
+    revision: Integer
 
 
 class WriteMessage(msgspec.Struct, array_like=True):
@@ -151,7 +152,7 @@
 class TransactionAnswer(msgspec.Struct):
     """The result of a transaction; `conflicts` is None for a commit."""
 
-    revision: int
+    revision: Integer
     conflicts: list[str] | None = None
 
     @classmethod
@@ -177,8 +178,8 @@
     address: str
     role: HostRole = HostRole.WORKER
     state: HostState = HostState.LIVE
-    cores: int = 0
-    memory_mb: int = 0
+    cores: Amount = 0
+    memory_mb: Amount = 0
 
     @classmethod
     def of(cls, entry: HostEntry) -> HostMessage:
@@ -212,7 +213,7 @@
     """A part of the host list; requests don't use the revision."""
 
     hosts: list[HostMessage]
-    revision: int = 0
+    revision: Integer = 0
 
     @classmethod
     def of(cls, delta: HostDelta) -> HostsMessage:
--- a/lycheelug/store/http.py
+++ b/lycheelug/store/http.py
@@ -20,6 +20,7 @@
 import msgspec
 from returns.result import Failure, Success
 
+from lycheelug.decoding import decode_json
 from lycheelug.errors import (
     ANSWER_TRUNCATED,
     PLATFORM_INVALID,
@@ -288,10 +289,7 @@
 
     def _decode(self, answer: Answer, kind: type[T]) -> T | None:
         """Return an answer's decoded message, or None if it is invalid."""
-        try:
-            return msgspec.json.decode(answer.body, type=kind)
-        except msgspec.DecodeError:
-            return None
+        return decode_json(answer.body, kind).value_or(None)
 
     def _reported_fault(self, answer: Answer, step: Step) -> Fault | None:
         """Return the fault that the platform itself reports, if any."""
--- a/lycheelug/traces.py
+++ b/lycheelug/traces.py
@@ -16,6 +16,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from lycheelug.decoding import MALFORMED
 from lycheelug.errors import TRACE_INVALID, Fault, Peer, Step
 from lycheelug.requests import RequestClass  # noqa: TC001 (msgspec reads it)
 
@@ -274,7 +275,7 @@
         return _DECODER.decode(line)
     except msgspec.ValidationError as error:
         raise _FieldError(*_field_and_problem(str(error))) from error
-    except msgspec.DecodeError as error:
+    except MALFORMED as error:
         raise _FieldError("", f"not JSON ({error})") from error
 
 
--- a/lycheelug/workloads/model.py
+++ b/lycheelug/workloads/model.py
@@ -9,12 +9,15 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum
 from functools import cached_property
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import msgspec
 
+from lycheelug.decoding import Integer  # noqa: TC001
+
 __all__ = [
     "FailureCause",
     "JobRecord",
@@ -28,6 +31,10 @@
     "is_long_running",
 ]
 
+# A job, and numbers as `TaskName.render` writes them.
+_NUMBER: Final = r"(0|[1-9][0-9]{0,17})"
+_TASK_NAME: Final = re.compile(rf"(.*)\.{_NUMBER}\.{_NUMBER}\.{_NUMBER}")
+
 
 class Resources(NamedTuple):
     """An amount of CPU (thousandths of a core), memory (MB) and GPUs."""
@@ -101,7 +108,7 @@
     payload: str
     steps: list[StepSpec]
     # Unix time in milliseconds, by the clock of the accepting daemon.
-    accepted_ms: int = 0
+    accepted_ms: Integer = 0
     schedule: Occurrences | None = None
 
     @property
@@ -190,14 +197,10 @@
     @classmethod
     def parse(cls, text: str) -> TaskName | None:
         """Parse the text form; return None if it is malformed."""
-        parts = text.rsplit(".", 3)
-        if len(parts) != 4:
-            return None
-        try:
-            numbers = [int(part) for part in parts[1:]]
-        except ValueError:
+        found = _TASK_NAME.fullmatch(text)
+        if found is None:
             return None
-        return cls(parts[0], *numbers)
+        return cls(found[1], *map(int, found.groups()[1:]))
 
     def render(self) -> str:
         """Return the text form."""
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from lycheelug.decoding import Integer  # noqa: TC001
 from lycheelug.workloads.crash_records import CrashRecord  # noqa: TC001
 from lycheelug.workloads.model import JobState
 
@@ -27,31 +28,31 @@
 
     # Term of the owner that stored this mark before it first started a task
     # of the job; 0 if no task can have been started yet.
-    begun_term: int = 0
+    begun_term: Integer = 0
     state: str = JobState.QUEUED
     # Indexes of the finished tasks, keyed by `occurrence.step`.
-    done: dict[str, list[int]] = {}
+    done: dict[str, list[Integer]] = {}
     # Number of failed runs, keyed by `occurrence.step.index`.
-    failures: dict[str, int] = {}
+    failures: dict[str, Integer] = {}
     # The runs counted as failed, with the same keys.  If the owner changes
     # after an end was stored and before it was acknowledged, the executor
     # reports that end again to the next owner.  Executors report in any
     # order, so a lower run may be reported after a higher one.
-    counted_runs: dict[str, list[int]] = {}
+    counted_runs: dict[str, list[Integer]] = {}
     # Newest checkpoint, keyed by `occurrence.step.index`.
     checkpoints: dict[str, str] = {}
     # Occurrences whose tasks are all done; they have no entries in `done`.
-    finished: list[int] = []
+    finished: list[Integer] = []
     # All occurrences below this one are finished too.
-    finished_below: int = 0
+    finished_below: Integer = 0
     # Unix time in milliseconds at which the state became final.
-    final_ms: int = 0
+    final_ms: Integer = 0
     # Why the job was set aside: it can't be scheduled, or crashes executors.
     reason: str = ""
     # Executors that were lost under unfinished tasks, keyed like `failures`.
     crashes: dict[str, list[CrashRecord]] = {}
     # Executors reserved for the job, with their start times as above.
-    reserved: dict[str, int] = {}
+    reserved: dict[str, Integer] = {}
 
     @property
     def lost_executors(self) -> list[str]:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -135,7 +135,7 @@
         row = (await platform.read(entry_key(name))).unwrap()
         assert row is not None
         assert row.value is not None
-        entry = decode(row.value, EntryRow)
+        entry = decode(row.value, EntryRow).unwrap()
         await remove_entry(platform, entry, random.Random(name))
         await platform.close()
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -130,12 +130,16 @@
 
     def hosts(self) -> dict[str, HostRow]:
         rows = self.platform.rows(HOST_PREFIX)
-        found = [decode(row.value, HostRow) for row in rows if row.value]
+        found = [
+            decode(row.value, HostRow).unwrap() for row in rows if row.value
+        ]
         return {row.name: row for row in found}
 
     def pools(self) -> dict[str, PoolRow]:
         rows = self.platform.rows(POOL_PREFIX)
-        found = [decode(row.value, PoolRow) for row in rows if row.value]
+        found = [
+            decode(row.value, PoolRow).unwrap() for row in rows if row.value
+        ]
         return {row.name: row for row in found}
 
     def apply(
--- a/tests/test_proof_fleet.py
+++ b/tests/test_proof_fleet.py
@@ -186,7 +186,7 @@
         for stored in delta.unwrap().rows:
             if stored.value is None:
                 continue
-            row = decode(stored.value, HostRow)
+            row = decode(stored.value, HostRow).unwrap()
             assert row.name not in rows, "a host has one row"
             rows[row.name] = row
             assert row.epoch >= self.epochs.get(row.name, 0)
@@ -196,7 +196,7 @@
         for stored in pools.unwrap().rows:
             if stored.value is None:
                 continue
-            pool = decode(stored.value, PoolRow)
+            pool = decode(stored.value, PoolRow).unwrap()
             serving = [
                 row
                 for row in rows.values()
