Refuse odd numbers in the headers and queries of requests

What callers saw: a `Deadline-Ms` of 400 or 4,400 digits was answered 500, as was a submitted sheet or configuration that is based on a revision of 4,400 digits.

Cause: `isdigit` or `isdecimal` was followed by `int`, which raises ValueError for over 4,300 digits, or by a division, which raises OverflowError. Both also accept digits that are not ASCII.

`parse_number` reads up to 18 ASCII digits and nothing else.

Evidence, on: test_odd_deadline_is_no_deadline: OverflowError, ValueError ("Exceeds the limit (4300 digits)") and a deadline of 1e15 s; test_odd_revision_of_a_sheet_is_refused: two of three were passed on.

--- a/lycheelug/decoding.py
+++ b/lycheelug/decoding.py
@@ -31,6 +31,7 @@
     "decode_with",
     "deepest_field",
     "is_address",
+    "parse_number",
 ]
 
 T = TypeVar("T")
@@ -61,6 +62,7 @@
     RecursionError,
 )
 
+_NUMBER: Final = re.compile(r"[0-9]{1,18}")
 PORT_MAX: Final = 65_535
 _ADDRESS: Final = re.compile(
     r"(?:[0-9A-Za-z._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})"
@@ -115,6 +117,15 @@
     return found is not None and 1 <= int(found[1]) <= PORT_MAX
 
 
+def parse_number(text: str) -> int | None:
+    """Return a number of up to 18 ASCII digits; None for any other text.
+
+    >>> parse_number("1500"), parse_number("-1"), parse_number("9" * 5000)
+    (1500, None, None)
+    """
+    return int(text) if _NUMBER.fullmatch(text) else None
+
+
 def deepest_field(data: bytes) -> str:
     """Return the field of a JSON object that is nested too deeply, or "".
 
--- a/lycheelug/operators/config_routes.py
+++ b/lycheelug/operators/config_routes.py
@@ -9,6 +9,7 @@
 
 from lycheelug.config_outcome import Accepted, Refused, Undecided
 from lycheelug.configuration import new_nonce
+from lycheelug.decoding import parse_number
 from lycheelug.http import Answer, json_answer
 from lycheelug.operators.messages import ConfigReply
 from lycheelug.operators.routes import OperatorRequest, route
@@ -59,7 +60,7 @@
     outcome = await daemon.config_submitter.submit(
         nonce,
         request.body,
-        int(based_on) if based_on.isdecimal() else None,
+        parse_number(based_on),
         excused,
     )
     return _outcome_answer(nonce, outcome)
--- a/lycheelug/operators/sheet_routes.py
+++ b/lycheelug/operators/sheet_routes.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure
 
+from lycheelug.decoding import parse_number
 from lycheelug.entries.join import remove_entry
 from lycheelug.errors import (
     BAD_REQUEST,
@@ -69,9 +70,9 @@
     fleet = await daemon.plan.snapshot()
     if isinstance(fleet, Fault):
         return fault_answer(fleet)
-    based_on = request.query_parameter("based_on", "0")
+    based_on = parse_number(request.query_parameter("based_on", "0"))
     nonce = request.query_parameter("nonce")
-    if not based_on.isdecimal() or not nonce:
+    if based_on is None or not nonce:
         detail = "based_on must be a revision, and nonce must be given"
         return fault_answer(
             Fault(BAD_REQUEST, Step.PARSE, Peer.OPERATOR, detail)
@@ -82,7 +83,7 @@
         request.text,
         operator,
         nonce,
-        int(based_on),
+        based_on,
         fleet,
         time.time(),
     )
--- a/lycheelug/platform/ingress.py
+++ b/lycheelug/platform/ingress.py
@@ -17,6 +17,7 @@
     DEPTH_MAX,
     decode_json,
     deepest_field,
+    parse_number,
 )
 from lycheelug.http import Answer, find_header, json_answer
 from lycheelug.jobservice.submissions import Reply, ReplyKind
@@ -42,6 +43,8 @@
 DEADLINE_HEADER: Final = b"deadline-ms"
 # Used if a request has no valid deadline header.
 DEADLINE_DEFAULT_S: Final = 3.0
+# Callers that wait for longer are answered within this time.
+DEADLINE_MAX_S: Final = 3600.0
 # Answers are sent at least this long before the caller's deadline.
 ANSWER_MARGIN_S: Final = 0.1
 JOB_ID_LENGTH: Final = 16
@@ -203,10 +206,11 @@
 
     The result exceeds `ANSWER_MARGIN_S`, so that some time is left to answer.
     """
-    value = find_header(request.headers, DEADLINE_HEADER)
-    if value is None or not value.isdigit():
+    value = find_header(request.headers, DEADLINE_HEADER) or b""
+    deadline_ms = parse_number(value.decode("latin-1"))
+    if deadline_ms is None:
         return DEADLINE_DEFAULT_S
-    return max(2 * ANSWER_MARGIN_S, int(value) / 1000)
+    return max(2 * ANSWER_MARGIN_S, min(DEADLINE_MAX_S, deadline_ms / 1000))
 
 
 def _answer(reply: Reply, content: dict[str, object]) -> Answer:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,13 +7,16 @@
 import json
 import typing
 from pathlib import Path
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Annotated, Any, get_args, get_origin
+from urllib.parse import quote
 
 import msgspec
 import pytest
 from returns.result import Failure, Success
 
 import lycheelug
+from lycheelug.errors import BAD_REQUEST
 from lycheelug.fleetplan import HostState
 from lycheelug.fleetplan.records import (
     HOSTS_KEY,
@@ -44,6 +47,8 @@
     UsedExecutor,
     decode_used_executors,
 )
+from lycheelug.operators.routes import OperatorRequest
+from lycheelug.operators.sheet_routes import post_sheet
 from lycheelug.ownership.records import (
     CENSUS_KEY,
     CENSUS_PART,
@@ -62,6 +67,9 @@
 )
 from lycheelug.platform.hosts import PlatformHosts
 from lycheelug.platform.ingress import (
+    DEADLINE_DEFAULT_S,
+    DEADLINE_MAX_S,
+    _deadline_s,
     decode_job_message,
 )
 from lycheelug.platform.store import PlatformRows
@@ -457,3 +465,40 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against a number in a header or a query that is answered with an
+# internal error.
+@pytest.mark.parametrize(
+    ("value", "deadline_s"),
+    [
+        (b"", DEADLINE_DEFAULT_S),
+        (b"1500", 1.5),
+        (b"0", 0.2),
+        (b"-5", DEADLINE_DEFAULT_S),
+        (b"\xb2", DEADLINE_DEFAULT_S),
+        (b"9" * 18, DEADLINE_MAX_S),
+        (WIDER, DEADLINE_DEFAULT_S),
+        (WIDEST, DEADLINE_DEFAULT_S),
+    ],
+)
+def test_odd_deadline_is_no_deadline(value: bytes, deadline_s: float) -> None:
+    request = Request(b"GET", b"/", [(b"deadline-ms", value)])
+    assert _deadline_s(request) == deadline_s
+
+
+@pytest.mark.parametrize("based_on", ["1" * 4_400, "\u0661\u0662", "-1"])
+def test_odd_revision_of_a_sheet_is_refused(based_on: str) -> None:
+    async def snapshot() -> object:
+        return object()
+
+    daemon = SimpleNamespace(plan=SimpleNamespace(snapshot=snapshot))
+    target = f"/v1/sheet?nonce=n&based_on={quote(based_on)}"
+    request = OperatorRequest(Request(b"POST", target.encode(), []))
+
+    async def run() -> Answer:
+        return await post_sheet(typing.cast("Any", daemon), request)
+
+    answer = asyncio.run(run())
+    assert answer.status == BAD_REQUEST.status
+    assert b"based_on must be a revision" in answer.body
