Call a living executor where it has answered, whatever its entry says

Cause: an entry replaced what the owner knew of an incarnation, also its address. Whoever serves the other address answers that the incarnation isn't there (421), and that counted as the proof that it has ended. If nobody listens there, leases were no longer extended, and the runs lapsed. An owner after a takeover preferred the entry to the record of its predecessor, which also named executors that had never answered. An entry with a start time in the future that was removed with its executor made all later entries look stale.

Class: what any writer may say was taken for what was observed. Now an address counts once the executor has answered there, to this owner or, as recorded, to an earlier one (`is_located`). While its runs may be there, it is called there; an entry with another address or host only keeps new tasks away (`executor-entry-ignored`). Once nothing runs there, or its last lease has ended, the entry is followed. An executor that never answered is not recorded, and its end proves nothing. Ended incarnations are compared for equality with the start times that were seen. An answer that arrives after its executor was removed is dropped.

The place of an executor that starts again elsewhere under its old id is followed later than before: after the leases of its last incarnation.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -129,6 +129,9 @@
             view.info, owner.term, acknowledged, deadline_ms, wait_s
         )
         now = context.clock.now()
+        if owner.schedule.executors.get(self._executor_id) is not view:
+            # It was removed meanwhile.
+            return False
         if isinstance(result, Failure):
             is_timeout = now - polled_at >= wait_s
             was_refused = result.failure() is PollFailure.REFUSED
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -104,8 +104,11 @@
             reason=order.reason,
             answer=answer.name.lower(),
         )
+        schedule = self._owner.schedule
+        if schedule.executors.get(order.executor_id) is not view:
+            return
         if answer is StopAnswer.GONE:
-            self._owner.schedule.remove_executor(
+            schedule.remove_executor(
                 order.executor_id, now, LossCause.REPLACED
             )
         elif answer is StopAnswer.FENCED:
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -16,6 +16,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.jobservice.executor_entries import apply_entries
 from lycheelug.jobservice.executor_list import (
     CAPACITY_AGE_MAX_S,
     LIST_AGE_MAX_S,
@@ -368,16 +369,11 @@
 
     def _sync_executors(self) -> None:
         """Apply the store's list of executors."""
-        listed = set()
-        for info in self._context.executors(self.pool):
-            if self.schedule.is_stale_entry(info):
-                continue
-            listed.add(info.executor_id)
-            view = self.schedule.observe_executor(info)
-            view.drain_order = self.feeds.drain_orders.get(info.host, "")
-        for executor_id in list(self.schedule.executors):
-            if executor_id not in listed:
-                self.schedule.mark_entry_removed(executor_id)
+        apply_entries(
+            self.schedule,
+            self._context.executors(self.pool),
+            self.feeds.drain_orders,
+        )
         for executor_id in self.schedule.executors:
             if executor_id not in self._loops:
                 loop = ExecutorLoop(self._context, self, executor_id)
--- a/lycheelug/jobservice/pool_recovery.py
+++ b/lycheelug/jobservice/pool_recovery.py
@@ -109,3 +109,4 @@
         )
         view.has_entry = False
         view.is_recorded = True
+        view.is_located = True
--- a/lycheelug/jobservice/used_executors.py
+++ b/lycheelug/jobservice/used_executors.py
@@ -160,8 +160,11 @@
 
 
 def _is_to_record(view: ExecutorView) -> bool:
-    """Whether tasks may run or be started on an executor."""
-    return is_in_use(view) and not view.is_drained
+    """Whether tasks may run or be started on an executor.
+
+    One that never answered was not used, and its address may be wrong.
+    """
+    return view.is_located and is_in_use(view) and not view.is_drained
 
 
 def _record_of(view: ExecutorView) -> UsedExecutor:
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -19,6 +19,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.executor_info import ExecutorInfo
 from lycheelug.workloads.health import ExecutorHealth
 
 if TYPE_CHECKING:
@@ -72,59 +73,6 @@
     STOPPING = auto()
 
 
-class ExecutorInfo:
-    """An executor's store entry: address, capacity, labels, state."""
-
-    __slots__ = (
-        "address",
-        "born_ms",
-        "capacity",
-        "cold_s",
-        "draining",
-        "executor_id",
-        "host",
-        "labels",
-        "leaves_in_s",
-        "pool",
-        "version",
-        "zone",
-    )
-
-    def __init__(
-        self,
-        executor_id: str,
-        pool: str,
-        address: str,
-        capacity: Resources,
-        zone: str = "",
-        labels: tuple[str, ...] = (),
-        host: str = "",
-        draining: bool = False,
-        born_ms: int = 0,
-        leaves_in_s: float | None = None,
-        cold_s: float = 0.0,
-        version: int = 0,
-    ) -> None:
-        self.executor_id = executor_id
-        self.pool = pool
-        self.address = address
-        self.capacity = capacity
-        self.zone = zone
-        # Include the kind of host and, as the last one, its rack.
-        self.labels = labels
-        # Host of which this is an incarnation; empty if unknown.
-        self.host = host
-        self.draining = draining
-        # Unix time in milliseconds of its start; identifies the incarnation.
-        self.born_ms = born_ms
-        # Minimum time until it shuts down; set only while it is draining.
-        self.leaves_in_s = leaves_in_s
-        # Remaining warm-up time after its start, in which it runs slower.
-        self.cold_s = cold_s
-        # Version of the stored entry.
-        self.version = version
-
-
 class RunReport:
     """Reports one active run; part of a task report."""
 
@@ -265,6 +213,7 @@
         "has_entry",
         "health",
         "info",
+        "is_located",
         "is_recorded",
         "last_acked_end",
         "last_applied_end",
@@ -291,10 +240,13 @@
         # Number of known runs of each task, shared by all executors of the
         # pool.
         self._run_counts = Counter() if run_counts is None else run_counts
-        # Unix time in milliseconds at which the current incarnation started.
-        # Only the executor's own reports advance it, as store entries may
-        # be stale.
+        # Unix time in milliseconds at which the current incarnation started,
+        # by its entry until its first report, and by its reports from then.
         self.born_ms = info.born_ms
+        # Whether it has answered at this address, to this owner or, as is
+        # recorded, to an earlier one.  Any writer can change an entry, so
+        # without that, nothing that is seen at the address proves its end.
+        self.is_located = False
         # Whether it is stored that the pool uses this executor, so that a
         # later owner searches it for runs even after its entry is removed.
         self.is_recorded = False
@@ -374,6 +326,19 @@
             and now - self.last_report_at <= UNRESPONSIVE_S
         )
 
+    def apply_entry(self, info: ExecutorInfo) -> bool:
+        """Apply an entry; return False if it is that of a new incarnation.
+
+        While runs may be where the executor has answered, it is called there
+        and gets no new tasks, whatever other place its entry names.
+        """
+        if self.is_located and not info.has_place_of(self.info):
+            self.has_entry = False
+            return bool(self.runs) or not self.has_accepted_term
+        self.info = info
+        self.has_entry = True
+        return True
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -31,6 +31,7 @@
 from lycheelug.workloads.crashes import CrashLedger
 from lycheelug.workloads.demand import Arrivals, expected_work
 from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
+from lycheelug.workloads.incarnations import EndedIncarnations
 from lycheelug.workloads.isolation import Isolation
 from lycheelug.workloads.job_index import JobIndex
 from lycheelug.workloads.jobs import Job, Task, TaskState
@@ -67,10 +68,10 @@
 
     __slots__ = (
         "_earlier_leases_end_at",
-        "_ended_incarnations",
         "_relocate_after",
         "arrivals",
         "crashes",
+        "ended_incarnations",
         "executors",
         "handled_job",
         "hint_requests",
@@ -122,8 +123,7 @@
         self.executors: dict[str, ExecutorView] = {}
         # Tasks waiting for an executor.
         self.ready = ReadyQueue()
-        # Start times of the incarnations known to have ended, by executor.
-        self._ended_incarnations: dict[str, int] = {}
+        self.ended_incarnations = EndedIncarnations()
         # Number of known runs of each task, including superfluous ones.
         self.run_counts: Counter[TaskName] = Counter()
 
@@ -241,14 +241,11 @@
     def observe_executor(self, info: ExecutorInfo) -> ExecutorView:
         """Record an executor's store entry."""
         view = self.executors.get(info.executor_id)
-        if view is None:
+        if view is None or not view.apply_entry(info):
             view = ExecutorView(
                 info, self._earlier_leases_end_at, self.run_counts
             )
             self.executors[info.executor_id] = view
-            return view
-        view.info = info
-        view.has_entry = True
         return view
 
     def mark_entry_removed(self, executor_id: str) -> None:
@@ -272,14 +269,9 @@
         view = self.executors.pop(executor_id, None)
         if view is None:
             return []
-        born_ms = max(view.born_ms, view.info.born_ms)
-        self._ended_incarnations[executor_id] = born_ms
-        return self.clear_runs(view, now, cause)
-
-    def is_stale_entry(self, info: ExecutorInfo) -> bool:
-        """Return whether an entry belongs to an ended incarnation."""
-        ended_ms = self._ended_incarnations.get(info.executor_id)
-        return ended_ms is not None and info.born_ms <= ended_ms
+        self.ended_incarnations.add(view)
+        # One that never answered was not used, so nothing has ended.
+        return self.clear_runs(view, now, cause) if view.is_located else []
 
     def clear_runs(
         self, view: ExecutorView, now: float, cause: LossCause
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -73,6 +73,7 @@
         _reset_incarnation(schedule, view, report.born_ms, polled_at, now)
     elif view.born_ms == 0:
         view.born_ms = report.born_ms
+    view.is_located = True
     schedule.crashes.record_answer(view, not view.has_accepted_term)
     if not view.has_accepted_term:
         # The executor now rejects earlier owners, so none of them can extend
