Take the start time of an executor from its reports alone

What callers saw: with a start time in the future in its entry, a job whose executor had started again stayed `running` for good: the end of its task was acknowledged, but not applied. With an earlier one than the true one, or a later one, a job that had its executor reserved got a crash record although nothing had crashed, and three of these fail it.

Cause: until the first report, the owner knew the start time from the entry, and compared by `>`: the report of the living executor did not replace a later time, a restart after it looked old, and a report with a later time than the entry's counted as a restart. A restart on a host whose clock had been set back looked old too.

The first report to an owner now sets the start time, and any other time in a later report is another incarnation: there is one poll at a time, and late answers are dropped with their connection, so a report that names another incarnation is newer. Whether an executor that an earlier owner had reserved has started again is decided from its report, as before.

--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -69,10 +69,12 @@
     unix_ms: int,
 ) -> list[EndReport]:
     """Apply an executor's task report; return the ends that are new."""
-    if view.born_ms and report.born_ms > view.born_ms:
+    if not view.has_accepted_term or not view.born_ms:
+        # The start time in the entry may be wrong.
+        view.born_ms = report.born_ms or view.born_ms
+    elif report.born_ms and report.born_ms != view.born_ms:
+        # Also lower after the clock of the host was set back.
         _reset_incarnation(schedule, view, report.born_ms, polled_at, now)
-    elif view.born_ms == 0:
-        view.born_ms = report.born_ms
     view.is_located = True
     schedule.crashes.record_answer(view, not view.has_accepted_term)
     if not view.has_accepted_term:
--- a/tests/test_disputed_entries.py
+++ b/tests/test_disputed_entries.py
@@ -9,19 +9,24 @@
 import pytest
 from returns.result import Failure, Result, Success
 
+from lycheelug.fleetplan import HostInfo
 from lycheelug.jobservice.interfaces import PollFailure, StopAnswer
 from lycheelug.jobservice.used_executors import (
     USED_EXECUTORS_TABLE,
     decode_used_executors,
 )
 from lycheelug.workloads import (
+    EndKind,
     ExecutorInfo,
     LossCause,
+    ProgressRecord,
     StartAnswer,
     StepSpec,
     TaskName,
     TaskReport,
 )
+from lycheelug.workloads.crash_records import CrashRecord
+from lycheelug.workloads.model import JobState
 from tests.job_world import (
     CAPACITY,
     POOL,
@@ -267,3 +272,55 @@
         "a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=entry_ms
     )
     assert world.schedule.ended_incarnations.names(known)
+
+
+# Guards against a start time in an entry that makes the ends of the next
+# incarnation look old: they were acknowledged, but not applied.
+@pytest.mark.parametrize("entry_ms", [0, 1, FUTURE_MS])
+@pytest.mark.parametrize("second_ms", [200, 50])
+def test_restart_is_recognized_whatever_the_entry_says(
+    entry_ms: int, second_ms: int
+) -> None:
+    world = PoolWorld()
+    observe(world, entry_ms)
+    world.report_tasks("a", born_ms=100)
+    job = world.add_job(STEPS)
+    (order,) = world.starts()
+    world.answer(order)
+    for _ in range(3):
+        world.report_tasks(
+            "a",
+            [(TASK, order.run)],
+            [(TaskName(JOB, 0, 0, 9), 1, EndKind.STOPPED)],
+            born_ms=100,
+        )
+    world.now += 1.0
+    observe(world, entry_ms)
+    world.report_tasks("a", born_ms=second_ms)
+    world.now += 1.0
+    world.end_numbers["a"] = 0
+    (order,) = world.starts()
+    world.answer(order)
+    world.now += 0.1
+    world.report_tasks(
+        "a", ended=[(TASK, order.run, EndKind.DONE)], born_ms=second_ms
+    )
+    assert job.progress.state == JobState.COMPLETED
+
+
+# Guards against a crash that is counted, as an entry of another writer names
+# an earlier start time than the executor does.
+@pytest.mark.parametrize("entry_ms", [0, 1, 100, FUTURE_MS])
+def test_entry_proves_no_restart_of_a_reserved_executor(
+    entry_ms: int,
+) -> None:
+    world = PoolWorld(term=2)
+    observe(world, entry_ms)
+    progress = ProgressRecord(
+        begun_term=1,
+        crashes={"0.0.0": [CrashRecord("b", 5, 500, is_proved=True)]},
+        reserved={"a": 100},
+    )
+    job = world.add_job(STEPS, progress=progress)
+    world.report_tasks("a", born_ms=100)
+    assert len(job.progress.crashes["0.0.0"]) == 1
