--- a/lycheelug/platform/ingress.py
+++ b/lycheelug/platform/ingress.py
@@ -11,8 +11,14 @@
 import string
 from typing import TYPE_CHECKING, Final
 
-import msgspec
+from returns.result import Failure
 
+from lycheelug.decoding import (
+    DEPTH_MAX,
+    decode_json,
+    deepest_field,
+    parse_number,
+)
 from lycheelug.http import Answer, find_header, json_answer
 from lycheelug.jobservice.submissions import Reply, ReplyKind
 from lycheelug.logs import log_change
@@ -37,6 +43,8 @@
 DEADLINE_HEADER: Final = b"deadline-ms"
 # Used if a request has no valid deadline header.
 DEADLINE_DEFAULT_S: Final = 3.0
+# Callers that wait for longer are answered within this time.
+DEADLINE_MAX_S: Final = 3600.0
 # Answers are sent at least this long before the caller's deadline.
 ANSWER_MARGIN_S: Final = 0.1
 JOB_ID_LENGTH: Final = 16
@@ -139,10 +147,13 @@
     body: bytes, queue: str, unix_ms: int, limits: JobLimits | None = None
 ) -> JobRecord | str:
     """Return the submitted job, or an error message if it is invalid."""
-    try:
-        message = msgspec.json.decode(body, type=JobMessage)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return f"the body is not a valid job: {error}"
+    decoded = decode_json(body, JobMessage)
+    if isinstance(decoded, Failure):
+        field = deepest_field(body)
+        if field:
+            return f"{field}: nested too deeply; nest up to {DEPTH_MAX} levels"
+        return f"the body is not a valid job: {decoded.failure()}"
+    message = decoded.unwrap()
     if len(message.spec.encode()) > SPEC_BYTES_MAX:
         return f"spec: over {SPEC_BYTES_MAX} bytes; shorten it"
     steps: list[StepSpec] = []
@@ -195,10 +206,11 @@
 
     The result exceeds `ANSWER_MARGIN_S`, so that some time is left to answer.
     """
-    value = find_header(request.headers, DEADLINE_HEADER)
-    if value is None or not value.isdigit():
+    value = find_header(request.headers, DEADLINE_HEADER) or b""
+    deadline_ms = parse_number(value.decode("latin-1"))
+    if deadline_ms is None:
         return DEADLINE_DEFAULT_S
-    return max(2 * ANSWER_MARGIN_S, int(value) / 1000)
+    return max(2 * ANSWER_MARGIN_S, min(DEADLINE_MAX_S, deadline_ms / 1000))
 
 
 def _answer(reply: Reply, content: dict[str, object]) -> Answer:
