Stop no long-running task for a drain without another place

Cause: a drain took a place away first and looked for another one later. Nothing tied the two together: mark_relocations counted only how many tasks of the step were unavailable, placement left hosts with orders out for good, and the planner cancelled unsent moves but never maintenance.

Now the owner claims room on another executor that takes tasks (room, label, tasks per executor, reservations and placement hints considered) before it stops a run. Claims of waiting and of stopped tasks come first, so two tasks aren't stopped for one place. The room is held against short tasks until the task is placed, also where it is still filled by short runs: else a busy pool would never have any. An order is refused in the pool's summary once a task had no other place for 1 s, or if a waiting task could run only there; the planner withdraws a refused order that was not sent, for moves as well as for maintenance, pauses the drains of that pool, and brings one host more. A refusal names the order's number, and an owner still uses no host whose order is in the plan, so a confirmed order can't be carried out on a host in use.

The same holds for executors that announce their end: their tasks run on until there is a place, as stopping them sooner gains nothing.

Two tests of test_pool_schedule.py stopped a task of a step with one task per executor on a pool without a free executor, which is the fault itself. They get a free executor; what they assert is unchanged. The reference schedule of test_same_decisions calls the new planning step and honours held room.

--- a/lycheelug/fleetplan/moves.py
+++ b/lycheelug/fleetplan/moves.py
@@ -86,7 +86,7 @@
     those that are due for maintenance.
     """
     summary = planner.summaries.get(pool)
-    if summary is None:
+    if summary is None or planner.withdrawals.is_paused(planner, pool):
         return []
     due = planner.due_for_maintenance()
     found: list[tuple[int, bool, str]] = []
--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -29,6 +29,7 @@
 )
 from lycheelug.fleetplan.turns import FORECASTS
 from lycheelug.fleetplan.waves import plan_waves
+from lycheelug.fleetplan.withdrawals import Withdrawals
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -67,6 +68,7 @@
         "surplus_since",
         "term",
         "waves",
+        "withdrawals",
     )
 
     def __init__(
@@ -107,6 +109,7 @@
         self._wave_seen_at: dict[int, float] = {}
         # The waves whose planning raised an unexpected error.
         self.broken_waves: dict[int, Exception] = {}
+        self.withdrawals = Withdrawals()
 
     @property
     def is_busy(self) -> bool:
@@ -173,6 +176,7 @@
         for wave in self.waves.values():
             self._record_wave(wave, now, unix_ms)
         drop_stale_orders(self)
+        self.withdrawals.apply(self, now)
         wanted = self._wanted_sizes()
         cancel_unneeded_moves(self, wanted)
         reserve = plan_waves(self, wanted)
--- a/lycheelug/fleetplan/records.py
+++ b/lycheelug/fleetplan/records.py
@@ -6,7 +6,9 @@
 no new tasks on a host with an order, and confirms the order's number once
 nothing runs there and no start is in flight.  Only then may the planner move
 the host or begin its maintenance, and it deletes an order whose call was sent
-only after the platform has answered.  A new owner of a pool reads the plan
+only after the platform has answered.  An owner refuses an order while a
+long-running task has no other place, and the planner withdraws it if its call
+was not sent.  A new owner of a pool reads the plan
 after it has acquired its term, so it can't start a task on a host whose
 order was already confirmed.
 """
@@ -102,6 +104,9 @@
     run_times: dict[str, list[float]] = {}
     # The numbers of the confirmed orders, by host.
     vacated: dict[str, str] = {}
+    # The numbers of the orders for hosts that long-running tasks can't do
+    # without, by host.
+    refused: dict[str, str] = {}
 
     @property
     def finite_cpu(self) -> int:
--- a/lycheelug/fleetplan/waves.py
+++ b/lycheelug/fleetplan/waves.py
@@ -54,6 +54,10 @@
             _plan_wave(planner, wave, wanted, age_s)
             for pool in planner.pools:
                 at_once, _ = _hosts_at_once(planner, wave, pool, age_s)
+                if at_once:
+                    # The usual replacement may not be enough.
+                    size = planner.withdrawals.wanted_size(pool)
+                    at_once = max(at_once, size - wanted[pool])
                 reserve[pool] = reserve.get(pool, 0) + at_once
         except Exception as error:
             # The moves and the other waves are planned all the same.
@@ -123,6 +127,8 @@
     for pool in planner.pools:
         at_once, is_late = _hosts_at_once(planner, wave, pool, age_s)
         left = at_once - planner.count_maintained_now(pool)
+        if planner.withdrawals.is_paused(planner, pool):
+            left = 0
         if not is_late:
             left = min(left, _count_spare(planner, pool, wanted))
         allowed[pool] = left
@@ -156,15 +162,20 @@
 
 
 def _sort_by_load(planner: FleetPlanner, names: list[str]) -> list[str]:
-    """Sort hosts: standby hosts first, then the others by load."""
+    """Sort hosts: standby hosts first, then the others by load.
 
-    def load(name: str) -> tuple[bool, int, int, str]:
+    Hosts whose orders were refused come last.
+    """
+
+    def load(name: str) -> tuple[bool, int, int, int, str]:
         pool = planner.hosts[name].pool
         summary = planner.summaries.get(pool)
         known = summary.hosts.get(name) if summary is not None else None
         in_use = pool != planner.standby
+        refusals = planner.withdrawals.count(name)
         if known is None:
-            return (in_use, 0, 0, name)
-        return (in_use, known.lasting_runs, known.used_cpu, name)
+            return (in_use, refusals, 0, 0, name)
+        lasting_runs = known.lasting_runs
+        return (in_use, refusals, lasting_runs, known.used_cpu, name)
 
     return sorted(names, key=load)
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -219,6 +219,7 @@
                     "wave-set-aside", wave=number, error=describe_error(error)
                 )
                 self._context.metrics.count("defects")
+        self._log_withdrawals()
         self._log_sizes()
         due = [
             call
@@ -271,6 +272,23 @@
         """Record that the feed of summaries has answered."""
         self._summaries_at = self._context.clock.now()
 
+    def _log_withdrawals(self) -> None:
+        """Log the drain orders that were withdrawn in this round."""
+        for call in self._planner.withdrawals.events:
+            order = call.order
+            log_change(
+                "order-withdrawn",
+                host=call.host,
+                pool=order.pool,
+                target=order.target,
+                wave=order.wave,
+                number=order.number,
+                term=self._term,
+                refusals=self._planner.withdrawals.count(call.host),
+            )
+            self._context.metrics.count("orders-withdrawn")
+        self._planner.withdrawals.events.clear()
+
     def _log_sizes(self) -> None:
         """Log the actual and wanted host counts, at most once a second."""
         now = self._context.clock.now()
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -29,6 +29,7 @@
     "is_in_use",
     "join_summaries",
     "list_loads",
+    "refused_orders",
     "summarize",
 ]
 
@@ -54,6 +55,7 @@
         summary.running_cpu += view.used_cpu
         summary.running_memory += view.used_memory
     summary.vacated = confirmed_orders(schedule)
+    summary.refused = refused_orders(schedule)
     for job in schedule.jobs.values():
         if not job.is_final:
             _add_job(summary, schedule, job, unix_ms)
@@ -111,6 +113,16 @@
     return found
 
 
+def refused_orders(schedule: PoolSchedule) -> dict[str, str]:
+    """Return the numbers of the refused drain orders by host."""
+    found: dict[str, str] = {}
+    for executor_id, number in schedule.relocations.refused.items():
+        view = schedule.executors.get(executor_id)
+        if view is not None and view.drain_order == number:
+            found[host_of(view)] = number
+    return found
+
+
 def is_in_use(view: ExecutorView) -> bool:
     """Whether an executor may run tasks, or new ones may start there."""
     return view.has_entry or not view.has_accepted_term or bool(view.runs)
--- a/lycheelug/workloads/model.py
+++ b/lycheelug/workloads/model.py
@@ -24,6 +24,7 @@
     "Resources",
     "StepSpec",
     "TaskName",
+    "add_resources",
     "critical_path_s",
     "is_long_running",
 ]
@@ -37,6 +38,19 @@
     gpus: int
 
 
+def add_resources(first: Resources, second: Resources) -> Resources:
+    """Return the sum of two amounts.
+
+    >>> add_resources(Resources(1, 2, 0), Resources(10, 20, 1))
+    Resources(cpu_millis=11, memory_mb=22, gpus=1)
+    """
+    return Resources(
+        first.cpu_millis + second.cpu_millis,
+        first.memory_mb + second.memory_mb,
+        first.gpus + second.gpus,
+    )
+
+
 class StepSpec(msgspec.Struct, omit_defaults=True, dict=True):
     """One step: tasks with equal resource requests that may run at once."""
 
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -11,10 +11,11 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.registry import Registry
+from lycheelug.workloads.model import add_resources
 from lycheelug.workloads.placement_hints import StepName
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from lycheelug.workloads.executors import ExecutorView
     from lycheelug.workloads.isolation import Isolation
@@ -49,6 +50,7 @@
     """
 
     __slots__ = (
+        "_held",
         "_last_task",
         "_last_view",
         "_now",
@@ -64,8 +66,11 @@
         isolation: Isolation,
         policy: str = "together",
         smallest: Resources | None = None,
+        held: Mapping[str, Resources] | None = None,
     ) -> None:
         self._now = now
+        # What only long-running tasks may use, by executor.
+        self._held = held or {}
         self._policy = policy
         self._views: list[ExecutorView] = []
         # Executors that are reserved for jobs, by job.
@@ -126,10 +131,19 @@
         for each in (last, task):
             if each.failures or each.avoided_executor:
                 return False
-        return not task.step.max_per_executor and view.fits(
-            task.step.resources
+        return not task.step.max_per_executor and self._has_room(
+            view, task.step
         )
 
+    def _has_room(self, view: ExecutorView, step: StepSpec) -> bool:
+        """Return whether an executor has room for a task of a step."""
+        if not view.fits(step.resources):
+            return False
+        held = self._held.get(view.executor_id)
+        if held is None or step.lasts:
+            return True
+        return view.fits(add_resources(step.resources, held))
+
     def _choose(
         self, task: Task, hints: PlacementHints | None
     ) -> ExecutorView | None:
@@ -138,13 +152,12 @@
         avoided: list[ExecutorView] = []
         now = self._now
         step = task.step
-        needed = step.resources
         avoids_any = bool(task.failures or task.avoided_executor)
         views = self._views
         if task.needs_isolation:
             views = self._reserved.get(task.name.job, [])
         for view in views:
-            if not view.fits(needed) or is_step_full(view, task):
+            if not self._has_room(view, step) or is_step_full(view, task):
                 continue
             if not may_host(view, task, hints, now):
                 continue
@@ -224,15 +237,16 @@
     return bool(hints.ticket(step, view.executor_id, now))
 
 
-def is_step_full(view: ExecutorView, task: Task) -> bool:
+def is_step_full(view: ExecutorView, task: Task, claims: int = 0) -> bool:
     """Return whether an executor has as many of the step's tasks as it may.
 
-    The task itself doesn't count.
+    The task itself doesn't count.  `claims` is the number of its other tasks
+    that will be placed there.
     """
     limit = task.step.max_per_executor
     if not limit:
         return False
-    count = 0
+    count = claims
     name = task.name
     for other, _ in view.runs:
         if (
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -45,7 +45,7 @@
 from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.placement_hints import PlacementHints, StepName
 from lycheelug.workloads.ready_queue import ReadyQueue
-from lycheelug.workloads.relocation import mark_relocations
+from lycheelug.workloads.relocation import Relocations
 from lycheelug.workloads.runtimes import RunTimes
 from lycheelug.workloads.stalls import STALLED, runs_to_duplicate, stalled_runs
 from lycheelug.workloads.starts import plan_starts
@@ -68,7 +68,6 @@
     __slots__ = (
         "_earlier_leases_end_at",
         "_ended_incarnations",
-        "_relocate_after",
         "arrivals",
         "crashes",
         "executors",
@@ -83,6 +82,7 @@
         "placement_hints",
         "pool",
         "ready",
+        "relocations",
         "run_counts",
         "run_times",
         "term",
@@ -101,14 +101,13 @@
         self.term = term
         self.lease_s = lease_s
         self.placement = placement
-        # Local time before which no long-running task is relocated.
-        self._relocate_after = relocate_after
         # Local time by which all leases of earlier owners have ended.
         self._earlier_leases_end_at = earlier_leases_end_at
         self.run_times = RunTimes()
         self.arrivals = Arrivals()
         self.crashes = CrashLedger()
         self.isolation = Isolation()
+        self.relocations = Relocations(relocate_after)
         # Whether the executors' capacities are current; nothing is started
         # while they aren't.
         self.is_capacity_current = True
@@ -312,6 +311,7 @@
         and confirmed that this owner still owns the pool.
         """
         orders: list[StartOrder | StopOrder | PaceOrder] = []
+        self.relocations.plan(self, now)
         for view in list(self.executors.values()):
             if is_undisturbed(view, now):
                 continue
@@ -331,9 +331,6 @@
                 run.stop_reason = STALLED
                 if run.task is not None:
                     run.task.avoided_executor = view.executor_id
-            is_leaving = view.drain_order or view.info.draining
-            if is_leaving and now >= self._relocate_after:
-                mark_relocations(view, self.executors, now)
             orders.extend(plan_stops(view, now))
             for run in plan_pace(view):
                 run.pace = view.pace
--- a/lycheelug/workloads/ready_queue.py
+++ b/lycheelug/workloads/ready_queue.py
@@ -154,6 +154,14 @@
                 if step is not None:
                     step.tasks.clear()
 
+    def long_running_tasks(self) -> list[Task]:
+        """Return the waiting long-running tasks, in no particular order."""
+        found: list[Task] = []
+        for step in self._steps.values():
+            if step.spec.lasts:
+                found.extend(step.tasks.values())
+        return found
+
     def jobs_to_begin(self) -> list[Job]:
         """Return the jobs with waiting tasks and without the begun mark."""
         found: list[Job] = []
--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -1,10 +1,18 @@
-"""Moves long-running tasks off executors that are being drained.
+"""Moves long-running tasks off executors that are being drained; no I/O.
 
 A step limits how many of its tasks may be unavailable at once, for whatever
 reason.  Tasks are therefore stopped a few at a time, and the next ones only
 once those before are running elsewhere; even if the step allows none to be
-unavailable, one task at a time is stopped.  Only the stops are decided here;
-the stopped tasks are placed again like any others.
+unavailable, one task at a time is stopped.
+
+A task is stopped only if another executor has room for it, besides what the
+other long-running tasks that wait or are being stopped will take.  The room
+is held until the task has been placed.  If an executor would have room once
+its short runs have ended, it is held as well, so that it becomes free.  The
+stopped tasks are placed again like any others.
+
+A drain order is refused if a long-running task has no other place than the
+host.  The fleet planner withdraws it then, and the host is used again.
 """
 
 from __future__ import annotations
@@ -12,41 +20,299 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.executors import RunPhase
+from lycheelug.workloads.model import Resources, add_resources
+from lycheelug.workloads.placement import is_step_full, may_host, takes_tasks
+from lycheelug.workloads.placement_hints import StepName
 from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
-    from lycheelug.workloads.executors import ExecutorView
+    from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Task
+    from lycheelug.workloads.pool import PoolSchedule
 
-__all__ = ["mark_relocations"]
+__all__ = ["Relocations"]
 
 # Progress at which a long-running task has finished its startup.
 READY_PERCENT: Final = 100
 # Executors are polled every 0.8 s; if a report is older than this, the
 # executor may have crashed since.
 REPORT_MAX_AGE_S: Final = 1.2
+# An order is refused once a task has had no other place for this long, as a
+# replacement may have arrived without having reported yet.
+BLOCKED_S: Final = 1.0
+# The same for a task that is not running.
+WAITING_S: Final = 0.5
 
 
-def mark_relocations(
-    view: ExecutorView, executors: Mapping[str, ExecutorView], now: float
-) -> None:
-    """Mark the long-running runs of an executor that may be stopped now."""
-    for run in view.runs.values():
-        task = run.task
-        if task is None or not task.step.lasts:
+class Relocations:
+    """The relocations of long-running tasks in one pool."""
+
+    __slots__ = ("_blocked_since", "_not_before", "held", "refused")
+
+    def __init__(self, not_before: float) -> None:
+        # Local time before which no task is relocated.
+        self._not_before = not_before
+        # Local time since which an executor's tasks have no other place.
+        self._blocked_since: dict[str, float] = {}
+        # What only long-running tasks may use, by executor.
+        self.held: dict[str, Resources] = {}
+        # The refused drain orders, by executor.
+        self.refused: dict[str, str] = {}
+
+    def plan(self, schedule: PoolSchedule, now: float) -> None:
+        """Mark the long-running runs that may be stopped now."""
+        leaving: list[ExecutorView] = []
+        for view in schedule.executors.values():
+            if view.drain_order or view.info.draining:
+                leaving.append(view)
+        if not leaving:
+            self._blocked_since.clear()
+            self.held = {}
+            self.refused = {}
+            return
+        places = _Places(schedule, now)
+        unplaced = _claim_for_stopped(schedule, places, now)
+        blocked: set[str] = set()
+        for view in leaving:
+            if now >= self._not_before and _mark_runs(
+                schedule, view, places, now
+            ):
+                blocked.add(view.executor_id)
+        self.held = places.held
+        self._update_refused(schedule, leaving, blocked, unplaced, now)
+
+    def _update_refused(
+        self,
+        schedule: PoolSchedule,
+        leaving: list[ExecutorView],
+        blocked: set[str],
+        unplaced: list[Task],
+        now: float,
+    ) -> None:
+        """Refuse the orders for hosts that long-running tasks need."""
+        self._blocked_since = {
+            executor_id: self._blocked_since.get(executor_id, now)
+            for executor_id in blocked
+        }
+        refused: dict[str, str] = {}
+        for view in leaving:
+            since = self._blocked_since.get(view.executor_id, now)
+            if view.drain_order and now - since >= BLOCKED_S:
+                refused[view.executor_id] = view.drain_order
+        _refuse_for_waiting(leaving, unplaced, refused, now)
+        for executor_id, number in refused.items():
+            if self.refused.get(executor_id) == number:
+                continue
+            view = schedule.executors[executor_id]
+            fields = {
+                "executor": executor_id,
+                "host": view.info.host,
+                "number": number,
+                "runs": len(view.runs),
+                "is_blocked": executor_id in blocked,
+                "unplaced": len(unplaced),
+            }
+            schedule.crashes.events.append(("drain-refused", fields))
+        self.refused = refused
+
+
+class _Places:
+    """The room for long-running tasks on the executors that take tasks."""
+
+    __slots__ = ("_now", "_schedule", "_step_claims", "_views", "held")
+
+    def __init__(self, schedule: PoolSchedule, now: float) -> None:
+        self._schedule = schedule
+        self._now = now
+        self._views: list[ExecutorView] = []
+        for view in schedule.executors.values():
+            if takes_tasks(view, now):
+                self._views.append(view)
+        # The number of claims, by executor and step.
+        self._step_claims: dict[tuple[str, StepName], int] = {}
+        # What was claimed, by executor.
+        self.held: dict[str, Resources] = {}
+
+    def claim(self, task: Task) -> bool:
+        """Claim room that is free now; return whether there is any.
+
+        The executor with the least free CPU is chosen, as by the packing
+        placement policies.
+        """
+        found: list[ExecutorView] = []
+        for view in self._allowed(task):
+            if view.fits(self._with_claims(view, task)):
+                found.append(view)
+        if not found:
+            return False
+        self._record(min(found, key=_packing_key), task)
+        return True
+
+    def claim_later(self, task: Task) -> bool:
+        """Claim room that is free once short runs have ended.
+
+        The executor with the most free CPU is chosen.  Return whether there
+        is any.
+        """
+        found: list[ExecutorView] = []
+        for view in self._allowed(task):
+            if _will_have_room(view, self._with_claims(view, task)):
+                found.append(view)
+        if not found:
+            return False
+        self._record(max(found, key=_packing_key), task)
+        return True
+
+    def _allowed(self, task: Task) -> list[ExecutorView]:
+        """Return the executors that may run a task if they have room."""
+        hints = None
+        step = StepName.of(task.name)
+        if task.job.policy.needs_placement_hint:
+            hints = self._schedule.placement_hints
+            wanted = hints.executors_to_query(
+                step, self._schedule.executors.values(), self._now
+            )
+            if wanted:
+                self._schedule.hint_requests[step] = wanted
+        reservable = ("", task.name.job) if task.needs_isolation else ("",)
+        found: list[ExecutorView] = []
+        for view in self._views:
+            job_id = self._schedule.isolation.job_on(view.executor_id)
+            if job_id not in reservable:
+                continue
+            claims = self._step_claims.get((view.executor_id, step), 0)
+            if is_step_full(view, task, claims):
+                continue
+            if may_host(view, task, hints, self._now):
+                found.append(view)
+        return found
+
+    def _with_claims(self, view: ExecutorView, task: Task) -> Resources:
+        """Return a task's request and what was claimed on an executor."""
+        held = self.held.get(view.executor_id)
+        needed = task.step.resources
+        return needed if held is None else add_resources(needed, held)
+
+    def _record(self, view: ExecutorView, task: Task) -> None:
+        """Record a claim."""
+        self.held[view.executor_id] = self._with_claims(view, task)
+        key = (view.executor_id, StepName.of(task.name))
+        self._step_claims[key] = self._step_claims.get(key, 0) + 1
+
+
+def _claim_for_stopped(
+    schedule: PoolSchedule, places: _Places, now: float
+) -> list[Task]:
+    """Claim room for the tasks that wait or are being stopped.
+
+    Return those that have waited for a while without any room.
+    """
+    unplaced: list[Task] = []
+    for task in schedule.ready.long_running_tasks():
+        if task.job.is_final or now < task.not_before:
+            continue
+        if not schedule.crashes.may_start(task):
             continue
-        if run.phase is not RunPhase.RUNNING or task.job.is_final:
+        if places.claim(task) or places.claim_later(task):
             continue
-        if task.state is TaskState.DONE:
+        if now - task.ready_at >= WAITING_S:
+            unplaced.append(task)
+    for view in schedule.executors.values():
+        for run in view.runs.values():
+            task_or_none = _relocatable_task(run)
+            if task_or_none is None or run.phase is not RunPhase.STOPPING:
+                continue
+            if not places.claim(task_or_none):
+                places.claim_later(task_or_none)
+    return unplaced
+
+
+def _mark_runs(
+    schedule: PoolSchedule, view: ExecutorView, places: _Places, now: float
+) -> bool:
+    """Mark the runs of an executor that may be stopped now.
+
+    Return whether a run that might be stopped has no other place.
+    """
+    is_blocked = False
+    for run in view.runs.values():
+        task = _relocatable_task(run)
+        if task is None or run.phase is not RunPhase.RUNNING:
             continue
-        if _count_unavailable(task, executors, now) >= max(
+        if _count_unavailable(task, schedule.executors, now) >= max(
             1, task.step.may_miss
         ):
             continue
-        run.phase = RunPhase.STOPPING
-        run.stop_reason = "host is being drained"
+        if places.claim(task):
+            run.phase = RunPhase.STOPPING
+            run.stop_reason = "host is being drained"
+        elif not places.claim_later(task):
+            is_blocked = True
+    return is_blocked
+
+
+def _relocatable_task(run: Run) -> Task | None:
+    """Return the long-running task of a run, unless its job has ended."""
+    task = run.task
+    if task is None or not task.step.lasts or task.job.is_final:
+        return None
+    return None if task.state is TaskState.DONE else task
+
+
+def _refuse_for_waiting(
+    leaving: Iterable[ExecutorView],
+    unplaced: Iterable[Task],
+    refused: dict[str, str],
+    now: float,
+) -> None:
+    """Refuse orders for hosts that tasks without a place could run on."""
+    held: dict[str, Resources] = {}
+    for task in unplaced:
+        found: list[ExecutorView] = []
+        for view in leaving:
+            if not view.drain_order or not view.is_healthy(now):
+                continue
+            if view.health.is_quarantined(now) or is_step_full(view, task):
+                continue
+            taken = held.get(view.executor_id, Resources(0, 0, 0))
+            needed = add_resources(task.step.resources, taken)
+            if may_host(view, task, None, now) and _will_have_room(
+                view, needed
+            ):
+                found.append(view)
+        if not found:
+            continue
+        best = min(
+            found,
+            key=lambda view: (
+                view.executor_id not in refused,
+                _packing_key(view),
+            ),
+        )
+        taken = held.get(best.executor_id, Resources(0, 0, 0))
+        held[best.executor_id] = add_resources(task.step.resources, taken)
+        refused[best.executor_id] = best.drain_order
+
+
+def _will_have_room(view: ExecutorView, needed: Resources) -> bool:
+    """Return whether an executor has room once short runs have ended."""
+    for run in view.runs.values():
+        if run.task is not None and run.task.step.lasts:
+            needed = add_resources(needed, run.resources)
+    capacity = view.info.capacity
+    return (
+        needed.cpu_millis <= capacity.cpu_millis
+        and needed.memory_mb <= capacity.memory_mb
+        and needed.gpus <= capacity.gpus
+    )
+
+
+def _packing_key(view: ExecutorView) -> tuple[int, str]:
+    """Return the sort key of executors, the one with least free CPU first."""
+    free_cpu = view.info.capacity.cpu_millis - view.used_cpu
+    return (free_cpu, view.info.host or view.executor_id)
 
 
 def _count_unavailable(
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -45,6 +45,7 @@
         schedule.isolation,
         schedule.placement,
         _smallest_request(waiting),
+        schedule.relocations.held,
     )
     unplaceable = UnplaceableRequests()
     for step in waiting:
@@ -71,6 +72,9 @@
     is_limited = not (
         step.spec.is_gang or needs_placement_hint or step.job.progress.crashes
     )
+    if step.spec.lasts and schedule.relocations.held:
+        # It may use room that others may not.
+        is_limited = False
     if is_limited and unplaceable.covers(step.spec.resources):
         return
     for task in step.in_order():
--- a/tests/reference_schedule.py
+++ b/tests/reference_schedule.py
@@ -20,10 +20,10 @@
 )
 from lycheelug.workloads.executors import RunPhase
 from lycheelug.workloads.forecast import Feasibility
+from lycheelug.workloads.model import add_resources
 from lycheelug.workloads.orders import find_stop_reason
 from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.placement import PLACEMENTS
-from lycheelug.workloads.relocation import mark_relocations
 from lycheelug.workloads.stalls import STALLED, runs_to_duplicate, stalled_runs
 from lycheelug.workloads.starts import RESTART_WAIT_S
 
@@ -42,6 +42,7 @@
         self, now: float, verified_at: float, unix_ms: int = 0
     ) -> list[Order]:
         orders: list[Order] = []
+        self.relocations.plan(self, now)
         for view in list(self.executors.values()):
             self._free_expired(view, now, verified_at)
             duplicated = runs_to_duplicate(view)
@@ -58,9 +59,6 @@
                 run.stop_reason = STALLED
                 if run.task is not None:
                     run.task.avoided_executor = view.executor_id
-            is_leaving = view.drain_order or view.info.draining
-            if is_leaving and now >= self._relocate_after:
-                mark_relocations(view, self.executors, now)
             orders.extend(_stops(view, now))
             for run in plan_pace(view):
                 run.pace = view.pace
@@ -155,6 +153,8 @@
         needs_hint = task.job.policy.needs_placement_hint
         needed = task.step.resources
         is_suspect = bool(task.job.progress.crashes)
+        if task.step.lasts and schedule.relocations.held:
+            is_suspect = True
         if not (needs_hint or is_suspect) and any(
             all(small <= big for small, big in zip(each, needed, strict=True))
             for each in failed
@@ -225,6 +225,13 @@
     for view in schedule.executors.values():
         if not _can_host(view, task, now):
             continue
+        held = schedule.relocations.held.get(view.executor_id)
+        if (
+            held is not None
+            and not task.step.lasts
+            and not view.fits(add_resources(task.step.resources, held))
+        ):
+            continue
         job_id = schedule.isolation.job_on(view.executor_id)
         if job_id != (task.name.job if task.needs_isolation else ""):
             continue
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -311,6 +311,7 @@
             running=[(order.task.name, order.run)],
             percent=percent,
         )
+    world.add_executor("free")
     view = world.schedule.executors[orders[0].executor_id]
     view.drain_order = "1.1"
     other_view = world.schedule.executors[orders[1].executor_id]
@@ -346,6 +347,7 @@
         world.answer(order)
         running = [(order.task.name, order.run)]
         world.report_tasks(order.executor_id, running=running, percent=100)
+    world.add_executor("free")
     views = [world.schedule.executors[each.executor_id] for each in orders]
     views[0].drain_order = "1.1"
     if failure == "lost":
@@ -355,6 +357,7 @@
         for order in (orders[0], orders[2]):
             running = [(order.task.name, order.run)]
             world.report_tasks(order.executor_id, running=running, percent=100)
+        world.report_tasks("free")
     assert len(world.stops()) == stop_count
 
 
--- /dev/null
+++ b/tests/test_wave_places.py
@@ -0,0 +1,133 @@
+"""Tests of waves that would take the place of long-running tasks."""
+
+from __future__ import annotations
+
+import pytest
+
+from lycheelug.fleetplan import HostState, MaintenanceWave
+from tests.test_fleet_planner import FleetWorld
+
+DEADLINE_S = 26.0
+
+
+class PlaceWorld(FleetWorld):
+    """A planner whose pools have long-running tasks."""
+
+    def add_lasting(
+        self, pool: str, *names: str, used: int = 100, spread: int = 0
+    ) -> None:
+        """Add hosts with one long-running task each."""
+        self.add(pool, *names, used=used)
+        summary = self.planner.summaries[pool]
+        summary.spread = spread
+        for name in names:
+            summary.hosts[name].lasting_runs = 1
+            summary.lasting_cpu += used
+
+    def announce(self, *names: str, max_concurrent: int = 2) -> None:
+        self.planner.waves[1] = MaintenanceWave(
+            1, names, DEADLINE_S, max_concurrent, 1
+        )
+
+    def refuse(self, name: str) -> None:
+        """Refuse a host's order on behalf of its pool's owner."""
+        order = self.planner.plan.orders[name]
+        self.planner.summaries[order.pool].refused[name] = order.number
+
+    def arrive(self, name: str, pool: str) -> None:
+        """Let a host arrive in the pool to which it was ordered."""
+        self.planner.record_move(name, pool, self.now)
+        self.hosts[name].state = HostState.UP
+        self.hosts[name].pool = pool
+        summary = self.planner.summaries[pool]
+        old = self.planner.summaries["off"].hosts.pop(name)
+        summary.hosts[name] = old
+
+
+# Guards against LOST: a host whose owner has no other place for a task stays
+# under its drain order.
+@pytest.mark.parametrize("is_sent", [False, True])
+def test_refused_order_is_withdrawn_unless_it_was_sent(is_sent: bool) -> None:
+    world = PlaceWorld()
+    world.add_lasting("a", "a1", "a2", "a3")
+    world.add("b", "b1")
+    world.announce("a1")
+    world.decide()
+    assert world.targets["a1"] == "wave 1"
+    world.planner.plan.orders["a1"].sent = is_sent
+    world.refuse("a1")
+    world.decide(0.1)
+    assert ("a1" in world.targets) is is_sent
+    events = [call.host for call in world.planner.withdrawals.events]
+    assert events == ([] if is_sent else ["a1"])
+
+
+# Guards against a refusal of an earlier order that withdraws the next one.
+def test_refusal_counts_for_its_order_only() -> None:
+    world = PlaceWorld()
+    world.add_lasting("a", "a1", "a2", "a3")
+    world.add("b", "b1")
+    world.announce("a1")
+    world.decide()
+    world.refuse("a1")
+    world.decide(0.1)
+    assert "a1" not in world.targets
+    world.decide(3.1)
+    assert world.targets["a1"] == "wave 1"
+    world.decide(0.1)
+    assert world.targets["a1"] == "wave 1"
+
+
+# Guards against LOST: the next host of the pool is drained at once, or the
+# same one again, though the tasks have still no other place.
+def test_pool_is_not_drained_again_until_it_has_grown() -> None:
+    world = PlaceWorld()
+    world.add_lasting("a", "a1", "a2", "a3")
+    world.add("b", "b1")
+    world.add("off", "s1", "s2")
+    world.announce("a1", "a2")
+    world.decide()
+    ordered = [name for name in world.targets if name.startswith("a")]
+    for name in ordered:
+        world.refuse(name)
+    world.decide(0.1)
+    assert not {"a1", "a2"} & set(world.targets)
+    moved = [name for name, to in world.targets.items() if to == "a"]
+    assert moved
+    world.decide(0.1)
+    assert not {"a1", "a2"} & set(world.targets)
+    world.arrive(moved[0], "a")
+    world.decide(0.1)
+    assert {"a1", "a2"} & set(world.targets)
+
+
+# Guards against a wave that stands still: a host that can't be drained is
+# ordered again and again before those that can.
+def test_host_with_refused_orders_comes_last() -> None:
+    world = PlaceWorld()
+    world.add_lasting("a", "a1", "a2", "a3", "a4")
+    world.add("b", "b1")
+    world.announce("a1", "a2", max_concurrent=1)
+    world.decide()
+    assert set(world.targets) == {"a1"}
+    world.refuse("a1")
+    world.decide(0.1)
+    world.decide(3.1)
+    assert set(world.targets) == {"a2"}
+
+
+# Guards against LOST: an order for a move is kept though a task was placed on
+# the host meanwhile and has no other place.
+def test_refused_move_is_withdrawn() -> None:
+    world = PlaceWorld()
+    world.add("a", "a1", "a2")
+    world.add("b", "b1")
+    world.add("off")
+    world.decide()
+    world.decide(1.0)
+    (name,) = world.targets
+    world.refuse(name)
+    world.decide(0.1)
+    assert world.targets == {}
+    world.decide(1.0)
+    assert world.targets == {}
