Drain no host for a wave that long-running tasks can't do without

The planner ordered the drain of a pool's only host together with the move of its replacement, or without any (_count_spare took it as spare), and once a wave was late it drained hosts whatever the pool lacked. It also kept standby hosts for an urgent wave that long-running tasks were waiting for.

Cause: the number of hosts that a pool can spare was compared with its demand only while the wave was in time; long-running tasks counted no more than short work, which can wait.

A host is now drained only while the pool has more usable hosts than it wants, so its replacement, which plan_moves brings as before, is up first. A late wave still takes hosts from short work, but leaves as many as the long-running tasks need by CPU and by their limit per host; with none to spare it waits. If a pool has fewer than they need anyway, some may never find a place, and the owner's refusals decide. A wave also counts as late when there is time for one round only: a single host of a full pool was never ordered before, at any age of the wave. Urgent waves leave standby hosts to pools without enough hosts for their long-running tasks.

--- a/lycheelug/fleetplan/sizing.py
+++ b/lycheelug/fleetplan/sizing.py
@@ -21,7 +21,13 @@
 
     Sizing = Callable[[SummaryRecord, int, int], int]
 
-__all__ = ["SIZINGS", "hosts_for_cpu", "size_by_demand", "typical_capacity"]
+__all__ = [
+    "SIZINGS",
+    "hosts_for_cpu",
+    "hosts_for_long_tasks",
+    "size_by_demand",
+    "typical_capacity",
+]
 
 SIZINGS: Final[Registry[Sizing]] = Registry("sizing policy")
 
@@ -48,6 +54,15 @@
     return math.ceil(cpu / (host_cpu * PACKING_SHARE)) if host_cpu else 0
 
 
+def hosts_for_long_tasks(summary: SummaryRecord, host_cpu: int) -> int:
+    """Return the least number of hosts that the long-running tasks need."""
+    has_any = summary.lasting_cpu > 0
+    for load in summary.hosts.values():
+        has_any = has_any or load.lasting_runs > 0
+    by_cpu = hosts_for_cpu(summary.lasting_cpu, host_cpu)
+    return max(by_cpu, summary.spread, int(has_any))
+
+
 @SIZINGS.register("demand")
 def size_by_demand(
     summary: SummaryRecord, host_cpu: int, host_memory: int
--- a/lycheelug/fleetplan/waves.py
+++ b/lycheelug/fleetplan/waves.py
@@ -4,9 +4,11 @@
 lack hosts: a surge usually ends before the wave's deadline.  Of the hosts of
 a pool, as many are maintained at once as it takes to finish in time, up to a
 share of the pool.  They leave only if the pool can spare them, so for the
-time of the wave a pool gets as many hosts more.  If even the largest share
-finishes no sooner than the deadline, hosts are maintained although their pool
-lacks them.
+time of the wave a pool gets as many hosts more, and its only host leaves once
+there is another.  If even the largest share finishes no sooner than the
+deadline, or there is only time for one more round, hosts are maintained
+although their pool lacks them, but not those without which its long-running
+tasks have no place: the wave is late then.
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.fleetplan.hosts import HostState
+from lycheelug.fleetplan.sizing import hosts_for_long_tasks, typical_capacity
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -78,7 +81,7 @@
         if order.wave and not order.sent:
             remaining -= 1
     allowed = _allowed_by_pool(planner, wave, wanted, age_s)
-    spare_standby = planner.count_spare_standby(wanted)
+    spare_standby = _count_spare_standby(planner, wanted, is_urgent)
     for name in _sort_by_load(planner, planner.pending_hosts(wave)):
         host = planner.hosts[name]
         if remaining <= 0:
@@ -86,7 +89,7 @@
         if name in planner.plan.orders or host.state is not HostState.UP:
             continue
         if host.pool == planner.standby:
-            if spare_standby <= 0 and not is_urgent:
+            if spare_standby <= 0:
                 continue
             spare_standby -= 1
         else:
@@ -113,7 +116,7 @@
     limit = max(
         POOL_HOSTS_MIN, int(planner.count_hosts(pool) * POOL_SHARE_MAX)
     )
-    return min(needed, limit), needed >= limit
+    return min(needed, limit), needed >= limit or rounds <= 1
 
 
 def _allowed_by_pool(
@@ -129,21 +132,41 @@
         left = at_once - planner.count_maintained_now(pool)
         if planner.withdrawals.is_paused(planner, pool):
             left = 0
-        if not is_late:
-            left = min(left, _count_spare(planner, pool, wanted))
-        allowed[pool] = left
+        needed = wanted[pool]
+        if is_late:
+            needed = min(needed, _hosts_for_long_tasks(planner, pool))
+        if is_late and needed > planner.count_hosts(pool):
+            # Some tasks may never find a place.  The pool's owner refuses
+            # the orders that would take away the place of another one.
+            needed = 1
+        spare = len(planner.active_hosts(pool)) - needed
+        allowed[pool] = min(left, spare)
     return allowed
 
 
-def _count_spare(
-    planner: FleetPlanner, pool: str, wanted: Mapping[str, int]
+def _hosts_for_long_tasks(planner: FleetPlanner, pool: str) -> int:
+    """Return the least number of hosts of a pool's long-running tasks."""
+    summary = planner.summaries.get(pool)
+    if summary is None:
+        return planner.count_hosts(pool)
+    host_cpu, _ = typical_capacity(planner.hosts.values())
+    return hosts_for_long_tasks(summary, host_cpu)
+
+
+def _count_spare_standby(
+    planner: FleetPlanner, wanted: Mapping[str, int], is_urgent: bool
 ) -> int:
-    """Return how many hosts a pool can do without for a while."""
-    active = len(planner.active_hosts(pool))
-    if active <= 1:
-        # Its only host is replaced before its maintenance.
-        return active
-    return active - wanted[pool]
+    """Return how many standby hosts the pools don't need.
+
+    While a wave is urgent, only those count that long-running tasks need.
+    """
+    if not is_urgent:
+        return planner.count_spare_standby(wanted)
+    spare = len(planner.active_hosts(planner.standby))
+    for pool in planner.pools:
+        needed = min(wanted[pool], _hosts_for_long_tasks(planner, pool))
+        spare -= max(0, needed - planner.count_hosts(pool))
+    return spare
 
 
 def _is_urgent(
--- a/tests/test_wave_places.py
+++ b/tests/test_wave_places.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lycheelug.fleetplan import HostState, MaintenanceWave
+from lycheelug.fleetplan import HostState, MaintenanceWave, PlanRecord
 from tests.test_fleet_planner import FleetWorld
 
 DEADLINE_S = 26.0
@@ -131,3 +131,60 @@
     assert world.targets == {}
     world.decide(1.0)
     assert world.targets == {}
+
+
+# Guards against LOST: a wave that is late takes the only place of
+# long-running tasks.  Without such tasks it goes on.
+@pytest.mark.parametrize("after_s", [0.0, 20.0, 25.0, 40.0])
+@pytest.mark.parametrize(
+    ("lasting", "spread", "names", "drained_late"),
+    [
+        (True, 0, ("a1",), 0),
+        (False, 0, ("a1",), 1),
+        # One task a host: each of the two hosts is needed.
+        (True, 2, ("a1", "a2"), 0),
+        # All tasks fit on one host.
+        (True, 0, ("a1", "a2"), 1),
+    ],
+)
+def test_late_wave_waits_for_a_place(
+    after_s: float,
+    lasting: bool,
+    spread: int,
+    names: tuple[str, ...],
+    drained_late: int,
+) -> None:
+    world = PlaceWorld()
+    world.add("b", "b1")
+    world.add("off")
+    if lasting:
+        world.add_lasting("a", *names, spread=spread)
+    else:
+        world.add("a", *names)
+    # Short work for all hosts.
+    world.planner.summaries["a"].ready_cpu = 5000
+    world.announce(*names)
+    world.decide()
+    assert world.targets == {}
+    world.decide(after_s)
+    is_late = after_s > 0
+    assert len(world.targets) == (drained_late if is_late else 0)
+
+
+# Guards against LOST: a wave that is urgent takes standby hosts that
+# long-running tasks wait for.
+@pytest.mark.parametrize(("spread", "target"), [(1, "wave 1"), (2, "a")])
+def test_urgent_wave_leaves_standby_hosts_to_long_running_tasks(
+    spread: int, target: str
+) -> None:
+    before = PlanRecord(3)
+    before.seen_ms["1"] = 0
+    world = PlaceWorld(before)
+    world.add_lasting("a", "a1", used=900, spread=spread)
+    world.add("b", "b1", used=900)
+    world.add("off", "s1")
+    world.planner.summaries["a"].ready_cpu = 900
+    world.announce("s1")
+    world.planner.update_hosts(world.hosts, world.now)
+    world.planner.decide(world.now, 20_000)
+    assert world.targets == {"s1": target}
