--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -45,6 +45,7 @@
         schedule.isolation,
         schedule.placement,
         _smallest_request(waiting),
+        schedule.relocations.held,
     )
     unplaceable = UnplaceableRequests()
     for step in waiting:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -380,7 +380,7 @@
         hint = await executors.request_placement_hint(TASK_STEP, ["i-1"])
         assert isinstance(hint, Success | Failure)
         hosts = PlatformHosts(address, MemoryRows())
-        await hosts.move("m-1", "quotes", "d", 1)
+        await hosts.move("m-1", "quotes", "d", 1, lambda: True)
         assert isinstance(await hosts.hosts(), Success | Failure)
         rows = PlatformRows(address)
         assert isinstance(await rows.read("t", "p"), Success | Failure)
