Find an executor in the host list by its id before its entry's host

What callers saw: with an entry that names another host, an executor that was silent for a moment counted as ended, and its task was started a second time while it ran.

Cause: the list of hosts was searched for the host that the entry names. If another executor runs there, or the host is being moved, that was the proof that the silent executor has ended, though the same list names it on its own host.

The list is searched for the executor first. The host of the entry decides only if no host lists the executor.

--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -54,6 +54,8 @@
             log_fault("hosts-not-read", result.failure(), pool=owner.pool)
             continue
         hosts = {host.name: host for host in result.unwrap()}
+        # An entry may name a wrong host.
+        hosts_by_executor = {host.executor_id: host for host in hosts.values()}
         interval_s = read_interval_s(
             len(hosts),
             HOST_CHECK_INTERVAL_S,
@@ -61,7 +63,9 @@
             context.weight,
         )
         for view in unresponsive:
-            host = hosts.get(view.info.host)
+            host = hosts_by_executor.get(
+                view.executor_id, hosts.get(view.info.host)
+            )
             if host is None or not host.has_incarnation_ended(
                 view.executor_id
             ):
--- a/tests/test_disputed_entries.py
+++ b/tests/test_disputed_entries.py
@@ -9,7 +9,7 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from lycheelug.fleetplan import HostInfo
+from lycheelug.fleetplan import HostInfo, HostState
 from lycheelug.jobservice.interfaces import PollFailure, StopAnswer
 from lycheelug.jobservice.used_executors import (
     USED_EXECUTORS_TABLE,
@@ -41,7 +41,6 @@
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
-    from lycheelug.fleetplan import HostInfo
 
 # Executors run their tasks for longer than any lease.
 WORK_S = 60.0
@@ -242,6 +241,30 @@
     run_virtual(run())
 
 
+# Guards against the host list as proof that an executor has ended, if only an
+# entry of another writer says that it was on the host.
+@pytest.mark.parametrize("is_under_order", [True, False])
+def test_entry_with_another_host_ends_no_executor(
+    is_under_order: bool,
+) -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        state = HostState.MOVING if is_under_order else HostState.UP
+        world.addressed.other_hosts.append(
+            HostInfo("h-elsewhere", POOL, state, executor_id="i-elsewhere")
+        )
+        world.addressed.named_host = "h-elsewhere"
+        info = await world.begin(daemons=1)
+        await asyncio.sleep(2.0)
+        # Shorter than the lease of its runs.
+        world.fleet.executors[info.executor_id].is_partitioned = True
+        await asyncio.sleep(3.0)
+        assert world.is_run_once()
+        await world.stop()
+
+    run_virtual(run())
+
+
 TASK = TaskName(JOB, 0, 0, 0)
 
 
