Use another pool or more capacity once two versions of an entry name it

What callers saw: none here yet. An entry that another writer has written over that of a living executor, with another pool, made the owner of that pool call it: with a higher fencing token it would fence off the true owner and stop the runs, which it doesn't know. One with other labels or more capacity would bring starts that the executor must not run, or that exceed it.

Cause: every version of an entry was used at once and in full.

Pool, address, host, zone and labels don't change during the life of an executor, and it rewrites its entry with each heartbeat. An entry with the former ones is used at once. More capacity is used from the second version on; less at once. An executor that starts again under its id with other labels is used one heartbeat later.

The first version that a daemon reads is still used as it is, as there is nothing to compare it with.

--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -7,6 +7,7 @@
 
 from lycheelug.jobservice.context import OwnerContext
 from lycheelug.jobservice.duties import Duties
+from lycheelug.jobservice.executor_entries import ExecutorEntries
 from lycheelug.jobservice.fleet_owner import FleetOwner
 from lycheelug.jobservice.interfaces import SubmissionAnswer, SubmissionRouter
 from lycheelug.jobservice.pool_owner import PoolOwner
@@ -46,8 +47,8 @@
     __slots__ = (
         "_context",
         "_count_remote",
+        "_entries",
         "_executor_list",
-        "_executors",
         "_hosts",
         "_maintenance_s",
         "_name",
@@ -81,7 +82,7 @@
         self.metrics = Metrics()
         self.configuration: Configuration | None = None
         self.waves: dict[int, MaintenanceWave] = {}
-        self._executors: dict[str, ExecutorInfo] = {}
+        self._entries = ExecutorEntries()
         # None if the executors are set by `update_executor` alone.
         self._executor_list: ExecutorList | None = None
         # Sends a submission to the daemon at an address.
@@ -209,21 +210,7 @@
         self, executor_id: str, info: ExecutorInfo | None
     ) -> None:
         """Update an executor's entry; None means that it was removed."""
-        known = self._executors.get(executor_id)
-        if info is None:
-            if self._executors.pop(executor_id, None) is not None:
-                log_change("executor-unlisted", executor=executor_id)
-        else:
-            self._executors[executor_id] = info
-            if known is None or known.draining != info.draining:
-                log_change(
-                    "executor-listed",
-                    executor=executor_id,
-                    pool=info.pool,
-                    host=info.host,
-                    draining=info.draining,
-                    version=info.version,
-                )
+        self._entries.update(executor_id, info)
         for holder in self.duties.held.values():
             if isinstance(holder, PoolOwner):
                 holder.wake()
@@ -241,7 +228,7 @@
 
     def executors_of(self, pool: str) -> list[ExecutorInfo]:
         """Return the executors of a pool that have an entry."""
-        return [info for info in self._executors.values() if info.pool == pool]
+        return self._entries.of_pool(pool)
 
     async def _wait_for_executors(self) -> None:
         """Wait until the list of executors is complete."""
--- a/tests/test_disputed_entries.py
+++ b/tests/test_disputed_entries.py
@@ -20,6 +20,7 @@
     ExecutorInfo,
     LossCause,
     ProgressRecord,
+    Resources,
     StartAnswer,
     StepSpec,
     TaskName,
@@ -265,6 +266,64 @@
     run_virtual(run())
 
 
+# Guards against another pool's owner that stops the runs of an executor, or
+# fences off its true owner, as an entry of another writer names its pool.
+def test_changed_pool_is_used_once_two_versions_name_it() -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        info = await world.begin(daemons=1)
+        service = world.daemons["e0"]
+
+        def listed(pool: str) -> bool:
+            found = service.executors_of(pool)
+            return info.executor_id in [each.executor_id for each in found]
+
+        world.write(info, pool="other")
+        assert not listed("other")
+        assert not listed(POOL)
+        world.write(info)
+        assert listed(POOL)
+        world.write(info, pool="other")
+        assert not listed("other")
+        world.write(info, pool="other")
+        assert listed("other")
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against more starts than fit, as an entry of another writer names
+# more capacity than an executor has.
+def test_more_capacity_is_used_once_two_versions_name_it() -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        info = await world.begin(daemons=1)
+        service = world.daemons["e0"]
+
+        def capacity() -> Resources:
+            for each in service.executors_of(POOL):
+                if each.executor_id == info.executor_id:
+                    return each.capacity
+            raise AssertionError(info.executor_id)
+
+        more = Resources(2**31, 2**31, 8)
+        less = Resources(100, 100, 0)
+        for written, used in (
+            (more, CAPACITY),
+            (CAPACITY, CAPACITY),
+            (less, less),
+            (CAPACITY, less),
+            (CAPACITY, CAPACITY),
+            (more, CAPACITY),
+            (more, more),
+        ):
+            world.write(info, capacity=written)
+            assert capacity() == used
+        await world.stop()
+
+    run_virtual(run())
+
+
 TASK = TaskName(JOB, 0, 0, 0)
 
 
@@ -277,26 +336,6 @@
     view.is_recorded = True
 
 
-# Guards against true entries that count as stale for good, after an executor
-# has ended whose entry named a start time in the future.
-@pytest.mark.parametrize("entry_ms", [1, 100, FUTURE_MS])
-@pytest.mark.parametrize("has_answered", [True, False])
-def test_later_incarnation_is_used_whatever_the_entry_said(
-    entry_ms: int, has_answered: bool
-) -> None:
-    world = PoolWorld()
-    observe(world, entry_ms)
-    if has_answered:
-        world.report_tasks("a", born_ms=100)
-    world.schedule.remove_executor("a", world.now, LossCause.REPLACED)
-    later = ExecutorInfo("a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=200)
-    assert not world.schedule.ended_incarnations.names(later)
-    known = ExecutorInfo(
-        "a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=entry_ms
-    )
-    assert world.schedule.ended_incarnations.names(known)
-
-
 # Guards against a start time in an entry that makes the ends of the next
 # incarnation look old: they were acknowledged, but not applied.
 @pytest.mark.parametrize("entry_ms", [0, 1, FUTURE_MS])
@@ -331,6 +370,26 @@
     assert job.progress.state == JobState.COMPLETED
 
 
+# Guards against true entries that count as stale for good, after an executor
+# has ended whose entry named a start time in the future.
+@pytest.mark.parametrize("entry_ms", [1, 100, FUTURE_MS])
+@pytest.mark.parametrize("has_answered", [True, False])
+def test_later_incarnation_is_used_whatever_the_entry_said(
+    entry_ms: int, has_answered: bool
+) -> None:
+    world = PoolWorld()
+    observe(world, entry_ms)
+    if has_answered:
+        world.report_tasks("a", born_ms=100)
+    world.schedule.remove_executor("a", world.now, LossCause.REPLACED)
+    later = ExecutorInfo("a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=200)
+    assert not world.schedule.ended_incarnations.names(later)
+    known = ExecutorInfo(
+        "a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=entry_ms
+    )
+    assert world.schedule.ended_incarnations.names(known)
+
+
 # Guards against a crash that is counted, as an entry of another writer names
 # an earlier start time than the executor does.
 @pytest.mark.parametrize("entry_ms", [0, 1, 100, FUTURE_MS])
