Don't wait for executors that no owner has ever reached or used

What callers saw: with an entry whose address nobody serves, the tasks of begun jobs that still waited were not started until 9.1 s after each change of the pool's owner.

Cause: a new owner starts no task of a begun job until each executor of the list has acknowledged its term or the leases of its predecessors have ended, as any of them may be running the task. But an executor is used only after it was recorded, and is recorded only after it has answered, so one that is not recorded runs nothing.

The new owner waits only for recorded executors, provided that it could read all records.

--- a/lycheelug/jobservice/pool_recovery.py
+++ b/lycheelug/jobservice/pool_recovery.py
@@ -71,8 +71,10 @@
     used = await context.store.read(USED_EXECUTORS_TABLE, owner.pool)
     if isinstance(used, Failure):
         return Failure(used.failure())
+    are_known = True
     for row in used.unwrap().rows:
-        _restore_executors(owner, row)
+        are_known = _restore_executors(owner, row) and are_known
+    owner.schedule.are_used_executors_known = are_known
     log_change(
         "pool-recovered",
         pool=owner.pool,
@@ -94,8 +96,8 @@
     owner.schedule.run_times.restore(summary.run_times)
 
 
-def _restore_executors(owner: PoolOwner, row: StoredRow) -> None:
-    """Restore the executors that the last owner used.
+def _restore_executors(owner: PoolOwner, row: StoredRow) -> bool:
+    """Restore executors that the last owner used; return False if unreadable.
 
     One of them may be alive without an entry in the store: entries expire
     while the executor can't reach the store.
@@ -103,6 +105,7 @@
     executors = owner.writer.used_executors.restore(row)
     if not executors and row.value not in (None, b"{}"):
         log_change("row-unreadable", table=row.table, key=row.key)
+        return False
     for executor_id, used in executors.items():
         view = owner.schedule.observe_executor(
             used.info(executor_id, owner.pool)
@@ -110,3 +113,4 @@
         view.has_entry = False
         view.is_recorded = True
         view.is_located = True
+    return True
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -69,6 +69,7 @@
     __slots__ = (
         "_earlier_leases_end_at",
         "_relocate_after",
+        "are_used_executors_known",
         "arrivals",
         "crashes",
         "ended_incarnations",
@@ -121,6 +122,8 @@
         # The job of the task that is being reported on, for errors.
         self.handled_job: Job | None = None
         self.executors: dict[str, ExecutorView] = {}
+        # Whether all executors that earlier owners used are known.
+        self.are_used_executors_known = False
         # Tasks waiting for an executor.
         self.ready = ReadyQueue()
         self.ended_incarnations = EndedIncarnations()
@@ -386,6 +389,8 @@
         if now >= self._earlier_leases_end_at:
             return True
         for view in self.executors.values():
+            if self.are_used_executors_known and not view.is_located:
+                continue
             if not view.has_accepted_term and now < view.leases_end_at:
                 return False
         return True
--- a/tests/test_disputed_entries.py
+++ b/tests/test_disputed_entries.py
@@ -15,6 +15,7 @@
     USED_EXECUTORS_TABLE,
     decode_used_executors,
 )
+from lycheelug.store.rows import RowName
 from lycheelug.workloads import (
     EndKind,
     ExecutorInfo,
@@ -406,3 +407,36 @@
     job = world.add_job(STEPS, progress=progress)
     world.report_tasks("a", born_ms=100)
     assert len(job.progress.crashes["0.0.0"]) == 1
+
+
+# Guards against a new owner that waits for an executor which nobody has ever
+# reached, as an entry of another writer names it.
+@pytest.mark.parametrize("is_readable", [True, False])
+def test_entry_of_an_unknown_executor_does_not_delay_the_next_owner(
+    is_readable: bool,
+) -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        world.addressed.is_other_served = False
+        world.addressed.add("x9").info.address = "elsewhere:1"
+        await start_all(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        other = next(name for name in world.daemons if name != owner)
+        # More than fits: some tasks of the begun job wait for capacity.
+        await world.submit(other, 1, [StepSpec(count=20, cpu_millis=2000)])
+        await until(lambda: len(world.fleet.started) >= 8)
+        await world.daemons[owner].drain()
+        await world.daemons.pop(owner).stop()
+        if not is_readable:
+            name = RowName(USED_EXECUTORS_TABLE, "3")
+            await world.rows.commit(POOL, {}, {name: b"?"})
+        await until(lambda: len(world.holders()) == 1)
+        began_at = asyncio.get_running_loop().time()
+        started = len(world.fleet.started)
+        await until(lambda: len(world.fleet.started) > started)
+        waited_s = asyncio.get_running_loop().time() - began_at
+        # Without the records, any executor may be running tasks.
+        assert (waited_s < 3.0) is is_readable
+        await world.stop()
+
+    run_virtual(run())
