Prefer the load of an executor that has answered over another's entry

An entry that names the host of another executor hid that executor's load from the planner, if it came later in the list: the host looked idle and unusable. If two executors of a pool name the same host, the load of the one that has answered is now published.

Evidence: one of two cases of test_load_of_a_host_is_that_of_its_true_executor failed before this change; both pass on this commit.

--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -97,8 +97,12 @@
     """Return the loads of a pool's hosts."""
     record = HostsRecord(schedule.term)
     for view in schedule.executors.values():
-        if is_in_use(view):
-            record.hosts[host_of(view)] = _host_load(view, now)
+        if not is_in_use(view):
+            continue
+        host = host_of(view)
+        # The entry of one that never answered may name a wrong host.
+        if view.is_located or host not in record.hosts:
+            record.hosts[host] = _host_load(view, now)
     return record
 
 
--- a/tests/test_disputed_entries.py
+++ b/tests/test_disputed_entries.py
@@ -11,6 +11,7 @@
 
 from lycheelug.fleetplan import HostInfo, HostState
 from lycheelug.jobservice.interfaces import PollFailure, StopAnswer
+from lycheelug.jobservice.summary import list_loads
 from lycheelug.jobservice.used_executors import (
     USED_EXECUTORS_TABLE,
     decode_used_executors,
@@ -440,3 +441,20 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against the entry of an executor that nobody has reached and that
+# hides the load of the true executor of its host from the planner.
+@pytest.mark.parametrize("is_first", [True, False])
+def test_load_of_a_host_is_that_of_its_true_executor(is_first: bool) -> None:
+    world = PoolWorld()
+    for has_reported in (not is_first, is_first):
+        name = "true" if has_reported else "odd"
+        world.add_executor(name, has_reported=has_reported, host="h-1")
+    world.add_job(STEPS)
+    (order,) = world.starts()
+    world.answer(order)
+    loads = list_loads(world.schedule, world.now).hosts
+    assert list(loads) == ["h-1"]
+    assert loads["h-1"].executor == "true"
+    assert loads["h-1"].runs == 1
