--- a/tests/test_disputed_entries.py
+++ b/tests/test_disputed_entries.py
@@ -9,17 +9,20 @@
 import pytest
 from returns.result import Failure, Result, Success
 
-from lycheelug.fleetplan import HostInfo
+from lycheelug.fleetplan import HostInfo, HostState
 from lycheelug.jobservice.interfaces import PollFailure, StopAnswer
+from lycheelug.jobservice.summary import list_loads
 from lycheelug.jobservice.used_executors import (
     USED_EXECUTORS_TABLE,
     decode_used_executors,
 )
+from lycheelug.store.rows import RowName
 from lycheelug.workloads import (
     EndKind,
     ExecutorInfo,
     LossCause,
     ProgressRecord,
+    Resources,
     StartAnswer,
     StepSpec,
     TaskName,
@@ -41,7 +44,6 @@
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
-    from lycheelug.fleetplan import HostInfo
 
 # Executors run their tasks for longer than any lease.
 WORK_S = 60.0
@@ -242,6 +244,88 @@
     run_virtual(run())
 
 
+# Guards against the host list as proof that an executor has ended, if only an
+# entry of another writer says that it was on the host.
+@pytest.mark.parametrize("is_under_order", [True, False])
+def test_entry_with_another_host_ends_no_executor(
+    is_under_order: bool,
+) -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        state = HostState.MOVING if is_under_order else HostState.UP
+        world.addressed.other_hosts.append(
+            HostInfo("h-elsewhere", POOL, state, executor_id="i-elsewhere")
+        )
+        world.addressed.named_host = "h-elsewhere"
+        info = await world.begin(daemons=1)
+        await asyncio.sleep(2.0)
+        # Shorter than the lease of its runs.
+        world.fleet.executors[info.executor_id].is_partitioned = True
+        await asyncio.sleep(3.0)
+        assert world.is_run_once()
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against another pool's owner that stops the runs of an executor, or
+# fences off its true owner, as an entry of another writer names its pool.
+def test_changed_pool_is_used_once_two_versions_name_it() -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        info = await world.begin(daemons=1)
+        service = world.daemons["e0"]
+
+        def listed(pool: str) -> bool:
+            found = service.executors_of(pool)
+            return info.executor_id in [each.executor_id for each in found]
+
+        world.write(info, pool="other")
+        assert not listed("other")
+        assert not listed(POOL)
+        world.write(info)
+        assert listed(POOL)
+        world.write(info, pool="other")
+        assert not listed("other")
+        world.write(info, pool="other")
+        assert listed("other")
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against more starts than fit, as an entry of another writer names
+# more capacity than an executor has.
+def test_more_capacity_is_used_once_two_versions_name_it() -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        info = await world.begin(daemons=1)
+        service = world.daemons["e0"]
+
+        def capacity() -> Resources:
+            for each in service.executors_of(POOL):
+                if each.executor_id == info.executor_id:
+                    return each.capacity
+            raise AssertionError(info.executor_id)
+
+        more = Resources(2**31, 2**31, 8)
+        less = Resources(100, 100, 0)
+        for written, used in (
+            (more, CAPACITY),
+            (CAPACITY, CAPACITY),
+            (less, less),
+            (CAPACITY, less),
+            (CAPACITY, CAPACITY),
+            (more, CAPACITY),
+            (more, more),
+        ):
+            world.write(info, capacity=written)
+            assert capacity() == used
+        await world.stop()
+
+    run_virtual(run())
+
+
 TASK = TaskName(JOB, 0, 0, 0)
 
 
@@ -254,26 +338,6 @@
     view.is_recorded = True
 
 
-# Guards against true entries that count as stale for good, after an executor
-# has ended whose entry named a start time in the future.
-@pytest.mark.parametrize("entry_ms", [1, 100, FUTURE_MS])
-@pytest.mark.parametrize("has_answered", [True, False])
-def test_later_incarnation_is_used_whatever_the_entry_said(
-    entry_ms: int, has_answered: bool
-) -> None:
-    world = PoolWorld()
-    observe(world, entry_ms)
-    if has_answered:
-        world.report_tasks("a", born_ms=100)
-    world.schedule.remove_executor("a", world.now, LossCause.REPLACED)
-    later = ExecutorInfo("a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=200)
-    assert not world.schedule.ended_incarnations.names(later)
-    known = ExecutorInfo(
-        "a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=entry_ms
-    )
-    assert world.schedule.ended_incarnations.names(known)
-
-
 # Guards against a start time in an entry that makes the ends of the next
 # incarnation look old: they were acknowledged, but not applied.
 @pytest.mark.parametrize("entry_ms", [0, 1, FUTURE_MS])
@@ -308,6 +372,26 @@
     assert job.progress.state == JobState.COMPLETED
 
 
+# Guards against true entries that count as stale for good, after an executor
+# has ended whose entry named a start time in the future.
+@pytest.mark.parametrize("entry_ms", [1, 100, FUTURE_MS])
+@pytest.mark.parametrize("has_answered", [True, False])
+def test_later_incarnation_is_used_whatever_the_entry_said(
+    entry_ms: int, has_answered: bool
+) -> None:
+    world = PoolWorld()
+    observe(world, entry_ms)
+    if has_answered:
+        world.report_tasks("a", born_ms=100)
+    world.schedule.remove_executor("a", world.now, LossCause.REPLACED)
+    later = ExecutorInfo("a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=200)
+    assert not world.schedule.ended_incarnations.names(later)
+    known = ExecutorInfo(
+        "a", "quotes", "10.0.0.1:1", CAPACITY, born_ms=entry_ms
+    )
+    assert world.schedule.ended_incarnations.names(known)
+
+
 # Guards against a crash that is counted, as an entry of another writer names
 # an earlier start time than the executor does.
 @pytest.mark.parametrize("entry_ms", [0, 1, 100, FUTURE_MS])
@@ -324,3 +408,53 @@
     job = world.add_job(STEPS, progress=progress)
     world.report_tasks("a", born_ms=100)
     assert len(job.progress.crashes["0.0.0"]) == 1
+
+
+# Guards against a new owner that waits for an executor which nobody has ever
+# reached, as an entry of another writer names it.
+@pytest.mark.parametrize("is_readable", [True, False])
+def test_entry_of_an_unknown_executor_does_not_delay_the_next_owner(
+    is_readable: bool,
+) -> None:
+    async def run() -> None:
+        world = DisputedWorld()
+        world.addressed.is_other_served = False
+        world.addressed.add("x9").info.address = "elsewhere:1"
+        await start_all(world, executors=2, daemons=3)
+        (owner,) = world.holders()
+        other = next(name for name in world.daemons if name != owner)
+        # More than fits: some tasks of the begun job wait for capacity.
+        await world.submit(other, 1, [StepSpec(count=20, cpu_millis=2000)])
+        await until(lambda: len(world.fleet.started) >= 8)
+        await world.daemons[owner].drain()
+        await world.daemons.pop(owner).stop()
+        if not is_readable:
+            name = RowName(USED_EXECUTORS_TABLE, "3")
+            await world.rows.commit(POOL, {}, {name: b"?"})
+        await until(lambda: len(world.holders()) == 1)
+        began_at = asyncio.get_running_loop().time()
+        started = len(world.fleet.started)
+        await until(lambda: len(world.fleet.started) > started)
+        waited_s = asyncio.get_running_loop().time() - began_at
+        # Without the records, any executor may be running tasks.
+        assert (waited_s < 3.0) is is_readable
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against the entry of an executor that nobody has reached and that
+# hides the load of the true executor of its host from the planner.
+@pytest.mark.parametrize("is_first", [True, False])
+def test_load_of_a_host_is_that_of_its_true_executor(is_first: bool) -> None:
+    world = PoolWorld()
+    for has_reported in (not is_first, is_first):
+        name = "true" if has_reported else "odd"
+        world.add_executor(name, has_reported=has_reported, host="h-1")
+    world.add_job(STEPS)
+    (order,) = world.starts()
+    world.answer(order)
+    loads = list_loads(world.schedule, world.now).hosts
+    assert list(loads) == ["h-1"]
+    assert loads["h-1"].executor == "true"
+    assert loads["h-1"].runs == 1
