Let progress continue in further rows instead of failing its job

Cause: the writer knew one row per job and failed a job whose record was larger than the row. Each run on an executor that falls silent adds a crash record of about 65 bytes, failed runs add entries to `failures` and `counted_runs`, and finished occurrences never gave theirs back. So the limits of submission (5,000 tasks, any number of occurrences) allowed jobs that could not be stored. The class is a bound on bookkeeping that isn't derived from the bound on what is accepted.

Design: a record that doesn't fit continues in up to 12 further rows of the same part, written in the same transaction; the version of the first row is the condition for all of them. The first row is plain JSON as before and has, in this order, as many as fit of: finished occurrences, done tasks, failures, counted runs, crash records, reservations, checkpoints. The others are compressed JSON, so new fields of a crash record are stored without a change here. If all rows are too small, checkpoints are left out first, then the least conclusive crash records of each task (5, then 3 are kept, isolated and proved ones first), which can't convict anyone; done, failures and counted runs stay. No job fails for its size any more. `counted_runs` lists the 8 newest failed runs of a task and none of a task that is done; a failure that is reported for such a task is not counted. Failures of finished occurrences of a periodic job are dropped.

A record of several rows can fill a transaction, so the writer takes the jobs that were left out first, in turn, leaves out submissions every second time, and acknowledges ends once all changes of their batch are stored; before, ends were acknowledged only after a batch that had all jobs.

Test replaced: test_progress_that_does_not_fit_into_a_row_fails_only_its_job required the fault, a failed job and dropped checkpoints. The new one uses the same sizes and requires that the job goes on, that checkpoints and failures are stored in full, and that the other job completes.

Also looked at: the summary, the loads of hosts and used executors are bounded by executors, not by jobs, and are not touched here; submissions are limited to 48,000 bytes when they are accepted.

--- a/lycheelug/jobservice/inspection.py
+++ b/lycheelug/jobservice/inspection.py
@@ -21,8 +21,8 @@
     PROGRESS_TABLE,
     CancelRecord,
     decode_job,
-    decode_progress,
     jobs_table,
+    read_progress,
 )
 from lycheelug.jobservice.used_executors import (
     USED_EXECUTORS_TABLE,
@@ -45,6 +45,7 @@
     from returns.result import Result
 
     from lycheelug.errors import Fault
+    from lycheelug.jobservice.tables import StoredProgress
     from lycheelug.store.rows import RowStore, StoredRow
 
 __all__ = [
@@ -268,7 +269,7 @@
         if isinstance(progress, Failure):
             return Failure(progress.failure())
         by_key = {row.key: row for row in submitted.unwrap().rows}
-        stored = {row.key: row for row in progress.unwrap().rows}
+        stored = read_progress(progress.unwrap().rows)
         found: list[JobView] = []
         for key, row in by_key.items():
             if not key.startswith(JOB_PREFIX):
@@ -329,13 +330,13 @@
 
 
 def _job_view(
-    pool: str, job_id: str, row: StoredRow, stored: StoredRow | None
+    pool: str, job_id: str, row: StoredRow, stored: StoredProgress | None
 ) -> JobView | None:
     """Build a job's view from its rows; return None if unreadable."""
     record = decode_job(row.value or b"")
     if record is None:
         return None
-    progress = decode_progress(stored.value or b"") if stored else None
+    progress = stored.progress if stored is not None else None
     return JobView(
         job_id,
         pool,
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -90,6 +90,7 @@
     """Remove the rows of jobs that finished long enough ago."""
     while True:
         await asyncio.sleep(SWEEP_S)
+        await owner.writer.remove_unclaimed()
         before_ms = context.clock.unix_ms() - FINISHED_RETENTION_S * 1000
         old = owner.schedule.finished_before(before_ms)
         if not await owner.writer.remove(old[:SWEEP_MAX]):
--- a/lycheelug/jobservice/pool_feeds.py
+++ b/lycheelug/jobservice/pool_feeds.py
@@ -37,6 +37,7 @@
         Submission,
         SubmissionQueue,
     )
+    from lycheelug.jobservice.tables import StoredProgress
     from lycheelug.store.rows import StoredRow
     from lycheelug.workloads import (
         Job,
@@ -110,7 +111,7 @@
         self.drain_orders: dict[str, str] = {}
         # Progress that a former owner stored, until its job's submission
         # is read.
-        self.stored_progress: dict[str, tuple[ProgressRecord, int]] = {}
+        self.stored_progress: dict[str, StoredProgress] = {}
 
     @property
     def has_jobs(self) -> bool:
@@ -123,6 +124,19 @@
         oldest_at = min(self._jobs_at, self._plan_at)
         return self._context.clock.now() - oldest_at < FEED_AGE_MAX_S
 
+    def unclaimed_progress(self) -> dict[str, int]:
+        """Return the jobs of which only further rows of progress exist.
+
+        The values are the numbers of these rows.
+        """
+        found: dict[str, int] = {}
+        if not self.has_jobs:
+            return found
+        for job_id, stored in self.stored_progress.items():
+            if not stored.version and job_id not in self._schedule.jobs:
+                found[job_id] = stored.part_count
+        return found
+
     def works(self) -> list[Coroutine[None, None, None]]:
         """Return the coroutines that follow the feeds."""
         return [self._plan_replica.run(), self._jobs_replica.run()]
@@ -209,9 +223,16 @@
             self._context.metrics.count("rows-unreadable")
             return
         self._queue.settle(job_id)
-        progress, version = self.stored_progress.pop(job_id, (None, 0))
+        stored = self.stored_progress.pop(job_id, None)
+        progress = stored.progress if stored is not None else None
         job = self._add_job(job_id, record, progress)
-        job.row_version = max(job.row_version, version)
+        if stored is not None:
+            job.row_version = max(job.row_version, stored.version)
+            job.part_count = max(job.part_count, stored.part_count)
+            # The record of a job that has ended needs no further rows.
+            job.is_dirty = job.is_dirty or (
+                job.is_final and job.part_count > 0
+            )
         self._apply_stored_cancel(job)
         self._on_change()
 
--- a/lycheelug/jobservice/pool_recovery.py
+++ b/lycheelug/jobservice/pool_recovery.py
@@ -12,7 +12,7 @@
     SUMMARY_KEY,
     decode_summary,
 )
-from lycheelug.jobservice.tables import PROGRESS_TABLE, decode_progress
+from lycheelug.jobservice.tables import PROGRESS_TABLE, read_progress
 from lycheelug.jobservice.used_executors import USED_EXECUTORS_TABLE
 from lycheelug.logs import log_change, log_fault
 
@@ -56,13 +56,20 @@
     read = await context.store.read(PROGRESS_TABLE, owner.pool)
     if isinstance(read, Failure):
         return Failure(read.failure())
-    for row in read.unwrap().rows:
-        progress = decode_progress(row.value or b"")
-        if progress is None:
-            log_change("row-unreadable", table=row.table, key=row.key)
+    for job_id, stored in read_progress(read.unwrap().rows).items():
+        if stored.version and stored.progress is None:
+            log_change("row-unreadable", table=PROGRESS_TABLE, key=job_id)
             context.metrics.count("rows-unreadable")
-            continue
-        owner.feeds.stored_progress[row.key] = (progress, row.version)
+        elif stored.progress is not None and stored.progress.parts:
+            log_change(
+                "progress-incomplete",
+                pool=owner.pool,
+                job=job_id,
+                expected=stored.progress.parts,
+                found=stored.part_count,
+            )
+            context.metrics.count("rows-unreadable")
+        owner.feeds.stored_progress[job_id] = stored
     summary = await context.store.read(SUMMARIES_TABLE, owner.pool)
     if isinstance(summary, Failure):
         return Failure(summary.failure())
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -11,9 +11,13 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-import msgspec
 from returns.result import Failure
 
+from lycheelug.jobservice.progress_batch import (
+    ENTRIES_MAX,
+    ProgressBatch,
+    ProgressPacker,
+)
 from lycheelug.jobservice.published_load import PublishedLoad
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
@@ -21,33 +25,23 @@
     OWNER_ROW,
     PROGRESS_TABLE,
     jobs_table,
+    progress_names,
 )
 from lycheelug.jobservice.used_executors import UsedExecutors
 from lycheelug.logs import log_change, log_fault
 from lycheelug.store.rows import RowConflict, RowName
-from lycheelug.workloads import ProgressRecord
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
-    from lycheelug.jobservice.submission_queue import Submission
-    from lycheelug.workloads import ExecutorView, Job
+    from lycheelug.workloads import Job
 
 __all__ = ["ProgressWriter"]
 
-# The store accepts at most 100 entries in a transaction, conditions and
-# writes together.  A submission needs as many entries as the progress of
-# two jobs.
-ENTRIES_MAX: Final = 100
-JOBS_MAX: Final = 45
+# Jobs that get the begun mark with one transaction.
+BEGINS_MAX: Final = 45
 SUBMISSIONS_MAX: Final = 16
-# The size limit of the values in one transaction.  The store accepts one
-# megabyte of them in base64, with their names.
-BATCH_BYTES_MAX: Final = 650_000
-# The size limit of one job's progress, as the store accepts rows of 65,536
-# bytes in base64.
-PROGRESS_BYTES_MAX: Final = 48_000
 # Ownership is proved at least this often, by a transaction without writes
 # if nothing has changed.
 PROOF_INTERVAL_S: Final = 1.5
@@ -57,37 +51,15 @@
 BATCH_DELAY_S: Final = 0.02
 
 
-class _Batch:
-    """The content of one transaction and the state it makes durable."""
-
-    __slots__ = (
-        "applied_ends",
-        "expected",
-        "is_complete",
-        "jobs",
-        "submissions",
-        "writes",
-    )
-
-    def __init__(self) -> None:
-        self.expected: dict[RowName, int] = {}
-        self.writes: dict[RowName, bytes | None] = {}
-        self.jobs: list[Job] = []
-        self.submissions: list[Submission] = []
-        # Executors, their start times and the numbers of the last end
-        # that was applied.
-        self.applied_ends: list[tuple[ExecutorView, int, int]] = []
-        # Whether it has all changes that resulted from those ends.
-        self.is_complete = True
-
-
 class ProgressWriter:
     """The single writer of one pool's progress."""
 
     __slots__ = (
         "_context",
+        "_incomplete",
         "_is_failing",
         "_owner",
+        "_packer",
         "_wake",
         "_writing",
         "load",
@@ -102,6 +74,10 @@
         self.load = PublishedLoad(context.clock, owner.schedule)
         self.used_executors = UsedExecutors(owner.schedule)
         self._is_failing = False
+        # A stored batch whose ends aren't acknowledged yet, as changes that
+        # resulted from them aren't stored.
+        self._incomplete: ProgressBatch | None = None
+        self._packer = ProgressPacker(context.clock, owner.pool)
 
     def verify_soon(self) -> None:
         """Prove the ownership at once: an executor has seen a newer owner."""
@@ -123,7 +99,7 @@
                 await self._wait()
             self._wake.clear()
             if not self._is_urgent():
-                await asyncio.sleep(BATCH_DELAY_S)
+                await self._collect_changes()
             async with self._writing:
                 is_stored = await self._write()
             if not is_stored:
@@ -131,16 +107,33 @@
 
     async def remove(self, jobs: list[Job]) -> bool:
         """Remove all rows of some jobs; return False if that failed."""
-        if not jobs:
+        table = jobs_table(self._owner.pool)
+        names: list[RowName] = []
+        for job in jobs:
+            names.append(RowName(table, JOB_PREFIX + job.job_id))
+            names.append(RowName(table, CANCEL_PREFIX + job.job_id))
+            names.extend(progress_names(job.job_id, job.part_count))
+            self._packer.forget(job.job_id)
+        if not names or not await self._remove_rows(names):
             return False
+        log_change("jobs-removed", pool=self._owner.pool, jobs=len(jobs))
+        return True
+
+    async def remove_unclaimed(self) -> None:
+        """Remove further rows of jobs that have no other rows."""
+        unclaimed = self._owner.feeds.unclaimed_progress()
+        for job_id, part_count in unclaimed.items():
+            names = progress_names(job_id, part_count)[:ENTRIES_MAX]
+            if not await self._remove_rows(names[1:]):
+                return
+            del self._owner.feeds.stored_progress[job_id]
+            log_change("rows-removed", pool=self._owner.pool, job=job_id)
+
+    async def _remove_rows(self, names: list[RowName]) -> bool:
+        """Remove some rows of the pool; return False if that failed."""
         owner = self._owner
-        table = jobs_table(owner.pool)
         expected = {OWNER_ROW: owner.owner_version}
-        writes: dict[RowName, bytes | None] = {}
-        for job in jobs:
-            writes[RowName(table, JOB_PREFIX + job.job_id)] = None
-            writes[RowName(table, CANCEL_PREFIX + job.job_id)] = None
-            writes[RowName(PROGRESS_TABLE, job.job_id)] = None
+        writes: dict[RowName, bytes | None] = dict.fromkeys(names)
         async with self._writing:
             result = await self._context.store.commit(
                 owner.pool, expected, writes
@@ -151,11 +144,11 @@
         if isinstance(result.unwrap(), RowConflict):
             owner.revoke("the owner row has another holder")
             return False
-        log_change("jobs-removed", pool=owner.pool, jobs=len(jobs))
         return True
 
     async def flush(self) -> None:
         """Write the current changes once."""
+        self._packer.paused_until = 0.0
         async with self._writing:
             await self._write()
 
@@ -167,6 +160,18 @@
         except TimeoutError:
             return
 
+    async def _collect_changes(self) -> None:
+        """Wait for further changes that can share a transaction."""
+        now = self._context.clock.now
+        proof_at = self._owner.verified_at + PROOF_INTERVAL_S
+        dirty = self._owner.schedule.job_index.dirty
+        await asyncio.sleep(BATCH_DELAY_S)
+        while dirty and now() < min(self._packer.paused_until, proof_at):
+            is_large = all(job.part_count for job in dirty.values())
+            if not is_large or self._is_urgent():
+                return
+            await asyncio.sleep(BATCH_DELAY_S)
+
     def _has_work(self) -> bool:
         """Whether any change is unwritten or any end unacknowledged."""
         schedule = self._owner.schedule
@@ -224,16 +229,17 @@
         owner.wake()
         return True
 
-    def _build_batch(self) -> _Batch:
+    def _build_batch(self) -> ProgressBatch:
         """Collect the changes for the next transaction."""
         owner = self._owner
         schedule = owner.schedule
-        for job in schedule.jobs_to_begin()[:JOBS_MAX]:
+        for job in schedule.jobs_to_begin()[:BEGINS_MAX]:
             job.mark_begun(owner.term)
-        batch = _Batch()
+        batch = ProgressBatch()
         batch.expected[OWNER_ROW] = owner.owner_version
+        submissions_max = 0 if self._packer.needs_room else SUBMISSIONS_MAX
         batch.submissions = owner.submission_queue.take_batch(
-            SUBMISSIONS_MAX, self._context.clock.now()
+            submissions_max, self._context.clock.now()
         )
         for submission in batch.submissions:
             for name, value in owner.submission_queue.rows(submission).items():
@@ -246,75 +252,53 @@
             for name, (version, value) in changes.items():
                 batch.expected[name] = version
                 batch.writes[name] = value
-        entries = len(batch.expected) + len(batch.writes)
-        jobs_max = (ENTRIES_MAX - entries) // 2
-        size = sum(len(value or b"") for value in batch.writes.values())
-        for job in schedule.job_index.dirty_in_order():
-            if len(batch.jobs) >= jobs_max:
-                batch.is_complete = False
-                break
-            value = self._encode_progress(job)
-            size += len(value)
-            if batch.jobs and size > BATCH_BYTES_MAX:
-                batch.is_complete = False
-                break
-            job.is_dirty = False
-            name = RowName(PROGRESS_TABLE, job.job_id)
-            batch.jobs.append(job)
-            batch.expected[name] = job.row_version
-            batch.writes[name] = value
+        self._packer.add_jobs(batch, schedule.job_index.dirty_in_order())
         for view in schedule.executors.values():
             batch.applied_ends.append(
                 (view, view.born_ms, view.last_applied_end)
             )
         return batch
 
-    def _encode_progress(self, job: Job) -> bytes:
-        """Return a job's record; what doesn't fit into a row is left out.
-
-        Without its checkpoints a job's tasks start from their beginning.
-        """
-        value = msgspec.json.encode(job.progress)
-        if len(value) <= PROGRESS_BYTES_MAX:
-            return value
-        job.progress.checkpoints.clear()
-        value = msgspec.json.encode(job.progress)
-        if len(value) <= PROGRESS_BYTES_MAX:
-            return value
-        if not job.is_final:
-            reason = f"progress of {len(value)} bytes doesn't fit into a row"
-            self._owner.feeds.set_aside(job, reason)
-        return msgspec.json.encode(
-            ProgressRecord(
-                job.progress.begun_term,
-                job.progress.state,
-                final_ms=job.progress.final_ms,
-                reason=job.progress.reason,
-            )
-        )
-
-    def _apply_commit(self, batch: _Batch, version: int) -> None:
+    def _apply_commit(self, batch: ProgressBatch, version: int) -> None:
         """Record that a batch has been stored."""
         self.load.apply_commit(version)
         self.used_executors.apply_commit(version)
         for submission in batch.submissions:
             self._owner.feeds.add_stored_submission(submission, version)
-        for job in batch.jobs:
+        for job, parts in zip(batch.jobs, batch.parts, strict=True):
             job.row_version = version
+            job.part_count = parts
             if not job.is_dirty:
                 job.has_unsaved_crashes = False
             if job.progress.begun_term:
                 job.begin_is_stored = True
+        if batch.is_complete:
+            self._incomplete = None
+            self._acknowledge(batch)
+            return
+        if self._incomplete is None:
+            self._incomplete = batch
+            return
+        # Its ends are acknowledged once all changes that resulted from them
+        # are stored, even if there is always a job that is left out.
+        stored = set(batch.jobs)
+        left_out = self._incomplete.left_out
+        left_out[:] = [job for job in left_out if job not in stored]
+        if self._incomplete.is_complete:
+            self._acknowledge(self._incomplete)
+            self._incomplete = None
+
+    def _acknowledge(self, batch: ProgressBatch) -> None:
+        """Let the executors know that their ends are stored."""
         for view, born_ms, last_applied_end in batch.applied_ends:
-            if batch.is_complete and view.born_ms == born_ms:
+            if view.born_ms == born_ms:
                 view.last_acked_end = max(
                     view.last_acked_end, last_applied_end
                 )
-        if batch.is_complete:
-            self._owner.on_progress_stored()
+        self._owner.on_progress_stored()
 
     def _handle_conflict(
-        self, conflict: RowConflict, batch: _Batch, requested_at: float
+        self, conflict: RowConflict, batch: ProgressBatch, requested_at: float
     ) -> None:
         """Detect a lost pool; otherwise adopt the stored row versions.
 
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -56,6 +56,7 @@
         "next_occurrence",
         "occurrences",
         "open_steps",
+        "part_count",
         "policy",
         "progress",
         "record",
@@ -76,6 +77,8 @@
         self.progress = progress or ProgressRecord()
         # Version of the stored progress record; 0 if none is stored.
         self.row_version = 0
+        # The further rows of that record that may exist.
+        self.part_count = 0
         # Whether at least one task is known to have been started.
         self.has_started = bool(
             self.progress.done
@@ -226,10 +229,7 @@
         task.state = TaskState.DONE
         self.is_dirty = True
         name = task.name
-        key = step_key(name.occurrence, name.step)
-        self.progress.done.setdefault(key, []).append(name.number)
-        self.progress.checkpoints.pop(task_key(*name[1:]), None)
-        self.progress.crashes.pop(task_key(*name[1:]), None)
+        self.progress.record_done(name.occurrence, name.step, name.number)
         for other in self.step_tasks(task):
             if other.state is not TaskState.DONE:
                 return []
@@ -239,16 +239,16 @@
         """Count a failed run, once even if its end is reported twice.
 
         The job fails when a task has used up its attempts.  Long-running
-        tasks have no limit on attempts.
+        tasks have no limit on attempts, and a task that is done needs none.
         """
-        key = task_key(*task.name[1:])
+        key = task.key
+        if task.state is TaskState.DONE:
+            return
         if self.is_long_running or task.step.lasts:
             task.failures += 1
             return
-        counted = self.progress.counted_runs.setdefault(key, [])
-        if run in counted:
+        if not self.progress.count_failed_run(key, run):
             return
-        counted.append(run)
         task.failures += 1
         self.is_dirty = True
         self.progress.failures[key] = task.failures
@@ -366,6 +366,8 @@
             return self._unblock(number, now)
         for done_step in range(len(self.record.steps)):
             self.progress.done.pop(step_key(number, done_step), None)
+        if self.record.schedule is not None:
+            self.progress.forget_failures(number, self.record.steps)
         self.progress.record_finished(number)
         del self.occurrences[number]
         self.due_ms.pop(number, None)
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -8,18 +8,29 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from lycheelug.workloads.crash_records import CrashRecord  # noqa: TC001
 from lycheelug.workloads.model import JobState
 
-__all__ = ["FINISHED_MAX", "ProgressRecord", "step_key", "task_key"]
+if TYPE_CHECKING:
+    from lycheelug.workloads.model import StepSpec
+
+__all__ = [
+    "COUNTED_RUNS_MAX",
+    "FINISHED_MAX",
+    "ProgressRecord",
+    "step_key",
+    "task_key",
+]
 
 # The finished occurrences that are listed one by one.  No occurrence is
 # opened while so many are finished above one that isn't.
 FINISHED_MAX: Final = 200
+# The newest failed runs of one task that are listed.
+COUNTED_RUNS_MAX: Final = 8
 
 
 class ProgressRecord(msgspec.Struct, omit_defaults=True):
@@ -36,7 +47,8 @@
     # The runs counted as failed, with the same keys.  If the owner changes
     # after an end was stored and before it was acknowledged, the executor
     # reports that end again to the next owner.  Executors report in any
-    # order, so a lower run may be reported after a higher one.
+    # order, so a lower run may be reported after a higher one.  Of each task
+    # only the newest are listed, and none once the task is done.
     counted_runs: dict[str, list[int]] = {}
     # Newest checkpoint, keyed by `occurrence.step.index`.
     checkpoints: dict[str, str] = {}
@@ -52,6 +64,9 @@
     crashes: dict[str, list[CrashRecord]] = {}
     # Executors reserved for the job, with their start times as above.
     reserved: dict[str, int] = {}
+    # The further rows that have the fields that don't fit into the first one
+    # (see `progress_codec`); 0 once the record was read as a whole.
+    parts: int = 0
 
     @property
     def lost_executors(self) -> list[str]:
@@ -71,6 +86,43 @@
         """Return whether all tasks of an occurrence are done."""
         return occurrence < self.finished_below or occurrence in self.finished
 
+    def record_done(self, occurrence: int, step: int, index: int) -> None:
+        """Record that a task is done; drop what matters only until then."""
+        done = self.done.setdefault(step_key(occurrence, step), [])
+        done.append(index)
+        key = task_key(occurrence, step, index)
+        self.checkpoints.pop(key, None)
+        self.counted_runs.pop(key, None)
+        self.crashes.pop(key, None)
+
+    def count_failed_run(self, key: str, run: int) -> bool:
+        """Record a failed run of a task; return False if it is counted.
+
+        A run that is lower than many counted ones was given up long before,
+        as a task has one run at a time; its end doesn't count any more.
+
+        >>> progress = ProgressRecord()
+        >>> [progress.count_failed_run("0.0.0", run) for run in (2, 1, 2)]
+        [True, True, False]
+        """
+        counted = self.counted_runs.setdefault(key, [])
+        if run in counted:
+            return False
+        if len(counted) >= COUNTED_RUNS_MAX and run < min(counted):
+            return False
+        counted.append(run)
+        while len(counted) > COUNTED_RUNS_MAX:
+            counted.remove(min(counted))
+        return True
+
+    def forget_failures(self, occurrence: int, steps: list[StepSpec]) -> None:
+        """Drop the failed runs of an occurrence whose tasks are all done."""
+        if not self.failures:
+            return
+        for position, step in enumerate(steps):
+            for index in range(step.count):
+                self.failures.pop(task_key(occurrence, position, index), None)
+
     def record_finished(self, occurrence: int) -> None:
         """Record that an occurrence is finished, in bounded space.
 
--- a/tests/test_job_limits.py
+++ b/tests/test_job_limits.py
@@ -12,7 +12,12 @@
 import pytest
 
 from lycheelug.jobservice.submissions import ReplyKind
-from lycheelug.jobservice.tables import JOB_PREFIX, jobs_table
+from lycheelug.jobservice.tables import (
+    JOB_PREFIX,
+    PROGRESS_TABLE,
+    jobs_table,
+    read_progress,
+)
 from lycheelug.platform.ingress import decode_job_message
 from lycheelug.store.rows import RowName
 from lycheelug.workloads import (
@@ -246,33 +251,40 @@
     run_virtual(run())
 
 
-def test_progress_that_does_not_fit_into_a_row_fails_only_its_job() -> None:
+# Guards against a job that fails, or loses its checkpoints, because its own
+# progress record is larger than a row.
+def test_progress_that_does_not_fit_into_a_row_fails_no_job() -> None:
     async def run() -> None:
         world = JobWorld()
-        world.fleet.add("x0")
+        world.fleet.add("x0", 60.0)
+        world.fleet.add("x1")
         world.start_fleet()
         service = world.start_daemon("e0")
         await until(lambda: len(world.holders()) == 1)
-        long_step = StepSpec(count=2, lasts=True, cpu_millis=100)
+        long_step = StepSpec(count=2, lasts=True, cpu_millis=4000)
         assert (await world.submit("e0", BAD, [long_step])).kind is (
             ReplyKind.OK
         )
         holder = service.duties.held[POOL]
         await until(lambda: job_id(BAD) in holder.schedule.jobs)  # type: ignore[attr-defined]
         job = holder.schedule.jobs[job_id(BAD)]  # type: ignore[attr-defined]
-        job.progress.checkpoints = {f"0.0.{n}": "c" * 20 for n in range(2000)}
+        checkpoints = {f"0.0.{n}": "c" * 20 for n in range(2000)}
+        job.progress.checkpoints = dict(checkpoints)
         job.is_dirty = True
         await until(lambda: not job.is_dirty)
-        # Checkpoints are given up before the job is.
-        assert not job.is_final
         job.progress.failures = {f"0.0.{n}": 1 for n in range(5_000)}
         job.is_dirty = True
         assert (await world.submit("e0", 2)).kind is ReplyKind.OK
         async with asyncio.timeout(20):
             while await world.state("e0", 2) != JobState.COMPLETED:  # noqa: ASYNC110
                 await asyncio.sleep(0.1)
-            while await world.state("e0", BAD) != JobState.FAILED:  # noqa: ASYNC110
-                await asyncio.sleep(0.1)
+        await until(lambda: not job.is_dirty)
+        assert await world.state("e0", BAD) == JobState.RUNNING
+        read = await world.rows.read(PROGRESS_TABLE, POOL)
+        stored = read_progress(read.unwrap().rows)[job_id(BAD)].progress
+        assert stored is not None
+        assert stored.checkpoints == checkpoints
+        assert stored.failures == job.progress.failures
         await world.stop()
 
     run_virtual(run())
