Let the policy of a job's queue last with the job

Cause: PoolFeeds.policy answered with the defaults of QueuePolicy (one attempt, no ticket) for a queue that the owner didn't know, and Job kept the answer for good. The class is an unknown value that is replaced by a default which then decides something final.

Design: a submission is stored with the queue's policy and the version of the configuration under which it was accepted. The owner takes the newest version of its configuration, the submission and the progress record. All unfinished jobs follow each new configuration; a policy that differs from the submission's is stored with the progress, so that it lasts after a change of owner as well. Forecasts and sort keys are computed again. If a task has already failed as often as the policy in force allows, its job fails then, as it must not be started again.

Jobs of an earlier release may have no policy. While their queue isn't configured either, they don't fail for their attempts, nothing is started for 10 s, as a ticket may be needed, and after that nothing that has failed (the whole gang for a member of one). `policy-unknown` logs it by job, `policy-applied` by queue. Earlier releases ignore the new fields. The policy doesn't count towards the size limit of a submission, otherwise a job that was accepted at the limit would fail at its owner.

Also looked at: the objective, priority and stretch came from the same default and are mended by the same change. The fleet owner and the duties do nothing without a configuration. lycheelugd takes its limit of failures from constants, not from the configuration of a queue.

--- a/bench/pool_schedule.py
+++ b/bench/pool_schedule.py
@@ -41,6 +41,7 @@
     StopAnswer,
 )
 from lycheelug.jobservice.pool_owner import PoolOwner
+from lycheelug.jobservice.queue_policies import policy_record
 from lycheelug.jobservice.tables import OWNER_ROW
 from lycheelug.logs import set_up_stdout_logs
 from lycheelug.metrics import Metrics
@@ -50,6 +51,7 @@
     EndReport,
     ExecutorInfo,
     JobRecord,
+    QueuePolicy,
     Resources,
     RunReport,
     StartAnswer,
@@ -71,6 +73,7 @@
 
 POOL: Final = "quotes"
 ROUTE: Final = Route("quick", "", "/q/", POOL, 0, 2, 1.6, 0.6, False)
+POLICY: Final = policy_record(ROUTE, 1)
 JOBS_PER_S: Final = 100
 SURGE_S: Final = 5.0
 EXECUTORS: Final = 100
@@ -328,7 +331,7 @@
         job = owner.schedule.add_job(
             f"e{number:015x}",
             JobRecord("quick", "", STEPS),
-            owner.feeds.policy("quick"),
+            QueuePolicy.of("quick", POOL, POLICY),
             None,
             clock.unix_ms(),
             clock.now(),
@@ -343,7 +346,9 @@
     if profile is not None:
         profile.enable()
     for number in range(int(JOBS_PER_S * SURGE_S)):
-        record = JobRecord("quick", "payload", STEPS, clock.unix_ms())
+        record = JobRecord(
+            "quick", "payload", STEPS, clock.unix_ms(), policy=POLICY
+        )
         submissions.append(
             asyncio.get_running_loop().create_task(
                 owner.submit(f"{number:016x}", record)
--- a/lycheelug/jobservice/pool_feeds.py
+++ b/lycheelug/jobservice/pool_feeds.py
@@ -16,6 +16,7 @@
     decode_plan,
 )
 from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.jobservice.queue_policies import QueuePolicies
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     FLEET_PART,
@@ -26,7 +27,7 @@
 from lycheelug.logs import log_change
 from lycheelug.store.replica import TableReplica
 from lycheelug.supervision import describe_error
-from lycheelug.workloads import QueuePolicy, find_error
+from lycheelug.workloads import apply_policy, find_error
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -71,6 +72,7 @@
         "_on_change",
         "_plan_at",
         "_plan_replica",
+        "_policies",
         "_queue",
         "_schedule",
         "drain_orders",
@@ -89,6 +91,7 @@
         self._queue = queue
         # Called after a change of the schedule's inputs.
         self._on_change = on_change
+        self._policies = QueuePolicies(context, schedule, on_change)
         self._jobs_replica = TableReplica(
             context.store,
             jobs_table(schedule.pool),
@@ -139,7 +142,11 @@
 
     def works(self) -> list[Coroutine[None, None, None]]:
         """Return the coroutines that follow the feeds."""
-        return [self._plan_replica.run(), self._jobs_replica.run()]
+        return [
+            self._plan_replica.run(),
+            self._jobs_replica.run(),
+            self._policies.run(),
+        ]
 
     async def wait_loaded(self) -> None:
         """Wait until all submissions and the plan were read."""
@@ -178,22 +185,6 @@
         self._apply_stored_cancel(job)
         submission.resolve(SubmissionAnswer.STORED)
 
-    def policy(self, queue: str) -> QueuePolicy:
-        """Return a queue's policy; a removed queue gets the defaults."""
-        configuration = self._context.configuration()
-        route = configuration.find_queue(queue) if configuration else None
-        if route is None:
-            return QueuePolicy(queue, self._schedule.pool)
-        return QueuePolicy(
-            queue,
-            self._schedule.pool,
-            priority=route.priority,
-            max_attempts=route.max_attempts,
-            stretch=route.stretch,
-            objective_s=route.objective_s,
-            needs_placement_hint=route.needs_placement_hint,
-        )
-
     def _on_jobs_answer(self) -> None:
         """Record that the feed of submissions has answered."""
         self._jobs_at = self._context.clock.now()
@@ -259,10 +250,10 @@
         schedule = self._schedule
         error = find_error(record, self._context.job_limits)
         reason = error.render() if error is not None else ""
-        policy = self.policy(record.queue)
+        policy = self._policies.find(record, progress)
         if not reason:
             try:
-                return schedule.add_job(
+                job = schedule.add_job(
                     job_id,
                     record,
                     policy,
@@ -270,6 +261,10 @@
                     clock.unix_ms(),
                     clock.now(),
                 )
+                apply_policy(schedule, job, job.policy, clock.unix_ms())
+                self._policies.log_unknown(job)
+                self._policies.keep(job)
+                return job
             except Exception as defect:
                 self._context.metrics.count("defects")
                 reason = f"unexpected error: {describe_error(defect)}"
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -18,6 +18,7 @@
 
 from lycheelug.errors import PLATFORM_UNREACHABLE
 from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.jobservice.queue_policies import policy_record
 from lycheelug.jobservice.tables import (
     CANCEL_PREFIX,
     JOB_PREFIX,
@@ -110,6 +111,7 @@
         "_router",
         "_store",
         "_store_delay_s",
+        "_version",
     )
 
     def __init__(
@@ -135,9 +137,12 @@
         self._final_states: dict[str, str] = {}
         # The pools of each queue in all configurations seen by this daemon.
         self._pools_of: dict[str, list[str]] = {}
+        # The version of the configuration in force.
+        self._version = 0
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Record the pools of the queues, the newest first."""
+        self._version = configuration.version
         for route in configuration.routes:
             pools = self._pools_of.setdefault(route.name, [])
             if route.pool in pools:
@@ -152,6 +157,8 @@
         The pool's owner stores it if it can be reached: the owner may
         have access to the store while this daemon has none.
         """
+        policy = policy_record(route, self._version)
+        record = msgspec.structs.replace(record, policy=policy)
         former_pools = self._pools_of.get(route.name, [])[1:]
         if former_pools and self._is_store_unreachable():
             return self._refuse_unreachable("submission", job_id)
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -17,6 +17,7 @@
     JobRecord,
     JobState,
     Occurrences,
+    PolicyRecord,
     QueuePolicy,
     Resources,
     StepSpec,
@@ -24,6 +25,7 @@
 )
 from lycheelug.workloads.orders import PaceOrder, StartOrder, StopOrder
 from lycheelug.workloads.placement_hints import StepName
+from lycheelug.workloads.policy_changes import apply_policy
 from lycheelug.workloads.pool import PoolSchedule
 from lycheelug.workloads.progress import ProgressRecord
 from lycheelug.workloads.task_reports import (
@@ -46,6 +48,7 @@
     "LossCause",
     "Occurrences",
     "PaceOrder",
+    "PolicyRecord",
     "PoolSchedule",
     "ProgressRecord",
     "QueuePolicy",
@@ -62,6 +65,7 @@
     "TaskName",
     "TaskReport",
     "TaskState",
+    "apply_policy",
     "apply_start_answer",
     "apply_stop_answer",
     "apply_task_report",
--- a/lycheelug/workloads/forecast.py
+++ b/lycheelug/workloads/forecast.py
@@ -38,7 +38,7 @@
 class DeadlineForecast:
     """Deadline and remaining times of one occurrence."""
 
-    __slots__ = ("allowed_s", "due_ms", "remaining_s")
+    __slots__ = ("allowed_s", "due_ms", "policy", "remaining_s")
 
     def __init__(
         self,
@@ -47,6 +47,7 @@
         run_times: RunTimes,
         due_ms: float,
     ) -> None:
+        self.policy = policy
         expected: list[float] = []
         for step in record.steps:
             estimate_s = step.estimate_ms / 1000
--- a/lycheelug/workloads/job_limits.py
+++ b/lycheelug/workloads/job_limits.py
@@ -98,7 +98,9 @@
         ):
             if not lowest <= value <= highest:
                 return JobError(field, value, lowest, highest)
-    size = len(msgspec.json.encode(record))
+    # The policy is not part of what was submitted.
+    submitted = msgspec.structs.replace(record, policy=None)
+    size = len(msgspec.json.encode(submitted))
     if size > limits.record_bytes:
         return JobError("size in bytes", size, 1, limits.record_bytes)
     return None
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -252,10 +252,14 @@
         task.failures += 1
         self.is_dirty = True
         self.progress.failures[key] = task.failures
-        if task.failures < self.policy.max_attempts:
+        self.fail_if_exhausted(task, unix_ms)
+
+    def fail_if_exhausted(self, task: Task, unix_ms: int) -> None:
+        """Fail the job if a task has used up its attempts."""
+        if not self.policy.is_exhausted(task.failures):
             return
         task.state = TaskState.EXHAUSTED
-        reason = f"task {key} has failed {task.failures} times"
+        reason = f"task {task.key} has failed {task.failures} times"
         self._fail(FailureCause.ATTEMPTS, reason, unix_ms)
 
     def set_aside(
@@ -290,12 +294,13 @@
     ) -> DeadlineForecast:
         """Return the deadline forecast of an occurrence.
 
-        The forecast is cached until a step ends.  Otherwise each finished
+        The forecast is cached until a step ends or the queue's policy
+        changes.  Otherwise each finished
         run of another job would change the run times learned for the queue
         and with them the order of the waiting tasks.
         """
         found = self._forecasts.get(occurrence)
-        if found is None:
+        if found is None or found.policy is not self.policy:
             due_ms = self.due_ms.get(occurrence, self.record.accepted_ms)
             found = DeadlineForecast(
                 self.record, self.policy, run_times, due_ms
--- a/lycheelug/workloads/model.py
+++ b/lycheelug/workloads/model.py
@@ -20,6 +20,7 @@
     "JobRecord",
     "JobState",
     "Occurrences",
+    "PolicyRecord",
     "QueuePolicy",
     "Resources",
     "StepSpec",
@@ -94,6 +95,29 @@
     interval_ms: int = 0
 
 
+class PolicyRecord(msgspec.Struct, omit_defaults=True):
+    """A queue's scheduling policy, as stored with its jobs."""
+
+    # The version of the configuration that has it.
+    version: int = 0
+    # The rest is described in `QueuePolicy`.
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    objective_s: float = 1.0
+    needs_placement_hint: bool = False
+
+    def is_same(self, other: PolicyRecord) -> bool:
+        """Whether another version has the same policy.
+
+        >>> PolicyRecord(1, max_attempts=4).is_same(PolicyRecord(2))
+        False
+        >>> PolicyRecord(1).is_same(PolicyRecord(2))
+        True
+        """
+        return msgspec.structs.replace(self, version=other.version) == other
+
+
 class JobRecord(msgspec.Struct, omit_defaults=True):
     """An accepted submission; immutable."""
 
@@ -103,6 +127,9 @@
     # Unix time in milliseconds, by the clock of the accepting daemon.
     accepted_ms: int = 0
     schedule: Occurrences | None = None
+    # The queue's policy when the job was accepted; None if an earlier release
+    # has stored the record.
+    policy: PolicyRecord | None = None
 
     @property
     def occurrences(self) -> int:
@@ -114,6 +141,8 @@
     """Configured scheduling policy of a queue."""
 
     __slots__ = (
+        "held_until",
+        "is_known",
         "max_attempts",
         "name",
         "needs_placement_hint",
@@ -121,6 +150,7 @@
         "pool",
         "priority",
         "stretch",
+        "version",
     )
 
     def __init__(
@@ -132,7 +162,17 @@
         stretch: float = 1.0,
         objective_s: float = 1.0,
         needs_placement_hint: bool = False,
+        version: int = 0,
+        is_known: bool = True,
+        held_until: float = 0.0,
     ) -> None:
+        # The version of the configuration that has it.
+        self.version = version
+        # Otherwise its values are defaults, which decide nothing that can't
+        # be undone.
+        self.is_known = is_known
+        # Local time before which no task is started under an unknown policy.
+        self.held_until = held_until
         self.name = name
         self.pool = pool
         # Scheduling priority; 0 is the highest.
@@ -147,6 +187,35 @@
         # decides which executors may run them.
         self.needs_placement_hint = needs_placement_hint
 
+    @classmethod
+    def of(cls, name: str, pool: str, record: PolicyRecord) -> QueuePolicy:
+        """Return the policy that a record has."""
+        return cls(
+            name,
+            pool,
+            record.priority,
+            record.max_attempts,
+            record.stretch,
+            record.objective_s,
+            record.needs_placement_hint,
+            record.version,
+        )
+
+    def record(self) -> PolicyRecord:
+        """Return the record of the policy."""
+        return PolicyRecord(
+            self.version,
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.objective_s,
+            self.needs_placement_hint,
+        )
+
+    def is_exhausted(self, failures: int) -> bool:
+        """Whether a task that has failed so often has no attempt left."""
+        return self.is_known and failures >= self.max_attempts
+
 
 class JobState:
     """Job states as reported to the submitter."""
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from lycheelug.workloads.crash_records import CrashRecord  # noqa: TC001
-from lycheelug.workloads.model import JobState
+from lycheelug.workloads.model import JobState, PolicyRecord
 
 if TYPE_CHECKING:
     from lycheelug.workloads.model import StepSpec
@@ -67,6 +67,9 @@
     # The further rows that have the fields that don't fit into the first one
     # (see `progress_codec`); 0 once the record was read as a whole.
     parts: int = 0
+    # The queue's policy that was last in force, if it differs from that of
+    # the submission.
+    policy: PolicyRecord | None = None
 
     @property
     def lost_executors(self) -> list[str]:
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -112,6 +112,8 @@
     """Return whether a waiting task of a startable job may be started."""
     if now < task.not_before:
         return False
+    if _awaits_policy(task, now):
+        return False
     if task.name in schedule.run_counts and not task.step.may_duplicate:
         # A superfluous run of this task has not ended yet.
         return False
@@ -123,6 +125,20 @@
     return True
 
 
+def _awaits_policy(task: Task, now: float) -> bool:
+    """Return whether a task waits until its queue's policy is known.
+
+    It may need a ticket, and if it has failed, it may have no attempt left.
+    """
+    policy = task.job.policy
+    if policy.is_known:
+        return False
+    if now < policy.held_until:
+        return True
+    members = task.job.step_tasks(task) if task.step.is_gang else [task]
+    return any(member.key in task.job.progress.failures for member in members)
+
+
 def _choose_executor(
     schedule: PoolSchedule,
     placement: PlacementRound,
