Find jobs of a queue that moved before the daemon was started

What callers saw, in the test: a daemon that was started after a queue had moved from one pool to another answered questions about a job that had been accepted before the move, and its cancel, as if the job didn't exist. The job ran on.

Cause: a daemon knows the pools of a queue only from the configurations that it has seen since it started, and took this for all of them.

A daemon now looks for a job that it doesn't find in all other configured pools before it answers that the job doesn't exist, and compares the stored queue, as ids of different queues may be equal. A pool where a job of the queue was found is remembered. This costs one read for each other pool and unknown job.

Still open: the same daemon accepts a repeated submission of such a job as a new one in the queue's new pool, unless it has found the former pool before; that needs a record of former pools in the store.

--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -24,6 +24,7 @@
     JOB_PREFIX,
     PROGRESS_TABLE,
     CancelRecord,
+    decode_job,
     decode_progress,
     jobs_table,
 )
@@ -32,7 +33,7 @@
 from lycheelug.workloads import JobState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from returns.result import Result
 
@@ -107,6 +108,7 @@
         "_final_states",
         "_is_store_unreachable",
         "_metrics",
+        "_pools",
         "_pools_of",
         "_router",
         "_store",
@@ -135,7 +137,9 @@
         self._metrics = metrics
         # A cache of job states that can't change any more.
         self._final_states: dict[str, str] = {}
-        # The pools of each queue in all configurations seen by this daemon.
+        # All pools in the configurations seen by this daemon.
+        self._pools: set[str] = set()
+        # The pools of each queue, as far as this daemon knows them.
         self._pools_of: dict[str, list[str]] = {}
         # The version of the configuration in force.
         self._version = 0
@@ -143,6 +147,7 @@
     def apply_configuration(self, configuration: Configuration) -> None:
         """Record the pools of the queues, the newest first."""
         self._version = configuration.version
+        self._pools.update(configuration.pools)
         for route in configuration.routes:
             pools = self._pools_of.setdefault(route.name, [])
             if route.pool in pools:
@@ -273,7 +278,7 @@
             assert fault is not None
             log_fault("cancel-undecided", fault, job=job_id)
             return Reply(ReplyKind.UNDECIDED)
-        return Reply(ReplyKind.UNKNOWN_JOB)
+        return await self._look_elsewhere("cancel", route, job_id, self.cancel)
 
     async def state(self, route: Route, job_id: str) -> Reply:
         """Return a job's stored state."""
@@ -304,7 +309,9 @@
                 return self._refuse("question", job_id, read.failure())
             if read.unwrap().rows:
                 return Reply(ReplyKind.OK, state=JobState.QUEUED)
-        return Reply(ReplyKind.UNKNOWN_JOB)
+        return await self._look_elsewhere(
+            "question", route, job_id, self.state
+        )
 
     async def pending(self, route: Route) -> Reply:
         """Return how many accepted jobs of a queue have not started.
@@ -327,6 +334,37 @@
         self._metrics.count("refused-count")
         return Reply(ReplyKind.REFUSED)
 
+    async def _look_elsewhere(
+        self,
+        operation: str,
+        route: Route,
+        job_id: str,
+        repeat: Callable[[Route, str], Awaitable[Reply]],
+    ) -> Reply:
+        """Repeat an operation if the job is in a former pool of its queue.
+
+        A daemon that was started after the queue had moved has not seen the
+        configuration with that pool.
+        """
+        known = self._pools_of.setdefault(route.name, [route.pool])
+        for pool in sorted(self._pools.difference(known)):
+            found = await self._read_one(
+                jobs_table(pool), pool, JOB_PREFIX + job_id
+            )
+            if isinstance(found, Failure):
+                return self._refuse(operation, job_id, found.failure())
+            for row in found.unwrap().rows:
+                record = decode_job(row.value or b"")
+                if record is None or record.queue != route.name:
+                    continue
+                known.append(pool)
+                queue = route.name
+                log_change(
+                    "former-pool-found", job=job_id, queue=queue, pool=pool
+                )
+                return await repeat(route, job_id)
+        return Reply(ReplyKind.UNKNOWN_JOB)
+
     async def _read_one(
         self, table: str, part: str, key: str
     ) -> Result[RowSet, Fault]:
--- a/tests/test_queue_policies.py
+++ b/tests/test_queue_policies.py
@@ -8,10 +8,17 @@
 import msgspec
 import pytest
 
-from lycheelug.jobservice.interfaces import Configuration, PoolPolicy, Route
+from lycheelug.jobservice.interfaces import (
+    Configuration,
+    PoolPolicy,
+    Route,
+    SubmissionAnswer,
+    SubmissionRouter,
+)
 from lycheelug.jobservice.pool_owner import PoolOwner
-from lycheelug.jobservice.submissions import ReplyKind
+from lycheelug.jobservice.submissions import ReplyKind, Submissions
 from lycheelug.jobservice.tables import JOB_PREFIX, decode_job, jobs_table
+from lycheelug.metrics import Metrics
 from lycheelug.store.rows import RowName
 from lycheelug.workloads import (
     EndKind,
@@ -28,7 +35,7 @@
 )
 from tests.job_world import POOL, ROUTE, JobWorld, job_id, until
 from tests.pool_world import PoolWorld
-from tests.virtual_time import run_virtual
+from tests.virtual_time import VirtualClock, run_virtual
 
 NUMBER: Final = 1
 TASK: Final = TaskName(job_id(NUMBER), 0, 0, 0)
@@ -36,6 +43,18 @@
 OTHER: Final = Route("other", "", "/o/", POOL, 0, 9, 1.6, 0.6, False)
 
 
+class NoRouter(SubmissionRouter):
+    """Reaches no owner."""
+
+    async def submit(
+        self, pool: str, job_id: str, record: JobRecord
+    ) -> SubmissionAnswer:
+        return SubmissionAnswer.NOT_TAKEN
+
+    async def count_waiting(self, pool: str, queue: str) -> None:
+        return None
+
+
 def route(max_attempts: int, priority: int = 0) -> Route:
     """Return the queue's route with another policy."""
     return Route(
@@ -215,6 +234,41 @@
     run_virtual(run())
 
 
+# Guards against an accepted job that is unknown to a daemon which was started
+# after the job's queue had moved to another pool.
+@pytest.mark.parametrize("cancels", [False, True])
+def test_job_is_found_by_a_daemon_started_after_its_queue_moved(
+    cancels: bool,
+) -> None:
+    async def run() -> None:
+        world = await start_world()
+        assert (await world.submit("e0", NUMBER, STEPS)).kind is ReplyKind.OK
+        await until(lambda: running(world))
+        moved = Route(ROUTE.name, "", "/q/", "bulk", 0, 2, 1.6, 0.6, False)
+        submissions = Submissions(
+            world.rows, VirtualClock(), Metrics(), NoRouter()
+        )
+        pools = [PoolPolicy(POOL), PoolPolicy("bulk"), PoolPolicy("third")]
+        submissions.apply_configuration(
+            Configuration(2, [moved, OTHER], pools)
+        )
+        # Another queue's job may have the same id.
+        new = Route("new", "", "/n/", "third", 0, 2, 1.6, 0.6, False)
+        reply = await submissions.state(new, job_id(NUMBER))
+        assert reply.kind is ReplyKind.UNKNOWN_JOB
+        if cancels:
+            reply = await submissions.cancel(moved, job_id(NUMBER))
+            assert reply.kind is ReplyKind.OK
+            await until(lambda: not running(world))
+        reply = await submissions.state(moved, job_id(NUMBER))
+        assert reply.kind is ReplyKind.OK
+        expected = JobState.CANCELLED if cancels else JobState.RUNNING
+        assert reply.state == expected
+        await world.stop()
+
+    run_virtual(run())
+
+
 # Guards against starts without a ticket that the queue may need.
 def test_nothing_is_started_at_first_under_an_unknown_policy() -> None:
     world = PoolWorld()
