--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -56,6 +56,7 @@
         "next_occurrence",
         "occurrences",
         "open_steps",
+        "part_count",
         "policy",
         "progress",
         "record",
@@ -76,6 +77,8 @@
         self.progress = progress or ProgressRecord()
         # Version of the stored progress record; 0 if none is stored.
         self.row_version = 0
+        # The further rows of that record that may exist.
+        self.part_count = 0
         # Whether at least one task is known to have been started.
         self.has_started = bool(
             self.progress.done
@@ -226,10 +229,7 @@
         task.state = TaskState.DONE
         self.is_dirty = True
         name = task.name
-        key = step_key(name.occurrence, name.step)
-        self.progress.done.setdefault(key, []).append(name.number)
-        self.progress.checkpoints.pop(task_key(*name[1:]), None)
-        self.progress.crashes.pop(task_key(*name[1:]), None)
+        self.progress.record_done(name.occurrence, name.step, name.number)
         for other in self.step_tasks(task):
             if other.state is not TaskState.DONE:
                 return []
@@ -239,23 +239,27 @@
         """Count a failed run, once even if its end is reported twice.
 
         The job fails when a task has used up its attempts.  Long-running
-        tasks have no limit on attempts.
+        tasks have no limit on attempts, and a task that is done needs none.
         """
-        key = task_key(*task.name[1:])
+        key = task.key
+        if task.state is TaskState.DONE:
+            return
         if self.is_long_running or task.step.lasts:
             task.failures += 1
             return
-        counted = self.progress.counted_runs.setdefault(key, [])
-        if run in counted:
+        if not self.progress.count_failed_run(key, run):
             return
-        counted.append(run)
         task.failures += 1
         self.is_dirty = True
         self.progress.failures[key] = task.failures
-        if task.failures < self.policy.max_attempts:
+        self.fail_if_exhausted(task, unix_ms)
+
+    def fail_if_exhausted(self, task: Task, unix_ms: int) -> None:
+        """Fail the job if a task has used up its attempts."""
+        if not self.policy.is_exhausted(task.failures):
             return
         task.state = TaskState.EXHAUSTED
-        reason = f"task {key} has failed {task.failures} times"
+        reason = f"task {task.key} has failed {task.failures} times"
         self._fail(FailureCause.ATTEMPTS, reason, unix_ms)
 
     def set_aside(
@@ -290,12 +294,13 @@
     ) -> DeadlineForecast:
         """Return the deadline forecast of an occurrence.
 
-        The forecast is cached until a step ends.  Otherwise each finished
+        The forecast is cached until a step ends or the queue's policy
+        changes.  Otherwise each finished
         run of another job would change the run times learned for the queue
         and with them the order of the waiting tasks.
         """
         found = self._forecasts.get(occurrence)
-        if found is None:
+        if found is None or found.policy is not self.policy:
             due_ms = self.due_ms.get(occurrence, self.record.accepted_ms)
             found = DeadlineForecast(
                 self.record, self.policy, run_times, due_ms
@@ -366,6 +371,8 @@
             return self._unblock(number, now)
         for done_step in range(len(self.record.steps)):
             self.progress.done.pop(step_key(number, done_step), None)
+        if self.record.schedule is not None:
+            self.progress.forget_failures(number, self.record.steps)
         self.progress.record_finished(number)
         del self.occurrences[number]
         self.due_ms.pop(number, None)
