Let the next executor of a host prove the end of the one before

While the list of hosts can't be read, nothing proved that an executor had crashed if its host returned with an executor of another id, although that one reports to the owner. After 30 s the loss was dropped, and a task that crashes its executors was started again (see the limit on unproved losses).

A report of a later executor on the same host now proves the end, as it does for the same id. It is withdrawn like any proof if the first one answers.

test_next_executor_of_a_host_proves_the_end_of_the_last failed before: the record stays unproved.

--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -10,12 +10,17 @@
 import math
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.workloads.losses import HostEvidence, describe_outcome
+from lycheelug.workloads.losses import (
+    HostEvidence,
+    LossCause,
+    describe_outcome,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterator, Mapping
 
     from lycheelug.workloads.crash_records import CrashRecord
+    from lycheelug.workloads.executors import ExecutorView
     from lycheelug.workloads.jobs import Job
     from lycheelug.workloads.losses import Event
     from lycheelug.workloads.silences import Silences
@@ -108,6 +113,16 @@
                 )
             )
 
+    def prove_predecessors(self, view: ExecutorView) -> None:
+        """Record that an executor reports: its host has no earlier one."""
+        found: set[str] = set()
+        for _, record in self.unproved:
+            is_same_host = record.host and record.host == view.info.host
+            if is_same_host and record.born_ms < view.born_ms:
+                found.add(record.executor)
+        for executor_id in sorted(found - {view.executor_id}):
+            self.prove(executor_id, LossCause.REPLACED.value, view.born_ms)
+
     def withdraw(
         self,
         incarnation: tuple[str, int],
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -147,6 +147,7 @@
             born_before_ms=view.born_ms,
         )
         if is_first:
+            self._evidence.prove_predecessors(view)
             self._settle_reservations(view)
 
     def record_loss(
--- a/lycheelug/workloads/losses.py
+++ b/lycheelug/workloads/losses.py
@@ -36,7 +36,7 @@
 
     # A later incarnation with the same id reports.
     RESTARTED = "restarted"
-    # Another incarnation answered at the executor's address.
+    # Another incarnation answered at the executor's address or on its host.
     REPLACED = "replaced"
     # The list of hosts names another incarnation.
     NOT_LISTED = "not-listed"
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -106,3 +106,20 @@
     world.report_tasks("a")
     assert job.progress.crashes == {}
     assert view.born_ms == 1
+
+
+# Guards against a crash that can't be proved while no list of hosts is read,
+# although the host's next executor reports.
+def test_next_executor_of_a_host_proves_the_end_of_the_last() -> None:
+    progress = ProgressRecord(
+        begun_term=1, crashes={TASK: [unproved("a", "h-a")]}
+    )
+    world = PoolWorld(term=2)
+    job = world.add_job(ONE, progress=progress)
+    world.add_executor("b", has_reported=False, host="h-b")
+    world.report_tasks("b", born_ms=5)
+    (record,) = job.progress.crashes[TASK]
+    assert not record.is_proved
+    world.add_executor("a2", has_reported=False, host="h-a")
+    world.report_tasks("a2", born_ms=5)
+    assert record.is_proved
