Don't take an unknown state of a host for the proof of a crash

A state that isn't known was decoded as DOWN. That was harmless while DOWN only meant that a host can't be used; since the list of hosts proves crashes, it fails jobs.

test_unknown_state_of_a_host_proves_nothing failed before with {'a': HostEvidence.ENDED}.

--- a/lycheelug/fleetplan/hosts.py
+++ b/lycheelug/fleetplan/hosts.py
@@ -20,6 +20,8 @@
     MOVING = auto()
     IN_UPKEEP = auto()
     DOWN = auto()
+    # A state that this release doesn't know; it proves nothing.
+    UNKNOWN = auto()
 
 
 class HostInfo:
--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -192,7 +192,7 @@
     return HostInfo(
         message.machine,
         message.pool,
-        STATES_BY_NAME.get(message.state, HostState.DOWN),
+        STATES_BY_NAME.get(message.state, HostState.UNKNOWN),
         zone=message.zone,
         labels=tuple(message.labels),
         capacity=capacity,
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -5,6 +5,10 @@
 import msgspec
 import pytest
 
+from lycheelug.fleetplan import HostState
+from lycheelug.jobservice.pool_cleanup import find_host_evidence
+from lycheelug.platform.hosts import _decode_host
+from lycheelug.platform.wire import MachineMessage
 from lycheelug.workloads import ProgressRecord, StepSpec
 from lycheelug.workloads.crash_records import CrashRecord
 from tests.pool_world import PoolWorld
@@ -123,3 +127,10 @@
     world.add_executor("a2", has_reported=False, host="h-a")
     world.report_tasks("a2", born_ms=5)
     assert record.is_proved
+
+
+# Guards against an unknown state of a host that is taken for a crash.
+def test_unknown_state_of_a_host_proves_nothing() -> None:
+    host = _decode_host(MachineMessage(machine="h", pool="p", state="leaving"))
+    assert host.state is not HostState.UP
+    assert find_host_evidence({"h": host}, {"a": "h"}, set()) == {}
