Poll an executor again whose entry came back after its loop had ended

Callers would see no task on an executor for as long as its pool has the same owner: it is removed when its leases end without an entry, its loop notices that and returns, and if the entry is back before the next list is applied, the ended loop still counts as the new view's.

test_executor_whose_entry_comes_back_at_once_is_polled failed before: the executor has no report 3 s after it is back. Not seen in a run with daemons.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -45,10 +45,10 @@
         "_context",
         "_ends_stored",
         "_executor_id",
-        "_is_stopped",
         "_is_unresponsive",
         "_owner",
         "info",
+        "is_stopped",
     )
 
     def __init__(
@@ -59,12 +59,13 @@
         self._executor_id = executor_id
         self.info: ExecutorInfo = owner.schedule.executors[executor_id].info
         self._ends_stored = asyncio.Event()
-        self._is_stopped = False
+        # Whether it has ended or is to end.
+        self.is_stopped = False
         self._is_unresponsive = False
 
     def stop(self) -> None:
         """Stop polling; the executor has been removed."""
-        self._is_stopped = True
+        self.is_stopped = True
         self._context.gateway.forget(self.info)
 
     def on_ends_stored(self) -> None:
@@ -74,9 +75,10 @@
     async def run(self) -> None:
         """Poll until the pool is lost or the executor is removed."""
         retry_s = RETRY_S
-        while not self._is_stopped and not self._owner.lost.is_set():
+        while not self.is_stopped and not self._owner.lost.is_set():
             view = self._owner.schedule.executors.get(self._executor_id)
             if view is None:
+                self.is_stopped = True
                 return
             self.info = view.info
             await self._wait_for_store(view)
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -379,7 +379,8 @@
             if executor_id not in listed:
                 self.schedule.mark_entry_removed(executor_id)
         for executor_id in self.schedule.executors:
-            if executor_id not in self._loops:
+            known = self._loops.get(executor_id)
+            if known is None or known.is_stopped:
                 loop = ExecutorLoop(self._context, self, executor_id)
                 self._loops[executor_id] = loop
                 self.spawn(loop.run())
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 import pytest
 
 from lycheelug.fleetplan import HostState
 from lycheelug.jobservice.pool_cleanup import find_host_evidence
+from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.platform.hosts import _decode_host
 from lycheelug.platform.wire import MachineMessage
 from lycheelug.workloads import ProgressRecord, StepSpec
 from lycheelug.workloads.crash_records import CrashRecord
+from tests.job_world import POOL, JobWorld, until
 from tests.pool_world import PoolWorld
+from tests.virtual_time import run_virtual
 
 ONE = [StepSpec(count=1, cpu_millis=1000)]
 TWO = [StepSpec(count=2, cpu_millis=1000)]
@@ -134,3 +139,33 @@
     host = _decode_host(MachineMessage(machine="h", pool="p", state="leaving"))
     assert host.state is not HostState.UP
     assert find_host_evidence({"h": host}, {"a": "h"}, set()) == {}
+
+
+# Guards against an executor that no loop polls any more, as its entry was back
+# when the loop had ended and before the list was applied.
+def test_executor_whose_entry_comes_back_at_once_is_polled() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        executor = world.fleet.add("x0")
+        for number in range(1, 4):
+            world.fleet.add(f"x{number}")
+        world.start_fleet()
+        service = world.start_daemon("e0")
+        await until(lambda: POOL in service.duties.held)
+        owner = service.duties.held[POOL]
+        assert isinstance(owner, PoolOwner)
+        executors = owner.schedule.executors
+        for offset in range(60):
+            await until(lambda: "x0" in executors)
+            executor.is_partitioned = True
+            await asyncio.sleep(7.0 + offset * 0.013)
+            service.update_executor("x0", None)
+            while "x0" in executors:  # noqa: ASYNC110
+                await asyncio.sleep(0.001)
+            service.update_executor("x0", executor.info)
+            executor.is_partitioned = False
+            await asyncio.sleep(3.0)
+            assert executors["x0"].last_report_at is not None
+        await world.stop()
+
+    run_virtual(run())
