Clear a long-running task only by a run of a minute

A task that crashes its executors after different times was cleared of its losses by a run that went on for 0.35 s, where the others had lasted 0.1 s. Four proved losses were dropped that way, and the count began anew.

There is no hurry to clear a task that lasts; the longest time for which any task is under suspicion is now the one that clears it. Its wait for an executor of its own is bounded as before.

test_long_running_task_is_not_cleared_by_a_short_run failed before: the records are gone after 2 s.

--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -56,7 +56,8 @@
 __all__ = ["CrashLedger"]
 
 # A run clears its task once it has gone on for this many times as long as the
-# one that was lost, and for this much longer, or for the maximum.
+# one that was lost, and for this much longer, or for the maximum.  The run of
+# a long-running task must go on for the maximum.
 CLEARING_FACTOR: Final = 1.5
 CLEARING_EXTRA_S: Final = 0.2
 CLEARING_MAX_S: Final = 60.0
@@ -227,6 +228,9 @@
             return
         lost_s = max(record.age_ms for record in records) / 1000
         needed_s = lost_s * CLEARING_FACTOR + CLEARING_EXTRA_S
+        if task.step.lasts:
+            # There is time, and its crashes may be far apart.
+            needed_s = CLEARING_MAX_S
         if now - run.ordered_at < min(CLEARING_MAX_S, needed_s):
             return
         self._evidence.clear(task.job, task.key)
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -169,3 +169,25 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against a task that crashes executors and is cleared of its losses, as
+# one of its runs went on for a little longer than those before.
+def test_long_running_task_is_not_cleared_by_a_short_run() -> None:
+    losses = [proved(name) for name in "abc"]
+    progress = ProgressRecord(begun_term=1, crashes={TASK: losses})
+    world = PoolWorld(term=2)
+    world.add_executor("x")
+    job = world.add_job(
+        [StepSpec(count=1, cpu_millis=1000, lasts=True)], progress=progress
+    )
+    (order,) = world.starts()
+    world.answer(order)
+    for _ in range(20):
+        world.now += 0.1
+        world.report_tasks("x", [(order.task.name, order.run)])
+    assert len(job.progress.crashes[TASK]) == 3
+    for _ in range(70):
+        world.now += 1.0
+        world.report_tasks("x", [(order.task.name, order.run)])
+    assert job.progress.crashes == {}
