Isolate suspects that were held back after a change of owner

A suspect waits 2 s for an executor of its own. After a takeover its start is held until the runs of earlier owners are known, for up to 9 s, and that time counted: its reservation was released, and it was started beside others. A later owner then has no stored reservation by which it could record the loss.

The wait for isolation now begins when the hold ends; it is as long as before.

test_suspect_is_isolated_after_the_hold_of_a_takeover failed before: the run isn't isolated.

--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -91,6 +91,8 @@
         """Release what is no longer needed, and reserve for who waits."""
         if not self._jobs and not schedule.crashes.jobs:
             return
+        if not schedule.earlier_runs_known(now):
+            _defer_waits(schedule, now)
         self._release(schedule, now)
         usable: list[ExecutorView] = []
         for view in schedule.executors.values():
@@ -176,6 +178,16 @@
             )
 
 
+def _defer_waits(schedule: PoolSchedule, now: float) -> None:
+    """Let suspects wait from now on, as starts are held after a takeover."""
+    for job in schedule.crashes.ordered_suspects():
+        if job.progress.begun_term == schedule.term:
+            continue
+        for task in job.tasks():
+            if task.state is TaskState.READY:
+                task.ready_at = now
+
+
 def _has_recent_runs(view: ExecutorView, job_id: str, now: float) -> bool:
     """Return whether runs of a job still have to be isolated."""
     for run in view.runs.values():
--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -12,7 +12,7 @@
 from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.platform.hosts import _decode_host
 from lycheelug.platform.wire import MachineMessage
-from lycheelug.workloads import ProgressRecord, StepSpec
+from lycheelug.workloads import ProgressRecord, StartOrder, StepSpec
 from lycheelug.workloads.crash_records import CrashRecord, is_culprit
 from tests.job_world import POOL, JobWorld, until
 from tests.pool_world import PoolWorld
@@ -202,3 +202,24 @@
         record.is_certain = False
     assert is_culprit(losses, lasts=True)
     assert not is_culprit(losses[1:], lasts=True)
+
+
+# Guards against a suspect that is started without isolation after a change of
+# owner, as it had to wait for what earlier owners had started.
+def test_suspect_is_isolated_after_the_hold_of_a_takeover() -> None:
+    progress = ProgressRecord(begun_term=1, crashes={TASK: [proved("a")]})
+    world = PoolWorld(term=2, earlier_leases_end_at=108.0)
+    world.add_executor("silent", has_reported=False)
+    for name in ("x", "y", "z"):
+        world.add_executor(name)
+    world.add_job(ONE, progress=progress)
+    orders: list[StartOrder] = []
+    while not orders:
+        world.now += 0.1
+        for name in ("x", "y", "z"):
+            world.report_tasks(name)
+        orders = world.starts()
+    assert world.now >= 108.0
+    (order,) = orders
+    view = world.schedule.executors[order.executor_id]
+    assert view.runs[(order.task.name, order.run)].is_isolated
