Don't take a host that the list of hosts lacks for one that has crashed

A host that two lists in a row lacked counted as gone, and its executor as crashed. A list that is incomplete for half a second, as when its pages are read while hosts change, so fails the jobs of executors that are only cut off.

Only what the list shows counts now: a host that is down, another executor on it, or an order. A crashed executor's host is shown as down and comes back, so a task that crashes executors is found as before.

--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -14,7 +14,7 @@
 from lycheelug.workloads import HostEvidence, LossCause
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Mapping
+    from collections.abc import Mapping
 
     from lycheelug.fleetplan import HostInfo
     from lycheelug.jobservice.context import OwnerContext
@@ -50,7 +50,6 @@
     """
     interval_s = HOST_CHECK_INTERVAL_S
     read_at = -math.inf
-    missing: set[str] = set()
     while True:
         await asyncio.sleep(HOST_CHECK_INTERVAL_S)
         unresponsive = owner.schedule.unresponsive_executors()
@@ -94,8 +93,7 @@
                 else LossCause.NOT_LISTED,
             )
             owner.wake()
-        evidence = find_host_evidence(hosts, silent, missing)
-        missing = set(silent.values()) - set(hosts)
+        evidence = find_host_evidence(hosts, silent)
         if evidence:
             owner.schedule.crashes.record_hosts(evidence)
             owner.wake()
@@ -104,20 +102,17 @@
 def find_host_evidence(
     hosts: Mapping[str, HostInfo],
     silent: Mapping[str, str],
-    missing_before: Container[str],
 ) -> dict[str, HostEvidence]:
     """Return what a list of hosts shows of silent executors.
 
     `silent` has the host of each executor that was silent when the list was
-    requested; it may be empty for one that an earlier release recorded.  A
-    host counts as gone if two lists in a row lack it.
+    requested; it may be empty for one that an earlier release recorded.  That
+    a list lacks a host proves nothing: the list may be incomplete.
     """
     found: dict[str, HostEvidence] = {}
     for executor_id, name in silent.items():
         host = hosts.get(name)
         if host is None:
-            if name and name in missing_before:
-                found[executor_id] = HostEvidence.ENDED
             continue
         if host.is_under_order:
             found[executor_id] = HostEvidence.ENDED_BY_ORDER
--- a/lycheelug/workloads/losses.py
+++ b/lycheelug/workloads/losses.py
@@ -51,7 +51,7 @@
 class HostEvidence(Enum):
     """What the list of hosts shows of an executor that fell silent."""
 
-    # Its host is down, is gone, or runs another executor.
+    # Its host is down, or runs another executor.
     ENDED = "not-listed"
     # Its host was moved or maintained meanwhile, which only a host in
     # operation can be: the executor had not crashed.
