Show that a wait for proofs begins anew with each owner

The time for which a loss may stay unproved is counted by each owner from its own start. A task with five unproved losses so waits for as long as owners change within 30 s. A stored time or a count of owners would bound it, but either makes room for more starts of a task that crashes its executors.

--- a/tests/test_loss_evidence.py
+++ b/tests/test_loss_evidence.py
@@ -260,3 +260,21 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against a task that waits without end as its owners change before the
+# silences under it can be forgotten.
+def test_wait_for_proofs_ends_although_owners_change() -> None:
+    losses = [unproved(name, f"h-{name}") for name in "abcde"]
+    progress = ProgressRecord(begun_term=1, crashes={TASK: losses})
+    for term in range(2, 8):
+        world = PoolWorld(term=term)
+        world.add_executor("x")
+        job = world.add_job(ONE, progress=progress)
+        for _ in range(40):
+            world.now += 0.5
+            world.report_tasks("x")
+            if world.starts():
+                return
+        progress = job.progress
+    raise AssertionError("nothing was started in 120 s")
