--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -14,7 +14,7 @@
 from lycheelug.workloads import HostEvidence, LossCause
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Mapping
+    from collections.abc import Mapping
 
     from lycheelug.fleetplan import HostInfo
     from lycheelug.jobservice.context import OwnerContext
@@ -50,7 +50,6 @@
     """
     interval_s = HOST_CHECK_INTERVAL_S
     read_at = -math.inf
-    missing: set[str] = set()
     while True:
         await asyncio.sleep(HOST_CHECK_INTERVAL_S)
         unresponsive = owner.schedule.unresponsive_executors()
@@ -99,8 +98,7 @@
                 else LossCause.NOT_LISTED,
             )
             owner.wake()
-        evidence = find_host_evidence(hosts, silent, missing, ordered)
-        missing = set(silent.values()) - set(hosts)
+        evidence = find_host_evidence(hosts, silent, ordered)
         if evidence:
             owner.schedule.crashes.record_hosts(evidence)
             owner.wake()
@@ -116,7 +114,8 @@
     """
     found = set(owner.feeds.drain_orders)
     for host in hosts.values():
-        if host.is_under_order or host.pool != owner.pool:
+        was_moved = bool(host.pool) and host.pool != owner.pool
+        if host.is_under_order or was_moved:
             found.add(host.name)
     return found
 
@@ -124,21 +123,18 @@
 def find_host_evidence(
     hosts: Mapping[str, HostInfo],
     silent: Mapping[str, str],
-    missing_before: Container[str],
     under_order: Container[str],
 ) -> dict[str, HostEvidence]:
     """Return what a list of hosts shows of silent executors.
 
     `silent` has the host of each executor that was silent when the list was
-    requested; it may be empty for one that an earlier release recorded.  A
-    host counts as gone if two lists in a row lack it.
+    requested; it may be empty for one that an earlier release recorded.  That
+    a list lacks a host proves nothing: the list may be incomplete.
     """
     found: dict[str, HostEvidence] = {}
     for executor_id, name in silent.items():
         host = hosts.get(name)
         if host is None:
-            if name and name in missing_before:
-                found[executor_id] = HostEvidence.ENDED
             continue
         is_down = host.state is HostState.DOWN
         if not is_down and not host.has_incarnation_ended(executor_id):
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -56,7 +56,8 @@
 __all__ = ["CrashLedger"]
 
 # A run clears its task once it has gone on for this many times as long as the
-# one that was lost, and for this much longer, or for the maximum.
+# one that was lost, and for this much longer, or for the maximum.  The run of
+# a long-running task must go on for the maximum.
 CLEARING_FACTOR: Final = 1.5
 CLEARING_EXTRA_S: Final = 0.2
 CLEARING_MAX_S: Final = 60.0
@@ -148,6 +149,7 @@
             born_before_ms=view.born_ms,
         )
         if is_first:
+            self._evidence.prove_predecessors(view)
             self._settle_reservations(view)
 
     def record_loss(
@@ -227,6 +229,9 @@
             return
         lost_s = max(record.age_ms for record in records) / 1000
         needed_s = lost_s * CLEARING_FACTOR + CLEARING_EXTRA_S
+        if task.step.lasts:
+            # There is time, and its crashes may be far apart.
+            needed_s = CLEARING_MAX_S
         if now - run.ordered_at < min(CLEARING_MAX_S, needed_s):
             return
         self._evidence.clear(task.job, task.key)
@@ -254,15 +259,18 @@
             return True
         if task.job.has_unsaved_crashes:
             return False
-        return not self.awaits_proof(task.crash_records, now)
+        return not self.awaits_proof(task, now)
 
-    def awaits_proof(self, records: list[CrashRecord], now: float) -> bool:
+    def awaits_proof(self, task: Task, now: float) -> bool:
         """Return whether a task must wait for the proof of a loss.
 
         If two executors fell silent under it, it waits for a limited time, as
         they may only be cut off; if very many did, until that is known of one
-        of them.
+        of them.  Late losses of a long-running task don't count.
         """
+        records = task.crash_records
+        if task.step.lasts:
+            records = [record for record in records if record.is_likely]
         if len(records) < CULPRIT_LOSSES:
             return False
         since = self._evidence.unproved_since(records, now)
