End a wait of the store in memory at its timeout

An event loop fires a timer up to its clock's resolution before the timer's time. MemoryRows.feed waited again then for the rest, which is so short that the next timer is due at once, and virtual time doesn't advance. On a real clock it only spins for a moment; nothing but tests and stand-ins uses it.

The timer is now set to the deadline itself, and once it has fired, the next look at the history is the last one.

--- a/lycheelug/store/memory_rows.py
+++ b/lycheelug/store/memory_rows.py
@@ -98,6 +98,7 @@
     ) -> Result[RowSet | HistoryGone, Fault]:
         """Return a table's changes; wait up to `wait_s` for the first one."""
         deadline = asyncio.get_running_loop().time() + wait_s
+        is_over = wait_s <= 0
         while True:
             if after < self._dropped_up_to:
                 return Success(HistoryGone())
@@ -106,15 +107,15 @@
                 for row in self._history
                 if row.version > after and row.table == table
             ]
-            left_s = deadline - asyncio.get_running_loop().time()
-            if changes or left_s <= 0:
+            if changes or is_over:
                 return Success(RowSet(changes, self._version))
             changed = self._changed
             try:
-                async with asyncio.timeout(left_s):
+                async with asyncio.timeout_at(deadline):
                     await changed.wait()
             except TimeoutError:
-                continue
+                # The loop may be earlier than the deadline by its resolution.
+                is_over = True
 
     def forget_history(self, keep: int) -> None:
         """Drop all changes but the newest `keep`."""
