Show that a reserved executor can be one where the step is full

Callers see a long-running task wait though its pool has room for it (LOST). Hosts are lost 0.1 to 6.5 s after their tasks started, so the tasks are suspects. Isolation._reserve doesn't ask whether the step is full there, and with half of the usable executors reserved it takes no other: the task starts at 1015.40, after the pool has got another host.

--- a/tests/test_wave_crashes.py
+++ b/tests/test_wave_crashes.py
@@ -121,3 +121,11 @@
     assert fleet.broken_rules == []
     if is_completed:
         assert fleet.published == {1: True, 2: True, 3: True}
+
+
+# Guards against LOST: an executor is reserved for a task though its step is
+# full there, so the task waits and no other executor is reserved for it.
+@pytest.mark.parametrize("seed", range(2))
+def test_tasks_of_hosts_lost_soon_are_placed_again(seed: int) -> None:
+    fleet = run_virtual(play(seed, 3, 2, 4))
+    assert fleet.broken_rules == []
