--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -130,7 +130,7 @@
         )
         now = context.clock.now()
         if owner.schedule.executors.get(self._executor_id) is not view:
-            # It was removed meanwhile.
+            # It was removed meanwhile: the answer is older than its end.
             return False
         if isinstance(result, Failure):
             is_timeout = now - polled_at >= wait_s
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -8,15 +8,23 @@
 
 from returns.result import Failure
 
+from lycheelug.fleetplan import HostState
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.logs import log_change, log_fault
-from lycheelug.workloads import LossCause
+from lycheelug.workloads import HostEvidence, LossCause
 
 if TYPE_CHECKING:
+    from collections.abc import Container, Mapping
+
+    from lycheelug.fleetplan import HostInfo
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
 
-__all__ = ["remove_ended_incarnations", "remove_finished_jobs"]
+__all__ = [
+    "find_host_evidence",
+    "remove_ended_incarnations",
+    "remove_finished_jobs",
+]
 
 # How often the list of hosts is read at most while executors are
 # unresponsive, and the bytes that these reads may take a second.
@@ -42,11 +50,15 @@
     """
     interval_s = HOST_CHECK_INTERVAL_S
     read_at = -math.inf
+    missing: set[str] = set()
     while True:
         await asyncio.sleep(HOST_CHECK_INTERVAL_S)
         unresponsive = owner.schedule.unresponsive_executors()
+        silent = owner.schedule.crashes.unproved_executors()
         now = context.clock.now()
-        if not unresponsive or now - read_at < interval_s:
+        if not unresponsive and not silent:
+            continue
+        if now - read_at < interval_s:
             continue
         read_at = now
         result = await context.hosts.hosts()
@@ -62,6 +74,7 @@
             HOST_CHECK_BYTES_PER_S,
             context.weight,
         )
+        ordered = _hosts_under_order(owner, hosts)
         for view in unresponsive:
             host = hosts_by_executor.get(
                 view.executor_id, hosts.get(view.info.host)
@@ -82,10 +95,58 @@
                 view.executor_id,
                 context.clock.now(),
                 LossCause.HOST_ORDER
-                if host.is_under_order
+                if host.name in ordered
                 else LossCause.NOT_LISTED,
             )
             owner.wake()
+        evidence = find_host_evidence(hosts, silent, missing, ordered)
+        missing = set(silent.values()) - set(hosts)
+        if evidence:
+            owner.schedule.crashes.record_hosts(evidence)
+            owner.wake()
+
+
+def _hosts_under_order(
+    owner: PoolOwner, hosts: Mapping[str, HostInfo]
+) -> set[str]:
+    """Return the hosts whose executors end, or have ended, by an order.
+
+    A host that was moved is in another pool; one that is to be maintained
+    has a drain order until a new executor is there.
+    """
+    found = set(owner.feeds.drain_orders)
+    for host in hosts.values():
+        if host.is_under_order or host.pool != owner.pool:
+            found.add(host.name)
+    return found
+
+
+def find_host_evidence(
+    hosts: Mapping[str, HostInfo],
+    silent: Mapping[str, str],
+    missing_before: Container[str],
+    under_order: Container[str],
+) -> dict[str, HostEvidence]:
+    """Return what a list of hosts shows of silent executors.
+
+    `silent` has the host of each executor that was silent when the list was
+    requested; it may be empty for one that an earlier release recorded.  A
+    host counts as gone if two lists in a row lack it.
+    """
+    found: dict[str, HostEvidence] = {}
+    for executor_id, name in silent.items():
+        host = hosts.get(name)
+        if host is None:
+            if name and name in missing_before:
+                found[executor_id] = HostEvidence.ENDED
+            continue
+        is_down = host.state is HostState.DOWN
+        if not is_down and not host.has_incarnation_ended(executor_id):
+            continue
+        found[executor_id] = HostEvidence.ENDED
+        if name in under_order:
+            found[executor_id] = HostEvidence.ENDED_BY_ORDER
+    return found
 
 
 async def remove_finished_jobs(
--- a/lycheelug/workloads/crash_records.py
+++ b/lycheelug/workloads/crash_records.py
@@ -13,9 +13,9 @@
 
 __all__ = [
     "CULPRIT_LOSSES",
+    "DOUBTFUL_LOSSES_MAX",
     "SUSPECT_RUN_MAX_S",
     "CrashRecord",
-    "awaits_proof",
     "is_culprit",
     "makes_suspect",
 ]
@@ -27,6 +27,11 @@
 # The same for losses of which it is not certain or not likely that the task
 # had to do with them.
 DOUBTFUL_LOSSES_MAX: Final = 5
+# The same for a long-running task, which meets ordinary crashes again and
+# again; of the first number, so many must have been while it was isolated.
+LASTING_LOSSES: Final = 4
+LASTING_ISOLATED: Final = 2
+LASTING_LOSSES_MAX: Final = 5
 # A run that went on for longer is an unlikely cause of a loss, so it is not
 # isolated any more.
 SUSPECT_RUN_MAX_S: Final = 2.0
@@ -43,7 +48,8 @@
     # Another cause is likelier: executors were lost at the same time, or a
     # suspect of another job ran there.
     is_discounted: bool = False
-    # The incarnation has ended; otherwise it may only be unreachable.
+    # Something other than silence shows that the incarnation has ended;
+    # otherwise it may only be unreachable.
     is_proved: bool = True
     # The executor was reserved for the task's job.
     is_isolated: bool = False
@@ -53,6 +59,8 @@
     # What proved the end; empty if nothing did, or if an earlier release
     # stored the record.
     proof: str = ""
+    # The executor's host; empty if unknown.
+    host: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -80,26 +88,26 @@
     return any(each.is_likely and not each.is_discounted for each in records)
 
 
-def is_culprit(records: list[CrashRecord]) -> bool:
+def is_culprit(records: list[CrashRecord], lasts: bool = False) -> bool:
     """Return whether a task is the cause, so that it must not be restarted.
 
-    Unless there were very many losses, it must surely have run on two of the
-    executors, shortly before they were lost.
+    Only proved losses count.  Unless there were very many, the task must
+    surely have run on several of the executors, shortly before they were
+    lost.  `lasts` tells that it is a long-running task.
     """
     proved = [record for record in records if record.is_proved]
-    if len(proved) >= DOUBTFUL_LOSSES_MAX:
-        return True
     likely = [record for record in proved if record.is_likely]
     certain = [record for record in likely if record.is_certain]
-    if len(certain) < CULPRIT_LOSSES:
-        return False
-    if len(likely) >= LOSSES_MAX:
+    isolated = [record for record in certain if record.is_isolated]
+    if lasts:
+        if len(likely) >= LASTING_LOSSES_MAX:
+            return True
+        return (
+            len(certain) >= LASTING_LOSSES
+            and len(isolated) >= LASTING_ISOLATED
+        )
+    if len(proved) >= DOUBTFUL_LOSSES_MAX:
         return True
-    return any(record.is_isolated for record in certain)
-
-
-def awaits_proof(records: list[CrashRecord]) -> bool:
-    """Return whether a task must wait for the proof of a loss."""
-    if len(records) < CULPRIT_LOSSES:
+    if len(certain) < CULPRIT_LOSSES:
         return False
-    return not all(record.is_proved for record in records)
+    return len(likely) >= LOSSES_MAX or bool(isolated)
