Let a host prove a crash only if the executor was on it and its state is known

What callers saw: none here. A host in a state that isn't named, or whose entry can't be read, counted as down. And the host that a record names decided, though an entry may have named a wrong one, while the same list names the executor on its own host.

Both kinds of unknown host get a state of their own, which is neither usable nor evidence. The list is searched for the executor first, as it is before an executor is removed.

--- a/lycheelug/fleetplan/hosts.py
+++ b/lycheelug/fleetplan/hosts.py
@@ -20,6 +20,8 @@
     MOVING = auto()
     IN_UPKEEP = auto()
     DOWN = auto()
+    # The list names no known state, or can't be read.
+    UNKNOWN = auto()
 
 
 class HostInfo:
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -134,17 +134,20 @@
     host counts as gone if two lists in a row lack it.
     """
     found: dict[str, HostEvidence] = {}
+    hosts_by_executor = {host.executor_id: host for host in hosts.values()}
     for executor_id, name in silent.items():
-        host = hosts.get(name)
+        if not name:
+            continue
+        host = hosts_by_executor.get(executor_id, hosts.get(name))
         if host is None:
-            if name and name in missing_before:
+            if name in missing_before:
                 found[executor_id] = HostEvidence.ENDED
             continue
         is_down = host.state is HostState.DOWN
         if not is_down and not host.has_incarnation_ended(executor_id):
             continue
         found[executor_id] = HostEvidence.ENDED
-        if name in under_order:
+        if host.name in under_order:
             found[executor_id] = HostEvidence.ENDED_BY_ORDER
     return found
 
--- a/lycheelug/platform/hosts.py
+++ b/lycheelug/platform/hosts.py
@@ -203,7 +203,7 @@
             return Failure(name.failure())
         host = name.unwrap().machine
         log_change("host-unreadable", host=host, error=decoded.failure())
-        return Success(HostInfo(host, "", HostState.DOWN))
+        return Success(HostInfo(host, "", HostState.UNKNOWN))
     message = decoded.unwrap()
     capacity = None
     if message.capacity is not None:
@@ -213,7 +213,7 @@
         HostInfo(
             message.machine,
             message.pool,
-            STATES_BY_NAME.get(message.state, HostState.DOWN),
+            STATES_BY_NAME.get(message.state, HostState.UNKNOWN),
             zone=message.zone,
             labels=tuple(message.labels),
             capacity=capacity,
--- a/tests/test_disputed_entries.py
+++ b/tests/test_disputed_entries.py
@@ -11,6 +11,7 @@
 
 from lycheelug.fleetplan import HostInfo, HostState
 from lycheelug.jobservice.interfaces import PollFailure, StopAnswer
+from lycheelug.jobservice.pool_cleanup import find_host_evidence
 from lycheelug.jobservice.summary import list_loads
 from lycheelug.jobservice.used_executors import (
     USED_EXECUTORS_TABLE,
@@ -268,6 +269,28 @@
     run_virtual(run())
 
 
+# Guards against a crash that is proved by the state of a host on which the
+# executor never was.
+@pytest.mark.parametrize(
+    ("state", "present"),
+    [
+        (HostState.UP, "other"),
+        (HostState.DOWN, ""),
+        (HostState.MOVING, ""),
+        (HostState.UNKNOWN, ""),
+        (None, ""),
+    ],
+)
+def test_executor_on_another_host_is_not_proved_to_have_crashed(
+    state: HostState | None, present: str
+) -> None:
+    hosts = {"h": HostInfo("h", POOL, HostState.UP, executor_id="x0")}
+    if state is not None:
+        hosts["wrong"] = HostInfo("wrong", POOL, state, executor_id=present)
+    found = find_host_evidence(hosts, {"x0": "wrong"}, {"wrong"}, {"wrong"})
+    assert found == {}
+
+
 # Guards against another pool's owner that stops the runs of an executor, or
 # fences off its true owner, as an entry of another writer names its pool.
 def test_changed_pool_is_used_once_two_versions_name_it() -> None:
