--- a/lycheelug/fleetplan/hosts.py
+++ b/lycheelug/fleetplan/hosts.py
@@ -20,7 +20,7 @@
     MOVING = auto()
     IN_UPKEEP = auto()
     DOWN = auto()
-    # A state that this release doesn't know; it proves nothing.
+    # The list names no known state, or can't be read.
     UNKNOWN = auto()
 
 
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -132,15 +132,18 @@
     a list lacks a host proves nothing: the list may be incomplete.
     """
     found: dict[str, HostEvidence] = {}
+    hosts_by_executor = {host.executor_id: host for host in hosts.values()}
     for executor_id, name in silent.items():
-        host = hosts.get(name)
+        if not name:
+            continue
+        host = hosts_by_executor.get(executor_id, hosts.get(name))
         if host is None:
             continue
         is_down = host.state is HostState.DOWN
         if not is_down and not host.has_incarnation_ended(executor_id):
             continue
         found[executor_id] = HostEvidence.ENDED
-        if name in under_order:
+        if host.name in under_order:
             found[executor_id] = HostEvidence.ENDED_BY_ORDER
     return found
 
--- a/tests/wave_world.py
+++ b/tests/wave_world.py
@@ -177,8 +177,15 @@
         )
 
     async def move(
-        self, host: str, pool: str, holder: str, token: int
+        self,
+        host: str,
+        pool: str,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
+        if not may_send():
+            return HostAnswer.NOT_SENT
         known = self.hosts_by_name.get(host)
         if known is None or known.state is not HostState.UP:
             return HostAnswer.BUSY
@@ -187,8 +194,15 @@
         return HostAnswer.DONE
 
     async def maintain(
-        self, host: str, wave: int, holder: str, token: int
+        self,
+        host: str,
+        wave: int,
+        holder: str,
+        token: int,
+        may_send: Callable[[], bool],
     ) -> HostAnswer:
+        if not may_send():
+            return HostAnswer.NOT_SENT
         known = self.hosts_by_name.get(host)
         if known is None or known.state is not HostState.UP:
             return HostAnswer.BUSY
