--- a/lycheelug/fleetplan/planner.py
+++ b/lycheelug/fleetplan/planner.py
@@ -235,21 +235,16 @@
 
     def pending_hosts(self, wave: MaintenanceWave) -> list[str]:
         """Return a wave's listed hosts that were not yet maintained."""
-        done = self.plan.maintained.get(str(wave.number), [])
-        return [
-            name
-            for name in wave.hosts
-            if name in self.hosts and name not in done
-        ]
+        return [name for name in self._open(wave) if name in self.hosts]
 
     def unlisted_hosts(self, wave: MaintenanceWave) -> list[str]:
         """Return a wave's hosts that were not maintained and not listed."""
+        return [name for name in self._open(wave) if name not in self.hosts]
+
+    def _open(self, wave: MaintenanceWave) -> list[str]:
+        """Return a wave's hosts that were not yet maintained."""
         done = self.plan.maintained.get(str(wave.number), [])
-        return [
-            name
-            for name in wave.hosts
-            if name not in self.hosts and name not in done
-        ]
+        return [name for name in wave.hosts if name not in done]
 
     def _awaited_hosts(self, wave: MaintenanceWave) -> list[str]:
         """Return a wave's unlisted hosts that have not certainly left."""
--- a/lycheelug/jobservice/fleet_owner.py
+++ b/lycheelug/jobservice/fleet_owner.py
@@ -24,6 +24,7 @@
     decode_hosts,
     decode_summary,
 )
+from lycheelug.jobservice.fleet_log import FleetLog
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.jobservice.interfaces import HostAnswer
 from lycheelug.jobservice.order_permit import ORDER_TRANSIT_S, OrderPermit
@@ -49,8 +50,6 @@
 ROUND_S: Final = 0.06
 # The pause after a round that ended with an unexpected error.
 DEFECT_PAUSE_S: Final = 0.5
-# The minimum time between two log lines about changed pool sizes.
-SIZE_LOG_INTERVAL_S: Final = 1.0
 # How often the list of hosts is read at most while no host changes, and
 # while moves or maintenance are in progress or a wave names hosts that the
 # list doesn't have, and the bytes that these reads
@@ -77,14 +76,13 @@
         "_hosts",
         "_hosts_at",
         "_loads",
+        "_log",
         "_lost",
         "_maintenance_s",
         "_name",
         "_permit",
         "_plan_store",
         "_planner",
-        "_sizes",
-        "_sizes_at",
         "_summaries_at",
         "_summaries_replica",
         "_term",
@@ -121,8 +119,7 @@
         self._wave_status = WaveStatus(hosts)
         # The waves that can't be planned, which were logged.
         self._broken_waves: set[int] = set()
-        self._sizes: dict[str, tuple[int, int]] = {}
-        self._sizes_at = 0.0
+        self._log = FleetLog(context.metrics, term)
         self._calls: dict[str, asyncio.Task[None]] = {}
         self._summaries_replica = TableReplica(
             context.store,
@@ -237,8 +234,8 @@
                     "wave-set-aside", wave=number, error=describe_error(error)
                 )
                 self._context.metrics.count("defects")
-        self._log_withdrawals()
-        self._log_sizes()
+        self._log.log_withdrawals(planner)
+        self._log.log_sizes(planner, clock.now())
         due = [] if self._permit.is_held else self._due_calls()
         for call in due:
             call.order.sent = True
@@ -297,33 +294,6 @@
         """Record that the feed of summaries has answered."""
         self._summaries_at = self._context.clock.now()
 
-    def _log_withdrawals(self) -> None:
-        """Log the drain orders that were withdrawn in this round."""
-        for call in self._planner.withdrawals.events:
-            order = call.order
-            log_change(
-                "order-withdrawn",
-                host=call.host,
-                pool=order.pool,
-                target=order.target,
-                wave=order.wave,
-                number=order.number,
-                term=self._term,
-                refusals=self._planner.withdrawals.count(call.host),
-            )
-            self._context.metrics.count("orders-withdrawn")
-        self._planner.withdrawals.events.clear()
-
-    def _log_sizes(self) -> None:
-        """Log the actual and wanted host counts, at most once a second."""
-        now = self._context.clock.now()
-        sizes = self._planner.sizes()
-        if sizes == self._sizes or now - self._sizes_at < SIZE_LOG_INTERVAL_S:
-            return
-        self._sizes = sizes
-        self._sizes_at = now
-        log_change("pool-sizes", **{"have,wanted": sizes})
-
     async def _read_hosts(self) -> bool:
         """Refresh the list of hosts; return False if none was ever read."""
         now = self._context.clock.now()
@@ -346,14 +316,17 @@
         """Send the order to move or maintain one host."""
         order = call.order
         may_send = self._permit.may_send
-        if order.wave:
-            answer = await self._hosts.maintain(
-                call.host, order.wave, self._name, self._term, may_send
-            )
-        else:
-            answer = await self._hosts.move(
-                call.host, order.target, self._name, self._term, may_send
-            )
+        try:
+            if order.wave:
+                answer = await self._hosts.maintain(
+                    call.host, order.wave, self._name, self._term, may_send
+                )
+            else:
+                answer = await self._hosts.move(
+                    call.host, order.target, self._name, self._term, may_send
+                )
+        finally:
+            del self._calls[call.host]
         log_change(
             "host-order",
             host=call.host,
@@ -366,7 +339,6 @@
             proof_age_s=round(self._permit.age_s, 2),
         )
         self._context.metrics.count(f"host-orders-{answer.name.lower()}")
-        del self._calls[call.host]
         now = self._context.clock.now()
         if answer is HostAnswer.DONE and order.wave:
             self._planner.record_maintenance(call.host, order.wave, now)
