End a wait of the store in memory only if the clock stands still

The wait now ends early only if a timer has fired without any advance of the clock, where it would never end; all other waits are as they were.

--- a/lycheelug/store/memory_rows.py
+++ b/lycheelug/store/memory_rows.py
@@ -97,8 +97,9 @@
         self, table: str, after: int, wait_s: float
     ) -> Result[RowSet | HistoryGone, Fault]:
         """Return a table's changes; wait up to `wait_s` for the first one."""
-        deadline = asyncio.get_running_loop().time() + wait_s
-        is_over = wait_s <= 0
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_s
+        is_over = False
         while True:
             if after < self._dropped_up_to:
                 return Success(HistoryGone())
@@ -107,15 +108,17 @@
                 for row in self._history
                 if row.version > after and row.table == table
             ]
-            if changes or is_over:
+            now = loop.time()
+            left_s = deadline - now
+            if changes or left_s <= 0 or is_over:
                 return Success(RowSet(changes, self._version))
             changed = self._changed
             try:
-                async with asyncio.timeout_at(deadline):
+                async with asyncio.timeout(left_s):
                     await changed.wait()
             except TimeoutError:
-                # The loop may be earlier than the deadline by its resolution.
-                is_over = True
+                # A rest below the clock's resolution may not advance it.
+                is_over = loop.time() == now
 
     def forget_history(self, keep: int) -> None:
         """Drop all changes but the newest `keep`."""
