Keep proved losses first in a record that is too large

Callers could see an innocent job as failed, or a deadly task started too often, after its owner changed: of a record too large for all rows, losses that were isolated and not proved were kept before proved ones, and only proved ones decide since silence proves nothing.

--- a/lycheelug/workloads/progress_codec.py
+++ b/lycheelug/workloads/progress_codec.py
@@ -199,8 +199,8 @@
     def weight(number: int) -> tuple[bool, bool, bool, bool]:
         record = records[number]
         return (
-            record.is_isolated,
             record.is_proved,
+            record.is_isolated,
             record.is_certain,
             not record.is_discounted,
         )
