Reserve no executor without the GPUs that a suspect needs

Callers would see a task that needs a GPU wait for isolation in vain for 2 s: what an executor has room for once short tasks have ended was decided twice, in isolation without GPUs and in relocation with them. Found while reading the change as a newcomer; not seen by callers.

Both now use one function of placement, the one with GPUs.

test_executor_without_gpus_is_not_reserved_for_a_task_with_one failed before: assert {'x0'} == {'y1'}.

--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -23,6 +23,7 @@
     is_step_full,
     may_host,
     takes_tasks,
+    will_have_room,
 )
 from lycheelug.workloads.tasks import TaskState
 
@@ -151,7 +152,7 @@
             if not self.job_on(view.executor_id)
             and may_host(view, waiting[0], hints, now)
             and not is_step_full(view, waiting[0])
-            and _will_have_room(view, waiting[0])
+            and will_have_room(view, waiting[0].step.resources)
         ]
         limit = max(1, int(len(usable) * RESERVED_SHARE))
         if waiting[0].step.is_gang and len(own) == len(self._jobs):
@@ -198,21 +199,6 @@
     return False
 
 
-def _will_have_room(view: ExecutorView, task: Task) -> bool:
-    """Return whether an executor has room for a task, now or later."""
-    # Long-running tasks keep their room; the others end soon.
-    cpu_millis = task.step.resources.cpu_millis
-    memory_mb = task.step.resources.memory_mb
-    for run in view.runs.values():
-        if run.task is not None and run.task.step.lasts:
-            cpu_millis += run.resources.cpu_millis
-            memory_mb += run.resources.memory_mb
-    capacity = view.info.capacity
-    return (
-        cpu_millis <= capacity.cpu_millis and memory_mb <= capacity.memory_mb
-    )
-
-
 def _preference(view: ExecutorView, task: Task) -> tuple[bool, int, str]:
     """Return the sort key of executors to reserve, the best one first."""
     return (
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -37,6 +37,7 @@
     "is_step_full",
     "may_host",
     "takes_tasks",
+    "will_have_room",
 ]
 
 PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
@@ -253,6 +254,22 @@
     return not view.health.is_quarantined(now)
 
 
+def will_have_room(view: ExecutorView, needed: Resources) -> bool:
+    """Return whether an executor has room once short runs have ended.
+
+    Long-running tasks keep theirs.
+    """
+    for run in view.runs.values():
+        if run.task is not None and run.task.step.lasts:
+            needed = add_resources(needed, run.resources)
+    capacity = view.info.capacity
+    return (
+        needed.cpu_millis <= capacity.cpu_millis
+        and needed.memory_mb <= capacity.memory_mb
+        and needed.gpus <= capacity.gpus
+    )
+
+
 def is_overdue(task: Task, now: float) -> bool:
     """Return whether isolation must not delay a task any longer."""
     return now - task.ready_at >= ISOLATION_WAIT_S
--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -21,7 +21,12 @@
 
 from lycheelug.workloads.executors import RunPhase
 from lycheelug.workloads.model import Resources, add_resources
-from lycheelug.workloads.placement import is_step_full, may_host, takes_tasks
+from lycheelug.workloads.placement import (
+    is_step_full,
+    may_host,
+    takes_tasks,
+    will_have_room,
+)
 from lycheelug.workloads.placement_hints import StepName
 from lycheelug.workloads.tasks import TaskState
 
@@ -158,7 +163,7 @@
         """
         found: list[ExecutorView] = []
         for view in self._allowed(task):
-            if _will_have_room(view, self._with_claims(view, task)):
+            if will_have_room(view, self._with_claims(view, task)):
                 found.append(view)
         if not found:
             return False
@@ -278,7 +283,7 @@
                 continue
             taken = held.get(view.executor_id, Resources(0, 0, 0))
             needed = add_resources(task.step.resources, taken)
-            if may_host(view, task, None, now) and _will_have_room(
+            if may_host(view, task, None, now) and will_have_room(
                 view, needed
             ):
                 found.append(view)
@@ -296,19 +301,6 @@
         refused[best.executor_id] = best.drain_order
 
 
-def _will_have_room(view: ExecutorView, needed: Resources) -> bool:
-    """Return whether an executor has room once short runs have ended."""
-    for run in view.runs.values():
-        if run.task is not None and run.task.step.lasts:
-            needed = add_resources(needed, run.resources)
-    capacity = view.info.capacity
-    return (
-        needed.cpu_millis <= capacity.cpu_millis
-        and needed.memory_mb <= capacity.memory_mb
-        and needed.gpus <= capacity.gpus
-    )
-
-
 def _packing_key(view: ExecutorView) -> tuple[int, str]:
     """Return the sort key of executors, the one with least free CPU first."""
     free_cpu = view.info.capacity.cpu_millis - view.used_cpu
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -14,7 +14,7 @@
     StepSpec,
     TaskState,
 )
-from tests.pool_world import PoolWorld
+from tests.pool_world import CAPACITY, PoolWorld
 
 OTHER = "00000000000000ff"
 # A task must run again within this time if there is room for it.
@@ -308,3 +308,27 @@
         world.lose(lost)
         world.prove(lost)
     assert not job.is_final
+
+
+# Guards against an executor without GPUs that is reserved for a task that
+# needs one, which then waits in vain.
+def test_executor_without_gpus_is_not_reserved_for_a_task_with_one() -> None:
+    world = SuspectWorld(executors=2)
+    with_gpu = CAPACITY._replace(gpus=1)
+    world.add_executor("y0", capacity=with_gpu)
+    world.add_job([StepSpec(count=1, cpu_millis=500, gpus=1)])
+    (order,) = world.start_all()
+    assert order.executor_id == "y0"
+    # Another one has a GPU, and no room until a short task has ended.
+    world.add_executor("y1", capacity=with_gpu, labels=("b", "r2"))
+    short = StepSpec(count=1, cpu_millis=4000, required_label="b")
+    world.add_job([short], OTHER)
+    assert len(world.start_all()) == 1
+    world.lose("y0")
+    world.pass_time(2 * TICK_S, starts=True)
+    reserved = {
+        name
+        for name in world.schedule.executors
+        if world.schedule.isolation.job_on(name)
+    }
+    assert reserved == {"y1"}
