Keep what a job's crash records show until they change

Callers of a wide job (4,900 tasks, three executors crash at once) saw nothing of it started again in 100 s, and GETs of all jobs that took seconds: all three daemons claimed the pool in turn, up to term 13.

Cause: `Job.is_suspect` went through the crash records of all tasks of the job, and a plan asked it for each waiting task, twice: by `may_wait` of the isolation and of the placement. After a rack all records are discounted, so no look at them ended early: 5.4 s a plan here. No heartbeat, poll or claim is made meanwhile, so the pool went to the next daemon with the same load. A takeover asked it for each reported run.

Each silence, answer and proof of an executor likewise went through all records of all jobs; `discount_others` did that once for each record of the isolated job; each end of a task looked at its whole step.

Now a job keeps what its records show until they change, losses are found by incarnation, only jobs whose records have changed are reviewed, and a step counts its unfinished tasks.

--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -10,6 +10,7 @@
 import math
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.loss_index import LossIndex
 from lycheelug.workloads.losses import (
     HostEvidence,
     LossCause,
@@ -17,11 +18,12 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterator, Mapping
+    from collections.abc import Iterable, Iterator, Mapping
 
     from lycheelug.workloads.crash_records import CrashRecord
     from lycheelug.workloads.executors import ExecutorView
     from lycheelug.workloads.jobs import Job
+    from lycheelug.workloads.loss_index import Incarnation
     from lycheelug.workloads.losses import Event
     from lycheelug.workloads.silences import Silences
 
@@ -37,13 +39,23 @@
 class CrashEvidence:
     """The jobs of one pool that have crash records, and the records."""
 
-    __slots__ = ("_expired_at", "_unproved_since", "events", "jobs")
+    __slots__ = (
+        "_expired_at",
+        "_index",
+        "_unproved_since",
+        "changed",
+        "events",
+        "jobs",
+    )
 
     def __init__(self) -> None:
         # The events to log, oldest first.
         self.events: list[Event] = []
-        # The jobs with crash records.
+        # The jobs with crash records, and those whose records were added,
+        # proved or dropped since they were reviewed.
         self.jobs: dict[str, Job] = {}
+        self.changed: dict[str, Job] = {}
+        self._index = LossIndex()
         # Local times since which this owner knows of incarnations that are
         # silent and not proved to have ended.
         self._unproved_since: dict[tuple[str, int], float] = {}
@@ -59,19 +71,30 @@
                     if not record.is_proved:
                         yield job, record
 
+    def add_job(self, job: Job) -> None:
+        """Take over the records that an earlier owner stored."""
+        self.jobs[job.job_id] = job
+        self.changed[job.job_id] = job
+        job.suspicion.forget()
+        for key, records in job.progress.crashes.items():
+            for record in records:
+                self._index.add(job, key, record)
+
     def add(self, job: Job, key: str, record: CrashRecord) -> None:
         """Add a record, or complete the one of the same incarnation."""
         records = job.progress.crashes.setdefault(key, [])
         self.jobs[job.job_id] = job
-        job.mark_crashes_changed()
+        self._mark_changed(job)
         for known in records:
             if known.incarnation == record.incarnation:
                 known.host = known.host or record.host
                 known.proof = known.proof or record.proof
                 known.is_proved = known.is_proved or record.is_proved
                 known.is_certain = known.is_certain or record.is_certain
+                self._index.add(job, key, known)
                 return
         records.append(record)
+        self._index.add(job, key, record)
 
     def replace(self, job: Job, key: str, records: list[CrashRecord]) -> None:
         """Replace a task's records, if any was dropped."""
@@ -81,7 +104,7 @@
             job.progress.crashes[key] = records
         else:
             job.progress.crashes.pop(key, None)
-        job.mark_crashes_changed()
+        self._mark_changed(job)
 
     def clear(self, job: Job, key: str) -> None:
         """Drop a task's records, as it is not the cause of the losses."""
@@ -96,12 +119,13 @@
         """Record what proves that an executor's incarnations have ended."""
         proved = 0
         born_ms = 0
-        for job, record in self.unproved:
-            is_ended = record.born_ms < born_before_ms
-            if record.executor == executor_id and is_ended:
+        for incarnation in self._index.of_executor(executor_id):
+            if incarnation[1] >= born_before_ms:
+                continue
+            for job, record in self._unproved_of(incarnation):
                 record.is_proved = True
                 record.proof = proof
-                job.mark_crashes_changed()
+                self._mark_changed(job)
                 proved += 1
                 born_ms = record.born_ms
         if proved:
@@ -120,10 +144,10 @@
     def prove_predecessors(self, view: ExecutorView) -> None:
         """Record that an executor reports: its host has no earlier one."""
         found: set[str] = set()
-        for _, record in self.unproved:
-            is_same_host = record.host and record.host == view.info.host
-            if is_same_host and record.born_ms < view.born_ms:
-                found.add(record.executor)
+        for incarnation in self._index.of_host(view.info.host):
+            executor_id, born_ms = incarnation
+            if born_ms < view.born_ms and self._unproved_of(incarnation):
+                found.add(executor_id)
         for executor_id in sorted(found - {view.executor_id}):
             self.prove(executor_id, LossCause.REPLACED.value, view.born_ms)
 
@@ -140,17 +164,17 @@
         """
         dropped = 0
         proofs: set[str] = set()
-        for job in list(self.jobs.values()):
-            for key, records in list(job.progress.crashes.items()):
-                kept: list[CrashRecord] = []
-                for record in records:
-                    is_kept = keeps_proved and record.is_proved
-                    if record.incarnation != incarnation or is_kept:
-                        kept.append(record)
-                    elif record.is_proved:
-                        proofs.add(record.proof)
-                dropped += len(records) - len(kept)
-                self.replace(job, key, kept)
+        for job, key, dropped_record in self._index.entries(incarnation):
+            if keeps_proved and dropped_record.is_proved:
+                continue
+            if dropped_record.is_proved:
+                proofs.add(dropped_record.proof)
+            kept: list[CrashRecord] = []
+            for record in job.progress.crashes[key]:
+                if record is not dropped_record:
+                    kept.append(record)
+            dropped += 1
+            self.replace(job, key, kept)
         if not dropped:
             return
         self.events.append(
@@ -175,7 +199,10 @@
         if now - self._expired_at < EXPIRY_INTERVAL_S:
             return
         self._expired_at = now
-        silent = {record.incarnation for _, record in self.unproved}
+        silent: set[Incarnation] = set()
+        for incarnation in self._index:
+            if self._unproved_of(incarnation):
+                silent.add(incarnation)
         for incarnation in list(self._unproved_since):
             if incarnation not in silent:
                 del self._unproved_since[incarnation]
@@ -202,11 +229,11 @@
 
         The list was requested after they fell silent.
         """
-        found: dict[tuple[str, int], HostEvidence] = {}
-        for _, record in self.unproved:
-            evidence = hosts.get(record.executor)
-            if evidence is not None:
-                found[record.incarnation] = evidence
+        found: dict[Incarnation, HostEvidence] = {}
+        for executor_id, evidence in hosts.items():
+            for incarnation in self._index.of_executor(executor_id):
+                if self._unproved_of(incarnation):
+                    found[incarnation] = evidence
         for incarnation, evidence in found.items():
             executor_id, born_ms = incarnation
             if evidence is HostEvidence.ENDED_BY_ORDER:
@@ -217,34 +244,50 @@
     # --- Other explanations of a loss.
 
     def discount_others(
-        self, job: Job, record: CrashRecord, is_explained: bool = False
+        self, job: Job, incarnation: Incarnation, is_explained: bool = False
     ) -> None:
         """Discount a loss for the tasks of all jobs but one.
 
         All records of a task with several losses are kept.
         """
-        for other in list(self.jobs.values()):
-            if other is job:
+        for other, key, record in self._index.entries(incarnation):
+            if other is job or len(other.progress.crashes[key]) > 1:
                 continue
-            for key, (first, *more) in list(other.progress.crashes.items()):
-                if more or first.incarnation != record.incarnation:
-                    continue
-                if is_explained:
-                    self.replace(other, key, [])
-                elif not first.is_discounted:
-                    first.is_discounted = True
-                    other.mark_crashes_changed()
+            if is_explained:
+                self.replace(other, key, [])
+            elif not record.is_discounted:
+                record.is_discounted = True
+                other.mark_crashes_changed()
 
     def discount_group(
-        self, silences: Silences, executor_ids: Container[str]
+        self, silences: Silences, executor_ids: Iterable[str]
     ) -> None:
         """Discount losses of executors at nearly the same time."""
-        for job in self.jobs.values():
-            for first, *more in job.progress.crashes.values():
-                silence = silences.get(first.executor)
-                if more or first.is_discounted or silence is None:
-                    continue
-                is_of_silence = first.born_ms == silence.born_ms
-                if is_of_silence and first.executor in executor_ids:
-                    first.is_discounted = True
+        for executor_id in executor_ids:
+            silence = silences.get(executor_id)
+            if silence is None or silence.is_discounted:
+                continue
+            silence.is_discounted = True
+            incarnation = (executor_id, silence.born_ms)
+            for job, key, record in self._index.entries(incarnation):
+                has_more = len(job.progress.crashes[key]) > 1
+                if not has_more and not record.is_discounted:
+                    record.is_discounted = True
                     job.mark_crashes_changed()
+
+    # --- Implementation.
+
+    def _mark_changed(self, job: Job) -> None:
+        """Let a job's records be stored, and reviewed with the next plan."""
+        job.mark_crashes_changed()
+        self.changed[job.job_id] = job
+
+    def _unproved_of(
+        self, incarnation: Incarnation
+    ) -> list[tuple[Job, CrashRecord]]:
+        """Return the records of an incarnation that nothing has proved."""
+        found: list[tuple[Job, CrashRecord]] = []
+        for job, _, record in self._index.entries(incarnation):
+            if not record.is_proved:
+                found.append((job, record))
+        return found
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -32,7 +32,6 @@
     SUSPECT_RUN_MAX_S,
     CrashRecord,
     is_culprit,
-    makes_suspect,
 )
 from lycheelug.workloads.losses import (
     PROOFS,
@@ -91,7 +90,7 @@
         """Take over what an earlier owner stored."""
         if job.is_final or not job.progress.crashes:
             return
-        self.jobs[job.job_id] = job
+        self._evidence.add_job(job)
         for records in job.progress.crashes.values():
             for record in records:
                 # An earlier release stored ended leases as proofs.
@@ -130,9 +129,11 @@
         job = schedule.jobs.get(isolated.task_name.job) if isolated else None
         if job is None:
             return
+        lost: set[tuple[str, int]] = set()
         for records in job.progress.crashes.values():
-            for record in records:
-                self._evidence.discount_others(job, record)
+            lost.update(record.incarnation for record in records)
+        for incarnation in sorted(lost):
+            self._evidence.discount_others(job, incarnation)
 
     def record_answer(self, view: ExecutorView, is_first: bool) -> None:
         """Record that an executor reports, to this owner for the first time.
@@ -244,6 +245,10 @@
         for job in list(self.jobs.values()):
             if job.is_final or not job.progress.crashes:
                 del self.jobs[job.job_id]
+        changed = self._evidence.changed
+        while changed:
+            _, job = changed.popitem()
+            if job.is_final:
                 continue
             for key, records in list(job.progress.crashes.items()):
                 if is_culprit(records, job.is_long_running):
@@ -268,6 +273,8 @@
         they may only be cut off; if very many did, until that is known of one
         of them.  Late losses of a long-running task don't count.
         """
+        if task.job.suspicion.most_losses < CULPRIT_LOSSES:
+            return False
         records = task.crash_records
         if task.step.lasts:
             records = [record for record in records if record.is_likely]
@@ -287,12 +294,9 @@
         """
         found: list[tuple[int, str, Job]] = []
         for job in self.jobs.values():
-            ages: list[int] = []
-            for records in job.progress.crashes.values():
-                if makes_suspect(records):
-                    ages.append(min(record.age_ms for record in records))
-            if ages and not job.is_final:
-                found.append((min(ages), job.job_id, job))
+            youngest_ms = job.suspicion.youngest_ms
+            if youngest_ms is not None and not job.is_final:
+                found.append((youngest_ms, job.job_id, job))
         return [job for _, _, job in sorted(found, key=lambda each: each[:2])]
 
     # --- Implementation.
@@ -308,7 +312,9 @@
         job.set_aside(reason, unix_ms, FailureCause.CRASHES)
         schedule.dequeue_job(job)
         for record in records:
-            self._evidence.discount_others(job, record, is_explained=True)
+            self._evidence.discount_others(
+                job, record.incarnation, is_explained=True
+            )
 
     def _add_runs(
         self,
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -11,7 +11,6 @@
 
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.workloads.crash_records import makes_suspect
 from lycheelug.workloads.forecast import DeadlineForecast
 from lycheelug.workloads.model import (
     FailureCause,
@@ -19,12 +18,8 @@
     TaskName,
     is_long_running,
 )
-from lycheelug.workloads.progress import (
-    FINISHED_MAX,
-    ProgressRecord,
-    step_key,
-    task_key,
-)
+from lycheelug.workloads.progress import FINISHED_MAX, ProgressRecord, step_key
+from lycheelug.workloads.suspicion import Suspicion
 from lycheelug.workloads.tasks import Task, TaskState
 
 if TYPE_CHECKING:
@@ -62,6 +57,7 @@
         "record",
         "row_version",
         "sequence",
+        "suspicion",
     )
 
     def __init__(
@@ -75,6 +71,7 @@
         self.record = record
         self.policy = policy
         self.progress = progress or ProgressRecord()
+        self.suspicion = Suspicion(self.progress)
         # Version of the stored progress record; 0 if none is stored.
         self.row_version = 0
         # The further rows of that record that may exist.
@@ -100,8 +97,9 @@
         # Tasks by occurrence and step, for occurrences that are due and
         # unfinished.
         self.occurrences: dict[int, list[list[Task]]] = {}
-        # Numbers of the steps with unfinished tasks, by occurrence.
-        self.open_steps: dict[int, set[int]] = {}
+        # The number of unfinished tasks of each step that has any, by
+        # occurrence.
+        self.open_steps: dict[int, dict[int, int]] = {}
         # Due times of the open occurrences.
         self.due_ms: dict[int, int] = {}
         # Zone of the executor on which a task was last placed.
@@ -131,10 +129,7 @@
     @property
     def is_suspect(self) -> bool:
         """Whether one of its tasks may have crashed an executor."""
-        for records in self.progress.crashes.values():
-            if makes_suspect(records):
-                return True
-        return False
+        return self.suspicion.youngest_ms is not None
 
     @property
     def is_begun(self) -> bool:
@@ -145,6 +140,7 @@
         """Let records or reservations be stored before the next start."""
         self.is_dirty = True
         self.has_unsaved_crashes = True
+        self.suspicion.forget()
 
     def mark_begun(self, term: int) -> None:
         """Record that tasks are about to be started."""
@@ -229,10 +225,13 @@
         task.state = TaskState.DONE
         self.is_dirty = True
         name = task.name
+        if task.crash_records:
+            self.suspicion.forget()
         self.progress.record_done(name.occurrence, name.step, name.number)
-        for other in self.step_tasks(task):
-            if other.state is not TaskState.DONE:
-                return []
+        open_steps = self.open_steps[name.occurrence]
+        open_steps[name.step] -= 1
+        if open_steps[name.step]:
+            return []
         return self._finish_step(name.occurrence, name.step, unix_ms, now)
 
     def record_failure(self, task: Task, run: int, unix_ms: int) -> None:
@@ -277,7 +276,7 @@
         if not checkpoint or checkpoint == task.checkpoint:
             return
         task.checkpoint = checkpoint
-        self.progress.checkpoints[task_key(*task.name[1:])] = checkpoint
+        self.progress.checkpoints[task.key] = checkpoint
         self.is_dirty = True
 
     def cancel(self, unix_ms: int) -> None:
@@ -294,10 +293,9 @@
     ) -> DeadlineForecast:
         """Return the deadline forecast of an occurrence.
 
-        The forecast is cached until a step ends or the queue's policy
-        changes.  Otherwise each finished
-        run of another job would change the run times learned for the queue
-        and with them the order of the waiting tasks.
+        It is cached until a step ends or the queue's policy changes, as
+        each finished run of another job changes the run times learned for
+        the queue, and would change the order of the waiting tasks.
         """
         found = self._forecasts.get(occurrence)
         if found is None or found.policy is not self.policy:
@@ -323,21 +321,20 @@
         """Create an occurrence's tasks and restore their recorded progress."""
         progress = self.progress
         steps: list[list[Task]] = []
-        open_steps: set[int] = set()
+        open_steps: dict[int, int] = {}
         for position, step in enumerate(self.record.steps):
-            done = frozenset(progress.done.get(step_key(number, position), ()))
+            recorded = progress.done.get(step_key(number, position), ())
+            done = frozenset(recorded).intersection(range(step.count))
             tasks: list[Task] = []
             for index in range(step.count):
                 name = TaskName(self.job_id, number, position, index)
                 task = Task(self, name, step)
-                key = task_key(number, position, index)
-                task.failures = progress.failures.get(key, 0)
-                task.checkpoint = progress.checkpoints.get(key, "")
+                task.restore(progress)
                 if index in done:
                     task.state = TaskState.DONE
                 tasks.append(task)
             if len(done) < step.count:
-                open_steps.add(position)
+                open_steps[position] = step.count - len(done)
             steps.append(tasks)
         self.occurrences[number] = steps
         self.open_steps[number] = open_steps
@@ -350,7 +347,7 @@
         for position, step in enumerate(self.record.steps):
             if position not in open_steps:
                 continue
-            if not open_steps.isdisjoint(step.depends_on):
+            if not open_steps.keys().isdisjoint(step.depends_on):
                 continue
             for task in self.occurrences[number][position]:
                 if task.state is not TaskState.BLOCKED:
@@ -366,7 +363,7 @@
         """Close a finished step; return the tasks that become ready."""
         self._forecasts.pop(number, None)
         open_steps = self.open_steps[number]
-        open_steps.discard(position)
+        open_steps.pop(position, None)
         if open_steps:
             return self._unblock(number, now)
         for done_step in range(len(self.record.steps)):
@@ -375,6 +372,7 @@
             self.progress.forget_failures(number, self.record.steps)
         self.progress.record_finished(number)
         del self.occurrences[number]
+        del self.open_steps[number]
         self.due_ms.pop(number, None)
         is_last = self.progress.finished_count == self.record.occurrences
         # The last runs of a cancelled job may still be done.
--- a/lycheelug/workloads/silences.py
+++ b/lycheelug/workloads/silences.py
@@ -21,7 +21,7 @@
 class Silence:
     """When an executor with runs stopped answering, in local time."""
 
-    __slots__ = ("born_ms", "is_isolated", "since", "until")
+    __slots__ = ("born_ms", "is_discounted", "is_isolated", "since", "until")
 
     def __init__(
         self, born_ms: int, since: float, until: float, is_isolated: bool
@@ -32,6 +32,8 @@
         self.until = until
         # Whether it was reserved for a suspect that ran there.
         self.is_isolated = is_isolated
+        # Whether the records of it were discounted, as of a group.
+        self.is_discounted = False
 
     def may_coincide(self, other: Silence) -> bool:
         """Return whether both may have one cause, up to detection delays."""
--- a/lycheelug/workloads/tasks.py
+++ b/lycheelug/workloads/tasks.py
@@ -12,6 +12,7 @@
     from lycheelug.workloads.crash_records import CrashRecord
     from lycheelug.workloads.jobs import Job
     from lycheelug.workloads.model import StepSpec, TaskName
+    from lycheelug.workloads.progress import ProgressRecord
 
 __all__ = ["Task", "TaskState"]
 
@@ -92,6 +93,11 @@
             return makes_suspect(self.crash_records)
         return self.job.is_suspect
 
+    def restore(self, progress: ProgressRecord) -> None:
+        """Take over what is recorded of an unfinished task."""
+        self.failures = progress.failures.get(self.key, 0)
+        self.checkpoint = progress.checkpoints.get(self.key, "")
+
     def next_run_number(self, term: int) -> int:
         """Return the next run number, higher than all earlier ones."""
         return max(self.last_run + 1, term * RUNS_PER_TERM + 1)
