Bound what one plan of a pool does

A plan had no bound: it asked all executors for each waiting task with a label, a limit or crash records, and for each long-running one; it tried a gang once for each of its members, each time until the last one had no room; a drain looked at the whole step for each run and at all executors for each task without another place; and it started thousands of tasks at once. The daemon does nothing else meanwhile, and once heartbeats are due the pool goes to the next daemon with the same load.

Now a task finds no executor if another one of its step and kind found none; a gang is tried once, and only if there is room for all members; drains remember what a step has claimed and lacks; and a plan has a budget of 50,000 executors considered and 200 starts (`plan_budget`). What it doesn't reach comes first in the next plan, so every plan makes progress. On a host on which a whole budget takes over 50 ms, plans have down to a quarter of it.

An undone gang placement also left its job in another zone, ended reservations of others, and counted leases that were never granted; the comparison with the reference showed it. The reference schedule undoes them too; it still tries each task on each executor.

--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -21,6 +21,12 @@
 
 from lycheelug.workloads.executor_info import ExecutorInfo
 from lycheelug.workloads.health import ExecutorHealth
+from lycheelug.workloads.reports import (
+    EndKind,
+    EndReport,
+    RunReport,
+    TaskReport,
+)
 
 if TYPE_CHECKING:
     from lycheelug.workloads.jobs import Task
@@ -46,20 +52,6 @@
 UNRESPONSIVE_S: Final = 1.6
 
 
-class EndKind(Enum):
-    """How a run ended, as reported by its executor."""
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    # Ended because its lease expired.
-    LAPSED = "lapsed"
-    # Ended because another member of its gang ended.
-    BROKEN = "broken"
-    # Timed out waiting for the other members of its gang.
-    ALONE = "alone"
-
-
 class RunPhase(Enum):
     """State of a run as far as the owner knows."""
 
@@ -73,66 +65,6 @@
     STOPPING = auto()
 
 
-class RunReport:
-    """Reports one active run; part of a task report."""
-
-    __slots__ = ("checkpoint", "load", "percent", "run", "task")
-
-    def __init__(
-        self,
-        task: TaskName,
-        run: int,
-        checkpoint: str = "",
-        percent: int = 0,
-        load: int = 0,
-    ) -> None:
-        self.task = task
-        self.run = run
-        self.checkpoint = checkpoint
-        self.percent = percent
-        # Over the last 0.5 s: tail response time in milliseconds for a task
-        # that serves requests, thousandths of a core in use for any other.
-        self.load = load
-
-
-class EndReport:
-    """Reports the end of one run; part of a task report."""
-
-    __slots__ = ("checkpoint", "kind", "number", "run", "task")
-
-    def __init__(
-        self,
-        number: int,
-        task: TaskName,
-        run: int,
-        kind: EndKind,
-        checkpoint: str = "",
-    ) -> None:
-        self.number = number
-        self.task = task
-        self.run = run
-        self.kind = kind
-        self.checkpoint = checkpoint
-
-
-class TaskReport:
-    """An executor's answer to a poll: its active and its ended runs."""
-
-    __slots__ = ("born_ms", "clock_ms", "ended", "running")
-
-    def __init__(
-        self,
-        clock_ms: int,
-        born_ms: int,
-        running: list[RunReport],
-        ended: list[EndReport],
-    ) -> None:
-        self.clock_ms = clock_ms
-        self.born_ms = born_ms
-        self.running = running
-        self.ended = ended
-
-
 class Run:
     """One run of a task on one executor."""
 
@@ -204,6 +136,7 @@
 
     __slots__ = (
         "_run_counts",
+        "_step_runs",
         "backoff_until",
         "born_ms",
         "clock_ms",
@@ -240,6 +173,8 @@
         # Number of known runs of each task, shared by all executors of the
         # pool.
         self._run_counts = Counter() if run_counts is None else run_counts
+        # Number of runs here of each step, by its name in `TaskName`.
+        self._step_runs: Counter[tuple[str, int, int]] = Counter()
         # Unix time in milliseconds at which the current incarnation started,
         # by its entry until its first report, and by its reports from then.
         self.born_ms = info.born_ms
@@ -343,6 +278,7 @@
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
         self._run_counts[run.task_name] += 1
+        self._step_runs[run.task_name[:3]] += 1
         self.used_cpu += run.resources.cpu_millis
         self.used_memory += run.resources.memory_mb
         self.used_gpus += run.resources.gpus
@@ -355,11 +291,22 @@
         self._run_counts[run.task_name] -= 1
         if not self._run_counts[run.task_name]:
             del self._run_counts[run.task_name]
+        self._step_runs[run.task_name[:3]] -= 1
+        if not self._step_runs[run.task_name[:3]]:
+            del self._step_runs[run.task_name[:3]]
         self.used_cpu -= run.resources.cpu_millis
         self.used_memory -= run.resources.memory_mb
         self.used_gpus -= run.resources.gpus
         return run
 
+    def count_step_runs(self, name: TaskName) -> int:
+        """Return the number of runs here of a task's step."""
+        return self._step_runs[name[:3]]
+
+    def has_runs_of(self, name: TaskName) -> bool:
+        """Return whether a task may have runs here: it has any in the pool."""
+        return name in self._run_counts
+
     def fits(self, resources: Resources) -> bool:
         """Return whether the free capacity covers a resource request."""
         capacity = self.info.capacity
--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -18,16 +18,17 @@
 
 from lycheelug.workloads.crash_records import SUSPECT_RUN_MAX_S
 from lycheelug.workloads.placement import (
-    count_step_tasks,
+    LastingUse,
     is_overdue,
     is_step_full,
     may_host,
+    members_that_fit,
     takes_tasks,
-    will_have_room,
 )
-from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
     from lycheelug.workloads.executors import ExecutorView, Run
     from lycheelug.workloads.jobs import Job
     from lycheelug.workloads.pool import PoolSchedule
@@ -39,6 +40,8 @@
 # beside them.
 SETTLED_S: Final = 0.3
 RESERVED_SHARE: Final = 0.5
+# Jobs for which one plan looks for executors to reserve.
+RESERVING_JOBS_MAX: Final = 20
 
 
 class Isolation:
@@ -50,6 +53,11 @@
         # The job for which an executor is reserved, by executor.
         self._jobs: dict[str, str] = {}
 
+    @property
+    def reservations(self) -> dict[str, str]:
+        """The jobs for which executors are reserved, by executor."""
+        return dict(self._jobs)
+
     def job_on(self, executor_id: str) -> str:
         """Return the job for which an executor is reserved, or nothing."""
         return self._jobs.get(executor_id, "")
@@ -74,6 +82,19 @@
             job.progress.reserved.pop(executor_id, None)
             job.is_dirty = True
 
+    def undo_releases(
+        self, schedule: PoolSchedule, reservations: Mapping[str, str]
+    ) -> None:
+        """Reserve what was released for placements that were undone."""
+        for executor_id, job_id in reservations.items():
+            job = schedule.jobs.get(job_id)
+            view = schedule.executors.get(executor_id)
+            if executor_id in self._jobs or job is None or view is None:
+                continue
+            self._jobs[executor_id] = job_id
+            job.progress.reserved[executor_id] = view.born_ms
+            job.is_dirty = True
+
     def restore(self, executor_id: str, job_id: str) -> None:
         """Reserve an executor again, as an earlier owner had."""
         self._jobs.setdefault(executor_id, job_id)
@@ -94,75 +115,85 @@
             return
         if not schedule.earlier_runs_known(now):
             _defer_waits(schedule, now)
-        self._release(schedule, now)
+        waiting = _WaitingTasks(schedule, now)
+        self._release(schedule, waiting, now)
         usable: list[ExecutorView] = []
+        own: dict[str, list[ExecutorView]] = {}
         for view in schedule.executors.values():
-            if takes_tasks(view, now):
-                usable.append(view)
+            if not takes_tasks(view, now):
+                continue
+            usable.append(view)
+            job_id = self.job_on(view.executor_id)
+            if job_id:
+                own.setdefault(job_id, []).append(view)
+        lasting_use = LastingUse()
+        reserving = 0
         for job in schedule.crashes.ordered_suspects():
-            waiting = self._waiting_tasks(schedule, job, now)
-            if waiting:
-                self._reserve(schedule, job, waiting, usable, now)
+            first = waiting.first(job)
+            if first is None:
+                continue
+            missing = _missing_places(own.get(job.job_id, []), first)
+            if missing <= 0:
+                continue
+            count = waiting.count(job)
+            self._reserve(
+                schedule, first, missing, usable, lasting_use, count, now
+            )
+            reserving += 1
+            if reserving >= RESERVING_JOBS_MAX:
+                return
 
-    def _release(self, schedule: PoolSchedule, now: float) -> None:
+    def _release(
+        self, schedule: PoolSchedule, waiting: _WaitingTasks, now: float
+    ) -> None:
         """Release the executors that their jobs no longer need."""
         for executor_id, job_id in list(self._jobs.items()):
             job = schedule.jobs.get(job_id)
             view = schedule.executors.get(executor_id)
             if job is not None and view is not None and job.is_suspect:
                 has_runs = _has_recent_runs(view, job_id, now)
-                is_wanted = bool(self._waiting_tasks(schedule, job, now))
+                is_wanted = waiting.first(job) is not None
                 if has_runs or (is_wanted and takes_tasks(view, now)):
                     continue
             self.release(schedule, executor_id)
 
-    def _waiting_tasks(
-        self, schedule: PoolSchedule, job: Job, now: float
-    ) -> list[Task]:
-        """Return the waiting tasks of a job that need a reserved executor."""
-        found: list[Task] = []
-        for task in job.tasks():
-            if task.state is not TaskState.READY:
-                continue
-            if not self.may_wait(task, now):
-                continue
-            if not schedule.crashes.awaits_proof(task, now):
-                found.append(task)
-        return found
-
     def _reserve(
         self,
         schedule: PoolSchedule,
-        job: Job,
-        waiting: list[Task],
+        first: Task,
+        missing: int,
         usable: list[ExecutorView],
+        lasting_use: LastingUse,
+        waiting: int,
         now: float,
     ) -> None:
-        """Reserve executors for a job until its next start fits on them."""
-        needs_hint = waiting[0].job.policy.needs_placement_hint
-        hints = schedule.placement_hints if needs_hint else None
-        own = [
-            view
-            for view in usable
-            if self.job_on(view.executor_id) == job.job_id
-        ]
+        """Reserve executors for a job until its next start fits on them.
+
+        That is the start of its task `first`, or of that task's gang, which
+        needs room for `missing` more tasks.
+        """
+        job = first.job
+        limit = max(1, int(len(usable) * RESERVED_SHARE))
+        if first.step.is_gang and set(self._jobs.values()) <= {job.job_id}:
+            limit = len(usable)
+        if len(self._jobs) >= limit:
+            return
+        hints = None
+        if job.policy.needs_placement_hint:
+            hints = schedule.placement_hints
         free = [
             view
             for view in usable
             if not self.job_on(view.executor_id)
-            and may_host(view, waiting[0], hints, now)
-            and not is_step_full(view, waiting[0])
-            and will_have_room(view, waiting[0].step.resources)
+            and may_host(view, first, hints, now)
+            and not is_step_full(view, first)
+            and lasting_use.leaves_room(view, first.step.resources)
         ]
-        limit = max(1, int(len(usable) * RESERVED_SHARE))
-        if waiting[0].step.is_gang and len(own) == len(self._jobs):
-            limit = len(usable)
-        free.sort(key=lambda view: _preference(view, waiting[0]))
-        while free and len(self._jobs) < limit:
-            if _has_room(own, waiting):
+        free.sort(key=lambda view: _preference(view, first))
+        for view in free:
+            if missing <= 0 or len(self._jobs) >= limit:
                 return
-            view = free.pop(0)
-            own.append(view)
+            missing -= _count_places(view, first)
             self._jobs[view.executor_id] = job.job_id
             job.progress.reserved[view.executor_id] = view.born_ms
             job.mark_crashes_changed()
@@ -172,21 +203,57 @@
                     {
                         "executor": view.executor_id,
                         "job": job.job_id,
-                        "waiting": len(waiting),
+                        "waiting": waiting,
                         "runs": len(view.runs),
                     },
                 )
             )
 
 
+class _WaitingTasks:
+    """The waiting tasks that need a reserved executor, by job.
+
+    They are looked for once for each job.
+    """
+
+    __slots__ = ("_counts", "_first", "_now", "_schedule")
+
+    def __init__(self, schedule: PoolSchedule, now: float) -> None:
+        self._schedule = schedule
+        self._now = now
+        self._first: dict[str, Task | None] = {}
+        self._counts: dict[str, int] = {}
+
+    def first(self, job: Job) -> Task | None:
+        """Return the first of them, or None if there is none."""
+        if job.job_id not in self._first:
+            found = next(self._find(job), None)
+            self._first[job.job_id] = found
+        return self._first[job.job_id]
+
+    def count(self, job: Job) -> int:
+        """Return how many there are."""
+        if job.job_id not in self._counts:
+            self._counts[job.job_id] = sum(1 for _ in self._find(job))
+        return self._counts[job.job_id]
+
+    def _find(self, job: Job) -> Iterator[Task]:
+        """Find the waiting tasks of a job that need one."""
+        schedule = self._schedule
+        for task in schedule.ready.tasks_of(job):
+            if not schedule.isolation.may_wait(task, self._now):
+                continue
+            if not schedule.crashes.awaits_proof(task, self._now):
+                yield task
+
+
 def _defer_waits(schedule: PoolSchedule, now: float) -> None:
     """Let suspects wait from now on, as starts are held after a takeover."""
     for job in schedule.crashes.ordered_suspects():
         if job.progress.begun_term == schedule.term:
             continue
-        for task in job.tasks():
-            if task.state is TaskState.READY:
-                task.ready_at = now
+        for task in schedule.ready.tasks_of(job):
+            task.ready_at = now
 
 
 def _has_recent_runs(view: ExecutorView, job_id: str, now: float) -> bool:
@@ -208,32 +275,19 @@
     )
 
 
-def _members_that_fit(view: ExecutorView, member: Task) -> int:
-    """Return how many members of a gang an executor has room for."""
-    needed = member.step.resources
-    capacity = view.info.capacity
-    fitting = member.step.count
-    limit = member.step.max_per_executor
-    if limit:
-        fitting = min(fitting, limit - count_step_tasks(view, member))
-    for free, each in (
-        (capacity.cpu_millis - view.used_cpu, needed.cpu_millis),
-        (capacity.memory_mb - view.used_memory, needed.memory_mb),
-        (capacity.gpus - view.used_gpus, needed.gpus),
-    ):
-        if each:
-            fitting = min(fitting, free // each)
-    return max(0, fitting)
-
-
-def _has_room(views: list[ExecutorView], waiting: list[Task]) -> bool:
-    """Return whether the next start fits: of a gang, or of one task."""
-    first = waiting[0]
-    if not first.step.is_gang:
-        for view in views:
-            has_room = view.fits(first.step.resources)
-            if has_room and not is_step_full(view, first):
-                return True
-        return False
-    fitting = sum(_members_that_fit(view, first) for view in views)
-    return fitting >= first.step.count
+def _missing_places(views: list[ExecutorView], first: Task) -> int:
+    """Return for how many tasks of the next start there is no room."""
+    missing = first.step.count if first.step.is_gang else 1
+    for view in views:
+        missing -= _count_places(view, first)
+        if missing <= 0:
+            break
+    return missing
+
+
+def _count_places(view: ExecutorView, first: Task) -> int:
+    """Return for how many tasks of the next start an executor has room."""
+    if first.step.is_gang:
+        return members_that_fit(view, first)
+    has_room = view.fits(first.step.resources)
+    return int(has_room and not is_step_full(view, first))
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -9,40 +9,40 @@
 from __future__ import annotations
 
 from itertools import chain
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeAlias
 
-from lycheelug.registry import Registry
-from lycheelug.workloads.model import add_resources
+from lycheelug.workloads.model import Resources, add_resources
 from lycheelug.workloads.placement_hints import StepName
+from lycheelug.workloads.placement_policies import PACKING, PLACEMENTS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Iterable, Mapping
 
     from lycheelug.workloads.executors import ExecutorView
     from lycheelug.workloads.isolation import Isolation
     from lycheelug.workloads.jobs import Task
-    from lycheelug.workloads.model import Resources, StepSpec
+    from lycheelug.workloads.model import StepSpec
     from lycheelug.workloads.placement_hints import PlacementHints
+    from lycheelug.workloads.plan_budget import PlanBudget
 
-    Policy = Callable[[Task, list[ExecutorView]], ExecutorView]
+    # A step, whether its tasks wait for isolation, whether they may end
+    # reservations, and whether it matters where their own runs are.
+    Kind: TypeAlias = tuple[tuple[str, int, int], bool, bool, bool]
 
 __all__ = [
     "ISOLATION_WAIT_S",
     "PACKING",
     "PLACEMENTS",
+    "LastingUse",
     "PlacementRound",
-    "UnplaceableRequests",
     "count_step_tasks",
     "is_overdue",
     "is_step_full",
     "may_host",
+    "members_that_fit",
     "takes_tasks",
-    "will_have_room",
 ]
 
-PLACEMENTS: Final[Registry[Policy]] = Registry("placement policy")
-# The policies that choose the executor with the least free CPU.
-PACKING: Final = frozenset({"pack", "together"})
 # For how long a task that is ready waits for an executor to itself, and a
 # long-running task for one that is not reserved.
 ISOLATION_WAIT_S: Final = 2.0
@@ -54,12 +54,17 @@
     Which executors take new tasks at all doesn't change within a round, so
     that is checked once for each.  Executors without room for the smallest
     waiting request are left out for the whole round, as placements only
-    take room, and an undone placement gives back only what it took.
+    take room, and an undone placement gives back only what it took.  For the
+    same reason a task finds no executor if another one of its step and kind
+    has found none.
     """
 
     __slots__ = (
+        "_budget",
+        "_failed",
         "_held",
         "_isolation",
+        "_last_kind",
         "_last_task",
         "_last_view",
         "_now",
@@ -73,11 +78,13 @@
         views: Iterable[ExecutorView],
         now: float,
         isolation: Isolation,
+        budget: PlanBudget,
         policy: str = "together",
         smallest: Resources | None = None,
         held: Mapping[str, Resources] | None = None,
     ) -> None:
         self._isolation = isolation
+        self._budget = budget
         self._now = now
         # What only long-running tasks may use, by executor.
         self._held = held or {}
@@ -95,9 +102,12 @@
                 self._views.append(view)
             elif isolation.is_settled(view, now):
                 self._reserved.setdefault(job_id, []).append(view)
-        # The last placed task and its executor, unless the next choice must
-        # consider all executors again.
+        # The kinds of tasks for which there is no executor.
+        self._failed: set[Kind] = set()
+        # The last placed task, its kind and its executor, unless the next
+        # choice must consider all executors again.
         self._last_task: Task | None = None
+        self._last_kind: Kind | None = None
         self._last_view: ExecutorView | None = None
 
     def choose(
@@ -111,19 +121,66 @@
 
         The caller places the task on the executor, or calls `reset`.
         """
-        if self._can_reuse(task):
+        kind = self._kind(task)
+        if kind in self._failed:
+            return None
+        if self._can_reuse(task, kind):
             self._last_task = task
             return self._last_view
         view = self._choose(task, hints)
         self._last_task = task if hints is None else None
+        self._last_kind = kind
         self._last_view = view
+        counts_own_runs = kind[3]
+        if view is None and not counts_own_runs:
+            self._failed.add(kind)
         return view
 
+    def has_failed(self, task: Task) -> bool:
+        """Return whether it is known that there is no executor for a task."""
+        return bool(self._failed) and self._kind(task) in self._failed
+
+    def has_room_for_gang(
+        self, members: list[Task], hints: PlacementHints | None
+    ) -> bool:
+        """Return whether all members of a gang can be placed at once."""
+        first = members[0]
+        views = list(self._reserved.get(first.name.job, ()))
+        kinds = {self._kind(member)[1:3] for member in members}
+        if any(not is_waiting for is_waiting, _ in kinds):
+            views.extend(self._views)
+        if any(may_end for _, may_end in kinds):
+            views.extend(chain.from_iterable(self._reserved.values()))
+        self._budget.charge(len(views))
+        missing = len(members)
+        for view in views:
+            if not may_host(view, first, hints, self._now):
+                continue
+            held = self._held.get(view.executor_id)
+            if first.step.lasts:
+                held = None
+            missing -= members_that_fit(view, first, held)
+            if missing <= 0:
+                return True
+        return False
+
     def reset(self) -> None:
         """Consider all executors for the next task: one got room back."""
         self._last_task = None
+        self._failed.clear()
 
-    def _can_reuse(self, task: Task) -> bool:
+    def _kind(self, task: Task) -> Kind:
+        """Return what tasks of one step have to share to be placed alike."""
+        step = task.step
+        return (
+            task.name[:3],
+            self._isolation.may_wait(task, self._now),
+            step.lasts and is_overdue(task, self._now),
+            # Its own runs don't count for the limit per executor.
+            step.may_duplicate and bool(step.max_per_executor),
+        )
+
+    def _can_reuse(self, task: Task, kind: Kind) -> bool:
         """Return whether the policy would choose the last executor again.
 
         The packing policies choose the executor with the least free CPU and
@@ -134,9 +191,7 @@
         last, view = self._last_task, self._last_view
         if last is None or view is None or self._policy not in PACKING:
             return False
-        if last.job is not task.job or last.name[:3] != task.name[:3]:
-            return False
-        if task.job.progress.crashes:
+        if kind != self._last_kind:
             return False
         for each in (last, task):
             if each.failures or each.avoided_executor:
@@ -183,6 +238,7 @@
             if view in views:
                 views.remove(view)
         self._views.append(view)
+        self._failed.clear()
 
     def _choose_among(
         self,
@@ -196,6 +252,7 @@
         now = self._now
         step = task.step
         avoids_any = bool(task.failures or task.avoided_executor)
+        self._budget.charge(len(views))
         for view in views:
             if not self._has_room(view, step) or is_step_full(view, task):
                 continue
@@ -211,40 +268,6 @@
         return PLACEMENTS.get(self._policy)(task, candidates)
 
 
-class UnplaceableRequests:
-    """Resource requests that no executor could satisfy in this round.
-
-    Requests that are at least as large in every resource can't be satisfied
-    either, so a long queue doesn't check every executor for every task.
-    """
-
-    __slots__ = ("_requests",)
-
-    def __init__(self) -> None:
-        self._requests: list[Resources] = []
-
-    def covers(self, resources: Resources) -> bool:
-        """Return whether a request is known to be unsatisfiable."""
-        for request in self._requests:
-            if (
-                request.cpu_millis <= resources.cpu_millis
-                and request.memory_mb <= resources.memory_mb
-                and request.gpus <= resources.gpus
-            ):
-                return True
-        return False
-
-    def record(self, step: StepSpec) -> None:
-        """Record the request of a step whose task could not be placed.
-
-        Ignored if another constraint than the request may be the reason.
-        """
-        if step.required_label or step.max_per_executor:
-            return
-        if not self.covers(step.resources):
-            self._requests.append(step.resources)
-
-
 def takes_tasks(view: ExecutorView, now: float) -> bool:
     """Return whether an executor takes new tasks, if it has room."""
     if not view.is_healthy(now):
@@ -254,20 +277,34 @@
     return not view.health.is_quarantined(now)
 
 
-def will_have_room(view: ExecutorView, needed: Resources) -> bool:
-    """Return whether an executor has room once short runs have ended.
+class LastingUse:
+    """What long-running tasks use of the executors, at one moment."""
 
-    Long-running tasks keep theirs.
-    """
+    __slots__ = ("_used",)
+
+    def __init__(self) -> None:
+        self._used: dict[str, Resources] = {}
+
+    def leaves_room(self, view: ExecutorView, needed: Resources) -> bool:
+        """Return whether there is room once short runs have ended."""
+        used = self._used.get(view.executor_id)
+        if used is None:
+            used = self._used[view.executor_id] = _lasting_use(view)
+        capacity = view.info.capacity
+        return (
+            used.cpu_millis + needed.cpu_millis <= capacity.cpu_millis
+            and used.memory_mb + needed.memory_mb <= capacity.memory_mb
+            and used.gpus + needed.gpus <= capacity.gpus
+        )
+
+
+def _lasting_use(view: ExecutorView) -> Resources:
+    """Return what the long-running tasks on an executor use."""
+    used = Resources(0, 0, 0)
     for run in view.runs.values():
         if run.task is not None and run.task.step.lasts:
-            needed = add_resources(needed, run.resources)
-    capacity = view.info.capacity
-    return (
-        needed.cpu_millis <= capacity.cpu_millis
-        and needed.memory_mb <= capacity.memory_mb
-        and needed.gpus <= capacity.gpus
-    )
+            used = add_resources(used, run.resources)
+    return used
 
 
 def is_overdue(task: Task, now: float) -> bool:
@@ -305,84 +342,40 @@
     that will be placed there.
     """
     limit = task.step.max_per_executor
-    return bool(limit) and claims + count_step_tasks(view, task) >= limit
+    if not limit or claims + view.count_step_runs(task.name) < limit:
+        return False
+    return claims + count_step_tasks(view, task) >= limit
 
 
 def count_step_tasks(view: ExecutorView, task: Task) -> int:
     """Return how many other tasks of a task's step run on an executor."""
-    count = 0
-    name = task.name
-    for other, _ in view.runs:
-        if (
-            other.job == name.job
-            and other.step == name.step
-            and other.occurrence == name.occurrence
-            and other.number != name.number
-        ):
-            count += 1
+    count = view.count_step_runs(task.name)
+    if not count or not view.has_runs_of(task.name):
+        return count
+    for name, _ in view.runs:
+        count -= name == task.name
     return count
 
 
-def _prefer_data_rack(
-    task: Task, views: list[ExecutorView]
-) -> list[ExecutorView]:
-    """Return the executors in the rack of the step's data, or else all."""
-    rack = task.step.data_rack
-    if not rack:
-        return views
-    candidates = [view for view in views if rack in view.info.labels]
-    return candidates or views
-
-
-@PLACEMENTS.register("pack")
-def pack(task: Task, views: list[ExecutorView]) -> ExecutorView:
-    """Choose the executor with the least free CPU, so that others empty.
+def members_that_fit(
+    view: ExecutorView, member: Task, held: Resources | None = None
+) -> int:
+    """Return how many members of a gang an executor has room for.
 
-    Short and long-running tasks are both packed.  Ties are broken by name,
-    so that all daemons choose alike.
+    `held` is the room that they may not use.
     """
-    best = None
-    best_key: tuple[float, str] | None = None
-    for view in _prefer_data_rack(task, views):
-        capacity = view.info.capacity
-        free = 0.0
-        if capacity.cpu_millis:
-            free += 1 - view.used_cpu / capacity.cpu_millis
-        key = (free, view.info.host or view.executor_id)
-        if best_key is None or key < best_key:
-            best, best_key = view, key
-    assert best is not None
-    return best
-
-
-@PLACEMENTS.register("together")
-def pack_in_zone(task: Task, views: list[ExecutorView]) -> ExecutorView:
-    """Keep a job in one zone if possible, and pack within the zone.
-
-    The loss of a zone or a rack then delays few jobs, rather than one or two
-    tasks of almost every job.  Long-running tasks are of value independently
-    of each other, so they are packed without regard to zones.
-    """
-    candidates = _prefer_data_rack(task, views)
-    zone = task.job.home_zone
-    if zone and not task.step.lasts:
-        at_home = [view for view in candidates if view.info.zone == zone]
-        candidates = at_home or candidates
-    return pack(task, candidates)
-
-
-@PLACEMENTS.register("spread")
-def spread(task: Task, views: list[ExecutorView]) -> ExecutorView:
-    """Choose the executor with the most free CPU; serves as a baseline."""
-    best = None
-    best_key: tuple[float, str] | None = None
-    for view in _prefer_data_rack(task, views):
-        capacity = view.info.capacity
-        used = 0.0
-        if capacity.cpu_millis:
-            used = view.used_cpu / capacity.cpu_millis
-        key = (used, view.info.host or view.executor_id)
-        if best_key is None or key < best_key:
-            best, best_key = view, key
-    assert best is not None
-    return best
+    needed = member.step.resources
+    capacity = view.info.capacity
+    fitting = member.step.count
+    limit = member.step.max_per_executor
+    if limit:
+        fitting = min(fitting, limit - count_step_tasks(view, member))
+    taken = Resources(view.used_cpu, view.used_memory, view.used_gpus)
+    if held is not None:
+        taken = add_resources(taken, held)
+    for total, used, each in zip(capacity, taken, needed, strict=True):
+        if used > total:
+            return 0
+        if each:
+            fitting = min(fitting, (total - used) // each)
+    return max(0, fitting)
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -45,6 +45,7 @@
 )
 from lycheelug.workloads.pacing import plan_pace
 from lycheelug.workloads.placement_hints import PlacementHints, StepName
+from lycheelug.workloads.plan_budget import PlanBudget
 from lycheelug.workloads.ready_queue import ReadyQueue
 from lycheelug.workloads.relocation import Relocations
 from lycheelug.workloads.runtimes import RunTimes
@@ -70,6 +71,7 @@
         "_earlier_leases_end_at",
         "are_used_executors_known",
         "arrivals",
+        "budget",
         "crashes",
         "ended_incarnations",
         "executors",
@@ -107,6 +109,7 @@
         self._earlier_leases_end_at = earlier_leases_end_at
         self.run_times = RunTimes()
         self.arrivals = Arrivals()
+        self.budget = PlanBudget()
         self.crashes = CrashLedger()
         self.isolation = Isolation()
         self.relocations = Relocations(relocate_after)
@@ -302,6 +305,7 @@
         and confirmed that this owner still owns the pool.
         """
         orders: list[StartOrder | StopOrder | PaceOrder] = []
+        self.budget.begin()
         self.relocations.plan(self, now)
         for view in list(self.executors.values()):
             if is_undisturbed(view, now):
--- a/lycheelug/workloads/ready_queue.py
+++ b/lycheelug/workloads/ready_queue.py
@@ -8,12 +8,15 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from operator import attrgetter
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads.forecast import Feasibility
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from lycheelug.workloads.forecast import DeadlineForecast
     from lycheelug.workloads.jobs import Job, Task
     from lycheelug.workloads.model import StepSpec
@@ -102,18 +105,26 @@
 class ReadyQueue:
     """All waiting tasks of a pool."""
 
-    __slots__ = ("_order", "_steps", "_unbegun", "defects")
+    __slots__ = ("_order", "_resume_from", "_steps", "_unbegun", "defects")
 
     def __init__(self) -> None:
         self._steps: dict[StepKey, ReadyStep] = {}
         # The steps in the order of the last plan; those without tasks are
         # dropped by the next one.
         self._order: list[ReadyStep] = []
+        # The sort key of the first step that the last plan had no budget to
+        # consider; None if there is none.
+        self._resume_from: SortKey | None = None
         # Jobs that were added without the begun mark, oldest first.
         self._unbegun: dict[str, Job] = {}
         # Jobs that can't be scheduled, with the unexpected errors.
         self.defects: list[tuple[Job, Exception]] = []
 
+    @property
+    def steps(self) -> list[ReadyStep]:
+        """The steps with waiting tasks, in no particular order."""
+        return list(self._steps.values())
+
     def __len__(self) -> int:
         """Return the number of waiting tasks."""
         return sum(len(step.tasks) for step in self._steps.values())
@@ -154,6 +165,14 @@
                 if step is not None:
                     step.tasks.clear()
 
+    def tasks_of(self, job: Job) -> Iterator[Task]:
+        """Return the waiting tasks of a job in their order."""
+        for occurrence, steps in job.occurrences.items():
+            for number in range(len(steps)):
+                step = self._steps.get((job.job_id, occurrence, number))
+                if step is not None:
+                    yield from step.in_order()
+
     def long_running_tasks(self) -> list[Task]:
         """Return the waiting long-running tasks, in no particular order."""
         found: list[Task] = []
@@ -188,6 +207,24 @@
         self._order = order
         return list(order)
 
+    def resume_from(self, step: ReadyStep) -> None:
+        """Let the next plan begin with a step that this one doesn't reach."""
+        self._resume_from = step.sort_key
+
+    def take_resumed(self, steps: list[ReadyStep]) -> list[ReadyStep]:
+        """Return ordered steps from where the last plan has ended.
+
+        The others follow, so that no step waits for ever because those
+        before it take up the budget of each plan.
+        """
+        if self._resume_from is None:
+            return steps
+        first = bisect_left(
+            steps, self._resume_from, key=attrgetter("sort_key")
+        )
+        self._resume_from = None
+        return steps[first:] + steps[:first]
+
     def _has_tasks(self, job: Job) -> bool:
         """Return whether any task of a job waits."""
         for occurrence, steps in job.occurrences.items():
--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -22,12 +22,12 @@
 from lycheelug.workloads.executors import RunPhase
 from lycheelug.workloads.model import Resources, add_resources
 from lycheelug.workloads.placement import (
+    LastingUse,
     is_step_full,
     may_host,
-    takes_tasks,
-    will_have_room,
 )
 from lycheelug.workloads.placement_hints import StepName
+from lycheelug.workloads.places import Places, packing_key
 from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
@@ -77,13 +77,14 @@
             self.held = {}
             self.refused = {}
             return
-        places = _Places(schedule, now)
+        places = Places(schedule, now)
+        unavailable = _UnavailableTasks(schedule.executors, now)
         unplaced = _claim_for_stopped(schedule, places, now)
         blocked: set[str] = set()
         for view in leaving:
-            if now >= self._not_before and _mark_runs(
-                schedule, view, places, now
-            ):
+            if now < self._not_before:
+                continue
+            if _mark_runs(view, places, unavailable):
                 blocked.add(view.executor_id)
         self.held = places.held
         self._update_refused(schedule, leaving, blocked, unplaced, now)
@@ -123,92 +124,56 @@
         self.refused = refused
 
 
-class _Places:
-    """The room for long-running tasks on the executors that take tasks."""
+class _UnavailableTasks:
+    """The tasks of steps that may be unavailable, looked for once a step."""
 
-    __slots__ = ("_now", "_schedule", "_step_claims", "_views", "held")
+    __slots__ = ("_executors", "_now", "_numbers")
 
-    def __init__(self, schedule: PoolSchedule, now: float) -> None:
-        self._schedule = schedule
+    def __init__(
+        self, executors: Mapping[str, ExecutorView], now: float
+    ) -> None:
+        self._executors = executors
         self._now = now
-        self._views: list[ExecutorView] = []
-        for view in schedule.executors.values():
-            if takes_tasks(view, now):
-                self._views.append(view)
-        # The number of claims, by executor and step.
-        self._step_claims: dict[tuple[str, StepName], int] = {}
-        # What was claimed, by executor.
-        self.held: dict[str, Resources] = {}
-
-    def claim(self, task: Task) -> bool:
-        """Claim room that is free now; return whether there is any.
+        # Their numbers in the step, by step.
+        self._numbers: dict[StepName, set[int]] = {}
 
-        The executor with the least free CPU is chosen, as by the packing
-        placement policies.
-        """
-        found: list[ExecutorView] = []
-        for view in self._allowed(task):
-            if view.fits(self._with_claims(view, task)):
-                found.append(view)
-        if not found:
-            return False
-        self._record(min(found, key=_packing_key), task)
-        return True
+    def count_others(self, task: Task) -> int:
+        """Return how many other tasks of a task's step may be unavailable."""
+        numbers = self._of_step(task)
+        return len(numbers) - (task.name.number in numbers)
 
-    def claim_later(self, task: Task) -> bool:
-        """Claim room that is free once short runs have ended.
-
-        The executor with the most free CPU is chosen.  Return whether there
-        is any.
-        """
-        found: list[ExecutorView] = []
-        for view in self._allowed(task):
-            if will_have_room(view, self._with_claims(view, task)):
-                found.append(view)
-        if not found:
-            return False
-        self._record(max(found, key=_packing_key), task)
-        return True
+    def add(self, task: Task) -> None:
+        """Record that a task is being stopped."""
+        self._of_step(task).add(task.name.number)
 
-    def _allowed(self, task: Task) -> list[ExecutorView]:
-        """Return the executors that may run a task if they have room."""
-        hints = None
+    def _of_step(self, task: Task) -> set[int]:
+        """Return the numbers of such tasks of a task's step."""
         step = StepName.of(task.name)
-        if task.job.policy.needs_placement_hint:
-            hints = self._schedule.placement_hints
-            wanted = hints.executors_to_query(
-                step, self._schedule.executors.values(), self._now
-            )
-            if wanted:
-                self._schedule.hint_requests[step] = wanted
-        reservable = ("", task.name.job) if task.needs_isolation else ("",)
-        found: list[ExecutorView] = []
-        for view in self._views:
-            job_id = self._schedule.isolation.job_on(view.executor_id)
-            if job_id not in reservable:
-                continue
-            claims = self._step_claims.get((view.executor_id, step), 0)
-            if is_step_full(view, task, claims):
-                continue
-            if may_host(view, task, hints, self._now):
-                found.append(view)
-        return found
-
-    def _with_claims(self, view: ExecutorView, task: Task) -> Resources:
-        """Return a task's request and what was claimed on an executor."""
-        held = self.held.get(view.executor_id)
-        needed = task.step.resources
-        return needed if held is None else add_resources(needed, held)
-
-    def _record(self, view: ExecutorView, task: Task) -> None:
-        """Record a claim."""
-        self.held[view.executor_id] = self._with_claims(view, task)
-        key = (view.executor_id, StepName.of(task.name))
-        self._step_claims[key] = self._step_claims.get(key, 0) + 1
+        known = self._numbers.get(step)
+        if known is not None:
+            return known
+        numbers: set[int] = set()
+        for other in task.job.step_tasks(task):
+            if not self._is_available(other):
+                numbers.add(other.name.number)
+        self._numbers[step] = numbers
+        return numbers
+
+    def _is_available(self, task: Task) -> bool:
+        """Return whether a task was reported as ready lately."""
+        view = self._executors.get(task.executor_id)
+        run = view.runs.get((task.name, task.run)) if view else None
+        return (
+            view is not None
+            and run is not None
+            and _has_recent_report(view, self._now)
+            and run.phase is RunPhase.RUNNING
+            and run.percent >= READY_PERCENT
+        )
 
 
 def _claim_for_stopped(
-    schedule: PoolSchedule, places: _Places, now: float
+    schedule: PoolSchedule, places: Places, now: float
 ) -> list[Task]:
     """Claim room for the tasks that wait or are being stopped.
 
@@ -235,7 +200,7 @@
 
 
 def _mark_runs(
-    schedule: PoolSchedule, view: ExecutorView, places: _Places, now: float
+    view: ExecutorView, places: Places, unavailable: _UnavailableTasks
 ) -> bool:
     """Mark the runs of an executor that may be stopped now.
 
@@ -246,13 +211,12 @@
         task = _relocatable_task(run)
         if task is None or run.phase is not RunPhase.RUNNING:
             continue
-        if _count_unavailable(task, schedule.executors, now) >= max(
-            1, task.step.may_miss
-        ):
+        if unavailable.count_others(task) >= max(1, task.step.may_miss):
             continue
         if places.claim(task):
             run.phase = RunPhase.STOPPING
             run.stop_reason = "host is being drained"
+            unavailable.add(task)
         elif not places.claim_later(task):
             is_blocked = True
     return is_blocked
@@ -273,27 +237,36 @@
     now: float,
 ) -> None:
     """Refuse orders for hosts that tasks without a place could run on."""
+    usable: list[ExecutorView] = []
+    for view in leaving:
+        if not view.drain_order or not view.is_healthy(now):
+            continue
+        if not view.health.is_quarantined(now):
+            usable.append(view)
+    lasting_use = LastingUse()
     held: dict[str, Resources] = {}
+    # Steps of which a task could run on none of them.
+    hopeless: set[StepName] = set()
     for task in unplaced:
+        step = StepName.of(task.name)
+        if step in hopeless:
+            continue
         found: list[ExecutorView] = []
-        for view in leaving:
-            if not view.drain_order or not view.is_healthy(now):
-                continue
-            if view.health.is_quarantined(now) or is_step_full(view, task):
-                continue
+        for view in usable:
             taken = held.get(view.executor_id, Resources(0, 0, 0))
             needed = add_resources(task.step.resources, taken)
-            if may_host(view, task, None, now) and will_have_room(
-                view, needed
-            ):
+            if is_step_full(view, task) or not may_host(view, task, None, now):
+                continue
+            if lasting_use.leaves_room(view, needed):
                 found.append(view)
         if not found:
+            hopeless.add(step)
             continue
         best = min(
             found,
             key=lambda view: (
                 view.executor_id not in refused,
-                _packing_key(view),
+                packing_key(view),
             ),
         )
         taken = held.get(best.executor_id, Resources(0, 0, 0))
@@ -301,33 +274,6 @@
         refused[best.executor_id] = best.drain_order
 
 
-def _packing_key(view: ExecutorView) -> tuple[int, str]:
-    """Return the sort key of executors, the one with least free CPU first."""
-    free_cpu = view.info.capacity.cpu_millis - view.used_cpu
-    return (free_cpu, view.info.host or view.executor_id)
-
-
-def _count_unavailable(
-    task: Task, executors: Mapping[str, ExecutorView], now: float
-) -> int:
-    """Return how many other tasks of the step may be unavailable."""
-    unavailable = 0
-    for other in task.job.step_tasks(task):
-        if other is task:
-            continue
-        view = executors.get(other.executor_id)
-        run = view.runs.get((other.name, other.run)) if view else None
-        is_ready = (
-            view is not None
-            and run is not None
-            and _has_recent_report(view, now)
-            and run.phase is RunPhase.RUNNING
-            and run.percent >= READY_PERCENT
-        )
-        unavailable += not is_ready
-    return unavailable
-
-
 def _has_recent_report(view: ExecutorView, now: float) -> bool:
     """Return whether an executor's last report is recent enough."""
     return (
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -3,6 +3,9 @@
 Tasks are placed greedily in the order of `ready_queue`.  A task that
 can't be placed doesn't hold up those after it.  A gang is placed as a whole
 or not at all.
+
+A plan has a budget (`plan_budget`).  If it has considered as many executors
+as it may, the next plan begins with the steps that it hasn't reached.
 """
 
 from __future__ import annotations
@@ -11,8 +14,9 @@
 
 from lycheelug.workloads.jobs import TaskState
 from lycheelug.workloads.model import Resources
-from lycheelug.workloads.placement import PlacementRound, UnplaceableRequests
+from lycheelug.workloads.placement import PlacementRound
 from lycheelug.workloads.placement_hints import StepName
+from lycheelug.workloads.unplaceable import UnplaceableRequests
 
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView
@@ -43,12 +47,17 @@
         schedule.executors.values(),
         now,
         schedule.isolation,
+        schedule.budget,
         schedule.placement,
         _smallest_request(waiting),
         schedule.relocations.held,
     )
     unplaceable = UnplaceableRequests()
-    for step in waiting:
+    for step in schedule.ready.take_resumed(waiting):
+        if schedule.budget.is_spent:
+            if schedule.budget.are_checks_spent:
+                schedule.ready.resume_from(step)
+            break
         if not _may_start_job(schedule, step.job, earlier_runs_known):
             continue
         try:
@@ -78,21 +87,43 @@
     )
     if is_limited and unplaceable.covers(step.spec.resources):
         return
+    if step.spec.is_gang:
+        orders.extend(_place_gang(schedule, placement, step, now))
+        return
     for task in step.in_order():
-        if not _can_start(schedule, task, now):
-            continue
-        if step.spec.is_gang:
-            orders.extend(_start_gang(schedule, placement, task, now))
-            continue
+        if schedule.budget.is_spent:
+            return
         if is_limited and unplaceable.covers(step.spec.resources):
-            break
+            return
+        if placement.has_failed(task) or not _can_start(schedule, task, now):
+            continue
         view = _choose_executor(schedule, placement, task, now)
         if view is not None:
             orders.append(schedule.place(task, view, now))
+            schedule.budget.charge_start()
         elif is_limited:
             unplaceable.record(step.spec)
 
 
+def _place_gang(
+    schedule: PoolSchedule,
+    placement: PlacementRound,
+    step: ReadyStep,
+    now: float,
+) -> list[StartOrder]:
+    """Place a gang if one of its tasks may be started; return its orders.
+
+    Another task would not find more room for the gang.
+    """
+    tasks = step.in_order()
+    if _awaits_policy(tasks[0], now):
+        return []
+    for task in tasks:
+        if _can_start(schedule, task, now):
+            return _start_gang(schedule, placement, task, now)
+    return []
+
+
 def _smallest_request(steps: list[ReadyStep]) -> Resources:
     """Return an amount that is at most each waiting task's request."""
     requests = {step.spec.resources for step in steps}
@@ -117,7 +148,7 @@
     """Return whether a waiting task of a startable job may be started."""
     if now < task.not_before:
         return False
-    if _awaits_policy(task, now):
+    if not task.step.is_gang and _awaits_policy(task, now):
         return False
     if task.name in schedule.run_counts and not task.step.may_duplicate:
         # A superfluous run of this task has not ended yet.
@@ -155,15 +186,20 @@
         return placement.choose(task)
     view = placement.choose(task, schedule.placement_hints)
     if view is None:
-        step = StepName.of(task.name)
-        wanted = schedule.placement_hints.executors_to_query(
-            step, schedule.executors.values(), now
-        )
-        if wanted:
-            schedule.hint_requests[step] = wanted
+        _request_hints(schedule, task, now)
     return view
 
 
+def _request_hints(schedule: PoolSchedule, task: Task, now: float) -> None:
+    """Request the missing placement hints of a task's step."""
+    step = StepName.of(task.name)
+    wanted = schedule.placement_hints.executors_to_query(
+        step, schedule.executors.values(), now
+    )
+    if wanted:
+        schedule.hint_requests[step] = wanted
+
+
 def _start_gang(
     schedule: PoolSchedule,
     placement: PlacementRound,
@@ -176,34 +212,73 @@
         is_running = member.name in schedule.run_counts
         if member.state is not TaskState.READY or is_running:
             return []
+    hints = None
+    if task.job.policy.needs_placement_hint:
+        hints = schedule.placement_hints
+    if not placement.has_room_for_gang(members, hints):
+        if hints is not None:
+            _request_hints(schedule, task, now)
+        return []
+    undo = _GangUndo(schedule, task.job)
     orders: list[StartOrder] = []
     run = max(member.next_run_number(schedule.term) for member in members)
-    last_runs = [member.last_run for member in members]
-    checkpoint = task.checkpoint
     for member in members:
         view = _choose_executor(schedule, placement, member, now)
         if view is None:
             placement.reset()
-            for order in orders:
-                last_run = last_runs[order.task.name.number]
-                _undo_placement(schedule, order, last_run, now)
+            undo.apply(orders, now)
             return []
-        member.checkpoint = checkpoint
+        undo.note(member, view)
         orders.append(schedule.place(member, view, now, run))
+        schedule.budget.charge_start()
+    for member in members:
+        member.checkpoint = task.checkpoint
     return orders
 
 
-def _undo_placement(
-    schedule: PoolSchedule, order: StartOrder, last_run: int, now: float
-) -> None:
-    """Undo a placement whose start has not been sent.
+class _GangUndo:
+    """Undoes the placement of a gang of which no start has been sent."""
 
-    Its run number is used again, because a term has only so many of them.
-    The task has been waiting all the while.
-    """
-    view = schedule.executors[order.executor_id]
-    view.drop_run((order.task.name, order.run))
-    ready_at = order.task.ready_at
-    schedule.requeue(order.task, now)
-    order.task.ready_at = ready_at
-    order.task.last_run = last_run
+    __slots__ = (
+        "_home_zone",
+        "_job",
+        "_last_runs",
+        "_leases",
+        "_reservations",
+        "_schedule",
+    )
+
+    def __init__(self, schedule: PoolSchedule, job: Job) -> None:
+        self._schedule = schedule
+        self._job = job
+        self._home_zone = job.home_zone
+        self._reservations = schedule.isolation.reservations
+        self._last_runs: dict[int, int] = {}
+        # When the leases on the executors end, in local time.
+        self._leases: dict[str, float] = {}
+
+    def note(self, member: Task, view: ExecutorView) -> None:
+        """Note the state before a member is placed."""
+        self._last_runs[member.name.number] = member.last_run
+        self._leases.setdefault(view.executor_id, view.leases_end_at)
+
+    def apply(self, orders: list[StartOrder], now: float) -> None:
+        """Undo the placements.
+
+        Their run number is used again, because a term has only so many of
+        them.  The tasks have been waiting all the while.
+        """
+        schedule = self._schedule
+        for order in orders:
+            task = order.task
+            schedule.executors[order.executor_id].drop_run(
+                (task.name, order.run)
+            )
+            ready_at = task.ready_at
+            schedule.requeue(task, now)
+            task.ready_at = ready_at
+            task.last_run = self._last_runs[task.name.number]
+        for executor_id, ends_at in self._leases.items():
+            schedule.executors[executor_id].leases_end_at = ends_at
+        self._job.home_zone = self._home_zone
+        schedule.isolation.undo_releases(schedule, self._reservations)
--- a/tests/reference_schedule.py
+++ b/tests/reference_schedule.py
@@ -287,7 +287,12 @@
     orders: list[StartOrder] = []
     run = max(member.next_run_number(schedule.term) for member in members)
     last_runs = [member.last_run for member in members]
-    checkpoint = task.checkpoint
+    home_zone = task.job.home_zone
+    reservations = schedule.isolation.reservations
+    leases = {
+        view.executor_id: view.leases_end_at
+        for view in schedule.executors.values()
+    }
     for member in members:
         view = _choose(schedule, member, now)
         if view is None:
@@ -298,7 +303,12 @@
                 schedule.requeue(order.task, now)
                 order.task.ready_at = ready_at
                 order.task.last_run = last_runs[order.task.name.number]
+            task.job.home_zone = home_zone
+            for executor_id, ends_at in leases.items():
+                schedule.executors[executor_id].leases_end_at = ends_at
+            schedule.isolation.undo_releases(schedule, reservations)
             return []
-        member.checkpoint = checkpoint
         orders.append(schedule.place(member, view, now, run))
+    for member in members:
+        member.checkpoint = task.checkpoint
     return orders
--- a/tests/test_plan_bounds.py
+++ b/tests/test_plan_bounds.py
@@ -15,11 +15,14 @@
     HostEvidence,
     JobRecord,
     LossCause,
+    PoolSchedule,
     ProgressRecord,
     QueuePolicy,
     Resources,
+    RunPhase,
     StartOrder,
     StepSpec,
+    Task,
 )
 from lycheelug.workloads.crash_records import CrashRecord
 from lycheelug.workloads.executors import ExecutorView
@@ -137,6 +140,7 @@
         counts.reset()
         orders = world.schedule.plan(world.now, world.now, 0)
         assert counts.record_looks <= LOOKS_PER_TASK * tasks
+        assert counts.fit_checks <= LOOKS_PER_TASK * tasks
         for order in orders:
             if isinstance(order, StartOrder):
                 world.answer(order)
@@ -195,6 +199,164 @@
     assert records.looks <= LOOKS_PER_TASK * tasks
 
 
+# Guards against a waiting job with a label, a limit or a preference that asks
+# all executors for each of its tasks.
+@pytest.mark.parametrize(
+    "step",
+    [
+        StepSpec(3_000, 100, required_label="absent"),
+        StepSpec(3_000, 64_001, lasts=True),
+        StepSpec(3_000, 100, required_label="absent", lasts=True),
+        StepSpec(3_000, 64_000, max_per_executor=1),
+    ],
+    ids=["label", "too-large", "lasting", "limit"],
+)
+def test_executors_are_asked_once_for_tasks_that_find_no_place(
+    step: StepSpec, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    executors = 200
+    world = wide_world(executors)
+    world.add_job([StepSpec(executors, 500, max_per_executor=1)], OTHER)
+    start_all(world)
+    world.add_job([step])
+    counts = Counts(monkeypatch)
+    assert not world.schedule.plan(world.now, world.now, 0)
+    assert counts.fit_checks <= ASKS_PER_EXECUTOR * executors
+
+
+# Guards against a gang that is tried once for each of its members, each time
+# until it lacks room for the last one.
+@SIZES
+def test_gang_without_room_is_tried_once(
+    tasks: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = wide_world(7)
+    # It needs more than six executors and less than seven.
+    cpu_millis = CAPACITY.cpu_millis * 13 // (2 * tasks)
+    world.add_job([StepSpec(tasks, cpu_millis, is_gang=True)])
+    world.schedule.executors["x0000"].backoff_until = world.now + 1.0
+    places: list[object] = []
+    place = PoolSchedule.place
+
+    def count(
+        schedule: PoolSchedule,
+        task: Task,
+        view: ExecutorView,
+        now: float,
+        run: int = 0,
+    ) -> StartOrder:
+        places.append(task)
+        return place(schedule, task, view, now, run)
+
+    monkeypatch.setattr(PoolSchedule, "place", count)
+    assert not world.starts()
+    assert len(places) <= tasks
+    world.now += 1.0
+    for name in list(world.schedule.executors):
+        world.report_tasks(name)
+    assert len(world.starts()) == tasks
+
+
+# Guards against a plan that starts thousands of tasks at once, while the
+# daemon does nothing else.
+def test_plan_starts_a_limited_number_of_tasks() -> None:
+    world = wide_world(7)
+    job = world.add_job([small_step(5_000, 7)])
+    started = 0
+    while started < 5_000:
+        orders = world.schedule.plan(world.now, world.now, 0)
+        assert 0 < len(orders) <= STARTS_MAX
+        assert world.schedule.budget.is_spent or started + len(orders) == 5_000
+        started += len(orders)
+    assert not world.schedule.plan(world.now, world.now, 0)
+    assert all(task.executor_id for task in job.tasks())
+
+
+# Guards against a plan that considers millions of executors, and against
+# steps that are never reached because those before them cost too much.
+def test_plan_considers_a_limited_number_of_executors(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    executors, jobs = 1_300, 100
+    world = wide_world(executors)
+    for number in range(jobs):
+        step = StepSpec(2, 100, required_label="absent")
+        world.add_job([step], f"{number:016x}", accepted_ms=number)
+    last = world.add_job([StepSpec(1, 100)], OTHER, accepted_ms=jobs)
+    counts = Counts(monkeypatch)
+    plans = 0
+    while not last.tasks()[0].executor_id:
+        counts.reset()
+        plans += 1
+        world.schedule.plan(world.now, world.now, 0)
+        assert counts.fit_checks <= CHECKS_MAX + 2 * executors
+        assert plans <= jobs * executors // CHECKS_MAX + 2
+    assert plans > 1
+
+
+# Guards against a budget that a slow host never gets through in time.
+@pytest.mark.parametrize(
+    ("durations_s", "starts"),
+    [
+        ([0.01], 200),
+        ([0.06], 100),
+        ([0.06, 0.06, 0.06, 0.06], 50),
+        ([0.06, 0.06, 0.03], 50),
+        ([0.06, 0.06, 0.01], 100),
+    ],
+)
+def test_plan_does_less_on_a_host_that_needs_longer(
+    durations_s: list[float], starts: int
+) -> None:
+    world = wide_world(7)
+    world.add_job([small_step(5_000, 7)])
+    for took_s in durations_s:
+        world.schedule.plan(world.now, world.now, 0)
+        world.schedule.budget.record_duration(took_s)
+    assert len(world.schedule.plan(world.now, world.now, 0)) == starts
+
+
+# Guards against drains that look at all tasks of a step for each of its runs,
+# and at all executors for each task without another place.
+@SIZES
+@pytest.mark.parametrize("has_room", [True, False])
+def test_drain_looks_at_each_task_once(
+    tasks: int, has_room: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    world = wide_world(7)
+    step = small_step(tasks, 7)
+    step.lasts = True
+    step.may_miss = 20
+    job = world.add_job([step])
+    start_all(world)
+    world.now += 2.0
+    for name, view in world.schedule.executors.items():
+        world.report_tasks(name, list(view.runs), percent=100)
+    if not has_room:
+        for view in world.schedule.executors.values():
+            view.backoff_until = world.now + 1.0
+    leaving = world.schedule.executors["x0000"]
+    leaving.drain_order = "1"
+    runs = len(leaving.runs)
+    assert runs > 20
+    gets = [0]
+    step_tasks = type(job).step_tasks
+    counts = Counts(monkeypatch)
+
+    def count(self: object, task: object) -> object:
+        gets[0] += 1
+        return step_tasks(self, task)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(type(job), "step_tasks", count)
+    world.schedule.plan(world.now, world.now, 0)
+    assert gets[0] <= 1
+    assert counts.fit_checks <= ASKS_PER_EXECUTOR * 7 + step.may_miss
+    stopping = [
+        run for run in leaving.runs.values() if run.phase is RunPhase.STOPPING
+    ]
+    assert len(stopping) == (step.may_miss if has_room else 0)
+
+
 # Guards against the end of a task that looks at all tasks of its step.
 def test_step_ends_with_its_last_task() -> None:
     world = wide_world(7)
