Summarize a pool's demand by steps, not by tasks

The owner computes its summary ten times a second, and that visited each task of each job and made a forecast for each waiting one: with a few jobs of 5,000 tasks a large part of a small host's processor. The waiting tasks of a step have the same requests and forecast, so the summary now counts them by step.

test_summary_visits_no_task fails on; it compares the sums with those over all tasks.

--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -14,14 +14,14 @@
     decode_hosts,
     decode_summary,
 )
-from lycheelug.workloads import TaskState
 from lycheelug.workloads.forecast import Feasibility
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lycheelug.store.rows import StoredRow
-    from lycheelug.workloads import ExecutorView, Job, PoolSchedule, Task
+    from lycheelug.workloads import ExecutorView, Job, PoolSchedule
+    from lycheelug.workloads.ready_queue import ReadyStep
 
 __all__ = [
     "confirmed_orders",
@@ -58,40 +58,55 @@
     summary.refused = refused_orders(schedule)
     for job in schedule.jobs.values():
         if not job.is_final:
-            _add_job(summary, schedule, job, unix_ms)
+            _add_job(summary, job)
+    for step in schedule.ready.steps:
+        _add_waiting(summary, schedule, step, unix_ms)
     return summary
 
 
-def _add_job(
-    summary: SummaryRecord, schedule: PoolSchedule, job: Job, unix_ms: int
-) -> None:
-    """Add a job's demand for resources to a summary."""
+def _add_job(summary: SummaryRecord, job: Job) -> None:
+    """Add a job's demand for resources to a summary, but its waiting tasks."""
     if not job.has_started:
         queue = job.record.queue
         summary.waiting[queue] = summary.waiting.get(queue, 0) + 1
-    for task in job.tasks():
-        needed = task.step.resources
-        if task.state is TaskState.READY:
-            summary.ready_cpu += needed.cpu_millis
-            summary.ready_memory += needed.memory_mb
-            if _is_late(schedule, task, unix_ms):
-                summary.late_cpu += needed.cpu_millis
-        elif task.state is TaskState.BLOCKED:
-            summary.blocked_cpu += needed.cpu_millis
-        if task.step.lasts:
-            summary.lasting_cpu += needed.cpu_millis
+    for occurrence in job.occurrences:
+        open_steps = job.open_steps[occurrence]
+        for number, unfinished in open_steps.items():
+            step = job.record.steps[number]
+            if not open_steps.keys().isdisjoint(step.depends_on):
+                summary.blocked_cpu += unfinished * step.resources.cpu_millis
     for step in job.record.steps:
-        if step.lasts and step.max_per_executor:
+        if not step.lasts:
+            continue
+        tasks = step.count * len(job.occurrences)
+        summary.lasting_cpu += tasks * step.resources.cpu_millis
+        if step.max_per_executor:
             spread = math.ceil(step.count / step.max_per_executor)
             summary.spread = max(summary.spread, spread)
 
 
-def _is_late(schedule: PoolSchedule, task: Task, unix_ms: int) -> bool:
-    """Whether a waiting task's job will miss its deadline."""
-    if task.step.lasts:
+def _add_waiting(
+    summary: SummaryRecord,
+    schedule: PoolSchedule,
+    step: ReadyStep,
+    unix_ms: int,
+) -> None:
+    """Add the demand of a step's waiting tasks to a summary."""
+    needed = step.spec.resources
+    cpu_millis = len(step.tasks) * needed.cpu_millis
+    summary.ready_cpu += cpu_millis
+    summary.ready_memory += len(step.tasks) * needed.memory_mb
+    if _is_late(schedule, step, unix_ms):
+        summary.late_cpu += cpu_millis
+
+
+def _is_late(schedule: PoolSchedule, step: ReadyStep, unix_ms: int) -> bool:
+    """Whether the job of a waiting step will miss its deadline."""
+    if step.spec.lasts:
         return False
-    forecast = task.job.forecast(task.name.occurrence, schedule.run_times)
-    feasibility = forecast.feasibility(task.name.step, unix_ms)
+    _, occurrence, number = step.name
+    forecast = step.job.forecast(occurrence, schedule.run_times)
+    feasibility = forecast.feasibility(number, unix_ms)
     return feasibility is not Feasibility.IN_TIME
 
 
--- /dev/null
+++ b/tests/test_owner_turns.py
@@ -0,0 +1,130 @@
+"""Tests of what an owner does in one turn, and what it must not wait for."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from lycheelug.jobservice.pool_owner import PoolOwner
+from lycheelug.jobservice.summary import summarize
+from lycheelug.workloads import Job, StepSpec, TaskState
+from tests.job_world import (
+    POOL,
+    FakeFleet,
+    FaultyRows,
+    JobWorld,
+)
+from tests.pool_world import PoolWorld
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    import pytest
+    from returns.result import Result
+
+    from lycheelug.errors import Fault
+    from lycheelug.jobservice.interfaces import StopAnswer
+    from lycheelug.store.rows import RowCommit, RowConflict, RowName
+    from lycheelug.workloads import ExecutorInfo, StartAnswer, TaskName
+
+# Orders that one turn of the event loop sends at most: those of one chunk,
+# and of the next one if the loop's turn begins between them.
+ORDERS_PER_TURN = 100
+# A task must run again within this time after its executor has crashed.
+RESTARTED_S = 15.0
+
+
+class CountedFleet(FakeFleet):
+    """Executors that count the orders of each turn of the event loop."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.most_orders = 0
+        self._orders = 0
+
+    def count(self) -> None:
+        if not self._orders:
+            asyncio.get_running_loop().call_soon(self._end_turn)
+        self._orders += 1
+        self.most_orders = max(self.most_orders, self._orders)
+
+    def _end_turn(self) -> None:
+        self._orders = 0
+
+    async def start(self, *arguments: Any) -> tuple[StartAnswer, int | None]:
+        self.count()
+        return await super().start(*arguments)
+
+    async def stop(
+        self, info: ExecutorInfo, task: TaskName, run: int, token: int
+    ) -> StopAnswer:
+        self.count()
+        return await super().stop(info, task, run, token)
+
+
+def owner_of(world: JobWorld, daemon: str) -> PoolOwner:
+    holder = world.daemons[daemon].duties.held[POOL]
+    assert isinstance(holder, PoolOwner)
+    return holder
+
+
+class ChangingRows(FaultyRows):
+    """A store during whose commits tasks end or save their work."""
+
+    __slots__ = ("jobs",)
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.jobs: dict[str, Job] = {}
+
+    async def commit(
+        self,
+        part: str,
+        expected: Mapping[RowName, int],
+        writes: Mapping[RowName, bytes | None],
+    ) -> Result[RowCommit | RowConflict, Fault]:
+        now = asyncio.get_running_loop().time()
+        for job in self.jobs.values():
+            for task in job.tasks()[-1:]:
+                job.record_checkpoint(task, f"{now:.6f}")
+        return await super().commit(part, expected, writes)
+
+
+# Guards against a summary that visits each task of each job ten times a
+# second.
+def test_summary_visits_no_task(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = PoolWorld()
+    world.add_executor("x0")
+    steps = [
+        StepSpec(count=30, cpu_millis=200, memory_mb=8, estimate_ms=10),
+        StepSpec(count=7, cpu_millis=300, memory_mb=1, depends_on=[0]),
+        StepSpec(count=2, cpu_millis=50, memory_mb=2),
+    ]
+    job = world.add_job(steps)
+    world.add_job([StepSpec(3, 90, 4, lasts=True)], "00000000000000ff")
+    (done, *_) = world.starts()
+    world.answer(done)
+    job.record_done(job.occurrences[0][2][0], 0, 0.0)
+    tasks = [
+        task for each in world.schedule.jobs.values() for task in each.tasks()
+    ]
+    ready = [task for task in tasks if task.state is TaskState.READY]
+    blocked = [task for task in tasks if task.state is TaskState.BLOCKED]
+    late = [task for task in ready if not task.step.lasts]
+    lasting = [task for task in tasks if task.step.lasts]
+
+    def fail(_: Job) -> None:
+        raise AssertionError("the summary visits all tasks")
+
+    monkeypatch.setattr(Job, "tasks", fail)
+    summary = summarize(world.schedule, world.now, 10**9)
+    assert len(blocked) == 7
+    assert late
+    for total, counted in (
+        (summary.ready_cpu, ready),
+        (summary.blocked_cpu, blocked),
+        (summary.late_cpu, late),
+        (summary.lasting_cpu, lasting),
+    ):
+        assert total == sum(each.step.cpu_millis for each in counted)
+    assert summary.ready_memory == sum(each.step.memory_mb for each in ready)
