Start lost tasks once their records are stored, whatever else changes

A task that was lost with its executor starts again once that is stored. The flag for it was only cleared by a commit after which the job had no unstored change at all. While the job's other tasks end one after the other, as in a wide job, there always is one, so nothing that was lost started again until they were through.

Now a commit clears the flag if it has the last change of the records. test_lost_task_starts_again_although_its_job_always_changes fails on: the task is not started in 15 s.

--- a/lycheelug/jobservice/progress_batch.py
+++ b/lycheelug/jobservice/progress_batch.py
@@ -39,6 +39,7 @@
 
     __slots__ = (
         "applied_ends",
+        "crash_changes",
         "expected",
         "jobs",
         "left_out",
@@ -57,8 +58,10 @@
         self.applied_ends: list[tuple[ExecutorView, int, int]] = []
         # The jobs with changes that the transaction has no room for.
         self.left_out: list[Job] = []
-        # The number of further rows of each job's record.
+        # The number of further rows of each job's record, and the changes of
+        # its crash records that it has.
         self.parts: list[int] = []
+        self.crash_changes: list[int] = []
 
     @property
     def is_complete(self) -> bool:
@@ -126,6 +129,7 @@
             job.part_count = len(names) - 1
             batch.jobs.append(job)
             batch.parts.append(parts)
+            batch.crash_changes.append(job.suspicion.changes)
             # All rows of a record are written together, so the version of
             # the first one is enough as a condition.
             batch.expected[names[0]] = job.row_version
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -265,10 +265,13 @@
         self.used_executors.apply_commit(version)
         for submission in batch.submissions:
             self._owner.feeds.add_stored_submission(submission, version)
-        for job, parts in zip(batch.jobs, batch.parts, strict=True):
+        for job, parts, crash_changes in zip(
+            batch.jobs, batch.parts, batch.crash_changes, strict=True
+        ):
             job.row_version = version
             job.part_count = parts
-            if not job.is_dirty:
+            # Other changes don't hold up the next starts.
+            if job.suspicion.changes == crash_changes:
                 job.has_unsaved_crashes = False
             if job.progress.begun_term:
                 job.begin_is_stored = True
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -140,7 +140,7 @@
         """Let records or reservations be stored before the next start."""
         self.is_dirty = True
         self.has_unsaved_crashes = True
-        self.suspicion.forget()
+        self.suspicion.record_change()
 
     def mark_begun(self, term: int) -> None:
         """Record that tasks are about to be started."""
--- a/lycheelug/workloads/suspicion.py
+++ b/lycheelug/workloads/suspicion.py
@@ -24,10 +24,13 @@
         "_most_losses",
         "_progress",
         "_youngest_ms",
+        "changes",
     )
 
     def __init__(self, progress: ProgressRecord) -> None:
         self._progress = progress
+        # How often what has to be stored before the next start has changed.
+        self.changes = 0
         self._is_known = False
         self._most_losses = 0
         self._youngest_ms: int | None = None
@@ -51,6 +54,11 @@
         """Consider the records again: they have changed."""
         self._is_known = False
 
+    def record_change(self) -> None:
+        """Record that the records or the reservations have changed."""
+        self.changes += 1
+        self.forget()
+
     def _update(self) -> None:
         """Consider the records, unless that was done since they changed."""
         if self._is_known:
--- a/tests/test_owner_turns.py
+++ b/tests/test_owner_turns.py
@@ -8,13 +8,16 @@
 from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.jobservice.summary import summarize
 from lycheelug.workloads import Job, StepSpec, TaskState
+from tests.crash_world import CrashWorld
 from tests.job_world import (
     POOL,
     FakeFleet,
     FaultyRows,
     JobWorld,
+    until,
 )
 from tests.pool_world import PoolWorld
+from tests.virtual_time import run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -90,6 +93,34 @@
         return await super().commit(part, expected, writes)
 
 
+# Guards against tasks that wait for their crash records to be stored while
+# the job's other tasks end one after the other.
+def test_lost_task_starts_again_although_its_job_always_changes() -> None:
+    async def run() -> None:
+        world = CrashWorld()
+        for name in ("x0", "x1", "x2"):
+            world.fleet.add(name, 600.0)
+        world.start_fleet()
+        world.start_daemon("e0", store_class=ChangingRows)
+        await until(lambda: world.holders(POOL) == ["e0"])
+        steps = [
+            StepSpec(count=2, cpu_millis=100, max_per_executor=1),
+            StepSpec(count=1, cpu_millis=100, saves_checkpoints=True),
+        ]
+        await world.submit("e0", 1, steps)
+        await until(lambda: len(world.fleet.started) == 3)
+        store = world.stores["e0"]
+        assert isinstance(store, ChangingRows)
+        store.jobs = owner_of(world, "e0").schedule.jobs
+        first = world.fleet.started[0]
+        world.crashing.crash(first.executor_id)
+        await until(lambda: world.starts(first.name) == 2, RESTARTED_S)
+        store.jobs = {}
+        await world.stop()
+
+    run_virtual(run())
+
+
 # Guards against a summary that visits each task of each job ten times a
 # second.
 def test_summary_visits_no_task(monkeypatch: pytest.MonkeyPatch) -> None:
