Let an owner's plans and orders give way to heartbeats and polls

All orders of a plan were sent in one turn of the event loop: 1,500 starts or stops of one job in a row, 4,900 in the trial, with no heartbeat, poll or answer to a caller between them. And the next plan followed 15 ms after one that had taken seconds.

--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Final
 
 from returns.result import Failure
@@ -32,6 +33,8 @@
 
 __all__ = ["OrderSender"]
 
+# The orders that are sent before the daemon's other tasks have their turn.
+ORDERS_PER_TURN: Final = 50
 # The pace of a run whose last pace order was not answered, so that it is
 # ordered again.
 PACE_UNKNOWN: Final = -1
@@ -46,6 +49,15 @@
         self._context = context
         self._owner = owner
 
+    async def send_all(
+        self, orders: list[StartOrder | StopOrder | PaceOrder]
+    ) -> None:
+        """Send orders, some at a time, without waiting for their answers."""
+        for number, order in enumerate(orders, start=1):
+            self.send(order)
+            if number % ORDERS_PER_TURN == 0:
+                await asyncio.sleep(0)
+
     def send(self, order: StartOrder | StopOrder | PaceOrder) -> None:
         """Send an order without waiting for its answer."""
         if isinstance(order, StartOrder):
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -17,13 +17,11 @@
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.jobservice.executor_entries import apply_entries
-from lycheelug.jobservice.executor_list import (
-    CAPACITY_AGE_MAX_S,
-    LIST_AGE_MAX_S,
-)
+from lycheelug.jobservice.executor_list import LIST_AGE_MAX_S
 from lycheelug.jobservice.executor_loop import ExecutorLoop
 from lycheelug.jobservice.interfaces import SubmissionAnswer
 from lycheelug.jobservice.order_sender import OrderSender
+from lycheelug.jobservice.plan_step import make_plan
 from lycheelug.jobservice.pool_cleanup import (
     remove_ended_incarnations,
     remove_finished_jobs,
@@ -43,13 +41,7 @@
 
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.interfaces import WaitingCount
-    from lycheelug.workloads import (
-        Job,
-        JobRecord,
-        PaceOrder,
-        StartOrder,
-        StopOrder,
-    )
+    from lycheelug.workloads import Job, JobRecord
 
 __all__ = ["OWNERSHIP_VALID_S", "PoolOwner"]
 
@@ -299,65 +291,28 @@
             self._sync_executors()
             self._open_due_occurrences()
             self.writer.wake_if_needed()
+            took_s = 0.0
             if self.is_verified:
-                for order in self._plan():
-                    self._sender.send(order)
+                began = self._context.clock.now()
+                orders = make_plan(self._context, self)
+                took_s = self._context.clock.now() - began
+                if self.schedule.budget.is_spent:
+                    self.wake()
+                await self._sender.send_all(orders)
                 for step, executor_ids in self.schedule.hint_requests.items():
                     self._sender.request_placement_hint(step, executor_ids)
                 self.schedule.hint_requests.clear()
-            await self._wait_for_wake()
-
-    def _plan(self) -> list[StartOrder | StopOrder | PaceOrder]:
-        """Return the orders to send now; set aside jobs that can't be run."""
-        schedule = self.schedule
-        age_s = self._context.executor_list_age_s()
-        is_current = age_s < CAPACITY_AGE_MAX_S
-        if is_current is not schedule.is_capacity_current:
-            schedule.is_capacity_current = is_current
-            log_change(
-                "starts-resumed" if is_current else "starts-held",
-                pool=self.pool,
-                list_age_s=round(age_s, 2),
-            )
-        orders = schedule.plan(
-            self._context.clock.now(),
-            self.verified_at,
-            self._context.clock.unix_ms(),
-        )
-        for job, error in schedule.ready.defects:
-            self.report_defect("plan", error, job)
-        schedule.ready.defects.clear()
-        for event, fields in schedule.crashes.events:
-            log_change(event, pool=self.pool, term=self.term, **fields)
-            self._context.metrics.count(event)
-        schedule.crashes.events.clear()
-        self._log_failed_jobs()
-        return orders
-
-    def _log_failed_jobs(self) -> None:
-        """Log the jobs that have failed since the last plan, and why."""
-        failed = self.schedule.job_index.failed
-        for job, cause in failed:
-            log_change(
-                "job-failed",
-                pool=self.pool,
-                term=self.term,
-                job=job.job_id,
-                queue=job.record.queue,
-                cause=cause.value,
-                reason=job.progress.reason,
-                max_attempts=job.policy.max_attempts,
-            )
-            self._context.metrics.count("jobs-failed")
-        failed.clear()
+            await self._wait_for_wake(took_s)
 
-    async def _wait_for_wake(self) -> None:
+    async def _wait_for_wake(self, took_s: float) -> None:
         """Wait for an event or the next tick, and for the minimum pause.
 
-        An event after the pause is acted on at once.
+        An event after the pause is acted on at once.  `took_s` is the
+        duration of the last plan, whose successor gives way to the other
+        tasks of the daemon for at least as long.
         """
         clock = self._context.clock
-        plan_from = clock.now() + PLAN_MIN_INTERVAL_S
+        plan_from = clock.now() + max(PLAN_MIN_INTERVAL_S, took_s)
         try:
             async with asyncio.timeout(TICK_S):
                 await self._wake.wait()
--- a/tests/test_owner_turns.py
+++ b/tests/test_owner_turns.py
@@ -11,9 +11,11 @@
 from tests.crash_world import CrashWorld
 from tests.job_world import (
     POOL,
+    ROUTE,
     FakeFleet,
     FaultyRows,
     JobWorld,
+    job_id,
     until,
 )
 from tests.pool_world import PoolWorld
@@ -71,6 +73,28 @@
     return holder
 
 
+# Guards against thousands of orders that are sent while the daemon writes no
+# heartbeat and answers no caller.
+def test_orders_of_a_wide_job_leave_turns_to_other_tasks() -> None:
+    async def run() -> None:
+        world = JobWorld()
+        fleet = CountedFleet()
+        world.fleet = fleet
+        world.fleet.add("x0", 60.0)
+        world.start_fleet()
+        world.start_daemon("e0")
+        await until(lambda: world.holders(POOL) == ["e0"])
+        step = StepSpec(count=1_500, cpu_millis=2, memory_mb=1)
+        await world.submit("e0", 1, [step])
+        await until(lambda: len(fleet.started) == step.count)
+        await world.daemons["e0"].submissions.cancel(ROUTE, job_id(1))
+        await until(lambda: not fleet.executors["x0"].running)
+        assert 0 < fleet.most_orders <= ORDERS_PER_TURN
+        await world.stop()
+
+    run_virtual(run())
+
+
 class ChangingRows(FaultyRows):
     """A store during whose commits tasks end or save their work."""
 
