Write one line about many withheld orders or cleared suspects

Orders that are withheld in the same turn, and tasks that are cleared by the same report, now share a line with their number and the first 20 names.

--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -35,6 +35,8 @@
 
 # The orders that are sent before the daemon's other tasks have their turn.
 ORDERS_PER_TURN: Final = 50
+# The tasks that one line about withheld orders names.
+NAMED_MAX: Final = 20
 # The pace of a run whose last pace order was not answered, so that it is
 # ordered again.
 PACE_UNKNOWN: Final = -1
@@ -43,11 +45,14 @@
 class OrderSender:
     """Sends the orders of one pool's schedule."""
 
-    __slots__ = ("_context", "_owner")
+    __slots__ = ("_context", "_owner", "_withheld")
 
     def __init__(self, context: OwnerContext, owner: PoolOwner) -> None:
         self._context = context
         self._owner = owner
+        # The orders that were withheld since the last line about them: what
+        # was ordered, the executor and the task.
+        self._withheld: list[tuple[str, str, TaskName]] = []
 
     async def send_all(
         self, orders: list[StartOrder | StopOrder | PaceOrder]
@@ -76,7 +81,7 @@
             return
         checked_at = context.clock.now()
         if not self._owner.is_verified:
-            self._log_withheld("start", order.executor_id, task.name)
+            self._withhold("start", order.executor_id, task.name)
             apply_start_answer(
                 self._owner.schedule,
                 view,
@@ -125,7 +130,7 @@
             return
         key = (order.task_name, order.run)
         if not self._owner.is_verified:
-            self._log_withheld("stop", order.executor_id, order.task_name)
+            self._withhold("stop", order.executor_id, order.task_name)
             apply_stop_answer(view, key, False, context.clock.now())
             return
         answer = await context.gateway.stop(
@@ -161,7 +166,7 @@
             return
         run = view.runs.get((order.task_name, order.run))
         if not self._owner.is_verified:
-            self._log_withheld("pace", order.executor_id, order.task_name)
+            self._withhold("pace", order.executor_id, order.task_name)
             if run is not None:
                 run.pace = PACE_UNKNOWN
             return
@@ -184,22 +189,33 @@
             answered=is_set,
         )
 
-    def _log_withheld(
-        self, order: str, executor_id: str, task: TaskName
-    ) -> None:
-        """Log an order that is not sent as the proof of ownership expired."""
+    def _withhold(self, order: str, executor_id: str, task: TaskName) -> None:
+        """Record an order that isn't sent as the ownership isn't proved."""
+        if not self._withheld:
+            # The other orders that were sent with it have their turn first.
+            asyncio.get_running_loop().call_soon(self._log_withheld)
+        self._withheld.append((order, executor_id, task))
+
+    def _log_withheld(self) -> None:
+        """Write one line about the orders that were withheld."""
+        withheld = self._withheld
+        self._withheld = []
+        kinds = sorted({order for order, _, _ in withheld})
         log_change(
-            "task-order-withheld",
-            order=order,
-            job=task.job,
-            task=task.render(),
-            executor=executor_id,
+            "task-orders-withheld",
+            pool=self._owner.pool,
             term=self._owner.term,
+            orders={
+                kind: sum(order == kind for order, _, _ in withheld)
+                for kind in kinds
+            },
+            executors=sorted({executor for _, executor, _ in withheld}),
+            tasks=[task.render() for _, _, task in withheld[:NAMED_MAX]],
             proof_age_s=round(
                 self._context.clock.now() - self._owner.verified_at, 2
             ),
         )
-        self._context.metrics.count("task-orders-withheld")
+        self._context.metrics.count("task-orders-withheld", len(withheld))
 
     def request_placement_hint(
         self, step: StepName, executor_ids: list[str]
--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -14,7 +14,8 @@
 from lycheelug.workloads.losses import (
     HostEvidence,
     LossCause,
-    describe_outcome,
+    describe_cleared,
+    extend_cleared,
 )
 
 if TYPE_CHECKING:
@@ -108,7 +109,9 @@
 
     def clear(self, job: Job, key: str) -> None:
         """Drop a task's records, as it is not the cause of the losses."""
-        self.events.append(describe_outcome("suspect-cleared", job, key))
+        last = self.events[-1] if self.events else None
+        if last is None or not extend_cleared(last, job, key):
+            self.events.append(describe_cleared(job, key))
         self.replace(job, key, [])
 
     # --- Proofs.
--- a/lycheelug/workloads/losses.py
+++ b/lycheelug/workloads/losses.py
@@ -18,9 +18,10 @@
     "Event",
     "HostEvidence",
     "LossCause",
+    "describe_cleared",
     "describe_loss",
-    "describe_outcome",
     "describe_verdict",
+    "extend_cleared",
     "find_open_task",
 ]
 
@@ -94,21 +95,30 @@
     return ("runs-lost", fields)
 
 
-def describe_outcome(event: str, job: Job, key: str) -> Event:
-    """Return the event of a decision about a suspected task."""
-    records = job.progress.crashes[key]
-    fields = {
-        "job": job.job_id,
-        "task": f"{job.job_id}.{key}",
-        "executors": [record.executor for record in records],
-        "ages_ms": [record.age_ms for record in records],
-    }
-    return (event, fields)
+def describe_cleared(job: Job, key: str) -> Event:
+    """Return the event of a task that is no longer suspected."""
+    fields = _describe_task(job, key)
+    fields["tasks"] = 1
+    fields["others"] = []
+    return ("suspect-cleared", fields)
+
+
+def extend_cleared(event: Event, job: Job, key: str) -> bool:
+    """Add a further task of the same job to such an event.
+
+    Return False if it is the event of another job, or another event.
+    """
+    name, fields = event
+    if name != "suspect-cleared" or fields["job"] != job.job_id:
+        return False
+    fields["tasks"] += 1
+    if len(fields["others"]) < NAMED_MAX:
+        fields["others"].append(f"{job.job_id}.{key}")
+    return True
 
 
 def describe_verdict(job: Job, key: str) -> Event:
     """Return the event of a job that fails for the losses under a task."""
-    event, fields = describe_outcome("job-given-up", job, key)
     losses: list[dict[str, Any]] = []
     for record in job.progress.crashes[key][:NAMED_MAX]:
         losses.append(
@@ -123,7 +133,18 @@
                 "discounted": record.is_discounted,
             }
         )
-    return (event, fields | {"losses": losses})
+    return ("job-given-up", _describe_task(job, key) | {"losses": losses})
+
+
+def _describe_task(job: Job, key: str) -> dict[str, Any]:
+    """Return the fields of an event about a task with crash records."""
+    records = job.progress.crashes[key]
+    return {
+        "job": job.job_id,
+        "task": f"{job.job_id}.{key}",
+        "executors": [record.executor for record in records],
+        "ages_ms": [record.age_ms for record in records],
+    }
 
 
 def find_open_task(schedule: PoolSchedule, run: Run) -> Task | None:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -564,3 +564,29 @@
     assert withdrawn["executor"] == "a"
     assert withdrawn["reason"] == "answered"
     assert withdrawn["tasks"] == 1
+
+
+# Guards against a line for each task of a wide job that is cleared.
+def test_cleared_tasks_of_a_job_share_an_event() -> None:
+    world = PoolWorld()
+    world.add_executor("a")
+    tasks = 30
+    job = world.add_job([StepSpec(count=tasks, cpu_millis=100)])
+    for order in world.starts():
+        world.answer(order)
+    lose(world, "a")
+    world.add_executor("b")
+    orders = world.starts()
+    for order in orders:
+        world.answer(order)
+    assert len(job.progress.crashes) == tasks
+    world.schedule.crashes.events.clear()
+    world.now += 30.0
+    runs = [(order.task.name, order.run) for order in orders]
+    world.report_tasks("b", runs)
+    assert not job.progress.crashes
+    (event,) = world.schedule.crashes.events
+    assert event[0] == "suspect-cleared"
+    assert event[1]["tasks"] == tasks
+    assert event[1]["task"] == f"{job.job_id}.0.0.0"
+    assert 0 < len(event[1]["others"]) <= 20
--- a/tests/test_owner_turns.py
+++ b/tests/test_owner_turns.py
@@ -5,9 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from lycheelug.jobservice.pool_owner import PoolOwner
+from lycheelug.jobservice import order_sender
+from lycheelug.jobservice.pool_owner import OWNERSHIP_VALID_S, PoolOwner
 from lycheelug.jobservice.summary import summarize
-from lycheelug.workloads import Job, StepSpec, TaskState
+from lycheelug.workloads import Job, PoolSchedule, StepSpec, TaskState
 from tests.crash_world import CrashWorld
 from tests.job_world import (
     POOL,
@@ -19,7 +20,7 @@
     until,
 )
 from tests.pool_world import PoolWorld
-from tests.virtual_time import run_virtual
+from tests.virtual_time import VirtualClock, run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -95,6 +96,70 @@
     run_virtual(run())
 
 
+# Guards against a line for each withheld order, which crowds out the lines
+# that tell why.
+def test_withheld_orders_have_one_line(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[dict[str, Any]] = []
+
+    def record(event: str, **fields: Any) -> None:
+        if event.startswith("task-order"):
+            lines.append(fields)
+
+    async def run() -> int:
+        world = JobWorld()
+        paused_s = 0.0
+
+        class PausedClock(VirtualClock):
+            __slots__ = ()
+
+            def now(self) -> float:
+                return asyncio.get_running_loop().time() + paused_s
+
+        monkeypatch.setattr("tests.job_world.VirtualClock", PausedClock)
+        world.fleet.add("x0", 60.0)
+        world.start_fleet()
+        world.start_daemon("e0")
+        await until(lambda: world.holders(POOL) == ["e0"])
+        owner = owner_of(world, "e0")
+        make_plan = owner.schedule.plan
+        withheld = 0
+
+        def plan_and_pause(*arguments: Any) -> Any:
+            nonlocal paused_s, withheld
+            orders = make_plan(*arguments)
+            if len(orders) > 20:
+                paused_s = OWNERSHIP_VALID_S + 1.0
+                world.stores["e0"].down = True
+                withheld += len(orders)
+            return orders
+
+        monkeypatch.setattr(
+            PoolSchedule,
+            "plan",
+            lambda _, *arguments: plan_and_pause(*arguments),
+        )
+        step = StepSpec(count=120, cpu_millis=2, memory_mb=1)
+        await world.submit("e0", 1, [step])
+        await until(lambda: withheld > 0)
+        await asyncio.sleep(0.5)
+        assert not world.fleet.started
+        await world.stop()
+        return withheld
+
+    monkeypatch.setattr(order_sender, "log_change", record)
+    withheld = run_virtual(run())
+    assert withheld == 120
+    # Those of each turn of the event loop share a line.
+    assert 0 < len(lines) <= 1 + withheld // order_sender.ORDERS_PER_TURN
+    assert sum(line["orders"]["start"] for line in lines) == withheld
+    for line in lines:
+        assert line["executors"] == ["x0"]
+        assert line["proof_age_s"] >= OWNERSHIP_VALID_S
+        assert 0 < len(line["tasks"]) <= order_sender.NAMED_MAX
+
+
 class ChangingRows(FaultyRows):
     """A store during whose commits tasks end or save their work."""
 
