Leave room in the log for lines that are not one per task

Starts, stops and ends of one wide job could use up the whole limit of lines (bursts of 800, 400 a second), and lines about ownership, losses and callers were dropped. Such lines now leave half of a burst to the others.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -18,7 +18,7 @@
 from returns.result import Failure
 
 from lycheelug.jobservice.interfaces import PollFailure
-from lycheelug.logs import log_change
+from lycheelug.logs import log_change, log_frequent
 from lycheelug.workloads import LossCause, apply_task_report
 
 if TYPE_CHECKING:
@@ -166,7 +166,7 @@
             )
         for end in ends:
             context.metrics.count(f"ends-{end.kind.value}")
-            log_change(
+            log_frequent(
                 "task-end",
                 job=end.task.job,
                 task=end.task.render(),
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -15,7 +15,7 @@
 from returns.result import Failure
 
 from lycheelug.jobservice.interfaces import StopAnswer
-from lycheelug.logs import log_change, log_fault
+from lycheelug.logs import log_change, log_fault, log_frequent
 from lycheelug.workloads import (
     LossCause,
     PaceOrder,
@@ -111,7 +111,7 @@
             self._owner.schedule, view, task, order.run, answer, now
         )
         context.metrics.count(f"starts-{answer.name.lower()}")
-        log_change(
+        log_frequent(
             "task-start",
             job=task.name.job,
             task=task.name.render(),
@@ -137,7 +137,7 @@
             view.info, order.task_name, order.run, self._owner.term
         )
         now = context.clock.now()
-        log_change(
+        log_frequent(
             "task-stop",
             job=order.task_name.job,
             task=order.task_name.render(),
@@ -180,7 +180,7 @@
         run = view.runs.get((order.task_name, order.run))
         if not is_set and run is not None:
             run.pace = PACE_UNKNOWN
-        log_change(
+        log_frequent(
             "task-pace",
             task=order.task_name.render(),
             run=order.run,
--- a/lycheelug/logs.py
+++ b/lycheelug/logs.py
@@ -21,12 +21,21 @@
     from lycheelug.errors import Fault
     from lycheelug.settings import LogSettings
 
-__all__ = ["log_change", "log_fault", "set_up_logs", "set_up_stdout_logs"]
+__all__ = [
+    "log_change",
+    "log_fault",
+    "log_frequent",
+    "set_up_logs",
+    "set_up_stdout_logs",
+]
 
 # Sustained rate and burst size of the lines that a daemon writes to standard
 # output.  Lines in excess are dropped; the next line contains their number.
 LINES_PER_S: Final = 400.0
 MAX_BURST_LINES: Final = 800.0
+# The part of a burst that lines which one job may cause thousands of times
+# leave to the others.
+RESERVED_LINES: Final = 400.0
 
 
 class _LineLimit:
@@ -51,15 +60,18 @@
         self._allowance = MAX_BURST_LINES
         self._refilled_at = time.monotonic()
 
-    def admit(self) -> bool:
-        """Return whether a line may be written, or count it as dropped."""
+    def admit(self, reserved: float = 0.0) -> bool:
+        """Return whether a line may be written, or count it as dropped.
+
+        It has to leave `reserved` lines to those after it.
+        """
         if not self.is_enabled:
             return True
         now = time.monotonic()
         refill = (now - self._refilled_at) * LINES_PER_S
         self._refilled_at = now
         self._allowance = min(MAX_BURST_LINES, self._allowance + refill)
-        if self._allowance < 1:
+        if self._allowance < 1 + reserved:
             self.dropped += 1
             return False
         self._allowance -= 1
@@ -123,6 +135,12 @@
         logger.bind(fields=fields).info(event)
 
 
+def log_frequent(event: str, **fields: Any) -> None:
+    """Log a change of state that one job may cause thousands of times."""
+    if _line_limit.admit(RESERVED_LINES):
+        logger.bind(fields=fields).info(event)
+
+
 def log_fault(event: str, fault: Fault, **fields: Any) -> None:
     """Log a state change caused by a fault, with its step and peer."""
     if not _line_limit.admit():
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -87,3 +87,16 @@
     logs.log_change("written")
     (line,) = read_lines(pipe[0])
     assert (line["event"], line["lines_dropped"]) == ("written", 1)
+
+
+# Guards against a wide job whose tasks' lines crowd out those of decisions.
+def test_frequent_lines_leave_room_for_others(
+    pipe: tuple[int, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(logs, "RESERVED_LINES", BURST - 1.0)
+    for number in range(BURST):
+        logs.log_frequent("task-end", number=number)
+    logs.log_change("duty-claimed")
+    lines = read_lines(pipe[0])
+    assert [line["event"] for line in lines] == ["task-end", "duty-claimed"]
+    assert lines[1]["lines_dropped"] == BURST - 1
