Let the wait for proofs go on where the last owner left it

A task under which five executors fell silent starts again once one of the losses is decided, or after 30 s without a proof.

Cause: since when a loss is unproved was kept in memory only. Now a record has for how long owners have known it without a proof, in steps of 5 s, and the next owner counts on from there. That is a duration, so it needs no common clock. The records of earlier releases have none and count from 0.

--- a/lycheelug/workloads/crash_evidence.py
+++ b/lycheelug/workloads/crash_evidence.py
@@ -35,6 +35,8 @@
 UNPROVED_MAX_S: Final = 30.0
 # The pause between two checks of all records for that.
 EXPIRY_INTERVAL_S: Final = 0.2
+# How often that time is recorded, for the next owner.
+UNPROVED_STEP_S: Final = 5.0
 
 
 class CrashEvidence:
@@ -57,8 +59,9 @@
         self.jobs: dict[str, Job] = {}
         self.changed: dict[str, Job] = {}
         self._index = LossIndex()
-        # Local times since which this owner knows of incarnations that are
-        # silent and not proved to have ended.
+        # Local times since which it is known of incarnations that they are
+        # silent and not proved to have ended.  What earlier owners have
+        # recorded of that counts as before this one.
         self._unproved_since: dict[tuple[str, int], float] = {}
         # Local time of the last check for expired records.
         self._expired_at = -math.inf
@@ -210,10 +213,18 @@
             if incarnation not in silent:
                 del self._unproved_since[incarnation]
         for incarnation in silent:
-            self.note_silence(incarnation, now)
-            since = self._unproved_since[incarnation]
-            if now - since >= UNPROVED_MAX_S:
+            records = self._unproved_of(incarnation)
+            recorded_ms = max(record.unproved_ms for _, record in records)
+            self.note_silence(incarnation, now - recorded_ms / 1000)
+            unproved_s = now - self._unproved_since[incarnation]
+            if unproved_s >= UNPROVED_MAX_S:
                 self.withdraw(incarnation, "undecided", keeps_proved=True)
+                continue
+            if unproved_s - recorded_ms / 1000 < UNPROVED_STEP_S:
+                continue
+            for job, record in records:
+                record.unproved_ms = int(unproved_s * 1000)
+                job.is_dirty = True
 
     def unproved_since(
         self, records: list[CrashRecord], now: float
--- a/lycheelug/workloads/crash_records.py
+++ b/lycheelug/workloads/crash_records.py
@@ -59,6 +59,9 @@
     proof: str = ""
     # The executor's host; empty if unknown.
     host: str = ""
+    # For how long owners have known the loss without a proof, in steps of
+    # some seconds.
+    unproved_ms: int = 0
 
     @property
     def incarnation(self) -> tuple[str, int]:
