--- a/review/testbed2/scene.py
+++ b/review/testbed2/scene.py
@@ -66,9 +66,7 @@
         )
         self.store.put("op", "config", config)
 
-    def add_daemon(
-        self, store: str = "", cloud: str = ""
-    ) -> Daemon:
+    def add_daemon(self, store: str = "", cloud: str = "") -> Daemon:
         """Start a daemon; addresses of the platform may be replaced."""
         daemon = Daemon(
             f"frontend-{len(self.daemons)}",
--- a/review/testbed2/workers.py
+++ b/review/testbed2/workers.py
@@ -43,11 +43,17 @@
 class Executor:
     """One life of a machine, listening on its own port."""
 
-    def __init__(self, fleet: Fleet, machine: str, pool: str) -> None:
+    def __init__(
+        self, fleet: Fleet, machine: str, pool: str, executor_id: str = ""
+    ) -> None:
         self.fleet = fleet
-        self.id = "w" + secrets.token_hex(6)
+        self.id = executor_id or "w" + secrets.token_hex(6)
         self.machine = machine
         self.pool = pool
+        # Its kind and its rack.
+        self.labels = ["a", "r1-1"]
+        # How long after its start it writes its first entry.
+        self.registers_after_s = 0.0
         self.born = int(time.time() * 1000)
         self.is_up = True
         self.fence = 0
@@ -83,14 +89,14 @@
                 "seq_no": self.sequence,
                 "born": self.born,
                 "machine": self.machine,
-                "labels": self.fleet.labels,
+                "labels": self.labels,
                 "capacity": self.fleet.capacity,
             },
         )
 
     async def live(self) -> None:
         """Send heartbeats and end runs until the executor ends."""
-        next_beat = 0.0
+        next_beat = time.monotonic() + self.registers_after_s
         while self.is_up:
             now = time.monotonic()
             if now >= next_beat:
@@ -235,7 +241,6 @@
     ) -> None:
         self.store = store
         self.capacity = capacity
-        self.labels = ["a", "r1-1"]
         self.work_s = work_s
         self.log = log
         # All runs, in the order of their starts.
@@ -256,6 +261,35 @@
         self._spawn(executor.live())
         return executor
 
+    def crash(self, machine: str) -> Executor:
+        """Crash a machine's executor: its channels are reset."""
+        executor = self.machines[machine]
+        executor.terminate()
+        self._states[machine] = "down"
+        self.log("crash", machine=machine, executor=executor.id)
+        return executor
+
+    async def restart(
+        self, former: Executor, kind: str, registers_after_s: float
+    ) -> Executor:
+        """Start a crashed executor again, under its id and its address."""
+        executor = Executor(self, former.machine, former.pool, former.id)
+        executor.labels = [kind, former.labels[1]]
+        executor.registers_after_s = registers_after_s
+        executor.server.port = former.server.port
+        await executor.server.start()
+        self.machines[former.machine] = executor
+        self._states.pop(former.machine, None)
+        self.log(
+            "restart",
+            machine=former.machine,
+            executor=executor.id,
+            born=executor.born,
+            labels=executor.labels,
+        )
+        self._spawn(executor.live())
+        return executor
+
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -305,7 +339,7 @@
                 "pool": executor.pool,
                 "state": self._states.get(machine, "up"),
                 "zone": "z1",
-                "labels": self.labels,
+                "labels": executor.labels,
                 "capacity": self.capacity,
                 "id": "" if machine in self._states else executor.id,
             }
