--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,12 +1,10 @@
-"""A queue moves to another service while jobs wait for room in the old one."""
+"""A job with a step that lasts has another step that always fails."""
 
 from __future__ import annotations
 
 import asyncio
-import copy
 import secrets
 import sys
-import time
 from pathlib import Path
 from typing import Any
 
@@ -21,107 +19,94 @@
     Scene,
     run_case,
 )
+from workers import find_starts_over_budget  # noqa: E402
 
 HOST = "quotes.example"
-OLD_POOL, NEW_POOL = "quotes", "tooling"
+POOL = "quotes"
 CAPACITY = {"cpu": 32000, "mem_mb": 131072, "gpu": 0}
-# Fills all machines of the old service until the end of the case.
-WIDE = {"count": 48, "cpu": 2000, "mem_mb": 1024, "estimate_ms": 60000}
-NARROW = {"count": 4, "cpu": 2000, "mem_mb": 1024, "estimate_ms": 60000}
-WORK_S = 60.0
-WAITING = 20
-# `visible_ms` and 2 s, by the rule.
-VISIBLE_S = 3.0 + 2.0
-ASKED_S = 12.0
+MAX_ATTEMPTS = 4
+WORK_S = 0.4
+WATCHED_S = 15.0
+PREPARE = {"count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": 400}
+SERVE = {
+    "count": 2,
+    "cpu": 500,
+    "mem_mb": 256,
+    "estimate_ms": 900,
+    "depends_on": [0],
+    "long_running": True,
+}
+# One in twenty can never be done.
+SOUND = 38
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "nest-batch",
+            "host": HOST,
+            "path_prefix": "/nest/",
+            "service": POOL,
+            "timeout_ms": 3000,
+            "priority": 0,
+            "max_attempts": MAX_ATTEMPTS,
+            "stretch": 2.2,
+            "slo_ms": 2500,
+        }
+    ],
+    "services": [{"name": POOL, "rejects_overload": False}],
+    "limits": {},
+}
 
 
-def make_config(version: int, service: str) -> dict[str, Any]:
-    """Return a configuration that sends the queue to a service."""
-    route = {
-        "name": "quick-quote",
-        "host": HOST,
-        "path_prefix": "/quick/",
-        "service": service,
-        "timeout_ms": 3000,
-        "priority": 0,
-        "max_attempts": 4,
-        "stretch": 1.6,
-        "slo_ms": 600,
-    }
-    other = copy.copy(route)
-    other.update(
-        name="mandrel-plan", path_prefix="/mandrel/", service=NEW_POOL
-    )
-    return {
-        "version": version,
-        "routes": [route, other],
-        "services": [
-            {"name": OLD_POOL, "rejects_overload": False},
-            {"name": NEW_POOL, "rejects_overload": False},
-        ],
-        "limits": {},
-    }
-
-
-async def submit(scene: Scene, step: dict[str, int]) -> str:
-    """Hand a job in; return its id, empty if it wasn't accepted."""
-    job = secrets.token_hex(8)
-    answer = await scene.request(
-        scene.daemons[0],
-        "POST",
-        f"/quick/{job}",
-        {"spec": "quote", "steps": [step]},
-        HOST,
-    )
-    return job if answer is not None and answer[0] == 200 else ""
+async def submit(scene: Scene, job: str, steps: list[dict[str, Any]]) -> bool:
+    """Hand a job in as a client does, up to four times."""
+    for number in range(4):
+        answer = await scene.request(
+            scene.daemons[number % len(scene.daemons)],
+            "POST",
+            f"/nest/{job}",
+            {"spec": "nest", "steps": steps},
+            HOST,
+        )
+        if answer is not None and answer[0] == 200:
+            return True
+        await asyncio.sleep(0.3)
+    return False
 
 
 async def play(scene: Scene) -> int:
     """Play the case; return the exit code."""
-    await scene.start_platform({OLD_POOL: 3, NEW_POOL: 3})
-    scene.configure(make_config(1, OLD_POOL))
+    fleet = scene.fleet
+    mixed, plain = secrets.token_hex(8), secrets.token_hex(8)
+    sound = [secrets.token_hex(8) for _ in range(SOUND)]
+    if TROUBLE:
+        hopeless = (f"{mixed}.0.0.", f"{plain}.0.0.")
+        fleet.fails = lambda task: task.startswith(hopeless)
+    fleet.lasts = lambda task: task.startswith(f"{mixed}.0.1.")
+    await scene.start_platform({POOL: 3})
+    scene.configure(CONFIG)
     for _ in range(3):
         scene.add_daemon()
     if not await scene.wait_ready():
         return NOT_RUN
     await asyncio.sleep(4.0)
-    if not await submit(scene, WIDE):
+    accepted = [await submit(scene, job, [PREPARE]) for job in sound]
+    accepted.append(await submit(scene, plain, [PREPARE]))
+    accepted.append(await submit(scene, mixed, [PREPARE, SERVE]))
+    if not all(accepted):
         return NOT_RUN
-    await asyncio.sleep(3.0)
-    jobs = [await submit(scene, NARROW) for _ in range(WAITING)]
-    if not all(jobs):
-        return NOT_RUN
-    accepted_at = time.monotonic()
-    await asyncio.sleep(VISIBLE_S + 1.0)
-    if TROUBLE:
-        scene.configure(make_config(2, NEW_POOL))
-        await asyncio.sleep(2.5)
-    broken = 0
-    asked = 0
-    ends_at = time.monotonic() + ASKED_S
-    while time.monotonic() < ends_at:
-        for daemon in scene.daemons:
-            began = {run.task.split(".")[0] for run in scene.fleet.runs}
-            waiting = len(set(jobs) - began)
-            answer = await scene.request(daemon, "GET", "/quick/", None, HOST)
-            if answer is None or answer[0] != 200:
-                continue
-            asked += 1
-            pending = answer[1]["pending"]
-            if pending < waiting / 2:
-                broken += 1
-                scene.record(
-                    "broken",
-                    rule="MIXED",
-                    pending=pending,
-                    haven_not_begun=waiting,
-                    accepted_s_ago=round(time.monotonic() - accepted_at, 1),
-                )
-        await asyncio.sleep(1.0)
-    sys.stdout.write(f"MIXED: {broken} of {asked} counts are too low\n")
-    if broken:
-        return BROKEN
-    return HELD if asked else NOT_RUN
+    await asyncio.sleep(WATCHED_S)
+    for job in (plain, mixed):
+        await scene.request(
+            scene.daemons[0], "GET", f"/nest/{job}", None, HOST
+        )
+        runs = [run for run in fleet.runs if run.task.startswith(job)]
+        scene.record("runs", job=job, began=len(runs))
+    found = find_starts_over_budget(fleet.runs, MAX_ATTEMPTS)
+    for line in found:
+        scene.record("broken", rule="BUDGET", seen=f"'{line}'")
+    sys.stdout.write(f"BUDGET: {len(found)} starts over the limit\n")
+    return BROKEN if found else HELD
 
 
 if __name__ == "__main__":
--- a/review/testbed2/store.py
+++ b/review/testbed2/store.py
@@ -42,6 +42,13 @@
         self._wake()
         return True
 
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row as the platform does."""
+        if (table, "", key) in self.rows:
+            self.version += 1
+            self.rows[table, "", key] = (None, self.version)
+            self._wake()
+
     def get(self, table: str, part: str, key: str) -> Any:
         """Return a row's content, or None."""
         value = self.rows.get((table, part, key), (None, 0))[0]
--- a/review/testbed2/workers.py
+++ b/review/testbed2/workers.py
@@ -16,6 +16,8 @@
     from store import Store
 
 HEARTBEAT_S = 1.5
+# The platform removes the entry of an executor that was silent for so long.
+SILENCE_S = 3 * HEARTBEAT_S
 CHECK_S = 0.01
 ENDS_PER_ANSWER = 500
 HOLD_MAX_MS = 6000
@@ -274,6 +276,7 @@
         executor = self.machines[machine]
         executor.terminate()
         self._states[machine] = "down"
+        self._spawn(self._expire(executor, SILENCE_S))
         self.log("crash", machine=machine, executor=executor.id)
         return executor
 
@@ -298,6 +301,13 @@
         self._spawn(executor.live())
         return executor
 
+    async def _expire(self, executor: Executor, silence_s: float) -> None:
+        """Remove the entry of an executor that has ended, after a silence."""
+        await asyncio.sleep(silence_s)
+        present = self.machines[executor.machine]
+        if present is executor or present.id != executor.id:
+            self.store.remove("servers", executor.id)
+
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -332,6 +342,7 @@
         self.log("machine-move", machine=machine, pool=pool)
         self._states[machine] = state
         executor.terminate()
+        self._spawn(self._expire(executor, 0.0))
         executor.pool = pool
         self._spawn(self._return(machine, pool, pause_s))
         return 200, {}
