--- a/review/testbed2/daemons.py
+++ b/review/testbed2/daemons.py
@@ -126,24 +126,25 @@
         self, name: str, folder: Path, store: str, cloud: str, seeds: list[str]
     ) -> None:
         self.name = name
-        ports = free_ports(5)
-        self.callers = f"127.0.0.1:{ports[0]}"
-        self.probes = f"127.0.0.1:{ports[1]}"
-        self.control = f"127.0.0.1:{ports[2]}"
         self._settings = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
-        self._values = {
+        self._values: dict[str, str | int] = {
             "name": name,
-            "callers": ports[0],
-            "probes": ports[1],
-            "control": ports[2],
-            "first": ports[3],
-            "last": ports[4],
             "store": store,
             "cloud": cloud,
             "seeds": ", ".join(f'"{seed}"' for seed in seeds),
         }
         self.process: subprocess.Popen[bytes] | None = None
+        self._choose_ports()
+
+    def _choose_ports(self) -> None:
+        """Choose free ports for all addresses."""
+        names = ("callers", "probes", "control", "first", "last")
+        ports = free_ports(len(names))
+        self._values.update(zip(names, ports, strict=True))
+        self.callers = f"127.0.0.1:{ports[0]}"
+        self.probes = f"127.0.0.1:{ports[1]}"
+        self.control = f"127.0.0.1:{ports[2]}"
 
     def start(self, is_first: bool = True) -> None:
         """Start the process."""
@@ -172,6 +173,10 @@
         """Wait until it says that it is ready."""
         ends_at = time.monotonic() + limit_s
         while time.monotonic() < ends_at:
+            if self.process is not None and self.process.poll() == 1:
+                # Another program has taken one of its ports meanwhile.
+                self._choose_ports()
+                self.start()
             answer = await call(self.probes, "GET", "/v1/readyz")
             if answer is not None and answer[0] == 200:
                 return True
