Decode each entry of the configuration by itself

Queues and pools are decoded one by one like tenants: one that can't be read keeps what the former configuration had of it. A queue without a former policy is listed, so that its jobs can be asked for and cancelled, but takes no submissions. Durations may be fractions.

--- a/lycheelug/decoding.py
+++ b/lycheelug/decoding.py
@@ -22,6 +22,7 @@
     "DEPTH_MAX",
     "MALFORMED",
     "Amount",
+    "DurationFigure",
     "DurationMs",
     "Figure",
     "Integer",
@@ -53,6 +54,8 @@
 DurationMs = Annotated[int, Meta(ge=-DURATION_MAX_MS, le=DURATION_MAX_MS)]
 UnixMs = Annotated[int, Meta(ge=0, le=UNIX_MAX_MS)]
 Figure = Annotated[float, Meta(ge=-FIGURE_MAX, le=FIGURE_MAX)]
+# A duration in milliseconds that may be a fraction.
+DurationFigure = Annotated[float, Meta(ge=0, le=DURATION_MAX_MS)]
 
 # The exceptions that malformed data raises.
 MALFORMED: Final = (
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from copy import copy
 from enum import Enum, auto
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -250,6 +251,7 @@
     """The address and the scheduling policy of a queue."""
 
     __slots__ = (
+        "has_policy",
         "host",
         "is_public",
         "max_attempts",
@@ -289,6 +291,28 @@
         self.needs_placement_hint = needs_placement_hint
         # Whether its calls need no key of a tenant.
         self.is_public = is_public
+        # Otherwise its policy can't be read, and its values are defaults.
+        self.has_policy = True
+
+    @classmethod
+    def without_policy(
+        cls, name: str, host: str, path_prefix: str, pool: str
+    ) -> Route:
+        """Return the route of a queue whose policy can't be read.
+
+        Its jobs can be asked for and cancelled, but none is accepted.
+        """
+        route = cls(name, host, path_prefix, pool, 0, 1, 1.0, 1.0, False)
+        route.has_policy = False
+        return route
+
+    def at(self, host: str, path_prefix: str, pool: str) -> Route:
+        """Return a route to the same queue from elsewhere."""
+        route = copy(self)
+        route.host = host
+        route.path_prefix = path_prefix
+        route.pool = pool
+        return route
 
 
 class PoolPolicy:
--- a/lycheelug/jobservice/placement_queries.py
+++ b/lycheelug/jobservice/placement_queries.py
@@ -139,10 +139,12 @@
             if (record is not None and configuration is not None)
             else None
         )
-        if record is None or configuration is None or route is None:
+        is_known = route is not None and route.has_policy
+        if record is None or configuration is None or not is_known:
             return PlacementAnswer(
                 error="the owner does not know the job's queue yet"
             )
+        assert route is not None
         policy = QueuePolicy.of(
             route.name,
             route.pool,
--- a/lycheelug/jobservice/queue_policies.py
+++ b/lycheelug/jobservice/queue_policies.py
@@ -162,7 +162,7 @@
         """Return a queue's policy in the configuration, if it is there."""
         configuration = self._context.configuration()
         route = configuration.find_queue(queue) if configuration else None
-        if configuration is None or route is None:
+        if configuration is None or route is None or not route.has_policy:
             return None
         return policy_record(route, configuration.version)
 
--- a/lycheelug/platform/config.py
+++ b/lycheelug/platform/config.py
@@ -16,6 +16,10 @@
 from lycheelug.logs import log_change
 from lycheelug.platform.wire import (
     ConfigMessage,
+    EntryName,
+    RouteAddress,
+    RouteMessage,
+    ServiceMessage,
     TenantMessage,
     TenantName,
     WaveMessage,
@@ -47,33 +51,23 @@
 ) -> Configuration | None:
     """Return the decoded configuration, or None if the value is invalid.
 
-    A tenant whose entry is invalid keeps the cap and weight that it had in
-    the former configuration, but no key.
+    An entry that can't be read costs only itself.  A queue or pool keeps
+    what the former configuration had of it, and a tenant its cap and weight,
+    but no key.
     """
     message = decode_json(value, ConfigMessage).value_or(None)
     if message is None:
         return None
     routes: list[Route] = []
-    for route in message.routes:
-        routes.append(
-            Route(
-                route.name,
-                route.host.lower(),
-                route.path_prefix,
-                route.service,
-                route.priority,
-                route.max_attempts,
-                route.stretch,
-                route.slo_ms / 1000,
-                route.hint is not None,
-                route.public,
-            )
-        )
+    for entry in message.routes:
+        route = _to_route(entry, former)
+        if route is not None:
+            routes.append(route)
     pools: list[PoolPolicy] = []
-    for service in message.services:
-        pools.append(
-            PoolPolicy(service.name, service.standby, service.rejects_overload)
-        )
+    for entry in message.services:
+        pool = _to_pool(entry, former)
+        if pool is not None:
+            pools.append(pool)
     tenants: list[Tenant] = []
     known = former.tenants if former is not None else TenantDirectory()
     for entry in message.tenants:
@@ -85,6 +79,69 @@
     )
 
 
+def _to_route(
+    entry: msgspec.Raw, former: Configuration | None
+) -> Route | None:
+    """Convert a queue from the platform's representation.
+
+    If only its address can be read, the queue has the policy that it had in
+    the former configuration; without one, it takes no submissions.
+    """
+    decoded = decode_json(bytes(entry), RouteMessage)
+    if not isinstance(decoded, Failure):
+        message = decoded.unwrap()
+        return Route(
+            message.name,
+            message.host.lower(),
+            message.path_prefix,
+            message.service,
+            message.priority,
+            message.max_attempts,
+            message.stretch,
+            message.slo_ms / 1000,
+            message.hint is not None,
+            message.public,
+        )
+    address = decode_json(bytes(entry), RouteAddress).value_or(None)
+    named = decode_json(bytes(entry), EntryName).value_or(None)
+    name = named.name if named is not None else ""
+    log_change("queue-unreadable", queue=name, error=decoded.failure())
+    known = former.find_queue(name) if former is not None else None
+    if address is None:
+        return known
+    if known is None:
+        return Route.without_policy(
+            address.name,
+            address.host.lower(),
+            address.path_prefix,
+            address.service,
+        )
+    return known.at(address.host.lower(), address.path_prefix, address.service)
+
+
+def _to_pool(
+    entry: msgspec.Raw, former: Configuration | None
+) -> PoolPolicy | None:
+    """Convert a pool from the platform's representation.
+
+    One that can't be read, and was not known before, is served as a pool
+    whose executors don't reject overload, which is safe for any.
+    """
+    decoded = decode_json(bytes(entry), ServiceMessage)
+    if not isinstance(decoded, Failure):
+        message = decoded.unwrap()
+        return PoolPolicy(
+            message.name, message.standby, message.rejects_overload
+        )
+    named = decode_json(bytes(entry), EntryName).value_or(None)
+    name = named.name if named is not None else ""
+    log_change("pool-unreadable", pool=name, error=decoded.failure())
+    if named is None:
+        return None
+    known = former.pools.get(name) if former is not None else None
+    return known or PoolPolicy(name)
+
+
 def _to_tenant(entry: msgspec.Raw, known: TenantDirectory) -> Tenant | None:
     """Convert a tenant from the platform's representation.
 
--- a/lycheelug/platform/ingress.py
+++ b/lycheelug/platform/ingress.py
@@ -67,6 +67,8 @@
     "first_ms": "start_at_ms",
 }
 NOT_CONFIGURED_RETRY_S: Final = 1
+# A queue that can't be read is served again from a later configuration.
+NO_POLICY_RETRY_S: Final = 5
 # Another daemon may verify the key at once, or this one with its next read of
 # the configuration.
 UNVERIFIED_RETRY_S: Final = 1
@@ -192,6 +194,10 @@
         effects: RequestEffects,
     ) -> Answer:
         """Validate and submit a job of a tenant."""
+        if not route.has_policy:
+            return _unavailable(
+                "the queue's configuration can't be read", NO_POLICY_RETRY_S
+            )
         decoded = decode_job_message(
             request.body, route.name, self._clock.unix_ms(), self._limits
         )
--- a/lycheelug/platform/wire.py
+++ b/lycheelug/platform/wire.py
@@ -14,6 +14,7 @@
 
 from lycheelug.decoding import (
     Amount,  # noqa: TC001
+    DurationFigure,  # noqa: TC001
     DurationMs,  # noqa: TC001
     Figure,  # noqa: TC001
     Integer,  # noqa: TC001
@@ -24,6 +25,8 @@
 __all__ = [
     "ConfigMessage",
     "EntryMessage",
+    "EntryName",
+    "HintMessage",
     "HoldAnswer",
     "JobMessage",
     "MachineMessage",
@@ -32,8 +35,11 @@
     "OrderAnswer",
     "PartsAnswer",
     "PlacementHintAnswer",
+    "RouteAddress",
+    "RouteMessage",
     "RowMessage",
     "RowsAnswer",
+    "ServiceMessage",
     "StepMessage",
     "TenantMessage",
     "TenantName",
@@ -186,6 +192,16 @@
     interval_ms: int = 0
 
 
+class HintMessage(msgspec.Struct):
+    """The placement hints of a queue: what a call costs, and gives."""
+
+    decide_ms: DurationFigure = 0.0
+    # For each executor that the call names.
+    period_ms: DurationFigure = 0.0
+    # How long the tickets are valid.
+    valid_ms: DurationFigure = 0.0
+
+
 class RouteMessage(msgspec.Struct):
     """A queue in the configuration.
 
@@ -197,16 +213,25 @@
     host: str
     path_prefix: str
     service: str
-    timeout_ms: Integer = 0
-    slo_ms: Integer = 0
+    timeout_ms: Figure = 0
+    slo_ms: Figure = 0
     priority: Integer = 0
     max_attempts: Integer = 1
     stretch: Figure = 1.0
-    hint: msgspec.Raw | None = None
+    hint: HintMessage | None = None
     # Its calls need no key.
     public: bool = False
 
 
+class RouteAddress(msgspec.Struct):
+    """What is used of a queue whose other fields are invalid."""
+
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+
+
 class TenantMessage(msgspec.Struct):
     """A tenant in the configuration; `cap` 0 stands for no limit."""
 
@@ -231,13 +256,18 @@
     standby: bool = False
 
 
+class EntryName(msgspec.Struct):
+    """What is used of a queue or pool that can't be read otherwise."""
+
+    name: str
+
+
 class ConfigMessage(msgspec.Struct):
-    """The whole configuration."""
+    """The whole configuration; each entry is decoded separately."""
 
     version: Integer
-    routes: list[RouteMessage] = []
-    services: list[ServiceMessage] = []
-    # Each is decoded separately.
+    routes: list[msgspec.Raw] = []
+    services: list[msgspec.Raw] = []
     tenants: list[msgspec.Raw] = []
 
 
