Take the validity of tickets from the queue's hint

Cause: `valid_ms` was read from the service's answer.

The queue's policy has the timing of its hints now, also in the record that is stored with a job. A call may take the time that the queue's hint states for it, and more.

--- a/bench/pool_schedule.py
+++ b/bench/pool_schedule.py
@@ -220,7 +220,7 @@
         return True
 
     async def request_placement_hint(
-        self, step: StepName, executors: Sequence[str]
+        self, step: StepName, executors: Sequence[str], call_s: float = 0.0
     ) -> Result[PlacementHint, Fault]:
         return Success(PlacementHint({}, 1.0))
 
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -22,6 +22,7 @@
     from lycheelug.fleetplan import HostInfo
     from lycheelug.workloads import (
         ExecutorInfo,
+        HintTiming,
         JobRecord,
         StartAnswer,
         StepName,
@@ -75,12 +76,15 @@
 
 
 class PlacementHint:
-    """Start tickets for a step by executor, and how long they are valid."""
+    """Start tickets for a step by executor."""
 
     __slots__ = ("tickets", "valid_s")
 
-    def __init__(self, tickets: dict[str, str], valid_s: float) -> None:
+    def __init__(
+        self, tickets: dict[str, str], valid_s: float | None = None
+    ) -> None:
         self.tickets = tickets
+        # How long they are valid, if the answer says so.
         self.valid_s = valid_s
 
 
@@ -135,9 +139,12 @@
 
     @abstractmethod
     async def request_placement_hint(
-        self, step: StepName, executors: Sequence[str]
+        self, step: StepName, executors: Sequence[str], call_s: float = 0.0
     ) -> Result[PlacementHint, Fault]:
-        """Ask which of some executors may run a step."""
+        """Ask which of some executors may run a step.
+
+        The service is expected to take `call_s` seconds for the call.
+        """
 
     @abstractmethod
     def forget(self, info: ExecutorInfo) -> None:
@@ -252,6 +259,7 @@
 
     __slots__ = (
         "has_policy",
+        "hint_timing",
         "host",
         "is_public",
         "max_attempts",
@@ -276,6 +284,7 @@
         objective_s: float,
         needs_placement_hint: bool,
         is_public: bool = False,
+        hint_timing: HintTiming | None = None,
     ) -> None:
         self.name = name
         # The host name in the request; empty for any.
@@ -289,6 +298,7 @@
         # Whether tasks start only on executors that the placement hint
         # service permits.
         self.needs_placement_hint = needs_placement_hint
+        self.hint_timing = hint_timing
         # Whether its calls need no key of a tenant.
         self.is_public = is_public
         # Otherwise its policy can't be read, and its values are defaults.
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -17,6 +17,7 @@
 from lycheelug.jobservice.interfaces import StopAnswer
 from lycheelug.logs import log_change, log_fault, log_frequent
 from lycheelug.workloads import (
+    HintTiming,
     LossCause,
     PaceOrder,
     StartAnswer,
@@ -24,6 +25,7 @@
     StopOrder,
     apply_start_answer,
     apply_stop_answer,
+    ticket_validity_s,
 )
 
 if TYPE_CHECKING:
@@ -227,8 +229,10 @@
         self, step: StepName, executor_ids: list[str]
     ) -> None:
         """Ask which executors may run a step."""
+        job = self._owner.schedule.jobs.get(step.job)
+        timing = job.policy.hint_timing if job is not None else HintTiming()
         result = await self._context.gateway.request_placement_hint(
-            step, executor_ids
+            step, executor_ids, timing.call_s(len(executor_ids))
         )
         now = self._context.clock.now()
         if isinstance(result, Failure):
@@ -236,14 +240,15 @@
             self._owner.schedule.placement_hints.record_failed_call(step, now)
             return
         hint = result.unwrap()
+        valid_s = ticket_validity_s(hint.valid_s, timing)
         self._owner.schedule.placement_hints.add_tickets(
-            step, hint.tickets, hint.valid_s, now, executor_ids
+            step, hint.tickets, valid_s, now, executor_ids
         )
         log_change(
             "advice",
             step=step.render(),
             asked=len(executor_ids),
             allowed=len(hint.tickets),
-            valid_s=hint.valid_s,
+            valid_s=valid_s,
         )
         self._owner.wake()
--- a/lycheelug/jobservice/queue_policies.py
+++ b/lycheelug/jobservice/queue_policies.py
@@ -47,6 +47,7 @@
         route.stretch,
         route.objective_s,
         route.needs_placement_hint,
+        route.hint_timing,
     )
 
 
--- a/lycheelug/platform/config.py
+++ b/lycheelug/platform/config.py
@@ -26,11 +26,12 @@
 )
 from lycheelug.tenants import Tenant, TenantDirectory
 from lycheelug.tenants.model import NO_CAP
-from lycheelug.workloads.model import Resources
+from lycheelug.workloads.model import HintTiming, Resources
 
 if TYPE_CHECKING:
     import msgspec
 
+    from lycheelug.platform.wire import HintMessage
     from lycheelug.store.rows import StoredRow
 
 __all__ = [
@@ -101,6 +102,7 @@
             message.slo_ms / 1000,
             message.hint is not None,
             message.public,
+            _to_timing(message.hint),
         )
     address = decode_json(bytes(entry), RouteAddress).value_or(None)
     named = decode_json(bytes(entry), EntryName).value_or(None)
@@ -119,6 +121,15 @@
     return known.at(address.host.lower(), address.path_prefix, address.service)
 
 
+def _to_timing(hint: HintMessage | None) -> HintTiming | None:
+    """Convert the timing of a queue's placement hints."""
+    if hint is None:
+        return None
+    return HintTiming(
+        hint.decide_ms / 1000, hint.period_ms / 1000, hint.valid_ms / 1000
+    )
+
+
 def _to_pool(
     entry: msgspec.Raw, former: Configuration | None
 ) -> PoolPolicy | None:
--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -61,8 +61,8 @@
 CONNECT_TIMEOUT_S: Final = 0.4
 # Executors close connections that are idle for longer.
 REUSE_IDLE_S: Final = 8.0
-# The placement hint service handles calls one after another, and each takes
-# a few milliseconds per executor.
+# Added to the expected duration of a call to the placement hint service, which
+# handles the calls of several daemons one after another.
 HINT_TIMEOUT_S: Final = 3.0
 # The maximum number of concurrent orders to one executor.
 MAX_CONCURRENT_ORDERS: Final = 4
@@ -255,7 +255,7 @@
         return answer is not None and answer.status == 200
 
     async def request_placement_hint(
-        self, step: StepName, executors: Sequence[str]
+        self, step: StepName, executors: Sequence[str], call_s: float = 0.0
     ) -> Result[PlacementHint, Fault]:
         """Return which of some executors may run a step."""
         data = msgspec.json.encode(
@@ -268,7 +268,7 @@
         ]
         request = Request(b"POST", b"/v1/advise", headers, data)
         result = await self._hint_client.request(
-            request, HINT_TIMEOUT_S, REUSE_IDLE_S
+            request, HINT_TIMEOUT_S + call_s, REUSE_IDLE_S
         )
         if isinstance(result, Failure):
             return Failure(result.failure())
@@ -287,9 +287,10 @@
                     self._hint_address,
                 )
             )
-        return Success(
-            PlacementHint(dict(message.allowed), message.valid_ms / 1000)
-        )
+        valid_s = None
+        if message.valid_ms is not None:
+            valid_s = message.valid_ms / 1000
+        return Success(PlacementHint(dict(message.allowed), valid_s))
 
     def forget(self, info: ExecutorInfo) -> None:
         """Close the connections to an executor that was removed."""
--- a/lycheelug/platform/wire.py
+++ b/lycheelug/platform/wire.py
@@ -309,4 +309,5 @@
     """The executors that may run a step, as pairs of id and ticket."""
 
     allowed: list[tuple[str, str]] = []
-    valid_ms: DurationMs = 0
+    # Missing if the queue's configuration alone has it.
+    valid_ms: DurationFigure | None = None
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -14,6 +14,7 @@
 from lycheelug.workloads.jobs import Job, Task, TaskState
 from lycheelug.workloads.losses import HostEvidence, LossCause
 from lycheelug.workloads.model import (
+    HintTiming,
     JobRecord,
     JobState,
     Occurrences,
@@ -24,7 +25,7 @@
     TaskName,
 )
 from lycheelug.workloads.orders import PaceOrder, StartOrder, StopOrder
-from lycheelug.workloads.placement_hints import StepName
+from lycheelug.workloads.placement_hints import StepName, ticket_validity_s
 from lycheelug.workloads.policy_changes import apply_policy
 from lycheelug.workloads.pool import PoolSchedule
 from lycheelug.workloads.progress import ProgressRecord
@@ -40,6 +41,7 @@
     "EndReport",
     "ExecutorInfo",
     "ExecutorView",
+    "HintTiming",
     "HostEvidence",
     "Job",
     "JobError",
@@ -71,4 +73,5 @@
     "apply_stop_answer",
     "apply_task_report",
     "find_error",
+    "ticket_validity_s",
 ]
--- a/lycheelug/workloads/model.py
+++ b/lycheelug/workloads/model.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "FailureCause",
+    "HintTiming",
     "JobRecord",
     "JobState",
     "Occurrences",
@@ -101,6 +102,24 @@
     interval_ms: int = 0
 
 
+class HintTiming(msgspec.Struct, omit_defaults=True, frozen=True):
+    """What a call for placement hints costs, and how long tickets last."""
+
+    # A call takes `decision_s`, and `executor_s` for each executor in it.
+    decision_s: float = 0.0
+    executor_s: float = 0.0
+    # How long tickets are valid; 0 if it is not known.
+    valid_s: float = 0.0
+
+    def call_s(self, executors: int) -> float:
+        """Return how long a call takes that names so many executors.
+
+        >>> HintTiming(decision_s=0.5, executor_s=0.25).call_s(4)
+        1.5
+        """
+        return self.decision_s + self.executor_s * executors
+
+
 class PolicyRecord(msgspec.Struct, omit_defaults=True):
     """A queue's scheduling policy, as stored with its jobs."""
 
@@ -112,6 +131,8 @@
     stretch: float = 1.0
     objective_s: float = 1.0
     needs_placement_hint: bool = False
+    # None if an earlier release has stored the record.
+    hint_timing: HintTiming | None = None
 
     def is_same(self, other: PolicyRecord) -> bool:
         """Whether another version has the same policy.
@@ -150,6 +171,7 @@
 
     __slots__ = (
         "held_until",
+        "hint_timing",
         "is_known",
         "max_attempts",
         "name",
@@ -173,6 +195,7 @@
         version: int = 0,
         is_known: bool = True,
         held_until: float = 0.0,
+        hint_timing: HintTiming | None = None,
     ) -> None:
         # The version of the configuration that has it.
         self.version = version
@@ -194,6 +217,7 @@
         # Tasks need a ticket from the placement hint service, which alone
         # decides which executors may run them.
         self.needs_placement_hint = needs_placement_hint
+        self.hint_timing = hint_timing or HintTiming()
 
     @classmethod
     def of(cls, name: str, pool: str, record: PolicyRecord) -> QueuePolicy:
@@ -207,6 +231,7 @@
             record.objective_s,
             record.needs_placement_hint,
             record.version,
+            hint_timing=record.hint_timing,
         )
 
     def record(self) -> PolicyRecord:
@@ -218,6 +243,7 @@
             self.stretch,
             self.objective_s,
             self.needs_placement_hint,
+            self.hint_timing if self.needs_placement_hint else None,
         )
 
     def is_exhausted(self, failures: int) -> bool:
--- a/lycheelug/workloads/placement_hints.py
+++ b/lycheelug/workloads/placement_hints.py
@@ -17,15 +17,19 @@
     from collections.abc import Iterable, Mapping
 
     from lycheelug.workloads.executors import ExecutorView
-    from lycheelug.workloads.model import TaskName
+    from lycheelug.workloads.model import HintTiming, TaskName
 
-__all__ = ["PlacementHints", "StepName"]
+__all__ = ["PlacementHints", "StepName", "ticket_validity_s"]
 
 # Maximum number of executors that the service accepts in one call.
 EXECUTORS_MAX: Final = 100
 # A ticket isn't used in this last part of its validity, as it could expire
-# before the start reaches the executor.
+# before the start reaches the executor; a quarter of it at most.
 MARGIN_S: Final = 0.3
+MARGIN_SHARE: Final = 0.25
+# How long tickets are used of which nobody says how long they are valid.  An
+# executor rejects one that has expired, and it is renewed.
+VALID_UNKNOWN_S: Final = 1.0
 # Delay before a failed call for a step is repeated.
 RETRY_S: Final = 0.5
 
@@ -55,12 +59,29 @@
     def __init__(self) -> None:
         # Executors that were named in a call.
         self.asked: set[str] = set()
-        # Tickets and the local times at which they end, by executor.
+        # Tickets and the local times until which they are used, by executor.
         self.tickets: dict[str, tuple[str, float]] = {}
         self.is_query_pending = False
         self.next_query_at = 0.0
 
 
+def ticket_validity_s(answered_s: float | None, timing: HintTiming) -> float:
+    """Return how long tickets are valid, by the answer and the queue.
+
+    The shorter of the two counts.
+
+    >>> from lycheelug.workloads.model import HintTiming
+    >>> ticket_validity_s(None, HintTiming(valid_s=4.0))
+    4.0
+    >>> ticket_validity_s(3.0, HintTiming(valid_s=4.0))
+    3.0
+    >>> ticket_validity_s(0.0, HintTiming())
+    1.0
+    """
+    stated = [each for each in (answered_s, timing.valid_s) if each]
+    return min(stated, default=VALID_UNKNOWN_S)
+
+
 class PlacementHints:
     """Placement hints for all steps of a pool.
 
@@ -82,7 +103,7 @@
         """Return a valid ticket for an executor, or None."""
         hints = self._steps.get(step)
         found = hints.tickets.get(executor_id) if hints else None
-        if found is None or now > found[1] - MARGIN_S:
+        if found is None or now > found[1]:
             return None
         return found[0]
 
@@ -119,8 +140,9 @@
         hints = self._steps.setdefault(step, _StepHints())
         hints.is_query_pending = False
         hints.asked.update(asked)
+        used_s = valid_s - min(MARGIN_S, valid_s * MARGIN_SHARE)
         for executor_id, ticket in tickets.items():
-            hints.tickets[executor_id] = (ticket, now + valid_s)
+            hints.tickets[executor_id] = (ticket, now + used_s)
 
     def record_failed_call(self, step: StepName, now: float) -> None:
         """Record that a call failed; delay the next one."""
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -393,7 +393,7 @@
         return token >= self.executors[info.executor_id].token
 
     async def request_placement_hint(
-        self, step: StepName, executors: Sequence[str]
+        self, step: StepName, executors: Sequence[str], call_s: float = 0.0
     ) -> Result[PlacementHint, Fault]:
         await asyncio.sleep(0.05)
         self.hint_calls += 1
--- /dev/null
+++ b/tests/test_hinted_queues.py
@@ -0,0 +1,179 @@
+"""Tests of queues whose tasks need tickets of the placement hint service.
+
+The service here follows the platform's pages: a ticket is good for all tasks
+of a step, on one life of an executor, for the `valid_ms` of the queue.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+from returns.result import Failure, Success
+
+from lycheelug.errors import PLATFORM_UNREACHABLE, Fault, Peer, Step
+from lycheelug.jobservice.interfaces import (
+    Configuration,
+    PlacementHint,
+    PoolPolicy,
+    Route,
+)
+from lycheelug.jobservice.submissions import ReplyKind
+from lycheelug.workloads import (
+    HintTiming,
+    JobRecord,
+    StartAnswer,
+    StepName,
+    StepSpec,
+)
+from lycheelug.workloads.model import JobState
+from tests.job_world import POOL, FakeFleet, JobWorld, job_id, until
+from tests.virtual_time import run_virtual
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from returns.result import Result
+
+    from lycheelug.workloads import ExecutorInfo, TaskName
+
+VALID_S = 4.0
+TIMING = HintTiming(0.02, 0.001, VALID_S)
+HINTED = Route(
+    "hinted", "", "/h/", POOL, 0, 2, 1.6, 0.6, True, hint_timing=TIMING
+)
+
+
+class HintedFleet(FakeFleet):
+    """Executors that check tickets, and the service that gives them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        # How long a call takes, and whether calls fail.
+        self.call_s = 0.03
+        self.is_away = False
+        # What an answer says of the validity of its tickets.
+        self.answered_s: float | None = None
+        # The calls in progress now, and the most that ever were.
+        self.calls = 0
+        self.calls_max = 0
+        self.named: list[int] = []
+        # Step, executor, and when the ticket ends, by ticket.
+        self.tickets: dict[str, tuple[str, str, float]] = {}
+        self.bad_tickets = 0
+        # How many of the next tickets executors reject for no reason.
+        self.rejections = 0
+
+    async def request_placement_hint(
+        self, step: StepName, executors: Sequence[str], call_s: float = 0.0
+    ) -> Result[PlacementHint, Fault]:
+        self.hint_calls += 1
+        self.named.append(len(executors))
+        self.calls += 1
+        self.calls_max = max(self.calls_max, self.calls)
+        await asyncio.sleep(self.call_s)
+        self.calls -= 1
+        if self.is_away:
+            return Failure(
+                Fault(PLATFORM_UNREACHABLE, Step.READ, Peer.PLATFORM, "away")
+            )
+        ends_at = asyncio.get_running_loop().time() + VALID_S
+        found: dict[str, str] = {}
+        for executor_id in executors:
+            if executor_id not in self.allowed:
+                continue
+            ticket = f"t{len(self.tickets)}"
+            self.tickets[ticket] = (step.render(), executor_id, ends_at)
+            found[executor_id] = ticket
+        return Success(PlacementHint(found, self.answered_s))
+
+    async def start(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        deadline_ms: int,
+        token: int,
+        ticket: str = "",
+    ) -> tuple[StartAnswer, int | None]:
+        step, executor_id, ends_at = self.tickets.get(ticket, ("", "", 0.0))
+        now = asyncio.get_running_loop().time()
+        is_valid = now < ends_at and executor_id == info.executor_id
+        if self.rejections > 0:
+            self.rejections -= 1
+            is_valid = False
+        if not is_valid or step != StepName.of(task).render():
+            self.bad_tickets += 1
+            return StartAnswer.BAD_TICKET, None
+        return await super().start(
+            info, task, run, payload, checkpoint, deadline_ms, token, ticket
+        )
+
+
+class HintedWorld(JobWorld):
+    """Daemons that serve one hinted queue."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hinted = HintedFleet()
+        self.fleet = self.hinted
+
+    async def begin(self, executors: int, allowed: int) -> None:
+        for number in range(executors):
+            self.fleet.add(f"x{number}")
+        self.hinted.allowed = {f"x{number}" for number in range(allowed)}
+        self.start_fleet()
+        self.start_daemon("e0").apply_configuration(
+            Configuration(2, [HINTED], [PoolPolicy(POOL)])
+        )
+        await until(lambda: len(self.holders()) == 1)
+
+    async def hand_in(self, number: int, steps: list[StepSpec]) -> None:
+        reply = await self.daemons["e0"].submissions.submit(
+            HINTED, job_id(number), JobRecord("hinted", "payload", steps)
+        )
+        assert reply.kind is ReplyKind.OK
+
+    async def are_done(self, count: int, within_s: float) -> bool:
+        submissions = self.daemons["e0"].submissions
+        try:
+            async with asyncio.timeout(within_s):
+                for number in range(count):
+                    while True:
+                        reply = await submissions.state(HINTED, job_id(number))
+                        if reply.state == JobState.COMPLETED:
+                            break
+                        await asyncio.sleep(0.1)
+        except TimeoutError:
+            return False
+        return True
+
+
+STEP = StepSpec(count=4, cpu_millis=500)
+LATER = StepSpec(count=4, cpu_millis=500, depends_on=[0])
+
+
+# Guards against tickets that are valid for 0 s, as their validity is a field
+# of the queue and not of the answer: nothing was ever started (case 6).
+@pytest.mark.parametrize("answered_s", [None, 0.0, VALID_S, 1.0])
+@pytest.mark.parametrize("width", [4, 200])
+def test_jobs_of_a_hinted_queue_are_done(
+    answered_s: float | None, width: int
+) -> None:
+    async def run() -> None:
+        world = HintedWorld()
+        world.hinted.answered_s = answered_s
+        await world.begin(executors=8, allowed=5)
+        wide = StepSpec(count=width, cpu_millis=500)
+        for number in range(3):
+            await world.hand_in(number, [wide, LATER])
+        assert await world.are_done(3, within_s=40.0)
+        assert world.hinted.bad_tickets == 0
+        assert len(world.fleet.started) == 3 * (width + 4)
+        assert not world.fleet.duplicated_tasks
+        await world.stop()
+
+    run_virtual(run())
