Bound the calls to the placement hint service

A service that answered 429, or was away, got 766 calls in 20 s from one daemon with 20 waiting steps, up to 20 at a time; it handles one call at a time for each daemon and rejects those above 32.

Cause: each step sent its own calls and repeated them after 0.5 s. Rejected tickets were renewed at once, and a call named up to 100 executors, each of which makes it longer.

All owners of a daemon share one turn now (`hint_calls`). Rejected tickets are renewed after 0.1 s, doubling likewise until one is accepted. A call names at most 30 executors: those with expired tickets first, then those with the most free CPU; the others are named once these are full. A call for a job that has ended meanwhile isn't sent.

--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.jobservice.hint_calls import HintCalls
 from lycheelug.scarcity import OverloadPolicy
 from lycheelug.workloads import JobLimits
 
@@ -38,6 +39,7 @@
         "executor_list_age_s",
         "executors",
         "gateway",
+        "hint_calls",
         "hosts",
         "is_store_unreachable",
         "job_limits",
@@ -70,6 +72,7 @@
     ) -> None:
         self.store = store
         self.gateway = gateway
+        self.hint_calls = HintCalls(clock)
         self.hosts = hosts
         self.clock = clock
         self.metrics = metrics
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -229,21 +229,28 @@
         self, step: StepName, executor_ids: list[str]
     ) -> None:
         """Ask which executors may run a step."""
-        job = self._owner.schedule.jobs.get(step.job)
+        schedule = self._owner.schedule
+        hints = schedule.placement_hints
+        job = schedule.jobs.get(step.job)
         timing = job.policy.hint_timing if job is not None else HintTiming()
-        result = await self._context.gateway.request_placement_hint(
-            step, executor_ids, timing.call_s(len(executor_ids))
+        result = await self._context.hint_calls.send(
+            lambda: self._context.gateway.request_placement_hint(
+                step, executor_ids, timing.call_s(len(executor_ids))
+            ),
+            lambda: job is not None and not job.is_final,
         )
         now = self._context.clock.now()
+        if result is None:
+            hints.forget_job(step.job)
+            return
         if isinstance(result, Failure):
+            self._context.metrics.count("advice-failed")
             log_fault("no-advice", result.failure(), step=step.render())
-            self._owner.schedule.placement_hints.record_failed_call(step, now)
+            hints.record_failed_call(step, now)
             return
         hint = result.unwrap()
         valid_s = ticket_validity_s(hint.valid_s, timing)
-        self._owner.schedule.placement_hints.add_tickets(
-            step, hint.tickets, valid_s, now, executor_ids
-        )
+        hints.add_tickets(step, hint.tickets, valid_s, now, executor_ids)
         log_change(
             "advice",
             step=step.render(),
--- a/lycheelug/workloads/placement_hints.py
+++ b/lycheelug/workloads/placement_hints.py
@@ -21,8 +21,9 @@
 
 __all__ = ["PlacementHints", "StepName", "ticket_validity_s"]
 
-# Maximum number of executors that the service accepts in one call.
-EXECUTORS_MAX: Final = 100
+# Maximum number of executors in one call.  The service accepts 100, but a
+# call takes longer with each; the others are named once these are full.
+EXECUTORS_MAX: Final = 30
 # A ticket isn't used in this last part of its validity, as it could expire
 # before the start reaches the executor; a quarter of it at most.
 MARGIN_S: Final = 0.3
@@ -32,6 +33,10 @@
 VALID_UNKNOWN_S: Final = 1.0
 # Delay before a failed call for a step is repeated.
 RETRY_S: Final = 0.5
+# Delay before tickets that executors reject are renewed; it doubles, up to the
+# maximum, until one is accepted.
+RENEWAL_S: Final = 0.1
+RENEWAL_MAX_S: Final = 2.0
 
 
 class StepName(NamedTuple):
@@ -54,7 +59,14 @@
 class _StepHints:
     """Tickets and query state of one step."""
 
-    __slots__ = ("asked", "is_query_pending", "next_query_at", "tickets")
+    __slots__ = (
+        "asked",
+        "is_query_pending",
+        "next_query_at",
+        "rejected_answers",
+        "tickets",
+        "was_rejected",
+    )
 
     def __init__(self) -> None:
         # Executors that were named in a call.
@@ -63,6 +75,10 @@
         self.tickets: dict[str, tuple[str, float]] = {}
         self.is_query_pending = False
         self.next_query_at = 0.0
+        # The last answers in a row of which a ticket was rejected, and
+        # whether one of the last answer was.
+        self.rejected_answers = 0
+        self.was_rejected = False
 
 
 def ticket_validity_s(answered_s: float | None, timing: HintTiming) -> float:
@@ -110,20 +126,29 @@
     def executors_to_query(
         self, step: StepName, views: Iterable[ExecutorView], now: float
     ) -> list[str]:
-        """Return the executors to query now, and mark a call as pending."""
+        """Return the executors to query now, and mark a call as pending.
+
+        Those whose tickets have expired come first, as they are permitted,
+        and then those with the most free CPU.
+        """
         hints = self._steps.setdefault(step, _StepHints())
         if hints.is_query_pending or now < hints.next_query_at:
             return []
-        wanted: list[str] = []
+        expired: list[str] = []
+        new: list[tuple[int, str]] = []
         for view in views:
             executor_id = view.executor_id
             if not view.is_healthy(now) or view.drain_order:
                 continue
-            is_new = executor_id not in hints.asked
-            had_ticket = executor_id in hints.tickets
-            is_expired = had_ticket and not self.ticket(step, executor_id, now)
-            if (is_new or is_expired) and len(wanted) < EXECUTORS_MAX:
-                wanted.append(executor_id)
+            if executor_id in hints.tickets:
+                if not self.ticket(step, executor_id, now):
+                    expired.append(executor_id)
+            elif executor_id not in hints.asked:
+                free_cpu = view.info.capacity.cpu_millis - view.used_cpu
+                new.append((-free_cpu, executor_id))
+        new.sort()
+        wanted = expired + [executor_id for _, executor_id in new]
+        del wanted[EXECUTORS_MAX:]
         if wanted:
             hints.is_query_pending = True
         return wanted
@@ -139,6 +164,7 @@
         """Record the answer to a call."""
         hints = self._steps.setdefault(step, _StepHints())
         hints.is_query_pending = False
+        hints.was_rejected = False
         hints.asked.update(asked)
         used_s = valid_s - min(MARGIN_S, valid_s * MARGIN_SHARE)
         for executor_id, ticket in tickets.items():
@@ -146,16 +172,34 @@
 
     def record_failed_call(self, step: StepName, now: float) -> None:
         """Record that a call failed; delay the next one."""
-        hints = self._steps.setdefault(step, _StepHints())
+        hints = self._steps.get(step)
+        if hints is None:
+            return
         hints.is_query_pending = False
         hints.next_query_at = now + RETRY_S
 
-    def discard_ticket(self, step: StepName, executor_id: str) -> None:
+    def discard_ticket(
+        self, step: StepName, executor_id: str, now: float
+    ) -> None:
         """Drop a ticket that an executor rejected, so that it is renewed."""
         hints = self._steps.get(step)
+        if hints is None:
+            return
+        hints.tickets.pop(executor_id, None)
+        hints.asked.discard(executor_id)
+        if hints.was_rejected:
+            return
+        hints.was_rejected = True
+        delay_s = min(RENEWAL_MAX_S, RENEWAL_S * 2**hints.rejected_answers)
+        if delay_s < RENEWAL_MAX_S:
+            hints.rejected_answers += 1
+        hints.next_query_at = now + delay_s
+
+    def record_accepted(self, step: StepName) -> None:
+        """Record that an executor has accepted a ticket."""
+        hints = self._steps.get(step)
         if hints is not None:
-            hints.tickets.pop(executor_id, None)
-            hints.asked.discard(executor_id)
+            hints.rejected_answers = 0
 
     def forget_job(self, job: str) -> None:
         """Drop what is known of a job's steps."""
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -130,6 +130,8 @@
         run.confirmed_at = now
         run.phase = RunPhase.RUNNING
         task.job.has_started = True
+        if task.job.policy.needs_placement_hint:
+            schedule.placement_hints.record_accepted(StepName.of(task.name))
         return
     if answer is StartAnswer.NO_ANSWER:
         run.phase = RunPhase.UNKNOWN
@@ -138,7 +140,7 @@
         return
     if answer is StartAnswer.BAD_TICKET:
         schedule.placement_hints.discard_ticket(
-            StepName.of(task.name), view.executor_id
+            StepName.of(task.name), view.executor_id, now
         )
     if answer in (StartAnswer.NO_ROOM, StartAnswer.NOT_SENT):
         view.backoff_until = max(view.backoff_until, now + START_BACKOFF_S)
--- a/tests/test_hinted_queues.py
+++ b/tests/test_hinted_queues.py
@@ -177,3 +177,106 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against calls without limit to a service that can't give tickets:
+# each waiting step called again with each plan (related to case 6).
+@pytest.mark.parametrize(
+    ("call_s", "most"),
+    [
+        # Answers at once with a failure, as with 429.
+        (0.0, 20),
+        # Times out.
+        (3.0, 10),
+    ],
+)
+def test_service_that_is_away_gets_few_calls(call_s: float, most: int) -> None:
+    async def run() -> None:
+        world = HintedWorld()
+        world.hinted.is_away = True
+        world.hinted.call_s = call_s
+        await world.begin(executors=8, allowed=8)
+        for number in range(20):
+            await world.hand_in(number, [STEP])
+        await asyncio.sleep(20.0)
+        assert 4 <= world.hinted.hint_calls <= most
+        assert world.hinted.calls_max == 1
+        assert not world.fleet.started
+        world.hinted.is_away = False
+        world.hinted.call_s = 0.03
+        assert await world.are_done(20, within_s=30.0)
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against several calls at a time by one daemon, of which the service
+# handles only one (related to case 6).
+def test_daemon_sends_one_call_at_a_time() -> None:
+    async def run() -> None:
+        world = HintedWorld()
+        world.hinted.call_s = 0.2
+        await world.begin(executors=8, allowed=8)
+        for number in range(10):
+            await world.hand_in(number, [STEP])
+        assert await world.are_done(10, within_s=40.0)
+        assert world.hinted.calls_max == 1
+        assert world.hinted.hint_calls <= 20
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against repeated calls for a step that no executor may run, and
+# against such a step holding up the others (related to case 6).
+def test_step_that_nobody_may_run_is_asked_for_once() -> None:
+    async def run() -> None:
+        world = HintedWorld()
+        await world.begin(executors=8, allowed=0)
+        await world.hand_in(0, [STEP])
+        await asyncio.sleep(10.0)
+        assert world.hinted.hint_calls == 1
+        # An executor of which the service has not been asked joins.
+        world.fleet.add("y0")
+        world.hinted.allowed = {"y0"}
+        info = world.fleet.executors["y0"].info
+        world.daemons["e0"].update_executor("y0", info)
+        assert await world.are_done(1, within_s=20.0)
+        assert world.hinted.hint_calls == 2
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against calls without limit for tickets that executors reject.
+def test_rejected_tickets_are_renewed_with_a_growing_delay() -> None:
+    async def run() -> None:
+        world = HintedWorld()
+        world.hinted.rejections = 10_000
+        await world.begin(executors=2, allowed=2)
+        await world.hand_in(0, [STEP])
+        await asyncio.sleep(10.0)
+        assert 3 <= world.hinted.hint_calls <= 12
+        world.hinted.rejections = 0
+        assert await world.are_done(1, within_s=10.0)
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against calls that take seconds, as they name executors that aren't
+# needed: a call takes longer with each (related to case 6).
+def test_call_names_few_executors_of_a_large_pool() -> None:
+    async def run() -> None:
+        world = HintedWorld()
+        await world.begin(executors=80, allowed=80)
+        await world.hand_in(0, [STEP])
+        assert await world.are_done(1, within_s=20.0)
+        assert max(world.hinted.named) <= 30
+        # Those that aren't named first are, once the others are full.
+        await world.hand_in(1, [StepSpec(count=300, cpu_millis=2000)])
+        assert await world.are_done(2, within_s=40.0)
+        assert sum(world.hinted.named) >= 80
+        await world.stop()
+
+    run_virtual(run())
