Ask again for the executors that are born again

A step of a queue with a hint was never placed on an executor that had been refused in its former life under the same id, and a ticket of the former life was used once more.

Cause: tickets and the executors that were asked for were kept by id, and nothing dropped them when the incarnation ended. A ticket is valid during one life of the executor, and the next one may be of another kind.

Evidence: test_new_incarnation_is_asked_for_again and test_restart_of_an_executor_drops_its_tickets fail before this change.

--- a/lycheelug/workloads/placement_hints.py
+++ b/lycheelug/workloads/placement_hints.py
@@ -201,6 +201,16 @@
         if hints is not None:
             hints.rejected_answers = 0
 
+    def forget_executor(self, executor_id: str) -> None:
+        """Drop what is known of an executor that has ended.
+
+        Its tickets are for that incarnation alone, and the next one under
+        its id may be of another kind.
+        """
+        for hints in self._steps.values():
+            hints.tickets.pop(executor_id, None)
+            hints.asked.discard(executor_id)
+
     def forget_job(self, job: str) -> None:
         """Drop what is known of a job's steps."""
         for step in list(self._steps):
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -272,6 +272,7 @@
         view = self.executors.pop(executor_id, None)
         if view is None:
             return []
+        self.placement_hints.forget_executor(executor_id)
         self.ended_incarnations.add(view)
         # One that never answered was not used, so nothing has ended.
         return self.clear_runs(view, now, cause) if view.is_located else []
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -188,6 +188,7 @@
     schedule.crashes.record_loss(
         schedule, view, lost, LossCause.RESTARTED, now
     )
+    schedule.placement_hints.forget_executor(view.executor_id)
     view.born_ms = born_ms
     view.last_applied_end = 0
     view.last_acked_end = 0
--- a/tests/test_hinted_queues.py
+++ b/tests/test_hinted_queues.py
@@ -28,7 +28,9 @@
     StepSpec,
 )
 from lycheelug.workloads.model import JobState
+from lycheelug.workloads.placement_hints import PlacementHints
 from tests.job_world import POOL, FakeFleet, JobWorld, job_id, until
+from tests.pool_world import PoolWorld
 from tests.virtual_time import run_virtual
 
 if TYPE_CHECKING:
@@ -280,3 +282,30 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against an executor that is born again under its id and is never
+# asked for again, as its former life had been refused (related to case 6).
+def test_new_incarnation_is_asked_for_again() -> None:
+    hints = PlacementHints()
+    step = StepName("j", 0, 0)
+    hints.add_tickets(step, {"x": "t1"}, 4.0, now=1.0, asked=["x", "y"])
+    world = PoolWorld()
+    world.now = 2.0
+    views = [world.add_executor("x"), world.add_executor("y")]
+    assert hints.executors_to_query(step, views, 2.0) == []
+    hints.forget_executor("x")
+    hints.forget_executor("y")
+    assert hints.ticket(step, "x", 2.0) is None
+    assert sorted(hints.executors_to_query(step, views, 2.0)) == ["x", "y"]
+
+
+def test_restart_of_an_executor_drops_its_tickets() -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    step = StepName("j", 0, 0)
+    hints = world.schedule.placement_hints
+    hints.add_tickets(step, {"x": "t1"}, 4.0, world.now, ["x"])
+    assert hints.ticket(step, "x", world.now) == "t1"
+    world.report_tasks("x", born_ms=2)
+    assert hints.ticket(step, "x", world.now) is None
