--- a/lycheelug/platform/settings.py
+++ b/lycheelug/platform/settings.py
@@ -50,23 +50,26 @@
 
 
 class _Bounds(msgspec.Struct):
-    """The guaranteed time limits of the platform that the daemon uses."""
+    """The guaranteed time limits of the platform that the daemon uses.
 
-    hold_max_ms: int = 6000
+    Their figures may be whole numbers or fractions.
+    """
+
+    hold_max_ms: float = 6000
     grace_s: float = 6.0
-    stop_grace_ms: int = 500
+    stop_grace_ms: float = 500
     migrate_s: float = 2.0
     maintenance_s: float = 2.0
-    notice_ms: int = 4500
-    early_ms: int = 250
+    notice_ms: float = 4500
+    early_ms: float = 250
     # Whether the host interface refuses outdated fencing tokens.
     require_fencing: bool = False
     # Whether calls are refused where it can't be known that their key was
     # not taken away more than `revoke_ms` before.
     strict_revocation: bool = False
-    revoke_ms: int = 5000
+    revoke_ms: float = 5000
     # How soon a new configuration has to be in force.
-    config_apply_ms: int = 2000
+    config_apply_ms: float = 2000
 
 
 class _Limits(msgspec.Struct):
@@ -76,13 +79,13 @@
     cpu_share: float = 0.0
     cores: float = 1.0
     link_mbps: float = 0.0
-    memory_mb: int = 0
+    memory_mb: float = 0
     max_fds: int = 0
 
     @property
     def memory_bytes(self) -> int:
         """The memory of this host; 0 if it is not given."""
-        return self.memory_mb * 1_000_000
+        return int(self.memory_mb * 1_000_000)
 
 
 class PlatformSettings(msgspec.Struct):
