Read lists of runs with checkpoints of any length

An executor counted as silent for as long as one of its runs had a checkpoint of over 4,000 characters: its whole list of runs was dropped, no lease was extended and no end applied.

Cause: the limit was part of the message's type, so that it made the list unreadable. The adapter leaves out a checkpoint that can't be stored with its job instead, and logs that; the task then starts without it.

--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -23,6 +23,7 @@
     PollFailure,
     StopAnswer,
 )
+from lycheelug.logs import log_frequent
 from lycheelug.platform.wire import (
     EntryMessage,
     HoldAnswer,
@@ -68,6 +69,9 @@
 MAX_CONCURRENT_ORDERS: Final = 4
 INCARNATION_HEADER: Final = b"expected-instance"
 STATUS_OTHER_INCARNATION: Final = 421
+# A job's progress, with the checkpoints of all its tasks, has to fit into the
+# store's rows.
+CHECKPOINT_LENGTH_MAX: Final = 4_000
 
 IS_DRAINING_BY_STATE: Final = {"ready": False, "draining": True}
 
@@ -373,7 +377,7 @@
             RunReport(
                 task,
                 run.run,
-                run.checkpoint,
+                _storable(run.checkpoint, run.task),
                 int(run.percent),
                 int(run.load),
             )
@@ -383,6 +387,20 @@
         if task is None:
             continue
         report.ended.append(
-            EndReport(end.number, task, end.run, end.kind, end.checkpoint)
+            EndReport(
+                end.number,
+                task,
+                end.run,
+                end.kind,
+                _storable(end.checkpoint, end.task),
+            )
         )
     return report
+
+
+def _storable(checkpoint: str, task: str) -> str:
+    """Return a checkpoint, or none if it can't be stored with its job."""
+    if len(checkpoint) <= CHECKPOINT_LENGTH_MAX:
+        return checkpoint
+    log_frequent("checkpoint-too-long", task=task, length=len(checkpoint))
+    return ""
--- a/lycheelug/platform/wire.py
+++ b/lycheelug/platform/wire.py
@@ -53,7 +53,6 @@
 LABELS_MAX: Final = 100
 # The longest address: a host name, a colon and a port.
 ADDRESS_LENGTH_MAX: Final = 260
-CHECKPOINT_LENGTH_MAX: Final = 4_000
 
 Name = Annotated[str, Meta(max_length=NAME_LENGTH_MAX)]
 # An empty name stands for no tenant.
@@ -135,7 +134,7 @@
 
     task: Name
     run: Integer
-    checkpoint: Annotated[str, Meta(max_length=CHECKPOINT_LENGTH_MAX)]
+    checkpoint: str
     percent: Figure
     load: Figure = 0.0
 
@@ -147,7 +146,7 @@
     task: Name
     run: Integer
     kind: EndKind
-    checkpoint: Annotated[str, Meta(max_length=CHECKPOINT_LENGTH_MAX)]
+    checkpoint: str
 
 
 class HoldAnswer(msgspec.Struct):
