Don't take a run for absent from a list that leaves ends out

Cause: an executor lists 500 ends at a time, and the next ones once these are acknowledged. A run that was neither among the running ones nor among the first 500 ends counted as never carried out, and its task was placed again. A new owner considered the runs of its predecessors as known with the first list. The stand-ins listed all ends at once.

A list with 500 ends is marked as incomplete now. It proves no absence and no stall, an executor with such a list isn't drained, and a new owner starts tasks of earlier terms only after a list that is complete, or after the leases on the executor have ended. The stand-ins list 500 ends at a time.

--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -69,6 +69,9 @@
 MAX_CONCURRENT_ORDERS: Final = 4
 INCARNATION_HEADER: Final = b"expected-instance"
 STATUS_OTHER_INCARNATION: Final = 421
+# How many ends one list of runs has at most; the next ones are listed once
+# these are acknowledged.
+ENDS_PER_ANSWER: Final = 500
 # A job's progress, with the checkpoints of all its tasks, has to fit into the
 # store's rows.
 CHECKPOINT_LENGTH_MAX: Final = 4_000
@@ -368,7 +371,13 @@
     message = decode_json(body, HoldAnswer).value_or(None)
     if message is None:
         return None
-    report = TaskReport(message.clock_ms, message.born, [], [])
+    report = TaskReport(
+        message.clock_ms,
+        message.born,
+        [],
+        [],
+        lists_all_ends=len(message.ended) < ENDS_PER_ANSWER,
+    )
     for run in message.running:
         task = TaskName.parse(run.task)
         if task is None:
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -158,6 +158,7 @@
         "drain_order",
         "has_accepted_term",
         "has_entry",
+        "has_listed_ends",
         "health",
         "info",
         "is_located",
@@ -166,6 +167,7 @@
         "last_applied_end",
         "last_report_at",
         "leases_end_at",
+        "lists_all_ends",
         "pace",
         "pace_report_at",
         "polled_at",
@@ -214,6 +216,10 @@
         # report was requested.
         self.last_report_at: float | None = None
         self.polled_at = 0.0
+        # Whether that report listed all ends that aren't acknowledged, and
+        # whether any report to this owner has.
+        self.lists_all_ends = False
+        self.has_listed_ends = False
         # Highest sequence number of the ends applied here, and of those
         # that are stored and may be acknowledged.
         self.last_applied_end = 0
@@ -255,12 +261,22 @@
     def is_drained(self) -> bool:
         """Whether a drain order is set and nothing runs or may be started.
 
-        All runs are known: the first report shows those of earlier owners,
+        All runs are known: the first reports show those of earlier owners,
         and an unanswered start counts as a run until it is disproved.
         """
         is_known = self.has_accepted_term and self.last_report_at is not None
+        is_known = is_known and self.lists_all_ends
         return bool(self.drain_order) and is_known and not self.runs
 
+    def may_hide_ends(self, now: float) -> bool:
+        """Return whether runs of earlier owners may have ended unlisted.
+
+        Once its leases have ended, such ends don't count any more.
+        """
+        if not self.has_accepted_term or self.has_listed_ends:
+            return False
+        return now < self.leases_end_at
+
     def is_healthy(self, now: float) -> bool:
         """Return whether it can be used for new tasks.
 
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -350,8 +350,7 @@
     ) -> None:
         """Drop the runs of an executor once its last lease has ended.
 
-        A newer owner may have extended the lease, so the ownership must
-        have been verified after that end.
+        Ownership must be verified after that, as a newer owner may extend it.
         """
         if now < view.leases_end_at or verified_at < view.leases_end_at:
             return
@@ -387,12 +386,15 @@
         return StartOrder(view.executor_id, task, run, ticket)
 
     def earlier_runs_known(self, now: float) -> bool:
-        """Return whether all active runs of earlier owners are known."""
-        if now >= self._earlier_leases_end_at:
-            return True
+        """Return whether all runs of earlier owners are known."""
+        have_leases_ended = now >= self._earlier_leases_end_at
         for view in self.executors.values():
+            if view.may_hide_ends(now):
+                return False
+            if have_leases_ended or view.has_accepted_term:
+                continue
             if self.are_used_executors_known and not view.is_located:
                 continue
-            if not view.has_accepted_term and now < view.leases_end_at:
+            if now < view.leases_end_at:
                 return False
         return True
--- a/lycheelug/workloads/reports.py
+++ b/lycheelug/workloads/reports.py
@@ -68,9 +68,13 @@
 
 
 class TaskReport:
-    """An executor's answer to a poll: its active and its ended runs."""
+    """An executor's answer to a poll: its active and its ended runs.
 
-    __slots__ = ("born_ms", "clock_ms", "ended", "running")
+    An answer has only so many ends.  If it leaves some out, a run that it
+    doesn't list at all may have ended.
+    """
+
+    __slots__ = ("born_ms", "clock_ms", "ended", "lists_all_ends", "running")
 
     def __init__(
         self,
@@ -78,8 +82,11 @@
         born_ms: int,
         running: list[RunReport],
         ended: list[EndReport],
+        lists_all_ends: bool = True,
     ) -> None:
         self.clock_ms = clock_ms
         self.born_ms = born_ms
         self.running = running
         self.ended = ended
+        # Whether `ended` has all ends that are not acknowledged.
+        self.lists_all_ends = lists_all_ends
--- a/lycheelug/workloads/stalls.py
+++ b/lycheelug/workloads/stalls.py
@@ -46,10 +46,11 @@
     """Return the stalled runs of an executor.
 
     Members of a gang are left out, as they wait for each other, and so are
-    backfill tasks, as they are throttled on purpose.
+    backfill tasks, as they are throttled on purpose.  While the reports leave
+    ends out, a run without progress may have ended.
     """
     last_report_at = view.last_report_at
-    if last_report_at is None:
+    if last_report_at is None or not view.lists_all_ends:
         return []
     found: list[Run] = []
     for run in view.runs.values():
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -4,7 +4,8 @@
 answered before that time and the report doesn't list the run, then the run
 isn't on the executor, because the executor made the report after it had
 answered.  An unanswered order may still be carried out after the report was
-made, so the absence of its run from the report proves nothing.
+made, so the absence of its run from the report proves nothing.  Neither does
+it if the report leaves ends out: the run may be among them.
 
 Sending the orders and acknowledging the ends is left to the caller.
 """
@@ -86,8 +87,10 @@
         view.record_lease(now, schedule.lease_s)
     view.last_report_at = now
     view.polled_at = polled_at
+    view.lists_all_ends = report.lists_all_ends
+    view.has_listed_ends |= report.lists_all_ends
     view.record_clock(report.clock_ms, now)
-    reported = set()
+    reported: set[tuple[TaskName, int]] = set()
     for entry in report.running:
         reported.add((entry.task, entry.run))
         schedule.handled_job = schedule.jobs.get(entry.task.job)
@@ -103,13 +106,25 @@
         _apply_end(schedule, view, end, now, unix_ms)
         if run is not None:
             schedule.neighbors.record_end(view, run, now)
+    if report.lists_all_ends:
+        _free_absent_runs(schedule, view, reported, polled_at, now)
+    schedule.handled_job = None
+    schedule.neighbors.record_response_times(view, now)
+    return ends
+
+
+def _free_absent_runs(
+    schedule: PoolSchedule,
+    view: ExecutorView,
+    reported: set[tuple[TaskName, int]],
+    polled_at: float,
+    now: float,
+) -> None:
+    """Drop the runs that a complete report proves not to be running."""
     for run in list(view.runs.values()):
         if run.key not in reported and _is_absent(run, polled_at):
             view.drop_run(run.key)
             schedule.free_task(run, view, now)
-    schedule.handled_job = None
-    schedule.neighbors.record_response_times(view, now)
-    return ends
 
 
 def apply_start_answer(
--- a/standins/task_executor.py
+++ b/standins/task_executor.py
@@ -23,6 +23,8 @@
 
 CHECK_INTERVAL_S: Final = 0.02
 STATUS_WRONG_INSTANCE: Final = 421
+# How many ends one answer lists at most.
+ENDS_PER_ANSWER: Final = 500
 
 
 class _Call(msgspec.Struct):
@@ -169,7 +171,8 @@
             max_percent = 100 if record.lasts else 99
             percent = min(max_percent, int(100 * self._progress(record)))
             running.append([record.task, record.run, "", percent, 0])
-        return self._success(running=running, ended=self._unacked_ends)
+        ended = self._unacked_ends[:ENDS_PER_ANSWER]
+        return self._success(running=running, ended=ended)
 
     def _end(self, record: RunRecord, outcome: str) -> None:
         """End a run and report its end."""
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -67,6 +67,8 @@
     from lycheelug.workloads import StepName
 
 POOL = "quotes"
+# How many ends an executor lists at a time.
+ENDS_PER_ANSWER = 500
 ROUTE = Route("quick", "", "/q/", POOL, 0, 2, 1.6, 0.6, False)
 CAPACITY = Resources(8000, 8192, 0)
 
@@ -378,7 +380,13 @@
             for name, run in executor.running.items()
         ]
         return Success(
-            TaskReport(executor.clock_ms(), 1, running, list(executor.ended))
+            TaskReport(
+                executor.clock_ms(),
+                1,
+                running,
+                executor.ended[:ENDS_PER_ANSWER],
+                len(executor.ended) < ENDS_PER_ANSWER,
+            )
         )
 
     async def pace(
