Limit the attempts of each step that doesn't last by itself

Cause: `Job.record_failure` returned before it counted a failed run if any step of the job lasts, where only tasks of such steps have no limit.

--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -244,12 +244,13 @@
         """Count a failed run, once even if its end is reported twice.
 
         The job fails when a task has used up its attempts.  Long-running
-        tasks have no limit on attempts, and a task that is done needs none.
+        tasks have no limit on attempts, unlike the others of their job, and
+        a task that is done needs none.
         """
         key = task.key
         if task.state is TaskState.DONE:
             return
-        if self.is_long_running or task.step.lasts:
+        if task.step.lasts:
             task.failures += 1
             return
         if not self.progress.count_failed_run(key, run):
