Judge the crashes of a task by its own step

Cause: `CrashLedger.review` asked whether the job lasts, where the limit for lasting tasks holds for those of lasting steps alone.

Evidence: test_deadly_task_beside_one_that_lasts_is_given_up; before, 12 starts in 12 crashes, with this change 5.

--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -41,6 +41,7 @@
     find_open_task,
 )
 from lycheelug.workloads.model import FailureCause
+from lycheelug.workloads.progress import step_number
 from lycheelug.workloads.silences import SHARED_MIN, Silence, Silences
 
 if TYPE_CHECKING:
@@ -251,7 +252,8 @@
             if job.is_final:
                 continue
             for key, records in list(job.progress.crashes.items()):
-                if is_culprit(records, job.is_long_running):
+                step = job.record.steps[step_number(key)]
+                if is_culprit(records, step.lasts):
                     self._fail_job(schedule, job, key, unix_ms)
                     break
 
--- a/lycheelug/workloads/progress.py
+++ b/lycheelug/workloads/progress.py
@@ -24,6 +24,7 @@
     "FINISHED_MAX",
     "ProgressRecord",
     "step_key",
+    "step_number",
     "task_key",
 ]
 
@@ -155,3 +156,12 @@
 def task_key(occurrence: int, step: int, index: int) -> str:
     """Return the key of a task in a progress record."""
     return f"{occurrence}.{step}.{index}"
+
+
+def step_number(key: str) -> int:
+    """Return the step of a task by its key in a progress record.
+
+    >>> step_number(task_key(4, 2, 17))
+    2
+    """
+    return int(key.split(".")[1])
--- a/tests/test_mixed_jobs.py
+++ b/tests/test_mixed_jobs.py
@@ -6,7 +6,13 @@
 
 import pytest
 
-from lycheelug.workloads import EndKind, Resources, RunPhase, StepSpec
+from lycheelug.workloads import (
+    EndKind,
+    LossCause,
+    Resources,
+    RunPhase,
+    StepSpec,
+)
 from lycheelug.workloads.model import JobState
 from tests.pool_world import PoolWorld
 
@@ -96,3 +102,37 @@
     starts = play_failures(world, failing, rounds=30)
     assert min(starts) > MAX_ATTEMPTS
     assert not job.is_final
+
+
+# Guards against a task that crashes executors and is never given up, as
+# another step of its job lasts (related to review case 10).
+@pytest.mark.parametrize(
+    ("steps", "most"),
+    [
+        ([StepSpec(count=1, cpu_millis=100)], 5),
+        ([StepSpec(count=1, cpu_millis=100), AFTER], 5),
+    ],
+)
+def test_deadly_task_beside_one_that_lasts_is_given_up(
+    steps: list[StepSpec], most: int
+) -> None:
+    world = PoolWorld()
+    job = world.add_job(steps)
+    schedule = world.schedule
+    starts = 0
+    for number in range(12):
+        world.add_executor(f"x{number}")
+        world.now += 2.5
+        world.report_tasks(f"x{number}")
+        for order in world.starts():
+            world.answer(order)
+            starts += 1
+        # The crash comes too late to make it a likely cause.
+        world.now += 3.0
+        view = schedule.executors[f"x{number}"]
+        view.last_report_at = None
+        schedule.crashes.record_silence(schedule, view, world.now, world.now)
+        schedule.remove_executor(f"x{number}", world.now, LossCause.REPLACED)
+        world.plan()
+    assert starts == most
+    assert job.progress.state == JobState.FAILED
