Find a queue's former pools by what is stored

`pending` left out the jobs that wait in a former pool.

Cause: which pools a queue has had was known only from the configurations that the process itself had seen.

The row of a queue lists its pools now, and a submission is stored only after its pool is in there. When a queue moves, a gate row in each former pool is closed before the new one takes submissions. A submission is stored on condition of the gate it was looked up with, by owners and senders alike, so neither a daemon with an older configuration nor a late write adds to a former pool, and what was found missing there stays missing. The order of configurations is that of their versions; no clock is involved.

Cost: a queue that has never moved needs no call for a submission, one condition more in its transaction, and one read of the table for each daemon and configuration. One that has moved needs a read of each former pool for a submission. Without the store such a submission is refused, as before.

--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -219,7 +219,9 @@
     FOREIGN = auto()
     # It was not stored: no owner is known, or the owner can't store it.
     NOT_TAKEN = auto()
-    # It was not stored, and nobody should store it now: the tenant has too
+    # It was not stored, and must not be in this pool: its queue's gate isn't
+    # as the sender has seen it.
+    MOVED = auto()
     # It may have been stored, or a delayed write may still store it.
     UNDECIDED = auto()
 
@@ -245,9 +247,16 @@
 
     @abstractmethod
     async def submit(
-        self, pool: str, job_id: str, record: JobRecord
+        self,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionOutcome:
-        """Let a pool's owner store a submission."""
+        """Let a pool's owner store a submission.
+
+        Its queue's gate must have this version; see `queue_homes`.
+        """
 
     @abstractmethod
     async def count_waiting(self, pool: str, queue: str) -> WaitingCount:
--- a/lycheelug/jobservice/outcomes.py
+++ b/lycheelug/jobservice/outcomes.py
@@ -43,6 +43,12 @@
         )
         return Reply(ReplyKind.OK)
 
+    def accept_repeated(self, job_id: str, pool: str) -> Reply:
+        """Reply that the job is stored in a former pool of its queue."""
+        self._metrics.count("jobs-repeated")
+        log_change("job-in-former-pool", job=job_id, pool=pool)
+        return Reply(ReplyKind.OK)
+
     def reply_undecided(self, job_id: str, reason: str) -> Reply:
         """Reply that the job may have been stored."""
         log_change("submission-undecided", job=job_id, reason=reason)
@@ -89,6 +95,18 @@
         self._metrics.count(f"refused-{operation}")
         return Reply(ReplyKind.REFUSED)
 
+    def refuse_moved(self, route: Route, job_id: str) -> Reply:
+        """Refuse a submission to a queue that is being moved."""
+        log_change(
+            "submission-refused",
+            subject=job_id,
+            queue=route.name,
+            pool=route.pool,
+            reason="the queue is being moved to another pool",
+        )
+        self._metrics.count("refused-submission")
+        return Reply(ReplyKind.REFUSED)
+
     def refuse_foreign(self, job_id: str) -> Reply:
         """Reply that another tenant's job has the id."""
         log_change("submission-foreign", job=job_id)
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -267,7 +267,7 @@
     # --- Submissions from callers.
 
     async def submit(
-        self, job_id: str, record: JobRecord
+        self, job_id: str, record: JobRecord, gate_version: int = 0
     ) -> SubmissionOutcome:
         """Store a submission with the next transaction, or reject it."""
         known = self.schedule.jobs.get(job_id)
@@ -281,7 +281,7 @@
             return reviewed
         self._admission.record_passed(job_id, record)
         submission = self.submission_queue.add(
-            job_id, reviewed, self._context.clock.now()
+            job_id, reviewed, self._context.clock.now(), gate_version
         )
         if is_foreign(submission.record.tenant, record.tenant):
             return SubmissionAnswer.FOREIGN
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -242,6 +242,8 @@
             submissions_max, self._context.clock.now()
         )
         for submission in batch.submissions:
+            gate = owner.submission_queue.gate_name(submission)
+            batch.expected[gate] = submission.gate_version
             for name, value in owner.submission_queue.rows(submission).items():
                 batch.expected[name] = 0
                 batch.writes[name] = value
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,7 @@
 from lycheelug.jobservice.tables import FLEET_PART
 from lycheelug.logs import log_change
 from lycheelug.metrics import Metrics
+from lycheelug.supervision import supervise
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -38,7 +40,7 @@
     from lycheelug.workloads import ExecutorInfo, JobLimits, JobRecord
 
     RemoteSubmit = Callable[
-        [str, str, str, JobRecord], Awaitable[SubmissionOutcome]
+        [str, str, str, JobRecord, int], Awaitable[SubmissionOutcome]
     ]
     RemoteCount = Callable[[str, str, str], Awaitable[WaitingCount]]
 
@@ -53,6 +55,7 @@
         "_count_remote",
         "_entries",
         "_executor_list",
+        "_homes_task",
         "_hosts",
         "_maintenance_s",
         "_name",
@@ -86,6 +89,7 @@
         overload: OverloadPolicy | None = None,
         policies: PlanPolicies | None = None,
     ) -> None:
+        self._homes_task: asyncio.Task[None] | None = None
         self._maintenance_s = maintenance_s
         self._policies = policies
         self._name = name
@@ -107,6 +111,7 @@
             self,
             is_store_unreachable,
             lambda: self.duties.heartbeats.liveness.write_delay_s,
+            name,
         )
         self._context = OwnerContext(
             store,
@@ -159,6 +164,10 @@
     def start(self, address: str = "") -> None:
         """Start all tasks; other daemons reach this one at `address`."""
         self.duties.start(address)
+        homes = self.submissions.homes
+        self._homes_task = asyncio.get_running_loop().create_task(
+            supervise("queue-homes", homes.run, self.metrics)
+        )
 
     async def drain(self) -> None:
         """Release the duties; submissions are still accepted."""
@@ -166,29 +175,43 @@
 
     async def stop(self) -> None:
         """Cancel all tasks."""
+        if self._homes_task is not None:
+            self._homes_task.cancel()
         await self.duties.stop()
 
     # --- Submissions and questions to the pools' owners.
 
     async def submit(
-        self, pool: str, job_id: str, record: JobRecord
+        self,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionOutcome:
         """Pass a submission to its pool's owner, here or on a peer."""
         if pool in self.duties.held or self._submit_remote is None:
-            return await self.submit_locally(pool, job_id, record)
+            return await self.submit_locally(
+                pool, job_id, record, gate_version
+            )
         address = self.duties.owner_address(pool)
         if not address:
             return SubmissionAnswer.NOT_TAKEN
-        return await self._submit_remote(address, pool, job_id, record)
+        return await self._submit_remote(
+            address, pool, job_id, record, gate_version
+        )
 
     async def submit_locally(
-        self, pool: str, job_id: str, record: JobRecord
+        self,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionOutcome:
         """Store a submission if this daemon owns its pool."""
         holder = self.duties.held.get(pool)
         if not isinstance(holder, PoolOwner):
             return SubmissionAnswer.NOT_TAKEN
-        return await holder.submit(job_id, record)
+        return await holder.submit(job_id, record, gate_version)
 
     async def count_waiting(self, pool: str, queue: str) -> WaitingCount:
         """Ask a pool's owner, here or on a peer, for a queue's count."""
--- a/lycheelug/jobservice/submission_queue.py
+++ b/lycheelug/jobservice/submission_queue.py
@@ -18,6 +18,7 @@
 
 from lycheelug.errors import PLATFORM_UNREACHABLE
 from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.jobservice.queue_rows import gate_name
 from lycheelug.jobservice.tables import (
     JOB_PREFIX,
     PROGRESS_TABLE,
@@ -56,6 +57,7 @@
 
     __slots__ = (
         "answer",
+        "gate_version",
         "job_id",
         "progress",
         "queued_at",
@@ -64,8 +66,15 @@
     )
 
     def __init__(
-        self, job_id: str, record: JobRecord, term: int, queued_at: float
+        self,
+        job_id: str,
+        record: JobRecord,
+        term: int,
+        queued_at: float,
+        gate_version: int = 0,
     ) -> None:
+        # The version of its queue's gate, a condition of the transaction.
+        self.gate_version = gate_version
         self.queued_at = queued_at
         self.job_id = job_id
         self.record = record
@@ -104,17 +113,24 @@
         """Whether any submission waits to be stored."""
         return bool(self._waiting)
 
-    def add(self, job_id: str, record: JobRecord, now: float) -> Submission:
+    def add(
+        self,
+        job_id: str,
+        record: JobRecord,
+        now: float,
+        gate_version: int = 0,
+    ) -> Submission:
         """Queue a submission; return the queued one for a duplicate."""
         known = self._waiting.get(job_id)
         if known is None:
-            known = Submission(job_id, record, self._term, now)
+            known = Submission(job_id, record, self._term, now, gate_version)
             self._waiting[job_id] = known
         return known
 
     def take_batch(self, max_count: int, now: float) -> list[Submission]:
         """Dequeue the submissions that fit into the next transaction."""
         self._reject_late(now)
+        self._reject_outdated()
         batch: list[Submission] = []
         size = 0
         for submission in self._waiting.values():
@@ -149,6 +165,22 @@
                 transaction_s=round(self.commit_s, 3),
             )
 
+    def _reject_outdated(self) -> None:
+        """Reject the submissions whose senders have seen an older gate.
+
+        A gate's versions rise, so the others of the queue have seen that it
+        has changed.
+        """
+        newest: dict[str, int] = {}
+        for submission in self._waiting.values():
+            queue = submission.record.queue
+            known = newest.get(queue, 0)
+            newest[queue] = max(known, submission.gate_version)
+        for submission in list(self._waiting.values()):
+            if submission.gate_version < newest[submission.record.queue]:
+                del self._waiting[submission.job_id]
+                submission.resolve(SubmissionAnswer.MOVED)
+
     def settle(self, job_id: str, tenant: str) -> None:
         """Answer a queued submission whose row was stored by another daemon.
 
@@ -163,6 +195,10 @@
         """Return the name of a submission's row."""
         return RowName(self._table, JOB_PREFIX + submission.job_id)
 
+    def gate_name(self, submission: Submission) -> RowName:
+        """Return the name of the gate of a submission's queue."""
+        return gate_name(self._pool, submission.record.queue)
+
     def rows(self, submission: Submission) -> dict[RowName, bytes]:
         """Return the rows to write, on condition that none exists."""
         rows = {self.row_name(submission): submission.value}
@@ -184,6 +220,11 @@
                     )
                 )
                 continue
+            gate = conflict.rows.get(self.gate_name(submission))
+            found = gate.version if gate is not None else 0
+            if found != submission.gate_version:
+                submission.resolve(SubmissionAnswer.MOVED)
+                continue
             if any(name in conflict.rows for name in self.rows(submission)):
                 # Progress without a submission; no code writes that.
                 submission.resolve(SubmissionAnswer.NOT_TAKEN)
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -18,8 +18,11 @@
 from lycheelug.errors import PLATFORM_UNREACHABLE
 from lycheelug.jobservice.final_states import FinalStates
 from lycheelug.jobservice.interfaces import Rejection, SubmissionAnswer
+from lycheelug.jobservice.job_finder import JobFinder
 from lycheelug.jobservice.outcomes import Outcomes
+from lycheelug.jobservice.queue_homes import QueueHomes
 from lycheelug.jobservice.queue_policies import policy_record
+from lycheelug.jobservice.queue_rows import gate_name
 from lycheelug.jobservice.replies import Reply, ReplyKind
 from lycheelug.jobservice.submission_queue import (
     stored_tenant,
@@ -29,19 +32,16 @@
     JOB_PREFIX,
     PROGRESS_TABLE,
     CancelRecord,
-    decode_job,
     decode_progress,
     jobs_table,
 )
-from lycheelug.logs import log_change, log_fault
+from lycheelug.logs import log_fault
 from lycheelug.store.rows import RowConflict, RowName
 from lycheelug.tenants import is_foreign
 from lycheelug.workloads import JobState
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
-    from returns.result import Result
+    from collections.abc import Callable
 
     from lycheelug.errors import Fault
     from lycheelug.jobservice.clock import Clock
@@ -50,9 +50,10 @@
         Route,
         SubmissionRouter,
     )
+    from lycheelug.jobservice.queue_homes import QueueHome
     from lycheelug.jobservice.replies import RequestEffects
     from lycheelug.metrics import Metrics
-    from lycheelug.store.rows import RowSet, RowStore
+    from lycheelug.store.rows import RowStore
     from lycheelug.workloads import JobRecord
 
 __all__ = ["Reply", "ReplyKind", "Submissions"]
@@ -61,6 +62,8 @@
 WRITE_ATTEMPTS: Final = 3
 # The store is slow if a small write takes longer than this.
 SLOW_STORE_S: Final = 0.2
+# How often a submission follows its queue to another pool.
+MOVES_MAX: Final = 3
 # Questions to a pool's owner: attempts, and the pause between two.  A pool has
 # a new owner within some tenths of a second after the last one stopped.
 COUNT_ATTEMPTS: Final = 3
@@ -73,14 +76,15 @@
     __slots__ = (
         "_clock",
         "_final_states",
+        "_finder",
         "_is_store_unreachable",
         "_outcomes",
-        "_pools",
-        "_pools_of",
         "_router",
+        "_served_pools",
         "_store",
         "_store_delay_s",
         "_version",
+        "homes",
     )
 
     def __init__(
@@ -91,6 +95,7 @@
         router: SubmissionRouter,
         is_store_unreachable: Callable[[], bool] | None = None,
         store_delay_s: Callable[[], float] = lambda: 0.0,
+        daemon: str = "",
     ) -> None:
         # Returns how long a small write to the store takes.
         self._store_delay_s = store_delay_s
@@ -103,22 +108,23 @@
         self._clock = clock
         self._outcomes = Outcomes(metrics)
         self._final_states = FinalStates()
-        # All pools in the configurations seen by this daemon.
-        self._pools: set[str] = set()
-        # The pools of each queue, as far as this daemon knows them.
-        self._pools_of: dict[str, list[str]] = {}
+        # In which pools the jobs of each queue are stored.
+        self.homes = QueueHomes(store, daemon)
+        self._finder = JobFinder(store, self.homes)
+        # The pools of the configuration in force that have an owner.
+        self._served_pools: set[str] = set()
         # The version of the configuration in force.
         self._version = 0
 
     def apply_configuration(self, configuration: Configuration) -> None:
-        """Record the pools of the queues, the newest first."""
+        """Record the pools, and look the queues up soon."""
         self._version = configuration.version
-        self._pools.update(configuration.pools)
-        for route in configuration.routes:
-            pools = self._pools_of.setdefault(route.name, [])
-            if route.pool in pools:
-                pools.remove(route.pool)
-            pools.insert(0, route.pool)
+        self._finder.apply_configuration(configuration)
+        self._served_pools.clear()
+        for pool in configuration.pools.values():
+            if not pool.is_standby:
+                self._served_pools.add(pool.name)
+        self.homes.apply_configuration(configuration)
 
     async def submit(
         self,
@@ -134,24 +140,64 @@
         """
         policy = policy_record(route, self._version)
         record = msgspec.structs.replace(record, policy=policy)
-        former_pools = self._pools_of.get(route.name, [])[1:]
-        if former_pools and self._is_store_unreachable():
+        for _ in range(MOVES_MAX):
+            found = await self.homes.find(route)
+            if isinstance(found, Failure):
+                return self._outcomes.refuse(
+                    "submission", job_id, found.failure()
+                )
+            home = found.unwrap()
+            if home is None:
+                break
+            reply = await self._find_former(home, job_id, record)
+            if reply is None:
+                reply = await self._submit_to(
+                    home, route, job_id, record, effects
+                )
+            if reply is not None:
+                return reply
+            self.homes.forget(route.name)
+        return self._outcomes.refuse_moved(route, job_id)
+
+    async def _find_former(
+        self, home: QueueHome, job_id: str, record: JobRecord
+    ) -> Reply | None:
+        """Return the reply to a submission that a former pool may have."""
+        if home.former_pools and self._is_store_unreachable():
             return self._outcomes.refuse_unreachable("submission", job_id)
-        for pool in former_pools:
-            found = await self._read_one(
-                jobs_table(pool), pool, JOB_PREFIX + job_id
-            )
+        for pool in home.former_pools:
+            found = await self._finder.read_job(pool, job_id)
             if isinstance(found, Failure):
                 return self._outcomes.refuse(
                     "submission", job_id, found.failure()
                 )
-            for row in found.unwrap().rows:
-                if is_foreign(stored_tenant(row), record.tenant):
-                    return self._outcomes.refuse_foreign(job_id)
-                return Reply(ReplyKind.OK)
+            row = found.unwrap()
+            if row is None:
+                continue
+            if is_foreign(stored_tenant(row), record.tenant):
+                return self._outcomes.refuse_foreign(job_id)
+            return self._outcomes.accept_repeated(job_id, pool)
+        return None
+
+    async def _submit_to(
+        self,
+        home: QueueHome,
+        route: Route,
+        job_id: str,
+        record: JobRecord,
+        effects: RequestEffects | None,
+    ) -> Reply | None:
+        """Store a submission in its queue's pool.
+
+        None if it isn't stored, as the queue is being moved.
+        """
         if effects is not None:
             effects.may_exist = True
-        answer = await self._router.submit(route.pool, job_id, record)
+        answer = await self._router.submit(
+            route.pool, job_id, record, home.gate_version
+        )
+        if answer is SubmissionAnswer.MOVED:
+            return None
         if isinstance(answer, Rejection):
             return self._outcomes.reject(route, job_id, answer)
         if answer in (SubmissionAnswer.STORED, SubmissionAnswer.KNOWN):
@@ -170,25 +216,35 @@
         if self._store_delay_s() > SLOW_STORE_S:
             return self._outcomes.reply_slow(job_id, may_be_stored)
         return await self._submit_directly(
-            route, job_id, record, may_be_stored
+            home, route, job_id, record, may_be_stored
         )
 
     async def _submit_directly(
-        self, route: Route, job_id: str, record: JobRecord, may_be_stored: bool
-    ) -> Reply:
-        """Store a submission without the pool's owner."""
+        self,
+        home: QueueHome,
+        route: Route,
+        job_id: str,
+        record: JobRecord,
+        may_be_stored: bool,
+    ) -> Reply | None:
+        """Store a submission without the pool's owner.
+
+        None if it isn't stored, as the queue is being moved.
+        """
         name = RowName(jobs_table(route.pool), JOB_PREFIX + job_id)
+        gate = gate_name(route.pool, route.name)
         value = msgspec.json.encode(record)
         for _ in range(WRITE_ATTEMPTS):
             result = await self._store.commit(
-                route.pool, {name: 0}, {name: value}
+                route.pool, {name: 0, gate: home.gate_version}, {name: value}
             )
             match result:
                 case Success(RowConflict(rows=rows)):
                     row = rows.get(name)
-                    if row is not None and is_foreign(
-                        stored_tenant(row), record.tenant
-                    ):
+                    if row is None:
+                        # An earlier attempt can't take effect any more.
+                        return None
+                    if is_foreign(stored_tenant(row), record.tenant):
                         return self._outcomes.refuse_foreign(job_id)
                     return self._outcomes.accept(
                         route, job_id, record, is_new=False
@@ -219,16 +275,14 @@
         if self._is_store_unreachable():
             return self._outcomes.refuse_unreachable("cancel", job_id)
         fault: Fault | None = None
-        for pool in self._pools_of.get(route.name, [route.pool]):
-            found = await self._read_one(
-                jobs_table(pool), pool, JOB_PREFIX + job_id
-            )
+        for pool in self._finder.pools_of(route):
+            found = await self._finder.read_job(pool, job_id)
             if isinstance(found, Failure):
                 return self._outcomes.refuse("cancel", job_id, found.failure())
-            rows = found.unwrap().rows
-            if not rows:
+            row = found.unwrap()
+            if row is None:
                 continue
-            if is_foreign(stored_tenant(rows[0]), tenant):
+            if is_foreign(stored_tenant(row), tenant):
                 return self._outcomes.hide_foreign(job_id)
             name = RowName(jobs_table(pool), CANCEL_PREFIX + job_id)
             value = msgspec.json.encode(CancelRecord(self._clock.unix_ms()))
@@ -244,15 +298,10 @@
             assert fault is not None
             log_fault("cancel-undecided", fault, job=job_id)
             return Reply(ReplyKind.UNDECIDED)
-        return await self._look_elsewhere(
-            "cancel",
-            route,
-            job_id,
-            tenant,
-            lambda found, job, viewer: self.cancel(
-                found, job, viewer, effects
-            ),
-        )
+        reply = await self._look_elsewhere("cancel", route, job_id)
+        if reply is not None:
+            return reply
+        return await self.cancel(route, job_id, tenant, effects)
 
     async def state(
         self, route: Route, job_id: str, tenant: str = ""
@@ -265,9 +314,9 @@
             return Reply(ReplyKind.OK, state=known.state)
         if self._is_store_unreachable():
             return self._outcomes.refuse_unreachable("question", job_id)
-        pools = self._pools_of.get(route.name, [route.pool])
+        pools = self._finder.pools_of(route)
         for pool in pools:
-            read = await self._read_one(PROGRESS_TABLE, pool, job_id)
+            read = await self._finder.read_one(PROGRESS_TABLE, pool, job_id)
             if isinstance(read, Failure):
                 return self._outcomes.refuse(
                     "question", job_id, read.failure()
@@ -283,74 +332,61 @@
                 ReplyKind.OK, state=progress.state, reason=progress.reason
             )
         for pool in pools:
-            read = await self._read_one(
-                jobs_table(pool), pool, JOB_PREFIX + job_id
-            )
-            if isinstance(read, Failure):
+            found = await self._finder.read_job(pool, job_id)
+            if isinstance(found, Failure):
                 return self._outcomes.refuse(
-                    "question", job_id, read.failure()
+                    "question", job_id, found.failure()
                 )
-            for row in read.unwrap().rows:
-                if is_foreign(stored_tenant(row), tenant):
-                    return self._outcomes.hide_foreign(job_id)
-                return Reply(ReplyKind.OK, state=JobState.QUEUED)
-        return await self._look_elsewhere(
-            "question", route, job_id, tenant, self.state
-        )
+            row = found.unwrap()
+            if row is None:
+                continue
+            if is_foreign(stored_tenant(row), tenant):
+                return self._outcomes.hide_foreign(job_id)
+            return Reply(ReplyKind.OK, state=JobState.QUEUED)
+        reply = await self._look_elsewhere("question", route, job_id)
+        if reply is not None:
+            return reply
+        return await self.state(route, job_id, tenant)
+
+    async def _look_elsewhere(
+        self, operation: str, route: Route, job_id: str
+    ) -> Reply | None:
+        """Look for a job that isn't in the known pools of its queue.
+
+        Returns the reply, or None to repeat the operation with more pools.
+        """
+        more = await self._finder.look_elsewhere(route, job_id)
+        if isinstance(more, Failure):
+            return self._outcomes.refuse(operation, job_id, more.failure())
+        return None if more.unwrap() else Reply(ReplyKind.UNKNOWN_JOB)
 
     async def pending(self, route: Route) -> Reply:
         """Return how many accepted jobs of a queue have not started.
 
         Only the pool's owner knows: the summary it has stored may be too old.
         """
+        if not self.homes.pools_of(route.name):
+            read = await self.homes.refresh_pools(route.name)
+            if isinstance(read, Failure):
+                return self._outcomes.refuse(
+                    "count", route.name, read.failure()
+                )
+        missing = {route.pool}
+        missing.update(self._finder.pools_of(route))
+        missing.intersection_update({route.pool, *self._served_pools})
+        total = 0
         for attempt in range(COUNT_ATTEMPTS):
             if attempt:
                 await asyncio.sleep(COUNT_RETRY_S)
-            waiting = await self._router.count_waiting(route.pool, route.name)
-            if waiting is not None:
-                return Reply(ReplyKind.OK, pending=waiting)
+            for pool in sorted(missing):
+                waiting = await self._router.count_waiting(pool, route.name)
+                if waiting is not None:
+                    total += waiting
+                    missing.remove(pool)
+            if not missing:
+                return Reply(ReplyKind.OK, pending=total)
         return self._outcomes.refuse_count(route)
 
-    async def _look_elsewhere(
-        self,
-        operation: str,
-        route: Route,
-        job_id: str,
-        tenant: str,
-        repeat: Callable[[Route, str, str], Awaitable[Reply]],
-    ) -> Reply:
-        """Repeat an operation if the job is in a former pool of its queue.
-
-        A daemon that was started after the queue had moved has not seen the
-        configuration with that pool.
-        """
-        known = self._pools_of.setdefault(route.name, [route.pool])
-        for pool in sorted(self._pools.difference(known)):
-            found = await self._read_one(
-                jobs_table(pool), pool, JOB_PREFIX + job_id
-            )
-            if isinstance(found, Failure):
-                return self._outcomes.refuse(
-                    operation, job_id, found.failure()
-                )
-            for row in found.unwrap().rows:
-                record = decode_job(row.value or b"")
-                if record is None or record.queue != route.name:
-                    continue
-                known.append(pool)
-                queue = route.name
-                log_change(
-                    "former-pool-found", job=job_id, queue=queue, pool=pool
-                )
-                return await repeat(route, job_id, tenant)
-        return Reply(ReplyKind.UNKNOWN_JOB)
-
-    async def _read_one(
-        self, table: str, part: str, key: str
-    ) -> Result[RowSet, Fault]:
-        """Read the row of one key, if it exists."""
-        return await self._store.read(table, part, key, key + "\0")
-
 
 def _assume_reachable() -> bool:
     """Assume that the store is reachable."""
--- a/lycheelug/jobservice/tables.py
+++ b/lycheelug/jobservice/tables.py
@@ -27,6 +27,7 @@
 __all__ = [
     "CANCEL_PREFIX",
     "FLEET_PART",
+    "GATE_PREFIX",
     "JOB_PREFIX",
     "OWNER_ROW",
     "PROGRESS_TABLE",
@@ -48,6 +49,8 @@
 PART_SEPARATOR: Final = "/"
 JOB_PREFIX: Final = "job/"
 CANCEL_PREFIX: Final = "cancel/"
+# The gate rows of queues that have moved; see `queue_homes`.
+GATE_PREFIX: Final = "queue/"
 # Digits of the number of a further row.
 PART_DIGITS_MAX: Final = 3
 # The store allows at most 100 tables.
--- a/lycheelug/relay/messages.py
+++ b/lycheelug/relay/messages.py
@@ -100,6 +100,8 @@
     job_id: str
     # The encoded job record to store.
     record: bytes
+    # The version of its queue's gate; 0 also from an earlier release.
+    gate_version: int = 0
 
 
 class SubmitReply(msgspec.Struct, omit_defaults=True):
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -62,7 +62,7 @@
     from lycheelug.workloads import JobRecord
 
     AcceptSubmission = Callable[
-        [str, str, JobRecord], Awaitable[SubmissionOutcome]
+        [str, str, JobRecord, int], Awaitable[SubmissionOutcome]
     ]
     CountWaiting = Callable[[str, str], WaitingCount]
     LocateJob = Callable[[PlacementQuery], PlacementAnswer]
@@ -209,7 +209,7 @@
         self, accept: AcceptSubmission, call: SubmitCall, record: JobRecord
     ) -> SubmissionOutcome:
         """Let the owner store a submission."""
-        return await accept(call.pool, call.job_id, record)
+        return await accept(call.pool, call.job_id, record, call.gate_version)
 
     def _is_late(self, pool: str) -> bool:
         """Return whether a pool's oldest submission has waited too long."""
--- a/lycheelug/relay/submissions.py
+++ b/lycheelug/relay/submissions.py
@@ -40,12 +40,19 @@
         self._avoided_until: dict[str, float] = {}
 
     async def submit(
-        self, address: str, pool: str, job_id: str, record: JobRecord
+        self,
+        address: str,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionOutcome:
         """Send a submission to the owner at an address, which stores it."""
         if self._now() < self._avoided_until.get(address, 0.0):
             return SubmissionAnswer.NOT_TAKEN
-        call = SubmitCall(pool, job_id, msgspec.json.encode(record))
+        call = SubmitCall(
+            pool, job_id, msgspec.json.encode(record), gate_version
+        )
         try:
             reply = await self._channels.call(
                 address, SUBMIT, call, SubmitReply, SUBMIT_TIMEOUT_S
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -523,7 +523,12 @@
         return service
 
     async def forward(
-        self, address: str, pool: str, job_id: str, record: JobRecord
+        self,
+        address: str,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionOutcome:
         """Pass a submission to another daemon, which may answer late."""
         await asyncio.sleep(0.002)
@@ -532,7 +537,9 @@
             return SubmissionAnswer.NOT_TAKEN
         try:
             async with asyncio.timeout(self.forward_timeout_s):
-                return await service.submit_locally(pool, job_id, record)
+                return await service.submit_locally(
+                    pool, job_id, record, gate_version
+                )
         except TimeoutError:
             return SubmissionAnswer.UNDECIDED
 
--- a/tests/test_count_age.py
+++ b/tests/test_count_age.py
@@ -33,7 +33,12 @@
     """Daemons that store all submissions themselves."""
 
     async def forward(
-        self, address: str, pool: str, job_id: str, record: JobRecord
+        self,
+        address: str,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionAnswer:
         return SubmissionAnswer.NOT_TAKEN
 
--- a/tests/test_pool_admission.py
+++ b/tests/test_pool_admission.py
@@ -180,7 +180,7 @@
     sent: SubmissionAnswer | Rejection, received: SubmissionAnswer | int
 ) -> None:
     async def accept(
-        pool: str, job: str, job_record: JobRecord
+        pool: str, job: str, job_record: JobRecord, gate_version: int
     ) -> SubmissionAnswer | Rejection:
         return sent
 
--- a/tests/test_queue_policies.py
+++ b/tests/test_queue_policies.py
@@ -47,7 +47,11 @@
     """Reaches no owner."""
 
     async def submit(
-        self, pool: str, job_id: str, record: JobRecord
+        self,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionAnswer:
         return SubmissionAnswer.NOT_TAKEN
 
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -75,7 +75,7 @@
         return await self.forwarder.submit(self.address, POOL, job_id, RECORD)
 
     async def _accept(
-        self, _pool: str, job_id: str, _record: JobRecord
+        self, _pool: str, job_id: str, _record: JobRecord, _gate: int
     ) -> SubmissionAnswer:
         self.received.append(job_id)
         self.received_at = asyncio.get_running_loop().time()
--- a/tests/test_timed_out_requests.py
+++ b/tests/test_timed_out_requests.py
@@ -20,6 +20,11 @@
     SubmissionAnswer,
     SubmissionRouter,
 )
+from lycheelug.jobservice.queue_rows import (
+    QueueRecord,
+    encode_row,
+    queue_name,
+)
 from lycheelug.jobservice.submissions import Submissions
 from lycheelug.jobservice.tables import JOB_PREFIX, jobs_table
 from lycheelug.metrics import Metrics
@@ -42,7 +47,11 @@
     """An owner that never answers."""
 
     async def submit(
-        self, pool: str, job_id: str, record: JobRecord
+        self,
+        pool: str,
+        job_id: str,
+        record: JobRecord,
+        gate_version: int = 0,
     ) -> SubmissionAnswer:
         await asyncio.sleep(60)
         return SubmissionAnswer.STORED
@@ -110,6 +119,10 @@
 ) -> None:
     async def ask() -> Any:
         rows = SilentRows(answers_reads)
+        # The queue was served before the store fell silent.
+        pools = ["new", "old"] if has_moved else ["new"]
+        row = encode_row(QueueRecord("quick", 1, pools))
+        await MemoryRows.commit(rows, "", {}, {queue_name("quick"): row})
         name = RowName(jobs_table("new"), JOB_PREFIX + "5c0e7a21d94b36f8")
         if method == b"DELETE":
             await MemoryRows.commit(rows, "new", {}, {name: b"{}"})
