--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -255,7 +255,7 @@
     ) -> SubmissionOutcome:
         """Let a pool's owner store a submission.
 
-        Its queue's gate must have this version; see `queue_homes`.
+        Its queue's gate must have this version; see `queue_locations`.
         """
 
     @abstractmethod
--- a/lycheelug/jobservice/job_finder.py
+++ b/lycheelug/jobservice/job_finder.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
     from lycheelug.jobservice.interfaces import Configuration, Route
-    from lycheelug.jobservice.queue_homes import QueueHomes
+    from lycheelug.jobservice.queue_locations import QueueLocations
     from lycheelug.store.rows import RowSet, RowStore, StoredRow
 
 __all__ = ["JobFinder"]
@@ -21,11 +21,11 @@
 class JobFinder:
     """Looks for jobs in all pools that their queue has had."""
 
-    __slots__ = ("_homes", "_pools", "_pools_of", "_store")
+    __slots__ = ("_locations", "_pools", "_pools_of", "_store")
 
-    def __init__(self, store: RowStore, homes: QueueHomes) -> None:
+    def __init__(self, store: RowStore, locations: QueueLocations) -> None:
         self._store = store
-        self._homes = homes
+        self._locations = locations
         # All pools in the configurations seen by this daemon.
         self._pools: set[str] = set()
         # Further pools in which it has found jobs of a queue.
@@ -37,7 +37,7 @@
 
     def pools_of(self, route: Route) -> list[str]:
         """Return the pools that may have jobs of a queue, its own first."""
-        found = [route.pool, *self._homes.pools_of(route.name)]
+        found = [route.pool, *self._locations.pools_of(route.name)]
         found.extend(self._pools_of.get(route.name, ()))
         return list(dict.fromkeys(found))
 
@@ -66,7 +66,7 @@
         stored may be in a pool that isn't in the row.
         """
         known = self.pools_of(route)
-        read = await self._homes.refresh_pools(route.name)
+        read = await self._locations.refresh_pools(route.name)
         if isinstance(read, Failure):
             return Failure(read.failure())
         if self.pools_of(route) != known:
--- a/lycheelug/jobservice/queue_homes.py
+++ b/lycheelug/jobservice/queue_locations.py
@@ -44,7 +44,7 @@
     from lycheelug.jobservice.interfaces import Configuration, Route
     from lycheelug.store.rows import RowStore
 
-__all__ = ["QueueHome", "QueueHomes"]
+__all__ = ["QueueLocation", "QueueLocations"]
 
 # How often a look-up is repeated after conflicts with other daemons.
 ATTEMPTS_MAX: Final = 5
@@ -58,7 +58,7 @@
 RETRY_S: Final = 1.0
 
 
-class QueueHome:
+class QueueLocation:
     """Where the jobs of a queue are stored."""
 
     __slots__ = ("former_pools", "gate_version", "pool")
@@ -91,14 +91,14 @@
         self.pools = pools
 
 
-class QueueHomes:
-    """The homes of all queues, as far as this daemon has looked them up."""
+class QueueLocations:
+    """The locations of the queues that this daemon has looked up."""
 
     __slots__ = (
         "_changed",
         "_configuration",
         "_gated",
-        "_homes",
+        "_locations",
         "_lock",
         "_pools",
         "_spread_s",
@@ -110,7 +110,7 @@
         self._configuration: Configuration | None = None
         self._changed = asyncio.Event()
         self._lock = asyncio.Lock()
-        self._homes: dict[str, QueueHome] = {}
+        self._locations: dict[str, QueueLocation] = {}
         # Queues whose pool has a gate row, or may have one.
         self._gated: set[str] = set()
         # The pools of each queue, by its row.
@@ -129,7 +129,7 @@
 
     def forget(self, queue: str) -> None:
         """Look a queue up again: its gate isn't as it was."""
-        self._homes.pop(queue, None)
+        self._locations.pop(queue, None)
         self._gated.add(queue)
 
     async def run(self) -> None:
@@ -154,26 +154,26 @@
         self._pools[queue] = pools or known
         return Success(self._pools[queue] != known)
 
-    async def find(self, route: Route) -> Result[QueueHome | None, Fault]:
+    async def find(self, route: Route) -> Result[QueueLocation | None, Fault]:
         """Return where a queue's jobs are stored.
 
         None if a newer configuration has moved the queue elsewhere, or
         others change its rows all the time.
         """
-        home = self._homes.get(route.name)
-        if home is not None and home.pool == route.pool:
-            return Success(home)
+        location = self._locations.get(route.name)
+        if location is not None and location.pool == route.pool:
+            return Success(location)
         version = self._version
         async with self._lock:
             for _ in range(ATTEMPTS_MAX):
                 result = await self._look_up(route, version)
                 if isinstance(result, Failure):
                     return result
-                home, is_final = result.unwrap()
-                if home is not None:
-                    self._homes[route.name] = home
+                location, is_final = result.unwrap()
+                if location is not None:
+                    self._locations[route.name] = location
                 if is_final:
-                    return Success(home)
+                    return Success(location)
         return Success(None)
 
     # --- Implementation.
@@ -186,7 +186,7 @@
 
     async def _look_up(
         self, route: Route, version: int
-    ) -> Result[tuple[QueueHome | None, bool], Fault]:
+    ) -> Result[tuple[QueueLocation | None, bool], Fault]:
         """Look a queue up once; also return whether the result is final."""
         read = await self._read_queue(route.name)
         if isinstance(read, Failure):
@@ -225,7 +225,7 @@
             gate_version = opened.unwrap()
         if gate_version is None:
             return Success((None, False))
-        return Success((QueueHome(route.pool, former, gate_version), True))
+        return Success((QueueLocation(route.pool, former, gate_version), True))
 
     async def _set_gate(
         self, pool: str, name: str, queue: _Queue, is_open: bool
@@ -308,8 +308,8 @@
             self._pools[route.name] = queue.pools
             is_gated = route.name in self._gated
             if queue.pools == (route.pool,) and not is_gated:
-                home = QueueHome(route.pool, (), 0)
-                self._homes.setdefault(route.name, home)
+                location = QueueLocation(route.pool, (), 0)
+                self._locations.setdefault(route.name, location)
         names = list(missing)
         for start in range(0, len(names), ROWS_MAX):
             part = {
@@ -323,7 +323,7 @@
                 # Another daemon stores them; each is read when it is needed.
                 continue
             for name, (pool, _) in part.items():
-                self._homes.setdefault(name, QueueHome(pool, (), 0))
+                self._locations.setdefault(name, QueueLocation(pool, (), 0))
         return None
 
     async def _store_queues(
--- a/lycheelug/jobservice/queue_rows.py
+++ b/lycheelug/jobservice/queue_rows.py
@@ -1,6 +1,6 @@
 """The rows that tell in which pools a queue's jobs are stored.
 
-See `queue_homes` for what they mean.
+See `queue_locations` for what they mean.
 """
 
 from __future__ import annotations
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -55,8 +55,8 @@
         "_count_remote",
         "_entries",
         "_executor_list",
-        "_homes_task",
         "_hosts",
+        "_locations_task",
         "_maintenance_s",
         "_name",
         "_policies",
@@ -89,7 +89,7 @@
         overload: OverloadPolicy | None = None,
         policies: PlanPolicies | None = None,
     ) -> None:
-        self._homes_task: asyncio.Task[None] | None = None
+        self._locations_task: asyncio.Task[None] | None = None
         self._maintenance_s = maintenance_s
         self._policies = policies
         self._name = name
@@ -164,9 +164,9 @@
     def start(self, address: str = "") -> None:
         """Start all tasks; other daemons reach this one at `address`."""
         self.duties.start(address)
-        homes = self.submissions.homes
-        self._homes_task = asyncio.get_running_loop().create_task(
-            supervise("queue-homes", homes.run, self.metrics)
+        locations = self.submissions.locations
+        self._locations_task = asyncio.get_running_loop().create_task(
+            supervise("queue-locations", locations.run, self.metrics)
         )
 
     async def drain(self) -> None:
@@ -175,8 +175,8 @@
 
     async def stop(self) -> None:
         """Cancel all tasks."""
-        if self._homes_task is not None:
-            self._homes_task.cancel()
+        if self._locations_task is not None:
+            self._locations_task.cancel()
         await self.duties.stop()
 
     # --- Submissions and questions to the pools' owners.
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -20,7 +20,7 @@
 from lycheelug.jobservice.interfaces import Rejection, SubmissionAnswer
 from lycheelug.jobservice.job_finder import JobFinder
 from lycheelug.jobservice.outcomes import Outcomes
-from lycheelug.jobservice.queue_homes import QueueHomes
+from lycheelug.jobservice.queue_locations import QueueLocations
 from lycheelug.jobservice.queue_policies import policy_record
 from lycheelug.jobservice.queue_rows import gate_name
 from lycheelug.jobservice.replies import Reply, ReplyKind
@@ -50,7 +50,7 @@
         Route,
         SubmissionRouter,
     )
-    from lycheelug.jobservice.queue_homes import QueueHome
+    from lycheelug.jobservice.queue_locations import QueueLocation
     from lycheelug.jobservice.replies import RequestEffects
     from lycheelug.metrics import Metrics
     from lycheelug.store.rows import RowStore
@@ -84,7 +84,7 @@
         "_store",
         "_store_delay_s",
         "_version",
-        "homes",
+        "locations",
     )
 
     def __init__(
@@ -109,8 +109,8 @@
         self._outcomes = Outcomes(metrics)
         self._final_states = FinalStates()
         # In which pools the jobs of each queue are stored.
-        self.homes = QueueHomes(store, daemon)
-        self._finder = JobFinder(store, self.homes)
+        self.locations = QueueLocations(store, daemon)
+        self._finder = JobFinder(store, self.locations)
         # The pools of the configuration in force that have an owner.
         self._served_pools: set[str] = set()
         # The version of the configuration in force.
@@ -124,7 +124,7 @@
         for pool in configuration.pools.values():
             if not pool.is_standby:
                 self._served_pools.add(pool.name)
-        self.homes.apply_configuration(configuration)
+        self.locations.apply_configuration(configuration)
 
     async def submit(
         self,
@@ -141,31 +141,31 @@
         policy = policy_record(route, self._version)
         record = msgspec.structs.replace(record, policy=policy)
         for _ in range(MOVES_MAX):
-            found = await self.homes.find(route)
+            found = await self.locations.find(route)
             if isinstance(found, Failure):
                 return self._outcomes.refuse(
                     "submission", job_id, found.failure()
                 )
-            home = found.unwrap()
-            if home is None:
+            location = found.unwrap()
+            if location is None:
                 break
-            reply = await self._find_former(home, job_id, record)
+            reply = await self._find_former(location, job_id, record)
             if reply is None:
                 reply = await self._submit_to(
-                    home, route, job_id, record, effects
+                    location, route, job_id, record, effects
                 )
             if reply is not None:
                 return reply
-            self.homes.forget(route.name)
+            self.locations.forget(route.name)
         return self._outcomes.refuse_moved(route, job_id)
 
     async def _find_former(
-        self, home: QueueHome, job_id: str, record: JobRecord
+        self, location: QueueLocation, job_id: str, record: JobRecord
     ) -> Reply | None:
         """Return the reply to a submission that a former pool may have."""
-        if home.former_pools and self._is_store_unreachable():
+        if location.former_pools and self._is_store_unreachable():
             return self._outcomes.refuse_unreachable("submission", job_id)
-        for pool in home.former_pools:
+        for pool in location.former_pools:
             found = await self._finder.read_job(pool, job_id)
             if isinstance(found, Failure):
                 return self._outcomes.refuse(
@@ -181,7 +181,7 @@
 
     async def _submit_to(
         self,
-        home: QueueHome,
+        location: QueueLocation,
         route: Route,
         job_id: str,
         record: JobRecord,
@@ -194,7 +194,7 @@
         if effects is not None:
             effects.may_exist = True
         answer = await self._router.submit(
-            route.pool, job_id, record, home.gate_version
+            route.pool, job_id, record, location.gate_version
         )
         if answer is SubmissionAnswer.MOVED:
             return None
@@ -216,12 +216,12 @@
         if self._store_delay_s() > SLOW_STORE_S:
             return self._outcomes.reply_slow(job_id, may_be_stored)
         return await self._submit_directly(
-            home, route, job_id, record, may_be_stored
+            location, route, job_id, record, may_be_stored
         )
 
     async def _submit_directly(
         self,
-        home: QueueHome,
+        location: QueueLocation,
         route: Route,
         job_id: str,
         record: JobRecord,
@@ -236,7 +236,9 @@
         value = msgspec.json.encode(record)
         for _ in range(WRITE_ATTEMPTS):
             result = await self._store.commit(
-                route.pool, {name: 0, gate: home.gate_version}, {name: value}
+                route.pool,
+                {name: 0, gate: location.gate_version},
+                {name: value},
             )
             match result:
                 case Success(RowConflict(rows=rows)):
@@ -365,8 +367,8 @@
 
         Only the pool's owner knows: the summary it has stored may be too old.
         """
-        if not self.homes.pools_of(route.name):
-            read = await self.homes.refresh_pools(route.name)
+        if not self.locations.pools_of(route.name):
+            read = await self.locations.refresh_pools(route.name)
             if isinstance(read, Failure):
                 return self._outcomes.refuse(
                     "count", route.name, read.failure()
--- a/lycheelug/jobservice/tables.py
+++ b/lycheelug/jobservice/tables.py
@@ -49,7 +49,7 @@
 PART_SEPARATOR: Final = "/"
 JOB_PREFIX: Final = "job/"
 CANCEL_PREFIX: Final = "cancel/"
-# The gate rows of queues that have moved; see `queue_homes`.
+# The gate rows of queues that have moved; see `queue_locations`.
 GATE_PREFIX: Final = "queue/"
 # Digits of the number of a further row.
 PART_DIGITS_MAX: Final = 3
