--- a/standins/schedulers.py
+++ b/standins/schedulers.py
@@ -54,11 +54,15 @@
         return answer.status == 200
 
     async def submit(
-        self, job_id: str, steps: list[dict[str, Any]], spec: str = "demo"
+        self,
+        job_id: str,
+        steps: list[dict[str, Any]],
+        spec: str = "demo",
+        prefix: str = PREFIX,
     ) -> int:
         """Submit a job; return the HTTP status."""
         body = msgspec.json.encode({"spec": spec, "steps": steps})
-        answer = await http_call(self.callers, "POST", PREFIX + job_id, body)
+        answer = await http_call(self.callers, "POST", prefix + job_id, body)
         return answer.status
 
     async def cancel(self, job_id: str) -> int:
@@ -66,9 +70,9 @@
         answer = await http_call(self.callers, "DELETE", PREFIX + job_id)
         return answer.status
 
-    async def state(self, job_id: str) -> str:
+    async def state(self, job_id: str, prefix: str = PREFIX) -> str:
         """Return a job's state, or an empty string for an unknown job."""
-        answer = await http_call(self.callers, "GET", PREFIX + job_id)
+        answer = await http_call(self.callers, "GET", prefix + job_id)
         reply = msgspec.json.decode(answer.body)
         return str(reply.get("state", ""))
 
@@ -139,6 +143,12 @@
         await scheduler.wait_started()
         return scheduler
 
+    async def hints(self) -> dict[str, int]:
+        """Return the calls for tickets, and the rejected ones."""
+        assert self.platform is not None
+        answer = await http_call(self.platform.address, "GET", "/hints")
+        return msgspec.json.decode(answer.body, type=dict[str, int])
+
     async def runs(self) -> list[RunRecord]:
         """Return all runs that the executors have started."""
         assert self.platform is not None
--- a/standins/task_executor.py
+++ b/standins/task_executor.py
@@ -18,8 +18,9 @@
 
 if TYPE_CHECKING:
     from lycheelug.http import Request
+    from standins.hint_tickets import HintTickets
 
-__all__ = ["LONG_RUNNING", "RunRecord", "TaskExecutor"]
+__all__ = ["HINTED", "LONG_RUNNING", "RunRecord", "TaskExecutor"]
 
 CHECK_INTERVAL_S: Final = 0.02
 STATUS_WRONG_INSTANCE: Final = 421
@@ -37,8 +38,11 @@
     deadline_ms: int | None = None
     last_seen: int = 0
     wait_ms: int = 0
+    ticket: str = ""
 
 
+# The job payload whose tasks need a ticket.
+HINTED: Final = "hinted"
 # The job payload whose tasks run until they are stopped.
 LONG_RUNNING: Final = "lasting"
 
@@ -60,9 +64,14 @@
     """One executor, listening on its own port."""
 
     def __init__(
-        self, executor_id: str, work_s: float, records: list[RunRecord]
+        self,
+        executor_id: str,
+        work_s: float,
+        records: list[RunRecord],
+        tickets: HintTickets,
     ) -> None:
         self.executor_id = executor_id
+        self._tickets = tickets
         self.born_ms = int(time.time() * 1000)
         # How long each task runs.
         self.work_s = work_s
@@ -131,6 +140,10 @@
             return self._reject("old")
         if self._clock_ms() > (call.deadline_ms or 0):
             return self._reject("late")
+        if call.spec == HINTED and not self._tickets.accept(
+            call.task, self.executor_id, call.ticket
+        ):
+            return self._reject("ticket")
         self._highest_runs[call.task] = call.run
         record = RunRecord(
             call.task,
--- a/standins/task_platform.py
+++ b/standins/task_platform.py
@@ -2,8 +2,10 @@
 
 It implements the platform's published protocol over HTTP on loopback, with
 one pool of executors that simulate tasks by waiting, and a configuration
-with one queue under `/quick/`.  For tests, `GET /runs` returns all runs that
-were started.
+with a queue under `/quick/` and one with placement hints under `/hinted/`.
+For tests, `GET /runs` returns all runs that were started, and `GET /hints`
+how many calls the placement hint service got and how many starts were rejected
+for their tickets.
 
 Run it with `python -m standins.task_platform --executors 3 --work-ms 300`.
 It prints the address that it listens on, and stops on SIGTERM or SIGINT.
@@ -24,6 +26,7 @@
 from lycheelug.platform.wire import RowMessage, TransactionMessage
 from lycheelug.store.memory_rows import MemoryRows
 from lycheelug.store.rows import HistoryGone, RowCommit, RowName
+from standins.hint_tickets import HINT, HintTickets
 from standins.task_executor import RunRecord, TaskExecutor
 
 if TYPE_CHECKING:
@@ -32,11 +35,13 @@
     from lycheelug.http import Request
     from lycheelug.store.rows import StoredRow
 
-__all__ = ["POOL", "PREFIX", "TaskPlatform", "main"]
+__all__ = ["HINTED_PREFIX", "POOL", "PREFIX", "TaskPlatform", "main"]
 
 POOL: Final = "quotes"
 STANDBY: Final = "spare"
 PREFIX: Final = "/quick/"
+# The queue whose tasks need tickets.
+HINTED_PREFIX: Final = "/hinted/"
 ENTRY_REFRESH_S: Final = 0.5
 CAPACITY: Final = {"cpu": 4000, "mem_mb": 8192, "gpu": 0}
 STATUS_CONFLICT: Final = 412
@@ -50,10 +55,12 @@
         self._rows = MemoryRows()
         self._runs: list[RunRecord] = []
         self._executors: list[TaskExecutor] = []
-        for number in range(executors):
-            executor_id = f"x{number}"
+        # Each second executor may run the steps of the hinted queue.
+        names = [f"x{number}" for number in range(executors)]
+        self._tickets = HintTickets(set(names[::2]))
+        for executor_id in names:
             self._executors.append(
-                TaskExecutor(executor_id, work_s, self._runs)
+                TaskExecutor(executor_id, work_s, self._runs, self._tickets)
             )
         self._server = HttpServer(self._handle)
         self._tasks: list[asyncio.Task[None]] = []
@@ -124,6 +131,13 @@
             return await self._feed(query)
         if path == "/v1/machines":
             return json_answer(200, {"machines": self._hosts()})
+        if path == "/v1/advise":
+            return await self._tickets.advise(request)
+        if path == "/hints":
+            tickets = self._tickets
+            return json_answer(
+                200, {"calls": tickets.calls, "rejected": tickets.rejected}
+            )
         if path == "/runs":
             data = msgspec.json.encode(self._runs)
             return Answer(200, [], data)
@@ -206,7 +220,17 @@
                 "slo_ms": 600,
                 "max_attempts": 2,
                 "stretch": 1.6,
-            }
+            },
+            {
+                "name": "hinted",
+                "host": "",
+                "path_prefix": HINTED_PREFIX,
+                "service": POOL,
+                "slo_ms": 600,
+                "max_attempts": 2,
+                "stretch": 1.6,
+                "hint": HINT,
+            },
         ],
         "services": [{"name": POOL}, {"name": STANDBY, "standby": True}],
     }
