Count a task behind an incomplete list as away

Cause: a relocation took a run for available by the state of an earlier list if the last one was recent, whether or not it was complete.

Evidence: test_task_behind_a_full_list_counts_as_away fails before this change with one stop, and passes with it.

--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -275,8 +275,12 @@
 
 
 def _has_recent_report(view: ExecutorView, now: float) -> bool:
-    """Return whether an executor's last report is recent enough."""
+    """Return whether an executor's last report is recent and complete.
+
+    A run that an incomplete one doesn't list may have ended.
+    """
     return (
         view.last_report_at is not None
+        and view.lists_all_ends
         and now - view.last_report_at <= REPORT_MAX_AGE_S
     )
--- a/tests/test_many_waiting_ends.py
+++ b/tests/test_many_waiting_ends.py
@@ -19,6 +19,7 @@
     Resources,
     RunReport,
     StepSpec,
+    StopOrder,
     TaskName,
     TaskReport,
     apply_task_report,
@@ -241,3 +242,47 @@
         ),
     ).unwrap()
     assert found.lists_all_ends is not bool(is_full)
+
+
+# Guards against a task that is stopped while another one of its step has ended
+# unlisted, so that too many are away at once (related to case 7, AVAIL).
+@pytest.mark.parametrize("is_full", [False, True])
+def test_task_behind_a_full_list_counts_as_away(is_full: bool) -> None:
+    world = PoolWorld()
+    world.add_executor("x")
+    world.add_executor("y")
+    world.add_executor("z")
+    step = StepSpec(
+        count=2, cpu_millis=1000, lasts=True, may_miss=1, max_per_executor=1
+    )
+    world.add_job([step])
+    orders = world.starts()
+    for order in orders:
+        world.answer(order)
+    for order in orders:
+        running = [(order.task.name, order.run)]
+        world.report_tasks(order.executor_id, running, percent=100)
+    first, second = orders
+    gone = TaskName("gone", 0, 0, 0)
+    count = ENDS_PER_ANSWER if is_full else 1
+    ended = [
+        EndReport(number + 1, gone, number + 1, EndKind.DONE)
+        for number in range(count)
+    ]
+    apply_task_report(
+        world.schedule,
+        world.schedule.executors[first.executor_id],
+        TaskReport(
+            1000,
+            1,
+            [] if is_full else [RunReport(first.task.name, 1001, "", 100)],
+            ended,
+            not is_full,
+        ),
+        world.now,
+        world.now,
+        0,
+    )
+    world.schedule.executors[second.executor_id].drain_order = "1"
+    stops = [each for each in world.plan() if isinstance(each, StopOrder)]
+    assert len(stops) == (0 if is_full else 1)
