Delay calls for tickets that the service doesn't renew

Cause: an executor with an expired ticket was named in each call until it got a new one. Such an answer delays the next call for the step now as a rejected ticket does, by 0.1 s, doubling up to 2 s.

Evidence: test_tickets_that_are_not_renewed_are_asked_for_rarely fails without the delay (331 calls, at most 12 are allowed), and passes with it.

--- a/lycheelug/workloads/placement_hints.py
+++ b/lycheelug/workloads/placement_hints.py
@@ -33,8 +33,8 @@
 VALID_UNKNOWN_S: Final = 1.0
 # Delay before a failed call for a step is repeated.
 RETRY_S: Final = 0.5
-# Delay before tickets that executors reject are renewed; it doubles, up to the
-# maximum, until one is accepted.
+# Delay before tickets are renewed that executors reject, or that the service
+# doesn't renew; it doubles, up to the maximum, until one is accepted.
 RENEWAL_S: Final = 0.1
 RENEWAL_MAX_S: Final = 2.0
 
@@ -62,10 +62,10 @@
     __slots__ = (
         "asked",
         "is_query_pending",
+        "is_useless",
         "next_query_at",
-        "rejected_answers",
         "tickets",
-        "was_rejected",
+        "useless_answers",
     )
 
     def __init__(self) -> None:
@@ -75,10 +75,10 @@
         self.tickets: dict[str, tuple[str, float]] = {}
         self.is_query_pending = False
         self.next_query_at = 0.0
-        # The last answers in a row of which a ticket was rejected, and
-        # whether one of the last answer was.
-        self.rejected_answers = 0
-        self.was_rejected = False
+        # The last answers in a row that were of no use, and whether the last
+        # one is known to be.
+        self.useless_answers = 0
+        self.is_useless = False
 
 
 def ticket_validity_s(answered_s: float | None, timing: HintTiming) -> float:
@@ -164,8 +164,11 @@
         """Record the answer to a call."""
         hints = self._steps.setdefault(step, _StepHints())
         hints.is_query_pending = False
-        hints.was_rejected = False
-        hints.asked.update(asked)
+        hints.is_useless = False
+        for executor_id in asked:
+            hints.asked.add(executor_id)
+            if executor_id in hints.tickets and executor_id not in tickets:
+                _delay_renewal(hints, now)
         used_s = valid_s - min(MARGIN_S, valid_s * MARGIN_SHARE)
         for executor_id, ticket in tickets.items():
             hints.tickets[executor_id] = (ticket, now + used_s)
@@ -187,19 +190,13 @@
             return
         hints.tickets.pop(executor_id, None)
         hints.asked.discard(executor_id)
-        if hints.was_rejected:
-            return
-        hints.was_rejected = True
-        delay_s = min(RENEWAL_MAX_S, RENEWAL_S * 2**hints.rejected_answers)
-        if delay_s < RENEWAL_MAX_S:
-            hints.rejected_answers += 1
-        hints.next_query_at = now + delay_s
+        _delay_renewal(hints, now)
 
     def record_accepted(self, step: StepName) -> None:
         """Record that an executor has accepted a ticket."""
         hints = self._steps.get(step)
         if hints is not None:
-            hints.rejected_answers = 0
+            hints.useless_answers = 0
 
     def forget_executor(self, executor_id: str) -> None:
         """Drop what is known of an executor that has ended.
@@ -216,3 +213,14 @@
         for step in list(self._steps):
             if step.job == job:
                 del self._steps[step]
+
+
+def _delay_renewal(hints: _StepHints, now: float) -> None:
+    """Delay the next call for a step, once for each useless answer."""
+    if hints.is_useless:
+        return
+    hints.is_useless = True
+    delay_s = min(RENEWAL_MAX_S, RENEWAL_S * 2**hints.useless_answers)
+    if delay_s < RENEWAL_MAX_S:
+        hints.useless_answers += 1
+    hints.next_query_at = now + delay_s
--- a/tests/test_hinted_queues.py
+++ b/tests/test_hinted_queues.py
@@ -309,3 +309,24 @@
     assert hints.ticket(step, "x", world.now) == "t1"
     world.report_tasks("x", born_ms=2)
     assert hints.ticket(step, "x", world.now) is None
+
+
+# Guards against calls without limit for tickets that the service no longer
+# renews, as it doesn't know the executors any more (related to case 6).
+def test_tickets_that_are_not_renewed_are_asked_for_rarely() -> None:
+    async def run() -> None:
+        world = HintedWorld()
+        await world.begin(executors=2, allowed=2)
+        # Fills the executors, so that the other tasks wait.
+        await world.hand_in(0, [StepSpec(count=60, cpu_millis=4000)])
+        await asyncio.sleep(0.5)
+        world.hinted.allowed.clear()
+        await asyncio.sleep(VALID_S)
+        calls = world.hinted.hint_calls
+        await asyncio.sleep(10.0)
+        assert 3 <= world.hinted.hint_calls - calls <= 12
+        world.hinted.allowed = {"x0", "x1"}
+        assert await world.are_done(1, within_s=60.0)
+        await world.stop()
+
+    run_virtual(run())
