Count the gates of queues among the entries of a transaction

The store rejects a transaction of over 100 entries.

A batch of submissions has at most 68 entries now, which leaves it at 16 for up to four queues.

--- a/lycheelug/jobservice/submission_queue.py
+++ b/lycheelug/jobservice/submission_queue.py
@@ -50,6 +50,11 @@
 # The size limit of the submissions in one transaction.  The store accepts
 # one megabyte in all.
 BATCH_BYTES_MAX: Final = 500_000
+# The conditions and writes of one submission, and of all in a transaction.
+# The store accepts 100 entries in all; the others are the rows of the owner,
+# its summary and its executors.
+ENTRIES_EACH: Final = 4
+BATCH_ENTRIES_MAX: Final = 68
 
 
 class Submission:
@@ -132,10 +137,16 @@
         self._reject_late(now)
         self._reject_outdated()
         batch: list[Submission] = []
-        size = 0
+        size = entries = 0
+        queues: set[str] = set()
         for submission in self._waiting.values():
             size += len(submission.value)
-            if len(batch) >= max_count or (batch and size > BATCH_BYTES_MAX):
+            entries += ENTRIES_EACH
+            # The gate of each queue is a condition too.
+            entries += submission.record.queue not in queues
+            queues.add(submission.record.queue)
+            is_full = size > BATCH_BYTES_MAX or entries > BATCH_ENTRIES_MAX
+            if len(batch) >= max_count or (batch and is_full):
                 break
             batch.append(submission)
         for submission in batch:
--- a/tests/test_batch_size.py
+++ b/tests/test_batch_size.py
@@ -5,18 +5,21 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import pytest
 from returns.result import Failure
 
 from lycheelug.errors import PLATFORM_INVALID, Fault, Peer, Step
 from lycheelug.jobservice.pool_owner import PoolOwner
+from lycheelug.jobservice.progress_batch import ENTRIES_MAX
+from lycheelug.jobservice.submission_queue import SubmissionQueue
 from lycheelug.jobservice.submissions import ReplyKind
+from lycheelug.workloads import JobRecord, StepSpec
 from tests.job_world import POOL, FaultyRows, JobWorld, until
 from tests.virtual_time import run_virtual
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    import pytest
     from returns.result import Result
 
     from lycheelug.store.rows import RowCommit, RowConflict, RowName
@@ -74,3 +77,30 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against a transaction that the store rejects for the number of its
+# entries, as submissions of many queues each have a gate as a condition.
+@pytest.mark.parametrize(
+    ("queues", "expected"),
+    [(1, 16), (4, 16), (5, 15), (13, 13), (16, 13)],
+)
+def test_submissions_of_many_queues_fit_into_a_transaction(
+    queues: int, expected: int
+) -> None:
+    async def run() -> None:
+        queue = SubmissionQueue(POOL, 1)
+        for number in range(16):
+            record = JobRecord(f"q{number % queues}", "", [StepSpec(count=1)])
+            queue.add(f"{number:016x}", record, 0.0)
+        batch = queue.take_batch(16, 0.0)
+        assert len(batch) == expected
+        names: set[RowName] = set()
+        entries = 0
+        for submission in batch:
+            names.add(queue.gate_name(submission))
+            entries += 2 * len(queue.rows(submission))
+        # Besides, the owner's row, two of its load and ten of its executors.
+        assert len(names) + entries + 1 + 2 * 2 + 2 * 10 <= ENTRIES_MAX
+
+    asyncio.run(run())
