Keep the rows of queues in a part of their own

A part of the store carries out one transaction after another. The empty part has the operator's rows and the executors' entries, so that writes of queues would wait behind them on a large fleet.

--- a/lycheelug/jobservice/queue_rows.py
+++ b/lycheelug/jobservice/queue_rows.py
@@ -32,7 +32,7 @@
 
 QUEUES_TABLE: Final = "queues"
 # All rows of queues share a part, so that one call reads them.
-QUEUES_PART: Final = ""
+QUEUES_PART: Final = "~queues"
 # Longer names are replaced by a hash in keys, which have at most 200 bytes.
 KEY_BYTES_MAX: Final = 150
 
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -15,6 +15,7 @@
     SubmissionAnswer,
 )
 from lycheelug.jobservice.queue_rows import (
+    QUEUES_PART,
     GateRecord,
     encode_row,
     gate_name,
@@ -358,7 +359,7 @@
 def test_unreadable_rows_of_a_queue_are_replaced(value: bytes) -> None:
     async def run() -> None:
         world = MovedWorld()
-        await world.rows.commit("", {}, {queue_name("quick"): value})
+        await world.rows.commit(QUEUES_PART, {}, {queue_name("quick"): value})
         await world.rows.commit(POOL, {}, {gate_name(POOL, "quick"): value})
         await world.begin(LONG_S)
         assert (await world.hand_in("e0", 1)).kind is ReplyKind.OK
--- a/tests/test_timed_out_requests.py
+++ b/tests/test_timed_out_requests.py
@@ -21,6 +21,7 @@
     SubmissionRouter,
 )
 from lycheelug.jobservice.queue_rows import (
+    QUEUES_PART,
     QueueRecord,
     encode_row,
     queue_name,
@@ -122,7 +123,9 @@
         # The queue was served before the store fell silent.
         pools = ["new", "old"] if has_moved else ["new"]
         row = encode_row(QueueRecord("quick", 1, pools))
-        await MemoryRows.commit(rows, "", {}, {queue_name("quick"): row})
+        await MemoryRows.commit(
+            rows, QUEUES_PART, {}, {queue_name("quick"): row}
+        )
         name = RowName(jobs_table("new"), JOB_PREFIX + "5c0e7a21d94b36f8")
         if method == b"DELETE":
             await MemoryRows.commit(rows, "new", {}, {name: b"{}"})
