--- a/tests/test_configuration_entries.py
+++ b/tests/test_configuration_entries.py
@@ -192,6 +192,7 @@
     assert found == names
 
 
+# Guards against a pool that loses its policy with one unreadable field.
 def test_unreadable_pool_keeps_what_was_known() -> None:
     former = decode(config([ROUTE], [{**SERVICE, "rejects_overload": True}]))
     odd = {**SERVICE, "standby": "no"}
--- a/tests/test_hinted_queues.py
+++ b/tests/test_hinted_queues.py
@@ -300,6 +300,7 @@
     assert sorted(hints.executors_to_query(step, views, 2.0)) == ["x", "y"]
 
 
+# Guards against a ticket of an executor's former life (related to case 6).
 def test_restart_of_an_executor_drops_its_tickets() -> None:
     world = PoolWorld()
     world.add_executor("x")
--- a/tests/test_many_waiting_ends.py
+++ b/tests/test_many_waiting_ends.py
@@ -155,6 +155,7 @@
     return ended
 
 
+# Guards against runs that are given up as a full list lacks them (case 7).
 @pytest.mark.parametrize(
     ("listed", "left"),
     [
@@ -227,6 +228,7 @@
     assert schedule.earlier_runs_known(world.now)
 
 
+# Guards against a full list from an executor that counts as complete (case 7).
 @pytest.mark.parametrize(("count", "is_full"), [(0, 0), (499, 0), (500, 1)])
 def test_list_of_500_ends_is_not_complete(count: int, is_full: bool) -> None:
     ended = [
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -373,6 +373,7 @@
     run_virtual(run())
 
 
+# Guards against an older configuration that opens a pool again (case 8).
 def test_closed_gate_of_a_newer_configuration_stays_closed() -> None:
     async def run() -> None:
         world = MovedWorld()
--- a/tests/test_page_messages.py
+++ b/tests/test_page_messages.py
@@ -198,6 +198,7 @@
     assert [end.checkpoint for end in report.ended] == [""]
 
 
+# Guards against an answer to a start that is taken for another one.
 @pytest.mark.parametrize(
     ("status", "reason", "expected"),
     [
@@ -241,6 +242,7 @@
     ]
 
 
+# Guards against an answer to a stop that is taken for another one.
 @pytest.mark.parametrize(
     ("status", "reason", "expected"),
     [
@@ -294,6 +296,7 @@
     assert seen == [(b"/v1/advise", call)]
 
 
+# Guards against a wave of maintenance that is never seen.
 @pytest.mark.parametrize(
     ("field", "value", "attribute"),
     [
@@ -332,6 +335,7 @@
 }
 
 
+# Guards against a host that counts as unknown for one of its fields.
 @pytest.mark.parametrize(
     ("field", "value", "attribute", "expected"),
     [
@@ -360,6 +364,7 @@
     assert getattr(found, "name", found) == expected
 
 
+# Guards against an answer to a host's order that is taken for another one.
 @pytest.mark.parametrize(
     ("status", "reason", "expected"),
     [
@@ -388,6 +393,7 @@
     assert seen == [(b"/v1/machine-upkeep", body)]
 
 
+# Guards against a job that is refused, or run otherwise, for one field.
 @pytest.mark.parametrize(
     ("field", "value", "attribute", "expected"),
     [
