Look queues up one by one instead of reading them all

Cause: each daemon read the whole table of queues with each configuration, over links of 5 Mbit/s.

A daemon reads the rows of the first 40 queues of a configuration that it doesn't know yet, and those of the others with their first submission. A count of waiting jobs reads its queue's row once for each configuration.

--- a/lycheelug/jobservice/queue_locations.py
+++ b/lycheelug/jobservice/queue_locations.py
@@ -14,7 +14,8 @@
 with an older configuration nor by a write that takes effect late.  What was
 found missing in the former pools therefore stays missing.
 
-A queue that has never moved has no gate row, and needs no reads.
+A queue that has never moved has no gate row, and once it was looked up it
+needs no reads.
 """
 
 from __future__ import annotations
@@ -37,7 +38,7 @@
     queue_name,
 )
 from lycheelug.logs import log_change, log_fault
-from lycheelug.store.rows import RowConflict, RowName, StoredRow
+from lycheelug.store.rows import RowConflict, StoredRow
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
@@ -48,13 +49,13 @@
 
 # How often a look-up is repeated after conflicts with other daemons.
 ATTEMPTS_MAX: Final = 5
-# Daemons look at the queues of a new configuration within this time, so that
-# most of them find the rows that the first ones have written.
+# The queues that are looked up before their first submission, so that this
+# daemon can pass submissions on if it loses the store.
+QUEUES_MAX: Final = 40
+# Daemons look them up within this time, so that most of them find the rows
+# that the first ones have written.
 SPREAD_S: Final = 0.5
 SPREAD_STEPS: Final = 1000
-# Rows that one transaction writes, each with a condition; the store accepts
-# 100 entries.
-ROWS_MAX: Final = 45
 RETRY_S: Final = 1.0
 
 
@@ -101,6 +102,7 @@
         "_locations",
         "_lock",
         "_pools",
+        "_read_versions",
         "_spread_s",
         "_store",
     )
@@ -109,20 +111,48 @@
         self._store = store
         self._configuration: Configuration | None = None
         self._changed = asyncio.Event()
+        step = crc32(daemon.encode()) % SPREAD_STEPS
+        self._spread_s = SPREAD_S * step / SPREAD_STEPS
         self._lock = asyncio.Lock()
         self._locations: dict[str, QueueLocation] = {}
         # Queues whose pool has a gate row, or may have one.
         self._gated: set[str] = set()
-        # The pools of each queue, by its row.
+        # The pools of each queue, by its row, and the version of the
+        # configuration that was in force when the row was last read.
         self._pools: dict[str, tuple[str, ...]] = {}
-        step = crc32(daemon.encode()) % SPREAD_STEPS
-        self._spread_s = SPREAD_S * step / SPREAD_STEPS
+        self._read_versions: dict[str, int] = {}
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Look the queues of a new configuration up soon."""
         self._configuration = configuration
         self._changed.set()
 
+    async def run(self) -> None:
+        """Look up the first queues of each configuration until cancelled.
+
+        The others, and those that have moved, are looked up with their first
+        submission.
+        """
+        while True:
+            await self._changed.wait()
+            await asyncio.sleep(self._spread_s)
+            self._changed.clear()
+            configuration = self._configuration
+            if configuration is None:
+                continue
+            for route in configuration.routes[:QUEUES_MAX]:
+                fault = await self._prepare(route)
+                if fault is not None:
+                    log_fault("queue-not-read", fault)
+                    self._changed.set()
+                    await asyncio.sleep(RETRY_S)
+                    break
+
+    def has(self, route: Route) -> bool:
+        """Return whether a queue's location is known."""
+        known = self._locations.get(route.name)
+        return known is not None and known.pool == route.pool
+
     def pools_of(self, queue: str) -> tuple[str, ...]:
         """Return all pools that a queue is known to have had."""
         return self._pools.get(queue, ())
@@ -132,28 +162,24 @@
         self._locations.pop(queue, None)
         self._gated.add(queue)
 
-    async def run(self) -> None:
-        """Look up the queues of each new configuration until cancelled."""
-        while True:
-            await self._changed.wait()
-            await asyncio.sleep(self._spread_s)
-            self._changed.clear()
-            fault = await self._refresh()
-            if fault is not None:
-                log_fault("queues-not-read", fault)
-                self._changed.set()
-                await asyncio.sleep(RETRY_S)
-
     async def refresh_pools(self, queue: str) -> Result[bool, Fault]:
         """Read a queue's row; return whether it lists other pools now."""
+        version = self._version
         read = await self._read_queue(queue)
         if isinstance(read, Failure):
             return Failure(read.failure())
         known = self._pools.get(queue, ())
         pools = read.unwrap().pools
         self._pools[queue] = pools or known
+        self._read_versions[queue] = version
         return Success(self._pools[queue] != known)
 
+    async def refresh_once(self, queue: str) -> Result[bool, Fault]:
+        """Read a queue's row, once for each configuration."""
+        if self._read_versions.get(queue) == self._version:
+            return Success(False)
+        return await self.refresh_pools(queue)
+
     async def find(self, route: Route) -> Result[QueueLocation | None, Fault]:
         """Return where a queue's jobs are stored.
 
@@ -184,6 +210,24 @@
         known = self._configuration
         return known.version if known is not None else 0
 
+    async def _prepare(self, route: Route) -> Fault | None:
+        """Look up a queue, unless it has moved; return why that failed."""
+        if self.has(route):
+            return None
+        fault: Fault
+        read = await self.refresh_once(route.name)
+        if isinstance(read, Failure):
+            fault = read.failure()
+            return fault
+        pools = self.pools_of(route.name)
+        if pools and pools[0] != route.pool:
+            return None
+        found = await self.find(route)
+        if isinstance(found, Failure):
+            fault = found.failure()
+            return fault
+        return None
+
     async def _look_up(
         self, route: Route, version: int
     ) -> Result[tuple[QueueLocation | None, bool], Fault]:
@@ -203,8 +247,7 @@
                     pool=queue.pools[0],
                 )
                 return Success((None, True))
-            moved = {route.name: (route.pool, queue)}
-            stored = await self._store_queues(moved, version)
+            stored = await self._store_queue(route, queue, version)
             if isinstance(stored, Failure):
                 return Failure(stored.failure())
             # The row is read again, with its new version.
@@ -281,79 +324,26 @@
             return Success(_to_queue(row))
         return Success(_Queue(0, 0, ()))
 
-    async def _refresh(self) -> Fault | None:
-        """Read all queues, and store those of the configuration.
-
-        A queue with former pools is looked up with its first submission.
-        """
-        configuration = self._configuration
-        if configuration is None:
-            return None
-        read = await self._store.read(QUEUES_TABLE, QUEUES_PART)
-        fault: Fault
-        if isinstance(read, Failure):
-            fault = read.failure()
-            return fault
-        found: dict[str, _Queue] = {}
-        for row in read.unwrap().rows:
-            record = decode_queue(row)
-            if record is not None:
-                found[record.queue] = _to_queue(row)
-        missing: dict[str, tuple[str, _Queue]] = {}
-        for route in configuration.routes:
-            queue = found.get(route.name)
-            if queue is None:
-                missing[route.name] = (route.pool, _Queue(0, 0, ()))
-                continue
-            self._pools[route.name] = queue.pools
-            is_gated = route.name in self._gated
-            if queue.pools == (route.pool,) and not is_gated:
-                location = QueueLocation(route.pool, (), 0)
-                self._locations.setdefault(route.name, location)
-        names = list(missing)
-        for start in range(0, len(names), ROWS_MAX):
-            part = {
-                name: missing[name] for name in names[start : start + ROWS_MAX]
-            }
-            stored = await self._store_queues(part, configuration.version)
-            if isinstance(stored, Failure):
-                fault = stored.failure()
-                return fault
-            if not stored.unwrap():
-                # Another daemon stores them; each is read when it is needed.
-                continue
-            for name, (pool, _) in part.items():
-                self._locations.setdefault(name, QueueLocation(pool, (), 0))
-        return None
-
-    async def _store_queues(
-        self, queues: dict[str, tuple[str, _Queue]], version: int
-    ) -> Result[bool, Fault]:
-        """Make pools the current ones of some queues, with their old rows.
-
-        Returns False if a row, or this daemon's configuration, has changed.
-        """
-        if self._version != version:
-            return Success(False)
-        expected: dict[RowName, int] = {}
-        writes: dict[RowName, bytes | None] = {}
-        pools: dict[str, tuple[str, ...]] = {}
-        for name, (pool, queue) in queues.items():
-            others = [each for each in queue.pools if each != pool]
-            pools[name] = (pool, *others)
-            row = queue_name(name)
-            expected[row] = queue.row_version
-            writes[row] = encode_row(
-                QueueRecord(name, version, list(pools[name]))
-            )
-        written = await self._store.commit(QUEUES_PART, expected, writes)
+    async def _store_queue(
+        self, route: Route, queue: _Queue, version: int
+    ) -> Result[None, Fault]:
+        """Make a route's pool the current one of its queue, if it can be."""
+        others = [each for each in queue.pools if each != route.pool]
+        record = QueueRecord(route.name, version, [route.pool, *others])
+        row = queue_name(route.name)
+        written = await self._store.commit(
+            QUEUES_PART, {row: queue.row_version}, {row: encode_row(record)}
+        )
         if isinstance(written, Failure):
             return Failure(written.failure())
-        if isinstance(written.unwrap(), RowConflict):
-            return Success(False)
-        self._pools.update(pools)
-        log_change("queues-stored", version=version, queues=len(queues))
-        return Success(True)
+        if not isinstance(written.unwrap(), RowConflict):
+            log_change(
+                "queue-stored",
+                queue=route.name,
+                version=version,
+                pools=record.pools,
+            )
+        return Success(None)
 
 
 def _to_queue(row: StoredRow) -> _Queue:
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -140,6 +140,9 @@
         """
         policy = policy_record(route, self._version)
         record = msgspec.structs.replace(record, policy=policy)
+        is_located = self.locations.has(route)
+        if not is_located and self._is_store_unreachable():
+            return self._outcomes.refuse_unreachable("submission", job_id)
         for _ in range(MOVES_MAX):
             found = await self.locations.find(route)
             if isinstance(found, Failure):
@@ -367,12 +370,10 @@
 
         Only the pool's owner knows: the summary it has stored may be too old.
         """
-        if not self.locations.pools_of(route.name):
-            read = await self.locations.refresh_pools(route.name)
-            if isinstance(read, Failure):
-                return self._outcomes.refuse(
-                    "count", route.name, read.failure()
-                )
+        read = await self.locations.refresh_once(route.name)
+        is_known = bool(self.locations.pools_of(route.name))
+        if isinstance(read, Failure) and not is_known:
+            return self._outcomes.refuse("count", route.name, read.failure())
         missing = {route.pool}
         missing.update(self._finder.pools_of(route))
         missing.intersection_update({route.pool, *self._served_pools})
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -337,6 +337,12 @@
             world.start_daemon(f"e{number}", store_class=CountedRows)
         await until(lambda: len(world.holders(POOL)) == 1)
         await asyncio.sleep(1.0)
+        # Each daemon looks the queue up once.
+        CountedRows.reads = CountedRows.writes = 0
+        for number in range(100, 103):
+            await world.submit(f"e{number % 3}", number, STEPS)
+        assert CountedRows.reads <= 3 * 2
+        assert CountedRows.writes <= 1
         CountedRows.reads = CountedRows.writes = 0
         for number in range(30):
             reply = await world.submit(f"e{number % 3}", number, STEPS)
