Reuse the check of a queue's location, and drop an assertion

`QueueLocations.find` wrote again what `has` answers, and a query for a hypothetical job asserted what its own condition could say. No change of behaviour; found by reading the change as a newcomer.

--- a/lycheelug/jobservice/placement_queries.py
+++ b/lycheelug/jobservice/placement_queries.py
@@ -139,12 +139,15 @@
             if (record is not None and configuration is not None)
             else None
         )
-        is_known = route is not None and route.has_policy
-        if record is None or configuration is None or not is_known:
+        if (
+            record is None
+            or configuration is None
+            or route is None
+            or not route.has_policy
+        ):
             return PlacementAnswer(
                 error="the owner does not know the job's queue yet"
             )
-        assert route is not None
         policy = QueuePolicy.of(
             route.name,
             route.pool,
--- a/lycheelug/jobservice/queue_locations.py
+++ b/lycheelug/jobservice/queue_locations.py
@@ -186,9 +186,8 @@
         None if a newer configuration has moved the queue elsewhere, or
         others change its rows all the time.
         """
-        location = self._locations.get(route.name)
-        if location is not None and location.pool == route.pool:
-            return Success(location)
+        if self.has(route):
+            return Success(self._locations[route.name])
         version = self._version
         async with self._lock:
             for _ in range(ATTEMPTS_MAX):
