Log the incarnation behind each answer, and ends that no list has had

The lines of the incident can't tell the three hypotheses apart: task-start and task-end don't say which incarnation of an executor answered, and an end that vanishes leaves no line. task-start now has the start time that the owner believed in and both clocks, its estimate and the executor's; executor-heard has what the call acknowledged and how the lease was bounded; ends-skipped reports a gap in the numbers of the ends.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -142,6 +142,7 @@
             return False
         report = result.unwrap()
         had_accepted_term = view.has_accepted_term
+        last_applied_end = view.last_applied_end
         ends = apply_task_report(
             owner.schedule,
             view,
@@ -162,7 +163,28 @@
                 executor=self._executor_id,
                 term=owner.term,
                 born_ms=report.born_ms,
+                former_born_ms=born_ms,
+                acknowledged=acknowledged,
+                lease_ms=deadline_ms,
+                clock_ms=report.clock_ms,
                 running=len(report.running),
+                ended=len(report.ended),
+            )
+        if report.born_ms != born_ms:
+            last_applied_end = 0
+        if ends and ends[0].number > last_applied_end + 1:
+            # They were acknowledged before any list has had them.
+            log_change(
+                "ends-skipped",
+                pool=owner.pool,
+                executor=self._executor_id,
+                born_ms=report.born_ms,
+                first=last_applied_end + 1,
+                last=ends[0].number - 1,
+                acknowledged=acknowledged,
+            )
+            context.metrics.count(
+                "ends-skipped", ends[0].number - 1 - last_applied_end
             )
         for end in ends:
             context.metrics.count(f"ends-{end.kind.value}")
@@ -172,6 +194,7 @@
                 task=end.task.render(),
                 run=end.run,
                 executor=self._executor_id,
+                born_ms=report.born_ms,
                 how=end.kind.value,
                 number=end.number,
             )
@@ -197,6 +220,7 @@
                 "executor-lost",
                 pool=owner.pool,
                 executor=self._executor_id,
+                born_ms=view.born_ms,
                 reason=failure.name.lower(),
                 runs=len(view.runs),
                 lapses_in_s=round(view.leases_end_at - now, 2),
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -96,6 +96,7 @@
         clock_ms = view.estimate_clock_ms(checked_at)
         assert clock_ms is not None
         deadline_ms = clock_ms + int(context.lease_s * 1000)
+        born_ms = view.born_ms
         answer, executor_clock_ms = await context.gateway.start(
             view.info,
             task.name,
@@ -120,6 +121,9 @@
             run=order.run,
             term=self._owner.term,
             executor=order.executor_id,
+            born_ms=born_ms,
+            estimated_clock_ms=clock_ms,
+            clock_ms=executor_clock_ms,
             answer=answer.name.lower(),
         )
         self._owner.wake()
