Let the next incarnation answer the simulated calls to a former one

The users' executors can't tell their incarnations apart: they carry such calls out. They also shorten a lease to the longest one that they grant, counted from the call's arrival. The checks are unchanged.

--- a/tests/interleaved_executor.py
+++ b/tests/interleaved_executor.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from lycheelug.workloads import (
     EndKind,
@@ -17,7 +17,10 @@
 if TYPE_CHECKING:
     from tests.interleavings import Simulation
 
-__all__ = ["ExecutorIncarnation", "InvariantError"]
+__all__ = ["LEASE_MAX_S", "ExecutorIncarnation", "InvariantError"]
+
+# The longest lease that an executor grants.
+LEASE_MAX_S: Final = 6.0
 
 
 class InvariantError(AssertionError):
@@ -68,6 +71,10 @@
             self.end(task, run, EndKind.LAPSED)
         self.last_voided_end = self.end_count
 
+    def extend(self, deadline_ms: int) -> None:
+        longest_ms = self.clock_ms() + int(LEASE_MAX_S * 1000)
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, longest_ms))
+
     def start(
         self, task: TaskName, run: int, deadline_ms: int, token: int
     ) -> StartAnswer | None:
@@ -77,7 +84,7 @@
         if token < self.token:
             return StartAnswer.FENCED
         self.token = token
-        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        self.extend(deadline_ms)
         if self.running.get(task) == run:
             return StartAnswer.STARTED
         if run <= self.highest_runs.get(task, 0):
@@ -112,7 +119,7 @@
             return None
         self.token = token
         if deadline_ms is not None:
-            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+            self.extend(deadline_ms)
         self.simulation.check_acknowledgement(self, acknowledged)
         self.ended = [end for end in self.ended if end.number > acknowledged]
         running = [
--- a/tests/interleavings.py
+++ b/tests/interleavings.py
@@ -202,12 +202,8 @@
         deadline_ms = clock_ms + int(LEASE_S * 1000)
         task = order.task
         answers: list[StartAnswer | None] = []
-        expected_born_ms = view.born_ms
 
         def act(executor: ExecutorIncarnation) -> None:
-            if executor.born_ms != expected_born_ms:
-                answers.append(StartAnswer.REJECTED)
-                return
             answer = executor.start(
                 task.name, order.run, deadline_ms, self.term
             )
@@ -231,13 +227,11 @@
     def _stop(self, order: StopOrder) -> None:
         view = self.schedule.executors[order.executor_id]
         answers: list[bool] = []
-        expected_born_ms = view.born_ms
 
         def act(executor: ExecutorIncarnation) -> None:
-            if executor.born_ms == expected_born_ms:
-                answers.append(
-                    executor.stop(order.task_name, order.run, self.term)
-                )
+            answers.append(
+                executor.stop(order.task_name, order.run, self.term)
+            )
 
         def apply() -> None:
             apply_stop_answer(
@@ -273,15 +267,9 @@
             view.record_lease(polled_at, LEASE_S)
         acknowledged = view.last_acked_end
         reports: list[TaskReport | None] = []
-        expected_born_ms = view.born_ms
 
         def act(executor: ExecutorIncarnation) -> None:
-            if expected_born_ms in (0, executor.born_ms):
-                reports.append(
-                    executor.poll(self.term, deadline_ms, acknowledged)
-                )
-            else:
-                reports.append(executor.poll(self.term, None, 0))
+            reports.append(executor.poll(self.term, deadline_ms, acknowledged))
 
         def apply() -> None:
             self._poll_later(name, 0.25)
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -18,7 +18,18 @@
     85,
 ]
 
+# Calls for a former incarnation were carried out by the next one: the lease
+# was longer than the owner had worked out, unlisted ends were forgotten, and
+# starts that had been given up began.
+RESTART_SEEDS = [75, 80, 88, 109, 124, 136, 137, 138, 141, 148, 180]
+
 
 @pytest.mark.parametrize("seed", [*range(1, 9), *REGRESSION_SEEDS])
 def test_no_interleaving_violates_an_invariant(seed: int) -> None:
     assert simulate(seed) > 0
+
+
+# Guards against second runs of tasks after executors restart under their ids.
+@pytest.mark.parametrize("seed", RESTART_SEEDS)
+def test_calls_for_a_former_incarnation_do_no_harm(seed: int) -> None:
+    assert simulate(seed) > 0
