--- a/bench/scarcity_world.py
+++ b/bench/scarcity_world.py
@@ -26,6 +26,7 @@
     TaskReport,
     apply_start_answer,
     apply_task_report,
+    make_poll,
 )
 from lycheelug.workloads.forecast import DeadlineForecast
 from lycheelug.workloads.model import critical_path_s
@@ -321,7 +322,7 @@
             self._schedule,
             view,
             TaskReport(clock_ms, 1, reports, ends),
-            self.now,
+            make_poll(view, self.now, self._schedule.lease_s, False),
             self.now,
             clock_ms,
         )
--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -44,6 +44,7 @@
         "is_store_unreachable",
         "job_limits",
         "keeps_apart",
+        "lease_max_s",
         "lease_s",
         "metrics",
         "overload",
@@ -69,6 +70,7 @@
         job_limits: JobLimits | None = None,
         keeps_apart: bool = False,
         overload: OverloadPolicy | None = None,
+        lease_max_s: float = 0.0,
     ) -> None:
         self.store = store
         self.gateway = gateway
@@ -81,6 +83,8 @@
         self.executors = executors
         # How long a run may continue without contact from its owner.
         self.lease_s = lease_s
+        # The longest lease that executors grant; at least `lease_s`.
+        self.lease_max_s = max(lease_s, lease_max_s)
         # Whether calls to the store have failed on all paths for a while.
         self.is_store_unreachable = is_store_unreachable
         # Waits until `executors` returns all executors; None if it always
--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -19,12 +19,24 @@
 
 from lycheelug.jobservice.interfaces import PollFailure
 from lycheelug.logs import log_change, log_frequent
-from lycheelug.workloads import LossCause, apply_task_report
+from lycheelug.workloads import (
+    LossCause,
+    apply_task_report,
+    awaits_starts,
+    make_poll,
+)
 
 if TYPE_CHECKING:
+    from returns.result import Result
+
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
-    from lycheelug.workloads import ExecutorInfo, ExecutorView
+    from lycheelug.workloads import (
+        ExecutorInfo,
+        ExecutorView,
+        PollCall,
+        TaskReport,
+    )
 
 __all__ = ["ExecutorLoop"]
 
@@ -34,19 +46,21 @@
 # The pause after a failed poll; it doubles up to the maximum.
 RETRY_S: Final = 0.15
 RETRY_MAX_S: Final = 0.6
-# How long a poll waits until the store has recorded the last ends.
-STORE_WAIT_S: Final = 0.25
+# How long a poll waits until it can acknowledge the last ends.
+ACKNOWLEDGE_WAIT_S: Final = 0.25
 
 
 class ExecutorLoop:
     """The polling loop of one executor."""
 
     __slots__ = (
+        "_changed",
         "_context",
-        "_ends_stored",
+        "_entry_born_ms",
         "_executor_id",
         "_is_unresponsive",
         "_owner",
+        "_wait",
         "info",
         "is_stopped",
     )
@@ -58,7 +72,11 @@
         self._owner = owner
         self._executor_id = executor_id
         self.info: ExecutorInfo = owner.schedule.executors[executor_id].info
-        self._ends_stored = asyncio.Event()
+        self._changed = asyncio.Event()
+        # The start time in its entry, and what is waited for meanwhile: the
+        # answer of a poll or the end of a pause.
+        self._entry_born_ms = self.info.born_ms
+        self._wait: asyncio.Timeout | None = None
         # Whether it has ended or is to end.
         self.is_stopped = False
         self._is_unresponsive = False
@@ -68,9 +86,20 @@
         self.is_stopped = True
         self._context.gateway.forget(self.info)
 
-    def on_ends_stored(self) -> None:
-        """Let a poll continue that waits for the store to record ends."""
-        self._ends_stored.set()
+    def on_change(self) -> None:
+        """Let a poll continue that waits until ends can be acknowledged."""
+        self._changed.set()
+
+    def on_entry(self, info: ExecutorInfo) -> None:
+        """Poll at once if the executor's entry names another incarnation.
+
+        The sooner it is called, the fewer calls for the last one reach it.
+        """
+        if info.born_ms == self._entry_born_ms:
+            return
+        self._entry_born_ms = info.born_ms
+        if self._wait is not None:
+            self._wait.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
         """Poll until the pool is lost or the executor is removed."""
@@ -81,24 +110,44 @@
                 self.is_stopped = True
                 return
             self.info = view.info
-            await self._wait_for_store(view)
+            await self._wait_for_acknowledgement(view)
             if await self._poll_guarded(view):
                 retry_s = RETRY_S
                 continue
-            await asyncio.sleep(retry_s)
+            await self._pause(retry_s)
             retry_s = min(RETRY_MAX_S, retry_s * 2)
 
-    async def _wait_for_store(self, view: ExecutorView) -> None:
-        """Wait until the ends that were applied are durable."""
-        if view.last_applied_end <= view.last_acked_end:
+    async def _pause(self, pause_s: float) -> None:
+        """Wait before the next poll."""
+        try:
+            async with asyncio.timeout(pause_s) as self._wait:
+                await asyncio.Event().wait()
+        except TimeoutError:
             return
-        self._ends_stored.clear()
+        finally:
+            self._wait = None
+
+    async def _wait_for_acknowledgement(self, view: ExecutorView) -> None:
+        """Wait until the ends that were applied can be acknowledged.
+
+        They must be durable, and no start may be in doubt.
+        """
         try:
-            async with asyncio.timeout(STORE_WAIT_S):
-                await self._ends_stored.wait()
+            async with asyncio.timeout(ACKNOWLEDGE_WAIT_S):
+                while self._must_wait(view):
+                    self._changed.clear()
+                    await self._changed.wait()
         except TimeoutError:
             return
 
+    def _must_wait(self, view: ExecutorView) -> bool:
+        """Return whether a poll could not acknowledge all ends now."""
+        if view.needs_barrier:
+            return False
+        if view.last_applied_end > view.last_acked_end:
+            return True
+        return awaits_starts(view)
+
     async def _poll_guarded(self, view: ExecutorView) -> bool:
         """Poll once; an unexpected error ends only this poll."""
         try:
@@ -111,34 +160,36 @@
         """Poll once; return False if there was no task report."""
         context = self._context
         owner = self._owner
-        polled_at = context.clock.now()
-        deadline_ms = None
-        clock_ms = view.estimate_clock_ms(polled_at)
-        if (
-            clock_ms is not None
-            and owner.is_verified
-            and not self._is_unresponsive
-        ):
-            deadline_ms = clock_ms + int(context.lease_s * 1000)
-            view.record_lease(polled_at, context.lease_s)
+        call = make_poll(
+            view,
+            context.clock.now(),
+            context.lease_s,
+            owner.is_verified and not self._is_unresponsive,
+        )
         # After a silence the next poll is to extend the lease, so this one
         # doesn't wait.
-        is_regular = view.has_accepted_term and not self._is_unresponsive
+        is_regular = not call.is_barrier and not self._is_unresponsive
         wait_s = POLL_WAIT_S if is_regular else 0.0
-        acknowledged = view.last_acked_end
         born_ms = view.born_ms
-        result = await context.gateway.poll(
-            view.info, owner.term, acknowledged, deadline_ms, wait_s
-        )
+        result = await self._call(view, call, wait_s)
+        if result is None:
+            return True
         now = context.clock.now()
         if owner.schedule.executors.get(self._executor_id) is not view:
             # It was removed meanwhile: the answer is older than its end.
             return False
         if isinstance(result, Failure):
-            is_timeout = now - polled_at >= wait_s
-            was_refused = result.failure() is PollFailure.REFUSED
-            alive_until = polled_at if is_timeout or was_refused else now
-            self._handle_failure(view, result.failure(), alive_until, now)
+            failure = result.failure()
+            is_timeout = now - call.sent_at >= wait_s
+            was_refused = failure is PollFailure.REFUSED
+            alive_until = call.sent_at if is_timeout or was_refused else now
+            if failure is PollFailure.FENCED and view.tokens.is_past(
+                call.token
+            ):
+                # Perhaps only a later call of this owner has overtaken it.
+                view.require_barrier()
+                return True
+            self._handle_failure(view, failure, alive_until, now)
             return False
         report = result.unwrap()
         had_accepted_term = view.has_accepted_term
@@ -147,7 +198,7 @@
             owner.schedule,
             view,
             report,
-            polled_at,
+            call,
             now,
             context.clock.unix_ms(),
         )
@@ -164,12 +215,16 @@
                 term=owner.term,
                 born_ms=report.born_ms,
                 former_born_ms=born_ms,
-                acknowledged=acknowledged,
-                lease_ms=deadline_ms,
+                token=call.token,
+                is_barrier=call.is_barrier,
+                acknowledged=call.acknowledged,
+                deadline_ms=call.deadline_ms,
                 clock_ms=report.clock_ms,
                 running=len(report.running),
                 ended=len(report.ended),
             )
+        if ends is None:
+            return True
         if report.born_ms != born_ms:
             last_applied_end = 0
         if ends and ends[0].number > last_applied_end + 1:
@@ -181,7 +236,7 @@
                 born_ms=report.born_ms,
                 first=last_applied_end + 1,
                 last=ends[0].number - 1,
-                acknowledged=acknowledged,
+                acknowledged=call.acknowledged,
             )
             context.metrics.count(
                 "ends-skipped", ends[0].number - 1 - last_applied_end
@@ -201,6 +256,24 @@
         owner.wake()
         return True
 
+    async def _call(
+        self, view: ExecutorView, call: PollCall, wait_s: float
+    ) -> Result[TaskReport, PollFailure] | None:
+        """Send a poll; return None if its answer is not waited for."""
+        try:
+            async with asyncio.timeout(None) as self._wait:
+                return await self._context.gateway.poll(
+                    view.info,
+                    call.token,
+                    call.acknowledged,
+                    call.deadline_ms,
+                    wait_s,
+                )
+        except TimeoutError:
+            return None
+        finally:
+            self._wait = None
+
     def _handle_failure(
         self,
         view: ExecutorView,
@@ -211,6 +284,7 @@
         """Mark the executor unresponsive and act on the failure."""
         owner = self._owner
         view.last_report_at = None
+        view.require_barrier()
         if not self._is_unresponsive:
             self._is_unresponsive = True
             owner.schedule.crashes.record_silence(
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -82,7 +82,8 @@
         if view is None:
             return
         checked_at = context.clock.now()
-        if not self._owner.is_verified:
+        clock_ms = view.clock.estimate_ms(checked_at)
+        if clock_ms is None or not self._owner.is_verified:
             self._withhold("start", order.executor_id, task.name)
             apply_start_answer(
                 self._owner.schedule,
@@ -93,8 +94,9 @@
                 checked_at,
             )
             return
-        clock_ms = view.estimate_clock_ms(checked_at)
-        assert clock_ms is not None
+        if (task.name, order.run) not in view.runs:
+            # Given up since it was planned.
+            return
         deadline_ms = clock_ms + int(context.lease_s * 1000)
         born_ms = view.born_ms
         answer, executor_clock_ms = await context.gateway.start(
@@ -104,15 +106,24 @@
             task.job.record.payload,
             task.checkpoint,
             deadline_ms,
-            self._owner.term,
+            order.token,
             order.ticket,
         )
         now = context.clock.now()
-        if executor_clock_ms is not None:
-            view.record_clock(executor_clock_ms, now)
+        is_located = (
+            executor_clock_ms is not None
+            and view.clock.is_continued_by(executor_clock_ms, checked_at, now)
+        )
         apply_start_answer(
-            self._owner.schedule, view, task, order.run, answer, now
+            self._owner.schedule,
+            view,
+            task,
+            order.run,
+            answer,
+            now,
+            is_located,
         )
+        self._owner.on_start_answered(order.executor_id)
         context.metrics.count(f"starts-{answer.name.lower()}")
         log_frequent(
             "task-start",
@@ -124,6 +135,8 @@
             born_ms=born_ms,
             estimated_clock_ms=clock_ms,
             clock_ms=executor_clock_ms,
+            token=order.token,
+            located=is_located,
             answer=answer.name.lower(),
         )
         self._owner.wake()
@@ -139,8 +152,9 @@
             self._withhold("stop", order.executor_id, order.task_name)
             apply_stop_answer(view, key, False, context.clock.now())
             return
+        token = view.tokens.current
         answer = await context.gateway.stop(
-            view.info, order.task_name, order.run, self._owner.term
+            view.info, order.task_name, order.run, token
         )
         now = context.clock.now()
         log_frequent(
@@ -159,7 +173,7 @@
             schedule.remove_executor(
                 order.executor_id, now, LossCause.REPLACED
             )
-        elif answer is StopAnswer.FENCED:
+        elif answer is StopAnswer.FENCED and not view.tokens.is_past(token):
             self._owner.writer.verify_soon()
         apply_stop_answer(view, key, answer is StopAnswer.ANSWERED, now)
         if answer is StopAnswer.ANSWERED:
@@ -181,11 +195,13 @@
             order.task_name,
             order.run,
             order.percent,
-            self._owner.term,
+            view.tokens.current,
         )
         run = view.runs.get((order.task_name, order.run))
         if not is_set and run is not None:
             run.pace = PACE_UNKNOWN
+            # It may yet be carried out, after a later one.
+            view.require_barrier()
         log_frequent(
             "task-pace",
             task=order.task_name.render(),
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -122,7 +122,7 @@
         # The last owner may have extended leases until its own proof of
         # ownership became invalid.
         earlier_leases_end_at = (
-            now + OWNERSHIP_VALID_S + context.lease_s * (1 + CLOCK_DRIFT)
+            now + OWNERSHIP_VALID_S + context.lease_s / (1 - CLOCK_DRIFT)
         )
         self.schedule = PoolSchedule(
             pool,
@@ -131,6 +131,7 @@
             earlier_leases_end_at,
             relocate_after=now + RELOCATE_AFTER_S,
             ordering=context.overload.ordering,
+            lease_max_s=context.lease_max_s,
         )
         self.schedule.neighbors.is_enabled = context.keeps_apart
         self.log = PoolLog(context.clock, self.schedule)
@@ -212,7 +213,13 @@
     def on_progress_stored(self) -> None:
         """Let the polls continue that wait for the store."""
         for loop in self._loops.values():
-            loop.on_ends_stored()
+            loop.on_change()
+
+    def on_start_answered(self, executor_id: str) -> None:
+        """Let a poll continue that waits for the answer of a start."""
+        loop = self._loops.get(executor_id)
+        if loop is not None:
+            loop.on_change()
 
     def wake(self) -> None:
         """Plan again without waiting for the next tick."""
@@ -363,8 +370,10 @@
             self._context.executors(self.pool),
             self.feeds.drain_orders,
         )
-        for executor_id in self.schedule.executors:
+        for executor_id, view in self.schedule.executors.items():
             known = self._loops.get(executor_id)
+            if known is not None:
+                known.on_entry(view.info)
             if known is None or known.is_stopped:
                 loop = ExecutorLoop(self._context, self, executor_id)
                 self._loops[executor_id] = loop
--- a/lycheelug/jobservice/pool_recovery.py
+++ b/lycheelug/jobservice/pool_recovery.py
@@ -121,5 +121,6 @@
         )
         view.has_entry = False
         view.is_recorded = True
+        view.recorded_born_ms = used.born_ms
         view.is_located = True
     return True
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -88,6 +88,7 @@
         locate_remote: AskRemote | None = None,
         overload: OverloadPolicy | None = None,
         policies: PlanPolicies | None = None,
+        lease_max_s: float = 0.0,
     ) -> None:
         self._locations_task: asyncio.Task[None] | None = None
         self._maintenance_s = maintenance_s
@@ -129,6 +130,7 @@
             job_limits,
             keeps_apart,
             overload,
+            lease_max_s,
         )
         incarnation = secrets.token_hex(8)
         self.duties = Duties(
--- a/lycheelug/jobservice/used_executors.py
+++ b/lycheelug/jobservice/used_executors.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from lycheelug.decoding import Amount, decode_json
+from lycheelug.decoding import Amount, UnixMs, decode_json
 from lycheelug.jobservice.summary import host_of, is_in_use
 from lycheelug.store.rows import RowName
 from lycheelug.workloads import ExecutorInfo, Resources
@@ -45,6 +45,13 @@
     address: str
     capacity_cpu: Amount
     capacity_memory: Amount
+    # Start time of the incarnation that the owner has heard; 0 if unknown.
+    born_ms: UnixMs = 0
+
+    @property
+    def place(self) -> UsedExecutor:
+        """What must be stored before the executor is used."""
+        return self._replace(born_ms=0)
 
     def info(self, executor_id: str, pool: str) -> ExecutorInfo:
         """Return the executor as if it had an entry."""
@@ -115,7 +122,8 @@
                 continue
             wanted[name][view.executor_id] = record
             if view.executor_id in stored:
-                view.is_recorded = stored[view.executor_id] == record
+                known = stored[view.executor_id]
+                view.is_recorded = known.place == record.place
         changes: dict[RowName, tuple[int, bytes]] = {}
         for name, row in self._rows.items():
             if wanted[name] == row.executors:
@@ -136,7 +144,9 @@
             row.version = version
             for executor_id, record in row.executors.items():
                 view = self._schedule.executors.get(executor_id)
-                if view is not None and _record_of(view) == record:
+                if view is None:
+                    continue
+                if _record_of(view).place == record.place:
                     view.is_recorded = True
 
     def apply_failure(self) -> None:
@@ -175,6 +185,7 @@
         info.address,
         info.capacity.cpu_millis,
         info.capacity.memory_mb,
+        view.born_ms if view.has_accepted_term else view.recorded_born_ms,
     )
 
 
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -163,6 +163,7 @@
             locate_remote=self._placements.ask,
             overload=settings.overload_policy,
             policies=settings.plan_policies,
+            lease_max_s=settings.bounds.hold_max_ms / 1000,
         )
         self._relay.accept_submission = self._service.submit_locally
         self._relay.count_waiting = self._service.count_locally
--- a/lycheelug/workloads/__init__.py
+++ b/lycheelug/workloads/__init__.py
@@ -27,6 +27,7 @@
 from lycheelug.workloads.orders import PaceOrder, StartOrder, StopOrder
 from lycheelug.workloads.placement_hints import StepName, ticket_validity_s
 from lycheelug.workloads.policy_changes import apply_policy
+from lycheelug.workloads.polls import PollCall, awaits_starts, make_poll
 from lycheelug.workloads.pool import PoolSchedule
 from lycheelug.workloads.progress import ProgressRecord
 from lycheelug.workloads.task_reports import (
@@ -52,6 +53,7 @@
     "Occurrences",
     "PaceOrder",
     "PolicyRecord",
+    "PollCall",
     "PoolSchedule",
     "ProgressRecord",
     "QueuePolicy",
@@ -72,6 +74,8 @@
     "apply_start_answer",
     "apply_stop_answer",
     "apply_task_report",
+    "awaits_starts",
     "find_error",
+    "make_poll",
     "ticket_validity_s",
 ]
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -1,13 +1,22 @@
 """The owner's view of one executor and of the runs on it.
 
-An executor is one incarnation of a host.  Its task reports are
-authoritative for what it runs; between two reports, the owner adds the
-orders that it has sent itself.  A run reserves capacity from the moment its
-start is sent until an answer or a report shows that it isn't running.
-
-`leases_end_at` is an upper bound, in local time, on the end of every lease
-ever granted to the executor: after it, nothing can be running there and no
-start still in transit can be carried out.
+An executor's task reports are authoritative for what it runs; between two
+reports, the owner adds the orders that it has sent itself.  A run reserves
+capacity from the moment its start is sent until an answer or a report shows
+that it isn't running.
+
+An executor may start again under its id.  The next incarnation has seen no
+fencing token, counts its ends and its clock from the beginning, and carries
+out calls that were meant for the one before.  So a call is attributed to an
+incarnation only by a report that names it, or by a clock that continues the
+one that was last reported.  `order_tokens` tells how the calls of former
+incarnations are shut out.
+
+`leases_end_at` is an upper bound, in local time, on the end of the leases of
+runs that are known to be on an incarnation that the owner has heard.
+`late_leases_end_at` holds for all other runs too: a later incarnation may
+have carried out their starts, or may yet do so, and takes a deadline on the
+clock of a former one for the longest lease that it grants.
 
 The classes here only hold state.  `task_reports` applies reports and
 answers, `pool` decides which orders to send.
@@ -16,25 +25,27 @@
 from __future__ import annotations
 
 from collections import Counter
-from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
+from lycheelug.workloads.executor_clock import CLOCK_DRIFT, ExecutorClock
 from lycheelug.workloads.executor_info import ExecutorInfo
 from lycheelug.workloads.health import ExecutorHealth
+from lycheelug.workloads.order_tokens import OrderTokens
 from lycheelug.workloads.reports import (
     EndKind,
     EndReport,
     RunReport,
     TaskReport,
 )
+from lycheelug.workloads.runs import Run, RunPhase
 
 if TYPE_CHECKING:
     from lycheelug.tenants.usage import TenantUsage
-    from lycheelug.workloads.jobs import Task
-    from lycheelug.workloads.model import Resources, StepSpec, TaskName
+    from lycheelug.workloads.model import Resources, TaskName
 
 __all__ = [
     "CLOCK_DRIFT",
+    "LATE_CALL_S",
     "EndKind",
     "EndReport",
     "ExecutorInfo",
@@ -45,117 +56,28 @@
     "TaskReport",
 ]
 
-# Maximum relative rate by which an executor's clock may run slow, as the
-# platform specifies it.
-CLOCK_DRIFT: Final = 0.02
+# How long after it was sent a call may still be carried out, by an executor
+# that the owner doesn't reach.
+LATE_CALL_S: Final = 4.0
 # An executor gets no new tasks once its last report is older than this,
 # which is two poll intervals.
 UNRESPONSIVE_S: Final = 1.6
 
 
-class RunPhase(Enum):
-    """State of a run as far as the owner knows."""
-
-    # The start was sent and is not answered yet.
-    STARTING = auto()
-    # The start failed without an answer: it may be running, or may yet be
-    # started.
-    UNKNOWN = auto()
-    RUNNING = auto()
-    # A stop is due or was sent.
-    STOPPING = auto()
-
-
-class Run:
-    """One run of a task on one executor."""
-
-    __slots__ = (
-        "charged",
-        "checkpoint",
-        "confirmed_at",
-        "is_adopted",
-        "is_isolated",
-        "load",
-        "ordered_at",
-        "pace",
-        "percent",
-        "phase",
-        "progressed_at",
-        "resources",
-        "run",
-        "stop_answered_at",
-        "stop_reason",
-        "stop_sent",
-        "task",
-        "task_name",
-        "tenant",
-        "unknown_at",
-    )
-
-    def __init__(
-        self,
-        task_name: TaskName,
-        run: int,
-        resources: Resources,
-        ordered_at: float,
-        task: Task | None,
-    ) -> None:
-        self.task_name = task_name
-        self.run = run
-        self.resources = resources
-        # None for a run that this owner has no use for.
-        self.task = task
-        self.phase = RunPhase.STARTING
-        # Local time at which its start was ordered or, if an earlier owner
-        # did that, at which it was first reported.
-        self.ordered_at = ordered_at
-        self.is_adopted = False
-        # Whether its executor was reserved for its job at its start.
-        self.is_isolated = False
-        # Local time of the first answer or report that confirmed the run.
-        self.confirmed_at: float | None = None
-        self.checkpoint = ""
-        self.percent = 0
-        # Local time of the last report that showed progress.
-        self.progressed_at = ordered_at
-        # Local time at which the start was recorded as unanswered.
-        self.unknown_at = ordered_at
-        # Load as last reported, and the pace last ordered: the share of its
-        # normal speed at which a backfill run may work, in percent.
-        self.load = 0
-        self.pace = 100
-        self.stop_sent = False
-        self.stop_answered_at: float | None = None
-        self.stop_reason = ""
-        # What counts for the cap of its job's tenant; empty for none.
-        self.tenant = ""
-        self.charged = resources
-        if task is not None:
-            self.charge(task.job.record.tenant, task.step)
-
-    def charge(self, tenant: str, step: StepSpec) -> None:
-        """Let the run count for a tenant's cap, before it is added."""
-        self.tenant = tenant
-        self.charged = step.request
-
-    @property
-    def key(self) -> tuple[TaskName, int]:
-        """Key that is unique among the runs on the executor."""
-        return (self.task_name, self.run)
-
-
 class ExecutorView:
     """State of one executor as known to the pool's owner."""
 
     __slots__ = (
+        "_barriers_passed",
+        "_barriers_wanted",
         "_run_counts",
         "_step_runs",
         "_tenant_usage",
         "backoff_until",
         "born_ms",
-        "clock_ms",
-        "clock_read_at",
+        "clock",
         "drain_order",
+        "former_born_ms",
         "has_accepted_term",
         "has_entry",
         "has_listed_ends",
@@ -165,14 +87,19 @@
         "is_recorded",
         "last_acked_end",
         "last_applied_end",
+        "last_forgotten_end",
         "last_report_at",
+        "late_leases_end_at",
+        "lease_max_s",
         "leases_end_at",
         "lists_all_ends",
         "pace",
         "pace_report_at",
         "polled_at",
+        "recorded_born_ms",
         "runs",
         "start_unanswered_at",
+        "tokens",
         "used_cpu",
         "used_gpus",
         "used_memory",
@@ -184,11 +111,23 @@
         leases_end_at: float,
         run_counts: Counter[TaskName] | None = None,
         tenant_usage: TenantUsage | None = None,
+        tokens: OrderTokens | None = None,
+        lease_max_s: float = 0.0,
+        late_leases_end_at: float = 0.0,
     ) -> None:
         self.info = info
+        # The fencing tokens of this owner's calls to it.
+        self.tokens = tokens or OrderTokens(0)
+        # The longest lease that it grants.
+        self.lease_max_s = lease_max_s
+        # The number of requests for a call that shuts out all earlier ones,
+        # and how many of them had been made before such a call was answered.
+        self._barriers_wanted = 1
+        self._barriers_passed = 0
         # What the runs of each tenant use, shared likewise.
         self._tenant_usage = tenant_usage
         self.leases_end_at = leases_end_at
+        self.late_leases_end_at = max(leases_end_at, late_leases_end_at)
         # Number of known runs of each task, shared by all executors of the
         # pool.
         self._run_counts = Counter() if run_counts is None else run_counts
@@ -197,6 +136,10 @@
         # Unix time in milliseconds at which the current incarnation started,
         # by its entry until its first report, and by its reports from then.
         self.born_ms = info.born_ms
+        # The same of the incarnation before, if it answered this owner, and
+        # of the last one that the last owner has recorded; 0 for none.
+        self.former_born_ms = 0
+        self.recorded_born_ms = 0
         # Whether it has answered at this address, to this owner or, as is
         # recorded, to an earlier one.  Any writer can change an entry, so
         # without that, nothing that is seen at the address proves its end.
@@ -208,10 +151,8 @@
         self.has_accepted_term = False
         # Whether its entry is still in the store.
         self.has_entry = True
-        # Its monotonic clock, and the local time at which that value was
-        # received.
-        self.clock_ms: int | None = None
-        self.clock_read_at = 0.0
+        # The current incarnation's monotonic clock.
+        self.clock = ExecutorClock()
         # Local times at which its last report arrived and at which that
         # report was requested.
         self.last_report_at: float | None = None
@@ -224,6 +165,8 @@
         # that are stored and may be acknowledged.
         self.last_applied_end = 0
         self.last_acked_end = 0
+        # The last of them that a poll which was answered has acknowledged.
+        self.last_forgotten_end = 0
         # Keyed by task and run number, as a task may have a second,
         # superfluous run.
         self.runs: dict[tuple[TaskName, int], Run] = {}
@@ -265,9 +208,36 @@
         and an unanswered start counts as a run until it is disproved.
         """
         is_known = self.has_accepted_term and self.last_report_at is not None
-        is_known = is_known and self.lists_all_ends
+        is_known = is_known and self.lists_all_ends and not self.needs_barrier
         return bool(self.drain_order) and is_known and not self.runs
 
+    @property
+    def needs_barrier(self) -> bool:
+        """Whether calls from before may still be carried out unnoticed.
+
+        Then nothing is started there until an answered call, with a higher
+        token than all of them, has shown what was carried out.
+        """
+        return self._barriers_passed < self._barriers_wanted
+
+    @property
+    def barrier_number(self) -> int:
+        """Number of the last request for such a call."""
+        return self._barriers_wanted
+
+    @property
+    def has_unlocated_runs(self) -> bool:
+        """Whether any run may be carried out by a later incarnation."""
+        return any(not run.is_located for run in self.runs.values())
+
+    def require_barrier(self) -> None:
+        """Let the next poll shut out all calls that were sent before it."""
+        self._barriers_wanted += 1
+
+    def record_barrier(self, number: int) -> None:
+        """Record the answer of a poll that was sent as a barrier."""
+        self._barriers_passed = max(self._barriers_passed, number)
+
     def may_hide_ends(self, now: float) -> bool:
         """Return whether runs of earlier owners may have ended unlisted.
 
@@ -285,7 +255,11 @@
         """
         if not self.has_accepted_term or not self.is_recorded:
             return False
-        if not self.has_entry or self.info.draining:
+        if not self.has_entry or self.info.draining or self.needs_barrier:
+            return False
+        if self.info.born_ms and self.info.born_ms == self.former_born_ms:
+            # The entry still describes the former incarnation, which may
+            # have been of another kind.
             return False
         if self.start_unanswered_at > self.polled_at:
             return False
@@ -303,10 +277,19 @@
         if self.is_located and not info.has_place_of(self.info):
             self.has_entry = False
             return bool(self.runs) or not self.has_accepted_term
+        if info.born_ms not in (self.info.born_ms, self.born_ms):
+            self.require_barrier()
+        if info.born_ms not in (0, self.recorded_born_ms):
+            self._expect_late_leases()
         self.info = info
         self.has_entry = True
         return True
 
+    def _expect_late_leases(self) -> None:
+        """Expect that the last owner took it for another incarnation."""
+        if self.recorded_born_ms and not self.has_accepted_term:
+            self.leases_end_at = self.late_leases_end_at
+
     def add_run(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
@@ -353,19 +336,21 @@
             and self.used_gpus + resources.gpus <= capacity.gpus
         )
 
-    def estimate_clock_ms(self, now: float) -> int | None:
-        """Estimate its clock's current value; None before the first report."""
-        if self.clock_ms is None:
-            return None
-        return self.clock_ms + int((now - self.clock_read_at) * 1000)
-
-    def record_clock(self, clock_ms: int, received_at: float) -> None:
-        """Record its clock, unless the value is older than the known one."""
-        if self.clock_ms is None or clock_ms >= self.clock_ms:
-            self.clock_ms = clock_ms
-            self.clock_read_at = received_at
+    def begin_incarnation(self, born_ms: int) -> None:
+        """Forget what a former incarnation has counted; its runs stay."""
+        if self.has_accepted_term:
+            self.former_born_ms = self.born_ms
+        self.born_ms = born_ms
+        self.last_applied_end = 0
+        self.last_acked_end = 0
+        self.last_forgotten_end = 0
+        self.clock = ExecutorClock()
 
     def record_lease(self, now: float, lease_s: float) -> None:
-        """Extend the bound on leases for an order sent now."""
-        latest = now + lease_s * (1 + CLOCK_DRIFT)
+        """Extend the bounds on leases for an order sent now."""
+        latest = now + lease_s / (1 - CLOCK_DRIFT)
         self.leases_end_at = max(self.leases_end_at, latest)
+        longest_s = max(lease_s, self.lease_max_s) / (1 - CLOCK_DRIFT)
+        self.late_leases_end_at = max(
+            self.late_leases_end_at, now + LATE_CALL_S + longest_s
+        )
--- a/lycheelug/workloads/orders.py
+++ b/lycheelug/workloads/orders.py
@@ -38,16 +38,24 @@
 class StartOrder:
     """Start a run of a task on an executor."""
 
-    __slots__ = ("executor_id", "run", "task", "ticket")
+    __slots__ = ("executor_id", "run", "task", "ticket", "token")
 
     def __init__(
-        self, executor_id: str, task: Task, run: int, ticket: str = ""
+        self,
+        executor_id: str,
+        task: Task,
+        run: int,
+        ticket: str = "",
+        token: int = 0,
     ) -> None:
         self.executor_id = executor_id
         self.task = task
         self.run = run
         # Ticket from the placement hint service; empty if none is needed.
         self.ticket = ticket
+        # Its fencing token, that of its plan: a start must not be sent with
+        # the token of a later barrier.
+        self.token = token
 
 
 class StopOrder:
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -14,7 +14,8 @@
   freed only by an answered stop and a report requested after that answer.
 * A run on an unresponsive executor is given up only once every lease
   granted there has ended, and the store has since confirmed that there is
-  no newer owner, who could have extended the lease.
+  no newer owner, who could have extended the lease.  That is later for a
+  start that another incarnation of the executor may carry out.
 * After a takeover, a task of a begun job isn't started until each executor
   that may be running it has acknowledged the new term or its lease has
   ended.
@@ -31,13 +32,16 @@
 from lycheelug.tenants.shares import PoolShares
 from lycheelug.workloads.crashes import CrashLedger
 from lycheelug.workloads.demand import Arrivals, expected_work
-from lycheelug.workloads.executors import ExecutorView, Run, RunPhase
+from lycheelug.workloads.executors import LATE_CALL_S, ExecutorView
 from lycheelug.workloads.incarnations import EndedIncarnations
 from lycheelug.workloads.isolation import Isolation
 from lycheelug.workloads.job_index import JobIndex
 from lycheelug.workloads.jobs import Job, Task, TaskState
+from lycheelug.workloads.late_starts import LateStarts
 from lycheelug.workloads.losses import LossCause
+from lycheelug.workloads.lost_runs import clear_runs, free_expired_runs
 from lycheelug.workloads.neighbors import Neighbors
+from lycheelug.workloads.order_tokens import OrderTokens
 from lycheelug.workloads.orders import (
     PaceOrder,
     StartOrder,
@@ -50,6 +54,7 @@
 from lycheelug.workloads.plan_budget import PlanBudget
 from lycheelug.workloads.ready_queue import DEFAULT_ORDERING, ReadyQueue
 from lycheelug.workloads.relocation import Relocations
+from lycheelug.workloads.runs import Run, RunPhase
 from lycheelug.workloads.runtimes import RunTimes
 from lycheelug.workloads.stalls import STALLED, runs_to_duplicate, stalled_runs
 from lycheelug.workloads.starts import plan_starts
@@ -71,6 +76,9 @@
 
     __slots__ = (
         "_earlier_leases_end_at",
+        "_late_s",
+        "_lease_max_s",
+        "_tokens",
         "are_used_executors_known",
         "arrivals",
         "budget",
@@ -83,6 +91,7 @@
         "isolation",
         "job_index",
         "jobs",
+        "late_starts",
         "lease_s",
         "neighbors",
         "placement",
@@ -105,10 +114,15 @@
         placement: str = "together",
         relocate_after: float = 0.0,
         ordering: str = DEFAULT_ORDERING,
+        lease_max_s: float = 0.0,
     ) -> None:
         self.pool = pool
         self.term = term
         self.lease_s = lease_s
+        # The longest lease that an executor grants.
+        self._lease_max_s = max(lease_s, lease_max_s)
+        # How much later they may end that later incarnations have granted.
+        self._late_s = LATE_CALL_S + self._lease_max_s - lease_s
         self.placement = placement
         # Local time by which all leases of earlier owners have ended.
         self._earlier_leases_end_at = earlier_leases_end_at
@@ -130,11 +144,14 @@
         # The job of the task that is being reported on, for errors.
         self.handled_job: Job | None = None
         self.executors: dict[str, ExecutorView] = {}
+        # Kept for executors that are removed, as they may be back.
+        self._tokens: dict[str, OrderTokens] = {}
         # Whether all executors that earlier owners used are known.
         self.are_used_executors_known = False
         # Tasks waiting for an executor.
         self.ready = ReadyQueue(ordering)
         self.ended_incarnations = EndedIncarnations()
+        self.late_starts = LateStarts()
         # Number of known runs of each task, including superfluous ones.
         self.run_counts: Counter[TaskName] = Counter()
         self.tenant_shares = PoolShares(pool, term)
@@ -247,6 +264,11 @@
                 self._earlier_leases_end_at,
                 self.run_counts,
                 self.tenant_shares.usage,
+                self._tokens.setdefault(
+                    info.executor_id, OrderTokens(self.term)
+                ),
+                self._lease_max_s,
+                self._earlier_leases_end_at + self._late_s,
             )
             self.executors[info.executor_id] = view
         return view
@@ -275,18 +297,13 @@
         self.placement_hints.forget_executor(executor_id)
         self.ended_incarnations.add(view)
         # One that never answered was not used, so nothing has ended.
-        return self.clear_runs(view, now, cause) if view.is_located else []
-
-    def clear_runs(
-        self, view: ExecutorView, now: float, cause: LossCause
-    ) -> list[Run]:
-        """Drop all runs of an executor and requeue their tasks."""
-        cleared = list(view.runs.values())
-        self.crashes.record_loss(self, view, cleared, cause, now)
-        for run in cleared:
-            view.drop_run(run.key)
-            self.free_task(run, view, now)
-        return cleared
+        if not view.is_located:
+            return []
+        if cause is LossCause.NOT_LISTED:
+            self.late_starts.hold(view, now)
+        lost = list(view.runs.values())
+        clear_runs(self, view, lost, now, cause)
+        return lost
 
     def free_task(self, run: Run, view: ExecutorView, now: float) -> None:
         """Requeue a run's task, unless the task now has another run."""
@@ -313,7 +330,7 @@
         for view in list(self.executors.values()):
             if is_undisturbed(view, now):
                 continue
-            self._free_expired(view, now, verified_at)
+            free_expired_runs(self, view, now, verified_at)
             duplicated = runs_to_duplicate(view)
             if duplicated:
                 self.crashes.record_loss(
@@ -345,19 +362,6 @@
             orders.extend(plan_starts(self, now, unix_ms))
         return orders
 
-    def _free_expired(
-        self, view: ExecutorView, now: float, verified_at: float
-    ) -> None:
-        """Drop the runs of an executor once its last lease has ended.
-
-        Ownership must be verified after that, as a newer owner may extend it.
-        """
-        if now < view.leases_end_at or verified_at < view.leases_end_at:
-            return
-        self.clear_runs(view, now, LossCause.LEASE_ENDED)
-        if not view.has_entry:
-            self.executors.pop(view.executor_id, None)
-
     def place(
         self, task: Task, view: ExecutorView, now: float, run: int = 0
     ) -> StartOrder:
@@ -370,7 +374,8 @@
         task.job.home_zone = view.info.zone
         task.job.timing.record_placed(now)
         self.ready.discard(task)
-        added = Run(task.name, run, task.step.resources, now, task)
+        token = view.tokens.current
+        added = Run(task.name, run, task.step.resources, now, task, token)
         reserved_for = self.isolation.job_on(view.executor_id)
         added.is_isolated = reserved_for == task.name.job
         if reserved_for and not added.is_isolated:
@@ -383,15 +388,18 @@
             ticket = (
                 self.placement_hints.ticket(step, view.executor_id, now) or ""
             )
-        return StartOrder(view.executor_id, task, run, ticket)
+        return StartOrder(view.executor_id, task, run, ticket, token)
 
     def earlier_runs_known(self, now: float) -> bool:
         """Return whether all runs of earlier owners are known."""
-        have_leases_ended = now >= self._earlier_leases_end_at
         for view in self.executors.values():
             if view.may_hide_ends(now):
                 return False
-            if have_leases_ended or view.has_accepted_term:
+            if view.has_accepted_term:
+                # While it is silent, the last owner may still use the next
+                # incarnation, which has not seen this owner's token.
+                if view.needs_barrier and now < self._earlier_leases_end_at:
+                    return False
                 continue
             if self.are_used_executors_known and not view.is_located:
                 continue
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -152,7 +152,7 @@
 
 def _can_start(schedule: PoolSchedule, task: Task, now: float) -> bool:
     """Return whether a waiting task of a startable job may be started."""
-    if now < task.not_before:
+    if now < task.not_before or schedule.late_starts.is_held(task.name, now):
         return False
     if not task.step.is_gang and _awaits_policy(task, now):
         return False
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -1,11 +1,17 @@
 """Applies executors' task reports and order answers to a pool's schedule.
 
-A task report was requested at `polled_at`.  If a run's start or stop was
-answered before that time and the report doesn't list the run, then the run
-isn't on the executor, because the executor made the report after it had
-answered.  An unanswered order may still be carried out after the report was
-made, so the absence of its run from the report proves nothing.  Neither does
-it if the report leaves ends out: the run may be among them.
+If a run's start or stop was answered before a report was requested and the
+report doesn't list the run, then the run isn't on the executor, because the
+executor made the report after it had answered.  An unanswered order may still
+be carried out after the report was made, so the absence of its run from the
+report proves nothing, unless the poll had a higher fencing token: then the
+executor rejects the order from now on.  Neither does it prove anything if the
+report leaves ends out: the run may be among them.
+
+The first report of a new incarnation counts only as the answer of a barrier
+(see `order_tokens`).  The answer of any other poll tells that there is one,
+and no more: calls that were meant for the former incarnation may still reach
+it.
 
 Sending the orders and acknowledging the ends is left to the caller.
 """
@@ -15,11 +21,16 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, Final
 
-from lycheelug.workloads.executors import EndKind, Run, RunPhase
+from lycheelug.workloads.executor_clock import ExecutorClock
+from lycheelug.workloads.executors import EndKind
+from lycheelug.workloads.incarnation_changes import (
+    record_acceptance,
+    record_restart,
+)
 from lycheelug.workloads.jobs import TaskState
-from lycheelug.workloads.losses import LossCause
 from lycheelug.workloads.placement_hints import StepName
 from lycheelug.workloads.pool import START_BACKOFF_S
+from lycheelug.workloads.runs import Run, RunPhase
 from lycheelug.workloads.slack_errors import record_slack_error
 
 if TYPE_CHECKING:
@@ -31,6 +42,7 @@
     )
     from lycheelug.workloads.jobs import Job, Task
     from lycheelug.workloads.model import Resources, TaskName
+    from lycheelug.workloads.polls import PollCall
     from lycheelug.workloads.pool import PoolSchedule
 
 __all__ = [
@@ -66,33 +78,46 @@
     schedule: PoolSchedule,
     view: ExecutorView,
     report: TaskReport,
-    polled_at: float,
+    call: PollCall,
     now: float,
     unix_ms: int,
-) -> list[EndReport]:
-    """Apply an executor's task report; return the ends that are new."""
-    if not view.has_accepted_term or not view.born_ms:
+) -> list[EndReport] | None:
+    """Apply the report that a poll returned; return the ends that are new.
+
+    The result is None if another poll has to confirm the report, as it is the
+    first one of a new incarnation.
+    """
+    is_first = not view.has_accepted_term
+    is_restarted = not is_first and report.born_ms not in (0, view.born_ms)
+    if is_restarted and not call.is_barrier:
+        # No more deadlines on the clock of the former one.
+        view.clock = ExecutorClock()
+        view.require_barrier()
+        return None
+    reported = {(each.task, each.run) for each in report.running}
+    if is_restarted:
+        # Also if it started earlier, as the host's clock was set back.
+        record_restart(schedule, view, report, reported, now)
+    elif is_first:
         # The start time in the entry may be wrong.
-        view.born_ms = report.born_ms or view.born_ms
-    elif report.born_ms and report.born_ms != view.born_ms:
-        # Also lower after the clock of the host was set back.
-        _reset_incarnation(schedule, view, report.born_ms, polled_at, now)
+        view.begin_incarnation(report.born_ms or view.born_ms)
     view.is_located = True
-    schedule.crashes.record_answer(view, not view.has_accepted_term)
-    if not view.has_accepted_term:
-        # The executor now rejects earlier owners, so none of them can extend
-        # a lease any more.
-        view.has_accepted_term = True
-        view.leases_end_at = now
-        view.record_lease(now, schedule.lease_s)
+    schedule.crashes.record_answer(view, is_first)
+    if is_first:
+        record_acceptance(schedule, view, now)
+    elif is_restarted:
+        # It may have taken a deadline on the former clock.
+        view.record_lease(now, view.lease_max_s)
+    if call.is_barrier:
+        view.record_barrier(call.barrier_number)
+        schedule.late_starts.release(view.executor_id)
+    view.last_forgotten_end = max(view.last_forgotten_end, call.acknowledged)
     view.last_report_at = now
-    view.polled_at = polled_at
+    view.polled_at = call.sent_at
     view.lists_all_ends = report.lists_all_ends
     view.has_listed_ends |= report.lists_all_ends
-    view.record_clock(report.clock_ms, now)
-    reported: set[tuple[TaskName, int]] = set()
+    view.clock.record(report.clock_ms, now)
     for entry in report.running:
-        reported.add((entry.task, entry.run))
         schedule.handled_job = schedule.jobs.get(entry.task.job)
         _apply_running(schedule, view, entry, now)
     ends: list[EndReport] = []
@@ -107,7 +132,7 @@
         if run is not None:
             schedule.neighbors.record_end(view, run, now)
     if report.lists_all_ends:
-        _free_absent_runs(schedule, view, reported, polled_at, now)
+        _free_absent_runs(schedule, view, reported, call, now)
     schedule.handled_job = None
     schedule.neighbors.record_response_times(view, now)
     return ends
@@ -117,12 +142,12 @@
     schedule: PoolSchedule,
     view: ExecutorView,
     reported: set[tuple[TaskName, int]],
-    polled_at: float,
+    call: PollCall,
     now: float,
 ) -> None:
     """Drop the runs that a complete report proves not to be running."""
     for run in list(view.runs.values()):
-        if run.key not in reported and _is_absent(run, polled_at):
+        if run.key not in reported and _is_absent(run, call):
             view.drop_run(run.key)
             schedule.free_task(run, view, now)
 
@@ -134,8 +159,13 @@
     number: int,
     answer: StartAnswer,
     now: float,
+    is_located: bool = True,
 ) -> None:
-    """Apply the outcome of a start order."""
+    """Apply the outcome of a start order.
+
+    `is_located` tells whether it is known that the answer comes from the
+    incarnation that was reported last.
+    """
     run = view.runs.get((task.name, number))
     if answer not in (StartAnswer.STARTED, StartAnswer.NO_ANSWER):
         schedule.crashes.record_not_started(task, view)
@@ -144,6 +174,7 @@
     if answer is StartAnswer.STARTED:
         run.confirmed_at = now
         run.phase = RunPhase.RUNNING
+        run.is_located = is_located
         task.job.has_started = True
         if task.job.policy.needs_placement_hint:
             schedule.placement_hints.record_accepted(StepName.of(task.name))
@@ -152,6 +183,7 @@
         run.phase = RunPhase.UNKNOWN
         run.unknown_at = now
         view.start_unanswered_at = now
+        view.require_barrier()
         return
     if answer is StartAnswer.BAD_TICKET:
         schedule.placement_hints.discard_ticket(
@@ -180,39 +212,6 @@
         run.stop_sent = False
 
 
-def _reset_incarnation(
-    schedule: PoolSchedule,
-    view: ExecutorView,
-    born_ms: int,
-    polled_at: float,
-    now: float,
-) -> None:
-    """Discard the runs and ends of an executor's previous incarnation.
-
-    Runs whose start is unanswered are kept: the new incarnation may have
-    carried out the order.  So are runs confirmed after the report was
-    requested.
-    """
-    lost: list[Run] = []
-    for run in view.runs.values():
-        if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
-            continue
-        if run.confirmed_at is not None and run.confirmed_at >= polled_at:
-            continue
-        lost.append(run)
-    schedule.crashes.record_loss(
-        schedule, view, lost, LossCause.RESTARTED, now
-    )
-    schedule.placement_hints.forget_executor(view.executor_id)
-    view.born_ms = born_ms
-    view.last_applied_end = 0
-    view.last_acked_end = 0
-    view.clock_ms = None
-    for run in lost:
-        view.drop_run(run.key)
-        schedule.free_task(run, view, now)
-
-
 def _apply_running(
     schedule: PoolSchedule,
     view: ExecutorView,
@@ -225,6 +224,7 @@
         run = _adopt_run(schedule, view, entry, now)
     if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
         run.phase = RunPhase.RUNNING
+    run.is_located = True
     if run.confirmed_at is None:
         run.confirmed_at = now
     if run.task is not None:
@@ -247,7 +247,8 @@
     """Add a reported run that this owner has not ordered.
 
     The run is adopted if its task is waiting for an executor and has had no
-    later run; otherwise it will be stopped.
+    later run; otherwise it will be stopped.  The last run itself is reported
+    if it was given up with a former incarnation.
     """
     job = schedule.jobs.get(entry.task.job)
     task = job.find_task(entry.task) if job is not None else None
@@ -264,7 +265,7 @@
     view.add_run(run)
     if task is None or job is None or job.is_final:
         return run
-    is_wanted = task.state is TaskState.READY and entry.run > task.last_run
+    is_wanted = task.state is TaskState.READY and entry.run >= task.last_run
     if not is_wanted:
         return run
     run.task = task
@@ -358,10 +359,16 @@
     record_slack_error(schedule, job, now)
 
 
-def _is_absent(run: Run, polled_at: float) -> bool:
-    """Return whether a run missing from a report is surely not running."""
+def _is_absent(run: Run, call: PollCall) -> bool:
+    """Return whether a run missing from a report is surely not running.
+
+    Its start was answered before the report was requested, or the executor
+    rejects that start from now on.
+    """
+    if run.token < call.token:
+        return True
     if run.stop_answered_at is not None:
-        return run.stop_answered_at < polled_at
+        return run.stop_answered_at < call.sent_at
     if run.phase in (RunPhase.STARTING, RunPhase.UNKNOWN):
         return False
-    return run.confirmed_at is not None and run.confirmed_at < polled_at
+    return run.confirmed_at is not None and run.confirmed_at < call.sent_at
--- a/tests/interleavings.py
+++ b/tests/interleavings.py
@@ -34,9 +34,14 @@
     apply_start_answer,
     apply_stop_answer,
     apply_task_report,
+    make_poll,
 )
 from lycheelug.workloads.executors import CLOCK_DRIFT
-from tests.interleaved_executor import ExecutorIncarnation, InvariantError
+from tests.interleaved_executor import (
+    LEASE_MAX_S,
+    ExecutorIncarnation,
+    InvariantError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,10 +77,14 @@
         self.partitioned_until: dict[str, float] = {}
         self.verified_at = simulation.now
         earlier_leases_end_at = (
-            simulation.now + OWNERSHIP_VALID_S + LEASE_S * (1 + CLOCK_DRIFT)
+            simulation.now + OWNERSHIP_VALID_S + LEASE_S / (1 - CLOCK_DRIFT)
         )
         self.schedule = PoolSchedule(
-            "pool", term, LEASE_S, earlier_leases_end_at
+            "pool",
+            term,
+            LEASE_S,
+            earlier_leases_end_at,
+            lease_max_s=LEASE_MAX_S,
         )
         for job_id, value in simulation.progress.items():
             self._add(job_id, value)
@@ -197,29 +206,32 @@
 
     def _start(self, order: StartOrder) -> None:
         view = self.schedule.executors[order.executor_id]
-        clock_ms = view.estimate_clock_ms(self.simulation.now)
+        clock_ms = view.clock.estimate_ms(self.simulation.now)
         assert clock_ms is not None
         deadline_ms = clock_ms + int(LEASE_S * 1000)
         task = order.task
-        answers: list[StartAnswer | None] = []
+        sent_at = self.simulation.now
+        answers: list[tuple[StartAnswer | None, int]] = []
 
         def act(executor: ExecutorIncarnation) -> None:
             answer = executor.start(
-                task.name, order.run, deadline_ms, self.term
+                task.name, order.run, deadline_ms, order.token
             )
-            answers.append(answer)
+            answers.append((answer, executor.clock_ms()))
 
         def apply() -> None:
-            answer = answers[0] if answers else None
+            answer, answer_clock_ms = answers[0] if answers else (None, 0)
             if answer is None or self.simulation.rng.random() < 0.02:
                 answer = StartAnswer.NO_ANSWER
+            now = self.simulation.now
             apply_start_answer(
                 self.schedule,
                 view,
                 task,
                 order.run,
                 answer,
-                self.simulation.now,
+                now,
+                view.clock.is_continued_by(answer_clock_ms, sent_at, now),
             )
 
         self._call(order.executor_id, act, apply)
@@ -227,11 +239,10 @@
     def _stop(self, order: StopOrder) -> None:
         view = self.schedule.executors[order.executor_id]
         answers: list[bool] = []
+        token = view.tokens.current
 
         def act(executor: ExecutorIncarnation) -> None:
-            answers.append(
-                executor.stop(order.task_name, order.run, self.term)
-            )
+            answers.append(executor.stop(order.task_name, order.run, token))
 
         def apply() -> None:
             apply_stop_answer(
@@ -255,30 +266,30 @@
                 _info(self.simulation.executors[name])
             )
         polled_at = self.simulation.now
-        deadline_ms = None
-        clock_ms = view.estimate_clock_ms(polled_at)
         is_verified = polled_at - self.verified_at < OWNERSHIP_VALID_S
-        if (
-            clock_ms is not None
-            and is_verified
-            and view.last_report_at is not None
-        ):
-            deadline_ms = clock_ms + int(LEASE_S * 1000)
-            view.record_lease(polled_at, LEASE_S)
-        acknowledged = view.last_acked_end
+        call = make_poll(
+            view,
+            polled_at,
+            LEASE_S,
+            is_verified and view.last_report_at is not None,
+        )
         reports: list[TaskReport | None] = []
 
         def act(executor: ExecutorIncarnation) -> None:
-            reports.append(executor.poll(self.term, deadline_ms, acknowledged))
+            report = executor.poll(
+                call.token, call.deadline_ms, call.acknowledged
+            )
+            reports.append(report)
 
         def apply() -> None:
             self._poll_later(name, 0.25)
             report = reports[0] if reports else None
             if report is None:
                 view.last_report_at = None
+                view.require_barrier()
                 return
             now = self.simulation.now
-            apply_task_report(self.schedule, view, report, polled_at, now, 0)
+            apply_task_report(self.schedule, view, report, call, now, 0)
 
         self._call(name, act, apply)
 
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -48,6 +48,7 @@
     TaskName,
     TaskReport,
 )
+from lycheelug.workloads.order_tokens import term_of
 from tests.virtual_time import VirtualClock
 
 if TYPE_CHECKING:
@@ -251,7 +252,7 @@
         self.started: list[StartedRun] = []
         # Tasks that were started while another run of them was running.
         self.duplicated_tasks: list[TaskName] = []
-        # Partitions between an owner and an executor: (token, executor).
+        # Partitions between an owner and an executor: (term, executor).
         self.partitions: set[tuple[int, str]] = set()
         # Executors whose hosts now run another incarnation.
         self.restarted: set[str] = set()
@@ -291,7 +292,7 @@
         await asyncio.sleep(0.002)
         if (
             executor.is_partitioned
-            or (token, info.executor_id) in self.partitions
+            or (term_of(token), info.executor_id) in self.partitions
         ):
             await asyncio.sleep(0.8)
             return StartAnswer.NO_ANSWER, None
@@ -323,7 +324,7 @@
         await asyncio.sleep(0.002)
         if (
             executor.is_partitioned
-            or (token, info.executor_id) in self.partitions
+            or (term_of(token), info.executor_id) in self.partitions
         ):
             await asyncio.sleep(0.8)
             return StopAnswer.NO_ANSWER
@@ -350,7 +351,7 @@
         await asyncio.sleep(0.002)
         if (
             executor.is_partitioned
-            or (token, info.executor_id) in self.partitions
+            or (term_of(token), info.executor_id) in self.partitions
         ):
             await asyncio.sleep(wait_s + 0.8)
             return Failure(PollFailure.NO_ANSWER)
--- a/tests/pool_world.py
+++ b/tests/pool_world.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from copy import copy
+
 from lycheelug.workloads import (
     EndKind,
     EndReport,
@@ -10,6 +12,7 @@
     Job,
     JobRecord,
     PaceOrder,
+    PollCall,
     PoolSchedule,
     ProgressRecord,
     QueuePolicy,
@@ -24,6 +27,7 @@
     apply_start_answer,
     apply_stop_answer,
     apply_task_report,
+    make_poll,
 )
 
 JOB = "5c0e7a21d94b36f8"
@@ -82,6 +86,17 @@
             self.report_tasks(executor_id)
         return view
 
+    def send_poll(self, executor_id: str) -> PollCall:
+        """Send a poll that is answered later."""
+        view = self.schedule.executors[executor_id]
+        return make_poll(view, self.now, self.schedule.lease_s, False)
+
+    def restart_entry(self, executor_id: str, born_ms: int) -> None:
+        """Let an executor's entry name its next incarnation."""
+        info = copy(self.schedule.executors[executor_id].info)
+        info.born_ms = born_ms
+        self.schedule.observe_executor(info)
+
     def add_job(
         self,
         steps: list[StepSpec],
@@ -160,8 +175,13 @@
         percent: int = 0,
         born_ms: int = 1,
         load: int = 0,
+        call: PollCall | None = None,
+        lists_all_ends: bool = True,
     ) -> None:
-        """Deliver a task report with active runs and newly ended ones."""
+        """Deliver a task report with active runs and newly ended ones.
+
+        It answers a poll that was sent at `polled_at`, unless one is given.
+        """
         view = self.schedule.executors[executor_id]
         ends: list[EndReport] = []
         for name, run, kind in ended or []:
@@ -176,9 +196,13 @@
                 for name, run in running or []
             ],
             ends,
+            lists_all_ends,
         )
         requested_at = self.now if polled_at is None else polled_at
-        apply_task_report(
-            self.schedule, view, report, requested_at, self.now, 0
-        )
+        if call is None:
+            if view.has_accepted_term and born_ms != view.born_ms:
+                # The poll that detected the restart is not applied.
+                view.require_barrier()
+            call = make_poll(view, requested_at, self.schedule.lease_s, False)
+        apply_task_report(self.schedule, view, report, call, self.now, 0)
         view.last_acked_end = view.last_applied_end
--- a/tests/reference_schedule.py
+++ b/tests/reference_schedule.py
@@ -20,6 +20,7 @@
 )
 from lycheelug.workloads.executors import RunPhase
 from lycheelug.workloads.forecast import Feasibility
+from lycheelug.workloads.lost_runs import free_expired_runs
 from lycheelug.workloads.model import add_resources
 from lycheelug.workloads.orders import find_stop_reason
 from lycheelug.workloads.pacing import plan_pace
@@ -44,7 +45,7 @@
         orders: list[Order] = []
         self.relocations.plan(self, now)
         for view in list(self.executors.values()):
-            self._free_expired(view, now, verified_at)
+            free_expired_runs(self, view, now, verified_at)
             duplicated = runs_to_duplicate(view)
             if duplicated:
                 self.crashes.record_loss(
--- a/tests/test_interleavings.py
+++ b/tests/test_interleavings.py
@@ -33,3 +33,11 @@
 @pytest.mark.parametrize("seed", RESTART_SEEDS)
 def test_calls_for_a_former_incarnation_do_no_harm(seed: int) -> None:
     assert simulate(seed) > 0
+
+
+# Guards against second runs by starts that outlive an incarnation.
+@pytest.mark.parametrize("seed", [173])
+def test_late_start_on_an_incarnation_that_no_owner_has_reached(
+    seed: int,
+) -> None:
+    assert simulate(seed) > 0
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -14,6 +14,7 @@
     StepSpec,
     TaskState,
 )
+from lycheelug.workloads.lost_runs import clear_runs
 from tests.pool_world import CAPACITY, PoolWorld
 
 OTHER = "00000000000000ff"
@@ -104,7 +105,13 @@
     assert len(first) == step.count
     world.lose(first[0].executor_id)
     for view in list(world.schedule.executors.values()):
-        world.schedule.clear_runs(view, world.now, LossCause.HOST_ORDER)
+        clear_runs(
+            world.schedule,
+            view,
+            list(view.runs.values()),
+            world.now,
+            LossCause.HOST_ORDER,
+        )
     assert job.is_suspect
     orders = world.pass_time(1.0, starts=True)
     assert len(orders) == step.count
--- a/tests/test_many_waiting_ends.py
+++ b/tests/test_many_waiting_ends.py
@@ -23,6 +23,7 @@
     TaskName,
     TaskReport,
     apply_task_report,
+    make_poll,
 )
 from lycheelug.workloads.executors import RunPhase
 from lycheelug.workloads.model import JobState
@@ -136,11 +137,12 @@
 def report(
     world: PoolWorld, ended: list[EndReport], running: list[RunReport]
 ) -> None:
+    view = world.schedule.executors["x"]
     apply_task_report(
         world.schedule,
-        world.schedule.executors["x"],
+        view,
         TaskReport(1000, 1, running, ended, len(ended) < ENDS_PER_ANSWER),
-        world.now,
+        make_poll(view, world.now, world.schedule.lease_s, False),
         world.now,
         0,
     )
@@ -271,9 +273,10 @@
         EndReport(number + 1, gone, number + 1, EndKind.DONE)
         for number in range(count)
     ]
+    view = world.schedule.executors[first.executor_id]
     apply_task_report(
         world.schedule,
-        world.schedule.executors[first.executor_id],
+        view,
         TaskReport(
             1000,
             1,
@@ -281,7 +284,7 @@
             ended,
             not is_full,
         ),
-        world.now,
+        make_poll(view, world.now, world.schedule.lease_s, False),
         world.now,
         0,
     )
--- a/tests/test_pool_schedule.py
+++ b/tests/test_pool_schedule.py
@@ -114,26 +114,51 @@
     world.add_job(ONE)
     (order,) = world.starts()
     other = "y" if order.executor_id == "x" else "x"
+    # A report requested with the same token as the start proves nothing.
+    polled_before = world.send_poll(order.executor_id)
     world.answer(order, StartAnswer.NO_ANSWER)
-    world.now += 1.0
-    world.report_tasks(order.executor_id)
+    world.now += 2.0
+    world.report_tasks(order.executor_id, call=polled_before)
     world.report_tasks(other)
     (stop,) = world.stops()
     world.answer_stop(stop, answered=False)
     (stop,) = world.stops()
-    polled_before = world.now
+    polled_before.sent_at = world.now
     world.now += 0.1
     world.answer_stop(stop)
-    # A report requested before the stop was answered proves nothing.
-    world.report_tasks(order.executor_id, polled_at=polled_before)
+    # Neither does one requested before the stop was answered.
+    world.report_tasks(order.executor_id, call=polled_before)
     assert world.starts() == []
     world.now += 0.1
+    polled_before.sent_at = world.now
+    world.report_tasks(order.executor_id, call=polled_before)
     world.report_tasks(order.executor_id)
     world.report_tasks(other)
     (again,) = world.starts()
     assert again.run > order.run
 
 
+def test_unanswered_start_is_disproved_by_a_call_with_a_higher_token() -> None:
+    world = PoolWorld()
+    view = world.add_executor("x")
+    world.add_job(ONE)
+    (order,) = world.starts()
+    world.answer(order, StartAnswer.NO_ANSWER)
+    world.now += 0.1
+    # The list leaves ends out: the run may have ended.
+    world.report_tasks("x", lists_all_ends=False)
+    assert world.starts() == []
+    assert view.runs
+    call = world.send_poll("x")
+    assert call.token > order.token
+    world.report_tasks("x", call=call)
+    assert not view.runs
+    world.now += 0.1
+    (again,) = world.starts()
+    assert again.run > order.run
+    assert again.token > order.token
+
+
 def test_unanswered_start_that_runs_is_kept() -> None:
     world = PoolWorld()
     view = world.add_executor("x")
@@ -190,8 +215,13 @@
     world.answer(order)
     world.now += 1
     world.report_tasks("x", born_ms=2)
+    # Its entry still describes the former incarnation.
+    assert world.starts() == []
+    world.restart_entry("x", born_ms=2)
+    world.report_tasks("x", born_ms=2)
     (again,) = world.starts()
     assert again.run > order.run
+    assert again.token > order.token
 
 
 def test_run_of_earlier_owner_is_adopted_and_not_restarted() -> None:
@@ -250,9 +280,10 @@
     (order,) = world.starts()
     view.drain_order = "1.1"
     assert not view.is_drained
+    polled_before = world.send_poll("x")
     world.answer(order, StartAnswer.NO_ANSWER)
-    world.now += 1
-    world.report_tasks("x")
+    world.now += 2
+    world.report_tasks("x", call=polled_before)
     (stop,) = world.stops()
     world.answer_stop(stop)
     assert not view.is_drained
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -27,6 +27,7 @@
     apply_start_answer,
     apply_stop_answer,
     apply_task_report,
+    make_poll,
 )
 from tests.reference_schedule import (
     ReferenceSchedule,
@@ -277,8 +278,9 @@
 
         def apply(schedule: PoolSchedule) -> None:
             view = schedule.executors[executor_id]
+            call = make_poll(view, polled_at, schedule.lease_s, False)
             apply_task_report(
-                schedule, view, report, polled_at, self.now, self.unix_ms
+                schedule, view, report, call, self.now, self.unix_ms
             )
 
         self.apply(apply)
--- a/tests/test_tenant_shares.py
+++ b/tests/test_tenant_shares.py
@@ -18,6 +18,7 @@
     QueuePolicy,
     StepSpec,
 )
+from lycheelug.workloads.lost_runs import clear_runs
 from lycheelug.workloads.model import Resources
 from tests.pool_world import PoolWorld
 
@@ -254,7 +255,13 @@
     assert usage.started(TENANT) == Resources(2_000, 0, 0)
     assert not world.starts()
     for view in world.schedule.executors.values():
-        world.schedule.clear_runs(view, world.now, LossCause.LEASE_ENDED)
+        clear_runs(
+            world.schedule,
+            view,
+            list(view.runs.values()),
+            world.now,
+            LossCause.LEASE_ENDED,
+        )
     assert usage.started(TENANT) == Resources(0, 0, 0)
 
 
