Wait only for the answers of starts before ends are acknowledged

A start that got no answer, or one that another incarnation has answered, needs a poll to be located: waiting for it would hold that poll up for 0.25 s.

--- a/lycheelug/workloads/polls.py
+++ b/lycheelug/workloads/polls.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+from lycheelug.workloads.runs import RunPhase
+
 if TYPE_CHECKING:
     from lycheelug.workloads.executors import ExecutorView
 
@@ -64,7 +66,17 @@
 
 
 def awaits_starts(view: ExecutorView) -> bool:
-    """Return whether ends can't be acknowledged as starts are in doubt."""
+    """Return whether ends can be acknowledged once starts are answered.
+
+    A start that got no answer, or one of another incarnation, needs a poll.
+    """
     if view.last_acked_end <= view.last_forgotten_end:
         return False
-    return view.has_unlocated_runs
+    is_waiting = False
+    for run in view.runs.values():
+        if run.is_located:
+            continue
+        if run.phase is not RunPhase.STARTING:
+            return False
+        is_waiting = True
+    return is_waiting
