Guard the end of a wait that is over, and log the starts in doubt

A second change of an entry's start time while the wait of the poll is being ended raised RuntimeError in the owner's schedule, which gives up the pool. executor-lost tells how many starts another incarnation may carry out, and for how long their tasks wait.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -98,7 +98,7 @@
         if info.born_ms == self._entry_born_ms:
             return
         self._entry_born_ms = info.born_ms
-        if self._wait is not None:
+        if self._wait is not None and not self._wait.expired():
             self._wait.reschedule(asyncio.get_running_loop().time())
 
     async def run(self) -> None:
@@ -298,6 +298,8 @@
                 reason=failure.name.lower(),
                 runs=len(view.runs),
                 lapses_in_s=round(view.leases_end_at - now, 2),
+                in_doubt=view.count_unlocated_runs(),
+                in_doubt_until_s=round(view.late_leases_end_at - now, 2),
             )
         if failure is PollFailure.FENCED:
             owner.writer.verify_soon()
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -225,10 +225,9 @@
         """Number of the last request for such a call."""
         return self._barriers_wanted
 
-    @property
-    def has_unlocated_runs(self) -> bool:
-        """Whether any run may be carried out by a later incarnation."""
-        return any(not run.is_located for run in self.runs.values())
+    def count_unlocated_runs(self) -> int:
+        """Return how many runs a later incarnation may carry out."""
+        return sum(not run.is_located for run in self.runs.values())
 
     def require_barrier(self) -> None:
         """Let the next poll shut out all calls that were sent before it."""
--- a/lycheelug/workloads/polls.py
+++ b/lycheelug/workloads/polls.py
@@ -57,7 +57,7 @@
     if may_extend and clock_ms is not None:
         call.deadline_ms = clock_ms + int(lease_s * 1000)
         view.record_lease(now, lease_s)
-    if is_barrier or view.has_unlocated_runs:
+    if is_barrier or view.count_unlocated_runs():
         return call
     if view.last_acked_end > view.last_forgotten_end:
         call.acknowledged = view.last_acked_end
