Acknowledge ends behind a full list while a start is in doubt

Cause: ends are acknowledged only while no start is in doubt, and a list with 500 ends can't settle a doubt. An executor on which more ends wait, as after an outage of the store, and one start without an answer, or one whose answer doesn't prove the incarnation: nothing was acknowledged any more, so each list had the same 500 ends, later ends were never seen, and the executor was polled without a pause.

Change: if the last list left ends out, ends are acknowledged once the incarnation has answered a barrier since the start was sent. A run whose start was answered, but not located, asks for that barrier.

Evidence: tests/test_many_waiting_ends.py, both new cases fail before (runs remain after 6 polls) and pass now.

--- a/lycheelug/workloads/polls.py
+++ b/lycheelug/workloads/polls.py
@@ -4,6 +4,10 @@
 was meant for, and where it is carried out late.  It acknowledges ends only
 while no start is in doubt: an incarnation that has carried out such a start
 would forget the end of that run, before a list has had it.
+
+If a list leaves ends out, the doubt may be about a run among them, and only
+an acknowledgement makes room for it.  Then it is enough that the incarnation
+which the list came from has answered a barrier since the start was sent.
 """
 
 from __future__ import annotations
@@ -57,7 +61,7 @@
     if may_extend and clock_ms is not None:
         call.deadline_ms = clock_ms + int(lease_s * 1000)
         view.record_lease(now, lease_s)
-    if is_barrier or view.has_unlocated_runs:
+    if is_barrier or not _may_acknowledge(view):
         return call
     if view.last_acked_end > view.last_forgotten_end:
         call.acknowledged = view.last_acked_end
@@ -65,6 +69,20 @@
     return call
 
 
+def _may_acknowledge(view: ExecutorView) -> bool:
+    """Return whether no acknowledgement can hide the end of a run."""
+    for run in view.runs.values():
+        if run.is_located:
+            continue
+        if view.lists_all_ends:
+            return False
+        if not view.tokens.is_past(run.token):
+            if run.phase is not RunPhase.STARTING:
+                view.require_barrier()
+            return False
+    return True
+
+
 def awaits_starts(view: ExecutorView) -> bool:
     """Return whether ends can be acknowledged once starts are answered.
 
--- a/tests/test_many_waiting_ends.py
+++ b/tests/test_many_waiting_ends.py
@@ -18,10 +18,12 @@
     EndReport,
     Resources,
     RunReport,
+    StartAnswer,
     StepSpec,
     StopOrder,
     TaskName,
     TaskReport,
+    apply_start_answer,
     apply_task_report,
     make_poll,
 )
@@ -184,6 +186,49 @@
         assert not world.starts()
 
 
+# Guards against acknowledgements that are withheld for ever, as the run of an
+# unanswered start has ended behind a full list, or its answer didn't tell
+# where it runs.
+@pytest.mark.parametrize(
+    "answer", [StartAnswer.NO_ANSWER, StartAnswer.STARTED]
+)
+def test_start_in_doubt_behind_a_full_list(answer: StartAnswer) -> None:
+    world = PoolWorld()
+    orders = begin_runs(world, 520)
+    view = world.schedule.executors["x"]
+    world.add_job([StepSpec(count=1, cpu_millis=1)], job_id="00000000000000ff")
+    (doubtful,) = world.starts()
+    apply_start_answer(
+        world.schedule,
+        view,
+        doubtful.task,
+        doubtful.run,
+        answer,
+        world.now,
+        is_located=False,
+    )
+    ended = ends_of([*orders, doubtful], 1)
+    for _ in range(6):
+        world.now += 0.3
+        call = make_poll(view, world.now, world.schedule.lease_s, True)
+        ended = [end for end in ended if end.number > call.acknowledged]
+        listed = ended[:ENDS_PER_ANSWER]
+        clock_ms = int(world.now * 1000)
+        is_complete = len(listed) < ENDS_PER_ANSWER
+        apply_task_report(
+            world.schedule,
+            view,
+            TaskReport(clock_ms, 1, [], listed, is_complete),
+            call,
+            world.now,
+            0,
+        )
+        view.last_acked_end = view.last_applied_end
+    assert not view.runs
+    assert view.last_applied_end == 521
+    assert world.starts() == []
+
+
 # Guards against an executor that counts as stalled, or as drained, for runs
 # that have ended but aren't listed yet (related to case 7).
 def test_full_list_shows_neither_a_stall_nor_a_drained_executor() -> None:
