Hold a gang back while the start of any member is in doubt

Cause: a gang starts if one of its members may, and starts all of them. Only that one was checked for a start that a removed executor may yet carry out under the same id, so a member in doubt got its second run with the others.

Change: a gang isn't placed while any member is held.

--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -230,6 +230,8 @@
         is_running = member.name in schedule.run_counts
         if member.state is not TaskState.READY or is_running:
             return []
+        if schedule.late_starts.is_held(member.name, now):
+            return []
     if not _has_room_under_cap(schedule, task, len(members)):
         return []
     hints = None
