Record an executor's incarnation once its leases are known

Cause: a new owner takes 3.5 s for the bound on leases of the incarnation that the last owner has recorded.

Change: the start time is recorded once those leases have ended. Until then the record names the incarnation before, or none, so the next owner expects the longest lease. Costs one more write of a row after a restart.

--- a/lycheelug/jobservice/used_executors.py
+++ b/lycheelug/jobservice/used_executors.py
@@ -45,7 +45,8 @@
     address: str
     capacity_cpu: Amount
     capacity_memory: Amount
-    # Start time of the incarnation that the owner has heard; 0 if unknown.
+    # Start time of the last incarnation that the owner has heard and whose
+    # leases end when the owner expects it; 0 if unknown.
     born_ms: UnixMs = 0
 
     @property
@@ -185,7 +186,7 @@
         info.address,
         info.capacity.cpu_millis,
         info.capacity.memory_mb,
-        view.born_ms if view.has_accepted_term else view.recorded_born_ms,
+        view.recorded_born_ms,
     )
 
 
--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -93,6 +93,7 @@
         "lease_max_s",
         "leases_end_at",
         "lists_all_ends",
+        "long_leases_end_at",
         "pace",
         "pace_report_at",
         "polled_at",
@@ -137,9 +138,12 @@
         # by its entry until its first report, and by its reports from then.
         self.born_ms = info.born_ms
         # The same of the incarnation before, if it answered this owner, and
-        # of the last one that the last owner has recorded; 0 for none.
+        # of the one that is recorded for the next owner, whose leases are
+        # known to be no longer than this owner's; 0 for none.
         self.former_born_ms = 0
         self.recorded_born_ms = 0
+        # Local time until which the current one may have longer leases.
+        self.long_leases_end_at = 0.0
         # Whether it has answered at this address, to this owner or, as is
         # recorded, to an earlier one.  Any writer can change an entry, so
         # without that, nothing that is seen at the address proves its end.
@@ -346,6 +350,11 @@
         self.last_forgotten_end = 0
         self.clock = ExecutorClock()
 
+    def expect_long_leases(self, now: float) -> None:
+        """Expect that it has taken a deadline on another clock until now."""
+        self.record_lease(now, self.lease_max_s)
+        self.long_leases_end_at = self.leases_end_at
+
     def record_lease(self, now: float, lease_s: float) -> None:
         """Extend the bounds on leases for an order sent now."""
         latest = now + lease_s / (1 - CLOCK_DRIFT)
--- a/lycheelug/workloads/incarnation_changes.py
+++ b/lycheelug/workloads/incarnation_changes.py
@@ -27,9 +27,10 @@
     view.has_accepted_term = True
     view.leases_end_at = now
     view.late_leases_end_at = now
-    is_recorded = view.recorded_born_ms == view.born_ms
-    lease_s = schedule.lease_s if is_recorded else view.lease_max_s
-    view.record_lease(now, lease_s)
+    if view.recorded_born_ms == view.born_ms:
+        view.record_lease(now, schedule.lease_s)
+    else:
+        view.expect_long_leases(now)
 
 
 def record_restart(
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -107,11 +107,13 @@
         record_acceptance(schedule, view, now)
     elif is_restarted:
         # It may have taken a deadline on the former clock.
-        view.record_lease(now, view.lease_max_s)
+        view.expect_long_leases(now)
     if call.is_barrier:
         view.record_barrier(call.barrier_number)
         schedule.late_starts.release(view.executor_id)
     view.last_forgotten_end = max(view.last_forgotten_end, call.acknowledged)
+    if now >= view.long_leases_end_at:
+        view.recorded_born_ms = view.born_ms
     view.last_report_at = now
     view.polled_at = call.sent_at
     view.lists_all_ends = report.lists_all_ends
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -1,10 +1,32 @@
-"""Tests of starts that a removed executor may yet carry out."""
+"""Tests of calls that another incarnation has carried out, or may yet."""
 
 from __future__ import annotations
 
-from lycheelug.workloads import EndKind, LossCause, StartAnswer, StepSpec
-from lycheelug.workloads.executors import LATE_CALL_S
-from tests.pool_world import PoolWorld
+from copy import copy
+from typing import TYPE_CHECKING
+
+import pytest
+
+from lycheelug.jobservice.used_executors import (
+    UsedExecutors,
+    decode_used_executors,
+)
+from lycheelug.workloads import (
+    EndKind,
+    ExecutorInfo,
+    LossCause,
+    PoolSchedule,
+    StartAnswer,
+    StepSpec,
+    TaskReport,
+    apply_task_report,
+    make_poll,
+)
+from lycheelug.workloads.executors import CLOCK_DRIFT, LATE_CALL_S
+from tests.pool_world import CAPACITY, PoolWorld
+
+if TYPE_CHECKING:
+    from lycheelug.workloads import ExecutorView
 
 GANG = StepSpec(count=2, cpu_millis=3000, estimate_ms=1000, is_gang=True)
 
@@ -35,3 +57,45 @@
     assert {order.task.name for order in again} == {
         order.task.name for order in orders.values()
     }
+
+
+def hear(schedule: PoolSchedule, view: ExecutorView, now: float) -> None:
+    born_ms = view.info.born_ms
+    clock_ms = int(now * 1000) - born_ms
+    report = TaskReport(clock_ms, born_ms, [], [])
+    call = make_poll(view, now, schedule.lease_s, False)
+    apply_task_report(schedule, view, report, call, now, 0)
+
+
+# Guards against a new owner that gives runs up while a lease which their
+# executor has granted on the former clock goes on (issue 56).
+@pytest.mark.parametrize("heard_for_s", [0.5, 2.0, 5.9, 6.5, 20.0])
+def test_next_owner_knows_of_leases_on_a_former_clock(
+    heard_for_s: float,
+) -> None:
+    restarted_at = 100.0
+    longest_s = 6.0
+    first = PoolSchedule("quotes", 1, 3.5, 0.0, lease_max_s=longest_s)
+    info = ExecutorInfo("x", "quotes", "a:1", CAPACITY, host="x", born_ms=1)
+    view = first.observe_executor(info)
+    hear(first, view, 50.0)
+    hear(first, view, 60.0)
+    info = copy(info)
+    info.born_ms = 99_000
+    view = first.observe_executor(info)
+    # A poll with a deadline on the former clock has just arrived.
+    hear(first, view, restarted_at)
+    now = restarted_at + heard_for_s
+    hear(first, view, now)
+    view.is_recorded = True
+    ((_, value),) = UsedExecutors(first).take_changes().values()
+    records = decode_used_executors(value)
+    assert records is not None
+    second = PoolSchedule("quotes", 2, 3.5, now + 7.6, lease_max_s=longest_s)
+    view = second.observe_executor(info)
+    view.recorded_born_ms = records["x"].born_ms
+    hear(second, view, now)
+    assert view.leases_end_at >= restarted_at + longest_s
+    # Once they have ended, a lost run is given up as early as before.
+    is_settled = heard_for_s > longest_s / (1 - CLOCK_DRIFT)
+    assert (view.leases_end_at < now + 4.0) == is_settled
