Record runs that were answered but not located as lost in a restart

Cause: since only located runs are recorded as lost when an executor restarts. On an executor that has just been heard, the answer of a start doesn't locate the run; until the next report, its loss was no crash record, so a job that crashes such executors at once was not suspected.

Change: a run whose start was answered, and which a complete report of the next incarnation lacks, is lost with the former one.

--- a/lycheelug/workloads/incarnation_changes.py
+++ b/lycheelug/workloads/incarnation_changes.py
@@ -43,12 +43,16 @@
     """Discard the runs and ends of an executor's previous incarnation.
 
     Runs that may have been started on the new one are kept: its report tells
-    what became of them.
+    what became of them.  If it lists all ends, a run whose start was answered
+    and that it lacks was on the former one.
     """
     reported = reported | {(each.task, each.run) for each in report.ended}
     lost: list[Run] = []
     for run in view.runs.values():
-        if run.is_located and run.key not in reported:
+        if run.key in reported:
+            continue
+        was_started = run.confirmed_at is not None and report.lists_all_ends
+        if run.is_located or was_started:
             lost.append(run)
     schedule.crashes.record_loss(
         schedule, view, lost, LossCause.RESTARTED, now
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -19,6 +19,7 @@
     StartAnswer,
     StepSpec,
     TaskReport,
+    apply_start_answer,
     apply_task_report,
     make_poll,
 )
@@ -99,3 +100,37 @@
     # Once they have ended, a lost run is given up as early as before.
     is_settled = heard_for_s > longest_s / (1 - CLOCK_DRIFT)
     assert (view.leases_end_at < now + 4.0) == is_settled
+
+
+# Guards against jobs that crash each executor before a report has located
+# their runs, and are not suspected of it (related to issue 56).
+@pytest.mark.parametrize(
+    ("answer", "has_run_since", "is_recorded"),
+    [
+        # Surely carried out, and not by the incarnation that reports.
+        (StartAnswer.STARTED, False, True),
+        (StartAnswer.STARTED, True, False),
+        (StartAnswer.NO_ANSWER, False, False),
+    ],
+)
+def test_run_that_was_not_located_is_lost_with_its_executor(
+    answer: StartAnswer, has_run_since: bool, is_recorded: bool
+) -> None:
+    world = PoolWorld()
+    view = world.add_executor("x")
+    job = world.add_job([StepSpec(count=1, cpu_millis=1000)])
+    (order,) = world.starts()
+    apply_start_answer(
+        world.schedule,
+        view,
+        order.task,
+        order.run,
+        answer,
+        world.now,
+        is_located=False,
+    )
+    world.now += 0.3
+    running = [(order.task.name, order.run)] if has_run_since else []
+    world.report_tasks("x", running=running, born_ms=2)
+    assert bool(job.progress.crashes) == is_recorded
+    assert len(view.runs) == len(running)
