Poll at once only for incarnations that no report has named

An entry that arrives after its incarnation's first report aborted a poll in progress, which costs a connection. A pace without effect no longer asks for a barrier: the run has often just ended, and a barrier rejects starts that are in flight.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -90,14 +90,18 @@
         """Let a poll continue that waits until ends can be acknowledged."""
         self._changed.set()
 
-    def on_entry(self, info: ExecutorInfo) -> None:
+    def on_entry(self, view: ExecutorView) -> None:
         """Poll at once if the executor's entry names another incarnation.
 
         The sooner it is called, the fewer calls for the last one reach it.
         """
-        if info.born_ms == self._entry_born_ms:
+        born_ms = view.info.born_ms
+        if born_ms == self._entry_born_ms:
+            return
+        self._entry_born_ms = born_ms
+        if born_ms == view.born_ms:
+            # Its report was first.
             return
-        self._entry_born_ms = info.born_ms
         if self._wait is not None and not self._wait.expired():
             self._wait.reschedule(asyncio.get_running_loop().time())
 
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -200,8 +200,6 @@
         run = view.runs.get((order.task_name, order.run))
         if not is_set and run is not None:
             run.pace = PACE_UNKNOWN
-            # It may yet be carried out, after a later one.
-            view.require_barrier()
         log_frequent(
             "task-pace",
             task=order.task_name.render(),
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -373,7 +373,7 @@
         for executor_id, view in self.schedule.executors.items():
             known = self._loops.get(executor_id)
             if known is not None:
-                known.on_entry(view.info)
+                known.on_entry(view)
             if known is None or known.is_stopped:
                 loop = ExecutorLoop(self._context, self, executor_id)
                 self._loops[executor_id] = loop
