Don't hold polls up until all ends can be acknowledged

A poll waited until the store had recorded all ends that were applied, which takes two transactions while ends keep coming, and until no start was in flight; meanwhile no end was reported. It waits again for one transaction, and for the next answer of a start for 50 ms at the most; what can't be acknowledged is listed again.

--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -46,20 +46,23 @@
 # The pause after a failed poll; it doubles up to the maximum.
 RETRY_S: Final = 0.15
 RETRY_MAX_S: Final = 0.6
-# How long a poll waits until it can acknowledge the last ends.
-ACKNOWLEDGE_WAIT_S: Final = 0.25
+# How long a poll waits until the store has recorded the last ends, and until
+# the next start is answered.
+STORE_WAIT_S: Final = 0.25
+START_WAIT_S: Final = 0.05
 
 
 class ExecutorLoop:
     """The polling loop of one executor."""
 
     __slots__ = (
-        "_changed",
         "_context",
+        "_ends_stored",
         "_entry_born_ms",
         "_executor_id",
         "_is_unresponsive",
         "_owner",
+        "_start_answered",
         "_wait",
         "info",
         "is_stopped",
@@ -72,7 +75,8 @@
         self._owner = owner
         self._executor_id = executor_id
         self.info: ExecutorInfo = owner.schedule.executors[executor_id].info
-        self._changed = asyncio.Event()
+        self._ends_stored = asyncio.Event()
+        self._start_answered = asyncio.Event()
         # The start time in its entry, and what is waited for meanwhile: the
         # answer of a poll or the end of a pause.
         self._entry_born_ms = self.info.born_ms
@@ -86,9 +90,13 @@
         self.is_stopped = True
         self._context.gateway.forget(self.info)
 
-    def on_change(self) -> None:
-        """Let a poll continue that waits until ends can be acknowledged."""
-        self._changed.set()
+    def on_ends_stored(self) -> None:
+        """Let a poll continue that waits for the store to record ends."""
+        self._ends_stored.set()
+
+    def on_start_answered(self) -> None:
+        """Let a poll continue that waits for the answer of a start."""
+        self._start_answered.set()
 
     def on_entry(self, view: ExecutorView) -> None:
         """Poll at once if the executor's entry names another incarnation.
@@ -132,25 +140,16 @@
             self._wait = None
 
     async def _wait_for_acknowledgement(self, view: ExecutorView) -> None:
-        """Wait until the ends that were applied can be acknowledged.
+        """Wait until ends that were applied can be acknowledged.
 
         They must be durable, and no start may be in doubt.
         """
-        try:
-            async with asyncio.timeout(ACKNOWLEDGE_WAIT_S):
-                while self._must_wait(view):
-                    self._changed.clear()
-                    await self._changed.wait()
-        except TimeoutError:
-            return
-
-    def _must_wait(self, view: ExecutorView) -> bool:
-        """Return whether a poll could not acknowledge all ends now."""
         if view.needs_barrier:
-            return False
+            return
         if view.last_applied_end > view.last_acked_end:
-            return True
-        return awaits_starts(view)
+            await _wait_once(self._ends_stored, STORE_WAIT_S)
+        if awaits_starts(view):
+            await _wait_once(self._start_answered, START_WAIT_S)
 
     async def _poll_guarded(self, view: ExecutorView) -> bool:
         """Poll once; an unexpected error ends only this poll."""
@@ -313,3 +312,13 @@
                 self._executor_id, now, LossCause.REPLACED
             )
             owner.wake()
+
+
+async def _wait_once(event: asyncio.Event, limit_s: float) -> None:
+    """Wait until an event is set the next time."""
+    event.clear()
+    try:
+        async with asyncio.timeout(limit_s):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -213,13 +213,13 @@
     def on_progress_stored(self) -> None:
         """Let the polls continue that wait for the store."""
         for loop in self._loops.values():
-            loop.on_change()
+            loop.on_ends_stored()
 
     def on_start_answered(self, executor_id: str) -> None:
         """Let a poll continue that waits for the answer of a start."""
         loop = self._loops.get(executor_id)
         if loop is not None:
-            loop.on_change()
+            loop.on_start_answered()
 
     def wake(self) -> None:
         """Plan again without waiting for the next tick."""
