Hold starts after a takeover only for executors that have restarted

After a takeover, any executor that missed a poll held all begun jobs of the pool until the last owner's time was over (7.6 s): the last owner may use its next incarnation. But executors fall silent all the time, as hosts are moved. Starts are held only once an entry or a report has named another incarnation.

--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -81,6 +81,7 @@
         "has_accepted_term",
         "has_entry",
         "has_listed_ends",
+        "has_restarted",
         "health",
         "info",
         "is_located",
@@ -153,6 +154,9 @@
         self.is_recorded = False
         # Whether it has acknowledged this owner's term as fencing token.
         self.has_accepted_term = False
+        # Whether its entry or a report has named another incarnation that has
+        # not answered a barrier yet.
+        self.has_restarted = False
         # Whether its entry is still in the store.
         self.has_entry = True
         # The current incarnation's monotonic clock.
@@ -237,9 +241,15 @@
         """Let the next poll shut out all calls that were sent before it."""
         self._barriers_wanted += 1
 
+    def expect_restart(self) -> None:
+        """Let the next poll be a barrier, as there is another incarnation."""
+        self.has_restarted = True
+        self.require_barrier()
+
     def record_barrier(self, number: int) -> None:
         """Record the answer of a poll that was sent as a barrier."""
         self._barriers_passed = max(self._barriers_passed, number)
+        self.has_restarted = self.has_restarted and self.needs_barrier
 
     def may_hide_ends(self, now: float) -> bool:
         """Return whether runs of earlier owners may have ended unlisted.
@@ -281,7 +291,7 @@
             self.has_entry = False
             return bool(self.runs) or not self.has_accepted_term
         if info.born_ms not in (self.info.born_ms, self.born_ms):
-            self.require_barrier()
+            self.expect_restart()
         if info.born_ms not in (0, self.recorded_born_ms):
             self._expect_late_leases()
         self.info = info
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -32,6 +32,7 @@
 from lycheelug.tenants.shares import PoolShares
 from lycheelug.workloads.crashes import CrashLedger
 from lycheelug.workloads.demand import Arrivals, expected_work
+from lycheelug.workloads.earlier_runs import are_earlier_runs_known
 from lycheelug.workloads.executors import LATE_CALL_S, ExecutorView
 from lycheelug.workloads.incarnations import EndedIncarnations
 from lycheelug.workloads.isolation import Isolation
@@ -392,17 +393,4 @@
 
     def earlier_runs_known(self, now: float) -> bool:
         """Return whether all runs of earlier owners are known."""
-        for view in self.executors.values():
-            if view.may_hide_ends(now):
-                return False
-            if view.has_accepted_term:
-                # While it is silent, the last owner may still use the next
-                # incarnation, which has not seen this owner's token.
-                if view.needs_barrier and now < self._earlier_leases_end_at:
-                    return False
-                continue
-            if self.are_used_executors_known and not view.is_located:
-                continue
-            if now < view.leases_end_at:
-                return False
-        return True
+        return are_earlier_runs_known(self, now, self._earlier_leases_end_at)
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -92,7 +92,7 @@
     if is_restarted and not call.is_barrier:
         # No more deadlines on the clock of the former one.
         view.clock = ExecutorClock()
-        view.require_barrier()
+        view.expect_restart()
         return None
     reported = {(each.task, each.run) for each in report.running}
     if is_restarted:
