--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -230,20 +230,19 @@
             return True
         if report.born_ms != born_ms:
             last_applied_end = 0
-        if ends and ends[0].number > last_applied_end + 1:
+        first_end = last_applied_end + 1
+        if had_accepted_term and ends and ends[0].number > first_end:
             # They were acknowledged before any list has had them.
             log_change(
                 "ends-skipped",
                 pool=owner.pool,
                 executor=self._executor_id,
                 born_ms=report.born_ms,
-                first=last_applied_end + 1,
+                first=first_end,
                 last=ends[0].number - 1,
                 acknowledged=call.acknowledged,
             )
-            context.metrics.count(
-                "ends-skipped", ends[0].number - 1 - last_applied_end
-            )
+            context.metrics.count("ends-skipped", ends[0].number - first_end)
         for end in ends:
             context.metrics.count(f"ends-{end.kind.value}")
             log_frequent(
