Restart the job service's simulated executors under their ids

Change: FakeFleet.restart replaces an executor under its id, with a new start time, clock, token and count of ends. For a while nobody listens; calls wait for the next incarnation, and calls in progress fail, hang or are passed on. Calls may be carried out late by whoever is there. A start that is there already is answered as started, and one whose deadline has passed is rejected.

--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+from copy import copy
+from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 from returns.result import Failure, Success
@@ -70,6 +72,10 @@
 POOL = "quotes"
 # How many ends an executor lists at a time.
 ENDS_PER_ANSWER = 500
+# The duration of a lease.
+LEASE_S = 5.0
+# How long a caller waits for an answer.
+ANSWER_TIMEOUT_S = 0.8
 ROUTE = Route("quick", "", "/q/", POOL, 0, 2, 1.6, 0.6, False)
 CAPACITY = Resources(8000, 8192, 0)
 
@@ -179,16 +185,31 @@
         return Failure(_fault()) if self.down else result
 
 
+class PendingCalls(Enum):
+    """What becomes of the calls in progress when an executor restarts."""
+
+    FAIL = auto()
+    # Their callers wait in vain.
+    HANG = auto()
+    # The next incarnation carries them out.
+    PASS_ON = auto()
+
+
 class FakeRun:
     """A run on a fake executor."""
 
     def __init__(self, number: int, started_at: float) -> None:
         self.number = number
         self.started_at = started_at
+        self.checkpoint = ""
+        self.saved_at = started_at
+        # Since when a member of a gang waits, and whether all were present.
+        self.waits_since = started_at
+        self.is_together = False
 
 
 class FakeExecutor:
-    """An executor that enforces fencing tokens and leases."""
+    """One incarnation of an executor; it enforces tokens and leases."""
 
     def __init__(self, executor_id: str, work_s: float) -> None:
         self.info = ExecutorInfo(
@@ -207,6 +228,19 @@
         self.ended: list[EndReport] = []
         self.end_count = 0
         self.highest_runs: dict[TaskName, int] = {}
+        # Its start time, as it reports it.
+        self.born_ms = 1
+        # The longest lease that it grants.
+        self.lease_max_s = LEASE_S
+        # The time at which its clock was 0, and the rate of its clock.
+        self.clock_began_at = 0.0
+        self.clock_rate = 1.0
+        # Calls that arrive before that wait for it.
+        self.listens_from = 0.0
+        # Whether the next incarnation has replaced it, and what has become of
+        # the calls that were in progress.
+        self.has_ended = False
+        self.pending_calls = PendingCalls.FAIL
         # Neither orders nor answers are delivered.
         self.is_partitioned = False
         # It refuses connections, and its runs are gone.
@@ -215,12 +249,24 @@
         self.loses_answers = False
 
     def clock_ms(self) -> int:
-        return int(asyncio.get_running_loop().time() * 1000)
+        passed_s = asyncio.get_running_loop().time() - self.clock_began_at
+        return int(passed_s * 1000 * self.clock_rate)
+
+    def extend_leases(self, deadline_ms: int) -> None:
+        """Apply a deadline of its clock; a lease never shortens."""
+        latest_ms = self.clock_ms() + int(self.lease_max_s * 1000)
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, latest_ms))
+
+    def acknowledge(self, number: int) -> None:
+        """Forget the ends up to a number."""
+        self.ended = [end for end in self.ended if end.number > number]
 
     def end(self, name: TaskName, kind: EndKind) -> None:
         run = self.running.pop(name)
         self.end_count += 1
-        self.ended.append(EndReport(self.end_count, name, run.number, kind))
+        self.ended.append(
+            EndReport(self.end_count, name, run.number, kind, run.checkpoint)
+        )
 
     def tick(self) -> None:
         """End the runs that are done or whose lease has expired."""
@@ -231,6 +277,20 @@
             elif now - run.started_at >= self.work_s:
                 self.end(name, EndKind.DONE)
 
+    def report(self) -> TaskReport:
+        """List the runs and the ends that are not acknowledged."""
+        running = [
+            RunReport(name, run.number, run.checkpoint, percent=100)
+            for name, run in self.running.items()
+        ]
+        return TaskReport(
+            self.clock_ms(),
+            self.born_ms,
+            running,
+            self.ended[:ENDS_PER_ANSWER],
+            len(self.ended) < ENDS_PER_ANSWER,
+        )
+
 
 class StartedRun:
     """A run that an executor has started."""
@@ -268,76 +328,191 @@
         self.executors[executor_id] = executor
         return executor
 
+    def restart(
+        self,
+        executor_id: str,
+        dark_s: float = 0.0,
+        pending_calls: PendingCalls = PendingCalls.FAIL,
+    ) -> FakeExecutor:
+        """Replace an executor by its next incarnation under the same id.
+
+        For `dark_s` nobody listens, and calls wait for the next incarnation.
+        """
+        former = self.executors[executor_id]
+        former.has_ended = True
+        former.pending_calls = pending_calls
+        former.running.clear()
+        successor = self.add(executor_id, former.work_s)
+        born_at = asyncio.get_running_loop().time() + dark_s
+        successor.listens_from = born_at
+        successor.clock_began_at = born_at
+        successor.lease_max_s = former.lease_max_s
+        successor.clock_rate = former.clock_rate
+        successor.is_partitioned = former.is_partitioned
+        successor.born_ms = int(born_at * 1000)
+        successor.info = copy(former.info)
+        successor.info.born_ms = successor.born_ms
+        return successor
+
     def on_started(self, executor_id: str, task: TaskName) -> None:
         """Let a subclass react to a run that was started."""
 
+    def review_start(
+        self,
+        executor: FakeExecutor,
+        task: TaskName,
+        checkpoint: str,
+        ticket: str,
+    ) -> StartAnswer | None:
+        """Let a subclass check a start, and reject it."""
+
+    def late_call_s(self) -> float | None:
+        """Return after how long a call is carried out that gets no answer.
+
+        None lets it arrive in time.
+        """
+        return None
+
     async def run(self) -> None:
         while True:
-            for executor in self.executors.values():
+            for executor in list(self.executors.values()):
                 executor.tick()
             await asyncio.sleep(0.02)
 
-    async def start(
+    async def _reach(
         self,
         info: ExecutorInfo,
+        token: int,
+        timeout_s: float,
+        act: Callable[[FakeExecutor], object],
+    ) -> FakeExecutor | None:
+        """Return who receives a call; None if it gets no answer.
+
+        Then `act` may still carry it out later, whoever is there.
+        """
+        await asyncio.sleep(0.002)
+        executor = self.executors[info.executor_id]
+        partition = (term_of(token), info.executor_id)
+        if executor.is_partitioned or partition in self.partitions:
+            await asyncio.sleep(timeout_s)
+            return None
+        now = asyncio.get_running_loop().time()
+        wait_s = max(0.0, executor.listens_from - now)
+        late_s = self.late_call_s()
+        if late_s is not None:
+            self._carry_out_later(info.executor_id, late_s, act)
+            await asyncio.sleep(timeout_s)
+            return None
+        if wait_s > timeout_s:
+            self._carry_out_later(info.executor_id, wait_s, act)
+            await asyncio.sleep(timeout_s)
+            return None
+        if wait_s:
+            await asyncio.sleep(wait_s)
+        return self.executors[info.executor_id]
+
+    def _carry_out_later(
+        self,
+        executor_id: str,
+        wait_s: float,
+        act: Callable[[FakeExecutor], object],
+    ) -> None:
+        """Carry a call out later, on the incarnation that is there then."""
+        loop = asyncio.get_running_loop()
+
+        def carry_out() -> None:
+            executor = self.executors[executor_id]
+            if executor.listens_from > loop.time():
+                loop.call_at(executor.listens_from, carry_out)
+            elif not executor.is_partitioned and not executor.has_crashed:
+                act(executor)
+
+        loop.call_later(wait_s, carry_out)
+
+    def _carry_out_start(
+        self,
+        executor: FakeExecutor,
         task: TaskName,
         run: int,
-        payload: str,
         checkpoint: str,
         deadline_ms: int,
         token: int,
-        ticket: str = "",
-    ) -> tuple[StartAnswer, int | None]:
-        executor = self.executors[info.executor_id]
-        await asyncio.sleep(0.002)
-        if (
-            executor.is_partitioned
-            or (term_of(token), info.executor_id) in self.partitions
-        ):
-            await asyncio.sleep(0.8)
-            return StartAnswer.NO_ANSWER, None
-        if executor.has_crashed:
-            return StartAnswer.NOT_SENT, None
+        ticket: str,
+    ) -> StartAnswer:
+        """Carry a start out on an incarnation."""
+        executor.tick()
         if token < executor.token:
-            return StartAnswer.FENCED, executor.clock_ms()
+            return StartAnswer.FENCED
         executor.token = token
+        executor.extend_leases(deadline_ms)
+        active = executor.running.get(task)
+        if active is not None and active.number == run:
+            return StartAnswer.STARTED
         if run <= executor.highest_runs.get(task, 0):
-            return StartAnswer.REJECTED, executor.clock_ms()
+            return StartAnswer.REJECTED
+        if deadline_ms < executor.clock_ms():
+            return StartAnswer.REJECTED
+        rejection = self.review_start(executor, task, checkpoint, ticket)
+        if rejection is not None:
+            return rejection
         executor.highest_runs[task] = run
-        executor.deadline_ms = max(executor.deadline_ms, deadline_ms)
         for other in self.executors.values():
+            other.tick()
             if task in other.running:
                 self.duplicated_tasks.append(task)
         now = asyncio.get_running_loop().time()
         executor.running[task] = FakeRun(run, now)
-        self.started.append(StartedRun(task, run, info.executor_id, now))
-        self.on_started(info.executor_id, task)
-        if executor.loses_answers:
-            await asyncio.sleep(0.8)
+        executor.running[task].checkpoint = checkpoint
+        executor_id = executor.info.executor_id
+        self.started.append(StartedRun(task, run, executor_id, now))
+        self.on_started(executor_id, task)
+        return StartAnswer.STARTED
+
+    async def start(
+        self,
+        info: ExecutorInfo,
+        task: TaskName,
+        run: int,
+        payload: str,
+        checkpoint: str,
+        deadline_ms: int,
+        token: int,
+        ticket: str = "",
+    ) -> tuple[StartAnswer, int | None]:
+        def act(executor: FakeExecutor) -> StartAnswer:
+            return self._carry_out_start(
+                executor, task, run, checkpoint, deadline_ms, token, ticket
+            )
+
+        executor = await self._reach(info, token, ANSWER_TIMEOUT_S, act)
+        if executor is None:
+            return StartAnswer.NO_ANSWER, None
+        if executor.has_crashed:
+            return StartAnswer.NOT_SENT, None
+        answer = act(executor)
+        if answer is StartAnswer.STARTED and executor.loses_answers:
+            await asyncio.sleep(ANSWER_TIMEOUT_S)
             return StartAnswer.NO_ANSWER, None
-        return StartAnswer.STARTED, executor.clock_ms()
+        return answer, executor.clock_ms()
 
     async def stop(
         self, info: ExecutorInfo, task: TaskName, run: int, token: int
     ) -> StopAnswer:
-        executor = self.executors[info.executor_id]
-        await asyncio.sleep(0.002)
-        if (
-            executor.is_partitioned
-            or (term_of(token), info.executor_id) in self.partitions
-        ):
-            await asyncio.sleep(0.8)
-            return StopAnswer.NO_ANSWER
-        if executor.has_crashed:
+        def act(executor: FakeExecutor) -> StopAnswer:
+            if token < executor.token:
+                return StopAnswer.FENCED
+            executor.token = token
+            highest = executor.highest_runs.get(task, 0)
+            executor.highest_runs[task] = max(run, highest)
+            active = executor.running.get(task)
+            if active is not None and active.number <= run:
+                executor.end(task, EndKind.STOPPED)
+            return StopAnswer.ANSWERED
+
+        executor = await self._reach(info, token, ANSWER_TIMEOUT_S, act)
+        if executor is None or executor.has_crashed:
             return StopAnswer.NO_ANSWER
-        if token < executor.token:
-            return StopAnswer.FENCED
-        executor.highest_runs[task] = max(
-            run, executor.highest_runs.get(task, 0)
-        )
-        if task in executor.running:
-            executor.end(task, EndKind.STOPPED)
-        return StopAnswer.ANSWERED
+        return act(executor)
 
     async def poll(
         self,
@@ -347,48 +522,45 @@
         deadline_ms: int | None,
         wait_s: float,
     ) -> Result[TaskReport, PollFailure]:
-        executor = self.executors[info.executor_id]
-        await asyncio.sleep(0.002)
-        if (
-            executor.is_partitioned
-            or (term_of(token), info.executor_id) in self.partitions
-        ):
-            await asyncio.sleep(wait_s + 0.8)
-            return Failure(PollFailure.NO_ANSWER)
-        if executor.has_crashed:
-            is_replaced = info.executor_id in self.restarted
-            return Failure(
-                PollFailure.GONE if is_replaced else PollFailure.REFUSED
-            )
-        if token < executor.token:
-            return Failure(PollFailure.FENCED)
-        executor.token = token
-        if deadline_ms is not None:
-            executor.deadline_ms = max(executor.deadline_ms, deadline_ms)
-        executor.ended = [
-            end for end in executor.ended if end.number > acknowledged
-        ]
-        waited_s = 0.0
-        while waited_s < wait_s and not executor.ended:
-            await asyncio.sleep(0.02)
-            waited_s += 0.02
+        def act(executor: FakeExecutor) -> bool:
+            executor.tick()
+            if token < executor.token:
+                return False
+            executor.token = token
+            if deadline_ms is not None:
+                executor.extend_leases(deadline_ms)
+            executor.acknowledge(acknowledged)
+            return True
+
+        while True:
+            timeout_s = wait_s + ANSWER_TIMEOUT_S
+            executor = await self._reach(info, token, timeout_s, act)
+            if executor is None:
+                return Failure(PollFailure.NO_ANSWER)
             if executor.has_crashed:
-                break
-        if executor.is_partitioned or executor.has_crashed:
-            return Failure(PollFailure.NO_ANSWER)
-        running = [
-            RunReport(name, run.number, percent=100)
-            for name, run in executor.running.items()
-        ]
-        return Success(
-            TaskReport(
-                executor.clock_ms(),
-                1,
-                running,
-                executor.ended[:ENDS_PER_ANSWER],
-                len(executor.ended) < ENDS_PER_ANSWER,
-            )
-        )
+                is_replaced = info.executor_id in self.restarted
+                return Failure(
+                    PollFailure.GONE if is_replaced else PollFailure.REFUSED
+                )
+            if not act(executor):
+                return Failure(PollFailure.FENCED)
+            waited_s = 0.0
+            while waited_s < wait_s and not executor.ended:
+                await asyncio.sleep(0.02)
+                waited_s += 0.02
+                if executor.has_crashed or executor.has_ended:
+                    break
+            if executor.has_ended:
+                if executor.pending_calls is PendingCalls.PASS_ON:
+                    continue
+                if executor.pending_calls is PendingCalls.HANG:
+                    await asyncio.sleep(timeout_s - waited_s)
+                return Failure(PollFailure.NO_ANSWER)
+            if executor.has_crashed:
+                return Failure(PollFailure.NO_ANSWER)
+            if executor.is_partitioned:
+                return Failure(PollFailure.NO_ANSWER)
+            return Success(executor.report())
 
     async def pace(
         self,
@@ -480,6 +652,10 @@
         self.locks: dict[str, asyncio.Lock] = {}
         self.stores: dict[str, FaultyRows] = {}
         self.daemons: dict[str, JobService] = {}
+        # The duration of a lease, as the daemons choose it, and the longest
+        # one that the executors grant.
+        self.lease_s = LEASE_S
+        self.lease_max_s = LEASE_S
         # How long a daemon waits for the owner's answer to a submission.
         self.forward_timeout_s: float | None = None
         self._fleet_task: asyncio.Task[None] | None = None
@@ -505,13 +681,14 @@
             self.fleet,
             self.fleet,
             VirtualClock(),
-            5.0,
+            self.lease_s,
             2.0,
             is_store_unreachable=lambda: store.is_known_unreachable,
             submit_remote=self.forward,
             weight=weight,
             count_remote=self.count,
             overload=overload,
+            lease_max_s=self.lease_max_s,
         )
         service.apply_configuration(
             Configuration(1, [ROUTE], [PoolPolicy(POOL)])
