Doubt the loss of a run that the next incarnation may have answered

Cause: once the executor was silent, the run was recorded as certainly lost with the former incarnation, because its start had been answered. When the next one was heard, that loss counted as a proved crash under the task, though the same report listed the run as lapsed.

Change: a loss that nothing but silence shows is certain only for a run that is located. A restart whose complete report lacks an answered run still is.

--- a/lycheelug/workloads/crash_records.py
+++ b/lycheelug/workloads/crash_records.py
@@ -52,7 +52,7 @@
     # The executor was reserved for the task's job.
     is_isolated: bool = False
     # The run was known to be running there; otherwise its start was not
-    # answered.
+    # answered, or perhaps by the next incarnation.
     is_certain: bool = True
     # What proved the end; empty if nothing did, or if an earlier release
     # stored the record.
--- a/lycheelug/workloads/crashes.py
+++ b/lycheelug/workloads/crashes.py
@@ -330,6 +330,7 @@
         """Add a record for each unfinished task of some runs.
 
         `proof` is what proves that the executor has ended; empty for nothing.
+        Without one, the next incarnation may have answered a start.
         """
         isolated = schedule.isolation.isolated_run(view)
         for run in runs:
@@ -342,6 +343,7 @@
                 and run.task_name.job == isolated.task_name.job
             )
             is_beside = isolated is not None and not is_isolated
+            was_started = bool(proof) and run.confirmed_at is not None
             age_s = silent_at - run.ordered_at
             if run.is_adopted:
                 age_s = max(age_s, SUSPECT_RUN_MAX_S)
@@ -354,7 +356,7 @@
                     is_discounted=is_beside or is_shared,
                     is_proved=bool(proof),
                     is_isolated=is_isolated,
-                    is_certain=run.confirmed_at is not None,
+                    is_certain=run.is_located or was_started,
                     proof=proof,
                     host=view.info.host,
                 ),
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -13,6 +13,7 @@
     StartAnswer,
     StepSpec,
     TaskName,
+    apply_start_answer,
     awaits_starts,
     make_poll,
 )
@@ -346,3 +347,36 @@
     world.report_tasks("x", [(TASK, 1001)])
     latest = world.now + longest_s / (1 - CLOCK_DRIFT)
     assert view.leases_end_at == pytest.approx(latest)
+
+
+# Guards against a job that is given up for the crash of an incarnation on
+# which its task never was: the next one has answered the start.
+@pytest.mark.parametrize("is_located", [True, False])
+def test_run_of_the_next_incarnation_is_no_certain_loss(
+    is_located: bool,
+) -> None:
+    world = PoolWorld()
+    view = world.add_executor("x")
+    world.add_job(ONE)
+    (order,) = world.starts()
+    apply_start_answer(
+        world.schedule,
+        view,
+        order.task,
+        order.run,
+        StartAnswer.STARTED,
+        world.now,
+        is_located,
+    )
+    world.now += 0.5
+    view.last_report_at = None
+    view.require_barrier()
+    world.schedule.crashes.record_silence(
+        world.schedule, view, world.now, world.now
+    )
+    world.now += 1.0
+    ended = [(order.task.name, order.run, EndKind.LAPSED)]
+    world.report_tasks("x", ended=[] if is_located else ended, born_ms=2)
+    (record,) = order.task.crash_records
+    assert record.is_proved
+    assert record.is_certain is is_located
