Add start times to the rows of used executors without further writes

A start time that is missing is written with the next change of the row; one that has changed still at once.

--- a/lycheelug/jobservice/used_executors.py
+++ b/lycheelug/jobservice/used_executors.py
@@ -127,7 +127,7 @@
                 view.is_recorded = known.place == record.place
         changes: dict[RowName, tuple[int, bytes]] = {}
         for name, row in self._rows.items():
-            if wanted[name] == row.executors:
+            if _is_current(row.executors, wanted[name]):
                 continue
             row.written = wanted[name]
             # Unknown until the write is answered.
@@ -170,6 +170,24 @@
     return decode_json(value, dict[str, UsedExecutor]).value_or(None)
 
 
+def _is_current(
+    stored: dict[str, UsedExecutor] | None, wanted: dict[str, UsedExecutor]
+) -> bool:
+    """Return whether a row needs no write.
+
+    A start time that is added to one without is written with the next change.
+    """
+    if stored is None or stored.keys() != wanted.keys():
+        return False
+    for executor_id, record in wanted.items():
+        known = stored[executor_id]
+        if known.place != record.place:
+            return False
+        if known.born_ms not in (0, record.born_ms):
+            return False
+    return True
+
+
 def _is_to_record(view: ExecutorView) -> bool:
     """Whether tasks may run or be started on an executor.
 
