Let the stand-in executors restart, and carry calls out late

It can be cut off, and a share of its calls gets no answer and is carried out 0.3 to 4 s later. The random source is injected. Tickets end with an incarnation. A pool on standby and `max_attempts` can be set: the stand-in doesn't move hosts, and daemons withhold work from hosts that they move.

--- a/standins/hint_tickets.py
+++ b/standins/hint_tickets.py
@@ -2,7 +2,8 @@
 
 It follows the platform's published protocol: a call takes a fixed time and
 more for each executor that it names, calls are handled one after another, and
-a ticket is good for all tasks of a step on one executor, for a limited time.
+a ticket is good for all tasks of a step on one incarnation of an executor, for
+a limited time.
 The answer doesn't state that time, which is in the queue's configuration.
 """
 
@@ -39,6 +40,7 @@
         self._allowed = allowed
         # Step, executor, and the time at which a ticket ends, by ticket.
         self._tickets: dict[str, tuple[str, str, float]] = {}
+        self._given = 0
         self._turn = asyncio.Lock()
         self._waiting = 0
         self.calls = 0
@@ -67,11 +69,18 @@
         for executor_id in executors:
             if executor_id not in self._allowed:
                 continue
-            ticket = f"ticket-{len(self._tickets)}"
+            self._given += 1
+            ticket = f"ticket-{self._given}"
             self._tickets[ticket] = (call["step"], executor_id, ends_at)
             rows.append([executor_id, ticket])
         return json_answer(200, {"allowed": rows})
 
+    def revoke(self, executor_id: str) -> None:
+        """Drop the tickets for an executor's former incarnation."""
+        for ticket, (_, holder, _) in list(self._tickets.items()):
+            if holder == executor_id:
+                del self._tickets[ticket]
+
     def accept(self, task: str, executor_id: str, ticket: str) -> bool:
         """Return whether a start may use a ticket; count it if not."""
         step = task.rpartition(".")[0]
--- a/standins/schedulers.py
+++ b/standins/schedulers.py
@@ -8,8 +8,8 @@
 
 from lycheelug.platform.settings import SETTINGS_VARIABLE
 from standins.processes import ProcessGroup, Program, http_call, wait_until
-from standins.task_executor import RunRecord
-from standins.task_platform import PREFIX
+from standins.run_records import RunRecord
+from standins.task_platform import PREFIX, ExecutorFault
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -95,9 +95,20 @@
         self.schedulers: dict[str, SchedulerProcess] = {}
 
     async def start_platform_and_executors(
-        self, executors: int, work_ms: int
+        self,
+        executors: int,
+        work_ms: int,
+        work_spread: float = 0.0,
+        seed: int = 0,
+        has_standby: bool = True,
+        max_attempts: int = 2,
     ) -> None:
-        """Start the stand-in platform with its executors."""
+        """Start the stand-in platform with its executors.
+
+        It doesn't move hosts, so it should have no pool on standby where
+        there are more executors than are needed.
+        """
+        options = [] if has_standby else ["--no-standby"]
         self.platform = await self.start_program(
             "task-platform",
             "standins.task_platform",
@@ -105,6 +116,13 @@
             str(executors),
             "--work-ms",
             str(work_ms),
+            "--work-spread",
+            str(work_spread),
+            "--seed",
+            str(seed),
+            "--max-attempts",
+            str(max_attempts),
+            *options,
         )
 
     async def start_scheduler(
@@ -149,6 +167,33 @@
         answer = await http_call(self.platform.address, "GET", "/hints")
         return msgspec.json.decode(answer.body, type=dict[str, int])
 
+    async def restart_executors(
+        self, executors: list[str], pause_s: float, is_dark: bool
+    ) -> None:
+        """Restart executors under their ids; return once they are back."""
+        fault = ExecutorFault(executors, pause_s, is_dark)
+        await self._disturb("/restart", fault)
+
+    async def cut_off_executors(
+        self, executors: list[str], duration_s: float
+    ) -> None:
+        """Lose all calls to executors, and return when that is over."""
+        await self._disturb("/cut", ExecutorFault(executors, duration_s))
+
+    async def delay_calls(self, executors: list[str], share: float) -> None:
+        """Let executors carry out a share of the calls late, unanswered."""
+        await self._disturb(
+            "/late-calls", ExecutorFault(executors, share=share)
+        )
+
+    async def _disturb(self, path: str, fault: ExecutorFault) -> None:
+        """Ask the stand-in platform to disturb executors."""
+        assert self.platform is not None
+        answer = await http_call(
+            self.platform.address, "POST", path, msgspec.json.encode(fault)
+        )
+        assert answer.status == 204
+
     async def runs(self) -> list[RunRecord]:
         """Return all runs that the executors have started."""
         assert self.platform is not None
--- a/standins/task_executor.py
+++ b/standins/task_executor.py
@@ -1,63 +1,46 @@
-"""A stand-in for one executor of the users' platform.
+"""A stand-in for one executor of the users' platform, and its faults.
 
-It simulates each task by waiting.  It follows the platform's published
-protocol: a run number that is not higher than the task's last one is
-rejected, and so is every call with an outdated fencing token; all runs end
-when the lease expires; ends are reported until they are acknowledged.
+It may crash and start again under its id and address.  The id doesn't tell
+its incarnations apart, so whichever is there carries out a call:
+
+* A crash closes the connections, unless it is *dark*.  In a dark crash calls
+  that arrive meanwhile wait, and the next incarnation carries them out.
+* While it is cut off, calls and answers are lost; the runs go on while their
+  lease lasts.
+* A share of the calls gets no answer and is carried out some seconds later.
+
+What is random is drawn from the given source.
 """
 
 from __future__ import annotations
 
 import asyncio
-import time
-from typing import TYPE_CHECKING, Any, Final
+import socket
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
 from lycheelug.http import Answer, HttpServer, find_header, json_answer
+from standins.incarnation import ExecutorCall, Incarnation
 
 if TYPE_CHECKING:
+    import random
+
     from lycheelug.http import Request
     from standins.hint_tickets import HintTickets
+    from standins.incarnation import SimulatedWork
+    from standins.run_records import RunRecord
 
-__all__ = ["HINTED", "LONG_RUNNING", "RunRecord", "TaskExecutor"]
+__all__ = ["TaskExecutor"]
 
+HOST: Final = "127.0.0.1"
 CHECK_INTERVAL_S: Final = 0.02
 STATUS_WRONG_INSTANCE: Final = 421
-# How many ends one answer lists at most.
-ENDS_PER_ANSWER: Final = 500
-
-
-class _Call(msgspec.Struct):
-    """The body of a start, stop or poll call."""
-
-    fencing_token: int = 0
-    task: str = ""
-    run: int = 0
-    spec: str = ""
-    deadline_ms: int | None = None
-    last_seen: int = 0
-    wait_ms: int = 0
-    ticket: str = ""
-
-
-# The job payload whose tasks need a ticket.
-HINTED: Final = "hinted"
-# The job payload whose tasks run until they are stopped.
-LONG_RUNNING: Final = "lasting"
-
-
-class RunRecord(msgspec.Struct):
-    """A run that was started."""
-
-    task: str
-    run: int
-    executor: str
-    # Unix times in seconds; `ended` is 0 while the task runs.
-    began: float
-    ended: float = 0.0
-    how: str = ""
-    lasts: bool = False
+# An executor's clock may be so much slower than a right one.
+CLOCK_RATE_MIN: Final = 0.98
+# How long after their arrival late calls are carried out.
+LATE_MIN_S: Final = 0.3
+LATE_MAX_S: Final = 4.0
 
 
 class TaskExecutor:
@@ -66,155 +49,147 @@
     def __init__(
         self,
         executor_id: str,
-        work_s: float,
+        work: SimulatedWork,
         records: list[RunRecord],
         tickets: HintTickets,
+        rng: random.Random,
     ) -> None:
         self.executor_id = executor_id
-        self._tickets = tickets
-        self.born_ms = int(time.time() * 1000)
-        # How long each task runs.
-        self.work_s = work_s
-        # The runs of all executors, in the order of their starts.
+        # The share of calls that are carried out late.
+        self.late_share = 0.0
+        self._work = work
         self._records = records
-        self._fencing_token = 0
-        self._deadline_ms = 0
-        self._running: dict[str, RunRecord] = {}
-        self._highest_runs: dict[str, int] = {}
-        self._unacked_ends: list[list[Any]] = []
-        self._end_count = 0
-        self._changed = asyncio.Event()
+        self._tickets = tickets
+        self._rng = rng
+        # The highest fencing token of all calls that have arrived.
+        self._highest_token = 0
+        self._incarnation = self._create_incarnation()
+        # Set unless a dark crash lasts.
+        self._accepts_calls = asyncio.Event()
+        self._accepts_calls.set()
+        # How many cuts last.
+        self._cuts = 0
+        # A bound socket keeps the port while nobody listens on it.
+        self._port_holder = socket.socket()
+        self._port_holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._port_holder.bind((HOST, 0))
+        self._port: int = self._port_holder.getsockname()[1]
         self._server = HttpServer(self._handle)
+        # Calls in progress, which go on if their callers disconnect.
+        self._calls: set[asyncio.Task[Answer | None]] = set()
 
     @property
     def address(self) -> str:
-        """The address that it listens on."""
-        return f"127.0.0.1:{self._server.port}"
+        """The address that it listens on, in all incarnations."""
+        return f"{HOST}:{self._port}"
+
+    @property
+    def is_up(self) -> bool:
+        """Whether an incarnation is there."""
+        return self._incarnation.is_up
+
+    @property
+    def is_reported_up(self) -> bool:
+        """Whether the list of hosts says so; a dark crash isn't seen."""
+        return self.is_up or not self._accepts_calls.is_set()
+
+    @property
+    def born_ms(self) -> int:
+        """The start of the latest incarnation, in Unix milliseconds."""
+        return self._incarnation.born_ms
 
     async def run(self) -> None:
         """End runs that are done or without a lease, until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            for record in list(self._running.values()):
-                if self._clock_ms() > self._deadline_ms:
-                    self._end(record, "lapsed")
-                elif self._progress(record) >= 1 and not record.lasts:
-                    self._end(record, "done")
+            if self.is_up:
+                self._incarnation.end_runs()
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        await self._server.start("127.0.0.1", 0)
+        """Listen on its port."""
+        await self._server.start(HOST, self._port)
 
     def stop(self) -> None:
         """Stop listening."""
         self._server.stop()
+        self._port_holder.close()
+        for call in self._calls:
+            call.cancel()
+
+    def next_sequence(self) -> int:
+        """Return the number of the incarnation's next entry."""
+        self._incarnation.sequence += 1
+        return self._incarnation.sequence
+
+    async def restart(self, pause_s: float, is_dark: bool) -> None:
+        """Crash, and start again after a pause."""
+        self._incarnation.crash()
+        if is_dark:
+            self._accepts_calls.clear()
+        else:
+            self._server.stop()
+        await asyncio.sleep(pause_s)
+        self._tickets.revoke(self.executor_id)
+        self._incarnation = self._create_incarnation()
+        if is_dark:
+            self._accepts_calls.set()
+            return
+        self._server = HttpServer(self._handle)
+        await self.start()
+
+    async def cut_off(self, duration_s: float) -> None:
+        """Lose all calls and answers for a time."""
+        self._cuts += 1
+        await asyncio.sleep(duration_s)
+        self._cuts -= 1
+
+    def _create_incarnation(self) -> Incarnation:
+        """Return an incarnation that starts now."""
+        return Incarnation(
+            self.executor_id,
+            self._work,
+            self._records,
+            self._tickets,
+            self._rng.uniform(CLOCK_RATE_MIN, 1.0),
+            self._highest_token,
+        )
 
     async def _handle(self, request: Request) -> Answer:
-        """Answer one call."""
+        """Answer one call, or wait until its caller has disconnected."""
         expected = find_header(request.headers, b"expected-instance")
         if expected != self.executor_id.encode():
             return json_answer(STATUS_WRONG_INSTANCE, {"reason": "instance"})
         try:
-            call = msgspec.json.decode(request.body, type=_Call)
+            call = msgspec.json.decode(request.body, type=ExecutorCall)
         except msgspec.DecodeError as error:
             return json_answer(400, {"reason": str(error)})
-        if call.fencing_token < self._fencing_token:
-            return self._reject("fence")
-        self._fencing_token = call.fencing_token
-        if request.target == b"/v1/run-start":
-            return self._start_run(call)
-        if request.target == b"/v1/run-stop":
-            return self._stop_run(call)
-        if request.target == b"/v1/hold":
-            return await self._poll(call)
-        return json_answer(404, {"reason": "no such call"})
-
-    def _start_run(self, call: _Call) -> Answer:
-        """Start a run, unless the task had the same or a later run."""
-        if call.deadline_ms is not None:
-            self._deadline_ms = max(self._deadline_ms, call.deadline_ms)
-        present = self._running.get(call.task)
-        if present is not None and present.run == call.run:
-            return self._success()
-        if call.run <= self._highest_runs.get(call.task, 0):
-            return self._reject("old")
-        if self._clock_ms() > (call.deadline_ms or 0):
-            return self._reject("late")
-        if call.spec == HINTED and not self._tickets.accept(
-            call.task, self.executor_id, call.ticket
-        ):
-            return self._reject("ticket")
-        self._highest_runs[call.task] = call.run
-        record = RunRecord(
-            call.task,
-            call.run,
-            self.executor_id,
-            time.time(),
-            lasts=call.spec == LONG_RUNNING,
-        )
-        self._running[call.task] = record
-        self._records.append(record)
-        return self._success()
-
-    def _stop_run(self, call: _Call) -> Answer:
-        """End a run; a start of it that arrives later is rejected."""
-        known = self._highest_runs.get(call.task, 0)
-        self._highest_runs[call.task] = max(known, call.run)
-        record = self._running.get(call.task)
-        if record is not None and record.run == call.run:
-            self._end(record, "stopped")
-        return self._success()
-
-    async def _poll(self, call: _Call) -> Answer:
-        """Extend the lease, drop acknowledged ends, report all others."""
-        if call.deadline_ms is not None:
-            self._deadline_ms = max(self._deadline_ms, call.deadline_ms)
-        self._unacked_ends = [
-            end for end in self._unacked_ends if end[0] > call.last_seen
-        ]
-        if not self._unacked_ends and call.wait_ms:
-            changed = self._changed
-            try:
-                async with asyncio.timeout(call.wait_ms / 1000):
-                    await changed.wait()
-            except TimeoutError:
-                pass
-        running: list[list[Any]] = []
-        for record in self._running.values():
-            max_percent = 100 if record.lasts else 99
-            percent = min(max_percent, int(100 * self._progress(record)))
-            running.append([record.task, record.run, "", percent, 0])
-        ended = self._unacked_ends[:ENDS_PER_ANSWER]
-        return self._success(running=running, ended=ended)
-
-    def _end(self, record: RunRecord, outcome: str) -> None:
-        """End a run and report its end."""
-        del self._running[record.task]
-        record.ended = time.time()
-        record.how = outcome
-        self._end_count += 1
-        self._unacked_ends.append(
-            [self._end_count, record.task, record.run, outcome, ""]
-        )
-        self._changed.set()
-        self._changed = asyncio.Event()
-
-    def _progress(self, record: RunRecord) -> float:
-        """Return the part of its run time that a run has completed."""
-        return (time.time() - record.began) / self.work_s
-
-    def _clock_ms(self) -> int:
-        """Return the monotonic clock in milliseconds."""
-        return int(time.monotonic() * 1000)
-
-    def _success(self, **content: Any) -> Answer:
-        """Return a success answer with the clock and the incarnation."""
-        content["clock_ms"] = self._clock_ms()
-        content["born"] = self.born_ms
-        return json_answer(200, content)
-
-    def _reject(self, reason: str) -> Answer:
-        """Return an answer that rejects the call."""
-        return json_answer(
-            409, {"clock_ms": self._clock_ms(), "reason": reason}
-        )
+        self._highest_token = max(self._highest_token, call.fencing_token)
+        if not self._cuts:
+            task = asyncio.create_task(self._carry_out(request.target, call))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+            answer = await asyncio.shield(task)
+            if answer is not None and not self._cuts:
+                return answer
+        await asyncio.Event().wait()
+        raise AssertionError("the event is never set")
+
+    async def _carry_out(
+        self, target: bytes, call: ExecutorCall
+    ) -> Answer | None:
+        """Let whichever incarnation is there carry out a call.
+
+        Return None if there is no answer.
+        """
+        is_late = self._rng.random() < self.late_share
+        if is_late:
+            delay_s = self._rng.uniform(LATE_MIN_S, LATE_MAX_S)
+            await asyncio.sleep(delay_s)
+        await self._accepts_calls.wait()
+        incarnation = self._incarnation
+        if not incarnation.is_up:
+            return None
+        answer = await incarnation.carry_out(target, call, is_late)
+        if is_late or not incarnation.is_up:
+            return None
+        return answer
--- a/tests/test_proof_hints.py
+++ b/tests/test_proof_hints.py
@@ -7,9 +7,9 @@
 
 import pytest
 
+from standins.incarnation import HINTED
 from standins.processes import wait_until
 from standins.schedulers import SchedulerCluster, SchedulerProcess
-from standins.task_executor import HINTED
 from standins.task_platform import HINTED_PREFIX
 from tests.test_proof_jobs import owner_of, repeated_tasks
 
--- a/tests/test_proof_jobs.py
+++ b/tests/test_proof_jobs.py
@@ -9,15 +9,15 @@
 import msgspec
 import pytest
 
+from standins.incarnation import LONG_RUNNING
 from standins.processes import wait_until
 from standins.schedulers import SchedulerCluster, SchedulerProcess
-from standins.task_executor import LONG_RUNNING
 from standins.task_platform import POOL
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from standins.task_executor import RunRecord
+    from standins.run_records import RunRecord
 
 STEPS: list[dict[str, Any]] = [
     {"count": 3, "cpu": 500, "estimate_ms": 300},
