--- a/lycheelug/cli/explain.py
+++ b/lycheelug/cli/explain.py
@@ -119,7 +119,10 @@
     """Return whether a log record names a job."""
     if job_id in (record.get("job"), record.get("subject")):
         return True
-    tasks = record.get("tasks", ())
+    tasks = record.get("tasks")
+    if not isinstance(tasks, list):
+        # Some lines have the number of tasks, and name others.
+        tasks = record.get("others", [])
     if any(str(task).startswith(f"{job_id}.") for task in tasks):
         return True
     return job_id in str(record.get("target", ""))
