--- a/lycheelug/jobservice/executor_loop.py
+++ b/lycheelug/jobservice/executor_loop.py
@@ -3,8 +3,8 @@
 Each poll extends the lease of all runs on the executor and acknowledges the
 ends that are durable.  It is a long poll: the executor delays its answer
 until the next end, within a time limit.  After an end, the next poll waits
-until the store has recorded it: without a new acknowledgement the executor
-would only report the same end again.
+until the store has recorded it and no start is in flight: without a new
+acknowledgement the executor would only report the same end again.
 
 Polls of an unresponsive executor extend no lease.  The leases of the runs
 that may still be on it must expire before its tasks can start elsewhere.
@@ -186,10 +186,9 @@
             is_timeout = now - call.sent_at >= wait_s
             was_refused = failure is PollFailure.REFUSED
             alive_until = call.sent_at if is_timeout or was_refused else now
-            if failure is PollFailure.FENCED and view.tokens.is_past(
-                call.token
-            ):
-                # Perhaps only a later call of this owner has overtaken it.
+            was_overtaken = view.tokens.is_past(call.token)
+            if failure is PollFailure.FENCED and was_overtaken:
+                # Perhaps only by a later call of this owner.
                 view.require_barrier()
                 return True
             self._handle_failure(view, failure, alive_until, now)
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -58,7 +58,7 @@
     ANSWERED = auto()
     # The executor has seen a higher fencing token.
     FENCED = auto()
-    # Another incarnation answered: the executor that was addressed has
+    # An executor with another id answered: the one that was addressed has
     # ended, and all of its runs with it.
     GONE = auto()
     NO_ANSWER = auto()
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -2,9 +2,11 @@
 
 An order is planned while the proof of ownership is valid, and the proof is
 checked again once the order is sent, because the process may have been
-stopped in between.  A start that is delayed after that check is harmless:
-its lease counts from the check, so the executor rejects it as late, or ends
-the run before the next owner relies on that.
+stopped in between.  A start that is delayed after that check is harmless on
+the incarnation that it was meant for: its lease counts from the check, so the
+executor rejects it as late, or ends the run before the next owner relies on
+that.  A later incarnation has another clock; `order_tokens` tells how it is
+kept from carrying the start out.
 """
 
 from __future__ import annotations
--- a/lycheelug/platform/executors.py
+++ b/lycheelug/platform/executors.py
@@ -1,9 +1,10 @@
 """The platform's executors: their entries in the store, and orders to them.
 
 An executor's entry in the store announces its address and capacity.  Orders
-are sent directly to the executor over HTTP.  They name the executor's
-incarnation and carry the owner's fencing token, so neither a restarted
-executor nor one that knows a newer owner carries them out.
+are sent directly to the executor over HTTP.  They name its id and carry the
+owner's fencing token, so neither another executor at its address nor one that
+has seen a higher token carries them out.  The id doesn't tell an executor
+from its next incarnation, if that one has the same id.
 """
 
 from __future__ import annotations
@@ -67,6 +68,7 @@
 HINT_TIMEOUT_S: Final = 3.0
 # The maximum number of concurrent orders to one executor.
 MAX_CONCURRENT_ORDERS: Final = 4
+# It holds the executor's id; one with another id answers with this status.
 INCARNATION_HEADER: Final = b"expected-instance"
 STATUS_OTHER_INCARNATION: Final = 421
 # How many ends one list of runs has at most; the next ones are listed once
