--- a/lycheelug/workloads/polls.py
+++ b/lycheelug/workloads/polls.py
@@ -29,7 +29,6 @@
         "acknowledged",
         "barrier_number",
         "deadline_ms",
-        "is_barrier",
         "sent_at",
         "token",
     )
@@ -38,14 +37,19 @@
         self.token = token
         # Local time.
         self.sent_at = sent_at
-        # Whether it shuts out all calls that were sent before it.
-        self.is_barrier = False
+        # The number of the last request for a barrier that it fulfils; 0 if
+        # it isn't one.
         self.barrier_number = 0
         # The ends up to this number need not be listed again.
         self.acknowledged = 0
         # The new end of the leases, on the executor's clock.
         self.deadline_ms: int | None = None
 
+    @property
+    def is_barrier(self) -> bool:
+        """Whether it shuts out all calls that were sent before it."""
+        return self.barrier_number > 0
+
 
 def make_poll(
     view: ExecutorView, now: float, lease_s: float, may_extend: bool
@@ -55,8 +59,8 @@
     if is_barrier:
         view.tokens.advance()
     call = PollCall(view.tokens.current, now)
-    call.is_barrier = is_barrier
-    call.barrier_number = view.barrier_number
+    if is_barrier:
+        call.barrier_number = view.barrier_number
     clock_ms = view.clock.estimate_ms(now)
     if may_extend and clock_ms is not None:
         call.deadline_ms = clock_ms + int(lease_s * 1000)
