Keep the tasks that wait for an executor when it is removed again

Each check of a task also went through all removed executors. Change: kept by task, as it is asked for. Ruled out: two executors for one task, which the old test plays and which still holds. tests/test_incarnations.py: the new test fails before and passes now.

--- a/lycheelug/workloads/late_starts.py
+++ b/lycheelug/workloads/late_starts.py
@@ -19,32 +19,33 @@
 
 
 class LateStarts:
-    """The tasks that wait, by executor."""
+    """The tasks that wait, and the executors that they wait for."""
 
     __slots__ = ("_held",)
 
     def __init__(self) -> None:
-        # The local times until which they wait.
-        self._held: dict[str, dict[TaskName, float]] = {}
+        # By task: the local time until which it waits for each executor.
+        self._held: dict[TaskName, dict[str, float]] = {}
 
     def hold(self, view: ExecutorView, now: float) -> None:
         """Let the tasks wait whose starts on an executor are in doubt."""
-        held: dict[TaskName, float] = {}
+        for task, executors in list(self._held.items()):
+            if now >= max(executors.values()):
+                del self._held[task]
         for run in view.runs.values():
-            if run.task is not None and not run.is_located:
-                held[run.task_name] = now + LATE_CALL_S
-        if held:
-            self._held[view.executor_id] = held
+            if run.task is None or run.is_located:
+                continue
+            executors = self._held.setdefault(run.task_name, {})
+            executors[view.executor_id] = now + LATE_CALL_S
 
     def release(self, executor_id: str) -> None:
         """Let them start: the executor rejects the earlier starts."""
-        self._held.pop(executor_id, None)
+        for task, executors in list(self._held.items()):
+            executors.pop(executor_id, None)
+            if not executors:
+                del self._held[task]
 
     def is_held(self, task: TaskName, now: float) -> bool:
         """Return whether a task must wait."""
-        for executor_id, held in list(self._held.items()):
-            if now >= max(held.values()):
-                del self._held[executor_id]
-            elif now < held.get(task, 0.0):
-                return True
-        return False
+        executors = self._held.get(task)
+        return executors is not None and now < max(executors.values())
--- a/tests/test_incarnations.py
+++ b/tests/test_incarnations.py
@@ -229,6 +229,21 @@
     assert not late_starts.is_held(OTHER, world.now + case.after_s)
 
 
+# Guards against tasks that no longer wait as their executor was removed again.
+def test_executor_that_is_removed_twice_holds_the_tasks_of_both() -> None:
+    world = PoolWorld()
+    world.add_job([StepSpec(count=2, cpu_millis=1000)])
+    late_starts = LateStarts()
+    for task in (TASK, OTHER):
+        late_starts.hold(doubtful_view(world, "x", task), world.now)
+        world.now += 1.0
+    assert late_starts.is_held(TASK, world.now)
+    assert late_starts.is_held(OTHER, world.now)
+    late_starts.release("x")
+    assert not late_starts.is_held(TASK, world.now)
+    assert not late_starts.is_held(OTHER, world.now)
+
+
 def test_located_run_holds_no_task() -> None:
     world = PoolWorld()
     world.add_job(ONE)
