Issue the fencing tokens of an owner from one source

Cause: the schedule kept the tokens of each executor that it had ever seen, so that one that comes back goes on from its last, without a bound: each host that is moved has a new id. Change: all executors of an owner share one rising number, so nothing is kept for those that are removed. The range of a term is 2**36 instead of 2**32, as it is used up faster.

--- a/lycheelug/workloads/executors.py
+++ b/lycheelug/workloads/executors.py
@@ -30,7 +30,7 @@
 from lycheelug.workloads.executor_clock import CLOCK_DRIFT, ExecutorClock
 from lycheelug.workloads.executor_info import ExecutorInfo
 from lycheelug.workloads.health import ExecutorHealth
-from lycheelug.workloads.order_tokens import OrderTokens
+from lycheelug.workloads.order_tokens import OrderTokens, TokenSource
 from lycheelug.workloads.reports import (
     EndKind,
     EndReport,
@@ -112,13 +112,13 @@
         leases_end_at: float,
         run_counts: Counter[TaskName] | None = None,
         tenant_usage: TenantUsage | None = None,
-        tokens: OrderTokens | None = None,
+        token_source: TokenSource | None = None,
         lease_max_s: float = 0.0,
         late_leases_end_at: float = 0.0,
     ) -> None:
         self.info = info
         # The fencing tokens of this owner's calls to it.
-        self.tokens = tokens or OrderTokens(0)
+        self.tokens = OrderTokens(token_source or TokenSource(0))
         # The longest lease that it grants.
         self.lease_max_s = lease_max_s
         # The number of requests for a call that shuts out all earlier ones,
--- a/lycheelug/workloads/order_tokens.py
+++ b/lycheelug/workloads/order_tokens.py
@@ -21,24 +21,43 @@
 
 from typing import Final
 
-__all__ = ["OrderTokens", "term_of"]
+__all__ = ["OrderTokens", "TokenSource", "term_of"]
 
 # Size of a term's range of tokens.  Ranges of later terms are higher.
-TOKENS_PER_TERM: Final = 2**32
+TOKENS_PER_TERM: Final = 2**36
+
+
+class TokenSource:
+    """Issues the tokens of one owner, each higher than all before.
+
+    All executors share it, so that one which is removed and comes back never
+    gets a token that it has seen before.
+    """
+
+    __slots__ = ("_last",)
+
+    def __init__(self, term: int) -> None:
+        self._last = term * TOKENS_PER_TERM
+
+    def issue(self) -> int:
+        """Return the next token."""
+        self._last += 1
+        return self._last
 
 
 class OrderTokens:
     """The tokens of one owner's calls to one executor."""
 
-    __slots__ = ("current",)
+    __slots__ = ("_source", "current")
 
-    def __init__(self, term: int) -> None:
+    def __init__(self, source: TokenSource) -> None:
+        self._source = source
         # The token of the calls that are sent now.
-        self.current = term * TOKENS_PER_TERM
+        self.current = source.issue()
 
     def advance(self) -> None:
         """Let all later calls have a higher token."""
-        self.current += 1
+        self.current = self._source.issue()
 
     def is_past(self, token: int) -> bool:
         """Return whether later calls have had a higher token than one."""
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -42,7 +42,7 @@
 from lycheelug.workloads.losses import LossCause
 from lycheelug.workloads.lost_runs import clear_runs, free_expired_runs
 from lycheelug.workloads.neighbors import Neighbors
-from lycheelug.workloads.order_tokens import OrderTokens
+from lycheelug.workloads.order_tokens import TokenSource
 from lycheelug.workloads.orders import (
     PaceOrder,
     StartOrder,
@@ -79,7 +79,7 @@
         "_earlier_leases_end_at",
         "_late_s",
         "_lease_max_s",
-        "_tokens",
+        "_token_source",
         "are_used_executors_known",
         "arrivals",
         "budget",
@@ -145,8 +145,7 @@
         # The job of the task that is being reported on, for errors.
         self.handled_job: Job | None = None
         self.executors: dict[str, ExecutorView] = {}
-        # Kept for executors that are removed, as they may be back.
-        self._tokens: dict[str, OrderTokens] = {}
+        self._token_source = TokenSource(term)
         # Whether all executors that earlier owners used are known.
         self.are_used_executors_known = False
         # Tasks waiting for an executor.
@@ -265,9 +264,7 @@
                 self._earlier_leases_end_at,
                 self.run_counts,
                 self.tenant_shares.usage,
-                self._tokens.setdefault(
-                    info.executor_id, OrderTokens(self.term)
-                ),
+                self._token_source,
                 self._lease_max_s,
                 self._earlier_leases_end_at + self._late_s,
             )
