Show that a late start runs beside its work unit's second run

Cause: once an executor has answered a barrier, the work unit of a start without an answer is free; the executor's next life carries that start out.

--- a/review/testbed3/world.py
+++ b/review/testbed3/world.py
@@ -425,8 +425,8 @@
         self.is_up = False
         self.is_cut = False
         self.state = "ready"
-        # Decides what becomes of a call: None, "lost" or a delay in seconds
-        # after which it is carried out, without an answer.
+        # Decides what becomes of a call: None, "lost", or a delay in seconds
+        # or an event after which it is carried out, without an answer.
         self.disturb = None
         self.seq_no = 0
         self.runs: dict[str, Run] = {}
@@ -512,6 +512,14 @@
         delay = self.disturb(path, message) if self.disturb else None
         if delay == "lost":
             return None
+        if isinstance(delay, asyncio.Event):
+            # Carried out once the event is set, by whichever life is there.
+            self.world.note(
+                "held", call=path, executor=self.name, task=message.get("task")
+            )
+            await delay.wait()
+            await self._carry_out(path, message, is_late=True)
+            return None
         if delay is not None:
             self.world.note(
                 "held",
