--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -29,7 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-__all__ = ["main"]
+__all__ = ["main", "measure_kib", "slope"]
 
 ZONES: Final = 5
 REPEATS: Final = 20
@@ -58,6 +58,19 @@
     operation: Callable[[object], object],
 ) -> Sample:
     """Return the memory of the built object and the time of an operation."""
+    built, kib = measure_kib(build, size)
+    lowest_ms = float("inf")
+    for _ in range(REPEATS):
+        started = time.process_time_ns()
+        operation(built)
+        lowest_ms = min(lowest_ms, (time.process_time_ns() - started) / 1e6)
+    return Sample(size, kib, lowest_ms)
+
+
+def measure_kib(
+    build: Callable[[int], object], size: int
+) -> tuple[object, float]:
+    """Return a built object, and how much memory it holds in KiB."""
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
@@ -65,15 +78,10 @@
     gc.collect()
     kib = (tracemalloc.get_traced_memory()[0] - before) / KIBIBYTE
     tracemalloc.stop()
-    lowest_ms = float("inf")
-    for _ in range(REPEATS):
-        started = time.process_time_ns()
-        operation(built)
-        lowest_ms = min(lowest_ms, (time.process_time_ns() - started) / 1e6)
-    return Sample(size, kib, lowest_ms)
+    return built, kib
 
 
-def _slope(xs: Sequence[float], ys: Sequence[float]) -> float:
+def slope(xs: Sequence[float], ys: Sequence[float]) -> float:
     """Return the slope of the least-squares line through the points."""
     mean_x = sum(xs) / len(xs)
     mean_y = sum(ys) / len(ys)
@@ -94,8 +102,8 @@
             f"{each.cpu_ms:10.3f} ms\n"
         )
     sizes = [float(each.size) for each in samples]
-    kib = _slope(sizes, [each.kib for each in samples])
-    cpu = _slope(sizes, [each.cpu_ms for each in samples])
+    kib = slope(sizes, [each.kib for each in samples])
+    cpu = slope(sizes, [each.cpu_ms for each in samples])
     sys.stdout.write(
         f"  slope of one {unit}: {kib * KIBIBYTE:.0f} B, {cpu * 1000:.2f} us\n"
     )
@@ -268,8 +276,8 @@
         size = len(msgspec.msgpack.encode(_digest("e1", pools)))
         sizes.append(float(size))
         sys.stdout.write(f"  {pools:6d} pools    {size:10d} B\n")
-    slope = _slope([float(each) for each in POOLS], sizes)
-    sys.stdout.write(f"  slope of one pool: {slope:.1f} B\n")
+    each_pool = slope([float(each) for each in POOLS], sizes)
+    sys.stdout.write(f"  slope of one pool: {each_pool:.1f} B\n")
 
 
 def _digests(count: int) -> DigestList:
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -12,6 +12,7 @@
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.logs import log_change, log_fault
 from lycheelug.workloads import HostEvidence, LossCause
+from lycheelug.workloads.ended_jobs import release_ended_jobs
 
 if TYPE_CHECKING:
     from collections.abc import Container, Mapping
@@ -152,9 +153,13 @@
 async def remove_finished_jobs(
     context: OwnerContext, owner: PoolOwner
 ) -> None:
-    """Remove the rows of jobs that finished long enough ago."""
+    """Remove the rows of jobs that finished long enough ago.
+
+    Until then, only what callers ask for is kept in memory.
+    """
     while True:
         await asyncio.sleep(SWEEP_S)
+        release_ended_jobs(owner.schedule)
         await owner.writer.remove_unclaimed()
         before_ms = context.clock.unix_ms() - FINISHED_RETENTION_S * 1000
         old = _finished_before(owner.schedule, before_ms)
--- a/lycheelug/jobservice/pool_feeds.py
+++ b/lycheelug/jobservice/pool_feeds.py
@@ -103,6 +103,7 @@
             part=schedule.pool,
             pause_s=FEED_PAUSE_S,
             on_answer=self._on_jobs_answer,
+            keeps_values=False,
         )
         self._plan_replica = TableReplica(
             context.store,
--- a/lycheelug/jobservice/pool_log.py
+++ b/lycheelug/jobservice/pool_log.py
@@ -117,6 +117,10 @@
             used_cpu=dict(used),
             waiting_steps=dict(waiting),
             oldest_ms=oldest_ms,
+            jobs=len(schedule.jobs),
+            unfinished=len(schedule.job_index.unfinished),
+            open_steps=schedule.job_index.open_steps,
+            runs=len(schedule.run_counts),
         )
 
     def _outcome(self, run: Run, now: float) -> str:
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -42,6 +42,7 @@
 from lycheelug.tenants import is_foreign
 from lycheelug.workloads import PoolSchedule
 from lycheelug.workloads.executors import CLOCK_DRIFT
+from lycheelug.workloads.open_occurrences import next_due_ms
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
@@ -386,7 +387,7 @@
         """Open the due occurrences of jobs with a schedule."""
         unix_ms = self._context.clock.unix_ms()
         for job in self.schedule.job_index.periodic.values():
-            due_ms = job.next_due_ms()
+            due_ms = next_due_ms(job)
             if due_ms is not None and due_ms <= unix_ms:
                 self.schedule.open_due_occurrences(
                     job, unix_ms, self._context.clock.now()
--- a/lycheelug/jobservice/summary.py
+++ b/lycheelug/jobservice/summary.py
@@ -15,6 +15,7 @@
     decode_summary,
 )
 from lycheelug.workloads.forecast import Feasibility
+from lycheelug.workloads.open_occurrences import count_unopened
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -37,6 +38,8 @@
 # The growth of demand is rounded down to multiples of this (in thousandths of
 # a core), so that small fluctuations cause no writes.
 GROWTH_STEP: Final = 4_000
+# Due occurrences of one job that count as demand without being open.
+UNOPENED_MAX: Final = 1_000
 
 
 def summarize(
@@ -60,6 +63,7 @@
     for job in schedule.jobs.values():
         if not job.is_final:
             _add_job(summary, job)
+            _add_unopened(summary, job, unix_ms)
     for step in schedule.ready.steps:
         _add_waiting(summary, schedule, step, unix_ms)
     return summary
@@ -88,6 +92,25 @@
             summary.spread = max(summary.spread, spread)
 
 
+def _add_unopened(summary: SummaryRecord, job: Job, unix_ms: int) -> None:
+    """Add the demand of occurrences that are due and not open yet."""
+    unopened = min(count_unopened(job, unix_ms), UNOPENED_MAX)
+    if not unopened:
+        return
+    for step in job.record.steps:
+        cpu_millis = unopened * step.count * step.resources.cpu_millis
+        if step.depends_on:
+            summary.blocked_cpu += cpu_millis
+            continue
+        summary.ready_cpu += cpu_millis
+        summary.ready_memory += (
+            unopened * step.count * step.resources.memory_mb
+        )
+        if not step.lasts:
+            # They wait for want of room, so they start after their due time.
+            summary.late_cpu += cpu_millis
+
+
 def _add_waiting(
     summary: SummaryRecord,
     schedule: PoolSchedule,
@@ -96,9 +119,9 @@
 ) -> None:
     """Add the demand of a step's waiting tasks to a summary."""
     needed = step.spec.resources
-    cpu_millis = len(step.tasks) * needed.cpu_millis
+    cpu_millis = step.count * needed.cpu_millis
     summary.ready_cpu += cpu_millis
-    summary.ready_memory += len(step.tasks) * needed.memory_mb
+    summary.ready_memory += step.count * needed.memory_mb
     if _is_late(schedule, step, unix_ms):
         summary.late_cpu += cpu_millis
 
--- a/lycheelug/store/replica.py
+++ b/lycheelug/store/replica.py
@@ -61,6 +61,7 @@
 
     __slots__ = (
         "_is_lost",
+        "_keeps_values",
         "_listener",
         "_load_s",
         "_now",
@@ -88,9 +89,12 @@
         wait_s: float = FEED_WAIT_S,
         on_answer: Callable[[], None] | None = None,
         now: Callable[[], float] | None = None,
+        keeps_values: bool = True,
     ) -> None:
         self._store = store
         self._listener = listener
+        # Whether `rows` have their values, or only the listener gets these.
+        self._keeps_values = keeps_values
         # How long a feed call may wait in the store for a change.
         self._wait_s = wait_s
         # Called after the changes of each answer were applied.
@@ -282,8 +286,12 @@
         if row.value is None:
             if self._rows.pop(key, None) is None:
                 return
-        else:
+        elif self._keeps_values:
             self._rows[key] = row
+        else:
+            self._rows[key] = StoredRow(
+                row.table, row.part, row.key, b"", row.version
+            )
         try:
             self._listener(row)
         except Exception as error:
--- a/lycheelug/whereabouts/locate.py
+++ b/lycheelug/whereabouts/locate.py
@@ -196,8 +196,8 @@
             return
         if step.job.policy.priority > task.job.policy.priority:
             continue
-        report.tasks_ahead += len(step.tasks)
-        report.cpu_ahead += len(step.tasks) * step.spec.resources.cpu_millis
+        report.tasks_ahead += step.count
+        report.cpu_ahead += step.count * step.spec.resources.cpu_millis
 
 
 def _is_enough(schedule: PoolSchedule, report: StepReport, task: Task) -> bool:
--- a/lycheelug/workloads/isolation.py
+++ b/lycheelug/workloads/isolation.py
@@ -252,8 +252,7 @@
     for job in schedule.crashes.ordered_suspects():
         if job.progress.begun_term == schedule.term:
             continue
-        for task in schedule.ready.tasks_of(job):
-            task.ready_at = now
+        schedule.ready.restart_wait(job, now)
 
 
 def _has_recent_runs(view: ExecutorView, job_id: str, now: float) -> bool:
--- a/lycheelug/workloads/job_index.py
+++ b/lycheelug/workloads/job_index.py
@@ -24,8 +24,11 @@
         "dirty",
         "ended",
         "failed",
+        "open_steps",
         "periodic",
         "unfinished",
+        "unfinished_periodic",
+        "unreleased",
     )
 
     def __init__(self) -> None:
@@ -40,6 +43,12 @@
         self.failed: list[tuple[Job, FailureCause]] = []
         # Jobs without a final state, in the order in which they were added.
         self.unfinished: dict[str, Job] = {}
+        # How many of these have a schedule.
+        self.unfinished_periodic = 0
+        # Ended jobs that weren't released yet; see `ended_jobs`.
+        self.unreleased: dict[str, Job] = {}
+        # The steps of all open occurrences.
+        self.open_steps = 0
 
     def add(self, job: Job) -> None:
         """Add a job."""
@@ -49,20 +58,32 @@
             self.dirty[job.job_id] = job
         if job.record.schedule is not None:
             self.periodic[job.job_id] = job
-        if not job.is_final:
+        if job.is_final:
+            self.unreleased[job.job_id] = job
+        else:
             self.unfinished[job.job_id] = job
+            self.unfinished_periodic += job.record.schedule is not None
+        self.open_steps += len(job.occurrences) * len(job.record.steps)
 
     def record_end(self, job: Job) -> None:
         """Record that a job has entered a final state."""
-        self.unfinished.pop(job.job_id, None)
+        self._remove_unfinished(job)
+        self.unreleased[job.job_id] = job
         self.ended.append(job)
 
     def remove(self, job: Job) -> None:
         """Remove a job."""
         self.dirty.pop(job.job_id, None)
         self.periodic.pop(job.job_id, None)
-        self.unfinished.pop(job.job_id, None)
+        self.unreleased.pop(job.job_id, None)
+        self._remove_unfinished(job)
+        self.open_steps -= len(job.occurrences) * len(job.record.steps)
 
     def dirty_in_order(self) -> list[Job]:
         """Return the jobs to be stored, in the order they were added."""
         return sorted(self.dirty.values(), key=attrgetter("sequence"))
+
+    def _remove_unfinished(self, job: Job) -> None:
+        """Remove a job from those without a final state."""
+        if self.unfinished.pop(job.job_id, None) is not None:
+            self.unfinished_periodic -= job.record.schedule is not None
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -1,15 +1,17 @@
 """In-memory state of one accepted job: occurrences, steps and tasks.
 
 A task becomes ready once all tasks of the steps that its step depends on
-are done.  Every end of a run updates the job's progress record; the owner
-writes that record to the store before it acknowledges the end to the
-executor, so that no result is lost in a handover.  Placement and the
-sending of orders happen elsewhere.
+are done.  `step_tasks` tells which tasks are kept in memory.
+
+Every end of a run updates the job's progress record; the owner writes that
+record to the store before it acknowledges the end to the executor, so that no
+result is lost in a handover.  Placement and the sending of orders happen
+elsewhere.
 """
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from lycheelug.scarcity import JobTiming
 from lycheelug.workloads.forecast import DeadlineForecast
@@ -19,19 +21,18 @@
     TaskName,
     is_long_running,
 )
-from lycheelug.workloads.progress import FINISHED_MAX, ProgressRecord, step_key
+from lycheelug.workloads.open_occurrences import OPEN_TASKS_MAX, may_open
+from lycheelug.workloads.progress import ProgressRecord, step_key
+from lycheelug.workloads.step_tasks import StepTasks
 from lycheelug.workloads.suspicion import Suspicion
-from lycheelug.workloads.tasks import Task, TaskState, restore_tasks
+from lycheelug.workloads.tasks import Task, TaskState
 
 if TYPE_CHECKING:
     from lycheelug.workloads.job_index import JobIndex
     from lycheelug.workloads.model import JobRecord, QueuePolicy
     from lycheelug.workloads.runtimes import RunTimes
 
-__all__ = ["Job", "Task", "TaskState"]
-
-# The tasks of one job's overlapping occurrences that are kept in memory.
-OPEN_TASKS_MAX: Final = 5_000
+__all__ = ["OPEN_TASKS_MAX", "Job", "Task", "TaskState"]
 
 
 class Job:
@@ -100,13 +101,10 @@
         self.is_over_share = False
         # The first occurrence that was not opened yet.
         self.next_occurrence = self.progress.finished_below
-        # Tasks by occurrence and step, for occurrences that are due and
-        # unfinished.
-        self.occurrences: dict[int, list[list[Task]]] = {}
-        # The number of unfinished tasks of each step that has any, by
-        # occurrence.
+        # The tasks of the open occurrences, by step.
+        self.occurrences: dict[int, list[StepTasks]] = {}
+        # The unfinished tasks of their steps, if any, and their due times.
         self.open_steps: dict[int, dict[int, int]] = {}
-        # Due times of the open occurrences.
         self.due_ms: dict[int, int] = {}
         # Zone of the executor on which a task was last placed.
         self.home_zone = ""
@@ -170,48 +168,52 @@
         if index is not None:
             index.add(self)
 
-    def next_due_ms(self) -> int | None:
-        """Return when the next occurrence is due, or None if none is left."""
-        schedule = self.record.schedule
-        number = self.next_occurrence
-        if schedule is None or number >= schedule.count or self.is_final:
-            return None
-        return schedule.first_ms + number * schedule.interval_ms
-
-    def open_due_occurrences(self, unix_ms: int, now: float) -> list[Task]:
-        """Open the occurrences that are due; return their ready tasks.
+    def open_due_occurrences(
+        self, unix_ms: int, now: float, count_max: int = OPEN_TASKS_MAX
+    ) -> list[StepTasks]:
+        """Open occurrences that are due; return the steps that are ready.
 
-        While too many are open, the next one waits for one to finish.
+        At most `count_max` are opened.  While too many are open, the next one
+        waits for one to finish.
         """
-        ready: list[Task] = []
+        ready: list[StepTasks] = []
         if self.is_final:
             return ready
-        schedule = self.record.schedule
+        opened = 0
         while self.next_occurrence < self.record.occurrences:
             number = self.next_occurrence
-            due_ms = self.record.accepted_ms
-            if schedule is not None:
-                due_ms = schedule.first_ms + number * schedule.interval_ms
-                if due_ms > unix_ms:
-                    break
+            due_ms = self.record.due_ms(number)
+            if self.record.schedule and due_ms > unix_ms:
+                break
             if not self.progress.has_finished(number):
-                if not self._may_open():
+                if opened >= count_max or not may_open(self):
                     break
+                opened += 1
                 self.due_ms[number] = due_ms
                 ready.extend(self._open(number, now))
             self.next_occurrence += 1
         return ready
 
     def find_task(self, name: TaskName) -> Task | None:
-        """Return a task of an open occurrence, or None if there is none."""
+        """Return a task of an open occurrence, or None if there is none.
+
+        It is kept until it is done.
+        """
+        task = self.peek_task(name)
+        if task is not None and task.state is not TaskState.DONE:
+            return self.tasks_beside(task).keep(task)
+        return task
+
+    def peek_task(self, name: TaskName) -> Task | None:
+        """Return a task as `find_task` does, without keeping it."""
         steps = self.occurrences.get(name.occurrence)
         if steps is None or not 0 <= name.step < len(steps):
             return None
         tasks = steps[name.step]
-        return tasks[name.number] if 0 <= name.number < len(tasks) else None
+        return tasks.peek(name.number) if name.number < len(tasks) else None
 
     def tasks(self) -> list[Task]:
-        """Return all tasks of the open occurrences."""
+        """Return all tasks of the open occurrences, without keeping them."""
         found: list[Task] = []
         for steps in self.occurrences.values():
             for tasks in steps:
@@ -219,16 +221,26 @@
         return found
 
     def step_tasks(self, task: Task) -> list[Task]:
-        """Return all tasks of a task's step and occurrence, including it."""
+        """Return all tasks of a task's step and occurrence, including it.
+
+        They aren't kept unless they were before.
+        """
+        return list(self.tasks_beside(task))
+
+    def tasks_beside(self, task: Task) -> StepTasks:
+        """Return the tasks of a task's step and occurrence."""
         return self.occurrences[task.name.occurrence][task.name.step]
 
     # --- Ends of runs.
 
-    def record_done(self, task: Task, unix_ms: int, now: float) -> list[Task]:
-        """Mark a task as done; return the tasks that become ready."""
+    def record_done(
+        self, task: Task, unix_ms: int, now: float
+    ) -> list[StepTasks]:
+        """Mark a task as done; return the steps that become ready."""
         if task.state is TaskState.DONE:
             return []
         task.state = TaskState.DONE
+        self.tasks_beside(task).mark_done(task.name.number)
         self.is_dirty = True
         name = task.name
         if task.crash_records:
@@ -315,49 +327,40 @@
 
     # --- Implementation.
 
-    def _may_open(self) -> bool:
-        """Return whether one more occurrence may be open."""
-        if not self.occurrences:
-            return True
-        if len(self.progress.finished) >= FINISHED_MAX:
-            return False
-        tasks = sum(step.count for step in self.record.steps)
-        return (len(self.occurrences) + 1) * tasks <= OPEN_TASKS_MAX
-
-    def _open(self, number: int, now: float) -> list[Task]:
-        """Create an occurrence's tasks and restore their recorded progress."""
-        steps: list[list[Task]] = []
+    def _open(self, number: int, now: float) -> list[StepTasks]:
+        """Open an occurrence with what is recorded of its tasks."""
+        steps: list[StepTasks] = []
         open_steps: dict[int, int] = {}
         for position, step in enumerate(self.record.steps):
-            tasks, done = restore_tasks(self, number, position)
-            if done < step.count:
-                open_steps[position] = step.count - done
+            tasks = StepTasks(self, number, position)
+            unfinished = step.count - tasks.done_count
+            if unfinished:
+                open_steps[position] = unfinished
             steps.append(tasks)
         self.occurrences[number] = steps
         self.open_steps[number] = open_steps
+        if self._index is not None:
+            self._index.open_steps += len(steps)
         return self._unblock(number, now)
 
-    def _unblock(self, number: int, now: float) -> list[Task]:
-        """Make tasks ready whose dependencies are all done; return them."""
-        ready: list[Task] = []
+    def _unblock(self, number: int, now: float) -> list[StepTasks]:
+        """Make steps ready whose dependencies are all done; return them."""
+        ready: list[StepTasks] = []
         open_steps = self.open_steps[number]
         for position, step in enumerate(self.record.steps):
-            if position not in open_steps:
+            tasks = self.occurrences[number][position]
+            if position not in open_steps or tasks.is_ready:
                 continue
             if not open_steps.keys().isdisjoint(step.depends_on):
                 continue
-            for task in self.occurrences[number][position]:
-                if task.state is not TaskState.BLOCKED:
-                    continue
-                task.state = TaskState.READY
-                task.ready_at = now
-                ready.append(task)
+            tasks.mark_ready(now)
+            ready.append(tasks)
         return ready
 
     def _finish_step(
         self, number: int, position: int, unix_ms: int, now: float
-    ) -> list[Task]:
-        """Close a finished step; return the tasks that become ready."""
+    ) -> list[StepTasks]:
+        """Close a finished step; return the steps that become ready."""
         self._forecasts.pop(number, None)
         open_steps = self.open_steps[number]
         open_steps.pop(position, None)
@@ -368,6 +371,8 @@
         if self.record.schedule is not None:
             self.progress.forget_failures(number, self.record.steps)
         self.progress.record_finished(number)
+        if self._index is not None:
+            self._index.open_steps -= len(self.record.steps)
         del self.occurrences[number]
         del self.open_steps[number]
         self.due_ms.pop(number, None)
--- a/lycheelug/workloads/losses.py
+++ b/lycheelug/workloads/losses.py
@@ -150,7 +150,7 @@
 def find_open_task(schedule: PoolSchedule, run: Run) -> Task | None:
     """Return the unfinished task of a run, even if it has another run."""
     job = schedule.jobs.get(run.task_name.job)
-    task = job.find_task(run.task_name) if job is not None else None
+    task = job.peek_task(run.task_name) if job is not None else None
     if task is None or task.job.is_final or task.state is TaskState.DONE:
         return None
     return task
--- a/lycheelug/workloads/model.py
+++ b/lycheelug/workloads/model.py
@@ -165,6 +165,13 @@
         """Number of times that the steps run."""
         return self.schedule.count if self.schedule is not None else 1
 
+    def due_ms(self, occurrence: int) -> int:
+        """Return when an occurrence is due, as Unix time in milliseconds."""
+        schedule = self.schedule
+        if schedule is None:
+            return self.accepted_ms
+        return schedule.first_ms + occurrence * schedule.interval_ms
+
 
 class QueuePolicy:
     """Configured scheduling policy of a queue."""
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -150,9 +150,12 @@
         return bool(self._failed) and self._kind(task) in self._failed
 
     def has_room_for_gang(
-        self, members: list[Task], hints: PlacementHints | None
+        self, members: list[Task], count: int, hints: PlacementHints | None
     ) -> bool:
-        """Return whether all members of a gang can be placed at once."""
+        """Return whether a gang of `count` members can be placed at once.
+
+        Members that are placed alike need not all be given.
+        """
         first = members[0]
         views = list(self._reserved.get(first.name.job, ()))
         kinds = {self._kind(member)[1:3] for member in members}
@@ -161,7 +164,7 @@
         if any(may_end for _, may_end in kinds):
             views.extend(chain.from_iterable(self._reserved.values()))
         self._budget.charge(len(views))
-        missing = len(members)
+        missing = count
         for view in views:
             if not may_host(view, first, hints, self._now):
                 continue
--- a/lycheelug/workloads/policy_changes.py
+++ b/lycheelug/workloads/policy_changes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lycheelug.workloads.model import TaskName
 from lycheelug.workloads.tasks import TaskState
 
 if TYPE_CHECKING:
@@ -25,12 +26,13 @@
     job.policy = policy
     if job.is_final or not job.progress.failures:
         return
-    for task in job.tasks():
-        # Only tasks with a limit on attempts have recorded failures.
-        if task.state is TaskState.DONE or not task.failures:
+    # Only tasks with a limit on attempts have recorded failures.
+    for key in list(job.progress.failures):
+        name = TaskName.parse(f"{job.job_id}.{key}")
+        task = job.peek_task(name) if name is not None else None
+        if task is None or task.state is TaskState.DONE:
             continue
-        if task.key in job.progress.failures:
-            job.fail_if_exhausted(task, unix_ms)
+        job.fail_if_exhausted(task, unix_ms)
         if job.is_final:
             schedule.dequeue_job(job)
             return
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -42,6 +42,7 @@
 from lycheelug.workloads.losses import LossCause
 from lycheelug.workloads.lost_runs import clear_runs, free_expired_runs
 from lycheelug.workloads.neighbors import Neighbors
+from lycheelug.workloads.open_occurrences import count_to_open
 from lycheelug.workloads.order_tokens import TokenSource
 from lycheelug.workloads.orders import (
     PaceOrder,
@@ -64,6 +65,7 @@
     from lycheelug.workloads.executors import ExecutorInfo
     from lycheelug.workloads.model import JobRecord, QueuePolicy, TaskName
     from lycheelug.workloads.progress import ProgressRecord
+    from lycheelug.workloads.step_tasks import StepTasks
 
 __all__ = ["PoolSchedule"]
 
@@ -200,8 +202,9 @@
         return job
 
     def open_due_occurrences(self, job: Job, unix_ms: int, now: float) -> None:
-        """Open a job's due occurrences and queue their ready tasks."""
-        self.make_ready(job.open_due_occurrences(unix_ms, now))
+        """Open due occurrences of a job and queue their ready tasks."""
+        count = count_to_open(self, job)
+        self.make_ready(job.open_due_occurrences(unix_ms, now, count))
 
     def cancel_job(self, job_id: str, unix_ms: int) -> Job | None:
         """Cancel a job; the next plan stops its runs."""
@@ -244,14 +247,14 @@
         if not task.job.is_final:
             self.ready.add(task)
 
-    def make_ready(self, tasks: list[Task]) -> None:
-        """Queue tasks that have become ready, unless their job has ended.
+    def make_ready(self, steps: list[StepTasks]) -> None:
+        """Queue steps that have become ready, unless their job has ended.
 
         An ended job's running tasks may still be done and complete a step.
         """
-        for task in tasks:
-            if not task.job.is_final:
-                self.ready.add(task)
+        for tasks in steps:
+            if not tasks.job.is_final:
+                self.ready.add_step(tasks)
 
     # --- Executors.
 
@@ -365,6 +368,7 @@
     ) -> StartOrder:
         """Reserve resources for a task's next run; return its start order."""
         run = run or task.next_run_number(self.term)
+        task.job.tasks_beside(task).keep(task)
         task.state = TaskState.PLACED
         task.executor_id = view.executor_id
         task.run = run
--- a/lycheelug/workloads/ready_queue.py
+++ b/lycheelug/workloads/ready_queue.py
@@ -3,16 +3,19 @@
 All waiting tasks of a step have the same place in the order except for
 their numbers, so the queue is ordered by step.  A step's sort key is kept
 until one of its parts changes, and the steps stay sorted between two plans,
-so that ordering a long queue again costs little.
+so that ordering a long queue again costs little.  Of a waiting task, the queue
+has a bit; see `step_tasks`.
 """
 
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections import Counter
 from operator import attrgetter
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.scarcity import ORDERINGS, SlackErrors, StepFacts
+from lycheelug.workloads.step_tasks import numbers_in
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -22,6 +25,7 @@
     from lycheelug.workloads.jobs import Job, Task
     from lycheelug.workloads.model import StepSpec
     from lycheelug.workloads.runtimes import RunTimes
+    from lycheelug.workloads.step_tasks import StepTasks
 
     # Job, occurrence and step.
     StepKey = tuple[str, int, int]
@@ -43,16 +47,17 @@
         "job",
         "name",
         "sort_key",
-        "spec",
         "tasks",
+        "waiting",
     )
 
-    def __init__(self, job: Job, name: StepKey, spec: StepSpec) -> None:
-        self.job = job
-        self.name = name
-        self.spec = spec
-        # Keyed by the number in the step.
-        self.tasks: dict[int, Task] = {}
+    def __init__(self, tasks: StepTasks) -> None:
+        self.job: Job = tasks.job
+        self.name: StepKey = tasks.key
+        # All tasks of the step.
+        self.tasks = tasks
+        # The numbers of those that wait, as a set of bits.
+        self.waiting = 0
         self.sort_key: SortKey = ()
         # What the sort key was computed from, and the Unix times in
         # milliseconds between which it is valid.
@@ -61,9 +66,26 @@
         self._key_from_ms = 0
         self._key_until_ms = 0.0
 
-    def in_order(self) -> list[Task]:
-        """Return the tasks in the order in which they are placed."""
-        return [self.tasks[number] for number in sorted(self.tasks)]
+    @property
+    def spec(self) -> StepSpec:
+        """The step as it was submitted."""
+        return self.tasks.step
+
+    @property
+    def count(self) -> int:
+        """How many tasks wait."""
+        return self.waiting.bit_count()
+
+    def in_order(self) -> Iterator[Task]:
+        """Return the waiting tasks in the order in which they are placed."""
+        for number in numbers_in(self.waiting):
+            yield self.tasks.peek(number)
+
+    def kept_after(self, task: Task) -> Iterator[Task]:
+        """Return those after a task that were started before, in order."""
+        for number in self.tasks.kept_numbers():
+            if number > task.name.number and self.waiting >> number & 1:
+                yield self.tasks.peek(number)
 
     def update_sort_key(
         self,
@@ -108,6 +130,7 @@
         "_order",
         "_ordering",
         "_resume_from",
+        "_step_counts",
         "_steps",
         "_unbegun",
         "defects",
@@ -119,6 +142,8 @@
         # What jobs needed beyond their forecasts.
         self.slack_errors = SlackErrors()
         self._steps: dict[StepKey, ReadyStep] = {}
+        # The number of these steps, by job.
+        self._step_counts: Counter[str] = Counter()
         # The steps in the order of the last plan; those without tasks are
         # dropped by the next one.
         self._order: list[ReadyStep] = []
@@ -137,59 +162,56 @@
 
     def __len__(self) -> int:
         """Return the number of waiting tasks."""
-        return sum(len(step.tasks) for step in self._steps.values())
+        return sum(step.count for step in self._steps.values())
 
     def __bool__(self) -> bool:
         """Return whether any task waits."""
         return bool(self._steps)
 
+    def count_steps(self, job: Job) -> int:
+        """Return the number of a job's steps with waiting tasks."""
+        return self._step_counts[job.job_id]
+
+    def add_step(self, tasks: StepTasks) -> None:
+        """Add the tasks of a step that has become ready."""
+        waiting = tasks.waiting
+        if waiting:
+            self._ready_step(tasks).waiting |= waiting
+
     def add(self, task: Task) -> None:
         """Add a task; does nothing if it is there."""
         name = task.name
-        key = name[:3]
-        step = self._steps.get(key)
-        if step is None:
-            step = ReadyStep(task.job, key, task.step)
-            self._steps[key] = step
-            self._order.append(step)
-            if not task.job.progress.begun_term:
-                self._unbegun[name.job] = task.job
-        step.tasks[name.number] = task
+        tasks = task.job.occurrences[name.occurrence][name.step]
+        self._ready_step(tasks).waiting |= 1 << name.number
 
     def discard(self, task: Task) -> None:
         """Remove a task, if it is there."""
-        key = task.name[:3]
-        step = self._steps.get(key)
+        step = self._steps.get(task.name[:3])
         if step is None:
             return
-        step.tasks.pop(task.name.number, None)
-        if not step.tasks:
-            del self._steps[key]
+        step.waiting &= ~(1 << task.name.number)
+        if not step.waiting:
+            self._remove(step)
 
     def discard_job(self, job: Job) -> None:
         """Remove all tasks of a job."""
         self._unbegun.pop(job.job_id, None)
-        for occurrence, steps in job.occurrences.items():
-            for number in range(len(steps)):
-                step = self._steps.pop((job.job_id, occurrence, number), None)
-                if step is not None:
-                    step.tasks.clear()
+        for step in self._steps_of(job):
+            self._remove(step)
 
     def tasks_of(self, job: Job) -> Iterator[Task]:
         """Return the waiting tasks of a job in their order."""
-        for occurrence, steps in job.occurrences.items():
-            for number in range(len(steps)):
-                step = self._steps.get((job.job_id, occurrence, number))
-                if step is not None:
-                    yield from step.in_order()
-
-    def long_running_tasks(self) -> list[Task]:
-        """Return the waiting long-running tasks, in no particular order."""
-        found: list[Task] = []
-        for step in self._steps.values():
-            if step.spec.lasts:
-                found.extend(step.tasks.values())
-        return found
+        for step in self._steps_of(job):
+            yield from step.in_order()
+
+    def restart_wait(self, job: Job, now: float) -> None:
+        """Let the waiting tasks of a job count as ready only from now on."""
+        for step in self._steps_of(job):
+            step.tasks.restart_wait(numbers_in(step.waiting), now)
+
+    def long_running_steps(self) -> list[ReadyStep]:
+        """Return the steps with waiting long-running tasks, in no order."""
+        return [step for step in self._steps.values() if step.spec.lasts]
 
     def jobs_to_begin(self) -> list[Job]:
         """Return the jobs with waiting tasks and without the begun mark."""
@@ -197,7 +219,7 @@
         for job in list(self._unbegun.values()):
             if job.progress.begun_term:
                 del self._unbegun[job.job_id]
-            elif self._has_tasks(job):
+            elif self._step_counts[job.job_id]:
                 found.append(job)
         return found
 
@@ -205,7 +227,7 @@
         """Return the steps with waiting tasks, in the order of placement."""
         order: list[ReadyStep] = []
         for step in self._order:
-            if not step.tasks:
+            if not step.waiting:
                 continue
             try:
                 step.update_sort_key(
@@ -237,10 +259,36 @@
         self._resume_from = None
         return steps[first:] + steps[:first]
 
-    def _has_tasks(self, job: Job) -> bool:
-        """Return whether any task of a job waits."""
+    def _ready_step(self, tasks: StepTasks) -> ReadyStep:
+        """Return the waiting tasks of a step, to which one is added."""
+        step = self._steps.get(tasks.key)
+        if step is None:
+            step = ReadyStep(tasks)
+            job = step.job
+            self._steps[step.name] = step
+            self._step_counts[job.job_id] += 1
+            self._order.append(step)
+            if not job.progress.begun_term:
+                self._unbegun[job.job_id] = job
+        return step
+
+    def _remove(self, step: ReadyStep) -> None:
+        """Remove a step of which no task waits any more."""
+        step.waiting = 0
+        del self._steps[step.name]
+        job_id = step.job.job_id
+        self._step_counts[job_id] -= 1
+        if not self._step_counts[job_id]:
+            del self._step_counts[job_id]
+
+    def _steps_of(self, job: Job) -> list[ReadyStep]:
+        """Return the steps of a job with waiting tasks, in their order."""
+        found: list[ReadyStep] = []
+        if not self._step_counts[job.job_id]:
+            return found
         for occurrence, steps in job.occurrences.items():
             for number in range(len(steps)):
-                if (job.job_id, occurrence, number) in self._steps:
-                    return True
-        return False
+                step = self._steps.get((job.job_id, occurrence, number))
+                if step is not None:
+                    found.append(step)
+        return found
--- a/lycheelug/workloads/relocation.py
+++ b/lycheelug/workloads/relocation.py
@@ -49,6 +49,8 @@
 BLOCKED_S: Final = 1.0
 # The same for a task that is not running.
 WAITING_S: Final = 0.5
+# Tasks of one step without a place that one plan considers.
+UNPLACED_MAX: Final = 100
 
 
 class Relocations:
@@ -180,15 +182,21 @@
     Return those that have waited for a while without any room.
     """
     unplaced: list[Task] = []
-    for task in schedule.ready.long_running_tasks():
-        if task.job.is_final or now < task.not_before:
+    for step in schedule.ready.long_running_steps():
+        if step.job.is_final:
             continue
-        if not schedule.crashes.may_start(task, now):
-            continue
-        if places.claim(task) or places.claim_later(task):
-            continue
-        if now - task.ready_at >= WAITING_S:
-            unplaced.append(task)
+        unplaced_before = len(unplaced)
+        for task in step.in_order():
+            if len(unplaced) - unplaced_before >= UNPLACED_MAX:
+                break
+            if now < task.not_before:
+                continue
+            if not schedule.crashes.may_start(task, now):
+                continue
+            if places.claim(task) or places.claim_later(task):
+                continue
+            if now - task.ready_at >= WAITING_S:
+                unplaced.append(task)
     for view in schedule.executors.values():
         for run in view.runs.values():
             task_or_none = _relocatable_task(run)
--- a/lycheelug/workloads/room.py
+++ b/lycheelug/workloads/room.py
@@ -48,7 +48,7 @@
     """Add the work of a waiting step, unless its job is overdue."""
     _, occurrence, number = step.name
     forecast = step.job.forecast(occurrence, schedule.run_times)
-    cpu_millis = len(step.tasks) * step.spec.resources.cpu_millis
+    cpu_millis = step.count * step.spec.resources.cpu_millis
     work = cpu_millis * forecast.expected_s[number] * 1000
     feasibility = forecast.feasibility(number, unix_ms)
     if feasibility is Feasibility.IN_TIME:
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from itertools import chain
 from typing import TYPE_CHECKING, Final
 
 from lycheelug.tenants.amounts import times
@@ -32,6 +33,10 @@
 # Delay before a long-running task is restarted, per earlier failure (up to
 # 10 failures).
 RESTART_WAIT_S: Final = 0.1
+# Tasks that have runs at the same time in a pool, of which an owner keeps what
+# each report says.  Tasks without requests fit anywhere, so executors alone
+# don't limit them.
+RUNS_MAX: Final = 10_000
 
 
 def plan_starts(
@@ -40,7 +45,7 @@
     """Place waiting tasks in free capacity; return their start orders."""
     earlier_runs_known = schedule.earlier_runs_known(now)
     schedule.tenant_shares.begin_plan(earlier_runs_known)
-    if not schedule.ready:
+    if not schedule.ready or len(schedule.run_counts) >= RUNS_MAX:
         return []
     orders: list[StartOrder] = []
     waiting = schedule.ready.ordered(unix_ms, schedule.run_times)
@@ -91,15 +96,25 @@
     )
     if is_limited and unplaceable.covers(step.spec.resources):
         return
+    # Whether tasks that were never started find the same executors.
+    are_alike = not step.spec.lasts and not step.job.progress.crashes
     if step.spec.is_gang:
         orders.extend(_place_gang(schedule, placement, step, now))
         return
-    for task in step.in_order():
+    tasks = step.in_order()
+    while (task := next(tasks, None)) is not None:
         if schedule.budget.is_spent:
             return
         if is_limited and unplaceable.covers(step.spec.resources):
             return
-        if placement.has_failed(task) or not _can_start(schedule, task, now):
+        if placement.has_failed(task):
+            if are_alike and not step.tasks.is_kept(task.name.number):
+                # Neither is there an executor for the others that were never
+                # started.
+                tasks = step.kept_after(task)
+                are_alike = False
+            continue
+        if not _can_start(schedule, task, now):
             continue
         if not _has_room_under_cap(schedule, task):
             return
@@ -122,14 +137,32 @@
     Another task would not find more room for the gang.
     """
     tasks = step.in_order()
-    if _awaits_policy(tasks[0], now):
+    first = next(tasks)
+    if _awaits_policy(first, now):
+        return []
+    if not _may_fit(placement, step, first):
         return []
-    for task in tasks:
+    for task in chain([first], tasks):
         if _can_start(schedule, task, now):
             return _start_gang(schedule, placement, task, now)
     return []
 
 
+def _may_fit(placement: PlacementRound, step: ReadyStep, first: Task) -> bool:
+    """Return False if a gang surely doesn't fit, without all its members.
+
+    Members that were never started find the same executors.
+    """
+    if step.count < step.spec.count:
+        return False
+    policy = step.job.policy
+    if policy.needs_placement_hint or step.job.progress.crashes:
+        return True
+    if step.tasks.kept_count:
+        return True
+    return placement.has_room_for_gang([first], step.spec.count, None)
+
+
 def _smallest_request(steps: list[ReadyStep]) -> Resources:
     """Return an amount that is at most each waiting task's request."""
     requests = {step.spec.resources for step in steps}
@@ -189,8 +222,11 @@
         return False
     if now < policy.held_until:
         return True
+    failures = task.job.progress.failures
+    if not failures:
+        return False
     members = task.job.step_tasks(task) if task.step.is_gang else [task]
-    return any(member.key in task.job.progress.failures for member in members)
+    return any(member.key in failures for member in members)
 
 
 def _choose_executor(
@@ -237,7 +273,7 @@
     hints = None
     if task.job.policy.needs_placement_hint:
         hints = schedule.placement_hints
-    if not placement.has_room_for_gang(members, hints):
+    if not placement.has_room_for_gang(members, len(members), hints):
         if hints is not None:
             _request_hints(schedule, task, now)
         return []
@@ -268,6 +304,7 @@
         "_leases",
         "_reservations",
         "_schedule",
+        "_were_kept",
     )
 
     def __init__(self, schedule: PoolSchedule, job: Job) -> None:
@@ -276,12 +313,16 @@
         self._home_zone = job.home_zone
         self._reservations = schedule.isolation.reservations
         self._last_runs: dict[int, int] = {}
+        # Whether the tasks were kept before.
+        self._were_kept: dict[int, bool] = {}
         # When the leases on the executors end, in local time.
         self._leases: dict[str, float] = {}
 
     def note(self, member: Task, view: ExecutorView) -> None:
         """Note the state before a member is placed."""
         self._last_runs[member.name.number] = member.last_run
+        tasks = member.job.tasks_beside(member)
+        self._were_kept[member.name.number] = tasks.is_kept(member.name.number)
         self._leases.setdefault(view.executor_id, view.leases_end_at)
 
     def apply(self, orders: list[StartOrder], now: float) -> None:
@@ -300,6 +341,8 @@
             schedule.requeue(task, now)
             task.ready_at = ready_at
             task.last_run = self._last_runs[task.name.number]
+            if not self._were_kept[task.name.number]:
+                task.job.tasks_beside(task).drop(task)
         for executor_id, ends_at in self._leases.items():
             schedule.executors[executor_id].leases_end_at = ends_at
         self._job.home_zone = self._home_zone
--- a/lycheelug/workloads/tasks.py
+++ b/lycheelug/workloads/tasks.py
@@ -6,16 +6,15 @@
 from typing import TYPE_CHECKING
 
 from lycheelug.workloads.crash_records import makes_suspect
-from lycheelug.workloads.model import TaskName
-from lycheelug.workloads.progress import step_key, task_key
+from lycheelug.workloads.progress import task_key
 
 if TYPE_CHECKING:
     from lycheelug.workloads.crash_records import CrashRecord
     from lycheelug.workloads.jobs import Job
-    from lycheelug.workloads.model import StepSpec
+    from lycheelug.workloads.model import StepSpec, TaskName
     from lycheelug.workloads.progress import ProgressRecord
 
-__all__ = ["Task", "TaskState", "restore_tasks"]
+__all__ = ["Task", "TaskState"]
 
 # Size of a term's range of run numbers.  Ranges of later terms are higher,
 # so a new owner's first run has a higher number than any run it can't see.
@@ -96,31 +95,11 @@
 
     def restore(self, progress: ProgressRecord) -> None:
         """Take over what is recorded of an unfinished task."""
+        if not progress.failures and not progress.checkpoints:
+            return
         self.failures = progress.failures.get(self.key, 0)
         self.checkpoint = progress.checkpoints.get(self.key, "")
 
     def next_run_number(self, term: int) -> int:
         """Return the next run number, higher than all earlier ones."""
         return max(self.last_run + 1, term * RUNS_PER_TERM + 1)
-
-
-def restore_tasks(
-    job: Job, occurrence: int, position: int
-) -> tuple[list[Task], int]:
-    """Create a step's tasks with what is recorded of them.
-
-    Also returns how many of them are done.
-    """
-    progress = job.progress
-    step = job.record.steps[position]
-    recorded = progress.done.get(step_key(occurrence, position), ())
-    done = frozenset(recorded).intersection(range(step.count))
-    tasks: list[Task] = []
-    for index in range(step.count):
-        name = TaskName(job.job_id, occurrence, position, index)
-        task = Task(job, name, step)
-        task.restore(progress)
-        if index in done:
-            task.state = TaskState.DONE
-        tasks.append(task)
-    return tasks, len(done)
--- a/lycheelug/workloads/tenant_demand.py
+++ b/lycheelug/workloads/tenant_demand.py
@@ -33,7 +33,7 @@
         if need is None:
             need = needs[tenant] = Need()
         request = step.spec.request
-        waiting = times(request, len(step.tasks))
+        waiting = times(request, step.count)
         need.waiting = add_resources(need.waiting, waiting)
         unit = times(request, step.spec.count if step.spec.is_gang else 1)
         need.unit = larger(need.unit, unit)
--- a/tests/test_plan_bounds.py
+++ b/tests/test_plan_bounds.py
@@ -369,7 +369,7 @@
     assert job.open_steps == {0: {0: 498, 1: 1}}
     for task in job.occurrences[0][0]:
         ready = job.record_done(task, 0, 0.0)
-    assert [task.name.step for task in ready] == [1]
-    job.record_done(ready[0], 0, 0.0)
+    assert [tasks.position for tasks in ready] == [1]
+    job.record_done(ready[0][0], 0, 0.0)
     assert job.progress.state == "completed"
     assert job.open_steps == {}
--- a/tests/test_progress_rows.py
+++ b/tests/test_progress_rows.py
@@ -458,7 +458,7 @@
 def test_failed_runs_of_one_task_are_counted_once_each() -> None:
     record = JobRecord("q", "", [StepSpec(count=1)])
     job = Job(JOB, record, QueuePolicy("q", POOL, max_attempts=99), None)
-    (task,) = job.open_due_occurrences(1, 0.0)
+    ((task,),) = job.open_due_occurrences(1, 0.0)
     for run in range(1, 60):
         job.record_failure(task, run, 1)
         job.record_failure(task, run, 1)
