--- a/lycheelug/jobservice/context.py
+++ b/lycheelug/jobservice/context.py
@@ -43,6 +43,7 @@
         "hosts",
         "is_store_unreachable",
         "job_limits",
+        "job_memory_bytes",
         "keeps_apart",
         "lease_max_s",
         "lease_s",
@@ -71,6 +72,7 @@
         keeps_apart: bool = False,
         overload: OverloadPolicy | None = None,
         lease_max_s: float = 0.0,
+        job_memory_bytes: int = 0,
     ) -> None:
         self.store = store
         self.gateway = gateway
@@ -96,6 +98,8 @@
         self.weight = weight
         # What one job may ask for.
         self.job_limits = job_limits or JobLimits()
+        # What the owners of this daemon may hold of jobs; 0 for no limit.
+        self.job_memory_bytes = job_memory_bytes
         # Whether tasks that slow each other down are kept apart.
         self.keeps_apart = keeps_apart
         # What owners do while a pool can't serve all jobs in time.
--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -232,10 +232,14 @@
     It isn't stored, and must not be by its sender.
     """
 
-    __slots__ = ("retry_after_s",)
+    __slots__ = ("is_over_limit", "retry_after_s")
 
-    def __init__(self, retry_after_s: int) -> None:
+    def __init__(
+        self, retry_after_s: int, is_over_limit: bool = False
+    ) -> None:
         self.retry_after_s = retry_after_s
+        # Whether the owner can't hold more jobs of its queue.
+        self.is_over_limit = is_over_limit
 
 
 # What became of a submission at its pool's owner.
@@ -369,6 +373,12 @@
         self.pools = {pool.name: pool for pool in pools}
         self.tenants = tenants or TenantDirectory()
 
+    @property
+    def served_pools(self) -> list[str]:
+        """The pools that have an owner."""
+        pools = self.pools.values()
+        return [pool.name for pool in pools if not pool.is_standby]
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching path prefix."""
         best: Route | None = None
--- a/lycheelug/jobservice/outcomes.py
+++ b/lycheelug/jobservice/outcomes.py
@@ -73,11 +73,15 @@
             "submission-refused",
             subject=job_id,
             pool=route.pool,
-            reason="the pool has no room in time",
+            reason="the pool has no room for it",
             retry_after_s=rejection.retry_after_s,
         )
         self._metrics.count("refused-submission")
-        return Reply(ReplyKind.REFUSED, retry_after_s=rejection.retry_after_s)
+        return Reply(
+            ReplyKind.REFUSED,
+            retry_after_s=rejection.retry_after_s,
+            is_over_limit=rejection.is_over_limit,
+        )
 
     def refuse(self, operation: str, subject: str, fault: Fault) -> Reply:
         """Reply that the request had no effect because of a fault."""
--- a/lycheelug/jobservice/pool_admission.py
+++ b/lycheelug/jobservice/pool_admission.py
@@ -1,7 +1,8 @@
 """Rejects submissions that a pool can't or shouldn't take.
 
-They are those that the pool can't complete in time to be of use, and those of
-tenants with too many jobs over their share.  Nothing is stored of a rejected
+They are those that the pool can't complete in time to be of use, those of
+tenants with too many jobs over their share, and those for which its owner has
+no memory.  Nothing is stored of a rejected
 submission.  Its owner remembers when it was first submitted, so that a retry
 keeps its place; the next owner doesn't.
 """
@@ -15,10 +16,11 @@
 
 from lycheelug.jobservice.interfaces import Rejection
 from lycheelug.jobservice.tenant_admission import TenantAdmission
-from lycheelug.logs import log_change
+from lycheelug.logs import log_change, log_frequent
 from lycheelug.scarcity import FirstSends, PoolRoom, find_retry_after_s
 from lycheelug.workloads import QueuePolicy
 from lycheelug.workloads.forecast import DeadlineForecast
+from lycheelug.workloads.held_memory import HeldMemory, pool_bytes
 from lycheelug.workloads.model import is_long_running
 from lycheelug.workloads.room import measure_room
 
@@ -33,6 +35,8 @@
 MEASURE_INTERVAL_S: Final = 0.1
 # When a tenant over its share may send a refused submission again.
 OVER_SHARE_RETRY_S: Final = 1
+# When a submission may be sent again for which there was no memory.
+NO_MEMORY_RETRY_S: Final = 5
 # The number of submissions that are remembered as not rejected.
 PASSED_MAX: Final = 10_000
 
@@ -44,6 +48,7 @@
         "_context",
         "_feeds",
         "_first_sends",
+        "_held",
         "_measured_at",
         "_passed",
         "_room",
@@ -59,6 +64,7 @@
         self._feeds = feeds
         self._tenants = TenantAdmission(context, schedule)
         self._first_sends = FirstSends()
+        self._held = HeldMemory()
         # Submissions that weren't rejected, oldest first.  They may have been
         # stored, or may yet be, by this owner or by their sender.
         self._passed: dict[str, None] = {}
@@ -67,8 +73,9 @@
 
     def record_passed(self, job_id: str, record: JobRecord) -> None:
         """Record that a submission may get stored."""
-        if not record.tenant and not self._context.overload.rejects:
+        if job_id in self._passed:
             return
+        self._held.add(record)
         self._passed[job_id] = None
         if len(self._passed) > PASSED_MAX:
             del self._passed[next(iter(self._passed))]
@@ -85,6 +92,8 @@
         """
         if job_id in self._passed:
             return record
+        if not self._has_memory(job_id, record):
+            return Rejection(NO_MEMORY_RETRY_S, is_over_limit=True)
         if self._tenants.refuses(job_id, record):
             return Rejection(OVER_SHARE_RETRY_S)
         policy = record.policy
@@ -134,6 +143,33 @@
         self._context.metrics.count("submissions-rejected")
         return Rejection(retry_after_s)
 
+    def _has_memory(self, job_id: str, record: JobRecord) -> bool:
+        """Return whether the owner has memory for a job; log if it hasn't."""
+        daemon_bytes = self._context.job_memory_bytes
+        if not daemon_bytes:
+            return True
+        held = self._held
+        held.refresh(self._schedule, self._context.clock.now())
+        configuration = self._context.configuration()
+        pools = len(configuration.served_pools) if configuration else 1
+        limit = pool_bytes(daemon_bytes, pools)
+        if held.has_room(record, limit):
+            return True
+        log_frequent(
+            "submission-rejected",
+            pool=self._schedule.pool,
+            job=job_id,
+            queue=record.queue,
+            reason="the jobs of this pool take up its memory",
+            held_bytes=held.total,
+            queue_bytes=held.of_queue(record.queue),
+            limit_bytes=limit,
+            jobs=len(self._schedule.jobs),
+            retry_after_s=NO_MEMORY_RETRY_S,
+        )
+        self._context.metrics.count("submissions-rejected-memory")
+        return False
+
     def _measure(self, now: float, unix_ms: int) -> PoolRoom:
         """Return the pool's room, which is measured now and then."""
         if now - self._measured_at >= MEASURE_INTERVAL_S:
--- a/lycheelug/jobservice/replies.py
+++ b/lycheelug/jobservice/replies.py
@@ -28,7 +28,14 @@
 class Reply:
     """A reply to a caller."""
 
-    __slots__ = ("kind", "pending", "reason", "retry_after_s", "state")
+    __slots__ = (
+        "is_over_limit",
+        "kind",
+        "pending",
+        "reason",
+        "retry_after_s",
+        "state",
+    )
 
     def __init__(
         self,
@@ -37,8 +44,11 @@
         pending: int = 0,
         retry_after_s: int = RETRY_AFTER_S,
         reason: str = "",
+        is_over_limit: bool = False,
     ) -> None:
         self.kind = kind
+        # Whether a request is refused as its queue has too many jobs.
+        self.is_over_limit = is_over_limit
         # Why a job is in its state, if it was not run as submitted.
         self.reason = reason
         self.state = state
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -89,6 +89,7 @@
         overload: OverloadPolicy | None = None,
         policies: PlanPolicies | None = None,
         lease_max_s: float = 0.0,
+        job_memory_bytes: int = 0,
     ) -> None:
         self._locations_task: asyncio.Task[None] | None = None
         self._maintenance_s = maintenance_s
@@ -131,6 +132,7 @@
             keeps_apart,
             overload,
             lease_max_s,
+            job_memory_bytes,
         )
         incarnation = secrets.token_hex(8)
         self.duties = Duties(
@@ -292,11 +294,7 @@
         """Return the pools that need an owner."""
         if self.configuration is None:
             return []
-        found: list[str] = []
-        for pool in self.configuration.pools.values():
-            if not pool.is_standby:
-                found.append(pool.name)
-        return found
+        return self.configuration.served_pools
 
     def _make_holder(
         self, duty: str, record: OwnerRecord, version: int
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -120,10 +120,7 @@
         """Record the pools, and look the queues up soon."""
         self._version = configuration.version
         self._finder.apply_configuration(configuration)
-        self._served_pools.clear()
-        for pool in configuration.pools.values():
-            if not pool.is_standby:
-                self._served_pools.add(pool.name)
+        self._served_pools = set(configuration.served_pools)
         self.locations.apply_configuration(configuration)
 
     async def submit(
--- a/lycheelug/platform/ingress.py
+++ b/lycheelug/platform/ingress.py
@@ -295,7 +295,9 @@
     if reply.kind is ReplyKind.FOREIGN:
         return _error(409, "the job id is in use; choose another one")
     if reply.kind is ReplyKind.REFUSED:
-        return _unavailable("not accepted; retry later", reply.retry_after_s)
+        status = 429 if reply.is_over_limit else 503
+        text = "not accepted; retry later"
+        return _unavailable(text, reply.retry_after_s, status)
     return _error(504, "outcome unknown; repeat the request")
 
 
@@ -306,9 +308,9 @@
     return answer
 
 
-def _unavailable(text: str, retry_after_s: int) -> Answer:
-    """Return a 503 answer that says when to retry."""
-    answer = _error(503, text)
+def _unavailable(text: str, retry_after_s: int, status: int = 503) -> Answer:
+    """Return an answer that says when to retry."""
+    answer = _error(status, text)
     answer.headers.append((b"retry-after", b"%d" % retry_after_s))
     return answer
 
--- a/lycheelug/platform/main.py
+++ b/lycheelug/platform/main.py
@@ -46,6 +46,7 @@
 from lycheelug.store.traffic import StoreTraffic
 from lycheelug.supervision import supervise
 from lycheelug.tenants import KeyGate
+from lycheelug.workloads.held_memory import job_memory_bytes
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -164,6 +165,7 @@
             overload=settings.overload_policy,
             policies=settings.plan_policies,
             lease_max_s=settings.bounds.hold_max_ms / 1000,
+            job_memory_bytes=job_memory_bytes(memory),
         )
         self._relay.accept_submission = self._service.submit_locally
         self._relay.count_waiting = self._service.count_locally
--- a/lycheelug/relay/messages.py
+++ b/lycheelug/relay/messages.py
@@ -111,6 +111,8 @@
     # Above 0 if the owner rejects the submission.  A sender that doesn't know
     # this field stores the submission itself, as after any `NOT_TAKEN`.
     retry_after_s: int = 0
+    # See `Rejection`.
+    is_over_limit: bool = False
 
 
 class CountCall(msgspec.Struct):
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -189,7 +189,9 @@
         outcome = await asyncio.shield(task)
         if isinstance(outcome, Rejection):
             return SubmitReply(
-                SubmissionAnswer.NOT_TAKEN.name, outcome.retry_after_s
+                SubmissionAnswer.NOT_TAKEN.name,
+                outcome.retry_after_s,
+                outcome.is_over_limit,
             )
         return SubmitReply(outcome.name)
 
--- a/lycheelug/relay/submissions.py
+++ b/lycheelug/relay/submissions.py
@@ -70,7 +70,7 @@
                 return SubmissionAnswer.NOT_TAKEN
             return SubmissionAnswer.UNDECIDED
         if reply.retry_after_s > 0:
-            return Rejection(reply.retry_after_s)
+            return Rejection(reply.retry_after_s, reply.is_over_limit)
         try:
             return SubmissionAnswer[reply.answer]
         except KeyError:
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -658,6 +658,8 @@
         self.lease_max_s = LEASE_S
         # How long a daemon waits for the owner's answer to a submission.
         self.forward_timeout_s: float | None = None
+        # What the owners of a daemon may hold of jobs; 0 for no limit.
+        self.job_memory_bytes = 0
         self._fleet_task: asyncio.Task[None] | None = None
 
     def start_fleet(self) -> None:
@@ -689,6 +691,7 @@
             count_remote=self.count,
             overload=overload,
             lease_max_s=self.lease_max_s,
+            job_memory_bytes=self.job_memory_bytes,
         )
         service.apply_configuration(
             Configuration(1, [ROUTE], [PoolPolicy(POOL)])
--- a/tests/test_job_memory.py
+++ b/tests/test_job_memory.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lycheelug.jobservice.interfaces import Configuration, PoolPolicy, Route
+from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.jobservice.replies import Reply, ReplyKind
 from lycheelug.jobservice.summary import summarize
 from lycheelug.workloads import (
@@ -23,7 +24,11 @@
     StepSpec,
 )
 from lycheelug.workloads.ended_jobs import release_ended_jobs
-from lycheelug.workloads.held_memory import JOBS_BYTES_MAX
+from lycheelug.workloads.held_memory import (
+    JOBS_BYTES_MAX,
+    QUEUE_SHARE,
+    estimate_held,
+)
 from lycheelug.workloads.open_occurrences import (
     POOL_OPEN_STEPS_MAX,
     POOL_WAITING_STEPS_MAX,
@@ -270,7 +275,7 @@
     assert world.starts()
 
 
-# --- Takeovers, with owners.
+# --- Takeovers and admission, with owners.
 
 OTHER = Route("other", "", "/o/", POOL, 0, 2, 1.6, 0.6, False)
 
@@ -349,3 +354,63 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against an owner that accepts more jobs than it can hold, and against
+# one queue that takes the room of all (related to review case 11).
+def test_queue_that_fills_the_memory_is_refused_and_others_are_not() -> None:
+    async def run() -> None:
+        world = MemoryWorld()
+        world.job_memory_bytes = 4_000_000
+        world.fleet.add("x0", work_s=0.2)
+        world.start_fleet()
+        for name in ("e0", "e1"):
+            world.start(name)
+        await until(lambda: len(world.holders()) == 1)
+        await asyncio.sleep(1.0)
+        accepted: list[int] = []
+        refused: list[int] = []
+        for number in range(700):
+            record = JobRecord("", "x" * 3_900, [WIDE], UNIX_MS)
+            reply = await world.send("e0", number, record)
+            if reply.kind is ReplyKind.OK:
+                accepted.append(number)
+                continue
+            assert reply.kind is ReplyKind.REFUSED
+            assert reply.is_over_limit
+            assert reply.retry_after_s
+            refused.append(number)
+        assert len(accepted) > 300
+        assert refused
+        (owner,) = world.holders()
+        holder = world.daemons[owner].duties.held[POOL]
+        assert isinstance(holder, PoolOwner)
+        held = estimate_held(holder.schedule)[ROUTE.name]
+        share = QUEUE_SHARE / (1 + QUEUE_SHARE)
+        assert held <= share * world.job_memory_bytes
+        # A repeat of an accepted submission isn't refused, at any daemon.
+        for daemon in ("e0", "e1"):
+            record = JobRecord("", "x" * 3_900, [WIDE], UNIX_MS)
+            reply = await world.send(daemon, accepted[-1], record)
+            assert reply.kind is ReplyKind.OK
+        # Neither is another queue, whose jobs are served at once.
+        for number in range(1_000, 1_020):
+            reply = await world.send(
+                "e1", number, JobRecord("", "", [ONE]), OTHER
+            )
+            assert reply.kind is ReplyKind.OK
+            await world.wait_done("e1", number)
+        # What was refused was not stored, and is accepted once there is room.
+        for number in refused:
+            assert not await world.state("e0", number)
+        for number in accepted[: len(accepted) // 2]:
+            cancel = world.daemons["e1"].submissions.cancel
+            reply = await cancel(ROUTE, job_id(number))
+            assert reply.kind is ReplyKind.OK
+        await asyncio.sleep(12.0)
+        record = JobRecord("", "x" * 3_900, [WIDE], UNIX_MS)
+        reply = await world.send("e0", refused[0], record)
+        assert reply.kind is ReplyKind.OK
+        await world.stop()
+
+    run_virtual(run())
