--- a/tests/test_job_memory.py
+++ b/tests/test_job_memory.py
@@ -24,11 +24,17 @@
     StepSpec,
 )
 from lycheelug.workloads.ended_jobs import release_ended_jobs
+from lycheelug.workloads.executors import ExecutorInfo
 from lycheelug.workloads.held_memory import (
     JOBS_BYTES_MAX,
     QUEUE_SHARE,
     estimate_held,
 )
+from lycheelug.workloads.incarnations import (
+    EXECUTORS_MAX,
+    LIVES_MAX,
+    EndedIncarnations,
+)
 from lycheelug.workloads.open_occurrences import (
     POOL_OPEN_STEPS_MAX,
     POOL_WAITING_STEPS_MAX,
@@ -275,6 +281,32 @@
     assert world.starts()
 
 
+# Guards against an owner that remembers each incarnation of each executor for
+# good (found by the third review).
+def test_ended_incarnations_are_forgotten() -> None:
+    ended = EndedIncarnations()
+    world = PoolWorld()
+    infos: list[ExecutorInfo] = []
+    for number in range(3 * EXECUTORS_MAX):
+        for life in range(3):
+            info = ExecutorInfo(
+                f"x{number}", POOL, f"a:{life}", Resources(1, 1, 0)
+            )
+            info.born_ms = number * 10 + life
+            ended.add(world.schedule.observe_executor(info))
+            world.schedule.executors.clear()
+            infos.append(info)
+    assert len(ended) <= 3 * EXECUTORS_MAX
+    assert all(ended.names(info) for info in infos[-EXECUTORS_MAX:])
+    for life in range(4 * LIVES_MAX):
+        info = ExecutorInfo("x0", POOL, "a:1", Resources(1, 1, 0))
+        info.born_ms = UNIX_MS + life
+        ended.add(world.schedule.observe_executor(info))
+        world.schedule.executors.clear()
+    assert ended.names(info)
+    assert len(ended) <= 3 * EXECUTORS_MAX + LIVES_MAX
+
+
 # --- Takeovers and admission, with owners.
 
 OTHER = Route("other", "", "/o/", POOL, 0, 2, 1.6, 0.6, False)
