--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -119,6 +119,11 @@
         self._last_kind: Kind | None = None
         self._last_view: ExecutorView | None = None
 
+    @property
+    def has_reservations(self) -> bool:
+        """Whether any executor that takes tasks is reserved for a job."""
+        return bool(self._reserved)
+
     def choose(
         self, task: Task, hints: PlacementHints | None = None
     ) -> ExecutorView | None:
@@ -152,10 +157,7 @@
     def has_room_for_gang(
         self, members: list[Task], count: int, hints: PlacementHints | None
     ) -> bool:
-        """Return whether a gang of `count` members can be placed at once.
-
-        Members that are placed alike need not all be given.
-        """
+        """Return whether a gang of `count` can be placed; alike, give one."""
         first = members[0]
         views = list(self._reserved.get(first.name.job, ()))
         kinds = {self._kind(member)[1:3] for member in members}
--- a/lycheelug/workloads/starts.py
+++ b/lycheelug/workloads/starts.py
@@ -97,7 +97,11 @@
     if is_limited and unplaceable.covers(step.spec.resources):
         return
     # Whether tasks that were never started find the same executors.
-    are_alike = not step.spec.lasts and not step.job.progress.crashes
+    are_alike = not step.job.progress.crashes
+    if step.spec.lasts and placement.has_reservations:
+        # A long-running task may end a reservation, and those after it then
+        # find an executor.
+        are_alike = False
     if step.spec.is_gang:
         orders.extend(_place_gang(schedule, placement, step, now))
         return
