--- a/lycheelug/jobservice/interfaces.py
+++ b/lycheelug/jobservice/interfaces.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from copy import copy
 from enum import Enum, auto
 from typing import TYPE_CHECKING, TypeAlias
 
-from lycheelug.tenants import TenantDirectory
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
+from lycheelug.jobservice.routes import Configuration, PoolPolicy, Route
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -22,7 +22,6 @@
     from lycheelug.fleetplan import HostInfo
     from lycheelug.workloads import (
         ExecutorInfo,
-        HintTiming,
         JobRecord,
         StartAnswer,
         StepName,
@@ -255,145 +254,15 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionOutcome:
         """Let a pool's owner store a submission.
 
-        Its queue's gate must have this version; see `queue_locations`.
+        Its queue's gates must have these versions; see `queue_locations`.
         """
 
     @abstractmethod
-    async def count_waiting(self, pool: str, queue: str) -> WaitingCount:
+    async def count_waiting(
+        self, pool: str, queue: str, address: str
+    ) -> WaitingCount:
         """Let a pool's owner count a queue's jobs that have not started."""
-
-
-class Route:
-    """The address and the scheduling policy of a queue."""
-
-    __slots__ = (
-        "has_policy",
-        "hint_timing",
-        "host",
-        "is_public",
-        "max_attempts",
-        "name",
-        "needs_placement_hint",
-        "objective_s",
-        "path_prefix",
-        "pool",
-        "priority",
-        "stretch",
-    )
-
-    def __init__(
-        self,
-        name: str,
-        host: str,
-        path_prefix: str,
-        pool: str,
-        priority: int,
-        max_attempts: int,
-        stretch: float,
-        objective_s: float,
-        needs_placement_hint: bool,
-        is_public: bool = False,
-        hint_timing: HintTiming | None = None,
-    ) -> None:
-        self.name = name
-        # The host name in the request; empty for any.
-        self.host = host
-        self.path_prefix = path_prefix
-        self.pool = pool
-        self.priority = priority
-        self.max_attempts = max_attempts
-        self.stretch = stretch
-        self.objective_s = objective_s
-        # Whether tasks start only on executors that the placement hint
-        # service permits.
-        self.needs_placement_hint = needs_placement_hint
-        self.hint_timing = hint_timing
-        # Whether its calls need no key of a tenant.
-        self.is_public = is_public
-        # Otherwise its policy can't be read, and its values are defaults.
-        self.has_policy = True
-
-    @classmethod
-    def without_policy(
-        cls, name: str, host: str, path_prefix: str, pool: str
-    ) -> Route:
-        """Return the route of a queue whose policy can't be read.
-
-        Its jobs can be asked for and cancelled, but none is accepted.
-        """
-        route = cls(name, host, path_prefix, pool, 0, 1, 1.0, 1.0, False)
-        route.has_policy = False
-        return route
-
-    def at(self, host: str, path_prefix: str, pool: str) -> Route:
-        """Return a route to the same queue from elsewhere."""
-        route = copy(self)
-        route.host = host
-        route.path_prefix = path_prefix
-        route.pool = pool
-        return route
-
-
-class PoolPolicy:
-    """The configuration of a pool."""
-
-    __slots__ = ("is_standby", "name", "rejects_overload")
-
-    def __init__(
-        self,
-        name: str,
-        is_standby: bool = False,
-        rejects_overload: bool = False,
-    ) -> None:
-        self.name = name
-        # Its hosts are powered off and cost nothing.
-        self.is_standby = is_standby
-        # Its executors reject runs that exceed their capacity.
-        self.rejects_overload = rejects_overload
-
-
-class Configuration:
-    """One version of the configuration; a higher one replaces it."""
-
-    __slots__ = ("pools", "routes", "tenants", "version")
-
-    def __init__(
-        self,
-        version: int,
-        routes: Sequence[Route],
-        pools: Sequence[PoolPolicy],
-        tenants: TenantDirectory | None = None,
-    ) -> None:
-        self.version = version
-        self.routes = tuple(routes)
-        self.pools = {pool.name: pool for pool in pools}
-        self.tenants = tenants or TenantDirectory()
-
-    @property
-    def served_pools(self) -> list[str]:
-        """The pools that have an owner."""
-        pools = self.pools.values()
-        return [pool.name for pool in pools if not pool.is_standby]
-
-    def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest matching path prefix."""
-        best: Route | None = None
-        for route in self.routes:
-            if route.host and route.host != host:
-                continue
-            if not path.startswith(route.path_prefix):
-                continue
-            if best is None or len(route.path_prefix) > len(best.path_prefix):
-                best = route
-        return best
-
-    def find_queue(self, name: str) -> Route | None:
-        """Return the route of the queue with a name."""
-        for route in self.routes:
-            if route.name == name:
-                return route
-        return None
--- a/lycheelug/jobservice/job_finder.py
+++ b/lycheelug/jobservice/job_finder.py
@@ -14,6 +14,7 @@
     from lycheelug.jobservice.interfaces import Configuration, Route
     from lycheelug.jobservice.queue_locations import QueueLocations
     from lycheelug.store.rows import RowSet, RowStore, StoredRow
+    from lycheelug.workloads import JobRecord
 
 __all__ = ["JobFinder"]
 
@@ -21,24 +22,32 @@
 class JobFinder:
     """Looks for jobs in all pools that their queue has had."""
 
-    __slots__ = ("_locations", "_pools", "_pools_of", "_store")
+    __slots__ = (
+        "_configuration",
+        "_locations",
+        "_pools",
+        "_pools_of",
+        "_store",
+    )
 
     def __init__(self, store: RowStore, locations: QueueLocations) -> None:
         self._store = store
         self._locations = locations
+        self._configuration: Configuration | None = None
         # All pools in the configurations seen by this daemon.
         self._pools: set[str] = set()
-        # Further pools in which it has found jobs of a queue.
+        # Further pools in which it has found jobs of a queue, by address.
         self._pools_of: dict[str, list[str]] = {}
 
     def apply_configuration(self, configuration: Configuration) -> None:
-        """Record the pools of a new configuration."""
+        """Record a new configuration and its pools."""
+        self._configuration = configuration
         self._pools.update(configuration.pools)
 
     def pools_of(self, route: Route) -> list[str]:
         """Return the pools that may have jobs of a queue, its own first."""
-        found = [route.pool, *self._locations.pools_of(route.name)]
-        found.extend(self._pools_of.get(route.name, ()))
+        found = [route.pool, *self._locations.pools_of(route)]
+        found.extend(self._pools_of.get(route.address, ()))
         return list(dict.fromkeys(found))
 
     async def read_job(
@@ -66,7 +75,7 @@
         stored may be in a pool that isn't in the row.
         """
         known = self.pools_of(route)
-        read = await self._locations.refresh_pools(route.name)
+        read = await self._locations.refresh_pools(route)
         if isinstance(read, Failure):
             return Failure(read.failure())
         if self.pools_of(route) != known:
@@ -77,11 +86,24 @@
                 return Failure(found.failure())
             row = found.unwrap()
             record = decode_job(row.value or b"") if row is not None else None
-            if record is None or record.queue != route.name:
+            if record is None or not self._may_be_of(route, record):
                 continue
-            self._pools_of.setdefault(route.name, []).append(pool)
+            self._pools_of.setdefault(route.address, []).append(pool)
             log_change(
                 "former-pool-found", job=job_id, queue=route.name, pool=pool
             )
             return Success(True)
         return Success(False)
+
+    def _may_be_of(self, route: Route, record: JobRecord) -> bool:
+        """Return whether a route's callers may have sent a job.
+
+        One that an earlier release has stored has no address, and if its
+        queue isn't configured any more, any address may have been its own.
+        """
+        if record.address == route.address or record.queue == route.name:
+            return True
+        configuration = self._configuration
+        if record.address or configuration is None:
+            return False
+        return configuration.find_queue(record.queue) is None
--- a/lycheelug/jobservice/outcomes.py
+++ b/lycheelug/jobservice/outcomes.py
@@ -36,6 +36,7 @@
             "job-accepted",
             job=job_id,
             queue=route.name,
+            address=route.address,
             pool=route.pool,
             tenant=record.tenant,
             steps=len(record.steps),
--- a/lycheelug/jobservice/pool_feeds.py
+++ b/lycheelug/jobservice/pool_feeds.py
@@ -172,9 +172,12 @@
                 del self._arriving_hosts[host]
         return len(self._arriving_hosts)
 
-    def count_waiting(self, queue: str) -> WaitingCount:
+    def count_waiting(self, queue: str, address: str = "") -> WaitingCount:
         """Count a queue's accepted jobs that have not started.
 
+        They are those that were accepted at its address, and those with its
+        name that no other route's callers know.
+
         None if this owner may not know all jobs that other daemons stored.
         """
         now = self._context.clock.now()
@@ -186,9 +189,21 @@
         for job in self._schedule.jobs.values():
             if job.has_started or job.is_final:
                 continue
-            count += job.record.queue == queue
+            count += self._is_of_queue(job.record, queue, address)
         return count
 
+    def _is_of_queue(
+        self, record: JobRecord, queue: str, address: str
+    ) -> bool:
+        """Return whether callers of a queue's address have sent a job."""
+        configuration = self._context.configuration()
+        if not address or configuration is None:
+            return record.queue == queue
+        if record.address == address:
+            return True
+        route = configuration.find_queue_of(record)
+        return (route.name if route else record.queue) == queue
+
     def add_stored_submission(
         self, submission: Submission, version: int
     ) -> None:
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -31,6 +31,7 @@
 from lycheelug.jobservice.pool_log import PoolLog
 from lycheelug.jobservice.pool_recovery import recover_pool
 from lycheelug.jobservice.progress_writer import ProgressWriter
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
 from lycheelug.jobservice.submission_queue import (
     SubmissionQueue,
     answer_repeated,
@@ -275,7 +276,7 @@
     # --- Submissions from callers.
 
     async def submit(
-        self, job_id: str, record: JobRecord, gate_version: int = 0
+        self, job_id: str, record: JobRecord, gates: GateVersions = NO_GATES
     ) -> SubmissionOutcome:
         """Store a submission with the next transaction, or reject it."""
         known = self.schedule.jobs.get(job_id)
@@ -289,7 +290,7 @@
             return reviewed
         self._admission.record_passed(job_id, record)
         submission = self.submission_queue.add(
-            job_id, reviewed, self._context.clock.now(), gate_version
+            job_id, reviewed, self._context.clock.now(), gates
         )
         if is_foreign(submission.record.tenant, record.tenant):
             return SubmissionAnswer.FOREIGN
@@ -304,11 +305,11 @@
             return False
         return not self.work.is_stalled(self._context.clock.now(), delay_s=0.0)
 
-    def count_waiting(self, queue: str) -> WaitingCount:
+    def count_waiting(self, queue: str, address: str = "") -> WaitingCount:
         """Count a queue's accepted jobs that have not started."""
         if self.lost.is_set():
             return None
-        return self.feeds.count_waiting(queue)
+        return self.feeds.count_waiting(queue, address)
 
     # --- Orders.
 
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -242,8 +242,7 @@
             submissions_max, self._context.clock.now()
         )
         for submission in batch.submissions:
-            gate = owner.submission_queue.gate_name(submission)
-            batch.expected[gate] = submission.gate_version
+            batch.expected.update(owner.submission_queue.gates(submission))
             for name, value in owner.submission_queue.rows(submission).items():
                 batch.expected[name] = 0
                 batch.writes[name] = value
--- a/lycheelug/jobservice/queue_locations.py
+++ b/lycheelug/jobservice/queue_locations.py
@@ -1,20 +1,30 @@
 """Finds the pools of a queue by what is stored, and keeps it in one of them.
 
-The operator may route a queue to another pool.  Its jobs stay in the pool in
-which they were stored, so a repeated submission has to be looked for in all
-pools that the queue has ever had.  A daemon can't know these by itself: it may
-have been started later, or not have seen each configuration.
-
-The row of a queue lists its pools, the current one first, with the version of
-the configuration that made it the current one.  A submission is stored only
-after the pool is in that row.  When a queue moves, a gate row in each of its
-former pools is closed before the new pool takes submissions.  A submission is
-stored on condition that the pool's gate is as it was when the queue was last
-looked up, so nothing is added to a former pool any more, neither by a daemon
-with an older configuration nor by a write that takes effect late.  What was
-found missing in the former pools therefore stays missing.
-
-A queue that has never moved has no gate row, and once it was looked up it
+Callers know a queue by its address, a host and a path prefix.  The operator
+may send an address to another pool, with or without another name.  Its jobs
+stay in the pool in which they were stored, so a repeated submission has to be
+looked for in all pools that the address has ever had.  A daemon can't know
+these by itself: it may have been started later, or not have seen each
+configuration.
+
+The row of an address lists its pools, the current one first, with the version
+of the configuration that made it the current one.  A submission is stored only
+after the pool is in that row.  When a queue moves, a gate in each of its
+former pools is closed before the new pool takes submissions (`queue_gates`).
+A submission is stored on condition that the pool's gates are as they were when
+the queue was last looked up, so nothing is added to a former pool any more,
+neither by a daemon with an older configuration nor by a write that takes
+effect late.  What was found missing in the former pools therefore stays
+missing.
+
+An earlier release knows a queue by its name, and has a row of each name.  An
+address without a row gets the pools of its route's name.  In the first
+configuration that this daemon sees, it may also be the address of a queue that
+the earlier release has stored and that isn't configured any more, so it gets
+the pools that have jobs of such queues.  The rows of names are kept up to date
+for daemons of that release, and for a queue that is given another address.
+
+A queue that has never moved has no gate rows, and once it was looked up it
 needs no reads.
 """
 
@@ -26,19 +36,10 @@
 
 from returns.result import Failure, Result, Success
 
-from lycheelug.jobservice.queue_rows import (
-    QUEUES_PART,
-    QUEUES_TABLE,
-    GateRecord,
-    QueueRecord,
-    decode_gate,
-    decode_queue,
-    encode_row,
-    gate_name,
-    queue_name,
-)
-from lycheelug.logs import log_change, log_fault
-from lycheelug.store.rows import RowConflict, StoredRow
+from lycheelug.jobservice.queue_gates import QueueGates
+from lycheelug.jobservice.queue_history import QueueHistory, QueuePools
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
+from lycheelug.logs import log_fault
 
 if TYPE_CHECKING:
     from lycheelug.errors import Fault
@@ -62,34 +63,22 @@
 class QueueLocation:
     """Where the jobs of a queue are stored."""
 
-    __slots__ = ("former_pools", "gate_version", "pool")
+    __slots__ = ("former_pools", "gates", "name", "pool")
 
     def __init__(
-        self, pool: str, former_pools: tuple[str, ...], gate_version: int
+        self,
+        pool: str,
+        name: str,
+        former_pools: tuple[str, ...],
+        gates: GateVersions,
     ) -> None:
-        # Takes the submissions.
+        # Takes the submissions, under this name of the queue.
         self.pool = pool
+        self.name = name
         # May have older jobs, and get no more.
         self.former_pools = former_pools
-        # The version of the pool's gate row, a condition of each submission;
-        # 0 if there is none.
-        self.gate_version = gate_version
-
-
-class _Queue:
-    """The row of a queue as it was last read."""
-
-    __slots__ = ("pools", "row_version", "version")
-
-    def __init__(
-        self, row_version: int, version: int, pools: tuple[str, ...]
-    ) -> None:
-        # 0 if there is no row.
-        self.row_version = row_version
-        # The version of the configuration that has made the first pool the
-        # current one.
-        self.version = version
-        self.pools = pools
+        # The versions of the pool's gates, a condition of each submission.
+        self.gates = gates
 
 
 class QueueLocations:
@@ -98,33 +87,37 @@
     __slots__ = (
         "_changed",
         "_configuration",
-        "_gated",
+        "_doubtful",
+        "_gates",
+        "_history",
         "_locations",
         "_lock",
         "_pools",
         "_read_versions",
         "_spread_s",
-        "_store",
     )
 
     def __init__(self, store: RowStore, daemon: str = "") -> None:
-        self._store = store
+        self._gates = QueueGates(store)
+        self._history = QueueHistory(store)
         self._configuration: Configuration | None = None
         self._changed = asyncio.Event()
         step = crc32(daemon.encode()) % SPREAD_STEPS
         self._spread_s = SPREAD_S * step / SPREAD_STEPS
         self._lock = asyncio.Lock()
+        # By address, like what follows.
         self._locations: dict[str, QueueLocation] = {}
-        # Queues whose pool has a gate row, or may have one.
-        self._gated: set[str] = set()
-        # The pools of each queue, by its row, and the version of the
-        # configuration that was in force when the row was last read.
+        # Those whose gates weren't as they were when they were looked up.
+        self._doubtful: set[str] = set()
+        # Their pools, by the rows, and the version of the configuration that
+        # was in force when they were last read.
         self._pools: dict[str, tuple[str, ...]] = {}
         self._read_versions: dict[str, int] = {}
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Look the queues of a new configuration up soon."""
         self._configuration = configuration
+        self._history.record_configuration(configuration.version)
         self._changed.set()
 
     async def run(self) -> None:
@@ -141,6 +134,8 @@
             if configuration is None:
                 continue
             for route in configuration.routes[:QUEUES_MAX]:
+                if not configuration.serves(route):
+                    continue
                 fault = await self._prepare(route)
                 if fault is not None:
                     log_fault("queue-not-read", fault)
@@ -150,55 +145,67 @@
 
     def has(self, route: Route) -> bool:
         """Return whether a queue's location is known."""
-        known = self._locations.get(route.name)
-        return known is not None and known.pool == route.pool
+        known = self._locations.get(route.address)
+        return (
+            known is not None
+            and known.pool == route.pool
+            and known.name == route.name
+        )
 
-    def pools_of(self, queue: str) -> tuple[str, ...]:
+    def pools_of(self, route: Route) -> tuple[str, ...]:
         """Return all pools that a queue is known to have had."""
-        return self._pools.get(queue, ())
+        return self._pools.get(route.address, ())
 
-    def forget(self, queue: str) -> None:
-        """Look a queue up again: its gate isn't as it was."""
-        self._locations.pop(queue, None)
-        self._gated.add(queue)
+    def forget(self, route: Route) -> None:
+        """Look a queue up again: its gates aren't as they were."""
+        self._locations.pop(route.address, None)
+        self._doubtful.add(route.address)
 
-    async def refresh_pools(self, queue: str) -> Result[bool, Fault]:
+    async def refresh_pools(self, route: Route) -> Result[bool, Fault]:
         """Read a queue's row; return whether it lists other pools now."""
-        version = self._version
-        read = await self._read_queue(queue)
+        known = self._pools.get(route.address, ())
+        read = await self._refresh(route)
         if isinstance(read, Failure):
             return Failure(read.failure())
-        known = self._pools.get(queue, ())
-        pools = read.unwrap().pools
-        self._pools[queue] = pools or known
-        self._read_versions[queue] = version
-        return Success(self._pools[queue] != known)
-
-    async def refresh_once(self, queue: str) -> Result[bool, Fault]:
+        if not read.unwrap().pools:
+            # An earlier release may have stored its jobs.
+            named = await self._history.read_name(route)
+            if isinstance(named, Failure):
+                return Failure(named.failure())
+            self._pools[route.address] = named.unwrap().pools or known
+        return Success(self._pools[route.address] != known)
+
+    async def refresh_once(self, route: Route) -> Result[bool, Fault]:
         """Read a queue's row, once for each configuration."""
-        if self._read_versions.get(queue) == self._version:
+        if self._read_versions.get(route.address) == self._version:
             return Success(False)
-        return await self.refresh_pools(queue)
+        return await self.refresh_pools(route)
 
-    async def find(self, route: Route) -> Result[QueueLocation | None, Fault]:
+    async def find(
+        self, route: Route, known: QueuePools | None = None
+    ) -> Result[QueueLocation | None, Fault]:
         """Return where a queue's jobs are stored.
 
         None if a newer configuration has moved the queue elsewhere, or
-        others change its rows all the time.
+        others change its rows all the time.  `known` is the address's row if
+        it was just read.
         """
         if self.has(route):
-            return Success(self._locations[route.name])
-        version = self._version
+            return Success(self._locations[route.address])
+        configuration = self._configuration
+        if configuration is None:
+            return Success(None)
         async with self._lock:
             for _ in range(ATTEMPTS_MAX):
-                result = await self._look_up(route, version)
+                result = await self._look_up(route, configuration, known)
                 if isinstance(result, Failure):
                     return result
                 location, is_final = result.unwrap()
                 if location is not None:
-                    self._locations[route.name] = location
+                    self._locations[route.address] = location
                 if is_final:
                     return Success(location)
+                known = None
         return Success(None)
 
     # --- Implementation.
@@ -214,140 +221,72 @@
         if self.has(route):
             return None
         fault: Fault
-        read = await self.refresh_once(route.name)
+        read = await self._refresh(route)
         if isinstance(read, Failure):
             fault = read.failure()
             return fault
-        pools = self.pools_of(route.name)
+        pools = self.pools_of(route)
         if pools and pools[0] != route.pool:
             return None
-        found = await self.find(route)
+        found = await self.find(route, read.unwrap())
         if isinstance(found, Failure):
             fault = found.failure()
             return fault
         return None
 
-    async def _look_up(
-        self, route: Route, version: int
-    ) -> Result[tuple[QueueLocation | None, bool], Fault]:
-        """Look a queue up once; also return whether the result is final."""
-        read = await self._read_queue(route.name)
+    async def _refresh(self, route: Route) -> Result[QueuePools, Fault]:
+        """Read an address's row, and record its pools."""
+        version = self._version
+        read = await self._history.read_address(route)
         if isinstance(read, Failure):
             return Failure(read.failure())
         queue = read.unwrap()
-        if not queue.pools or queue.pools[0] != route.pool:
-            if queue.pools and queue.version >= version:
-                self._pools[route.name] = queue.pools
-                log_change(
-                    "queue-moved-on",
-                    queue=route.name,
-                    version=version,
-                    moved_by=queue.version,
-                    pool=queue.pools[0],
-                )
+        known = self._pools.get(route.address, ())
+        self._pools[route.address] = queue.pools or known
+        self._read_versions[route.address] = version
+        return Success(queue)
+
+    async def _look_up(
+        self,
+        route: Route,
+        configuration: Configuration,
+        known: QueuePools | None,
+    ) -> Result[tuple[QueueLocation | None, bool], Fault]:
+        """Look a queue up once; also return whether the result is final."""
+        queue = known
+        if queue is None:
+            read = await self._history.read_address(route)
+            if isinstance(read, Failure):
+                return Failure(read.failure())
+            queue = read.unwrap()
+        is_doubtful = route.address in self._doubtful
+        if is_doubtful or not queue.is_of(route, configuration.version):
+            renewed = await self._history.renew(route, queue, configuration)
+            if isinstance(renewed, Failure):
+                return Failure(renewed.failure())
+            renewal = renewed.unwrap()
+            if renewal.queue is None:
+                return Success((None, False))
+            queue = renewal.queue
+            if renewal.has_moved_on:
+                self._pools[route.address] = queue.pools
                 return Success((None, True))
-            stored = await self._store_queue(route, queue, version)
-            if isinstance(stored, Failure):
-                return Failure(stored.failure())
-            # The row is read again, with its new version.
-            return Success((None, False))
-        self._pools[route.name] = queue.pools
+            is_doubtful = is_doubtful or len(queue.pools) > 1
+        self._pools[route.address] = queue.pools
         former = queue.pools[1:]
         for pool in former:
-            closed = await self._set_gate(pool, route.name, queue, False)
+            closed = await self._gates.close(pool, route, queue.version)
             if isinstance(closed, Failure):
                 return Failure(closed.failure())
-            if closed.unwrap() is None:
+            if not closed.unwrap():
                 return Success((None, False))
-        gate_version: int | None = 0
-        if former or route.name in self._gated:
-            opened = await self._set_gate(route.pool, route.name, queue, True)
+        gates: GateVersions | None = NO_GATES
+        if former or is_doubtful:
+            opened = await self._gates.open(route, queue.version, is_doubtful)
             if isinstance(opened, Failure):
                 return Failure(opened.failure())
-            gate_version = opened.unwrap()
-        if gate_version is None:
+            gates = opened.unwrap()
+        if gates is None:
             return Success((None, False))
-        return Success((QueueLocation(route.pool, former, gate_version), True))
-
-    async def _set_gate(
-        self, pool: str, name: str, queue: _Queue, is_open: bool
-    ) -> Result[int | None, Fault]:
-        """Open or close a pool for a queue, as its row says.
-
-        Returns the version of the gate's row, 0 if there is none, or None if
-        the queue has to be looked up again.
-        """
-        gate = gate_name(pool, name)
-        read = await self._store.read(
-            gate.table, pool, gate.key, gate.key + "\0"
-        )
-        if isinstance(read, Failure):
-            return Failure(read.failure())
-        row = next(iter(read.unwrap().rows), None)
-        # Without a row, a pool is open.
-        record = GateRecord(name, 0, True)
-        if row is not None:
-            record = decode_gate(row) or record
-        if record.is_open is is_open and (
-            is_open or record.version >= queue.version
-        ):
-            return Success(row.version if row is not None else 0)
-        if row is not None and record.version >= queue.version:
-            return Success(None)
-        known = row.version if row is not None else 0
-        value = encode_row(GateRecord(name, queue.version, is_open))
-        written = await self._store.commit(pool, {gate: known}, {gate: value})
-        if isinstance(written, Failure):
-            return Failure(written.failure())
-        outcome = written.unwrap()
-        if isinstance(outcome, RowConflict):
-            return Success(None)
-        log_change(
-            "queue-gate",
-            queue=name,
-            pool=pool,
-            is_open=is_open,
-            version=queue.version,
-        )
-        return Success(outcome.version)
-
-    async def _read_queue(self, name: str) -> Result[_Queue, Fault]:
-        """Read the row of one queue."""
-        key = queue_name(name).key
-        read = await self._store.read(
-            QUEUES_TABLE, QUEUES_PART, key, key + "\0"
-        )
-        if isinstance(read, Failure):
-            return Failure(read.failure())
-        for row in read.unwrap().rows:
-            return Success(_to_queue(row))
-        return Success(_Queue(0, 0, ()))
-
-    async def _store_queue(
-        self, route: Route, queue: _Queue, version: int
-    ) -> Result[None, Fault]:
-        """Make a route's pool the current one of its queue, if it can be."""
-        others = [each for each in queue.pools if each != route.pool]
-        record = QueueRecord(route.name, version, [route.pool, *others])
-        row = queue_name(route.name)
-        written = await self._store.commit(
-            QUEUES_PART, {row: queue.row_version}, {row: encode_row(record)}
-        )
-        if isinstance(written, Failure):
-            return Failure(written.failure())
-        if not isinstance(written.unwrap(), RowConflict):
-            log_change(
-                "queue-stored",
-                queue=route.name,
-                version=version,
-                pools=record.pools,
-            )
-        return Success(None)
-
-
-def _to_queue(row: StoredRow) -> _Queue:
-    """Convert a queue's row; one that can't be read lists no pools."""
-    record = decode_queue(row)
-    if record is None:
-        return _Queue(row.version, 0, ())
-    return _Queue(row.version, record.version, tuple(record.pools))
+        location = QueueLocation(route.pool, route.name, former, gates)
+        return Success((location, True))
--- a/lycheelug/jobservice/queue_policies.py
+++ b/lycheelug/jobservice/queue_policies.py
@@ -1,9 +1,10 @@
 """The scheduling policies of a pool's jobs, as far as they are known.
 
-A policy comes from the configuration, or else from the job: the submission
-has the one under which it was accepted, and the progress record a later one.
-The newest version is in force.  So a queue that is away from the
-configuration, or a configuration that arrives late, changes nothing.
+A policy comes from the configuration, by the route at the job's address or
+else by the queue's name, or it comes from the job: the submission has the one
+under which it was accepted, and the progress record a later one.  The newest
+version is in force.  So a queue that is away from the configuration, or a
+configuration that arrives late, changes nothing.
 
 A job of an earlier release may have no policy.  While its queue isn't
 configured either, the job doesn't fail for its attempts, and none of its
@@ -80,7 +81,7 @@
     ) -> QueuePolicy:
         """Return the policy of a job that is read from the store."""
         found = _newest(
-            self._configured(record.queue),
+            self._configured(record),
             progress.policy if progress is not None else None,
             record.policy,
         )
@@ -125,12 +126,13 @@
             return
         self._applied = configuration
         changed: dict[str, int] = {}
-        configured: dict[str, PolicyRecord | None] = {}
+        configured: dict[tuple[str, str], PolicyRecord | None] = {}
         for job in list(self._schedule.job_index.unfinished.values()):
             queue = job.record.queue
-            if queue not in configured:
-                configured[queue] = self._configured(queue)
-            record = configured[queue]
+            key = (job.record.address, queue)
+            if key not in configured:
+                configured[key] = self._configured(job.record)
+            record = configured[key]
             if record is None:
                 continue
             known = job.policy
@@ -159,10 +161,10 @@
         if changed:
             self._on_change()
 
-    def _configured(self, queue: str) -> PolicyRecord | None:
-        """Return a queue's policy in the configuration, if it is there."""
+    def _configured(self, job: JobRecord) -> PolicyRecord | None:
+        """Return the policy of a job's queue, if it is configured."""
         configuration = self._context.configuration()
-        route = configuration.find_queue(queue) if configuration else None
+        route = configuration.find_queue_of(job) if configuration else None
         if configuration is None or route is None or not route.has_policy:
             return None
         return policy_record(route, configuration.version)
--- a/lycheelug/jobservice/service.py
+++ b/lycheelug/jobservice/service.py
@@ -13,6 +13,7 @@
 from lycheelug.jobservice.interfaces import SubmissionAnswer, SubmissionRouter
 from lycheelug.jobservice.placement_queries import PlacementQueries
 from lycheelug.jobservice.pool_owner import PoolOwner
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
 from lycheelug.jobservice.submissions import Submissions
 from lycheelug.jobservice.tables import FLEET_PART
 from lycheelug.logs import log_change
@@ -40,9 +41,9 @@
     from lycheelug.workloads import ExecutorInfo, JobLimits, JobRecord
 
     RemoteSubmit = Callable[
-        [str, str, str, JobRecord, int], Awaitable[SubmissionOutcome]
+        [str, str, str, JobRecord, GateVersions], Awaitable[SubmissionOutcome]
     ]
-    RemoteCount = Callable[[str, str, str], Awaitable[WaitingCount]]
+    RemoteCount = Callable[[str, str, str, str], Awaitable[WaitingCount]]
 
 __all__ = ["JobService"]
 
@@ -190,48 +191,52 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionOutcome:
         """Pass a submission to its pool's owner, here or on a peer."""
         if pool in self.duties.held or self._submit_remote is None:
-            return await self.submit_locally(
-                pool, job_id, record, gate_version
-            )
+            return await self.submit_locally(pool, job_id, record, gates)
         address = self.duties.owner_address(pool)
         if not address:
             return SubmissionAnswer.NOT_TAKEN
-        return await self._submit_remote(
-            address, pool, job_id, record, gate_version
-        )
+        return await self._submit_remote(address, pool, job_id, record, gates)
 
     async def submit_locally(
         self,
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionOutcome:
         """Store a submission if this daemon owns its pool."""
         holder = self.duties.held.get(pool)
         if not isinstance(holder, PoolOwner):
             return SubmissionAnswer.NOT_TAKEN
-        return await holder.submit(job_id, record, gate_version)
+        return await holder.submit(job_id, record, gates)
 
-    async def count_waiting(self, pool: str, queue: str) -> WaitingCount:
+    async def count_waiting(
+        self, pool: str, queue: str, address: str
+    ) -> WaitingCount:
         """Ask a pool's owner, here or on a peer, for a queue's count."""
         if pool in self.duties.held or self._count_remote is None:
-            return self.count_locally(pool, queue)
-        address = self.duties.owner_address(pool)
-        if not address:
+            return self.count_locally(pool, queue, address)
+        owner = self.duties.owner_address(pool)
+        if not owner:
             return None
-        return await self._count_remote(address, pool, queue)
+        return await self._count_remote(owner, pool, queue, address)
+
+    def count_locally(
+        self, pool: str, queue: str, address: str = ""
+    ) -> WaitingCount:
+        """Count a queue's waiting jobs if this daemon owns its pool.
 
-    def count_locally(self, pool: str, queue: str) -> WaitingCount:
-        """Count a queue's waiting jobs if this daemon owns its pool."""
+        Without its address, as a daemon of an earlier release asks for it,
+        the jobs with its name are counted.
+        """
         holder = self.duties.held.get(pool)
         if not isinstance(holder, PoolOwner):
             return None
-        return holder.count_waiting(queue)
+        return holder.count_waiting(queue, address)
 
     # --- Updates from the platform.
 
--- a/lycheelug/jobservice/submission_queue.py
+++ b/lycheelug/jobservice/submission_queue.py
@@ -18,7 +18,11 @@
 
 from lycheelug.errors import PLATFORM_UNREACHABLE
 from lycheelug.jobservice.interfaces import SubmissionAnswer
-from lycheelug.jobservice.queue_rows import gate_name
+from lycheelug.jobservice.queue_rows import (
+    NO_GATES,
+    GateVersions,
+    gate_versions,
+)
 from lycheelug.jobservice.tables import (
     JOB_PREFIX,
     PROGRESS_TABLE,
@@ -62,7 +66,7 @@
 
     __slots__ = (
         "answer",
-        "gate_version",
+        "gates",
         "job_id",
         "progress",
         "queued_at",
@@ -76,10 +80,10 @@
         record: JobRecord,
         term: int,
         queued_at: float,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> None:
-        # The version of its queue's gate, a condition of the transaction.
-        self.gate_version = gate_version
+        # The versions of its queue's gates, conditions of the transaction.
+        self.gates = gates
         self.queued_at = queued_at
         self.job_id = job_id
         self.record = record
@@ -123,12 +127,12 @@
         job_id: str,
         record: JobRecord,
         now: float,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> Submission:
         """Queue a submission; return the queued one for a duplicate."""
         known = self._waiting.get(job_id)
         if known is None:
-            known = Submission(job_id, record, self._term, now, gate_version)
+            known = Submission(job_id, record, self._term, now, gates)
             self._waiting[job_id] = known
         return known
 
@@ -138,13 +142,13 @@
         self._reject_outdated()
         batch: list[Submission] = []
         size = entries = 0
-        queues: set[str] = set()
+        known: set[RowName] = set()
         for submission in self._waiting.values():
             size += len(submission.value)
-            entries += ENTRIES_EACH
-            # The gate of each queue is a condition too.
-            entries += submission.record.queue not in queues
-            queues.add(submission.record.queue)
+            # The gates of each queue are conditions too.
+            gates = self.gates(submission).keys()
+            entries += ENTRIES_EACH + len(gates - known)
+            known |= gates
             is_full = size > BATCH_BYTES_MAX or entries > BATCH_ENTRIES_MAX
             if len(batch) >= max_count or (batch and is_full):
                 break
@@ -182,13 +186,13 @@
         A gate's versions rise, so the others of the queue have seen that it
         has changed.
         """
-        newest: dict[str, int] = {}
+        newest: dict[RowName, int] = {}
         for submission in self._waiting.values():
-            queue = submission.record.queue
-            known = newest.get(queue, 0)
-            newest[queue] = max(known, submission.gate_version)
+            for gate, version in self.gates(submission).items():
+                newest[gate] = max(newest.get(gate, 0), version)
         for submission in list(self._waiting.values()):
-            if submission.gate_version < newest[submission.record.queue]:
+            gates = self.gates(submission)
+            if any(gates[gate] < newest[gate] for gate in gates):
                 del self._waiting[submission.job_id]
                 submission.resolve(SubmissionAnswer.MOVED)
 
@@ -206,9 +210,9 @@
         """Return the name of a submission's row."""
         return RowName(self._table, JOB_PREFIX + submission.job_id)
 
-    def gate_name(self, submission: Submission) -> RowName:
-        """Return the name of the gate of a submission's queue."""
-        return gate_name(self._pool, submission.record.queue)
+    def gates(self, submission: Submission) -> dict[RowName, int]:
+        """Return the gates of a submission's queue, with their versions."""
+        return gate_versions(self._pool, submission.record, submission.gates)
 
     def rows(self, submission: Submission) -> dict[RowName, bytes]:
         """Return the rows to write, on condition that none exists."""
@@ -231,9 +235,7 @@
                     )
                 )
                 continue
-            gate = conflict.rows.get(self.gate_name(submission))
-            found = gate.version if gate is not None else 0
-            if found != submission.gate_version:
+            if conflict.has_other_versions(self.gates(submission)):
                 submission.resolve(SubmissionAnswer.MOVED)
                 continue
             if any(name in conflict.rows for name in self.rows(submission)):
--- a/lycheelug/jobservice/submissions.py
+++ b/lycheelug/jobservice/submissions.py
@@ -22,7 +22,7 @@
 from lycheelug.jobservice.outcomes import Outcomes
 from lycheelug.jobservice.queue_locations import QueueLocations
 from lycheelug.jobservice.queue_policies import policy_record
-from lycheelug.jobservice.queue_rows import gate_name
+from lycheelug.jobservice.queue_rows import gate_versions
 from lycheelug.jobservice.replies import Reply, ReplyKind
 from lycheelug.jobservice.submission_queue import (
     stored_tenant,
@@ -136,7 +136,9 @@
         have access to the store while this daemon has none.
         """
         policy = policy_record(route, self._version)
-        record = msgspec.structs.replace(record, policy=policy)
+        record = msgspec.structs.replace(
+            record, policy=policy, address=route.address
+        )
         is_located = self.locations.has(route)
         if not is_located and self._is_store_unreachable():
             return self._outcomes.refuse_unreachable("submission", job_id)
@@ -156,7 +158,7 @@
                 )
             if reply is not None:
                 return reply
-            self.locations.forget(route.name)
+            self.locations.forget(route)
         return self._outcomes.refuse_moved(route, job_id)
 
     async def _find_former(
@@ -194,7 +196,7 @@
         if effects is not None:
             effects.may_exist = True
         answer = await self._router.submit(
-            route.pool, job_id, record, location.gate_version
+            route.pool, job_id, record, location.gates
         )
         if answer is SubmissionAnswer.MOVED:
             return None
@@ -232,12 +234,12 @@
         None if it isn't stored, as the queue is being moved.
         """
         name = RowName(jobs_table(route.pool), JOB_PREFIX + job_id)
-        gate = gate_name(route.pool, route.name)
+        gates = gate_versions(route.pool, record, location.gates)
         value = msgspec.json.encode(record)
         for _ in range(WRITE_ATTEMPTS):
             result = await self._store.commit(
                 route.pool,
-                {name: 0, gate: location.gate_version},
+                {name: 0, **gates},
                 {name: value},
             )
             match result:
@@ -367,8 +369,8 @@
 
         Only the pool's owner knows: the summary it has stored may be too old.
         """
-        read = await self.locations.refresh_once(route.name)
-        is_known = bool(self.locations.pools_of(route.name))
+        read = await self.locations.refresh_once(route)
+        is_known = bool(self.locations.pools_of(route))
         if isinstance(read, Failure) and not is_known:
             return self._outcomes.refuse("count", route.name, read.failure())
         missing = {route.pool}
@@ -379,7 +381,9 @@
             if attempt:
                 await asyncio.sleep(COUNT_RETRY_S)
             for pool in sorted(missing):
-                waiting = await self._router.count_waiting(pool, route.name)
+                waiting = await self._router.count_waiting(
+                    pool, route.name, route.address
+                )
                 if waiting is not None:
                     total += waiting
                     missing.remove(pool)
--- a/lycheelug/jobservice/tables.py
+++ b/lycheelug/jobservice/tables.py
@@ -25,6 +25,7 @@
     from lycheelug.store.rows import StoredRow
 
 __all__ = [
+    "ADDRESS_GATE_PREFIX",
     "CANCEL_PREFIX",
     "FLEET_PART",
     "GATE_PREFIX",
@@ -49,7 +50,9 @@
 PART_SEPARATOR: Final = "/"
 JOB_PREFIX: Final = "job/"
 CANCEL_PREFIX: Final = "cancel/"
-# The gate rows of queues that have moved; see `queue_locations`.
+# The gate rows of queues that have moved, by address and by name; see
+# `queue_locations`.
+ADDRESS_GATE_PREFIX: Final = "address/"
 GATE_PREFIX: Final = "queue/"
 # Digits of the number of a further row.
 PART_DIGITS_MAX: Final = 3
--- a/lycheelug/relay/counts.py
+++ b/lycheelug/relay/counts.py
@@ -30,20 +30,25 @@
     def __init__(self) -> None:
         self._channels = PeerChannels()
 
-    async def count(self, address: str, pool: str, queue: str) -> WaitingCount:
-        """Return the owner's count, or None if it has not given one."""
+    async def count(
+        self, owner: str, pool: str, queue: str, address: str
+    ) -> WaitingCount:
+        """Return the owner's count, or None if it has not given one.
+
+        `address` is that of the queue.
+        """
         try:
             reply = await self._channels.call(
-                address,
+                owner,
                 COUNT,
-                CountCall(pool, queue),
+                CountCall(pool, queue, address),
                 CountReply,
                 COUNT_TIMEOUT_S,
             )
         except CALL_ERRORS as error:
             log_change(
                 "owner-not-asked",
-                peer=address,
+                peer=owner,
                 pool=pool,
                 queue=queue,
                 error=str(error) or type(error).__name__,
--- a/lycheelug/relay/messages.py
+++ b/lycheelug/relay/messages.py
@@ -100,8 +100,10 @@
     job_id: str
     # The encoded job record to store.
     record: bytes
-    # The version of its queue's gate; 0 also from an earlier release.
+    # The versions of the gates of its queue's name and address; 0 also from an
+    # earlier release.
     gate_version: int = 0
+    address_gate_version: int = 0
 
 
 class SubmitReply(msgspec.Struct, omit_defaults=True):
@@ -120,6 +122,8 @@
 
     pool: str
     queue: str
+    # The queue's address; empty from an earlier release.
+    address: str = ""
 
 
 class CountReply(msgspec.Struct):
--- a/lycheelug/relay/server.py
+++ b/lycheelug/relay/server.py
@@ -24,6 +24,7 @@
     PlacementAnswer,
     PlacementQuery,
 )
+from lycheelug.jobservice.queue_rows import GateVersions
 from lycheelug.jobservice.submission_queue import SUBMIT_TIMEOUT_S
 from lycheelug.jobservice.tables import decode_job
 from lycheelug.logs import log_change
@@ -62,9 +63,9 @@
     from lycheelug.workloads import JobRecord
 
     AcceptSubmission = Callable[
-        [str, str, JobRecord, int], Awaitable[SubmissionOutcome]
+        [str, str, JobRecord, GateVersions], Awaitable[SubmissionOutcome]
     ]
-    CountWaiting = Callable[[str, str], WaitingCount]
+    CountWaiting = Callable[[str, str, str], WaitingCount]
     LocateJob = Callable[[PlacementQuery], PlacementAnswer]
 
 __all__ = ["BULK_READ", "COMMIT", "FEED", "PARTS", "READ", "RelayServer"]
@@ -199,7 +200,9 @@
         """Return the count of a pool's owner in this daemon."""
         if self.count_waiting is None:
             return CountReply()
-        return CountReply(self.count_waiting(call.pool, call.queue))
+        return CountReply(
+            self.count_waiting(call.pool, call.queue, call.address)
+        )
 
     async def _locate(self, query: PlacementQuery) -> PlacementAnswer:
         """Return the report of a pool's owner in this daemon."""
@@ -211,7 +214,8 @@
         self, accept: AcceptSubmission, call: SubmitCall, record: JobRecord
     ) -> SubmissionOutcome:
         """Let the owner store a submission."""
-        return await accept(call.pool, call.job_id, record, call.gate_version)
+        gates = GateVersions(call.gate_version, call.address_gate_version)
+        return await accept(call.pool, call.job_id, record, gates)
 
     def _is_late(self, pool: str) -> bool:
         """Return whether a pool's oldest submission has waited too long."""
--- a/lycheelug/relay/submissions.py
+++ b/lycheelug/relay/submissions.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from lycheelug.jobservice.interfaces import Rejection, SubmissionAnswer
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
 from lycheelug.jobservice.submission_queue import SUBMIT_TIMEOUT_S
 from lycheelug.logs import log_change
 from lycheelug.relay.channels import CALL_ERRORS, NotSentError, PeerChannels
@@ -45,13 +46,17 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionOutcome:
         """Send a submission to the owner at an address, which stores it."""
         if self._now() < self._avoided_until.get(address, 0.0):
             return SubmissionAnswer.NOT_TAKEN
         call = SubmitCall(
-            pool, job_id, msgspec.json.encode(record), gate_version
+            pool,
+            job_id,
+            msgspec.json.encode(record),
+            gates.queue,
+            gates.address,
         )
         try:
             reply = await self._channels.call(
--- a/lycheelug/store/rows.py
+++ b/lycheelug/store/rows.py
@@ -91,6 +91,14 @@
     def __init__(self, rows: Sequence[StoredRow]) -> None:
         self.rows = {row.name: row for row in rows}
 
+    def has_other_versions(self, expected: Mapping[RowName, int]) -> bool:
+        """Return whether any of some rows has another version; 0 for none."""
+        for name, version in expected.items():
+            row = self.rows.get(name)
+            if (row.version if row is not None else 0) != version:
+                return True
+        return False
+
 
 class RowSet:
     """Rows that are complete up to the given version of the store."""
--- a/lycheelug/workloads/job_limits.py
+++ b/lycheelug/workloads/job_limits.py
@@ -98,8 +98,10 @@
         ):
             if not lowest <= value <= highest:
                 return JobError(field, value, lowest, highest)
-    # The policy and the tenant are not part of what was submitted.
-    submitted = msgspec.structs.replace(record, policy=None, tenant="")
+    # These fields are not part of what was submitted.
+    submitted = msgspec.structs.replace(
+        record, policy=None, tenant="", address=""
+    )
     size = len(msgspec.json.encode(submitted))
     if size > limits.record_bytes:
         return JobError("size in bytes", size, 1, limits.record_bytes)
--- a/lycheelug/workloads/model.py
+++ b/lycheelug/workloads/model.py
@@ -159,6 +159,9 @@
     policy: PolicyRecord | None = None
     # The tenant whose key the submission carried; empty for none.
     tenant: str = ""
+    # The address at which it was accepted, which its callers know; empty if an
+    # earlier release has stored the record.
+    address: str = ""
 
     @property
     def occurrences(self) -> int:
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -35,6 +35,7 @@
     SubmissionAnswer,
     SubmissionOutcome,
 )
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
 from lycheelug.jobservice.service import JobService
 from lycheelug.store.memory_rows import MemoryRows
 from lycheelug.store.rows import RowCommit
@@ -674,6 +675,7 @@
         zone: str = "z1",
         store_class: type[FaultyRows] = FaultyRows,
         overload: OverloadPolicy | None = None,
+        configuration: Configuration | None = None,
     ) -> JobService:
         store = store_class(self.rows, self.locks)
         service = JobService(
@@ -694,7 +696,7 @@
             job_memory_bytes=self.job_memory_bytes,
         )
         service.apply_configuration(
-            Configuration(1, [ROUTE], [PoolPolicy(POOL)])
+            configuration or Configuration(1, [ROUTE], [PoolPolicy(POOL)])
         )
         for executor in self.fleet.executors.values():
             service.update_executor(executor.info.executor_id, executor.info)
@@ -709,7 +711,7 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionOutcome:
         """Pass a submission to another daemon, which may answer late."""
         await asyncio.sleep(0.002)
@@ -719,16 +721,18 @@
         try:
             async with asyncio.timeout(self.forward_timeout_s):
                 return await service.submit_locally(
-                    pool, job_id, record, gate_version
+                    pool, job_id, record, gates
                 )
         except TimeoutError:
             return SubmissionAnswer.UNDECIDED
 
-    async def count(self, address: str, pool: str, queue: str) -> WaitingCount:
+    async def count(
+        self, owner: str, pool: str, queue: str, address: str
+    ) -> WaitingCount:
         """Ask another daemon for a queue's waiting jobs."""
         await asyncio.sleep(0.002)
-        service = self.daemons.get(address)
-        return service.count_locally(pool, queue) if service else None
+        service = self.daemons.get(owner)
+        return service.count_locally(pool, queue, address) if service else None
 
     async def stop(self) -> None:
         for service in self.daemons.values():
--- a/tests/test_batch_size.py
+++ b/tests/test_batch_size.py
@@ -82,23 +82,34 @@
 # Guards against a transaction that the store rejects for the number of its
 # entries, as submissions of many queues each have a gate as a condition.
 @pytest.mark.parametrize(
-    ("queues", "expected"),
-    [(1, 16), (4, 16), (5, 15), (13, 13), (16, 13)],
+    ("queues", "has_address", "expected"),
+    [
+        (1, False, 16),
+        (4, False, 16),
+        (5, False, 15),
+        (13, False, 13),
+        (16, False, 13),
+        (1, True, 16),
+        (4, True, 15),
+        (16, True, 11),
+    ],
 )
 def test_submissions_of_many_queues_fit_into_a_transaction(
-    queues: int, expected: int
+    queues: int, has_address: bool, expected: int
 ) -> None:
     async def run() -> None:
         queue = SubmissionQueue(POOL, 1)
         for number in range(16):
-            record = JobRecord(f"q{number % queues}", "", [StepSpec(count=1)])
+            name = f"q{number % queues}"
+            record = JobRecord(name, "", [StepSpec(count=1)])
+            record.address = f"host/{name}/" if has_address else ""
             queue.add(f"{number:016x}", record, 0.0)
         batch = queue.take_batch(16, 0.0)
         assert len(batch) == expected
         names: set[RowName] = set()
         entries = 0
         for submission in batch:
-            names.add(queue.gate_name(submission))
+            names.update(queue.gates(submission))
             entries += 2 * len(queue.rows(submission))
         # Besides, the owner's row, two of its load and ten of its executors.
         assert len(names) + entries + 1 + 2 * 2 + 2 * 10 <= ENTRIES_MAX
--- a/tests/test_count_age.py
+++ b/tests/test_count_age.py
@@ -8,6 +8,7 @@
 from returns.result import Success
 
 from lycheelug.jobservice.interfaces import SubmissionAnswer
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
 from lycheelug.jobservice.submissions import ReplyKind
 from lycheelug.jobservice.tables import jobs_table
 from lycheelug.store.rows import RowSet
@@ -38,7 +39,7 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionAnswer:
         return SubmissionAnswer.NOT_TAKEN
 
@@ -94,7 +95,9 @@
                 assert reply.kind is ReplyKind.OK
                 accepted.append(loop.time())
             await asyncio.sleep(0.02 if number < SURGE_JOBS else 0.1)
-            count = await world.daemons[other].count_waiting(POOL, ROUTE.name)
+            count = await world.daemons[other].count_waiting(
+                POOL, ROUTE.name, ROUTE.address
+            )
             if count is None:
                 continue
             old = loop.time() - COUNT_LAG_S
--- a/tests/test_moved_queues.py
+++ b/tests/test_moved_queues.py
@@ -15,6 +15,7 @@
     SubmissionAnswer,
 )
 from lycheelug.jobservice.queue_rows import (
+    NO_GATES,
     QUEUES_PART,
     GateRecord,
     encode_row,
@@ -242,7 +243,7 @@
         (owner,) = world.holders(POOL)
         record = JobRecord("quick", "payload", STEPS)
         answer = await world.daemons[owner].submit_locally(
-            POOL, job_id(JOB), record, 0
+            POOL, job_id(JOB), record, NO_GATES
         )
         assert answer is SubmissionAnswer.MOVED
         assert world.stored_in() == ["bulk"]
@@ -309,7 +310,7 @@
     async def read(
         self, table: str, part: str, first: str = "", end: str = ""
     ) -> Result[RowSet, Fault]:
-        is_counted = table.startswith(("jobs-", "queues"))
+        is_counted = table.startswith(("jobs-", "queues", "addresses"))
         CountedRows.reads += is_counted and bool(first)
         return await super().read(table, part, first, end)
 
@@ -320,7 +321,8 @@
         writes: Mapping[RowName, bytes | None],
     ) -> Result[RowCommit | RowConflict, Fault]:
         CountedRows.writes += any(
-            name.table == "queues" or name.key.startswith("queue/")
+            name.table in ("queues", "addresses")
+            or name.key.startswith(("queue/", "address/"))
             for name in writes
         )
         return await super().commit(part, expected, writes)
--- a/tests/test_pool_admission.py
+++ b/tests/test_pool_admission.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
@@ -26,6 +27,9 @@
 from tests.job_world import POOL, ROUTE, JobWorld, job_id, until
 from tests.virtual_time import VirtualClock, run_virtual
 
+if TYPE_CHECKING:
+    from lycheelug.jobservice.queue_rows import GateVersions
+
 REJECTING = OverloadPolicy("margin", rejects=True)
 STEP = StepSpec(count=8, cpu_millis=1000, estimate_ms=1000)
 LASTING = StepSpec(count=1, cpu_millis=1000, estimate_ms=1000, lasts=True)
@@ -180,7 +184,7 @@
     sent: SubmissionAnswer | Rejection, received: SubmissionAnswer | int
 ) -> None:
     async def accept(
-        pool: str, job: str, job_record: JobRecord, gate_version: int
+        pool: str, job: str, job_record: JobRecord, gates: GateVersions
     ) -> SubmissionAnswer | Rejection:
         return sent
 
--- a/tests/test_queue_policies.py
+++ b/tests/test_queue_policies.py
@@ -16,6 +16,7 @@
     SubmissionRouter,
 )
 from lycheelug.jobservice.pool_owner import PoolOwner
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
 from lycheelug.jobservice.submissions import ReplyKind, Submissions
 from lycheelug.jobservice.tables import JOB_PREFIX, decode_job, jobs_table
 from lycheelug.metrics import Metrics
@@ -51,11 +52,11 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionAnswer:
         return SubmissionAnswer.NOT_TAKEN
 
-    async def count_waiting(self, pool: str, queue: str) -> None:
+    async def count_waiting(self, pool: str, queue: str, address: str) -> None:
         return None
 
 
--- a/tests/test_relay_calls.py
+++ b/tests/test_relay_calls.py
@@ -28,6 +28,8 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+    from lycheelug.jobservice.queue_rows import GateVersions
+
 POOL = "p"
 RECORD = JobRecord("q", "", [])
 # A test that takes longer than this has failed.
@@ -75,7 +77,7 @@
         return await self.forwarder.submit(self.address, POOL, job_id, RECORD)
 
     async def _accept(
-        self, _pool: str, job_id: str, _record: JobRecord, _gate: int
+        self, _pool: str, job_id: str, _record: JobRecord, _: GateVersions
     ) -> SubmissionAnswer:
         self.received.append(job_id)
         self.received_at = asyncio.get_running_loop().time()
--- a/tests/test_tenant_calls.py
+++ b/tests/test_tenant_calls.py
@@ -15,6 +15,7 @@
     Route,
     SubmissionAnswer,
 )
+from lycheelug.jobservice.queue_rows import NO_GATES, GateVersions
 from lycheelug.platform.config import decode_configuration
 from lycheelug.platform.ingress import Ingress
 from lycheelug.platform.settings import read_settings
@@ -228,7 +229,7 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionAnswer:
         return SubmissionAnswer.NOT_TAKEN
 
--- a/tests/test_timed_out_requests.py
+++ b/tests/test_timed_out_requests.py
@@ -21,8 +21,11 @@
     SubmissionRouter,
 )
 from lycheelug.jobservice.queue_rows import (
+    NO_GATES,
     QUEUES_PART,
+    GateVersions,
     QueueRecord,
+    address_name,
     encode_row,
     queue_name,
 )
@@ -52,12 +55,14 @@
         pool: str,
         job_id: str,
         record: JobRecord,
-        gate_version: int = 0,
+        gates: GateVersions = NO_GATES,
     ) -> SubmissionAnswer:
         await asyncio.sleep(60)
         return SubmissionAnswer.STORED
 
-    async def count_waiting(self, pool: str, queue: str) -> WaitingCount:
+    async def count_waiting(
+        self, pool: str, queue: str, address: str
+    ) -> WaitingCount:
         await asyncio.sleep(60)
         return 0
 
@@ -122,9 +127,10 @@
         rows = SilentRows(answers_reads)
         # The queue was served before the store fell silent.
         pools = ["new", "old"] if has_moved else ["new"]
-        row = encode_row(QueueRecord("quick", 1, pools))
+        row = encode_row(QueueRecord("quick", 1, pools, ROUTE.address))
+        names = (queue_name("quick"), address_name(ROUTE.address))
         await MemoryRows.commit(
-            rows, QUEUES_PART, {}, {queue_name("quick"): row}
+            rows, QUEUES_PART, {}, dict.fromkeys(names, row)
         )
         name = RowName(jobs_table("new"), JOB_PREFIX + "5c0e7a21d94b36f8")
         if method == b"DELETE":
