--- a/bench/job_memory.py
+++ b/bench/job_memory.py
@@ -27,7 +27,6 @@
     Resources,
     StepSpec,
 )
-from lycheelug.workloads.ended_jobs import release_ended_jobs
 from lycheelug.workloads.executors import ExecutorInfo
 from lycheelug.workloads.incarnations import EndedIncarnations
 
@@ -122,8 +121,9 @@
     for job in list(schedule.jobs.values()):
         schedule.cancel_job(job.job_id, UNIX_MS)
         job.is_dirty = False
+        schedule.job_index.record_stored(job)
     schedule.job_index.ended.clear()
-    release_ended_jobs(schedule)
+    schedule.ended_jobs.take_over(schedule)
     schedule.ready.ordered(UNIX_MS, schedule.run_times)
     return built
 
--- a/lycheelug/jobservice/placement_queries.py
+++ b/lycheelug/jobservice/placement_queries.py
@@ -126,6 +126,11 @@
         unix_ms = self._context.clock.unix_ms()
         if query.job_id:
             job = owner.schedule.jobs.get(query.job_id)
+            ended = owner.schedule.ended_jobs.find(query.job_id)
+            if ended is not None:
+                return PlacementReport(
+                    ended.queue, query.pool, ended.state, query.job_id
+                )
             if job is None:
                 return PlacementAnswer(
                     error=f"pool {query.pool} has no job {query.job_id}",
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -12,7 +12,6 @@
 from lycheelug.jobservice.host_reads import read_interval_s
 from lycheelug.logs import log_change, log_fault
 from lycheelug.workloads import HostEvidence, LossCause
-from lycheelug.workloads.ended_jobs import release_ended_jobs
 
 if TYPE_CHECKING:
     from collections.abc import Container, Mapping
@@ -20,8 +19,6 @@
     from lycheelug.fleetplan import HostInfo
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
-    from lycheelug.workloads import Job, PoolSchedule
-
 __all__ = [
     "find_host_evidence",
     "remove_ended_incarnations",
@@ -36,6 +33,8 @@
 # platform requires 120 s; the rest covers clock differences of daemons.
 FINISHED_RETENTION_S: Final = 180
 SWEEP_S: Final = 5.0
+# How soon what isn't needed of finished jobs is dropped.
+RELEASE_S: Final = 1.0
 # Jobs whose rows one transaction removes: three writes each, and a
 # transaction has at most 100.
 SWEEP_MAX: Final = 30
@@ -155,26 +154,21 @@
 ) -> None:
     """Remove the rows of jobs that finished long enough ago.
 
-    Until then, only what callers ask for is kept in memory.
+    Until then, little is kept of them in memory.
     """
+    ended = owner.schedule.ended_jobs
+    swept_at = context.clock.now()
     while True:
-        await asyncio.sleep(SWEEP_S)
-        release_ended_jobs(owner.schedule)
+        await asyncio.sleep(RELEASE_S)
+        ended.take_over(owner.schedule)
+        now = context.clock.now()
+        if now - swept_at < SWEEP_S:
+            continue
+        swept_at = now
         await owner.writer.remove_unclaimed()
         before_ms = context.clock.unix_ms() - FINISHED_RETENTION_S * 1000
-        old = _finished_before(owner.schedule, before_ms)
-        if not await owner.writer.remove(old[:SWEEP_MAX]):
+        old = ended.ended_before(before_ms)[:SWEEP_MAX]
+        if not await owner.writer.remove(old):
             continue
-        for job in old[:SWEEP_MAX]:
-            owner.schedule.forget_job(job.job_id)
-
-
-def _finished_before(schedule: PoolSchedule, unix_ms: int) -> list[Job]:
-    """Return the stored final jobs that ended before a Unix time in ms."""
-    found: list[Job] = []
-    for job in schedule.jobs.values():
-        if not job.is_final or job.is_dirty:
-            continue
-        if job.progress.final_ms < unix_ms:
-            found.append(job)
-    return found
+        for job in old:
+            ended.forget(job.job_id)
--- a/lycheelug/jobservice/pool_feeds.py
+++ b/lycheelug/jobservice/pool_feeds.py
@@ -144,7 +144,9 @@
         if not self.has_jobs:
             return found
         for job_id, stored in self.stored_progress.items():
-            if not stored.version and job_id not in self._schedule.jobs:
+            if stored.version or job_id in self._schedule.jobs:
+                continue
+            if self._schedule.ended_jobs.find(job_id) is None:
                 found[job_id] = stored.part_count
         return found
 
@@ -242,6 +244,8 @@
         if not row.key.startswith(JOB_PREFIX):
             return
         job_id = row.key[len(JOB_PREFIX) :]
+        if self._schedule.ended_jobs.find(job_id) is not None:
+            return
         record = decode_job(row.value)
         if record is None:
             log_change("row-unreadable", table=row.table, key=row.key)
--- a/lycheelug/jobservice/pool_log.py
+++ b/lycheelug/jobservice/pool_log.py
@@ -119,6 +119,7 @@
             oldest_ms=oldest_ms,
             jobs=len(schedule.jobs),
             unfinished=len(schedule.job_index.unfinished),
+            ended=len(schedule.ended_jobs),
             open_steps=schedule.job_index.open_steps,
             runs=len(schedule.run_counts),
         )
--- a/lycheelug/jobservice/pool_owner.py
+++ b/lycheelug/jobservice/pool_owner.py
@@ -282,6 +282,9 @@
         known = self.schedule.jobs.get(job_id)
         if known is not None:
             return answer_repeated(known.record.tenant, record.tenant)
+        ended = self.schedule.ended_jobs.find(job_id)
+        if ended is not None:
+            return answer_repeated(ended.tenant, record.tenant)
         if not self._takes_submissions():
             self._admission.record_passed(job_id, record)
             return SubmissionAnswer.NOT_TAKEN
--- a/lycheelug/jobservice/progress_writer.py
+++ b/lycheelug/jobservice/progress_writer.py
@@ -35,7 +35,7 @@
     from lycheelug.errors import Fault
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
-    from lycheelug.workloads import Job
+    from lycheelug.workloads.ended_jobs import EndedJob
 
 __all__ = ["ProgressWriter"]
 
@@ -105,7 +105,7 @@
             if not is_stored:
                 await asyncio.sleep(RETRY_S)
 
-    async def remove(self, jobs: list[Job]) -> bool:
+    async def remove(self, jobs: list[EndedJob]) -> bool:
         """Remove all rows of some jobs; return False if that failed."""
         table = jobs_table(self._owner.pool)
         names: list[RowName] = []
@@ -276,6 +276,7 @@
                 job.has_unsaved_crashes = False
             if job.progress.begun_term:
                 job.begin_is_stored = True
+            self._owner.schedule.job_index.record_stored(job)
         if batch.is_complete:
             self._incomplete = None
             self._acknowledge(batch)
--- a/lycheelug/workloads/held_memory.py
+++ b/lycheelug/workloads/held_memory.py
@@ -31,9 +31,11 @@
 # How often the jobs are looked at; submissions in between are added.
 MEASURE_INTERVAL_S: Final = 1.0
 # Bytes, as `bench.job_memory` measures them: of a job without its payload, of
-# a step of its record, of a step of an open occurrence, of a task that was
-# started and is kept, of its run, and of an entry in its progress record.
+# one that has ended, of a step of its record, of a step of an open occurrence,
+# of a task that was started and is kept, of its run, and of an entry and of a
+# finished task in its progress record.
 JOB_BYTES: Final = 3_400
+ENDED_BYTES: Final = 600
 STEP_BYTES: Final = 500
 OPEN_STEP_BYTES: Final = 700
 TASK_BYTES: Final = 300
@@ -107,6 +109,8 @@
     for name in schedule.run_counts:
         known = schedule.jobs.get(name.job)
         held[known.record.queue if known is not None else ""] += RUN_BYTES
+    for queue, count in schedule.ended_jobs.count_by_queue().items():
+        held[queue] += ENDED_BYTES * count
     return held
 
 
--- a/lycheelug/workloads/job_index.py
+++ b/lycheelug/workloads/job_index.py
@@ -26,9 +26,9 @@
         "failed",
         "open_steps",
         "periodic",
+        "stored_ends",
         "unfinished",
         "unfinished_periodic",
-        "unreleased",
     )
 
     def __init__(self) -> None:
@@ -45,8 +45,8 @@
         self.unfinished: dict[str, Job] = {}
         # How many of these have a schedule.
         self.unfinished_periodic = 0
-        # Ended jobs that weren't released yet; see `ended_jobs`.
-        self.unreleased: dict[str, Job] = {}
+        # Ended jobs whose ends are stored.
+        self.stored_ends: dict[str, Job] = {}
         # The steps of all open occurrences.
         self.open_steps = 0
 
@@ -59,7 +59,7 @@
         if job.record.schedule is not None:
             self.periodic[job.job_id] = job
         if job.is_final:
-            self.unreleased[job.job_id] = job
+            self.record_stored(job)
         else:
             self.unfinished[job.job_id] = job
             self.unfinished_periodic += job.record.schedule is not None
@@ -68,14 +68,18 @@
     def record_end(self, job: Job) -> None:
         """Record that a job has entered a final state."""
         self._remove_unfinished(job)
-        self.unreleased[job.job_id] = job
         self.ended.append(job)
 
+    def record_stored(self, job: Job) -> None:
+        """Record that a job's progress is stored, but for later changes."""
+        if job.is_final and not job.is_dirty:
+            self.stored_ends[job.job_id] = job
+
     def remove(self, job: Job) -> None:
         """Remove a job."""
         self.dirty.pop(job.job_id, None)
         self.periodic.pop(job.job_id, None)
-        self.unreleased.pop(job.job_id, None)
+        self.stored_ends.pop(job.job_id, None)
         self._remove_unfinished(job)
         self.open_steps -= len(job.occurrences) * len(job.record.steps)
 
--- a/lycheelug/workloads/placement.py
+++ b/lycheelug/workloads/placement.py
@@ -157,7 +157,7 @@
     def has_room_for_gang(
         self, members: list[Task], count: int, hints: PlacementHints | None
     ) -> bool:
-        """Return whether a gang of `count` can be placed; alike, give one."""
+        """Return whether a gang fits; one of equal members is enough."""
         first = members[0]
         views = list(self._reserved.get(first.name.job, ()))
         kinds = {self._kind(member)[1:3] for member in members}
--- a/lycheelug/workloads/pool.py
+++ b/lycheelug/workloads/pool.py
@@ -33,6 +33,7 @@
 from lycheelug.workloads.crashes import CrashLedger
 from lycheelug.workloads.demand import Arrivals, expected_work
 from lycheelug.workloads.earlier_runs import are_earlier_runs_known
+from lycheelug.workloads.ended_jobs import EndedJobs
 from lycheelug.workloads.executors import LATE_CALL_S, ExecutorView
 from lycheelug.workloads.incarnations import EndedIncarnations
 from lycheelug.workloads.isolation import Isolation
@@ -87,6 +88,7 @@
         "budget",
         "crashes",
         "ended_incarnations",
+        "ended_jobs",
         "executors",
         "handled_job",
         "hint_requests",
@@ -144,13 +146,13 @@
         self.hint_requests: dict[StepName, list[str]] = {}
         self.jobs: dict[str, Job] = {}
         self.job_index = JobIndex()
+        self.ended_jobs = EndedJobs()
         # The job of the task that is being reported on, for errors.
         self.handled_job: Job | None = None
         self.executors: dict[str, ExecutorView] = {}
         self._token_source = TokenSource(term)
         # Whether all executors that earlier owners used are known.
         self.are_used_executors_known = False
-        # Tasks waiting for an executor.
         self.ready = ReadyQueue(ordering)
         self.ended_incarnations = EndedIncarnations()
         self.late_starts = LateStarts()
--- a/tests/test_job_memory.py
+++ b/tests/test_job_memory.py
@@ -13,6 +13,7 @@
 from lycheelug.jobservice.pool_owner import PoolOwner
 from lycheelug.jobservice.replies import Reply, ReplyKind
 from lycheelug.jobservice.summary import summarize
+from lycheelug.jobservice.tables import JOB_PREFIX, jobs_table
 from lycheelug.workloads import (
     EndKind,
     JobRecord,
@@ -23,7 +24,6 @@
     Resources,
     StepSpec,
 )
-from lycheelug.workloads.ended_jobs import release_ended_jobs
 from lycheelug.workloads.executors import ExecutorInfo
 from lycheelug.workloads.held_memory import (
     JOBS_BYTES_MAX,
@@ -162,19 +162,26 @@
                 world.plan()
         for job in list(world.schedule.jobs.values()):
             world.schedule.cancel_job(job.job_id, UNIX_MS)
+            # Nothing is dropped before its end is stored.
+            world.schedule.ended_jobs.take_over(world.schedule)
+            assert job.job_id in world.schedule.jobs
             job.is_dirty = False
+            world.schedule.job_index.record_stored(job)
         world.schedule.job_index.ended.clear()
         runs = set(view.runs)
-        release_ended_jobs(world.schedule)
+        world.schedule.ended_jobs.take_over(world.schedule)
         # Jobs with runs are released once these have ended.
         assert set(view.runs) == runs
         for key in runs:
             view.drop_run(key)
         world.plan()
-        release_ended_jobs(world.schedule)
+        world.schedule.ended_jobs.take_over(world.schedule)
         assert held() < JOBS_BYTES_MAX * jobs / WIDE_JOBS
-    for job in world.schedule.jobs.values():
-        assert job.progress.state == JobState.CANCELLED
+    assert not world.schedule.jobs
+    for number in range(jobs):
+        ended = world.schedule.ended_jobs.find(job_id(number))
+        assert ended is not None
+        assert ended.state == JobState.CANCELLED
     assert world.schedule.job_index.open_steps == 0
 
 
@@ -334,6 +341,12 @@
         submissions = self.daemons[daemon].submissions
         return await submissions.submit(route, job_id(number), record)
 
+    def schedule_at(self, daemon: str) -> PoolSchedule:
+        """Return the schedule of the pool's owner."""
+        holder = self.daemons[daemon].duties.held[POOL]
+        assert isinstance(holder, PoolOwner)
+        return holder.schedule
+
     async def wait_done(self, daemon: str, number: int) -> None:
         """Wait for the end of a job that is to be served at once."""
         async with asyncio.timeout(5.0):
@@ -415,9 +428,7 @@
         assert len(accepted) > 300
         assert refused
         (owner,) = world.holders()
-        holder = world.daemons[owner].duties.held[POOL]
-        assert isinstance(holder, PoolOwner)
-        held = estimate_held(holder.schedule)[ROUTE.name]
+        held = estimate_held(world.schedule_at(owner))[ROUTE.name]
         share = QUEUE_SHARE / (1 + QUEUE_SHARE)
         assert held <= share * world.job_memory_bytes
         # A repeat of an accepted submission isn't refused, at any daemon.
@@ -446,3 +457,48 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against an end that is dropped before it is stored, so that the next
+# owner runs the job again (related to review case 11).
+def test_ended_job_is_kept_until_its_end_is_stored() -> None:
+    async def run() -> None:
+        world = MemoryWorld()
+        world.fleet.add("x0", work_s=0.5)
+        world.start_fleet()
+        for name in ("e0", "e1"):
+            world.start(name)
+        await until(lambda: len(world.holders()) == 1)
+        await asyncio.sleep(1.0)
+        (owner,) = world.holders()
+        schedule = world.schedule_at(owner)
+        reply = await world.send(owner, 1, JobRecord("", "", [ONE]))
+        assert reply.kind is ReplyKind.OK
+        job = schedule.jobs[job_id(1)]
+        await until(lambda: bool(schedule.run_counts))
+        world.stores[owner].refused_parts.add(POOL)
+        await until(lambda: job.is_final)
+        await asyncio.sleep(1.3)
+        assert schedule.jobs[job_id(1)] is job
+        world.stores[owner].refused_parts.clear()
+        # Another daemon may have taken over meanwhile.
+        await asyncio.sleep(5.0)
+        (owner,) = world.holders()
+        schedule = world.schedule_at(owner)
+        assert schedule.ended_jobs.find(job_id(1)) is not None
+        assert job_id(1) not in schedule.jobs
+        assert await world.state(owner, 1) == JobState.COMPLETED
+        for daemon in ("e0", "e1"):
+            reply = await world.send(daemon, 1, JobRecord("", "", [ONE]))
+            assert reply.kind is ReplyKind.OK
+        await asyncio.sleep(2.0)
+        assert len(world.fleet.started) == 1
+        # Its rows are removed in the end.
+        await asyncio.sleep(200.0)
+        assert schedule.ended_jobs.find(job_id(1)) is None
+        assert world.rows._rows.keys().isdisjoint(
+            {(jobs_table(POOL), POOL, JOB_PREFIX + job_id(1))}
+        )
+        await world.stop()
+
+    run_virtual(run())
