--- a/lycheelug/jobservice/job_finder.py
+++ b/lycheelug/jobservice/job_finder.py
@@ -43,6 +43,9 @@
         """Record a new configuration and its pools."""
         self._configuration = configuration
         self._pools.update(configuration.pools)
+        for address in list(self._pools_of):
+            if not configuration.has_address(address):
+                del self._pools_of[address]
 
     def pools_of(self, route: Route) -> list[str]:
         """Return the pools that may have jobs of a queue, its own first."""
--- a/lycheelug/jobservice/order_sender.py
+++ b/lycheelug/jobservice/order_sender.py
@@ -268,6 +268,9 @@
             log_fault("no-advice", result.failure(), step=step.render())
             hints.record_failed_call(step, now)
             return
+        if job is None or not job.is_open(step.occurrence, step.step):
+            hints.forget_step(step)
+            return
         hint = result.unwrap()
         valid_s = ticket_validity_s(hint.valid_s, timing)
         hints.add_tickets(step, hint.tickets, valid_s, now, executor_ids)
--- a/lycheelug/jobservice/pool_admission.py
+++ b/lycheelug/jobservice/pool_admission.py
@@ -2,9 +2,9 @@
 
 They are those that the pool can't complete in time to be of use, those of
 tenants with too many jobs over their share, and those for which its owner has
-no memory.  Nothing is stored of a rejected
-submission.  Its owner remembers when it was first submitted, so that a retry
-keeps its place; the next owner doesn't.
+no memory.  Nothing is stored of a rejected submission.  Its owner remembers
+when it was first submitted, so that a retry keeps its place; the next owner
+doesn't.
 """
 
 from __future__ import annotations
--- a/lycheelug/jobservice/pool_cleanup.py
+++ b/lycheelug/jobservice/pool_cleanup.py
@@ -19,6 +19,7 @@
     from lycheelug.fleetplan import HostInfo
     from lycheelug.jobservice.context import OwnerContext
     from lycheelug.jobservice.pool_owner import PoolOwner
+
 __all__ = [
     "find_host_evidence",
     "remove_ended_incarnations",
--- a/lycheelug/jobservice/queue_gates.py
+++ b/lycheelug/jobservice/queue_gates.py
@@ -51,12 +51,13 @@
         self._store = store
 
     async def close(
-        self, pool: str, route: Route, version: int
+        self, pool: str, route: Route, version: int, has_name: bool = True
     ) -> Result[bool, Fault]:
         """Close a former pool of a route's address.
 
         `version` is that of the configuration by which the address has got
-        its current pool.  Returns False if it has to be looked up again.
+        its current pool.  Unless the route `has_name`, another one has the
+        gate of its name.  Returns False if it has to be looked up again.
         """
         name = address_gate_name(pool, route.address)
         read = await self._read(pool, name)
@@ -71,7 +72,7 @@
         if isinstance(named, Failure):
             return Failure(named.failure())
         gates = {name: gate.row_version}
-        if named.unwrap().record.version < version:
+        if has_name and named.unwrap().record.version < version:
             known = named.unwrap().row_version
             gates[gate_name(pool, route.name)] = known
         record = GateRecord(route.name, version, False)
@@ -81,7 +82,11 @@
         return Success(written.unwrap() > 0)
 
     async def open(
-        self, route: Route, version: int, is_doubtful: bool
+        self,
+        route: Route,
+        version: int,
+        is_doubtful: bool,
+        has_name: bool = True,
     ) -> Result[GateVersions | None, Fault]:
         """Open a route's pool, and return the versions of its gates.
 
@@ -105,20 +110,23 @@
         if isinstance(found, Failure):
             return Failure(found.failure())
         named = found.unwrap()
-        if not named.record.is_open and named.record.version >= version:
+        is_named_open = named.record.is_open or not has_name
+        if not is_named_open and named.record.version >= version:
             return Success(None)
-        if is_open and named.record.is_open:
+        if is_open and is_named_open:
             return Success(GateVersions(named.row_version, gate.row_version))
-        gates = {
-            name: gate.row_version,
-            gate_name(pool, route.name): named.row_version,
-        }
+        gates = {name: gate.row_version}
+        if has_name:
+            gates[gate_name(pool, route.name)] = named.row_version
         record = GateRecord(route.name, version, True)
         written = await self._write(pool, gates, record)
         if isinstance(written, Failure):
             return Failure(written.failure())
         stored = written.unwrap()
-        return Success(GateVersions(stored, stored) if stored else None)
+        if not stored:
+            return Success(None)
+        known = stored if has_name else named.row_version
+        return Success(GateVersions(known, stored))
 
     async def _read(self, pool: str, name: RowName) -> Result[_Gate, Fault]:
         """Read a gate; without a row that can be read, it is open."""
--- a/lycheelug/jobservice/queue_history.py
+++ b/lycheelug/jobservice/queue_history.py
@@ -104,14 +104,16 @@
     ) -> Result[Renewal, Fault]:
         """Make a route's pool the current one of its address and name.
 
-        `queue` is the address's row as it was last read.
+        `queue` is the address's row as it was last read.  If several routes
+        have the name, its row is that of the first one.
         """
         version = configuration.version
         read = await self.read_name(route)
         if isinstance(read, Failure):
             return Failure(read.failure())
         named = read.unwrap()
-        for each in (queue, named):
+        has_name = configuration.names(route)
+        for each in (queue, named) if has_name else (queue,):
             if each.is_newer(route, version):
                 log_change(
                     "queue-moved-on",
@@ -128,14 +130,17 @@
             unknown = await self._pools_of_unknown_names(configuration)
             if isinstance(unknown, Failure):
                 return Failure(unknown.failure())
-            earlier = (*named.pools, *unknown.unwrap())
+            earlier = unknown.unwrap()
+            if has_name:
+                earlier = (*named.pools, *earlier)
         records: dict[RowName, tuple[QueuePools, QueueRecord]] = {}
         if not queue.is_of(route, version):
             records[address_name(route.address)] = (
                 queue,
                 _record(route, version, earlier),
             )
-        if not named.is_of(route, version) or not queue.pools:
+        is_named = named.is_of(route, version) and bool(queue.pools)
+        if has_name and not is_named:
             records[queue_name(route.name)] = (
                 named,
                 _record(route, version, named.pools),
--- a/lycheelug/jobservice/queue_locations.py
+++ b/lycheelug/jobservice/queue_locations.py
@@ -115,8 +115,16 @@
         self._read_versions: dict[str, int] = {}
 
     def apply_configuration(self, configuration: Configuration) -> None:
-        """Look the queues of a new configuration up soon."""
+        """Look the queues of a new configuration up soon.
+
+        What is known of other addresses is forgotten.
+        """
         self._configuration = configuration
+        for known in (self._locations, self._pools, self._read_versions):
+            for address in list(known):
+                if not configuration.has_address(address):
+                    del known[address]
+        self._doubtful = set(filter(configuration.has_address, self._doubtful))
         self._history.record_configuration(configuration.version)
         self._changed.set()
 
@@ -274,15 +282,20 @@
             is_doubtful = is_doubtful or len(queue.pools) > 1
         self._pools[route.address] = queue.pools
         former = queue.pools[1:]
+        has_name = configuration.names(route)
         for pool in former:
-            closed = await self._gates.close(pool, route, queue.version)
+            closed = await self._gates.close(
+                pool, route, queue.version, has_name
+            )
             if isinstance(closed, Failure):
                 return Failure(closed.failure())
             if not closed.unwrap():
                 return Success((None, False))
         gates: GateVersions | None = NO_GATES
         if former or is_doubtful:
-            opened = await self._gates.open(route, queue.version, is_doubtful)
+            opened = await self._gates.open(
+                route, queue.version, is_doubtful, has_name
+            )
             if isinstance(opened, Failure):
                 return Failure(opened.failure())
             gates = opened.unwrap()
--- a/lycheelug/jobservice/routes.py
+++ b/lycheelug/jobservice/routes.py
@@ -170,6 +170,15 @@
         """Return the route of the queue with a name."""
         return self._by_name.get(name)
 
+    def names(self, route: Route) -> bool:
+        """Return whether a route is the only or first one of its name."""
+        known = self._by_name.get(route.name)
+        return known is None or known.address == route.address
+
+    def has_address(self, address: str) -> bool:
+        """Return whether any route has an address."""
+        return address in self._by_address
+
     def serves(self, route: Route) -> bool:
         """Return whether a route gets the calls at its address."""
         return self._by_address.get(route.address) is route
@@ -181,5 +190,7 @@
         its name.  Without one, or for a job of an earlier release, it is the
         one with the name of the job's queue.
         """
-        found = self._by_address.get(record.address)
+        found: Route | None = None
+        if record.address:
+            found = self._by_address.get(record.address)
         return found or self._by_name.get(record.queue)
--- a/lycheelug/workloads/jobs.py
+++ b/lycheelug/workloads/jobs.py
@@ -195,17 +195,14 @@
         return ready
 
     def find_task(self, name: TaskName) -> Task | None:
-        """Return a task of an open occurrence, or None if there is none.
-
-        It is kept until it is done.
-        """
+        """Return a task of an open occurrence; keep it until it is done."""
         task = self.peek_task(name)
         if task is not None and task.state is not TaskState.DONE:
             return self.tasks_beside(task).keep(task)
         return task
 
     def peek_task(self, name: TaskName) -> Task | None:
-        """Return a task as `find_task` does, without keeping it."""
+        """Return a task of an open occurrence, or None if there is none."""
         steps = self.occurrences.get(name.occurrence)
         if steps is None or not 0 <= name.step < len(steps):
             return None
@@ -221,12 +218,13 @@
         return found
 
     def step_tasks(self, task: Task) -> list[Task]:
-        """Return all tasks of a task's step and occurrence, including it.
-
-        They aren't kept unless they were before.
-        """
+        """Return all tasks of a task's step, without keeping them."""
         return list(self.tasks_beside(task))
 
+    def is_open(self, occurrence: int, step: int) -> bool:
+        """Return whether a step has unfinished tasks."""
+        return step in self.open_steps.get(occurrence, ())
+
     def tasks_beside(self, task: Task) -> StepTasks:
         """Return the tasks of a task's step and occurrence."""
         return self.occurrences[task.name.occurrence][task.name.step]
--- a/lycheelug/workloads/placement_hints.py
+++ b/lycheelug/workloads/placement_hints.py
@@ -99,7 +99,7 @@
 
 
 class PlacementHints:
-    """Placement hints for all steps of a pool.
+    """Placement hints for the unfinished steps of a pool.
 
     >>> hints = PlacementHints()
     >>> step = StepName("j", 0, 0)
@@ -123,6 +123,10 @@
             return None
         return found[0]
 
+    def __len__(self) -> int:
+        """Return the number of steps."""
+        return len(self._steps)
+
     def executors_to_query(
         self, step: StepName, views: Iterable[ExecutorView], now: float
     ) -> list[str]:
@@ -208,6 +212,10 @@
             hints.tickets.pop(executor_id, None)
             hints.asked.discard(executor_id)
 
+    def forget_step(self, step: StepName) -> None:
+        """Drop what is known of a step whose tasks are done."""
+        self._steps.pop(step, None)
+
     def forget_job(self, job: str) -> None:
         """Drop what is known of a job's steps."""
         for step in list(self._steps):
--- a/lycheelug/workloads/task_reports.py
+++ b/lycheelug/workloads/task_reports.py
@@ -357,6 +357,8 @@
     for member in members:
         schedule.ready.discard(member)
         schedule.make_ready(job.record_done(member, unix_ms, now))
+    if not job.is_open(task.name.occurrence, task.name.step):
+        schedule.placement_hints.forget_step(StepName.of(task.name))
     record_slack_error(schedule, job, now)
 
 
--- a/tests/test_job_memory.py
+++ b/tests/test_job_memory.py
@@ -23,6 +23,7 @@
     QueuePolicy,
     Resources,
     StepSpec,
+    TaskName,
 )
 from lycheelug.workloads.executors import ExecutorInfo
 from lycheelug.workloads.held_memory import (
@@ -502,3 +503,31 @@
         await world.stop()
 
     run_virtual(run())
+
+
+# Guards against an owner that keeps the tickets of all occurrences that a job
+# has ever had (related to review case 11).
+def test_hints_of_finished_steps_are_dropped() -> None:
+    world = PoolWorld()
+    world.add_executor("x0", capacity=Resources(64_000, 64_000, 0))
+    policy = QueuePolicy("queue", POOL, needs_placement_hint=True)
+    repeats = 50
+    record = JobRecord("queue", "", [ONE, ONE], UNIX_MS, Occurrences(repeats))
+    schedule = world.schedule
+    job = schedule.add_job(job_id(1), record, policy, None, UNIX_MS, 100.0)
+    job.mark_begun(schedule.term)
+    job.begin_is_stored = True
+    hints = schedule.placement_hints
+    while not job.is_final:
+        world.now += 0.1
+        ended: list[tuple[TaskName, int, EndKind]] = []
+        for order in world.starts():
+            world.answer(order)
+            ended.append((order.task.name, order.run, EndKind.DONE))
+        for name in schedule.hint_requests:
+            hints.add_tickets(name, {"x0": "t"}, 9.0, world.now, ["x0"])
+        schedule.hint_requests.clear()
+        world.report_tasks("x0", [], ended)
+        open_steps = sum(map(len, job.open_steps.values()))
+        assert len(hints) <= open_steps
+    assert len(hints) == 0
--- a/tests/test_replaced_routes.py
+++ b/tests/test_replaced_routes.py
@@ -416,6 +416,64 @@
     run_virtual(run())
 
 
+# Guards against two routes of one name, of which one is refused for the pool
+# of the other (related to case 13).
+def test_routes_of_one_name_are_two_queues() -> None:
+    async def run() -> None:
+        world = RouteWorld()
+        world.routes = [FIRST, route("r-1f", "/y/", "beta")]
+        await world.begin()
+        for daemon in world.daemons:
+            for number, path in enumerate(("/x/", "/y/")):
+                reply = await world.hand_in(daemon, path, number)
+                assert reply.kind is ReplyKind.OK
+        assert world.stored_in(0) == ["alpha"]
+        assert world.stored_in(1) == ["beta"]
+        await world.stop()
+
+    run_virtual(run())
+
+
+# Guards against a record without an address that gets the policy of a route
+# for all hosts and paths (related to case 13).
+def test_record_without_an_address_is_found_by_its_name() -> None:
+    anywhere = Route("all", "", "", "alpha", 0, 2, 1.6, 0.6, False)
+    configuration = Configuration(1, [anywhere, OTHER], [])
+    record = JobRecord(OTHER.name, "", STEPS)
+    assert configuration.find_queue_of(record) is OTHER
+    record.address = OTHER.address
+    assert configuration.find_queue_of(record) is OTHER
+    record.queue = "gone"
+    record.address = "gone.example/x/"
+    assert configuration.find_queue_of(record) is None
+
+
+# Guards against a daemon that remembers each address that was ever configured
+# (related to cases 11 and 13).
+def test_addresses_that_are_gone_are_forgotten() -> None:
+    async def run() -> None:
+        world = RouteWorld()
+        await world.begin()
+        locations = world.daemons["e0"].submissions.locations
+        for number in range(20):
+            await world.change(
+                FIRST, route(f"r-{number}", f"/{number}/", "beta")
+            )
+            reply = await world.hand_in("e0", f"/{number}/", number)
+            assert reply.kind is ReplyKind.OK
+        assert len(locations._locations) == 2
+        assert len(locations._pools) == 2
+        # One that is back finds its jobs.
+        await world.change(FIRST, route("r-9", "/7/", "gamma"))
+        assert (await world.ask("e0", "/7/", 7)).kind is ReplyKind.OK
+        reply = await world.hand_in("e0", "/7/", 7)
+        assert reply.kind is ReplyKind.OK
+        assert world.stored_in(7) == ["beta"]
+        await world.stop()
+
+    run_virtual(run())
+
+
 # Guards against a job in two pools, whatever routes and versions daemons have
 # and whichever of them a submission reaches (related to case 13).
 @pytest.mark.parametrize("seed", range(12))
